--- /dev/null
+++ b/core/src/main/java/silverlatch/carry/Act.java
@@ -0,0 +1,53 @@
+package silverlatch.carry;
+
+import java.util.List;
+import silverlatch.deck.Event;
+import silverlatch.tariff.Wish;
+
+/** What carrying wants done in the world outside. */
+public sealed interface Act {
+    /** The pick is made: where to go, and with what. */
+    record Picked(long token, String ticket, String carrier, String permit, String worker, long page, long stamp) implements Act {
+    }
+
+    /** Another purser is to be asked. */
+    record Pointed(long token, List<String> doors) implements Act {
+        /** Copies the doors. */
+        public Pointed {
+            doors = List.copyOf(doors);
+        }
+    }
+
+    /** It did not run and never will: code, why, how long to stay away in microseconds, how a held key stands. */
+    record Rejected(long token, int code, String ticket, String why, long after, String stands) implements Act {
+    }
+
+    /** Lines for the consumer's stream; last when nothing follows. */
+    record Flow(long token, List<Line> lines, boolean last) implements Act {
+        /** Copies the lines. */
+        public Flow {
+            lines = List.copyOf(lines);
+        }
+    }
+
+    /** Ask a worker to run. */
+    record Run(long job, String worker, String address, String ticket, String run, String tenant, String kind,
+               List<Long> prefix, String prompt) implements Act {
+        /** Copies the prefix. */
+        public Run {
+            prefix = List.copyOf(prefix);
+        }
+    }
+
+    /** Drop what is under way with a worker. */
+    record Cut(long job) implements Act {
+    }
+
+    /** Ask the chain; the verdict comes back under the job. */
+    record Claim(long job, Wish wish, long span) implements Act {
+    }
+
+    /** A numbered event for the log. */
+    record Log(Event event, String text) implements Act {
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/carry/Carry.java
@@ -0,0 +1,833 @@
+package silverlatch.carry;
+
+import java.security.MessageDigest;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import silverlatch.carry.permit.Permit;
+import silverlatch.carry.permit.Seals;
+import silverlatch.carry.slab.Slab;
+import silverlatch.chart.Chart;
+import silverlatch.crew.Member;
+import silverlatch.deck.Event;
+import silverlatch.judge.Case;
+import silverlatch.judge.Court;
+import silverlatch.judge.Sight;
+import silverlatch.rumor.Rumor;
+import silverlatch.rumor.Worker;
+import silverlatch.tariff.Leaf;
+import silverlatch.tariff.Verdict;
+import silverlatch.tariff.Wish;
+import silverlatch.tide.Stamp;
+
+/**
+ * Picks and carries the tickets of one purser. It does no input or output: events go in, acts come out.
+ * One duty owns it.
+ */
+public final class Carry {
+    private static final long SECOND = 1_000_000L;
+    private static final int LINES = 256;
+    private final Setup setup;
+    private final Seals seals;
+    private final Supplier<Stamp> stamps;
+    private final RandomGenerator luck;
+    private final Court court;
+    private final Chart chart = Chart.load("ticket");
+    private final Slab<Ticket> slab;
+    private final Map<String, Long> open = new HashMap<>();
+    private final Map<Long, Long> jobs = new HashMap<>();
+    private final Map<String, Flow> flows = new TreeMap<>();
+    private final Map<String, Hand> hands = new HashMap<>();
+    private final LinkedHashMap<String, Long> spent = new LinkedHashMap<>();
+    private final Deque<Ended> ended = new ArrayDeque<>();
+    private final Map<Long, Long> readers = new HashMap<>();
+    private final Tales tales = new Tales(20_000);
+    private final Budget budget;
+    private final Map<String, Long> tally = new TreeMap<>();
+    private final List<Act> out = new ArrayList<>();
+    private Facts facts;
+    private long serial;
+    private long job;
+    private double clock;
+    private long time;
+    private boolean closing;
+
+    /** Settings; times in microseconds. */
+    public record Setup(int slab, int queue, long permit, long word, long sure, long claim, long keep, int buffer,
+                        double tries, long shun, long patience) {
+        /** What holds when nothing is said. */
+        public static final Setup PLAIN = new Setup(4_096, 2_048, 2 * SECOND, 2 * SECOND, 2_500_000L, SECOND, 20 * SECOND,
+                4 << 20, 0.1, SECOND, 5 * SECOND);
+    }
+
+    /** A purser that carries nothing yet. */
+    public Carry(final Setup setup, final Seals seals, final Facts facts, final Supplier<Stamp> stamps, final RandomGenerator luck) {
+        this.setup = setup;
+        this.seals = seals;
+        this.facts = facts;
+        this.stamps = stamps;
+        this.luck = luck;
+        this.court = Court.full(setup.word());
+        this.slab = new Slab<>(setup.slab());
+        this.budget = new Budget(setup.tries(), 20, 3);
+    }
+
+    /** Takes what the purser knows now. */
+    public void facts(final Facts next, final long now) {
+        if (next.me().life() != facts.me().life()) {
+            flows.values().forEach(f -> List.copyOf(f.queue).forEach(t -> reject(t, 503, "the carrier joined anew", SECOND)));
+        }
+        next.workers().forEach((id, h) -> hands.computeIfAbsent(id, k -> new Hand(h.worker().life())).see(h, now));
+        hands.keySet().removeIf(id -> !next.workers().containsKey(id) && hands.get(id).mine == 0);
+        facts = next;
+        pump(now);
+    }
+
+    /** Whether tickets are taken, or why not. */
+    public Optional<String> unready(final long now) {
+        if (closing) {
+            return Optional.of("stopping");
+        }
+        return facts.fresh(now, setup.sure()) ? Optional.empty() : Optional.of("the table held here is not confirmed");
+    }
+
+    /** No new ticket is taken from now on. */
+    public void close() {
+        closing = true;
+    }
+
+    /** How many tickets are under way. */
+    public int open() {
+        return open.size();
+    }
+
+    /** Counts by name. */
+    public Map<String, Long> tally() {
+        return Map.copyOf(tally);
+    }
+
+    /** The stories of tickets. */
+    public Tales tales() {
+        return tales;
+    }
+
+    /** What is to be done; it is handed over once. */
+    public List<Act> drain() {
+        final List<Act> list = List.copyOf(out);
+        out.clear();
+        return list;
+    }
+
+    /** A consumer asks where to go. */
+    public void pick(final Order o, final long token, final long now) {
+        count("picks");
+        final Optional<Leaf.Tenant> who = facts.tenant(o.tenant());
+        if (who.isEmpty() || !MessageDigest.isEqual(Seals.hash(o.secret()).getBytes(java.nio.charset.StandardCharsets.UTF_8),
+                who.get().hash().getBytes(java.nio.charset.StandardCharsets.UTF_8))) {
+            final Optional<String> why = unready(now);
+            no(token, why.isPresent() ? 503 : 401, "", why.orElse("the tenant or its key is not known"), why.isPresent() ? SECOND : 0, "");
+            return;
+        }
+        final Optional<Leaf.Row> row = facts.row(o.tenant(), o.kind());
+        if (row.isEmpty()) {
+            no(token, 422, "", "$.kind: no kind " + o.kind(), 0, "");
+            return;
+        }
+        if (row.get().once() && o.key().isEmpty()) {
+            no(token, 422, "", "$.key: kind " + o.kind() + " runs once only and needs a key", 0, "");
+            return;
+        }
+        final List<String> homes = who.get().homes();
+        final Set<String> empty = facts.empty();
+        final boolean home = homes.isEmpty() || homes.contains(facts.me().region());
+        if (!home || empty.contains(facts.me().zone()) || unready(now).isPresent()) {
+            point(token, homes, empty, home, now);
+            return;
+        }
+        final Flow flow = flow(o.tenant(), o.kind());
+        final int peers = peers();
+        if (!flow.take(row.get().rate() / peers, Math.max(1, row.get().burst() / peers), now)) {
+            no(token, 429, "", "over the rate of " + row.get().rate() + " a second", SECOND, "");
+            return;
+        }
+        if (o.tries() > 0 && !budget.take()) {
+            no(token, 429, "", "too many tickets are tried again", 2 * SECOND, "");
+            return;
+        }
+        final String ticket = facts.me().id() + "-" + Long.toString(facts.me().life(), 36) + "-" + Long.toString(++serial, 36)
+                + Long.toString(luck.nextLong() >>> 20, 36);
+        final Case plea = plea(ticket, who.get(), row.get(), salted(who.get(), o.prefix()));
+        final Court.Ruling ruling = court.pick(plea, sights(now), luck);
+        if (ruling instanceof Court.Ruling.Barred) {
+            tales.put(new Tales.Tale(ticket, o.tenant(), o.kind(), "", facts.page(), stamps.get().bits(), "rejected",
+                    "no worker is allowed", 0, ruling.opinions()));
+            no(token, 503, ticket, "no worker is allowed", SECOND, "");
+            return;
+        }
+        final String worker = ruling instanceof Court.Ruling.Picked p ? p.worker().worker().id() : "";
+        final Stamp stamp = stamps.get();
+        final Permit permit = new Permit(ticket, o.tenant(), o.kind(), worker, facts.me().id(), facts.me().life(), facts.page(),
+                stamp, now + setup.permit(), o.key());
+        tales.put(new Tales.Tale(ticket, o.tenant(), o.kind(), worker, facts.page(), stamp.bits(), "picked", "", 0, ruling.opinions()));
+        out.add(new Act.Picked(token, ticket, facts.me().door(), seals.write(permit), worker, facts.page(), stamp.bits()));
+    }
+
+    /** A consumer hands over its ticket. */
+    public void ticket(final Load l, final long token, final long now) {
+        count("tickets");
+        final Optional<Permit> read = seals.read(l.permit());
+        if (read.isEmpty()) {
+            no(token, 403, "", "the permit bears no seal of ours", 0, "");
+            return;
+        }
+        final Permit p = read.get();
+        final Optional<Leaf.Tenant> who = facts.tenant(p.tenant());
+        if (who.map(w -> !w.hash().equals(Seals.hash(l.secret()))).orElse(true)) {
+            no(token, 401, "", "the tenant or its key is not known", 0, "");
+            return;
+        }
+        if (!p.carrier().equals(facts.me().id()) || p.life() != facts.me().life() || now >= p.expiry()) {
+            no(token, 503, p.ticket(), "the permit is stale", SECOND / 2, "");
+            return;
+        }
+        if (spent.containsKey(p.ticket())) {
+            no(token, 409, p.ticket(), "the ticket was handed over before", 0, "");
+            return;
+        }
+        spent.put(p.ticket(), p.expiry());
+        final Optional<String> why = unready(now);
+        if (why.isPresent()) {
+            over(token, p.ticket(), 503, why.get());
+            return;
+        }
+        final Optional<Leaf.Row> row = facts.row(p.tenant(), p.kind());
+        if (row.isEmpty()) {
+            over(token, p.ticket(), 422, "no kind " + p.kind() + " any more");
+            return;
+        }
+        final boolean home = who.get().homes().isEmpty() || who.get().homes().contains(facts.me().region());
+        if (!home || facts.empty().contains(facts.me().zone())) {
+            over(token, p.ticket(), 503, home ? "this zone is being emptied" : "this region is no home");
+            return;
+        }
+        final Flow flow = flow(p.tenant(), p.kind());
+        if (flow.queue.size() >= Math.max(1, row.get().queue() / peers()) || !room(row.get())) {
+            over(token, p.ticket(), 429, "the queue is full");
+            return;
+        }
+        final Ticket t = new Ticket(p, who.get(), row.get(), salted(who.get(), l.prefix()), l.prompt(), now + l.span(),
+                now + Math.min(row.get().hold(), l.span()), token, chart.start());
+        final Optional<Long> place = slab.put(t);
+        if (place.isEmpty()) {
+            over(token, p.ticket(), 503, "the slab is full");
+            return;
+        }
+        t.place = place.get();
+        open.put(p.ticket(), t.place);
+        readers.put(token, t.place);
+        budget.fresh();
+        move(t, "queue");
+        flow.join(t);
+        final boolean stale = p.page() < facts.page() || facts.workers().containsKey(p.worker())
+                && facts.drained(facts.workers().get(p.worker()).worker().zone(), p.stamp());
+        if (stale) {
+            count("stale");
+        }
+        t.want = stale ? Optional.empty() : Optional.of(p.worker()).filter(w -> !w.isEmpty());
+        pump(now);
+    }
+
+    /** A consumer comes back to a ticket's stream, from a piece on. */
+    public void attach(final String ticket, final String secret, final long from, final long token, final long now) {
+        final Optional<Ticket> found = Optional.ofNullable(open.get(ticket)).flatMap(slab::get)
+                .or(() -> ended.stream().map(Ended::ticket).filter(t -> t.permit.ticket().equals(ticket)).findFirst())
+                .filter(t -> t.tenant.hash().equals(Seals.hash(secret)));
+        if (found.isEmpty() || from < 0 || from > found.get().lines.size()) {
+            no(token, 404, "", "no such ticket or piece", 0, "");
+            return;
+        }
+        final Ticket t = found.get();
+        if (t.state.equals("rejected")) {
+            no(token, 503, ticket, t.why, SECOND, "");
+            return;
+        }
+        t.reader.filter(r -> r != token).ifPresent(r -> {
+            readers.remove(r);
+            out.add(new Act.Flow(r, List.of(), true));
+        });
+        t.reader = Optional.of(token);
+        t.left = Optional.empty();
+        t.sent = (int) from;
+        t.hungry = true;
+        readers.put(token, t.place);
+        feed(t);
+    }
+
+    /** The consumer's side can take more. */
+    public void hungry(final long token) {
+        Optional.ofNullable(readers.get(token)).flatMap(slab::get).filter(t -> t.reader.map(r -> r == token).orElse(false)).ifPresent(t -> {
+            t.hungry = true;
+            feed(t);
+        });
+    }
+
+    /** The consumer's connection went away. */
+    public void left(final long token, final long now) {
+        Optional.ofNullable(readers.remove(token)).flatMap(slab::get).filter(t -> t.reader.map(r -> r == token).orElse(false)).ifPresent(t -> {
+            t.reader = Optional.empty();
+            t.left = Optional.of(now);
+            if (t.state.equals("queued")) {
+                reject(t, 503, "the consumer went away", 0);
+            }
+        });
+    }
+
+    /** A verdict of the chain on a job's wish. */
+    public void verdict(final long id, final Verdict v, final long now) {
+        job(id).filter(t -> t.state.equals("claiming")).ifPresent(t -> {
+            switch (v) {
+                case Verdict.Kept k -> {
+                    t.claimed = true;
+                    ask(t, now);
+                }
+                case Verdict.Stands s -> {
+                    release(t);
+                    t.why = "the key is taken";
+                    finish(t, "reject");
+                    no(t, 409, "the key is taken", 0, s.claim().state() + " at " + s.claim().carrier() + " as " + s.claim().ticket());
+                }
+                case Verdict.Rejected r -> {
+                    release(t);
+                    reject(t, r.code() == 507 ? 507 : 503, String.join("; ", r.faults()), SECOND);
+                }
+                case Verdict.Unknown u -> {
+                    t.claimed = true;
+                    release(t);
+                    reject(t, 503, "the claim could not be confirmed in time", SECOND);
+                }
+            }
+        });
+        pump(now);
+    }
+
+    /** The worker sent a line. */
+    public void line(final long id, final Line line, final long now) {
+        job(id).ifPresent(t -> {
+            if (t.state.equals("asking")) {
+                move(t, "start");
+            }
+            final Optional<String> fault = fault(t, line);
+            if (fault.isPresent()) {
+                out.add(new Act.Log(Event.WORKER_BROKE, t.worker + " ticket " + t.permit.ticket() + " " + fault.get()));
+                out.add(new Act.Cut(id));
+                lose(t, "the worker broke the stream: " + fault.get(), now);
+                return;
+            }
+            t.lines.add(line);
+            if (line instanceof Line.Piece p) {
+                final byte[] bytes = p.text().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+                t.sum.update(bytes);
+                t.bytes += bytes.length;
+                if (t.bytes > setup.buffer()) {
+                    out.add(new Act.Cut(id));
+                    lose(t, "the reply is larger than the buffer", now);
+                    return;
+                }
+                feed(t);
+            } else {
+                release(t);
+                finish(t, "seal");
+                feed(t);
+                pump(now);
+            }
+        });
+    }
+
+    /** The exchange with the worker ended without a seal; started is false only where it provably did not begin. */
+    public void failed(final long id, final boolean started, final String why, final long now) {
+        job(id).ifPresent(t -> {
+            if (started || t.state.equals("running")) {
+                lose(t, why, now);
+                return;
+            }
+            shun(t.worker, now);
+            release(t);
+            if (now < t.hold && t.tries < 2 && budget.take()) {
+                count("again");
+                move(t, "again");
+                t.want = Optional.empty();
+                flow(t.permit.tenant(), t.permit.kind()).queue.addFirst(t);
+            } else {
+                reject(t, 503, "the worker did not take it: " + why, SECOND);
+            }
+            pump(now);
+        });
+    }
+
+    /** A clock event. */
+    public void tick(final long now) {
+        time = now;
+        spent.entrySet().removeIf(e -> e.getValue() + SECOND < now && !open.containsKey(e.getKey()));
+        while (!ended.isEmpty() && (ended.peek().at() + setup.keep() < now || ended.size() > setup.slab())) {
+            drop(ended.poll().ticket());
+        }
+        for (final Flow f : flows.values()) {
+            for (final Ticket t : List.copyOf(f.queue)) {
+                if (now >= t.hold) {
+                    reject(t, 503, "no room came in time", SECOND);
+                }
+            }
+        }
+        for (final long place : List.copyOf(open.values())) {
+            slab.get(place).filter(t -> t.state.equals("running") || t.state.equals("asking")).ifPresent(t -> {
+                final boolean alone = t.left.map(at -> now - at > setup.patience()).orElse(false);
+                if (now >= t.expiry || alone) {
+                    out.add(new Act.Cut(t.job));
+                    lose(t, alone ? "the consumer went away" : "the expiry passed", now);
+                }
+            });
+        }
+        flows.values().removeIf(f -> f.idle(now));
+        pump(now);
+    }
+
+    /** Ends all that is under way, as a process does at the end of its grace. */
+    public void end(final long now) {
+        flows.values().forEach(f -> List.copyOf(f.queue).forEach(t -> reject(t, 503, "stopping", SECOND)));
+        for (final long place : List.copyOf(open.values())) {
+            slab.get(place).ifPresent(t -> {
+                if (t.state.equals("claiming")) {
+                    release(t);
+                    t.claimed = true;
+                    reject(t, 503, "stopping", SECOND);
+                } else {
+                    out.add(new Act.Cut(t.job));
+                    lose(t, "stopping", now);
+                }
+            });
+        }
+    }
+
+    private Optional<Ticket> job(final long id) {
+        return Optional.ofNullable(jobs.get(id)).flatMap(slab::get).filter(t -> t.job == id);
+    }
+
+    private void point(final long token, final List<String> homes, final Set<String> empty, final boolean home, final long now) {
+        final List<String> doors = new ArrayList<>(facts.crew().stream().filter(Member::ready)
+                .filter(m -> m.state().equals("up") && !empty.contains(m.zone()))
+                .filter(m -> homes.isEmpty() || homes.contains(m.region())).map(Member::door).toList());
+        if (doors.isEmpty()) {
+            no(token, 503, "", unready(now).orElse(home ? "this zone is being emptied" : "no purser in the homes is ready"), SECOND, "");
+            return;
+        }
+        java.util.Collections.shuffle(doors, new java.util.Random(luck.nextLong()));
+        count("pointed");
+        out.add(new Act.Pointed(token, doors.subList(0, Math.min(3, doors.size()))));
+    }
+
+    private void pump(final long now) {
+        if (!facts.fresh(now, setup.sure())) {
+            return;
+        }
+        final Set<Flow> stuck = new java.util.HashSet<>();
+        while (true) {
+            final Optional<Flow> next = flows.values().stream().filter(f -> !f.queue.isEmpty() && !stuck.contains(f))
+                    .min(Comparator.comparingDouble((Flow f) -> f.tag));
+            if (next.isEmpty()) {
+                return;
+            }
+            final Flow f = next.get();
+            final Ticket t = f.queue.peek();
+            final Leaf.Row row = facts.row(t.permit.tenant(), t.permit.kind()).orElse(t.row);
+            if (f.running >= Math.max(1, (row.running() + peers() - 1) / peers())) {
+                stuck.add(f);
+                continue;
+            }
+            switch (place(t, row, now)) {
+                case Court.Ruling.Picked p -> {
+                    f.queue.poll();
+                    clock = Math.max(clock, f.tag);
+                    f.tag = Math.max(clock, f.tag) + t.cost() / Math.max(0.001, t.tenant.share());
+                    f.running++;
+                    t.worker = p.worker().worker().id();
+                    t.held = true;
+                    hands.get(t.worker).start(now);
+                    if (!t.permit.key().isEmpty() && !t.claimed) {
+                        claim(t);
+                    } else {
+                        ask(t, now);
+                    }
+                }
+                case Court.Ruling.Full full -> stuck.add(f);
+                case Court.Ruling.Barred barred -> reject(t, 503, "no worker is allowed", SECOND);
+            }
+        }
+    }
+
+    private Court.Ruling place(final Ticket t, final Leaf.Row row, final long now) {
+        final Optional<Leaf.Tenant> who = facts.tenant(t.permit.tenant());
+        if (who.isEmpty() || !who.get().homes().isEmpty() && !who.get().homes().contains(facts.me().region())) {
+            return new Court.Ruling.Barred(List.of());
+        }
+        final Case plea = plea(t.permit.ticket(), who.get(), row, t.prefix);
+        final List<Sight> all = sights(now);
+        final Optional<Sight> wanted = t.want.flatMap(w -> all.stream().filter(s -> s.worker().id().equals(w)).findFirst())
+                .filter(s -> court.stands(plea, s));
+        if (wanted.isPresent() && t.permit.page() == facts.page()) {
+            return new Court.Ruling.Picked(wanted.get(), List.of());
+        }
+        final Court.Ruling ruling = court.pick(plea, all, luck);
+        if (ruling instanceof Court.Ruling.Picked p) {
+            tales.put(new Tales.Tale(t.permit.ticket(), t.permit.tenant(), t.permit.kind(), p.worker().worker().id(), facts.page(),
+                    stamps.get().bits(), t.state, "", t.tries, ruling.opinions()));
+        }
+        return ruling;
+    }
+
+    private void claim(final Ticket t) {
+        move(t, "claim");
+        job(t);
+        out.add(new Act.Claim(t.job, new Wish.Hold(t.permit.ticket(), t.key(), t.permit.ticket(), facts.me().id(), stamps.get().bits()),
+                setup.claim()));
+    }
+
+    private void ask(final Ticket t, final long now) {
+        final Optional<Rumor.Heard> w = Optional.ofNullable(facts.workers().get(t.worker));
+        final Optional<Leaf.Row> row = facts.row(t.permit.tenant(), t.permit.kind());
+        final Optional<Leaf.Tenant> who = facts.tenant(t.permit.tenant());
+        final boolean stands = w.isPresent() && row.isPresent() && who.isPresent() && facts.fresh(now, setup.sure())
+                && now < t.expiry && allowed(t, who.get(), row.get(), w.get(), now);
+        if (!stands) {
+            release(t);
+            reject(t, 503, "the pick grew stale before it was sent", SECOND / 2);
+            return;
+        }
+        move(t, "ask");
+        job(t);
+        t.tries++;
+        t.run = t.permit.ticket() + "." + t.tries;
+        count("asked");
+        if (t.tries > 1) {
+            count("extra");
+        }
+        final Worker x = w.get().worker();
+        out.add(new Act.Run(t.job, x.id(), x.address(), t.permit.ticket(), t.run, t.permit.tenant(), t.permit.kind(), t.prefix, t.prompt));
+    }
+
+    private boolean allowed(final Ticket t, final Leaf.Tenant who, final Leaf.Row row, final Rumor.Heard h, final long now) {
+        final Case plea = plea(t.permit.ticket(), who, row, t.prefix);
+        final Sight s = new Sight(h.worker(), h.age(now), 0, 0, Long.MAX_VALUE, false, 1);
+        return new silverlatch.judge.bench.Home().weigh(plea, s) instanceof silverlatch.judge.Finding.Score
+                && new silverlatch.judge.bench.Zone().weigh(plea, s) instanceof silverlatch.judge.Finding.Score
+                && new silverlatch.judge.bench.Lease(setup.word()).weigh(plea, s) instanceof silverlatch.judge.Finding.Score;
+    }
+
+    private void job(final Ticket t) {
+        jobs.remove(t.job);
+        t.job = ++job;
+        jobs.put(t.job, t.place);
+    }
+
+    private Optional<String> fault(final Ticket t, final Line line) {
+        return switch (line) {
+            case Line.Piece p -> !p.ticket().equals(t.permit.ticket()) ? Optional.of("a piece of another ticket")
+                    : !p.run().equals(t.run) ? Optional.of("a piece of another run")
+                    : p.number() != t.lines.size() ? Optional.of("piece " + p.number() + " where " + t.lines.size() + " was due")
+                    : Optional.empty();
+            case Line.Seal s -> !s.ticket().equals(t.permit.ticket()) || !s.run().equals(t.run) || !s.worker().equals(t.worker)
+                    ? Optional.of("a seal of another ticket, run or worker")
+                    : s.count() != t.lines.size() ? Optional.of("a seal over " + s.count() + " pieces where " + t.lines.size() + " came")
+                    : !s.sha().equals(HexFormat.of().formatHex(copy(t.sum))) ? Optional.of("a seal that does not fit") : Optional.empty();
+            case Line.Lost l -> Optional.of(l.why());
+        };
+    }
+
+    private static byte[] copy(final MessageDigest sum) {
+        try {
+            return ((MessageDigest) sum.clone()).digest();
+        } catch (final CloneNotSupportedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void feed(final Ticket t) {
+        final boolean over = chart.ended(t.state);
+        if (t.reader.isEmpty() || !t.hungry || t.state.equals("rejected") || t.lines.size() == t.sent && !over) {
+            return;
+        }
+        final int end = Math.min(t.lines.size(), t.sent + LINES);
+        final boolean last = over && end == t.lines.size();
+        out.add(new Act.Flow(t.reader.get(), t.lines.subList(t.sent, end), last));
+        t.sent = end;
+        t.hungry = false;
+        if (last) {
+            readers.remove(t.reader.get());
+            t.reader = Optional.empty();
+        }
+    }
+
+    private void lose(final Ticket t, final String why, final long now) {
+        release(t);
+        t.why = why;
+        t.lines.add(new Line.Lost(t.permit.ticket(), why));
+        out.add(new Act.Log(Event.TICKET_LOST, t.permit.ticket() + " " + why));
+        if (t.state.equals("asking")) {
+            shun(t.worker, now);
+        }
+        finish(t, "lose");
+        feed(t);
+        pump(now);
+    }
+
+    private void reject(final Ticket t, final int code, final String why, final long after) {
+        flow(t.permit.tenant(), t.permit.kind()).queue.remove(t);
+        t.why = why;
+        finish(t, "reject");
+        no(t, code, why, after, "");
+    }
+
+    private void no(final Ticket t, final int code, final String why, final long after, final String stands) {
+        t.reader.ifPresent(r -> {
+            readers.remove(r);
+            no(r, code, t.permit.ticket(), why, after, stands);
+        });
+        t.reader = Optional.empty();
+    }
+
+    private void finish(final Ticket t, final String event) {
+        move(t, event);
+        count(t.state);
+        jobs.remove(t.job);
+        open.remove(t.permit.ticket());
+        if (t.claimed) {
+            out.add(new Act.Claim(0, new Wish.End(t.run + "/" + t.state, t.key(), t.permit.ticket(), t.state), 30 * SECOND));
+        }
+        ended.add(new Ended(t, time));
+        t.prompt = "";
+    }
+
+    private void drop(final Ticket t) {
+        t.reader.ifPresent(r -> {
+            readers.remove(r);
+            out.add(new Act.Flow(r, List.of(), true));
+        });
+        slab.drop(t.place);
+    }
+
+    private void over(final long token, final String ticket, final int code, final String why) {
+        tales.state(ticket, "rejected", why);
+        count("rejected");
+        no(token, code, ticket, why, SECOND, "");
+    }
+
+    private void no(final long token, final int code, final String ticket, final String why, final long after, final String stands) {
+        count("code" + code);
+        if (!ticket.isEmpty()) {
+            out.add(new Act.Log(Event.TICKET_REJECTED, ticket + " " + code + " " + why));
+        }
+        out.add(new Act.Rejected(token, code, ticket, why, after == 0 ? 0 : after + luck.nextLong(after), stands));
+    }
+
+    private void move(final Ticket t, final String event) {
+        t.state = chart.move(t.state, event);
+        tales.state(t.permit.ticket(), t.state, t.why);
+    }
+
+    private void release(final Ticket t) {
+        if (t.held) {
+            t.held = false;
+            Optional.ofNullable(hands.get(t.worker)).ifPresent(Hand::end);
+            final Flow f = flow(t.permit.tenant(), t.permit.kind());
+            f.running--;
+        }
+    }
+
+    private void shun(final String worker, final long now) {
+        Optional.ofNullable(hands.get(worker)).ifPresent(h -> h.shun = now + setup.shun());
+    }
+
+    private boolean room(final Leaf.Row row) {
+        final int queued = flows.values().stream().mapToInt(f -> f.queue.size()).sum();
+        if (queued < setup.queue() && slab.used() < slab.size()) {
+            return true;
+        }
+        final Optional<Ticket> least = flows.values().stream().flatMap(f -> f.queue.stream())
+                .min(Comparator.comparingInt((Ticket t) -> t.row.rank()).thenComparing(t -> -t.begun));
+        if (least.isPresent() && least.get().row.rank() < row.rank()) {
+            reject(least.get(), 503, "shed for a kind that goes before", SECOND);
+            Optional.of(least.get()).ifPresent(t -> {
+                ended.removeIf(e -> e.ticket() == t);
+                drop(t);
+            });
+            return true;
+        }
+        return false;
+    }
+
+    private List<Sight> sights(final long now) {
+        final int peers = peers();
+        return facts.workers().values().stream().sorted(Comparator.comparing(h -> h.worker().id()))
+                .map(h -> hands.computeIfAbsent(h.worker().id(), k -> new Hand(h.worker().life())).sight(h, now, peers)).toList();
+    }
+
+    private int peers() {
+        return 1 + (int) facts.crew().stream().filter(Member::ready).count();
+    }
+
+    private Case plea(final String ticket, final Leaf.Tenant who, final Leaf.Row row, final List<Long> prefix) {
+        return new Case(ticket, who, row, prefix, facts.me().zone(), facts.me().region(), facts.empty());
+    }
+
+    private static List<Long> salted(final Leaf.Tenant who, final List<String> prefix) {
+        return prefix.stream().map(d -> Seals.salted(who.salt(), d)).toList();
+    }
+
+    private Flow flow(final String tenant, final String kind) {
+        return flows.computeIfAbsent(tenant + "/" + kind, k -> new Flow(clock));
+    }
+
+    private void count(final String name) {
+        tally.merge(name, 1L, Long::sum);
+    }
+
+    private record Ended(Ticket ticket, long at) {
+    }
+
+    private static final class Flow {
+        private final Deque<Ticket> queue = new ArrayDeque<>();
+        private double tag;
+        private int running;
+        private double held = -1;
+        private long filled;
+
+        Flow(final double tag) {
+            this.tag = tag;
+        }
+
+        void join(final Ticket t) {
+            queue.add(t);
+        }
+
+        boolean take(final double rate, final double most, final long now) {
+            held = held < 0 ? most : Math.min(most, held + (now - filled) * rate / SECOND);
+            filled = now;
+            if (held < 1) {
+                return false;
+            }
+            held--;
+            return true;
+        }
+
+        boolean idle(final long now) {
+            return queue.isEmpty() && running == 0 && now - filled > 600 * SECOND;
+        }
+    }
+
+    private static final class Hand {
+        private final Deque<Long> sent = new ArrayDeque<>();
+        private long life;
+        private int mine;
+        private int done;
+        private long shun;
+        private long seen = Long.MIN_VALUE;
+        private long back = Long.MIN_VALUE / 2;
+
+        Hand(final long life) {
+            this.life = life;
+        }
+
+        void see(final Rumor.Heard h, final long now) {
+            if (h.worker().life() != life) {
+                life = h.worker().life();
+                back = now;
+            }
+            h.asOf().ifPresent(t -> {
+                if (seen != Long.MIN_VALUE && t - seen > 3 * SECOND) {
+                    back = now;
+                }
+                if (t > seen) {
+                    seen = t;
+                    while (!sent.isEmpty() && sent.peek() < t) {
+                        sent.poll();
+                    }
+                    done = 0;
+                }
+            });
+        }
+
+        void start(final long now) {
+            mine++;
+            sent.add(now);
+        }
+
+        void end() {
+            mine--;
+            done++;
+        }
+
+        Sight sight(final Rumor.Heard h, final long now, final int peers) {
+            return new Sight(h.worker(), h.age(now), Math.max(0, sent.size() - done), mine, now - back, now < shun, peers);
+        }
+    }
+
+    private static final class Ticket {
+        private final Permit permit;
+        private final Leaf.Tenant tenant;
+        private final Leaf.Row row;
+        private final List<Long> prefix;
+        private final long expiry;
+        private final long hold;
+        private final long begun;
+        private final MessageDigest sum = Seals.digest();
+        private final List<Line> lines = new ArrayList<>();
+        private String prompt;
+        private String state;
+        private String why = "";
+        private String worker = "";
+        private String run = "";
+        private Optional<String> want = Optional.empty();
+        private Optional<Long> reader;
+        private Optional<Long> left = Optional.empty();
+        private boolean hungry = true;
+        private boolean claimed;
+        private boolean held;
+        private int sent;
+        private int tries;
+        private long place;
+        private long job;
+        private long bytes;
+
+        Ticket(final Permit permit, final Leaf.Tenant tenant, final Leaf.Row row, final List<Long> prefix, final String prompt,
+               final long expiry, final long hold, final long reader, final String state) {
+            this.permit = permit;
+            this.tenant = tenant;
+            this.row = row;
+            this.prefix = prefix;
+            this.prompt = prompt;
+            this.expiry = expiry;
+            this.hold = hold;
+            this.begun = permit.expiry();
+            this.reader = Optional.of(reader);
+            this.state = state;
+        }
+
+        double cost() {
+            return 1 + prompt.length() / 4096.0;
+        }
+
+        String key() {
+            return Seals.hash(permit.tenant() + "|" + permit.key());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/crew/Crew.java
@@ -0,0 +1,220 @@
+package silverlatch.crew;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import silverlatch.chart.Chart;
+import silverlatch.deck.Effect;
+import silverlatch.deck.Event;
+import silverlatch.wire.Msg;
+
+/** Who is in the fleet and who lives: joining by seeds, heartbeats to watchers named by the ring, suspicion as news. */
+public final class Crew {
+    private static final int WATCHERS = 3;
+    private final Times times;
+    private final List<String> seeds;
+    private final Chart chart = Chart.load("member");
+    private final Map<String, Member> members = new TreeMap<>();
+    private final Map<String, Long> beats = new HashMap<>();
+    private final Map<String, Long> since = new HashMap<>();
+    private final List<Effect> out = new ArrayList<>();
+    private final List<Member> news = new ArrayList<>();
+    private Member me;
+    private long beatAt;
+    private long hailAt;
+    private boolean doubt;
+    private boolean fresh = true;
+
+    /** Times in microseconds. */
+    public record Times(long beat, long miss, long bury, long hail) {
+        /** The times that hold when nothing is said. */
+        public static final Times PLAIN = new Times(250_000L, 1_500_000L, 2_000_000L, 1_000_000L);
+    }
+
+    /** A daemon that knows itself and its seeds. */
+    public Crew(final Member me, final List<String> seeds, final Times times) {
+        this.me = me;
+        this.seeds = List.copyOf(seeds);
+        this.times = times;
+        members.put(me.id(), me);
+    }
+
+    /** This daemon as it tells of itself. */
+    public Member me() {
+        return me;
+    }
+
+    /** All that are known, dead ones too. */
+    public List<Member> all() {
+        return List.copyOf(members.values());
+    }
+
+    /** Those thought to live, without this daemon. */
+    public List<Member> live() {
+        return members.values().stream().filter(m -> m.live() && !m.id().equals(me.id())).toList();
+    }
+
+    /** A daemon by its name. */
+    public Optional<Member> get(final String id) {
+        return Optional.ofNullable(members.get(id));
+    }
+
+    /** Whether this daemon doubts itself, since most of those it watches are gone. */
+    public boolean doubt() {
+        return doubt;
+    }
+
+    /** Says whether this daemon takes tickets. */
+    public void ready(final boolean open) {
+        if (me.ready() != open) {
+            mine(me.turned(me.turn() + 1, open));
+        }
+    }
+
+    /** Starts a new incarnation, as a rejoin does. */
+    public void life(final long next) {
+        mine(new Member(me.id(), me.role(), me.zone(), me.region(), me.address(), me.door(), next, 0, "up", me.ready()));
+    }
+
+    /** Hails the seeds again at the next clock event, known or not. */
+    public void again() {
+        hailAt = 0;
+        fresh = true;
+    }
+
+    /** Tells the others that this daemon leaves. */
+    public void leave() {
+        mine(me.in(chart.move(me.state(), "leave")));
+    }
+
+    /** Takes a message. */
+    public void on(final Msg msg, final long now, final long phys, final silverlatch.tide.Stamp floor) {
+        switch (msg) {
+            case Msg.Hail m -> {
+                hear(m.me(), now);
+                out.add(new Effect.Send(m.me().address(), new Msg.Muster(all(), m.mono(), phys, floor)));
+            }
+            case Msg.Muster m -> {
+                fresh = false;
+                m.members().forEach(x -> learn(x, now));
+            }
+            case Msg.Beat m -> hear(m.me(), now);
+            default -> {
+            }
+        }
+    }
+
+    /** Takes word on a daemon, from anyone. */
+    public void learn(final Member word, final long now) {
+        if (word.id().equals(me.id())) {
+            if (word.life() > me.life()) {
+                life(word.life() + 1);
+            } else if (word.life() == me.life() && word.turn() >= me.turn() && !word.equals(me) && !me.state().equals("left")) {
+                mine(me.turned(word.turn() + 1, me.ready()));
+            }
+            return;
+        }
+        final Member old = members.get(word.id());
+        if (old == null || word.beats(old)) {
+            members.put(word.id(), word);
+            since.put(word.id(), now);
+            news.add(word);
+            if (old == null || !old.state().equals(word.state())) {
+                tell(word);
+            }
+        }
+    }
+
+    /** A clock event. */
+    public void tick(final long now) {
+        if (now - hailAt >= times.hail()) {
+            hailAt = now;
+            seeds.stream().filter(s -> !s.equals(me.address()))
+                    .filter(s -> fresh || members.values().stream().noneMatch(m -> m.address().equals(s) && m.state().equals("up")))
+                    .forEach(s -> out.add(new Effect.Send(s, new Msg.Hail(me, now))));
+        }
+        if (now - beatAt >= times.beat()) {
+            beatAt = now;
+            watchers(me.id()).forEach(w -> out.add(new Effect.Send(w.address(), new Msg.Beat(me))));
+        }
+        look(now);
+    }
+
+    /** Word to be passed on; it is handed over once. */
+    public List<Member> news() {
+        final List<Member> list = List.copyOf(news);
+        news.clear();
+        return list;
+    }
+
+    /** What is to be done; it is handed over once. */
+    public List<Effect> drain() {
+        final List<Effect> list = List.copyOf(out);
+        out.clear();
+        return list;
+    }
+
+    /** Those who watch a daemon: the next live ones on the ring. */
+    public List<Member> watchers(final String id) {
+        final List<Member> ring = members.values().stream().filter(m -> m.live() || m.id().equals(id))
+                .sorted(Comparator.comparingLong((Member m) -> place(m.id())).thenComparing(Member::id)).toList();
+        final int at = ring.stream().map(Member::id).toList().indexOf(id);
+        final List<Member> list = new ArrayList<>();
+        for (int i = 1; i < ring.size() && list.size() < WATCHERS; i++) {
+            list.add(ring.get((at + i) % ring.size()));
+        }
+        return list;
+    }
+
+    private void look(final long now) {
+        final List<Member> watched = members.values().stream().filter(m -> m.live() && !m.id().equals(me.id()))
+                .filter(m -> watchers(m.id()).stream().anyMatch(w -> w.id().equals(me.id()))).toList();
+        watched.forEach(m -> beats.putIfAbsent(m.id(), now));
+        beats.keySet().retainAll(watched.stream().map(Member::id).toList());
+        final List<Member> missing = watched.stream().filter(m -> now - beats.get(m.id()) > times.miss()).toList();
+        final boolean most = missing.size() >= 2 && missing.size() * 2 > watched.size();
+        if (most != doubt) {
+            doubt = most;
+            if (doubt) {
+                out.add(new Effect.Log(Event.SELF_DOUBT, missing.size() + " of " + watched.size() + " watched are silent"));
+            }
+        }
+        if (!doubt) {
+            missing.stream().filter(m -> m.state().equals("up")).forEach(m -> learn(m.in(chart.move(m.state(), "miss")), now));
+        }
+        members.values().stream().filter(m -> m.state().equals("suspect") && now - since.getOrDefault(m.id(), now) > times.bury())
+                .toList().forEach(m -> learn(m.in(chart.move(m.state(), "bury")), now));
+    }
+
+    private void hear(final Member word, final long now) {
+        beats.put(word.id(), now);
+        learn(word, now);
+    }
+
+    private void mine(final Member next) {
+        me = next;
+        members.put(me.id(), me);
+        news.add(me);
+    }
+
+    private void tell(final Member m) {
+        out.add(new Effect.Log(switch (m.state()) {
+            case "up" -> Event.MEMBER_UP;
+            case "suspect" -> Event.MEMBER_SUSPECT;
+            case "dead" -> Event.MEMBER_DEAD;
+            default -> Event.MEMBER_LEFT;
+        }, m.id() + " life " + m.life()));
+    }
+
+    private static long place(final String id) {
+        long sum = 0xCBF29CE484222325L;
+        for (int i = 0; i < id.length(); i++) {
+            sum = (sum ^ id.charAt(i)) * 0x100000001B3L;
+        }
+        return sum ^ sum >>> 29;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/deck/Deck.java
@@ -0,0 +1,411 @@
+package silverlatch.deck;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import silverlatch.carry.Facts;
+import silverlatch.crew.Crew;
+import silverlatch.crew.Member;
+import silverlatch.ledger.Note;
+import silverlatch.quay.Clerk;
+import silverlatch.quay.Quay;
+import silverlatch.quay.View;
+import silverlatch.rumor.Rumor;
+import silverlatch.rumor.Worker;
+import silverlatch.tariff.Entry;
+import silverlatch.tariff.Wish;
+import silverlatch.tide.Anchor;
+import silverlatch.tide.Keeper;
+import silverlatch.tide.Ntp;
+import silverlatch.tide.Stamp;
+import silverlatch.tide.Step;
+import silverlatch.tide.Tide;
+import silverlatch.wire.Frame;
+import silverlatch.wire.Msg;
+
+/**
+ * What every daemon runs: clock, crew, news, and the chain where there is a data folder. It does no input or output.
+ * One duty owns it; only the clock's keeper is shared.
+ */
+public final class Deck {
+    private static final long SAMPLE = 4_000_000L;
+    private static final int LOOPS = 10_000;
+    private final Setup setup;
+    private final Crew crew;
+    private final Rumor rumor;
+    private final Clerk clerk;
+    private final Optional<Quay> quay;
+    private final Keeper keeper;
+    private final Map<String, Sample> samples = new HashMap<>();
+    private final Deque<Parked<Ship>> going = new ArrayDeque<>();
+    private final Deque<Parked<Frame>> coming = new ArrayDeque<>();
+    private final Deque<Effect> inner = new ArrayDeque<>();
+    private final List<Ship> ships = new ArrayList<>();
+    private final List<Effect> out = new ArrayList<>();
+    private final Map<String, Long> tally = new HashMap<>();
+    private volatile Anchor anchor;
+    private long begun;
+    private long judged;
+    private long slewed;
+    private boolean mustered;
+    private Map<String, Entry> policy = Map.of();
+    private long policyPage;
+
+    /** A daemon's place and settings; skew in microseconds. */
+    public record Setup(Member me, List<String> seeds, int low, long skew, Crew.Times crew, Rumor.Times rumor) {
+        /** Copies the seeds. */
+        public Setup {
+            seeds = List.copyOf(seeds);
+        }
+    }
+
+    /** A daemon as it starts: its anchor, and for a harbor with a data folder its chain setup and what the ledger held. */
+    public Deck(final Setup setup, final Optional<Quay.Setup> chain, final List<Note> notes, final Anchor anchor,
+                final RandomGenerator luck, final long now) {
+        this.setup = setup;
+        this.anchor = anchor;
+        this.begun = now;
+        final long phys = anchor.phys(now);
+        final Tide tide = Tide.start(phys, setup.low(), Ntp.span(setup.skew()), 0);
+        this.keeper = new Keeper(tide);
+        floor(notes).ifPresent(f -> keeper.floor(f, phys));
+        this.crew = new Crew(setup.me(), setup.seeds(), setup.crew());
+        this.rumor = new Rumor(crew, luck, setup.rumor());
+        this.quay = chain.map(c -> new Quay(c, notes, this::local, now));
+        this.clerk = new Clerk(setup.me().address(), this::view, luck.nextLong() >>> 8);
+        this.quay.ifPresent(q -> rumor.own(q.books(), q.view(), false, now));
+    }
+
+    private static Optional<Stamp> floor(final List<Note> notes) {
+        return notes.stream().filter(n -> n instanceof Note.Deed).map(n -> ((Note.Deed) n).change().stamp()).max(Stamp::compareTo);
+    }
+
+    /** The stamp of a local event at this moment of the duty's own clock. */
+    public Stamp local(final long now) {
+        return keeper.local(anchor.phys(now));
+    }
+
+    /** The clock's keeper, shared by the duties of the process. */
+    public Keeper keeper() {
+        return keeper;
+    }
+
+    /** The physical clock. */
+    public Anchor anchor() {
+        return anchor;
+    }
+
+    /** Who is there. */
+    public Crew crew() {
+        return crew;
+    }
+
+    /** The news. */
+    public Rumor rumor() {
+        return rumor;
+    }
+
+    /** The chain, at a harbor with a data folder. */
+    public Optional<Quay> quay() {
+        return quay;
+    }
+
+    /** Counts of what the wire brought. */
+    public Map<String, Long> tally() {
+        return Map.copyOf(tally);
+    }
+
+    /** The newest view known here. */
+    public View view() {
+        final View heard = rumor.view();
+        return quay.map(Quay::view).filter(v -> v.number() >= heard.number()).orElse(heard);
+    }
+
+    /** Whether a frame waits for the clock. */
+    public boolean parked() {
+        return !going.isEmpty() || !coming.isEmpty();
+    }
+
+    /** A copy of what is known, for the duty that carries tickets. */
+    public Facts facts() {
+        if (policyPage != rumor.books().page()) {
+            final Map<String, Entry> map = new HashMap<>();
+            for (final String part : List.of("t/", "r/", "z/")) {
+                rumor.books().part(part).values().stream().filter(e -> !e.gone()).forEach(e -> map.put(e.key(), e));
+            }
+            policy = Map.copyOf(map);
+            policyPage = rumor.books().page();
+        }
+        final long now = begun;
+        final Optional<Long> sure = rumor.age(now) == Long.MAX_VALUE ? Optional.empty() : Optional.of(now - rumor.age(now));
+        return new Facts(crew.me(), rumor.books().page(), sure.filter(s -> mustered), policy, rumor.workers(),
+                crew.live().stream().filter(Member::purser).toList());
+    }
+
+    /** A frame came in. */
+    public void frame(final Frame f, final long now) {
+        step(now);
+        if (!coming.isEmpty() || !take(f, now)) {
+            coming.add(new Parked<>(f, now));
+        }
+        settle(now);
+    }
+
+    /** A worker announced itself; gives the echo to hand back. */
+    public long announced(final Worker word, final long echo, final long now) {
+        step(now);
+        local(now);
+        final long token = rumor.announced(word, echo, now);
+        settle(now);
+        return token;
+    }
+
+    /** Someone here wishes for a change. */
+    public void wish(final Wish wish, final long token, final long now, final long expiry) {
+        step(now);
+        clerk.wish(wish, token, now, expiry);
+        settle(now);
+    }
+
+    /** Someone here asks the tail. */
+    public void read(final String start, final long token, final long now, final long expiry) {
+        step(now);
+        clerk.read(start, token, now, expiry);
+        settle(now);
+    }
+
+    /** The ledger synced a write. */
+    public void kept(final long token, final long now) {
+        step(now);
+        quay.ifPresent(q -> q.kept(token, now));
+        settle(now);
+    }
+
+    /** The ledger failed. */
+    public void broke(final String why, final long now) {
+        step(now);
+        quay.ifPresent(q -> q.broke(why));
+        settle(now);
+    }
+
+    /** Whether this daemon takes tickets, as the others shall know it. */
+    public void ready(final boolean open) {
+        crew.ready(open);
+    }
+
+    /** This daemon is about to stop. */
+    public void leave(final long now) {
+        step(now);
+        crew.leave();
+        quay.ifPresent(Quay::leave);
+        settle(now);
+    }
+
+    /** A clock event, some twenty a second. */
+    public void tick(final long now, final long wall) {
+        step(now);
+        if (now - slewed >= 1_000_000L) {
+            slewed = now;
+            final long jumps = anchor.jumps();
+            anchor = anchor.slew(wall, now, setup.skew());
+            if (anchor.jumps() > jumps && anchor.jumps() == 1) {
+                out.add(new Effect.Log(Event.WALL_JUMP, "the wall clock is not followed"));
+            }
+        }
+        parked(now);
+        judge(now);
+        crew.tick(now);
+        quay.ifPresent(q -> {
+            q.tick(now);
+            rumor.own(q.books(), q.view(), q.sure(now), now);
+        });
+        rumor.tick(now);
+        clerk.tick(now);
+        settle(now);
+    }
+
+    /** Frames to be shipped; handed over once. */
+    public List<Ship> ships() {
+        final List<Ship> list = List.copyOf(ships);
+        ships.clear();
+        return list;
+    }
+
+    /** Other effects; handed over once. */
+    public List<Effect> drain() {
+        final List<Effect> list = List.copyOf(out);
+        out.clear();
+        return list;
+    }
+
+    private Stamp local() {
+        return local(begun);
+    }
+
+    private void step(final long now) {
+        begun = Math.max(begun, now);
+    }
+
+    private boolean take(final Frame f, final long now) {
+        final long phys = anchor.phys(now);
+        final Sample sample = new Sample(f.stamp().bits() - phys, now);
+        switch (keeper.take(f.stamp(), phys)) {
+            case Step.Made made -> {
+                samples.put(f.home(), new Sample(0, now));
+                deliver(f, now, phys);
+            }
+            case Step.Wait wait -> {
+                return false;
+            }
+            case Step.Far far -> {
+                count("far");
+                samples.put(f.home(), sample);
+                out.add(new Effect.Log(Event.FAR_STAMP, f.from() + " is ahead by " + Ntp.micros(far.units()) + " us too many"));
+                if (!(f.body() instanceof Msg.Astray)) {
+                    inner.add(new Effect.Send(f.home(), new Msg.Astray(far.units(), phys)));
+                }
+            }
+        }
+        return true;
+    }
+
+    private void deliver(final Frame f, final long now, final long phys) {
+        final long fleet = rumor.fleet();
+        if (fleet != 0 && f.fleet() != 0 && f.fleet() != fleet) {
+            count("fleet");
+            out.add(new Effect.Log(Event.OTHER_FLEET, f.from()));
+            return;
+        }
+        count("frames");
+        hand(f.body(), f.home(), now, phys);
+    }
+
+    private void hand(final Msg msg, final String home, final long now, final long phys) {
+        switch (msg) {
+            case Msg.Hail m -> crew.on(m, now, phys, keeper.last());
+            case Msg.Muster m -> {
+                mustered = true;
+                keeper.floor(m.floor(), phys);
+                crew.on(m, now, phys, keeper.last());
+            }
+            case Msg.Beat m -> crew.on(m, now, phys, keeper.last());
+            case Msg.Push m -> rumor.on(m, home, now);
+            case Msg.Ask m -> {
+                quay.ifPresent(q -> rumor.own(q.books(), q.view(), q.sure(now), now));
+                rumor.on(m, home, now);
+            }
+            case Msg.Tell m -> rumor.on(m, home, now);
+            case Msg.Wrote m -> clerk.on(m);
+            case Msg.Seen m -> clerk.on(m);
+            case Msg.Astray m -> {
+                out.add(new Effect.Log(Event.ASTRAY, home + " says by " + Ntp.micros(m.units()) + " us too many"));
+                samples.put(home, new Sample(m.phys() - phys, now));
+            }
+            default -> quay.ifPresent(q -> q.on(msg, home, now));
+        }
+    }
+
+    private void judge(final long now) {
+        if (now - judged < 500_000L) {
+            return;
+        }
+        judged = now;
+        samples.values().removeIf(s -> now - s.at() > SAMPLE);
+        final long phys = anchor.phys(now);
+        final List<Long> gaps = new ArrayList<>(samples.values().stream().map(Sample::gap).toList());
+        gaps.add(0L);
+        gaps.sort(Long::compare);
+        final long middle = gaps.get((gaps.size() - 1) / 2);
+        final long skew = Ntp.span(setup.skew());
+        if (gaps.size() >= 3 && Math.abs(middle) > skew) {
+            anchor = anchor.moved(middle < 0 ? -Ntp.micros(-middle) : Ntp.micros(middle));
+            out.add(new Effect.Log(Event.ANCHORED, "moved by " + (middle < 0 ? -Ntp.micros(-middle) : Ntp.micros(middle)) + " us"));
+            rejoin(now, "the median of the peers");
+        } else if (keeper.due(phys)) {
+            rejoin(now, "overflows");
+        }
+    }
+
+    private void rejoin(final long now, final String why) {
+        count("rejoins");
+        keeper.reset(anchor.phys(now));
+        samples.clear();
+        going.clear();
+        coming.clear();
+        mustered = false;
+        rumor.doubt();
+        crew.life(crew.me().life() + 1);
+        crew.again();
+        out.add(new Effect.Log(Event.REJOIN, why));
+    }
+
+    private void parked(final long now) {
+        while (!coming.isEmpty() && take(coming.peek().thing(), now)) {
+            coming.poll();
+        }
+        while (!going.isEmpty() && stamp(going.peek().thing(), now)) {
+            going.poll();
+        }
+        late(coming, now);
+        late(going, now);
+    }
+
+    private void late(final Deque<? extends Parked<?>> list, final long now) {
+        while (!list.isEmpty() && now - list.peek().at() > Keeper.BOUND) {
+            list.poll();
+            keeper.drop(now);
+            count("overflow");
+            out.add(new Effect.Log(Event.OVERFLOW, "a message was given up"));
+        }
+    }
+
+    private boolean stamp(final Ship s, final long now) {
+        if (keeper.send(anchor.phys(now)) instanceof Step.Made made) {
+            ships.add(new Ship(s.to(), new Frame(made.stamp(), rumor.fleet(), setup.me().id(), setup.me().address(),
+                    crew.me().life(), s.frame().body())));
+            return true;
+        }
+        return false;
+    }
+
+    private void settle(final long now) {
+        int loops = 0;
+        gather();
+        while (!inner.isEmpty() && loops++ < LOOPS) {
+            final Effect e = inner.poll();
+            switch (e) {
+                case Effect.Send s when s.to().equals(setup.me().address()) -> hand(s.body(), s.to(), now, anchor.phys(now));
+                case Effect.Send s -> {
+                    final Ship ship = new Ship(s.to(), new Frame(new Stamp(1), 0, setup.me().id(), setup.me().address(), 0, s.body()));
+                    if (!going.isEmpty() || !stamp(ship, now)) {
+                        going.add(new Parked<>(ship, now));
+                    }
+                }
+                default -> out.add(e);
+            }
+            gather();
+        }
+    }
+
+    private void gather() {
+        inner.addAll(crew.drain());
+        quay.ifPresent(q -> inner.addAll(q.drain()));
+        inner.addAll(rumor.drain());
+        inner.addAll(clerk.drain());
+    }
+
+    private void count(final String name) {
+        tally.merge(name, 1L, Long::sum);
+    }
+
+    private record Sample(long gap, long at) {
+    }
+
+    private record Parked<T>(T thing, long at) {
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/deck/Ship.java
@@ -0,0 +1,7 @@
+package silverlatch.deck;
+
+import silverlatch.wire.Frame;
+
+/** A stamped frame on its way to an address. */
+public record Ship(String to, Frame frame) {
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/judge/bench/Cold.java
@@ -0,0 +1,28 @@
+package silverlatch.judge.bench;
+
+import silverlatch.judge.Case;
+import silverlatch.judge.Finding;
+import silverlatch.judge.Judge;
+import silverlatch.judge.Sight;
+
+/** Spares a worker that just came, and lets it take more step by step. */
+public final class Cold implements Judge {
+    @Override
+    public String name() {
+        return "cold";
+    }
+
+    @Override
+    public double weight(final Case ticket) {
+        return ticket.row().cold();
+    }
+
+    @Override
+    public Finding weigh(final Case ticket, final Sight worker) {
+        final double warmth = worker.warmth();
+        if (warmth < 1 && (worker.busy() >= worker.cap() || worker.mine() >= worker.part())) {
+            return new Finding.Later("it warms up, " + worker.cap() + " at once for now");
+        }
+        return new Finding.Score(warmth);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/ledger/Ledger.java
@@ -0,0 +1,259 @@
+package silverlatch.ledger;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import java.util.zip.CRC32C;
+import silverlatch.wire.Codec;
+
+/**
+ * The ledger of one data folder: a log in segments with pictures beside it. What is written together is one batch
+ * with one checksum, and the next batch is written only after the last was synced; so a torn batch can only be the
+ * last one, and a bad batch before a good one is damage.
+ */
+public final class Ledger {
+    private static final long MAGIC = 0x5349_4C56_4C41_5443L;
+    private static final int HEAD = Long.BYTES + 2 * Integer.BYTES;
+    private static final long SEGMENT = 8L << 20;
+    private final Path folder;
+    private final Codec codec = new Codec();
+    private FileChannel channel;
+    private long number;
+
+    private Ledger(final Path folder, final FileChannel channel, final long number) {
+        this.folder = folder;
+        this.channel = channel;
+        this.number = number;
+    }
+
+    /** What opening a folder gave. */
+    public sealed interface Opened {
+        /** The ledger, its machine's identity, all that it held, and how many bytes of a torn tail were cut off. */
+        record Good(Ledger ledger, String identity, List<Note> notes, long torn) implements Opened {
+            /** Copies the notes. */
+            public Good {
+                notes = List.copyOf(notes);
+            }
+        }
+
+        /** It can't be trusted. */
+        record Damaged(String why) implements Opened {
+        }
+    }
+
+    /** Opens a folder, and makes it when there is none. */
+    public static Opened open(final Path folder) {
+        try {
+            Files.createDirectories(folder);
+            final Path name = folder.resolve("identity");
+            if (!Files.exists(name)) {
+                final byte[] seed = new byte[8];
+                new SecureRandom().nextBytes(seed);
+                put(name, HexFormat.of().formatHex(seed).getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            }
+            final String identity = Files.readString(name).strip();
+            if (!identity.matches("[0-9a-f]{16}")) {
+                return new Opened.Damaged("the identity file is not one of ours");
+            }
+            return read(folder, identity);
+        } catch (final IOException e) {
+            return new Opened.Damaged(e.getClass().getSimpleName() + " " + e.getMessage());
+        }
+    }
+
+    /** Writes notes as one batch and syncs them; a picture among them starts a new segment and frees the old ones. */
+    public void write(final List<Note> notes) throws IOException {
+        final List<Note> run = new ArrayList<>();
+        final List<Note> rest = new ArrayList<>();
+        Optional<Note.Picture> picture = Optional.empty();
+        for (final Note n : notes) {
+            if (n instanceof Note.Picture p) {
+                picture = Optional.of(p);
+                rest.clear();
+            } else {
+                (picture.isEmpty() ? run : rest).add(n);
+            }
+        }
+        if (!run.isEmpty()) {
+            batch(run);
+        }
+        if (picture.isPresent()) {
+            turn();
+            if (!rest.isEmpty()) {
+                batch(rest);
+            }
+            put(folder.resolve(name("picture", number)), frame(codec.write(picture.get())));
+            clear();
+        } else if (channel.position() > SEGMENT) {
+            turn();
+        }
+    }
+
+    /** Lets the files go. */
+    public void close() throws IOException {
+        channel.close();
+    }
+
+    private static Opened read(final Path folder, final String identity) throws IOException {
+        final Codec codec = new Codec();
+        final List<Long> pictures = numbers(folder, "picture");
+        final List<Long> segments = new ArrayList<>(numbers(folder, "segment"));
+        final List<Note> notes = new ArrayList<>();
+        final long first = pictures.isEmpty() ? 0 : pictures.getLast();
+        if (!pictures.isEmpty()) {
+            final List<byte[]> frames = new ArrayList<>();
+            final byte[] all = Files.readAllBytes(folder.resolve(name("picture", first)));
+            if (scan(all, frames) != all.length || frames.size() != 1
+                    || !(codec.read(frames.getFirst(), Note.class) instanceof Codec.Read.Good<Note> good)) {
+                return new Opened.Damaged("picture " + first + " is damaged");
+            }
+            notes.add(good.thing());
+        }
+        segments.removeIf(n -> n < first);
+        for (int i = 1; i < segments.size(); i++) {
+            if (segments.get(i) != segments.get(i - 1) + 1) {
+                return new Opened.Damaged("segment " + (segments.get(i) - 1) + " is missing");
+            }
+        }
+        if (first > 0 && (segments.isEmpty() || segments.getFirst() != first)) {
+            return new Opened.Damaged("segment " + first + " is missing");
+        }
+        long torn = 0;
+        for (int i = 0; i < segments.size(); i++) {
+            final Path file = folder.resolve(name("segment", segments.get(i)));
+            final byte[] all = Files.readAllBytes(file);
+            final List<byte[]> frames = new ArrayList<>();
+            final int end = scan(all, frames);
+            if (end < all.length && (i + 1 < segments.size() || later(all, end + 1))) {
+                return new Opened.Damaged("segment " + segments.get(i) + " is damaged at byte " + end);
+            }
+            for (final byte[] f : frames) {
+                if (!(codec.read(f, Note.Batch.class) instanceof Codec.Read.Good<Note.Batch> good)) {
+                    return new Opened.Damaged("segment " + segments.get(i) + " holds a batch that can't be read");
+                }
+                notes.addAll(good.thing().notes());
+            }
+            if (end < all.length) {
+                torn = all.length - end;
+                try (FileChannel ch = FileChannel.open(file, StandardOpenOption.WRITE)) {
+                    ch.truncate(end);
+                    ch.force(true);
+                }
+            }
+        }
+        final long last = segments.isEmpty() ? 1 : segments.getLast();
+        final FileChannel ch = FileChannel.open(folder.resolve(name("segment", last)),
+                StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        ch.position(ch.size());
+        sync(folder);
+        return new Opened.Good(new Ledger(folder, ch, last), identity, notes, torn);
+    }
+
+    private static int scan(final byte[] all, final List<byte[]> frames) {
+        int at = 0;
+        while (whole(all, at)) {
+            final int size = ByteBuffer.wrap(all).getInt(at + Long.BYTES);
+            frames.add(java.util.Arrays.copyOfRange(all, at + HEAD, at + HEAD + size));
+            at += HEAD + size;
+        }
+        return at;
+    }
+
+    private static boolean later(final byte[] all, final int from) {
+        for (int at = from; at + HEAD <= all.length; at++) {
+            if (whole(all, at)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean whole(final byte[] all, final int at) {
+        if (at + HEAD > all.length) {
+            return false;
+        }
+        final ByteBuffer head = ByteBuffer.wrap(all, at, HEAD);
+        if (head.getLong() != MAGIC) {
+            return false;
+        }
+        final int size = head.getInt();
+        return size >= 0 && size <= all.length - at - HEAD && head.getInt() == sum(all, at + HEAD, size);
+    }
+
+    private static int sum(final byte[] all, final int at, final int size) {
+        final CRC32C crc = new CRC32C();
+        crc.update(all, at, size);
+        return (int) crc.getValue();
+    }
+
+    private static byte[] frame(final byte[] body) {
+        return ByteBuffer.allocate(HEAD + body.length).putLong(MAGIC).putInt(body.length)
+                .putInt(sum(body, 0, body.length)).put(body).array();
+    }
+
+    private void batch(final List<Note> notes) throws IOException {
+        final ByteBuffer bytes = ByteBuffer.wrap(frame(codec.write(new Note.Batch(notes))));
+        while (bytes.hasRemaining()) {
+            channel.write(bytes);
+        }
+        channel.force(false);
+    }
+
+    private void turn() throws IOException {
+        channel.close();
+        number++;
+        channel = FileChannel.open(folder.resolve(name("segment", number)), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+        sync(folder);
+    }
+
+    private void clear() throws IOException {
+        for (final String kind : List.of("segment", "picture")) {
+            for (final long n : numbers(folder, kind)) {
+                if (n < number) {
+                    Files.delete(folder.resolve(name(kind, n)));
+                }
+            }
+        }
+        sync(folder);
+    }
+
+    private static void put(final Path file, final byte[] bytes) throws IOException {
+        final Path part = file.resolveSibling(file.getFileName() + ".part");
+        try (FileChannel ch = FileChannel.open(part, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+            final ByteBuffer all = ByteBuffer.wrap(bytes);
+            while (all.hasRemaining()) {
+                ch.write(all);
+            }
+            ch.force(true);
+        }
+        Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        sync(file.toAbsolutePath().getParent());
+    }
+
+    private static void sync(final Path folder) throws IOException {
+        try (FileChannel ch = FileChannel.open(folder, StandardOpenOption.READ)) {
+            ch.force(true);
+        }
+    }
+
+    private static List<Long> numbers(final Path folder, final String kind) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.map(f -> f.getFileName().toString()).filter(n -> n.matches(kind + "-\\d{12}"))
+                    .map(n -> Long.parseLong(n.substring(n.length() - 12))).sorted().toList();
+        }
+    }
+
+    private static String name(final String kind, final long number) {
+        return String.format("%s-%012d", kind, number);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/quay/Clerk.java
@@ -0,0 +1,96 @@
+package silverlatch.quay;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import silverlatch.deck.Effect;
+import silverlatch.tariff.Verdict;
+import silverlatch.tariff.Wish;
+import silverlatch.wire.Msg;
+
+/** Carries wishes to the head and questions to the tail for one daemon, until they are decided or their time is up. */
+public final class Clerk {
+    private static final long AGAIN = 250_000L;
+    private final String home;
+    private final Supplier<View> views;
+    private final Map<Long, Open> open = new LinkedHashMap<>();
+    private final List<Effect> out = new ArrayList<>();
+    private long ask;
+
+    /** A clerk of the daemon that listens at the address. */
+    public Clerk(final String home, final Supplier<View> views, final long first) {
+        this.home = home;
+        this.views = views;
+        this.ask = first;
+    }
+
+    /** The tail's reply to a question; ok is false when none came in time. */
+    public record Page(boolean ok, long sequence, List<silverlatch.tariff.Entry> entries) {
+        /** Copies the entries. */
+        public Page {
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /** Sends a wish; the outcome comes as an answer under the token, a verdict. */
+    public void wish(final Wish wish, final long token, final long now, final long expiry) {
+        ask++;
+        open(ask, new Open(new Msg.Write(ask, home, wish), true, token, now, expiry), now);
+    }
+
+    /** Asks the tail; the outcome comes as an answer under the token, a page. */
+    public void read(final String start, final long token, final long now, final long expiry) {
+        ask++;
+        open(ask, new Open(new Msg.Read(ask, home, start), false, token, now, expiry), now);
+    }
+
+    /** Takes a reply of the chain. */
+    public void on(final Msg msg) {
+        switch (msg) {
+            case Msg.Wrote m -> {
+                if (open.containsKey(m.ask()) && !(m.verdict() instanceof Verdict.Unknown)) {
+                    out.add(new Effect.Answer(open.remove(m.ask()).token(), m.verdict()));
+                }
+            }
+            case Msg.Seen m -> {
+                if (m.ok() && open.containsKey(m.ask())) {
+                    out.add(new Effect.Answer(open.remove(m.ask()).token(), new Page(true, m.sequence(), m.entries())));
+                }
+            }
+            default -> {
+            }
+        }
+    }
+
+    /** A clock event: asks again, and ends what is past its expiry. */
+    public void tick(final long now) {
+        for (final Map.Entry<Long, Open> e : List.copyOf(open.entrySet())) {
+            final Open o = e.getValue();
+            if (now >= o.expiry()) {
+                open.remove(e.getKey());
+                out.add(new Effect.Answer(o.token(), o.msg() instanceof Msg.Write w
+                        ? new Verdict.Unknown(w.wish().id()) : new Page(false, 0, List.of())));
+            } else if (now - o.sent() >= AGAIN) {
+                open(e.getKey(), o, now);
+            }
+        }
+    }
+
+    /** What is to be done; it is handed over once. */
+    public List<Effect> drain() {
+        final List<Effect> list = List.copyOf(out);
+        out.clear();
+        return list;
+    }
+
+    private void open(final long id, final Open o, final long now) {
+        open.put(id, new Open(o.msg(), o.write(), o.token(), now, o.expiry()));
+        final View view = views.get();
+        (o.write() ? view.head() : view.tail()).ifPresent(b -> out.add(new Effect.Send(b.address(), o.msg())));
+    }
+
+    private record Open(Msg msg, boolean write, long token, long sent, long expiry) {
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/quay/Quay.java
@@ -0,0 +1,843 @@
+package silverlatch.quay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongConsumer;
+import java.util.function.Supplier;
+import silverlatch.chart.Chart;
+import silverlatch.deck.Effect;
+import silverlatch.deck.Event;
+import silverlatch.ledger.Note;
+import silverlatch.tariff.Books;
+import silverlatch.tariff.Entry;
+import silverlatch.tariff.Verdict;
+import silverlatch.tariff.Wish;
+import silverlatch.tide.Stamp;
+import silverlatch.wire.Msg;
+
+/**
+ * The chain and the view as one machine with a data folder runs them. It does no input or output: events go in,
+ * effects come out, and a write to the ledger comes back as a kept token.
+ */
+public final class Quay {
+    private static final int RANGES = 64;
+    private static final int SPAN = 20_000;
+    private static final int RECENT = 200_000;
+    private static final int BATCH = 512;
+    private static final int PENDING = 4_096;
+    private static final long RESEND = 300_000L;
+    private final Setup setup;
+    private final Supplier<Stamp> stamps;
+    private final Chart chart = Chart.load("harbor");
+    private final Books books = new Books();
+    private final List<Effect> out = new ArrayList<>();
+    private final Deque<Change> pend = new ArrayDeque<>();
+    private final Deque<Change> recent = new ArrayDeque<>();
+    private final Map<String, Entry> overlay = new HashMap<>();
+    private final Map<Long, Held> held = new LinkedHashMap<>();
+    private final Map<String, Long> granted = new HashMap<>();
+    private final Map<String, Long> heard = new HashMap<>();
+    private final Map<String, Sought> sought = new TreeMap<>();
+    private final Map<String, Msg.Join> joins = new TreeMap<>();
+    private final Map<Long, List<Msg.Write>> waits = new HashMap<>();
+    private final List<Late> late = new ArrayList<>();
+    private final Set<String> agreed = new HashSet<>();
+    private String spot;
+    private View view = View.NONE;
+    private boolean level;
+    private boolean shut;
+    private long given;
+    private long promised;
+    private long nodded;
+    private Optional<View> nod = Optional.empty();
+    private Optional<View> birth = Optional.empty();
+    private Optional<Bid> bid = Optional.empty();
+    private long round;
+    private long last;
+    private long kept;
+    private long token;
+    private long entries;
+    private long asked;
+    private long sentAt;
+    private long soughtAt;
+    private long doubt;
+    private Optional<Long> want = Optional.empty();
+    private long low;
+    private long clock;
+    private long epoch;
+    private boolean quit;
+
+    /** A machine as its ledger left it. */
+    public Quay(final Setup setup, final List<Note> notes, final Supplier<Stamp> stamps, final long now) {
+        this.setup = setup;
+        this.stamps = stamps;
+        this.spot = chart.start();
+        notes.forEach(this::recall);
+        given = now + setup.lease();
+        clock = now;
+        if (view.number() > 0) {
+            final boolean in = view.place(setup.me().id()) >= 0;
+            spot = chart.move(spot, in ? "chain" : "learn");
+            if (!in) {
+                forget();
+            }
+            view.voters().forEach(b -> heard.put(b.id(), now));
+        }
+        kept = last;
+        if (tail() && level) {
+            commit(kept);
+        }
+    }
+
+    /** What this machine is made with; times in microseconds. */
+    public record Setup(Berth me, List<String> seats, long lease, long ask, long suspect, long swap, long stall, int copies) {
+        /** Copies the seats. */
+        public Setup {
+            seats = List.copyOf(seats);
+        }
+
+        /** The times that hold when nothing is said. */
+        public static Setup of(final Berth me, final List<String> seats) {
+            return new Setup(me, seats, 800_000L, 150_000L, 1_000_000L, 5_000_000L, 1_000_000L, 2);
+        }
+    }
+
+    /** What the log and the status show. */
+    public record State(String spot, boolean level, View view, long sequence, long page, int pending, boolean leased) {
+    }
+
+    /** What is to be done in the world; it is handed over once. */
+    public List<Effect> drain() {
+        final List<Effect> list = List.copyOf(out);
+        out.clear();
+        return list;
+    }
+
+    /** The committed books; the caller does not change them. */
+    public Books books() {
+        return books;
+    }
+
+    /** The view held here. */
+    public View view() {
+        return view;
+    }
+
+    /** How this machine stands. */
+    public State state(final long now) {
+        return new State(spot, level, view, books.sequence(), books.page(), pend.size(), leased(now));
+    }
+
+    /** Whether every acknowledged change of policy is surely in the books here at this moment. */
+    public boolean sure(final long now) {
+        return chained() && level && leased(now) && pend.stream().noneMatch(c -> c.puts().stream().anyMatch(Entry::policy));
+    }
+
+    /** Takes a message. */
+    public void on(final Msg msg, final String home, final long now) {
+        clock = now;
+        if (broken()) {
+            return;
+        }
+        switch (msg) {
+            case Msg.Seek m -> seek(m, now);
+            case Msg.Found m -> found(m, home);
+            case Msg.Agreed m -> agreed(m, now);
+            case Msg.Lease m -> lease(m, now);
+            case Msg.Grant m -> grant(m, now);
+            case Msg.Decided m -> adopt(m.view(), now);
+            case Msg.Prepare m -> prepare(m, home);
+            case Msg.Promise m -> promise(m, now);
+            case Msg.Accept m -> accept(m, home);
+            case Msg.Accepted m -> accepted(m, now);
+            case Msg.Outbid m -> outbid(m);
+            case Msg.Pass m -> pass(m, now);
+            case Msg.Acked m -> acked(m);
+            case Msg.Level m -> level(m);
+            case Msg.Reach m -> reach(m, home);
+            case Msg.Compare m -> compare(m);
+            case Msg.Mend m -> mend(m);
+            case Msg.Join m -> joins.put(m.me().id(), m);
+            case Msg.Write m -> write(m);
+            case Msg.Read m -> read(m, now);
+            default -> {
+            }
+        }
+    }
+
+    /** A write to the ledger was synced. */
+    public void kept(final long done, final long now) {
+        clock = now;
+        Optional.ofNullable(held.remove(done)).ifPresent(h -> h.then().accept(now));
+    }
+
+    /** The disk failed: this machine takes no part any more. */
+    public void broke(final String why) {
+        if (!broken()) {
+            spot = chart.move(spot, "break");
+            log(Event.DISK_BROKEN, why);
+            held.clear();
+            waits.values().forEach(l -> l.forEach(w -> send(w.home(), new Msg.Wrote(w.ask(), new Verdict.Unknown(w.wish().id())))));
+            waits.clear();
+        }
+    }
+
+    /** This machine is about to stop: the others are asked to take it out of the chain and to name another holder. */
+    public void leave() {
+        quit = true;
+    }
+
+    /** Whether the chain goes on without this machine. */
+    public boolean gone() {
+        return view.place(setup.me().id()) < 0;
+    }
+
+    /** A clock event, a few each lease. */
+    public void tick(final long now) {
+        clock = now;
+        if (broken()) {
+            return;
+        }
+        final boolean stalled = held.values().stream().findFirst().map(h -> now - h.at() > setup.stall()).orElse(false);
+        for (final Late l : List.copyOf(late)) {
+            if (l.due() <= now) {
+                late.remove(l);
+                if (l.number() == view.number() + 1) {
+                    send(l.to(), l.msg());
+                }
+            }
+        }
+        if (view.number() == 0) {
+            hunt(now);
+            return;
+        }
+        if (now - asked >= setup.ask() && !stalled) {
+            asked = now;
+            view.voters().forEach(b -> send(b.address(), new Msg.Lease(view.number(), now, setup.me())));
+        }
+        if (chained()) {
+            again(now);
+            if (!stalled) {
+                watch(now);
+            }
+        } else if (now - soughtAt >= RESEND && !stalled) {
+            soughtAt = now;
+            view.tail().ifPresent(t -> send(t.address(), compareOf()));
+            setup.seats().forEach(s -> send(s, new Msg.Lease(view.number(), now, setup.me())));
+        }
+    }
+
+    private void recall(final Note note) {
+        switch (note) {
+            case Note.Picture p -> {
+                books.reset(p.sequence(), p.entries());
+                books.level(p.sequence());
+                view = p.view();
+                level = p.level();
+                promised = p.ballot();
+                nodded = p.nodded();
+                nod = p.nod().stream().findFirst();
+                shut = nod.isPresent();
+                pend.clear();
+                overlay.clear();
+                last = p.sequence();
+            }
+            case Note.Deed d -> {
+                if (d.change().sequence() == last + 1) {
+                    enter(d.change());
+                }
+            }
+            case Note.Seen s -> {
+                if (s.view().number() > view.number()) {
+                    promised = 0;
+                    nodded = 0;
+                    nod = Optional.empty();
+                    shut = false;
+                }
+                view = s.view();
+                level = s.level();
+                birth = Optional.empty();
+            }
+            case Note.Vow v -> promised = v.number() == view.number() + 1 ? v.ballot() : promised;
+            case Note.Nod n -> {
+                if (n.number() == view.number() + 1) {
+                    promised = n.ballot();
+                    nodded = n.ballot();
+                    nod = Optional.of(n.view());
+                    shut = true;
+                }
+            }
+            case Note.Birth b -> birth = Optional.of(b.view());
+            case Note.Batch b -> b.notes().forEach(this::recall);
+            case Note.Roof r -> {
+            }
+        }
+    }
+
+    private void hunt(final long now) {
+        if (now - soughtAt < RESEND) {
+            return;
+        }
+        soughtAt = now;
+        sought.values().removeIf(s -> now - s.at() > 2_000_000L);
+        final Msg.Seek seek = new Msg.Seek(setup.me(), birth.isEmpty(), sought.values().stream().map(s -> s.seek().me()).toList());
+        setup.seats().forEach(s -> send(s, seek));
+        birth.filter(v -> first(v).equals(setup.me())).ifPresent(v -> v.voters().forEach(b -> send(b.address(), new Msg.Found(v))));
+    }
+
+    private static Berth first(final View v) {
+        return v.voters().stream().min(java.util.Comparator.comparing(Berth::id)).orElseThrow();
+    }
+
+    private void seek(final Msg.Seek m, final long now) {
+        if (view.number() > 0) {
+            send(m.me().address(), new Msg.Decided(view));
+            return;
+        }
+        if (!m.empty() || birth.isPresent() || !setup.seats().contains(setup.me().address())) {
+            return;
+        }
+        sought.put(m.me().id(), new Sought(m, now));
+        final List<Berth> all = sought.values().stream().map(s -> s.seek().me()).toList();
+        final Set<Berth> same = Set.copyOf(all);
+        final boolean whole = all.size() == setup.seats().size()
+                && all.stream().map(Berth::address).collect(java.util.stream.Collectors.toSet()).equals(Set.copyOf(setup.seats()))
+                && sought.values().stream().allMatch(s -> Set.copyOf(s.seek().heard()).equals(same));
+        if (whole && all.getFirst().id().equals(setup.me().id())) {
+            final List<Berth> order = all.stream().sorted(java.util.Comparator.comparingInt(b -> setup.seats().indexOf(b.address()))).toList();
+            final long fleet = Math.max(1, order.hashCode() * 0x9E3779B97F4A7C15L & Long.MAX_VALUE);
+            final View v = new View(1, fleet, order, order, order.getFirst().id());
+            order.forEach(b -> send(b.address(), new Msg.Found(v)));
+        }
+    }
+
+    private void found(final Msg.Found m, final String home) {
+        final boolean same = birth.map(b -> b.equals(m.view())).orElse(false);
+        final boolean fits = birth.isEmpty() && view.number() == 0 && m.view().votes(setup.me().id())
+                && m.view().voters().stream().allMatch(b -> sought.containsKey(b.id()));
+        if (same) {
+            send(home, new Msg.Agreed(m.view().fleet(), setup.me()));
+        } else if (fits) {
+            birth = Optional.of(m.view());
+            keep(List.of(new Note.Birth(m.view())), t -> send(home, new Msg.Agreed(m.view().fleet(), setup.me())));
+        }
+    }
+
+    private void agreed(final Msg.Agreed m, final long now) {
+        birth.filter(b -> b.fleet() == m.fleet()).ifPresent(b -> {
+            agreed.add(m.me().id());
+            if (b.voters().stream().allMatch(v -> agreed.contains(v.id()))) {
+                log(Event.FOUNDED, "fleet " + Long.toHexString(b.fleet()));
+                b.voters().forEach(v -> send(v.address(), new Msg.Decided(b)));
+                adopt(b, now);
+            }
+        });
+    }
+
+    private void adopt(final View next, final long now) {
+        if (next.number() <= view.number() || view.fleet() != 0 && next.fleet() != view.fleet()) {
+            return;
+        }
+        final boolean was = view.place(setup.me().id()) >= 0;
+        final boolean in = next.place(setup.me().id()) >= 0;
+        final boolean born = birth.map(next::equals).orElse(false);
+        view = next;
+        level = in && (was && level || born);
+        birth = Optional.empty();
+        granted.clear();
+        bid = Optional.empty();
+        nod = Optional.empty();
+        promised = 0;
+        nodded = 0;
+        shut = false;
+        doubt = 0;
+        late.clear();
+        joins.clear();
+        want = Optional.empty();
+        low = now;
+        heard.keySet().retainAll(view.voters().stream().map(Berth::id).toList());
+        view.voters().forEach(b -> heard.putIfAbsent(b.id(), now));
+        asked = 0;
+        spot = chart.move(spot, in ? "chain" : "learn");
+        keep(List.of(new Note.Seen(view, level)), t -> {
+        });
+        log(Event.VIEW, "view " + view.number() + " chain " + view.chain().stream().map(Berth::address).toList());
+        if (!in) {
+            forget();
+            return;
+        }
+        sentAt = 0;
+        again(now);
+        settle(now);
+    }
+
+    private void forget() {
+        waits.values().forEach(l -> l.forEach(w -> send(w.home(), new Msg.Wrote(w.ask(), new Verdict.Unknown(w.wish().id())))));
+        waits.clear();
+        pend.clear();
+        overlay.clear();
+        last = books.sequence();
+        kept = last;
+        epoch++;
+    }
+
+    private void lease(final Msg.Lease m, final long now) {
+        if (view.number() == 0) {
+            return;
+        }
+        if (m.view() < view.number()) {
+            send(m.me().address(), new Msg.Decided(view));
+        } else if (m.view() == view.number() && view.votes(setup.me().id())) {
+            if (view.votes(m.me().id())) {
+                heard.put(m.me().id(), now);
+            }
+            if (!shut && view.place(m.me().id()) >= 0) {
+                given = Math.max(given, now + setup.lease());
+                send(m.me().address(), new Msg.Grant(view.number(), m.at(), setup.me().id()));
+            }
+        }
+    }
+
+    private void grant(final Msg.Grant m, final long now) {
+        if (m.view() == view.number() && view.votes(m.voter())) {
+            granted.merge(m.voter(), m.at(), Math::max);
+        }
+    }
+
+    private boolean leased(final long now) {
+        final long span = setup.lease() * 9 / 10;
+        return view.majority((int) granted.values().stream().filter(at -> now - at < span).count());
+    }
+
+    private void prepare(final Msg.Prepare m, final String home) {
+        if (m.number() <= view.number()) {
+            send(home, new Msg.Decided(view));
+        } else if (m.number() == view.number() + 1 && view.votes(setup.me().id())) {
+            if (m.ballot() > promised) {
+                promised = m.ballot();
+                final Msg.Promise reply = new Msg.Promise(m.number(), m.ballot(), setup.me().id(), nodded, nod.stream().toList());
+                keep(List.of(new Note.Vow(m.number(), m.ballot())), t -> send(home, reply));
+            } else if (m.ballot() < promised) {
+                send(home, new Msg.Outbid(m.number(), promised));
+            }
+        }
+    }
+
+    private void accept(final Msg.Accept m, final String home) {
+        if (m.number() != view.number() + 1 || !view.votes(setup.me().id())) {
+            return;
+        }
+        if (m.ballot() < promised) {
+            send(home, new Msg.Outbid(m.number(), promised));
+            return;
+        }
+        promised = m.ballot();
+        nodded = m.ballot();
+        nod = Optional.of(m.view());
+        shut = true;
+        final Msg.Accepted reply = new Msg.Accepted(m.number(), m.ballot(), setup.me().id());
+        keep(List.of(new Note.Nod(m.number(), m.ballot(), m.view())), t -> {
+            if (t >= given) {
+                send(home, reply);
+            } else {
+                late.add(new Late(given, m.number(), home, reply));
+            }
+        });
+    }
+
+    private void promise(final Msg.Promise m, final long now) {
+        bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && !b.asking()).ifPresent(b -> {
+            b.yes().add(m.voter());
+            final Bid best = m.nodded() > b.best() && !m.nod().isEmpty() ? b.better(m.nodded(), m.nod().getFirst()) : b;
+            bid = Optional.of(best);
+            if (view.majority(best.yes().size())) {
+                bid = Optional.of(best.ask());
+                view.voters().forEach(v -> send(v.address(), new Msg.Accept(best.number(), best.ballot(), best.view())));
+            }
+        });
+    }
+
+    private void accepted(final Msg.Accepted m, final long now) {
+        bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && b.asking()).ifPresent(b -> {
+            b.yes().add(m.voter());
+            if (view.majority(b.yes().size())) {
+                final Set<Berth> all = new HashSet<>(view.voters());
+                all.addAll(b.view().voters());
+                all.addAll(b.view().chain());
+                all.stream().filter(t -> !t.equals(setup.me())).sorted(java.util.Comparator.comparing(Berth::id))
+                        .forEach(t -> send(t.address(), new Msg.Decided(b.view())));
+                adopt(b.view(), now);
+            }
+        });
+    }
+
+    private void outbid(final Msg.Outbid m) {
+        round = Math.max(round, m.ballot() >> 8);
+        bid = bid.filter(b -> b.number() != m.number());
+    }
+
+    private void watch(final long now) {
+        if (bid.isPresent() && now - bid.get().at() < setup.lease() * 2 + setup.suspect()) {
+            return;
+        }
+        bid = Optional.empty();
+        if (!view.votes(setup.me().id())) {
+            return;
+        }
+        final Optional<View> next = wanted(now);
+        if (next.isEmpty() && nod.isEmpty()) {
+            doubt = 0;
+            return;
+        }
+        if (doubt == 0) {
+            doubt = now;
+        }
+        final List<Berth> able = view.voters().stream().filter(b -> !missed(b.id(), now, setup.suspect())).toList();
+        final int rank = Math.max(0, able.stream().map(Berth::id).toList().indexOf(setup.me().id()));
+        if (now - doubt < rank * setup.suspect() / 2 || !view.majority(able.size())) {
+            return;
+        }
+        round++;
+        final int seat = view.voters().stream().map(Berth::id).toList().indexOf(setup.me().id());
+        final Bid mine = new Bid(view.number() + 1, round << 8 | seat, next.or(() -> nod).orElse(view), 0, false, new HashSet<>(), now);
+        bid = Optional.of(mine);
+        log(Event.PROPOSED, "view " + mine.number() + " chain " + mine.view().chain().stream().map(Berth::address).toList());
+        view.voters().forEach(b -> send(b.address(), new Msg.Prepare(mine.number(), mine.ballot())));
+    }
+
+    private Optional<View> wanted(final long now) {
+        final long number = view.number() + 1;
+        for (final Berth b : view.chain()) {
+            final boolean me = b.id().equals(setup.me().id());
+            if (me ? quit && view.chain().size() > 1 : missed(b.id(), now, setup.suspect())) {
+                final List<Berth> chain = view.chain().stream().filter(c -> !c.equals(b)).toList();
+                final String holder = view.holder().equals(b.id()) ? chain.getFirst().id() : view.holder();
+                if (!me) {
+                    log(Event.CHAIN_SUSPECT, b.address());
+                }
+                return Optional.of(new View(number, view.fleet(), view.voters(), chain, holder));
+            }
+        }
+        for (final Msg.Join j : joins.values()) {
+            if (j.view() != view.number() || view.place(j.me().id()) >= 0) {
+                continue;
+            }
+            final List<Berth> chain = new ArrayList<>(view.chain());
+            chain.add(j.me());
+            if (view.votes(j.me().id())) {
+                final List<Berth> voters = view.voters().stream().map(v -> v.id().equals(j.me().id()) ? j.me() : v).toList();
+                return Optional.of(new View(number, view.fleet(), voters, chain, view.holder()));
+            }
+            final Optional<Berth> lost = view.voters().stream().filter(v -> view.place(v.id()) < 0
+                    && missed(v.id(), now, setup.swap())).findFirst();
+            if (lost.isPresent()) {
+                final List<Berth> voters = view.voters().stream().map(v -> v.equals(lost.get()) ? j.me() : v).toList();
+                return Optional.of(new View(number, view.fleet(), voters, chain, view.holder()));
+            }
+        }
+        return Optional.empty();
+    }
+
+    private boolean missed(final String id, final long now, final long span) {
+        return !id.equals(setup.me().id()) && now - heard.getOrDefault(id, 0L) > span;
+    }
+
+    private void again(final long now) {
+        if (now - sentAt < RESEND) {
+            return;
+        }
+        sentAt = now;
+        view.after(setup.me().id()).ifPresent(b -> {
+            if (level) {
+                send(b.address(), new Msg.Level(view.number(), last));
+            }
+            final List<Change> first = pend.stream().filter(c -> c.sequence() <= kept).limit(BATCH).toList();
+            if (!first.isEmpty()) {
+                send(b.address(), new Msg.Pass(view.number(), first));
+            }
+        });
+        if (!level) {
+            view.before(setup.me().id()).ifPresent(b -> send(b.address(),
+                    now - low > 4 * RESEND ? compareOf() : new Msg.Reach(view.number(), setup.me().id(), last)));
+        }
+        if (tail() && level) {
+            settle(now);
+            tell();
+        }
+    }
+
+    private boolean tail() {
+        return chained() && view.after(setup.me().id()).isEmpty();
+    }
+
+    private void tell() {
+        view.chain().stream().filter(b -> !b.id().equals(setup.me().id()))
+                .forEach(b -> send(b.address(), new Msg.Acked(view.number(), books.sequence())));
+    }
+
+    private void settle(final long now) {
+        if (tail() && level) {
+            final long old = books.sequence();
+            commit(kept);
+            if (books.sequence() > old) {
+                tell();
+            }
+        }
+    }
+
+    private void write(final Msg.Write m) {
+        if (!chained() || !level || view.place(setup.me().id()) != 0) {
+            return;
+        }
+        if (view.chain().size() < setup.copies()) {
+            reject(m, 503, "fewer than " + setup.copies() + " copies can be synced");
+            return;
+        }
+        if (pend.size() >= PENDING) {
+            reject(m, 503, "too many changes wait");
+            return;
+        }
+        switch (books.judge(m.wish(), overlay, last + 1, stamps.get())) {
+            case Books.Judged.Over over -> {
+                if (over.verdict() instanceof Verdict.Kept k && k.sequence() > books.sequence()) {
+                    waits.computeIfAbsent(k.sequence(), s -> new ArrayList<>()).add(m);
+                } else {
+                    if (over.verdict() instanceof Verdict.Rejected r) {
+                        log(Event.CHANGE_REJECTED, m.wish().id() + " " + r.code());
+                    }
+                    send(m.home(), new Msg.Wrote(m.ask(), over.verdict()));
+                }
+            }
+            case Books.Judged.Let let -> {
+                final Change c = new Change(last + 1, view.number(), stamps.get(), let.puts());
+                waits.computeIfAbsent(c.sequence(), s -> new ArrayList<>()).add(m);
+                append(List.of(c));
+            }
+        }
+    }
+
+    private void reject(final Msg.Write m, final int code, final String why) {
+        send(m.home(), new Msg.Wrote(m.ask(), new Verdict.Rejected(code, List.of(why), books.sequence())));
+    }
+
+    private void enter(final Change c) {
+        last = c.sequence();
+        pend.add(c);
+        c.puts().forEach(e -> overlay.put(e.key(), e));
+    }
+
+    private void append(final List<Change> list) {
+        list.forEach(this::enter);
+        final long end = last;
+        final long mine = epoch;
+        keep(list.stream().map(c -> (Note) new Note.Deed(c)).toList(), t -> {
+            if (mine == epoch && chained()) {
+                kept = Math.max(kept, end);
+                view.after(setup.me().id()).ifPresent(b -> send(b.address(), new Msg.Pass(view.number(), list)));
+                rise(t);
+                settle(t);
+            }
+        });
+    }
+
+    private void pass(final Msg.Pass m, final long now) {
+        if (m.view() != view.number() || !chained() || view.place(setup.me().id()) == 0) {
+            return;
+        }
+        final List<Change> fresh = new ArrayList<>();
+        long at = last;
+        for (final Change c : m.changes()) {
+            if (c.sequence() == at + 1) {
+                fresh.add(c);
+                at++;
+            } else if (c.sequence() > at + 1) {
+                view.before(setup.me().id()).ifPresent(b -> send(b.address(), new Msg.Reach(view.number(), setup.me().id(), last)));
+                break;
+            }
+        }
+        if (!fresh.isEmpty()) {
+            append(fresh);
+        } else if (tail() && level) {
+            tell();
+        }
+    }
+
+    private void acked(final Msg.Acked m) {
+        if (m.view() == view.number() && chained()) {
+            commit(Math.min(m.sequence(), kept));
+        }
+    }
+
+    private void level(final Msg.Level m) {
+        if (m.view() == view.number() && chained() && !level) {
+            want = Optional.of(m.sequence());
+            rise(clock);
+            settle(clock);
+        }
+    }
+
+    private void rise(final long now) {
+        if (!level && want.map(w -> kept >= w).orElse(false)) {
+            level = true;
+            keep(List.of(new Note.Seen(view, true)), t -> {
+            });
+        }
+    }
+
+    private void reach(final Msg.Reach m, final String home) {
+        if (m.view() != view.number() || !chained() || !level) {
+            return;
+        }
+        final List<Change> list = new ArrayList<>();
+        recent.stream().filter(c -> c.sequence() > m.sequence()).limit(BATCH).forEach(list::add);
+        if (list.size() < BATCH) {
+            pend.stream().filter(c -> c.sequence() > m.sequence() && c.sequence() <= kept).limit(BATCH - list.size()).forEach(list::add);
+        }
+        send(home, new Msg.Level(view.number(), last));
+        if (!list.isEmpty() && list.getFirst().sequence() == m.sequence() + 1) {
+            send(home, new Msg.Pass(view.number(), list));
+        }
+    }
+
+    private void commit(final long upto) {
+        while (!pend.isEmpty() && pend.peek().sequence() <= upto) {
+            final Change c = pend.poll();
+            books.apply(c.sequence(), c.puts());
+            c.puts().forEach(e -> overlay.remove(e.key(), e));
+            recent.add(c);
+            entries += c.puts().size();
+            if (c.puts().stream().anyMatch(Entry::policy)) {
+                log(Event.CHANGED, "sequence " + c.sequence() + " view " + c.view() + " stamp " + c.stamp().bits());
+            }
+            Optional.ofNullable(waits.remove(c.sequence())).ifPresent(l -> l.forEach(w ->
+                    send(w.home(), new Msg.Wrote(w.ask(), new Verdict.Kept(c.sequence())))));
+            if (entries > RECENT || recent.size() > 10_000) {
+                for (int i = 0; i < 2_000 && recent.size() > 1; i++) {
+                    entries -= recent.poll().puts().size();
+                }
+                picture(t -> {
+                });
+            }
+        }
+    }
+
+    private void picture(final LongConsumer then) {
+        final List<Note> notes = new ArrayList<>();
+        notes.add(new Note.Picture(books.sequence(), view, level, promised, nodded, nod.stream().toList(), 0, books.all()));
+        pend.forEach(c -> notes.add(new Note.Deed(c)));
+        final long sequence = books.sequence();
+        keep(notes, t -> {
+            log(Event.PICTURE, "sequence " + sequence);
+            then.accept(t);
+        });
+    }
+
+    private Msg.Compare compareOf() {
+        return new Msg.Compare(view.number(), setup.me(), books.sequence(), books.digests(RANGES));
+    }
+
+    private void compare(final Msg.Compare m) {
+        if (m.view() != view.number() || !chained() || !level || m.digests().length != RANGES) {
+            return;
+        }
+        final long[] mine = books.digests(RANGES);
+        final List<Msg.Span> spans = new ArrayList<>();
+        int count = 0;
+        boolean whole = true;
+        for (int i = 0; i < RANGES; i++) {
+            if (mine[i] != m.digests()[i]) {
+                if (count > SPAN) {
+                    whole = false;
+                    break;
+                }
+                final Msg.Span span = new Msg.Span(i, books.range(i, RANGES));
+                count += span.entries().size();
+                spans.add(span);
+            }
+        }
+        send(m.me().address(), new Msg.Mend(view.number(), books.sequence(), spans, whole));
+    }
+
+    private void mend(final Msg.Mend m) {
+        if (m.view() != view.number() || chained() && level || m.sequence() < books.sequence()) {
+            return;
+        }
+        m.spans().forEach(s -> books.mend(s.range(), RANGES, s.entries()));
+        if (!m.whole()) {
+            (chained() ? view.before(setup.me().id()) : view.tail()).ifPresent(t -> send(t.address(), compareOf()));
+            return;
+        }
+        books.level(m.sequence());
+        recent.clear();
+        entries = 0;
+        pend.clear();
+        overlay.clear();
+        last = m.sequence();
+        kept = last;
+        epoch++;
+        low = clock;
+        final long number = view.number();
+        picture(t -> {
+            if (number == view.number() && !chained()) {
+                log(Event.MENDED, "sequence " + m.sequence());
+                view.voters().forEach(b -> send(b.address(), new Msg.Join(number, setup.me(), m.sequence())));
+            }
+        });
+    }
+
+    private void read(final Msg.Read m, final long now) {
+        final boolean ok = tail() && level && leased(now);
+        send(m.home(), new Msg.Seen(m.ask(), ok, books.sequence(),
+                ok ? List.copyOf(books.part(m.start()).values()) : List.of()));
+    }
+
+    private boolean chained() {
+        return spot.equals("chained");
+    }
+
+    private boolean broken() {
+        return spot.equals("broken");
+    }
+
+    private void keep(final List<Note> notes, final LongConsumer then) {
+        token++;
+        held.put(token, new Held(clock, then));
+        out.add(new Effect.Keep(token, notes));
+    }
+
+    private void send(final String to, final Msg body) {
+        out.add(new Effect.Send(to, body));
+    }
+
+    private void log(final Event event, final String text) {
+        out.add(new Effect.Log(event, text));
+    }
+
+    private record Held(long at, LongConsumer then) {
+    }
+
+    private record Late(long due, long number, String to, Msg msg) {
+    }
+
+    private record Sought(Msg.Seek seek, long at) {
+    }
+
+    private record Bid(long number, long ballot, View view, long best, boolean asking, Set<String> yes, long at) {
+        Bid better(final long more, final View other) {
+            return new Bid(number, ballot, other, more, asking, yes, at);
+        }
+
+        Bid ask() {
+            return new Bid(number, ballot, view, best, true, new HashSet<>(), at);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/quay/View.java
@@ -0,0 +1,58 @@
+package silverlatch.quay;
+
+import java.util.List;
+import java.util.Optional;
+
+/** The agreed view: its number (also the fencing number), the fleet, the voters, the chain's order, the duty holder. */
+public record View(long number, long fleet, List<Berth> voters, List<Berth> chain, String holder) {
+    /** The view before any founding. */
+    public static final View NONE = new View(0, 0, List.of(), List.of(), "");
+
+    /** Copies the lists. */
+    public View {
+        voters = List.copyOf(voters);
+        chain = List.copyOf(chain);
+    }
+
+    /** Whether so many voters are more than half. */
+    public boolean majority(final int count) {
+        return count * 2 > voters.size();
+    }
+
+    /** Whether an identity votes here. */
+    public boolean votes(final String id) {
+        return voters.stream().anyMatch(b -> b.id().equals(id));
+    }
+
+    /** The place in the chain, or -1. */
+    public int place(final String id) {
+        for (int i = 0; i < chain.size(); i++) {
+            if (chain.get(i).id().equals(id)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    /** Who follows in the chain. */
+    public Optional<Berth> after(final String id) {
+        final int i = place(id);
+        return i < 0 || i + 1 >= chain.size() ? Optional.empty() : Optional.of(chain.get(i + 1));
+    }
+
+    /** Who stands before in the chain. */
+    public Optional<Berth> before(final String id) {
+        final int i = place(id);
+        return i <= 0 ? Optional.empty() : Optional.of(chain.get(i - 1));
+    }
+
+    /** The head, where writes enter. */
+    public Optional<Berth> head() {
+        return chain.stream().findFirst();
+    }
+
+    /** The tail, which answers. */
+    public Optional<Berth> tail() {
+        return chain.isEmpty() ? Optional.empty() : Optional.of(chain.getLast());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/rumor/Rumor.java
@@ -0,0 +1,277 @@
+package silverlatch.rumor;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import silverlatch.crew.Crew;
+import silverlatch.crew.Member;
+import silverlatch.deck.Effect;
+import silverlatch.deck.Event;
+import silverlatch.quay.View;
+import silverlatch.tariff.Books;
+import silverlatch.wire.Msg;
+
+/**
+ * News of one daemon. Restrictions travel by push and hold at once; freshness is renewed only by pull and is aged
+ * from the moment the asker sent its question.
+ */
+public final class Rumor {
+    private static final int FEW = 3;
+    private static final long FORGET = 60_000_000L;
+    private final Times times;
+    private final Crew crew;
+    private final RandomGenerator luck;
+    private final Books books = new Books();
+    private final Map<String, Heard> workers = new TreeMap<>();
+    private final Map<String, Echo> echoes = new HashMap<>();
+    private final List<Effect> out = new ArrayList<>();
+    private final List<Worker> fresh = new ArrayList<>();
+    private Optional<Long> sure = Optional.empty();
+    private long page;
+    private long fleet;
+    private long told;
+    private View view = View.NONE;
+    private long askAt;
+    private long rootAt;
+
+    /** Times in microseconds. */
+    public record Times(long pull, long root) {
+        /** The times that hold when nothing is said. */
+        public static final Times PLAIN = new Times(250_000L, 400_000L);
+    }
+
+    /** A worker's word and the moment up to which it is surely true, by this daemon's monotonic clock. */
+    public record Heard(Worker worker, Optional<Long> asOf) {
+        /** How old the word is; the largest number when it was never renewed here. */
+        public long age(final long now) {
+            return asOf.map(t -> now - t).orElse(Long.MAX_VALUE);
+        }
+    }
+
+    /** News for a daemon of the crew. */
+    public Rumor(final Crew crew, final RandomGenerator luck, final Times times) {
+        this.crew = crew;
+        this.luck = luck;
+        this.times = times;
+    }
+
+    /** The copy of the books held here; the caller does not change it. */
+    public Books books() {
+        return books;
+    }
+
+    /** The view heard of. */
+    public View view() {
+        return view;
+    }
+
+    /** The fleet's number, or 0. */
+    public long fleet() {
+        return fleet;
+    }
+
+    /** The highest page heard of, held or not. */
+    public long page() {
+        return Math.max(page, books.page());
+    }
+
+    /** How long ago the books here were surely the newest. */
+    public long age(final long now) {
+        return page > books.page() ? Long.MAX_VALUE : sure.map(t -> now - t).orElse(Long.MAX_VALUE);
+    }
+
+    /** The workers heard of. */
+    public Map<String, Heard> workers() {
+        return Map.copyOf(workers);
+    }
+
+    /** Forgets what makes this daemon sure, as a rejoin does. */
+    public void doubt() {
+        sure = Optional.empty();
+        workers.replaceAll((k, h) -> new Heard(h.worker(), Optional.empty()));
+    }
+
+    /** What a harbor knows for itself. */
+    public void own(final Books mine, final View now, final boolean certain, final long at) {
+        if (now.number() > view.number()) {
+            view = now;
+            fleet = now.fleet();
+        }
+        if (certain) {
+            if (mine.page() > books.page()) {
+                books.apply(mine.page(), mine.since(books.page()));
+                announce();
+            }
+            sure = Optional.of(at);
+        }
+    }
+
+    /** A worker announced itself here; the echo proves how old its word can be. Gives the echo to hand back. */
+    public long announced(final Worker word, final long echo, final long now) {
+        final Optional<Long> asOf = Optional.ofNullable(echoes.get(word.id()))
+                .filter(e -> e.life() == word.life() && e.token() == echo).map(Echo::at);
+        take(word, asOf, now);
+        final long token = luck.nextLong() >>> 11;
+        echoes.put(word.id(), new Echo(word.life(), token, now));
+        return token;
+    }
+
+    /** Takes a message. */
+    public void on(final Msg msg, final String home, final long now) {
+        switch (msg) {
+            case Msg.Ask m -> tell(m, home, now);
+            case Msg.Tell m -> told(m, now);
+            case Msg.Push m -> {
+                m.members().forEach(x -> crew.learn(x, now));
+                m.workers().forEach(w -> take(w, Optional.empty(), now));
+                if (m.page() > page) {
+                    page = m.page();
+                    out.add(new Effect.Send(home, ask(now)));
+                }
+            }
+            default -> {
+            }
+        }
+    }
+
+    /** A clock event. */
+    public void tick(final long now) {
+        final List<Member> live = crew.live();
+        final List<Member> news = crew.news();
+        if (!news.isEmpty() || !fresh.isEmpty()) {
+            push(new Msg.Push(news, List.copyOf(fresh), page()));
+            fresh.clear();
+        }
+        if (now - askAt >= times.pull()) {
+            askAt = now;
+            some(live.stream().filter(Member::purser).toList(), 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
+        }
+        if (now - rootAt >= times.root()) {
+            rootAt = now;
+            final List<String> chain = view.chain().stream().map(b -> b.address()).toList();
+            final List<Member> roots = live.stream().filter(m -> !m.purser())
+                    .filter(m -> chain.isEmpty() || chain.contains(m.address())).toList();
+            some(roots, 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
+        }
+        workers.values().removeIf(h -> h.age(now) > FORGET && h.asOf().isPresent());
+    }
+
+    /** What is to be done; it is handed over once. */
+    public List<Effect> drain() {
+        final List<Effect> list = List.copyOf(out);
+        out.clear();
+        return list;
+    }
+
+    private void push(final Msg.Push msg) {
+        some(crew.live(), FEW).forEach(m -> out.add(new Effect.Send(m.address(), msg)));
+    }
+
+    private Msg.Ask ask(final long now) {
+        return new Msg.Ask(now, books.page(), workers.values().stream()
+                .map(h -> new Msg.Mark(h.worker().id(), h.worker().life(), h.worker().sequence())).toList(), digest());
+    }
+
+    private <T> List<T> some(final List<T> all, final int count) {
+        final List<T> list = new ArrayList<>(all);
+        final List<T> few = new ArrayList<>();
+        while (few.size() < count && !list.isEmpty()) {
+            few.add(list.remove(luck.nextInt(list.size())));
+        }
+        return few;
+    }
+
+    private long digest() {
+        return crew.all().stream().mapToLong(m -> (m.id().hashCode() * 31L + m.life() * 17 + m.turn() * 7 + m.state().hashCode())
+                * 0x9E3779B97F4A7C15L).sum();
+    }
+
+    private void tell(final Msg.Ask m, final String home, final long now) {
+        final Map<String, Msg.Mark> marks = new HashMap<>();
+        m.marks().forEach(k -> marks.put(k.id(), k));
+        final List<Msg.Aged> ages = new ArrayList<>();
+        final List<Worker> bodies = new ArrayList<>();
+        for (final Heard h : workers.values()) {
+            final Worker w = h.worker();
+            final Optional<Msg.Mark> mark = Optional.ofNullable(marks.get(w.id()));
+            final boolean newer = mark.map(k -> w.life() != k.life() ? w.life() > k.life() : w.sequence() > k.sequence()).orElse(true);
+            final boolean same = mark.map(k -> w.life() == k.life() && w.sequence() == k.sequence()).orElse(false);
+            if (newer) {
+                bodies.add(w);
+            }
+            if (newer || same) {
+                ages.add(new Msg.Aged(w.id(), w.life(), w.sequence(), h.asOf().map(t -> Math.max(0, now - t)).orElse(-1L)));
+            }
+        }
+        final long age = age(now);
+        out.add(new Effect.Send(home, new Msg.Tell(m.at(), ages, bodies, m.crew() == digest() ? List.of() : crew.all(),
+                books.page(), age == Long.MAX_VALUE ? -1 : Math.max(0, age), fleet,
+                m.page() < books.page() ? books.since(m.page()) : List.of(), view)));
+    }
+
+    private void told(final Msg.Tell m, final long now) {
+        if (m.at() > now || fleet != 0 && m.fleet() != 0 && m.fleet() != fleet) {
+            return;
+        }
+        if (fleet == 0) {
+            fleet = m.fleet();
+        }
+        m.members().forEach(x -> crew.learn(x, now));
+        m.workers().forEach(w -> take(w, Optional.empty(), now));
+        for (final Msg.Aged a : m.ages()) {
+            Optional.ofNullable(workers.get(a.id())).filter(h -> a.age() >= 0 && h.worker().life() == a.life()
+                    && h.worker().sequence() == a.sequence()).ifPresent(h -> renew(h, m.at() - a.age()));
+        }
+        if (m.view().number() > view.number() && m.view().fleet() == fleet) {
+            view = m.view();
+        }
+        if (m.page() > books.page()) {
+            books.apply(m.page(), m.entries());
+            announce();
+        }
+        if (m.page() == books.page() && m.age() >= 0) {
+            sure = Optional.of(Math.max(sure.orElse(Long.MIN_VALUE), m.at() - m.age()));
+        }
+    }
+
+    private void announce() {
+        page = Math.max(page, books.page());
+        if (books.page() > told) {
+            told = books.page();
+            push(new Msg.Push(List.of(), List.of(), told));
+        }
+    }
+
+    private void renew(final Heard h, final long asOf) {
+        if (h.asOf().map(t -> t < asOf).orElse(true)) {
+            workers.put(h.worker().id(), new Heard(h.worker(), Optional.of(asOf)));
+        }
+    }
+
+    private void take(final Worker word, final Optional<Long> asOf, final long now) {
+        final Optional<Heard> old = Optional.ofNullable(workers.get(word.id()));
+        if (old.map(h -> word.after(h.worker())).orElse(true)) {
+            final boolean same = old.map(h -> h.worker().life() == word.life()).orElse(false);
+            final boolean left = old.map(h -> h.worker().leaving()).orElse(false) && same;
+            workers.put(word.id(), new Heard(word,
+                    asOf.or(() -> old.filter(h -> same).flatMap(Heard::asOf))));
+            if (old.isEmpty()) {
+                out.add(new Effect.Log(Event.WORKER_KNOWN, word.id() + " " + word.address() + " zone " + word.zone()));
+            }
+            if (word.leaving() && !left) {
+                out.add(new Effect.Log(Event.WORKER_LEAVING, word.id()));
+                fresh.add(word);
+            }
+        }
+        asOf.ifPresent(t -> Optional.ofNullable(workers.get(word.id()))
+                .filter(h -> h.worker().life() == word.life() && h.worker().sequence() == word.sequence())
+                .ifPresent(h -> renew(h, t)));
+    }
+
+    private record Echo(long life, long token, long at) {
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/rumor/Worker.java
@@ -0,0 +1,37 @@
+package silverlatch.rumor;
+
+import java.util.List;
+
+/**
+ * What a worker said of itself.
+ *
+ * @param id       its name
+ * @param address  where it takes runs
+ * @param zone     its zone
+ * @param region   its region
+ * @param life     its start; a larger one for each
+ * @param sequence the number of the word, rising within a life
+ * @param running  runs under way
+ * @param queued   runs waiting
+ * @param slots    runs it takes at once
+ * @param kept     the salted digests of prefixes in its cache
+ * @param leaving  whether it takes no new work
+ * @param up       microseconds since it started
+ */
+public record Worker(String id, String address, String zone, String region, long life, long sequence,
+                     int running, int queued, int slots, List<Long> kept, boolean leaving, long up) {
+    /** Copies the digests. */
+    public Worker {
+        kept = List.copyOf(kept);
+    }
+
+    /** Whether this word is newer than the other. */
+    public boolean after(final Worker old) {
+        return life != old.life ? life > old.life : sequence > old.sequence;
+    }
+
+    /** The same worker, leaving. */
+    public Worker gone() {
+        return new Worker(id, address, zone, region, life, sequence, running, queued, slots, kept, true, up);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/tariff/Books.java
@@ -0,0 +1,340 @@
+package silverlatch.tariff;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import silverlatch.tide.Stamp;
+
+/** The shared books of the control plane: what they hold, and the one function that judges a wish against them. */
+public final class Books {
+    /** How many rows a table may have. */
+    public static final int ROWS = 20_000;
+    /** How many claims are kept at once. */
+    public static final int CLAIMS = 200_000;
+    private static final int DEEDS = 1_000;
+    private final TreeMap<String, Entry> entries = new TreeMap<>();
+    private long sequence;
+    private long page;
+
+    /** The newest sequence applied. */
+    public long sequence() {
+        return sequence;
+    }
+
+    /** The newest sequence that changed what the data plane follows. */
+    public long page() {
+        return page;
+    }
+
+    /** Applies the entries of one change. */
+    public void apply(final long seq, final Collection<Entry> puts) {
+        sequence = Math.max(sequence, seq);
+        for (final Entry put : puts) {
+            if (put.policy()) {
+                page = Math.max(page, put.sequence());
+            }
+            if (put.gone() && !put.policy()) {
+                entries.remove(put.key());
+            } else {
+                entries.merge(put.key(), put, (old, now) -> now.sequence() >= old.sequence() ? now : old);
+            }
+        }
+    }
+
+    /** Replaces everything, as a repair or a picture does. */
+    public void reset(final long seq, final Collection<Entry> all) {
+        entries.clear();
+        sequence = 0;
+        page = 0;
+        apply(seq, all);
+    }
+
+    /** Replaces all keys of one range of digests by the given ones. */
+    public void mend(final int range, final int ranges, final Collection<Entry> all) {
+        entries.values().removeIf(e -> slot(e.key(), ranges) == range);
+        all.forEach(e -> entries.put(e.key(), e));
+    }
+
+    /** Sets the sequences after a repair. */
+    public void level(final long seq) {
+        sequence = seq;
+        page = entries.values().stream().filter(Entry::policy).mapToLong(Entry::sequence).max().orElse(0);
+    }
+
+    /** Everything. */
+    public List<Entry> all() {
+        return List.copyOf(entries.values());
+    }
+
+    /** What the data plane follows and was written after the given page. */
+    public List<Entry> since(final long old) {
+        final List<Entry> list = new ArrayList<>();
+        for (final String part : List.of("r/", "t/", "z/")) {
+            part(part).values().stream().filter(e -> e.sequence() > old).forEach(list::add);
+        }
+        return list;
+    }
+
+    /** One digest for each range of keys. */
+    public long[] digests(final int ranges) {
+        final long[] sums = new long[ranges];
+        for (final Entry e : entries.values()) {
+            sums[slot(e.key(), ranges)] += mix(name(e.key()) + e.sequence() * 0x9E3779B97F4A7C15L);
+        }
+        return sums;
+    }
+
+    /** The entries of one range. */
+    public List<Entry> range(final int range, final int ranges) {
+        return entries.values().stream().filter(e -> slot(e.key(), ranges) == range).toList();
+    }
+
+    /** The entry of a key, if it is held and not gone. */
+    public Optional<Entry> get(final String key) {
+        return Optional.ofNullable(entries.get(key)).filter(e -> !e.gone());
+    }
+
+    /** All entries whose key starts so. */
+    public SortedMap<String, Entry> part(final String start) {
+        return entries.subMap(start, start + Character.MAX_VALUE);
+    }
+
+    /** The key of a row. */
+    public static String row(final String tenant, final String kind) {
+        return "r/" + tenant + "/" + kind;
+    }
+
+    /**
+     * Judges a wish: either the entries it writes at the given sequence, or a verdict that it is rejected.
+     * The overlay holds what was let in but is not applied yet.
+     */
+    public Judged judge(final Wish wish, final Map<String, Entry> overlay, final long seq, final Stamp stamp) {
+        final Map<String, Entry> seen = new HashMap<>(overlay);
+        final Look look = new Look(seen);
+        final Optional<Entry> done = look.at("o/" + wish.id());
+        if (done.isPresent()) {
+            return new Judged.Over(new Verdict.Kept(done.get().sequence()));
+        }
+        return switch (wish) {
+            case Wish.Cells w -> cells(w, look, seq);
+            case Wish.Table w -> table(w, look, seq);
+            case Wish.Person w -> matched(look, "t/" + w.tenant().name(), w.match(),
+                    () -> Tariff.faults(w.tenant()), w.id(), seq, w.tenant());
+            case Wish.Drop w -> look.at("t/" + w.tenant()).isEmpty()
+                    ? rejected(404, "no tenant " + w.tenant(), 0)
+                    : matched(look, "t/" + w.tenant(), w.match(), List::of, w.id(), seq);
+            case Wish.Zone w -> matched(look, "z/" + w.zone(), w.match(), () -> Tariff.word("zone", w.zone()),
+                    w.id(), seq, new Leaf.Drain(w.zone(), w.on(), stamp));
+            case Wish.Hold w -> hold(w, look, seq);
+            case Wish.End w -> end(w, look, seq);
+        };
+    }
+
+    private Judged cells(final Wish.Cells w, final Look look, final long seq) {
+        final long now = look.table();
+        if (w.match() >= 0 && w.match() != now) {
+            return rejected(409, "the table is at sequence " + now, now);
+        }
+        final List<String> faults = new ArrayList<>();
+        final Map<String, Leaf.Row> rows = new HashMap<>();
+        for (int i = 0; i < w.cells().size(); i++) {
+            final Wish.Cell c = w.cells().get(i);
+            final String key = row(c.tenant(), c.kind());
+            final Leaf.Row old = rows.computeIfAbsent(key, k -> look.at(k).map(e -> (Leaf.Row) e.leaf().getFirst())
+                    .orElseGet(() -> look.at(row("*", c.kind())).map(e -> (Leaf.Row) e.leaf().getFirst())
+                            .map(r -> Tariff.renamed(r, c.tenant())).orElse(Tariff.plain(c.tenant(), c.kind()))));
+            switch (Tariff.set(old, c.field(), c.value())) {
+                case Tariff.Cut.Good good -> rows.put(key, good.row());
+                case Tariff.Cut.Bad bad -> faults.add("$.cells[" + i + "]: " + bad.fault());
+            }
+        }
+        rows.values().forEach(r -> {
+            faults.addAll(Tariff.faults(r));
+            faults.addAll(look.person(r));
+        });
+        if (!faults.isEmpty() || rows.isEmpty()) {
+            return new Judged.Over(new Verdict.Rejected(422, rows.isEmpty() ? List.of("$.cells: none given") : faults, now));
+        }
+        final long count = look.rows().size() + rows.keySet().stream().filter(k -> look.at(k).isEmpty()).count();
+        if (count > ROWS) {
+            return rejected(507, "the table would have more than " + ROWS + " rows", now);
+        }
+        final List<Entry> puts = new ArrayList<>();
+        rows.forEach((k, r) -> puts.add(new Entry(k, seq, List.of(r))));
+        return let(look, puts, w.id(), seq);
+    }
+
+    private Judged table(final Wish.Table w, final Look look, final long seq) {
+        final long now = look.table();
+        if (w.match() >= 0 && w.match() != now) {
+            return rejected(409, "the table is at sequence " + now, now);
+        }
+        if (w.rows().size() > ROWS) {
+            return rejected(413, "a table has at most " + ROWS + " rows", now);
+        }
+        final List<String> faults = new ArrayList<>();
+        final Set<String> keys = new HashSet<>();
+        final List<Entry> puts = new ArrayList<>();
+        for (int i = 0; i < w.rows().size(); i++) {
+            final Leaf.Row r = w.rows().get(i);
+            final String at = "$.rows[" + i + "]";
+            Tariff.faults(r).forEach(f -> faults.add(at + "." + f));
+            look.person(r).forEach(f -> faults.add(at + "." + f));
+            if (!keys.add(row(r.tenant(), r.kind()))) {
+                faults.add(at + ": a second row for " + r.tenant() + " and " + r.kind());
+            }
+            puts.add(new Entry(row(r.tenant(), r.kind()), seq, List.of(r)));
+        }
+        if (w.rows().isEmpty()) {
+            faults.add("$.rows: a table needs a row");
+        }
+        if (!faults.isEmpty()) {
+            return new Judged.Over(new Verdict.Rejected(422, faults.subList(0, Math.min(50, faults.size())), now));
+        }
+        look.rows().stream().filter(k -> !keys.contains(k)).forEach(k -> puts.add(new Entry(k, seq, List.of())));
+        return let(look, puts, w.id(), seq);
+    }
+
+    private Judged matched(final Look look, final String key, final long match,
+                           final java.util.function.Supplier<List<String>> check, final String id, final long seq, final Leaf... leaf) {
+        final long now = look.sequence(key);
+        if (match >= 0 && match != now) {
+            return rejected(409, key.substring(2) + " is at sequence " + now, now);
+        }
+        final List<String> faults = check.get();
+        if (!faults.isEmpty()) {
+            return new Judged.Over(new Verdict.Rejected(422, faults, now));
+        }
+        return let(look, List.of(new Entry(key, seq, List.of(leaf))), id, seq);
+    }
+
+    private Judged hold(final Wish.Hold w, final Look look, final long seq) {
+        final Optional<Entry> old = look.at("c/" + w.key());
+        if (old.isPresent()) {
+            final Leaf.Claim claim = (Leaf.Claim) old.get().leaf().getFirst();
+            return new Judged.Over(claim.ticket().equals(w.ticket())
+                    ? new Verdict.Kept(old.get().sequence()) : new Verdict.Stands(claim));
+        }
+        if (part("c/").size() + look.fresh("c/") >= CLAIMS) {
+            return rejected(507, "the space for claims is full", sequence);
+        }
+        return new Judged.Let(List.of(new Entry("c/" + w.key(), seq,
+                List.of(new Leaf.Claim(w.ticket(), w.carrier(), "running", w.at())))));
+    }
+
+    private Judged end(final Wish.End w, final Look look, final long seq) {
+        final Optional<Entry> old = look.at("c/" + w.key());
+        if (old.isEmpty() || !(old.get().leaf().getFirst() instanceof Leaf.Claim claim) || !claim.ticket().equals(w.ticket())) {
+            return rejected(409, "the claim is not this ticket's", sequence);
+        }
+        if (!claim.state().equals("running")) {
+            return new Judged.Over(new Verdict.Kept(old.get().sequence()));
+        }
+        return new Judged.Let(List.of(new Entry("c/" + w.key(), seq,
+                List.of(new Leaf.Claim(claim.ticket(), claim.carrier(), w.state(), claim.at())))));
+    }
+
+    private Judged let(final Look look, final List<Entry> puts, final String id, final long seq) {
+        final List<Entry> all = new ArrayList<>(puts);
+        all.add(new Entry("o/" + id, seq, List.of(new Leaf.Deed(seq))));
+        final SortedMap<String, Entry> deeds = part("o/");
+        if (deeds.size() >= DEEDS) {
+            deeds.values().stream().min(java.util.Comparator.comparingLong(Entry::sequence))
+                    .ifPresent(e -> all.add(new Entry(e.key(), seq, List.of())));
+        }
+        return new Judged.Let(all);
+    }
+
+    private static Judged rejected(final int code, final String why, final long now) {
+        return new Judged.Over(new Verdict.Rejected(code, List.of(why), now));
+    }
+
+    /** Cell edits at a time when claims outlive their span: the keys that may be dropped. */
+    public List<String> stale(final long before, final int most) {
+        return part("c/").values().stream()
+                .filter(e -> e.leaf().getFirst() instanceof Leaf.Claim c && c.at() < before)
+                .limit(most).map(Entry::key).toList();
+    }
+
+    private static int slot(final String key, final int ranges) {
+        return Math.floorMod(key.hashCode() * 0x9E3779B9, ranges);
+    }
+
+    private static long name(final String key) {
+        long sum = 0xCBF29CE484222325L;
+        for (int i = 0; i < key.length(); i++) {
+            sum = (sum ^ key.charAt(i)) * 0x100000001B3L;
+        }
+        return sum;
+    }
+
+    private static long mix(final long seed) {
+        final long a = (seed ^ seed >>> 30) * 0xBF58476D1CE4E5B9L;
+        final long b = (a ^ a >>> 27) * 0x94D049BB133111EBL;
+        return b ^ b >>> 31;
+    }
+
+    /** What judging a wish gives. */
+    public sealed interface Judged {
+        /** It is let in and writes these entries. */
+        record Let(List<Entry> puts) implements Judged {
+        }
+
+        /** It is decided without a write. */
+        record Over(Verdict verdict) implements Judged {
+        }
+    }
+
+    private final class Look {
+        private final Map<String, Entry> seen;
+
+        Look(final Map<String, Entry> seen) {
+            this.seen = seen;
+        }
+
+        Optional<Entry> at(final String key) {
+            return Optional.ofNullable(seen.get(key)).or(() -> Optional.ofNullable(entries.get(key))).filter(e -> !e.gone());
+        }
+
+        long sequence(final String key) {
+            return Optional.ofNullable(seen.get(key)).or(() -> Optional.ofNullable(entries.get(key))).map(Entry::sequence).orElse(0L);
+        }
+
+        long table() {
+            long most = part("r/").values().stream().mapToLong(Entry::sequence).max().orElse(0);
+            for (final Entry e : seen.values()) {
+                most = e.key().startsWith("r/") ? Math.max(most, e.sequence()) : most;
+            }
+            return most;
+        }
+
+        Set<String> rows() {
+            final Set<String> keys = new HashSet<>();
+            part("r/").values().stream().filter(e -> !e.gone()).forEach(e -> keys.add(e.key()));
+            seen.values().stream().filter(e -> e.key().startsWith("r/")).forEach(e -> {
+                if (e.gone()) {
+                    keys.remove(e.key());
+                } else {
+                    keys.add(e.key());
+                }
+            });
+            return keys;
+        }
+
+        long fresh(final String start) {
+            return seen.keySet().stream().filter(k -> k.startsWith(start)).count();
+        }
+
+        List<String> person(final Leaf.Row r) {
+            return r.tenant().equals("*") || at("t/" + r.tenant()).isPresent()
+                    ? List.of() : List.of("tenant: there is no tenant " + r.tenant());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/tariff/Leaf.java
@@ -0,0 +1,32 @@
+package silverlatch.tariff;
+
+import java.util.List;
+import silverlatch.tide.Stamp;
+
+/** What an entry of the shared books can hold. */
+public sealed interface Leaf {
+    /** A tenant: its homes (regions; none means all), its share of the fleet, and the hash of its key. */
+    record Tenant(String name, List<String> homes, double share, String hash, String salt) implements Leaf {
+        /** Copies the homes. */
+        public Tenant {
+            homes = List.copyOf(homes);
+        }
+    }
+
+    /** One row of the table: weights of the judges and limits, for a tenant (or *) and a kind. */
+    record Row(String tenant, String kind, double prefix, double load, double cold, double cross,
+               double rate, double burst, int running, int queue, long hold, boolean once, int rank) implements Leaf {
+    }
+
+    /** An order to empty a zone, or to take that back. */
+    record Drain(String zone, boolean on, Stamp at) implements Leaf {
+    }
+
+    /** A consumer's key, bound to the one ticket that may run under it. */
+    record Claim(String ticket, String carrier, String state, long at) implements Leaf {
+    }
+
+    /** A change that took effect, by its id. */
+    record Deed(long sequence) implements Leaf {
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/tariff/Wish.java
@@ -0,0 +1,49 @@
+package silverlatch.tariff;
+
+import java.util.List;
+
+/** A change someone asks for. A match of -1 asks for no comparison. */
+public sealed interface Wish {
+    /** The name by which the outcome can be asked for later. */
+    String id();
+
+    /** Some cells of the table: row key, field, new value. */
+    record Cells(String id, List<Cell> cells, long match) implements Wish {
+        /** Copies the cells. */
+        public Cells {
+            cells = List.copyOf(cells);
+        }
+    }
+
+    /** A whole new table. */
+    record Table(String id, List<Leaf.Row> rows, long match) implements Wish {
+        /** Copies the rows. */
+        public Table {
+            rows = List.copyOf(rows);
+        }
+    }
+
+    /** A tenant, new or changed. */
+    record Person(String id, Leaf.Tenant tenant, long match) implements Wish {
+    }
+
+    /** A tenant to be taken away. */
+    record Drop(String id, String tenant, long match) implements Wish {
+    }
+
+    /** A zone to be emptied or given back. */
+    record Zone(String id, String zone, boolean on, long match) implements Wish {
+    }
+
+    /** A key to be bound to a ticket. */
+    record Hold(String id, String key, String ticket, String carrier, long at) implements Wish {
+    }
+
+    /** How a claimed ticket ended. */
+    record End(String id, String key, String ticket, String state) implements Wish {
+    }
+
+    /** One cell of the table. */
+    record Cell(String tenant, String kind, String field, String value) {
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/tide/Step.java
@@ -0,0 +1,16 @@
+package silverlatch.tide;
+
+/** What came of asking the clock for a stamp. */
+public sealed interface Step {
+    /** The event has its stamp; the clock moves on to the given state. */
+    record Made(Tide tide, Stamp stamp) implements Step {
+    }
+
+    /** A carry into the high bits would follow: wait this many microseconds and ask again. */
+    record Wait(long micros) implements Step {
+    }
+
+    /** The message's stamp is ahead of anything a clock within the skew could make, by this many units. */
+    record Far(long units) implements Step {
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -0,0 +1,163 @@
+package silverlatch.wire;
+
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.Serializer;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import silverlatch.ledger.Note;
+import silverlatch.quay.Berth;
+import silverlatch.quay.Change;
+import silverlatch.tariff.Leaf;
+import silverlatch.tariff.Verdict;
+import silverlatch.tariff.Wish;
+
+/** Turns frames and notes into bytes and back: registered classes only, every size bounded by the bytes at hand. */
+public final class Codec {
+    /** The largest frame or note. */
+    public static final int MOST = 16 << 20;
+    private static final int DEPTH = 24;
+    private final Kryo kryo = new Kryo();
+
+    /** Makes a codec; it serves one thread. */
+    public Codec() {
+        kryo.setRegistrationRequired(true);
+        kryo.setReferences(false);
+        kryo.setMaxDepth(DEPTH);
+        final Texts texts = new Texts();
+        final Lists lists = new Lists();
+        kryo.register(String.class, texts);
+        kryo.register(long[].class, new Longs());
+        kryo.register(List.of().getClass(), lists);
+        kryo.register(List.of(1).getClass(), lists);
+        kryo.register(ArrayList.class, lists);
+        kryo.register(List.class, lists);
+        final Set<Class<?>> seen = new HashSet<>();
+        final Deque<Class<?>> open = new ArrayDeque<>(List.of(Frame.class, Msg.class, Note.class, Leaf.class,
+                Wish.class, Verdict.class, Change.class, Berth.class));
+        while (!open.isEmpty()) {
+            final Class<?> type = open.poll();
+            if (!seen.add(type)) {
+                continue;
+            }
+            if (type.isSealed()) {
+                Arrays.stream(type.getPermittedSubclasses()).forEach(open::add);
+            } else if (type.isRecord()) {
+                kryo.register(type);
+                Arrays.stream(type.getRecordComponents()).map(c -> c.getType())
+                        .filter(t -> t.getName().startsWith("silverlatch")).forEach(open::add);
+                if (type == Msg.Ask.class) {
+                    open.addAll(List.of(Msg.Mark.class, Msg.Aged.class, Msg.Span.class, Wish.Cell.class,
+                            silverlatch.tariff.Entry.class, silverlatch.rumor.Worker.class));
+                }
+            }
+        }
+    }
+
+    /** The bytes of a frame or a note. */
+    public byte[] write(final Object thing) {
+        final Output out = new Output(512, MOST);
+        kryo.writeClassAndObject(out, thing);
+        return out.toBytes();
+    }
+
+    /** What the bytes say, or why they can't be read. */
+    public <T> Read<T> read(final byte[] bytes, final Class<T> type) {
+        try {
+            final Input in = new Input(bytes);
+            final Object thing = kryo.readClassAndObject(in);
+            if (!type.isInstance(thing)) {
+                return new Read.Bad<>("not a " + type.getSimpleName());
+            }
+            if (in.position() != bytes.length) {
+                return new Read.Bad<>("bytes left over");
+            }
+            return new Read.Good<>(type.cast(thing));
+        } catch (final KryoException | IllegalArgumentException | NullPointerException | IndexOutOfBoundsException
+                       | NegativeArraySizeException | ClassCastException | IllegalStateException e) {
+            return new Read.Bad<>(e.getClass().getSimpleName());
+        } finally {
+            kryo.reset();
+        }
+    }
+
+    /** What reading gave. */
+    public sealed interface Read<T> {
+        /** It was read. */
+        record Good<T>(T thing) implements Read<T> {
+        }
+
+        /** It is not one of ours. */
+        record Bad<T>(String why) implements Read<T> {
+        }
+    }
+
+    private static int size(final Input in, final int each) {
+        final int count = in.readInt();
+        if (count < 0 || (long) count * each > in.limit() - in.position()) {
+            throw new KryoException("size beyond the bytes at hand");
+        }
+        return count;
+    }
+
+    private static final class Texts extends Serializer<String> {
+        Texts() {
+            super(false, true);
+        }
+
+        @Override
+        public void write(final Kryo kryo, final Output out, final String text) {
+            final byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            out.writeInt(bytes.length);
+            out.writeBytes(bytes);
+        }
+
+        @Override
+        public String read(final Kryo kryo, final Input in, final Class<? extends String> type) {
+            return new String(in.readBytes(size(in, 1)), StandardCharsets.UTF_8);
+        }
+    }
+
+    private static final class Longs extends Serializer<long[]> {
+        @Override
+        public void write(final Kryo kryo, final Output out, final long[] list) {
+            out.writeInt(list.length);
+            out.writeLongs(list, 0, list.length);
+        }
+
+        @Override
+        public long[] read(final Kryo kryo, final Input in, final Class<? extends long[]> type) {
+            return in.readLongs(size(in, Long.BYTES));
+        }
+    }
+
+    private static final class Lists extends Serializer<List<?>> {
+        Lists() {
+            super(false, true);
+        }
+
+        @Override
+        public void write(final Kryo kryo, final Output out, final List<?> list) {
+            out.writeInt(list.size());
+            list.forEach(e -> kryo.writeClassAndObject(out, e));
+        }
+
+        @Override
+        public List<?> read(final Kryo kryo, final Input in, final Class<? extends List<?>> type) {
+            final int count = size(in, 1);
+            final List<Object> list = new ArrayList<>();
+            for (int i = 0; i < count; i++) {
+                list.add(kryo.readClassAndObject(in));
+            }
+            return List.copyOf(list);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/wire/Frame.java
@@ -0,0 +1,27 @@
+package silverlatch.wire;
+
+import java.util.Objects;
+import silverlatch.tide.Stamp;
+
+/**
+ * What travels between daemons. A frame can't be made without a stamp.
+ *
+ * @param stamp the send event's stamp
+ * @param fleet the fleet's number, 0 before it is known
+ * @param from  the sender's name
+ * @param home  where the sender takes frames
+ * @param life  the sender's incarnation
+ * @param body  what it says
+ */
+public record Frame(Stamp stamp, long fleet, String from, String home, long life, Msg body) {
+    /** Rejects a frame without its stamp. */
+    public Frame {
+        Objects.requireNonNull(stamp);
+        Objects.requireNonNull(from);
+        Objects.requireNonNull(home);
+        Objects.requireNonNull(body);
+        if (stamp.bits() <= 0) {
+            throw new IllegalArgumentException("a frame needs a stamp");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -0,0 +1,188 @@
+package silverlatch.wire;
+
+import java.util.List;
+import silverlatch.crew.Member;
+import silverlatch.quay.Berth;
+import silverlatch.quay.Change;
+import silverlatch.quay.View;
+import silverlatch.rumor.Worker;
+import silverlatch.tariff.Entry;
+import silverlatch.tariff.Verdict;
+import silverlatch.tariff.Wish;
+import silverlatch.tide.Stamp;
+
+/** What daemons say to each other. */
+public sealed interface Msg {
+    /** A daemon makes itself known, and asks who else is there; it echoes its own monotonic time. */
+    record Hail(Member me, long mono) implements Msg {
+    }
+
+    /** Who is there, the hailer's echo, the physical time here in fixed point, and the newest stamp as a floor. */
+    record Muster(List<Member> members, long mono, long phys, Stamp floor) implements Msg {
+        /** Copies the list. */
+        public Muster {
+            members = List.copyOf(members);
+        }
+    }
+
+    /** A heartbeat to a watcher. */
+    record Beat(Member me) implements Msg {
+    }
+
+    /** News passed on at once: it can restrict, but renews nothing. */
+    record Push(List<Member> members, List<Worker> workers, long page) implements Msg {
+        /** Copies the lists. */
+        public Push {
+            members = List.copyOf(members);
+            workers = List.copyOf(workers);
+        }
+    }
+
+    /** A pull: what the asker holds, and when by its own monotonic clock it asked. */
+    record Ask(long at, long page, List<Mark> marks, long crew) implements Msg {
+        /** Copies the list. */
+        public Ask {
+            marks = List.copyOf(marks);
+        }
+    }
+
+    /** The word on a worker that the asker holds. */
+    record Mark(String id, long life, long sequence) {
+    }
+
+    /** The reply to a pull: ages of what both hold, bodies of what the asker lacks. */
+    record Tell(long at, List<Aged> ages, List<Worker> workers, List<Member> members, long page, long age,
+                long fleet, List<Entry> entries, View view) implements Msg {
+        /** Copies the lists. */
+        public Tell {
+            ages = List.copyOf(ages);
+            workers = List.copyOf(workers);
+            members = List.copyOf(members);
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /** How old the word on a worker is, in microseconds; negative when it was never renewed here. */
+    record Aged(String id, long life, long sequence, long age) {
+    }
+
+    /** A harbor with a data folder looks for the others. */
+    record Seek(Berth me, boolean empty, List<Berth> heard) implements Msg {
+        /** Copies the list. */
+        public Seek {
+            heard = List.copyOf(heard);
+        }
+    }
+
+    /** A founding proposed to all seeds. */
+    record Found(View view) implements Msg {
+    }
+
+    /** A founding agreed to and synced. */
+    record Agreed(long fleet, Berth me) implements Msg {
+    }
+
+    /** A member asks a voter that its view still holds. */
+    record Lease(long view, long at, Berth me) implements Msg {
+    }
+
+    /** A voter says that the view holds. */
+    record Grant(long view, long at, String voter) implements Msg {
+    }
+
+    /** A decided view. */
+    record Decided(View view) implements Msg {
+    }
+
+    /** The view register: ask for a promise. */
+    record Prepare(long number, long ballot) implements Msg {
+    }
+
+    /** The view register: a promise, with what was accepted before. */
+    record Promise(long number, long ballot, String voter, long nodded, List<View> nod) implements Msg {
+        /** Copies the list. */
+        public Promise {
+            nod = List.copyOf(nod);
+        }
+    }
+
+    /** The view register: accept this. */
+    record Accept(long number, long ballot, View view) implements Msg {
+    }
+
+    /** The view register: accepted. */
+    record Accepted(long number, long ballot, String voter) implements Msg {
+    }
+
+    /** The view register: a higher ballot was promised. */
+    record Outbid(long number, long ballot) implements Msg {
+    }
+
+    /** Changes go down the chain. */
+    record Pass(long view, List<Change> changes) implements Msg {
+        /** Copies the list. */
+        public Pass {
+            changes = List.copyOf(changes);
+        }
+    }
+
+    /** Acks come up the chain. */
+    record Acked(long view, long sequence) implements Msg {
+    }
+
+    /** A predecessor says how far its own log goes as this view begins. */
+    record Level(long view, long sequence) implements Msg {
+    }
+
+    /** A follower says how far it has come. */
+    record Reach(long view, String id, long sequence) implements Msg {
+    }
+
+    /** A member to be mended sends its digests. */
+    record Compare(long view, Berth me, long sequence, long[] digests) implements Msg {
+    }
+
+    /** The ranges that differ, at a sequence; whole tells that no other range differs. */
+    record Mend(long view, long sequence, List<Span> spans, boolean whole) implements Msg {
+        /** Copies the list. */
+        public Mend {
+            spans = List.copyOf(spans);
+        }
+    }
+
+    /** One range of entries. */
+    record Span(int range, List<Entry> entries) {
+        /** Copies the list. */
+        public Span {
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /** A mended member asks to be put at the end of the chain. */
+    record Join(long view, Berth me, long sequence) implements Msg {
+    }
+
+    /** A wish is sent to the head. */
+    record Write(long ask, String home, Wish wish) implements Msg {
+    }
+
+    /** What came of the wish. */
+    record Wrote(long ask, Verdict verdict) implements Msg {
+    }
+
+    /** A question for the tail: the entries whose keys start so. */
+    record Read(long ask, String home, String start) implements Msg {
+    }
+
+    /** The tail's reply, at a sequence; ok is false where the asked one can't answer. */
+    record Seen(long ask, boolean ok, long sequence, List<Entry> entries) implements Msg {
+        /** Copies the list. */
+        public Seen {
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /** The sender is told that its stamp was rejected as too far ahead, and the physical time here. */
+    record Astray(long units, long phys) implements Msg {
+    }
+}
--- /dev/null
+++ b/core/src/test/java/silverlatch/ledger/LedgerTest.java
@@ -0,0 +1,86 @@
+package silverlatch.ledger;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import silverlatch.quay.View;
+
+final class LedgerTest {
+    @TempDir
+    private Path folder;
+
+    private static Ledger.Opened.Good open(final Path folder) {
+        return (Ledger.Opened.Good) Ledger.open(folder);
+    }
+
+    private Path segment(final int number) {
+        return folder.resolve(String.format("segment-%012d", number));
+    }
+
+    @Test
+    void whatWasWrittenIsReadBackUnderTheSameIdentity() throws IOException {
+        final Ledger.Opened.Good first = open(folder);
+        first.ledger().write(List.of(new Note.Roof(1), new Note.Vow(2, 3)));
+        first.ledger().write(List.of(new Note.Roof(4)));
+        first.ledger().close();
+        final Ledger.Opened.Good second = open(folder);
+        assertThat(second.identity(), is(first.identity()));
+        assertThat(second.notes(), is(List.of(new Note.Roof(1), new Note.Vow(2, 3), new Note.Roof(4))));
+    }
+
+    @Test
+    void aTornTailIsCutOffWhereverItTears() throws IOException {
+        final Ledger.Opened.Good first = open(folder);
+        first.ledger().write(List.of(new Note.Roof(1)));
+        final long whole = Files.size(segment(1));
+        first.ledger().write(List.of(new Note.Vow(2, 3)));
+        first.ledger().close();
+        final byte[] all = Files.readAllBytes(segment(1));
+        for (int cut = (int) whole; cut < all.length; cut++) {
+            Files.write(segment(1), Arrays.copyOf(all, cut));
+            final Ledger.Opened.Good again = open(folder);
+            assertThat(again.notes(), is(List.of((Note) new Note.Roof(1))));
+            assertThat(again.torn(), is(cut - whole));
+            again.ledger().write(List.of(new Note.Roof(9)));
+            again.ledger().close();
+            assertThat(open(folder).notes().getLast(), is(new Note.Roof(9)));
+        }
+    }
+
+    @Test
+    void damageInTheMiddleIsRejected() throws IOException {
+        final Ledger.Opened.Good first = open(folder);
+        first.ledger().write(List.of(new Note.Roof(1)));
+        first.ledger().write(List.of(new Note.Vow(2, 3)));
+        first.ledger().close();
+        final byte[] all = Files.readAllBytes(segment(1));
+        for (int at = 0; at < all.length / 2; at++) {
+            final byte[] hurt = all.clone();
+            hurt[at] ^= 0x10;
+            Files.write(segment(1), hurt);
+            assertThat("byte " + at, Ledger.open(folder), instanceOf(Ledger.Opened.Damaged.class));
+        }
+    }
+
+    @Test
+    void aPictureFreesOldSegmentsAndKeepsWhatFollows() throws IOException {
+        final Ledger.Opened.Good first = open(folder);
+        first.ledger().write(List.of(new Note.Roof(1)));
+        final Note.Picture picture = new Note.Picture(7, View.NONE, true, 0, 0, List.of(), 0, List.of());
+        first.ledger().write(List.of(picture, new Note.Roof(2)));
+        first.ledger().write(List.of(new Note.Roof(3)));
+        first.ledger().close();
+        assertThat(Files.exists(segment(1)), is(false));
+        assertThat(open(folder).notes(), is(List.of(picture, new Note.Roof(2), new Note.Roof(3))));
+        Files.write(folder.resolve("picture-000000000002"), new byte[] {1, 2, 3});
+        assertThat(Ledger.open(folder), instanceOf(Ledger.Opened.Damaged.class));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/silverlatch/wire/CodecTest.java
@@ -0,0 +1,63 @@
+package silverlatch.wire;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.esotericsoftware.kryo.io.Output;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import silverlatch.crew.Member;
+import silverlatch.rumor.Worker;
+import silverlatch.tide.Stamp;
+
+final class CodecTest {
+    private static final Member ME = new Member("p", "purser", "z", "r", "127.0.0.1:1", "127.0.0.1:2", 3, 4, "up", true);
+    private static final Frame FRAME = new Frame(new Stamp(77), 5, "p", "127.0.0.1:1", 3, new Msg.Push(List.of(ME),
+            List.of(new Worker("w", "a", "z", "r", 1, 2, 3, 4, 5, List.of(6L, 7L, 8L), true, 9)), 10));
+    private final Codec codec = new Codec();
+
+    @Test
+    void aFrameSurvivesTheWire() {
+        assertThat(codec.read(codec.write(FRAME), Frame.class), is(new Codec.Read.Good<>(FRAME)));
+    }
+
+    @Test
+    void aFrameWithoutAStampCanNotBeMade() {
+        assertThrows(IllegalArgumentException.class, () -> new Frame(Stamp.NONE, 5, "p", "a", 3, new Msg.Beat(ME)));
+    }
+
+    @Test
+    void aClassThatIsNotRegisteredCanNotBeWritten() {
+        assertThrows(IllegalArgumentException.class, () -> codec.write(new java.util.Date()));
+    }
+
+    @Test
+    void garbledBytesAreBadAndNeverMoreThanBad() {
+        final byte[] good = codec.write(FRAME);
+        final SplittableRandom luck = new SplittableRandom(11);
+        int bad = 0;
+        for (int i = 0; i < 20_000; i++) {
+            final byte[] hurt = luck.nextBoolean() ? good.clone() : Arrays.copyOf(good, luck.nextInt(good.length));
+            for (int k = luck.nextInt(4); k >= 0 && hurt.length > 0; k--) {
+                hurt[luck.nextInt(hurt.length)] = (byte) luck.nextInt(256);
+            }
+            bad += codec.read(hurt, Frame.class) instanceof Codec.Read.Bad ? 1 : 0;
+        }
+        assertThat(bad, greaterThan(5_000));
+        assertThat(codec.read(good, Frame.class), instanceOf(Codec.Read.Good.class));
+    }
+
+    @Test
+    void aSizeBeyondTheBytesAtHandIsBad() {
+        final Output out = new Output(64, 64);
+        final byte[] good = codec.write("text");
+        out.writeBytes(good, 0, 1);
+        out.writeInt(Integer.MAX_VALUE);
+        assertThat(codec.read(out.toBytes(), String.class), instanceOf(Codec.Read.Bad.class));
+    }
+}
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/back/Back.java
@@ -0,0 +1,98 @@
+package silverlatch.desk.back;
+
+import java.net.URI;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import silverlatch.carry.Act;
+import silverlatch.carry.Line;
+import silverlatch.sheet.Sheet;
+
+/** Asks workers to run, by Jetty's client. */
+public final class Back {
+    private final HttpClient http;
+    private final int line;
+    private final Sink sink;
+    private final Map<Long, Request> jobs = new ConcurrentHashMap<>();
+
+    /** Where a worker's words go. */
+    public interface Sink {
+        /** A line came. */
+        void line(long job, Line line);
+
+        /** The exchange ended; started is false only where it provably did not begin. */
+        void failed(long job, boolean started, String why);
+    }
+
+    /** A client for workers. */
+    public Back(final int line, final Sink sink) {
+        this.line = line;
+        this.sink = sink;
+        final ClientConnector connector = new ClientConnector();
+        final QueuedThreadPool pool = new QueuedThreadPool(16, 2);
+        pool.setName("back");
+        pool.setDaemon(true);
+        connector.setExecutor(pool);
+        connector.setSelectors(2);
+        http = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        http.setConnectTimeout(1_000);
+        http.setMaxConnectionsPerDestination(1_024);
+        http.setMaxRequestsQueuedPerDestination(1_024);
+        http.setIdleTimeout(30_000);
+        http.setFollowRedirects(false);
+    }
+
+    /** Starts the client. */
+    public void start() throws BackFault {
+        try {
+            http.start();
+        } catch (final Exception e) {
+            throw new BackFault(e);
+        }
+    }
+
+    /** Starts a run at a worker. */
+    public void run(final Act.Run r) {
+        final AtomicBoolean begun = new AtomicBoolean();
+        final Lines lines = new Lines(line, l -> sink.line(r.job(), l));
+        final String body = Sheet.write(Map.of("ticket", r.ticket(), "run", r.run(), "tenant", r.tenant(), "kind", r.kind(),
+                "prefix", r.prefix(), "prompt", r.prompt()));
+        final Request request = http.newRequest(URI.create("http://" + r.address() + "/v1/runs")).method("POST")
+                .body(new StringRequestContent("application/json", body))
+                .onRequestBegin(q -> begun.set(true))
+                .onResponseContent((response, bytes) -> {
+                    if (response.getStatus() == 200) {
+                        lines.take(bytes);
+                    }
+                })
+                .timeout(10, TimeUnit.MINUTES);
+        jobs.put(r.job(), request);
+        request.send(result -> {
+            jobs.remove(r.job());
+            final int status = result.getResponse().getStatus();
+            final boolean denied = result.getResponseFailure() == null && status == 503
+                    && "no".equals(result.getResponse().getHeaders().get("X-Started"));
+            sink.failed(r.job(), begun.get() && !denied, result.isFailed() ? "" + result.getFailure().getMessage() : "status " + status);
+        });
+    }
+
+    /** Drops a run. */
+    public void cut(final long job) {
+        java.util.Optional.ofNullable(jobs.remove(job)).ifPresent(r -> r.abort(new java.util.concurrent.CancellationException("cut")));
+    }
+
+    /** A fault of the client. */
+    public static final class BackFault extends Exception {
+        /** What caused it. */
+        public BackFault(final Throwable cause) {
+            super("the client for workers can't start: " + cause.getMessage(), cause);
+        }
+    }
+}
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/back/Lines.java
@@ -0,0 +1,78 @@
+package silverlatch.desk.back;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.function.Consumer;
+import silverlatch.carry.Line;
+import silverlatch.sheet.Sheet;
+
+/** Cuts a worker's bytes into lines and reads each as a record of the stream; and writes records for consumers. */
+public final class Lines {
+    private final int most;
+    private final Consumer<Line> sink;
+    private final ByteArrayOutputStream part = new ByteArrayOutputStream();
+    private boolean broken;
+
+    /** Reads lines of at most so many bytes. */
+    public Lines(final int most, final Consumer<Line> sink) {
+        this.most = most;
+        this.sink = sink;
+    }
+
+    /** Takes bytes as they come. */
+    public void take(final ByteBuffer bytes) {
+        while (bytes.hasRemaining() && !broken) {
+            final byte b = bytes.get();
+            if (b == '\n') {
+                line(part.toByteArray());
+                part.reset();
+            } else if (part.size() >= most) {
+                wrong("a line longer than " + most + " bytes");
+            } else {
+                part.write(b);
+            }
+        }
+    }
+
+    /** A record as a line of JSON. */
+    public static String write(final Line line) {
+        return Sheet.write(switch (line) {
+            case Line.Piece p -> Map.of("ticket", p.ticket(), "run", p.run(), "number", p.number(), "text", p.text());
+            case Line.Seal s -> Map.of("seal", Map.of("worker", s.worker(), "ticket", s.ticket(), "run", s.run(),
+                    "count", s.count(), "sha256", s.sha()));
+            case Line.Lost l -> Map.of("lost", Map.of("ticket", l.ticket(), "why", l.why()));
+        }) + "\n";
+    }
+
+    private void line(final byte[] bytes) {
+        switch (Sheet.parse(bytes, most)) {
+            case Sheet.Parsed.Bad bad -> wrong("a line that is no JSON object");
+            case Sheet.Parsed.Good good -> {
+                final Sheet s = good.sheet();
+                if (s.has("seal")) {
+                    final Sheet x = s.sheet("seal");
+                    final Line.Seal seal = new Line.Seal(x.text("worker", 256), x.text("ticket", 256), x.text("run", 256),
+                            x.whole("count", 0, Integer.MAX_VALUE), x.text("sha256", 64));
+                    give(s, seal);
+                } else {
+                    give(s, new Line.Piece(s.text("ticket", 256), s.text("run", 256),
+                            s.whole("number", 0, Integer.MAX_VALUE), s.text("text", most)));
+                }
+            }
+        }
+    }
+
+    private void give(final Sheet s, final Line line) {
+        if (s.faults().isEmpty()) {
+            sink.accept(line);
+        } else {
+            wrong(s.faults().getFirst());
+        }
+    }
+
+    private void wrong(final String why) {
+        broken = true;
+        sink.accept(new Line.Lost("", why));
+    }
+}
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/duty/Bridge.java
@@ -0,0 +1,101 @@
+package silverlatch.desk.duty;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import silverlatch.deck.Deck;
+import silverlatch.deck.Effect;
+import silverlatch.deck.Ship;
+import silverlatch.tariff.Wish;
+
+/** Runs a deck on its duty and does what it asks for. */
+public final class Bridge {
+    private static final long BEAT = 20_000L;
+    private final Deck deck;
+    private final Consumer<Ship> dock;
+    private final Consumer<Effect.Keep> ledger;
+    private final Consumer<Deck> after;
+    private final Duty duty;
+    private final AtomicLong tokens = new AtomicLong();
+    private final Map<Long, Consumer<Object>> asked = new ConcurrentHashMap<>();
+
+    /** A bridge; the last argument is called after each beat. */
+    public Bridge(final Deck deck, final Consumer<Ship> dock, final Consumer<Effect.Keep> ledger, final Consumer<Deck> after) {
+        this.deck = deck;
+        this.dock = dock;
+        this.ledger = ledger;
+        this.after = after;
+        this.duty = new Duty("deck", 16_384, BEAT, this::beat);
+    }
+
+    /** Starts the duty. */
+    public void start() {
+        duty.start();
+    }
+
+    /** The duty. */
+    public Duty duty() {
+        return duty;
+    }
+
+    /** Does something with the deck on its duty; false when the ring is full. */
+    public boolean with(final Consumer<Deck> job) {
+        return duty.post(() -> {
+            job.accept(deck);
+            flush();
+        });
+    }
+
+    /** Sends a wish; the verdict comes back on the deck's duty. False when the ring is full. */
+    public boolean wish(final Wish wish, final long span, final Consumer<Object> then) {
+        final long token = tokens.incrementAndGet();
+        return with(d -> {
+            asked.put(token, then);
+            d.wish(wish, token, Duty.now(), Duty.now() + span);
+        });
+    }
+
+    /** Asks the tail; the page comes back on the deck's duty. False when the ring is full. */
+    public boolean read(final String start, final long span, final Consumer<Object> then) {
+        final long token = tokens.incrementAndGet();
+        return with(d -> {
+            asked.put(token, then);
+            d.read(start, token, Duty.now(), Duty.now() + span);
+        });
+    }
+
+    /** The wall clock in nanoseconds. */
+    public static long wall() {
+        final java.time.Instant t = java.time.Instant.now();
+        return t.getEpochSecond() * 1_000_000_000L + t.getNano();
+    }
+
+    private void beat() {
+        deck.tick(Duty.now(), wall());
+        flush();
+        after.accept(deck);
+    }
+
+    private void flush() {
+        deck.ships().forEach(dock);
+        final List<Effect> list = deck.drain();
+        for (final Effect e : list) {
+            switch (e) {
+                case Effect.Answer a -> java.util.Optional.ofNullable(asked.remove(a.token())).ifPresent(c -> c.accept(a.reply()));
+                case Effect.Log l -> Logs.write(l.event(), l.text());
+                case Effect.Keep k -> ledger.accept(k);
+                case Effect.Send s -> throw new IllegalStateException("a send left the deck unstamped");
+            }
+        }
+        if (deck.parked()) {
+            duty.post(() -> {
+                java.util.concurrent.locks.LockSupport.parkNanos(200_000L);
+                deck.tick(Duty.now(), wall());
+                flush();
+            });
+        }
+    }
+
+}
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/harbor/Main.java
@@ -0,0 +1,106 @@
+package silverlatch.desk.harbor;
+
+import dagger.BindsInstance;
+import dagger.Component;
+import dagger.Module;
+import dagger.Provides;
+import jakarta.inject.Singleton;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import silverlatch.crew.Crew;
+import silverlatch.crew.Member;
+import silverlatch.deck.Deck;
+import silverlatch.deck.Event;
+import silverlatch.desk.duty.Bridge;
+import silverlatch.desk.duty.Duty;
+import silverlatch.desk.duty.Logs;
+import silverlatch.desk.settings.Flags;
+import silverlatch.desk.settings.Settings;
+import silverlatch.ledger.Ledger;
+import silverlatch.ledger.Note;
+import silverlatch.quay.Berth;
+import silverlatch.quay.Quay;
+import silverlatch.rumor.Rumor;
+import silverlatch.tide.Anchor;
+
+/** The program harbor. */
+public final class Main {
+    private Main() {
+    }
+
+    /** Runs a harbor until it is told to stop. */
+    public static void main(final String[] args) {
+        switch (Flags.parse("harbor", args, true, System.out, System.err)) {
+            case Flags.Parsed.End end -> System.exit(end.code());
+            case Flags.Parsed.Run run -> start(run.settings());
+        }
+    }
+
+    private static void start(final Settings s) {
+        Optional<Ledger.Opened.Good> opened = Optional.empty();
+        if (s.data().isPresent()) {
+            switch (Ledger.open(Path.of(s.data().get()))) {
+                case Ledger.Opened.Damaged d -> {
+                    Logs.write(Event.DAMAGED, d.why());
+                    System.exit(4);
+                }
+                case Ledger.Opened.Good g -> {
+                    Logs.write(Event.RECOVERED, g.notes().size() + " notes, " + g.torn() + " bytes of a torn tail cut off");
+                    opened = Optional.of(g);
+                }
+            }
+        }
+        try {
+            final Harbor harbor = DaggerMain_Parts.factory().make(s, opened).harbor();
+            Runtime.getRuntime().addShutdownHook(new Thread(harbor::stop, "stop"));
+            harbor.start();
+            Thread.currentThread().join();
+        } catch (final Exception e) {
+            Logs.write(Event.FAULT, "harbor can't start", e);
+            Runtime.getRuntime().halt(3);
+        }
+    }
+
+    /** The parts of a harbor. */
+    @Singleton
+    @Component(modules = Shed.class)
+    interface Parts {
+        /** The harbor. */
+        Harbor harbor();
+
+        /** Makes the parts. */
+        @Component.Factory
+        interface Maker {
+            /** From its settings and its ledger, if it has a data folder. */
+            Parts make(@BindsInstance Settings settings, @BindsInstance Optional<Ledger.Opened.Good> opened);
+        }
+    }
+
+    /** How the parts are made. */
+    @Module
+    static final class Shed {
+        private Shed() {
+        }
+
+        @Provides
+        @Singleton
+        static Optional<Ledger> ledger(final Optional<Ledger.Opened.Good> opened) {
+            return opened.map(Ledger.Opened.Good::ledger);
+        }
+
+        @Provides
+        @Singleton
+        static Deck deck(final Settings s, final Optional<Ledger.Opened.Good> opened) {
+            final long now = Duty.now();
+            final long wall = Bridge.wall();
+            final Member me = new Member(s.name(), "harbor", s.zone(), s.region(), s.address(), s.door(), wall / 1000, 0, "up", false);
+            final List<Note> notes = opened.map(Ledger.Opened.Good::notes).orElse(List.of());
+            return new Deck(new Deck.Setup(me, s.seeds(), s.low(), s.skew(), Crew.Times.PLAIN, Rumor.Times.PLAIN),
+                    opened.map(o -> Quay.Setup.of(new Berth(o.identity(), s.address()), s.seeds())), notes,
+                    new Anchor(wall, now, 0), new SplittableRandom(new SecureRandom().nextLong()), now);
+        }
+    }
+}
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/harbor/Scribe.java
@@ -0,0 +1,65 @@
+package silverlatch.desk.harbor;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import silverlatch.deck.Effect;
+import silverlatch.ledger.Ledger;
+import silverlatch.ledger.Note;
+
+/** The duty that writes the ledger: all that waits goes in one batch with one sync. */
+public final class Scribe {
+    private static final int MOST = 1_024;
+    private final BlockingQueue<Effect.Keep> ring = new LinkedBlockingQueue<>(16_384);
+    private final Ledger ledger;
+    private final Told told;
+
+    /** Who is told. */
+    public interface Told {
+        /** These tokens are synced. */
+        void kept(List<Long> tokens);
+
+        /** The disk failed. */
+        void broke(String why);
+    }
+
+    /** A scribe for a ledger. */
+    public Scribe(final Ledger ledger, final Told told) {
+        this.ledger = ledger;
+        this.told = told;
+    }
+
+    /** Starts the duty. */
+    public void start() {
+        Thread.ofPlatform().daemon(true).name("scribe").start(this::run);
+    }
+
+    /** Takes a write. */
+    public void write(final Effect.Keep keep) {
+        if (!ring.offer(keep)) {
+            told.broke("the ledger's ring is full");
+        }
+    }
+
+    private void run() {
+        final List<Effect.Keep> batch = new ArrayList<>();
+        while (true) {
+            try {
+                batch.clear();
+                batch.add(ring.take());
+                ring.drainTo(batch, MOST);
+                final List<Note> notes = new ArrayList<>();
+                batch.forEach(k -> notes.addAll(k.notes()));
+                ledger.write(notes);
+                told.kept(batch.stream().map(Effect.Keep::token).toList());
+            } catch (final InterruptedException e) {
+                return;
+            } catch (final IOException | RuntimeException e) {
+                told.broke(e.getClass().getSimpleName() + " " + e.getMessage());
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/purser/Purser.java
@@ -0,0 +1,347 @@
+package silverlatch.desk.purser;
+
+import jakarta.inject.Inject;
+import jakarta.inject.Singleton;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import silverlatch.carry.Act;
+import silverlatch.carry.Carry;
+import silverlatch.carry.Facts;
+import silverlatch.carry.Line;
+import silverlatch.carry.Load;
+import silverlatch.carry.Order;
+import silverlatch.carry.Tales;
+import silverlatch.deck.Deck;
+import silverlatch.deck.Event;
+import silverlatch.desk.back.Back;
+import silverlatch.desk.back.Lines;
+import silverlatch.desk.dock.Dock;
+import silverlatch.desk.duty.Bridge;
+import silverlatch.desk.duty.Duty;
+import silverlatch.desk.duty.Logs;
+import silverlatch.desk.settings.Settings;
+import silverlatch.desk.web.Call;
+import silverlatch.desk.web.Web;
+import silverlatch.judge.Finding;
+import silverlatch.rumor.Worker;
+import silverlatch.sheet.Sheet;
+import silverlatch.tariff.Verdict;
+
+/** The data plane's process: picks, carries and gossips. */
+@Singleton
+public final class Purser implements Back.Sink {
+    private static final long MILLION = 1_000_000L;
+    private final Settings settings;
+    private final Deck deck;
+    private final Carry carry;
+    private final Dock dock;
+    private final Web web;
+    private final Back back;
+    private final Bridge bridge;
+    private final Duty duty;
+    private final Map<Long, Call> calls = new ConcurrentHashMap<>();
+    private final AtomicLong tokens = new AtomicLong();
+    private volatile Optional<String> unready = Optional.of("starting");
+
+    /** Joins the parts. */
+    @Inject
+    public Purser(final Settings settings, final Deck deck, final Carry carry) {
+        this.settings = settings;
+        this.deck = deck;
+        this.carry = carry;
+        this.duty = new Duty("carry", 16_384, 20_000L, this::beat);
+        this.dock = new Dock(settings.address(), this::frame);
+        this.bridge = new Bridge(deck, dock::ship, k -> {
+        }, this::publish);
+        this.web = new Web(settings.door(), settings.body(), this::route);
+        this.back = new Back(settings.line(), this);
+    }
+
+    /** Opens the doors. */
+    public void start() throws IOException, Web.WebFault, Back.BackFault {
+        back.start();
+        dock.start();
+        bridge.start();
+        duty.start();
+        web.start();
+        Logs.write(Event.STARTED, "purser " + settings.name() + " at " + settings.address() + " door " + settings.door());
+    }
+
+    /** Stops in good order: unready at once, streams go on within the grace, what is left is told to be lost. */
+    public void stop() {
+        try {
+            duty.post(carry::close);
+            bridge.with(d -> d.ready(false));
+            final long end = Duty.now() + settings.grace();
+            TimeUnit.MILLISECONDS.sleep(200);
+            while (Duty.now() < end && carry.open() > 0) {
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            post(() -> carry.end(Duty.now()));
+            bridge.with(d -> d.leave(Duty.now()));
+            TimeUnit.MILLISECONDS.sleep(150);
+            Logs.write(Event.STOPPED, "purser " + settings.name());
+            web.stop();
+        } catch (final InterruptedException | Web.WebFault e) {
+            Logs.write(Event.STOPPED, "purser " + settings.name() + " in haste");
+        }
+    }
+
+    @Override
+    public void line(final long job, final Line line) {
+        post(() -> carry.line(job, line, Duty.now()));
+    }
+
+    @Override
+    public void failed(final long job, final boolean started, final String why) {
+        post(() -> carry.failed(job, started, why, Duty.now()));
+    }
+
+    private void frame(final silverlatch.wire.Frame f) {
+        bridge.with(d -> d.frame(f, Duty.now()));
+    }
+
+    private void publish(final Deck d) {
+        final Facts facts = d.facts();
+        post(() -> carry.facts(facts, Duty.now()));
+    }
+
+    private boolean post(final Runnable job) {
+        return duty.post(() -> {
+            job.run();
+            act();
+        });
+    }
+
+    private void beat() {
+        carry.tick(Duty.now());
+        act();
+        final Optional<String> why = carry.unready(Duty.now());
+        if (why.isPresent() != unready.isPresent()) {
+            Logs.write(why.isPresent() ? Event.UNREADY : Event.READY, settings.name() + why.map(w -> ": " + w).orElse(""));
+            bridge.with(d -> d.ready(why.isEmpty()));
+        }
+        unready = why;
+    }
+
+    private void act() {
+        for (final Act a : carry.drain()) {
+            switch (a) {
+                case Act.Picked p -> call(p.token(), c -> c.reply(200, Map.of("outcome", "picked", "ticket", p.ticket(), "carrier",
+                        p.carrier(), "permit", p.permit(), "worker", p.worker(), "table", p.page(), "stamp", "" + p.stamp())));
+                case Act.Pointed p -> call(p.token(), c -> c.reply(200, Map.of("outcome", "pointed", "doors", p.doors())));
+                case Act.Rejected r -> call(r.token(), c -> reject(c, r.code(), r.ticket(), r.why(), r.after(), r.stands()));
+                case Act.Flow f -> flow(f);
+                case Act.Run r -> back.run(r);
+                case Act.Cut c -> back.cut(c.job());
+                case Act.Claim c -> bridge.wish(c.wish(), c.span(), v -> post(() -> carry.verdict(c.job(), (Verdict) v, Duty.now())));
+                case Act.Log l -> Logs.write(l.event(), l.text());
+            }
+        }
+    }
+
+    private void call(final long token, final java.util.function.Consumer<Call> job) {
+        Optional.ofNullable(calls.remove(token)).ifPresent(job);
+    }
+
+    private void flow(final Act.Flow f) {
+        final Optional<Call> call = Optional.ofNullable(f.last() ? calls.remove(f.token()) : calls.get(f.token()));
+        call.ifPresent(c -> c.stream(f.lines().stream().map(Lines::write).collect(Collectors.joining()), f.last(),
+                () -> post(() -> carry.hungry(f.token())), () -> {
+                    calls.remove(f.token());
+                    post(() -> carry.left(f.token(), Duty.now()));
+                }));
+    }
+
+    private static void reject(final Call c, final int code, final String ticket, final String why, final long after, final String stands) {
+        final Map<String, Object> map = new TreeMap<>(Map.of("outcome", "rejected", "ticket", ticket, "faults", List.of(why),
+                "retryAfterMs", after / 1000));
+        if (!stands.isEmpty()) {
+            map.put("stands", stands);
+        }
+        c.reply(code, map, after > 0 ? Map.of("Retry-After", "" + Math.max(1, (after + MILLION - 1) / MILLION)) : Map.of());
+    }
+
+    private void route(final Call c) {
+        final String at = c.method() + " " + c.path();
+        switch (at) {
+            case "POST /v1/picks" -> pick(c);
+            case "POST /v1/tickets" -> ticket(c);
+            case "POST /v1/announcements" -> announce(c);
+            case "GET /live" -> c.reply(200, Map.of("live", true));
+            case "GET /ready" -> c.reply(unready.isEmpty() ? 200 : 503, Map.of("ready", unready.isEmpty(), "why", unready.orElse("")));
+            case "GET /status" -> status(c);
+            case "GET /metrics" -> metrics(c);
+            default -> {
+                if (at.startsWith("GET /v1/tickets/")) {
+                    attach(c, c.path().substring("/v1/tickets/".length()));
+                } else if (at.startsWith("GET /v1/explain/")) {
+                    explain(c, c.path().substring("/v1/explain/".length()));
+                } else {
+                    c.reply(404, Map.of("outcome", "rejected", "faults", List.of("$: no such page")));
+                }
+            }
+        }
+    }
+
+    private Optional<Sheet> sheet(final Call c) {
+        return switch (Sheet.parse(c.body(), settings.body())) {
+            case Sheet.Parsed.Bad bad -> {
+                c.reply(bad.code(), Map.of("outcome", "rejected", "faults", List.of(bad.why())));
+                yield Optional.empty();
+            }
+            case Sheet.Parsed.Good good -> Optional.of(good.sheet());
+        };
+    }
+
+    private static boolean faulty(final Call c, final Sheet s) {
+        final List<String> faults = s.end();
+        if (!faults.isEmpty()) {
+            c.reply(422, Map.of("outcome", "rejected", "faults", faults));
+        }
+        return !faults.isEmpty();
+    }
+
+    private void begin(final Call c, final java.util.function.LongConsumer job) {
+        final long token = tokens.incrementAndGet();
+        calls.put(token, c);
+        c.gone(() -> {
+            if (calls.remove(token) != null) {
+                post(() -> carry.left(token, Duty.now()));
+            }
+        });
+        if (!post(() -> job.accept(token))) {
+            calls.remove(token);
+            reject(c, 503, "", "the ring is full", MILLION, "");
+        }
+    }
+
+    private void pick(final Call c) {
+        sheet(c).ifPresent(s -> {
+            final Order o = new Order(c.secret(), s.text("tenant", 64), s.text("kind", 64), s.texts("prefix", 64, 128),
+                    s.whole("size", 0, Integer.MAX_VALUE, 0), s.text("key", 128, ""), (int) s.whole("tries", 0, 1_000, 0));
+            if (!faulty(c, s)) {
+                begin(c, token -> carry.pick(o, token, Duty.now()));
+            }
+        });
+    }
+
+    private void ticket(final Call c) {
+        sheet(c).ifPresent(s -> {
+            final Load l = new Load(c.secret(), s.text("permit", 4096), s.texts("prefix", 64, 128), s.text("prompt", settings.body()),
+                    s.whole("expiryMs", 1, 3_600_000, 30_000) * 1000);
+            if (!faulty(c, s)) {
+                begin(c, token -> carry.ticket(l, token, Duty.now()));
+            }
+        });
+    }
+
+    private void attach(final Call c, final String ticket) {
+        final String from = c.query("from").orElse("0");
+        if (!from.matches("\\d{1,9}")) {
+            c.reply(400, Map.of("outcome", "rejected", "faults", List.of("from: a piece's number is needed")));
+            return;
+        }
+        final String secret = c.secret();
+        begin(c, token -> carry.attach(ticket, secret, Long.parseLong(from), token, Duty.now()));
+    }
+
+    private void announce(final Call c) {
+        sheet(c).ifPresent(s -> {
+            final Worker w = new Worker(s.text("worker", 64), s.text("address", 64), s.text("zone", 64), s.text("region", 64),
+                    s.whole("life", 0, Long.MAX_VALUE), s.whole("sequence", 0, Long.MAX_VALUE), (int) s.whole("running", 0, 1_000_000, 0),
+                    (int) s.whole("queued", 0, 1_000_000, 0), (int) s.whole("slots", 1, 100_000), s.wholes("kept", 4_096),
+                    s.flag("leaving", false), s.whole("up", 0, Long.MAX_VALUE, 0));
+            final long echo = s.whole("echo", 0, Long.MAX_VALUE, 0);
+            if (faulty(c, s)) {
+                return;
+            }
+            if (!bridge.with(d -> {
+                final long next = d.announced(w, echo, Duty.now());
+                c.reply(200, Map.of("echo", next, "table", d.rumor().books().page()));
+                publish(d);
+            })) {
+                reject(c, 503, "", "the ring is full", MILLION, "");
+            }
+        });
+    }
+
+    private boolean operator(final Call c) {
+        final boolean good = c.secret().equals(settings.operator());
+        if (!good) {
+            c.reply(401, Map.of("outcome", "rejected", "faults", List.of("the operator's key is needed")));
+        }
+        return good;
+    }
+
+    private void explain(final Call c, final String ticket) {
+        if (operator(c)) {
+            post(() -> carry.tales().get(ticket).ifPresentOrElse(t -> c.reply(200, tale(t)),
+                    () -> c.reply(404, Map.of("outcome", "rejected", "faults", List.of("no such ticket here")))));
+        }
+    }
+
+    private static Map<String, Object> tale(final Tales.Tale t) {
+        final List<Map<String, Object>> said = new ArrayList<>();
+        t.opinions().forEach(o -> said.add(Map.of("worker", o.worker(), "judge", o.judge(), "weight", o.weight(), "finding",
+                switch (o.finding()) {
+                    case Finding.Score s -> "score " + Math.round(s.value() * 1000) / 1000.0;
+                    case Finding.Veto v -> "veto: " + v.why();
+                    case Finding.Later l -> "later: " + l.why();
+                })));
+        final Map<String, Object> map = new TreeMap<>(Map.of("ticket", t.ticket(), "tenant", t.tenant(), "kind", t.kind(), "worker",
+                t.worker(), "table", t.page(), "stamp", "" + t.stamp(), "state", t.state(), "why", t.why(), "tries", t.tries()));
+        map.put("judges", said);
+        return map;
+    }
+
+    private void status(final Call c) {
+        bridge.with(d -> {
+            final long now = Duty.now();
+            final Map<String, Object> map = new TreeMap<>();
+            map.put("name", settings.name());
+            map.put("ready", unready.isEmpty());
+            map.put("why", unready.orElse(""));
+            map.put("table", d.rumor().books().page());
+            map.put("tableAgeMs", d.rumor().age(now) == Long.MAX_VALUE ? -1 : d.rumor().age(now) / 1000);
+            map.put("stamp", "" + d.keeper().last().bits());
+            map.put("wallJumps", d.anchor().jumps());
+            map.put("view", d.view().number());
+            map.put("chain", d.view().chain().stream().map(b -> b.address()).toList());
+            map.put("crew", d.crew().all().stream().map(m -> m.id() + " " + m.role() + " " + m.zone() + " " + m.state()
+                    + (m.ready() ? " ready" : "")).toList());
+            map.put("workers", d.rumor().workers().values().stream().map(h -> h.worker().id() + " " + h.worker().zone() + " running "
+                    + h.worker().running() + "/" + h.worker().slots() + (h.worker().leaving() ? " leaving" : "") + " age "
+                    + (h.age(now) == Long.MAX_VALUE ? "unknown" : h.age(now) / 1000 + " ms")).sorted().toList());
+            c.reply(200, map);
+        });
+    }
+
+    private void metrics(final Call c) {
+        post(() -> {
+            final Map<String, Object> all = new TreeMap<>();
+            carry.tally().forEach((k, v) -> all.put("carry_" + k, v));
+            all.put("carry_open", carry.open());
+            bridge.with(d -> {
+                final var n = d.keeper().counts();
+                all.put("tide_waits", n.waits());
+                all.put("tide_carries", n.carries());
+                all.put("tide_far", n.fars());
+                all.put("tide_dropped", n.dropped());
+                d.tally().forEach((k, v) -> all.put("deck_" + k, v));
+                all.put("wire_bad", dock.bad());
+                all.put("wire_dropped", dock.dropped());
+                all.put("ring_full", duty.full() + bridge.duty().full());
+                c.text(all.entrySet().stream().map(e -> "silverlatch_" + e.getKey() + " " + e.getValue()).collect(Collectors.joining("\n")) + "\n");
+            });
+        });
+    }
+}
