--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/settings/Settings.java
@@ -0,0 +1,103 @@
+package silverlatch.desk.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import silverlatch.carry.Carry;
+import silverlatch.sheet.Sheet;
+import silverlatch.tariff.Tariff;
+
+/** A process's place and limits, read from one JSON file and flags and checked as a whole; times in microseconds. */
+public record Settings(String name, String zone, String region, String address, String door, List<String> seeds,
+                       Optional<String> data, String key, String operator, int low, long skew, long grace, Carry.Setup carry,
+                       int body, int line) {
+    /** The largest settings file. */
+    public static final int MOST = 64 << 10;
+
+    /** Copies the seeds. */
+    public Settings {
+        seeds = List.copyOf(seeds);
+    }
+
+    /** What reading gave. */
+    public sealed interface Read {
+        /** Settings without a fault. */
+        record Good(Settings settings) implements Read {
+        }
+
+        /** Every fault that was found. */
+        record Bad(List<String> faults) implements Read {
+            /** Copies the faults. */
+            public Bad {
+                faults = List.copyOf(faults);
+            }
+        }
+    }
+
+    /** Reads a file, lets flags go before it, and checks the whole. */
+    public static Read read(final Optional<String> file, final Map<String, Object> flags, final boolean harbor) {
+        final byte[] body;
+        try {
+            body = file.isPresent() ? Files.readAllBytes(Path.of(file.get())) : "{}".getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        } catch (final IOException e) {
+            return new Read.Bad(List.of("the settings file can't be read: " + e.getMessage()));
+        }
+        return switch (Sheet.parse(body, MOST)) {
+            case Sheet.Parsed.Bad bad -> new Read.Bad(List.of(bad.why()));
+            case Sheet.Parsed.Good good -> check(good.sheet().with(flags), harbor);
+        };
+    }
+
+    private static Read check(final Sheet s, final boolean harbor) {
+        final List<String> faults = new ArrayList<>();
+        final Carry.Setup plain = Carry.Setup.PLAIN;
+        final String data = s.text("data", 4096, "");
+        final Settings made = new Settings(s.text("name", 64), s.text("zone", 64), s.text("region", 64), s.text("address", 64),
+                s.text("door", 64), s.texts("seeds", 3, 64), data.isEmpty() ? Optional.empty() : Optional.of(data), s.text("key", 256),
+                s.text("operator", 256), (int) s.whole("low", 1, 30, 7), s.whole("skew", 0, 10_000_000L, 50_000L),
+                s.whole("grace", 0, 600_000_000L, 5_000_000L),
+                new Carry.Setup((int) s.whole("slab", 1, 1_000_000, plain.slab()), (int) s.whole("queue", 1, 1_000_000, plain.queue()),
+                        s.whole("permit", 100_000, 10_000_000, plain.permit()), s.whole("word", 500_000, 2_500_000, plain.word()),
+                        s.whole("sure", 500_000, 2_500_000, plain.sure()), s.whole("claim", 100_000, 10_000_000, plain.claim()),
+                        s.whole("keep", 0, 600_000_000L, plain.keep()), (int) s.whole("buffer", 1_024, 64 << 20, plain.buffer()),
+                        s.number("tries", plain.tries()), s.whole("shun", 0, 60_000_000L, plain.shun()),
+                        s.whole("patience", 0, 600_000_000L, plain.patience())),
+                (int) s.whole("body", 1_024, 16 << 20, 4 << 20), (int) s.whole("line", 1_024, 4 << 20, 256 << 10));
+        faults.addAll(s.end());
+        faults.addAll(Tariff.word("name", made.name()));
+        faults.addAll(Tariff.word("zone", made.zone()));
+        faults.addAll(Tariff.word("region", made.region()));
+        place(faults, "address", made.address());
+        place(faults, "door", made.door());
+        made.seeds().forEach(x -> place(faults, "seeds", x));
+        if (made.seeds().size() != 3 || made.seeds().stream().distinct().count() != 3) {
+            faults.add("seeds: three different addresses are needed");
+        }
+        if (made.key().length() < 16) {
+            faults.add("key: at least 16 characters are needed");
+        }
+        if (made.operator().length() < 8) {
+            faults.add("operator: at least 8 characters are needed");
+        }
+        if (!harbor && made.data().isPresent()) {
+            faults.add("data: a purser keeps no data folder");
+        }
+        if (!(made.carry().tries() >= 0 && made.carry().tries() <= 0.2)) {
+            faults.add("tries: not within 0 and 0.2");
+        }
+        return faults.isEmpty() ? new Read.Good(made) : new Read.Bad(faults.stream().distinct().toList());
+    }
+
+    private static void place(final List<String> faults, final String field, final String text) {
+        final int colon = text.lastIndexOf(':');
+        final String port = colon < 0 ? "" : text.substring(colon + 1);
+        final boolean number = port.matches("\\d{1,5}") && Integer.parseInt(port) > 0 && Integer.parseInt(port) < 65_536;
+        if (!number || !text.substring(0, colon).matches("\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+]")) {
+            faults.add(field + ": an IP number and a port are needed, like 10.0.0.1:7000, not '" + text + "'");
+        }
+    }
+}
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/tool/Main.java
@@ -0,0 +1,222 @@
+package silverlatch.desk.tool;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.ParserProperties;
+import silverlatch.desk.settings.Flags;
+import silverlatch.sheet.Sheet;
+
+/** The operators' command. Exit codes: 0 done, 1 rejected, 2 wrong use, 3 not reached, 4 not known. */
+public final class Main {
+    private static final String USE = """
+            silverlatch [flags] COMMAND
+              table get                              show the table
+              table put FILE                         put a whole table (JSON with rows)
+              table set TENANT KIND FIELD VALUE      change one cell (TENANT * is the row for all)
+              tenant list
+              tenant put NAME KEY SHARE [HOME ...]   make or change a tenant
+              tenant drop NAME
+              drain ZONE                             empty a zone
+              undrain ZONE                           give it back
+              zones                                  show the orders on zones
+              change ID                              ask how a change stands
+              status                                 show what the daemon at --door knows
+              explain TICKET                         show why a ticket went where it went (ask its carrier's door)
+            exit codes: 0 done, 1 rejected, 2 wrong use, 3 not reached, 4 not known whether it takes effect""";
+    @Option(name = "--door", metaVar = "IP:PORT[,...]", usage = "doors to try, one after another (or SILVERLATCH_DOOR)")
+    private String door = Optional.ofNullable(System.getenv("SILVERLATCH_DOOR")).orElse("127.0.0.1:8001");
+    @Option(name = "--key", metaVar = "KEY", usage = "the operator's key (or SILVERLATCH_KEY)")
+    private String key = Optional.ofNullable(System.getenv("SILVERLATCH_KEY")).orElse("");
+    @Option(name = "--match", metaVar = "SEQUENCE", usage = "only if it still is at this sequence")
+    private String match = "*";
+    @Option(name = "--change", metaVar = "ID", usage = "the change's id, to ask for it later")
+    private String change = UUID.randomUUID().toString();
+    @Option(name = "--json", usage = "print the reply as it came")
+    private boolean json;
+    @Option(name = "--help", help = true, usage = "show this text and end")
+    private boolean help;
+    @Option(name = "--version", help = true, usage = "show the version and end")
+    private boolean version;
+    @Argument(metaVar = "COMMAND")
+    private List<String> words = new ArrayList<>();
+
+    private Main() {
+    }
+
+    /** Runs one command. */
+    public static void main(final String[] args) {
+        System.exit(new Main().run(args, System.out, System.err));
+    }
+
+    private int run(final String[] args, final PrintStream out, final PrintStream err) {
+        final CmdLineParser parser = new CmdLineParser(this, ParserProperties.defaults().withUsageWidth(100));
+        try {
+            parser.parseArgument(args);
+        } catch (final CmdLineException e) {
+            err.println("silverlatch: " + e.getMessage());
+            return 2;
+        }
+        if (help) {
+            out.println(USE);
+            parser.printUsage(out);
+            return 0;
+        }
+        if (version) {
+            out.println("silverlatch " + Flags.VERSION);
+            return 0;
+        }
+        try {
+            final Optional<Ask> ask = ask();
+            if (ask.isEmpty()) {
+                err.println(USE);
+                return 2;
+            }
+            return send(ask.get(), out, err);
+        } catch (final IOException e) {
+            err.println("silverlatch: the file can't be read: " + e.getMessage());
+            return 2;
+        }
+    }
+
+    private Optional<Ask> ask() throws IOException {
+        final String verb = words.isEmpty() ? "" : words.get(0);
+        final int n = words.size();
+        final String pair = n > 1 ? verb + " " + words.get(1) : verb;
+        if (pair.equals("table get") && n == 2) {
+            return ask("GET", "/v1/table");
+        } else if (pair.equals("table put") && n == 3) {
+            return Optional.of(new Ask("PUT", "/v1/table", Optional.of(Files.readAllBytes(Path.of(words.get(2))))));
+        } else if (pair.equals("table set") && n == 6) {
+            return Optional.of(new Ask("PATCH", "/v1/table", body(Map.of("cells", List.of(Map.of("tenant", words.get(2), "kind", words.get(3),
+                    "field", words.get(4), "value", words.get(5)))))));
+        } else if (pair.equals("tenant list") && n == 2) {
+            return ask("GET", "/v1/tenants");
+        } else if (pair.equals("tenant put") && n >= 5 && words.get(4).matches("\\d+(\\.\\d+)?")) {
+            return Optional.of(new Ask("PUT", "/v1/tenants/" + words.get(2), body(Map.of("key", words.get(3),
+                    "share", Double.parseDouble(words.get(4)), "homes", words.subList(5, n)))));
+        } else if (pair.equals("tenant drop") && n == 3) {
+            return ask("DELETE", "/v1/tenants/" + words.get(2));
+        } else if ((verb.equals("drain") || verb.equals("undrain")) && n == 2) {
+            return Optional.of(new Ask("PUT", "/v1/zones/" + words.get(1), body(Map.of("empty", verb.equals("drain")))));
+        } else if (verb.equals("zones") && n == 1) {
+            return ask("GET", "/v1/zones");
+        } else if (verb.equals("change") && n == 2) {
+            return ask("GET", "/v1/changes/" + words.get(1));
+        } else if (verb.equals("status") && n == 1) {
+            return ask("GET", "/status");
+        } else if (verb.equals("explain") && n == 2) {
+            return ask("GET", "/v1/explain/" + words.get(1));
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<Ask> ask(final String method, final String path) {
+        return Optional.of(new Ask(method, path, Optional.empty()));
+    }
+
+    private static Optional<byte[]> body(final Map<String, ?> map) {
+        return Optional.of(Sheet.write(map).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private int send(final Ask ask, final PrintStream out, final PrintStream err) {
+        final HttpClient http = new HttpClient();
+        http.setConnectTimeout(1_000);
+        try {
+            http.start();
+            String why = "no door is given";
+            for (final String d : door.split(",")) {
+                try {
+                    final Request r = http.newRequest(URI.create("http://" + d + ask.path())).method(ask.method())
+                            .headers(h -> h.put("Authorization", "Bearer " + key).put("X-Change", change).put("If-Match", match))
+                            .timeout(10, TimeUnit.SECONDS);
+                    ask.body().ifPresent(b -> r.body(new BytesRequestContent("application/json", b)));
+                    return show(r.send(), out, err);
+                } catch (final ExecutionException | TimeoutException e) {
+                    why = d + ": " + e.getMessage();
+                    if (!ask.method().equals("GET") && !(e.getCause() instanceof java.net.ConnectException)) {
+                        err.println("silverlatch: " + why + "; it is not known whether change " + change + " takes effect");
+                        return 4;
+                    }
+                }
+            }
+            err.println("silverlatch: not reached: " + why);
+            return 3;
+        } catch (final Exception e) {
+            err.println("silverlatch: " + e.getMessage());
+            return 3;
+        } finally {
+            try {
+                http.stop();
+            } catch (final Exception e) {
+                err.println("silverlatch: " + e.getMessage());
+            }
+        }
+    }
+
+    private int show(final ContentResponse reply, final PrintStream out, final PrintStream err) {
+        final String text = reply.getContentAsString();
+        final int code = reply.getStatus() < 300 ? 0 : reply.getStatus() == 504 ? 4 : 1;
+        if (json) {
+            out.println(text);
+            return code;
+        }
+        switch (Sheet.parse(text.getBytes(StandardCharsets.UTF_8), 64 << 20)) {
+            case Sheet.Parsed.Bad bad -> err.println("silverlatch: " + reply.getStatus() + " " + text);
+            case Sheet.Parsed.Good good -> {
+                final Map<String, Object> map = new LinkedHashMap<>(good.sheet().map());
+                if (code == 0) {
+                    print("", map, out);
+                } else {
+                    err.println("silverlatch: " + map.getOrDefault("outcome", "rejected") + " (" + reply.getStatus() + ")");
+                    print("  ", map, err);
+                }
+            }
+        }
+        return code;
+    }
+
+    private static void print(final String start, final Map<?, ?> map, final PrintStream out) {
+        map.forEach((k, v) -> {
+            if (v instanceof List<?> list && !list.isEmpty()) {
+                out.println(start + k + ":");
+                list.forEach(x -> out.println(start + "  " + (x instanceof Map<?, ?> m ? row(m) : "" + x)));
+            } else if (v instanceof Map<?, ?> m) {
+                out.println(start + k + ": " + row(m));
+            } else {
+                out.println(start + k + ": " + plain(v));
+            }
+        });
+    }
+
+    private static String row(final Map<?, ?> map) {
+        return map.entrySet().stream().map(e -> e.getKey() + "=" + plain(e.getValue())).collect(java.util.stream.Collectors.joining("  "));
+    }
+
+    private static String plain(final Object v) {
+        return v instanceof Double d && d == Math.rint(d) && Math.abs(d) < 1e15 ? "" + d.longValue() : "" + v;
+    }
+
+    private record Ask(String method, String path, Optional<byte[]> body) {
+    }
+}
--- /dev/null
+++ b/drill/src/main/java/silverlatch/drill/fleet/Main.java
@@ -0,0 +1,51 @@
+package silverlatch.drill.fleet;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Stands up a deployment, serves a mixed load for some seconds, changes a cell, and checks every reply. */
+public final class Main {
+    private Main() {
+    }
+
+    /** Arguments: the folder of the plan, seconds, tickets a second. */
+    public static void main(final String[] args) throws Exception {
+        final Path folder = Files.createTempDirectory("silverlatch-fleet");
+        final int seconds = args.length > 1 ? Integer.parseInt(args[1]) : 60;
+        final String rate = args.length > 2 ? args[2] : "60";
+        int code = 1;
+        try (Fleet fleet = new Fleet(Plan.read(Path.of(args[0])), folder, System.getProperty("java.class.path"))) {
+            code = drive(fleet, seconds, rate);
+        }
+        System.out.println("logs, receipts and records are in " + folder);
+        System.exit(code);
+    }
+
+    private static int drive(final Fleet fleet, final int seconds, final String rate) throws Exception {
+        fleet.all("harbor");
+        fleet.all("purser");
+        fleet.all("worker");
+        System.out.println("harbors ready: " + fleet.ready("harbor", 40));
+        System.out.println("tenants and table: " + fleet.load());
+        System.out.println("pursers ready: " + fleet.ready("purser", 40));
+        Thread.sleep(2_000);
+        final Path receipts = fleet.folder().resolve("receipts");
+        final Path out = fleet.folder().resolve("consumer.out");
+        final Process load = fleet.begin("silverlatch.drill.consumer.Main", out, List.of("--doors", fleet.doors("purser"), "--seconds", "" + seconds,
+                "--rate", rate, "--tenants", fleet.plan().people(), "--kinds", fleet.plan().sorts(), "--receipts", receipts.toString()));
+        Thread.sleep(seconds * 500L);
+        final String kind = fleet.plan().kinds().getFirst().kind();
+        System.out.println("cell changed: " + fleet.ask("harbor-2", "PATCH", "/v1/table", "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"" + kind
+                + "\",\"field\":\"cross\",\"value\":2}]}").body());
+        final int served = load.waitFor();
+        System.out.print(Files.readString(out));
+        final List<String> words = new ArrayList<>(List.of(receipts.toString(), fleet.plan().homes()));
+        fleet.names("worker").forEach(w -> words.add(fleet.folder().resolve(w + ".runs").toString()));
+        final Path checked = fleet.folder().resolve("check.out");
+        final int right = fleet.run("silverlatch.drill.check.Main", checked, words);
+        System.out.print(Files.readString(checked));
+        return served == 0 && right == 0 ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/drill/src/main/java/silverlatch/drill/worker/Main.java
@@ -0,0 +1,216 @@
+package silverlatch.drill.worker;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import silverlatch.carry.Line;
+import silverlatch.desk.back.Lines;
+import silverlatch.desk.duty.Duty;
+import silverlatch.desk.web.Call;
+import silverlatch.desk.web.Web;
+import silverlatch.sheet.Sheet;
+
+/** A stand-in worker: reads prompts, keeps prefixes, streams pieces, seals, announces itself, and misbehaves on demand. */
+public final class Main {
+    private static final int KEPT = 256;
+    @Option(name = "--name", required = true)
+    private String name = "";
+    @Option(name = "--zone", required = true)
+    private String zone = "";
+    @Option(name = "--region", required = true)
+    private String region = "";
+    @Option(name = "--door", required = true)
+    private String door = "";
+    @Option(name = "--pursers", required = true, usage = "doors to announce to, by commas")
+    private String pursers = "";
+    @Option(name = "--record", required = true, usage = "the file of runs")
+    private String record = "";
+    @Option(name = "--slots")
+    private int slots = 16;
+    @Option(name = "--piece", usage = "microseconds for a piece")
+    private long piece = 10_000;
+    @Option(name = "--read", usage = "microseconds for a part of a prefix that is not kept")
+    private long read = 5_000;
+    private final long life = System.currentTimeMillis() * 1000;
+    private final long began = Duty.now();
+    private final ScheduledExecutorService work = Executors.newSingleThreadScheduledExecutor(r -> Thread.ofPlatform().daemon(true).name("work").unstarted(r));
+    private final HttpClient http = new HttpClient();
+    private final LinkedHashMap<Long, Boolean> kept = new LinkedHashMap<>(16, 0.75f, true);
+    private final Deque<Runnable> line = new ArrayDeque<>();
+    private final Map<String, Long> echoes = new ConcurrentHashMap<>();
+    private int running;
+    private long sequence;
+    private boolean leaving;
+    private Faults fault = Faults.NONE;
+    private PrintWriter book;
+
+    private Main() {
+    }
+
+    /** Runs a stand-in until it is stopped. */
+    public static void main(final String[] args) throws IOException, Web.WebFault, InterruptedException {
+        final Main main = new Main();
+        try {
+            new CmdLineParser(main).parseArgument(args);
+        } catch (final CmdLineException e) {
+            System.err.println(e.getMessage());
+            System.exit(2);
+        }
+        main.start();
+        Thread.currentThread().join();
+    }
+
+    private void start() throws IOException, Web.WebFault {
+        book = new PrintWriter(Files.newBufferedWriter(Path.of(record), java.nio.file.StandardOpenOption.CREATE, java.nio.file.StandardOpenOption.APPEND), true);
+        try {
+            http.setMaxConnectionsPerDestination(4);
+            http.start();
+        } catch (final Exception e) {
+            throw new IOException(e);
+        }
+        new Web(door, 4 << 20, this::route).start();
+        work.scheduleAtFixedRate(this::announce, 0, 400, TimeUnit.MILLISECONDS);
+    }
+
+    private void route(final Call c) {
+        switch (c.method() + " " + c.path()) {
+            case "POST /v1/runs" -> work.execute(() -> take(c));
+            case "POST /faults" -> work.execute(() -> {
+                fault = Faults.valueOf(new String(c.body(), StandardCharsets.UTF_8).strip());
+                c.reply(200, Map.of("fault", fault.name()));
+            });
+            case "POST /leave" -> work.execute(() -> {
+                leaving = true;
+                note(Map.of("event", "leave", "at", System.currentTimeMillis()));
+                announce();
+                c.reply(200, Map.of("leaving", true));
+            });
+            default -> c.reply(404, Map.of("faults", List.of("no such page")));
+        }
+    }
+
+    private void take(final Call c) {
+        if (!(Sheet.parse(c.body(), 4 << 20) instanceof Sheet.Parsed.Good good)) {
+            c.reply(400, Map.of("faults", List.of("not JSON")), Map.of("X-Started", "no"));
+            return;
+        }
+        if (fault == Faults.DENY || line.size() >= slots) {
+            c.reply(503, Map.of("started", false), Map.of("X-Started", "no"));
+            return;
+        }
+        final Sheet s = good.sheet();
+        final String ticket = s.text("ticket", 256);
+        final String run = s.text("run", 256);
+        final String tenant = s.text("tenant", 64);
+        final String kind = s.text("kind", 64);
+        final String prompt = s.text("prompt", 4 << 20);
+        final List<Long> prefix = s.wholes("prefix", 64);
+        note(Map.of("event", "start", "ticket", ticket, "run", run, "tenant", tenant, "kind", kind, "region", region, "worker", name,
+                "prompt", silverlatch.carry.permit.Seals.hash(prompt).substring(0, 12), "at", System.currentTimeMillis()));
+        final Runnable job = () -> {
+            running++;
+            final long fresh = prefix.stream().filter(p -> !kept.containsKey(p)).count();
+            prefix.forEach(p -> kept.put(p, true));
+            while (kept.size() > KEPT) {
+                kept.remove(kept.keySet().iterator().next());
+            }
+            work.schedule(() -> step(c, ticket, run, prompt, 0), fresh * read, TimeUnit.MICROSECONDS);
+        };
+        if (running < slots) {
+            job.run();
+        } else {
+            line.add(job);
+        }
+    }
+
+    private void step(final Call c, final String ticket, final String run, final String prompt, final int number) {
+        final int count = Speech.count(prompt);
+        if (fault == Faults.DARK) {
+            return;
+        }
+        if (number == count) {
+            final String sha = fault == Faults.WRONGSEAL ? Speech.sha(prompt, Math.max(0, count - 1)) : Speech.sha(prompt, count);
+            final Line seal = new Line.Seal(name, ticket, run, count, sha);
+            note(Map.of("event", "seal", "ticket", ticket, "run", run, "count", count, "worker", name, "at", System.currentTimeMillis()));
+            c.stream(fault == Faults.NOSEAL ? "" : Lines.write(seal), true, () -> {
+            }, () -> {
+            });
+            end();
+            return;
+        }
+        final String owner = fault == Faults.FOREIGN && number == 1 ? ticket + "x" : ticket;
+        final String text = fault == Faults.GARBAGE && number == 1 ? "{nonsense\n"
+                : Lines.write(new Line.Piece(owner, run, number, Speech.piece(prompt, number)));
+        final String out = fault == Faults.GAP && number == 1 ? "" : fault == Faults.REPEAT && number == 1 ? text + text : text;
+        final long pause = fault == Faults.SLOW ? piece * 10 : piece;
+        final Runnable next = () -> work.schedule(() -> step(c, ticket, run, prompt, number + 1), pause, TimeUnit.MICROSECONDS);
+        if (out.isEmpty()) {
+            next.run();
+        } else {
+            c.stream(out, false, next, () -> work.execute(() -> {
+                note(Map.of("event", "cut", "ticket", ticket, "run", run, "worker", name, "at", System.currentTimeMillis()));
+                end();
+            }));
+        }
+    }
+
+    private void end() {
+        running--;
+        if (!line.isEmpty()) {
+            line.poll().run();
+        }
+    }
+
+    private void announce() {
+        sequence++;
+        for (final String p : pursers.split(",")) {
+            final List<Long> list = new ArrayList<>(kept.keySet());
+            final Map<String, Object> word = new LinkedHashMap<>();
+            word.put("worker", name);
+            word.put("address", door);
+            word.put("zone", zone);
+            word.put("region", region);
+            word.put("life", life);
+            word.put("sequence", sequence);
+            word.put("running", running);
+            word.put("queued", line.size());
+            word.put("slots", slots);
+            word.put("kept", list);
+            word.put("leaving", leaving);
+            word.put("up", Duty.now() - began);
+            word.put("echo", echoes.getOrDefault(p, 0L));
+            http.newRequest(URI.create("http://" + p + "/v1/announcements")).method("POST")
+                    .body(new StringRequestContent("application/json", Sheet.write(word))).timeout(2, TimeUnit.SECONDS)
+                    .send(new org.eclipse.jetty.client.BufferingResponseListener() {
+                        @Override
+                        public void onComplete(final org.eclipse.jetty.client.Result result) {
+                            if (result.isSucceeded() && Sheet.parse(getContent(), 4096) instanceof Sheet.Parsed.Good g) {
+                                echoes.put(p, g.sheet().whole("echo", 0, Long.MAX_VALUE, 0));
+                            }
+                        }
+                    });
+        }
+    }
+
+    private void note(final Map<String, Object> fields) {
+        book.println(Sheet.write(fields));
+    }
+}
