--- a/core/src/main/java/silverlatch/carry/Carry.java
+++ b/core/src/main/java/silverlatch/carry/Carry.java
@@ -38,6 +38,7 @@
 public final class Carry {
     private static final long SECOND = 1_000_000L;
     private static final int LINES = 256;
+    private static final long MEMORY = 30 * SECOND;
     private final Setup setup;
     private final Seals seals;
     private final Supplier<Stamp> stamps;
@@ -197,14 +198,18 @@
             no(token, 401, "", "the tenant or its key is not known", 0, "");
             return;
         }
-        if (!p.carrier().equals(facts.me().id()) || p.life() != facts.me().life() || now >= p.expiry()) {
-            no(token, 503, p.ticket(), "the permit is stale", SECOND / 2, "");
-            return;
-        }
         if (spent.containsKey(p.ticket())) {
             no(token, 409, p.ticket(), "the ticket was handed over before", 0, "");
             return;
         }
+        if (!p.carrier().equals(facts.me().id()) || p.life() != facts.me().life() || now - p.expiry() > MEMORY) {
+            no(token, 410, p.ticket(), "the permit is of another time; whether its ticket ran is not known here", 0, "");
+            return;
+        }
+        if (now >= p.expiry()) {
+            no(token, 503, p.ticket(), "the permit is stale", SECOND / 2, "");
+            return;
+        }
         spent.put(p.ticket(), p.expiry());
         final Optional<String> why = unready(now);
         if (why.isPresent()) {
@@ -378,7 +383,7 @@
     /** A clock event. */
     public void tick(final long now) {
         time = now;
-        spent.entrySet().removeIf(e -> e.getValue() + SECOND < now && !open.containsKey(e.getKey()));
+        spent.entrySet().removeIf(e -> now - e.getValue() > 2 * MEMORY && !open.containsKey(e.getKey()));
         while (!ended.isEmpty() && (ended.peek().at() + setup.keep() < now || ended.size() > setup.slab())) {
             drop(ended.poll().ticket());
         }
--- /dev/null
+++ b/drill/src/main/java/silverlatch/drill/sim/Disk.java
@@ -0,0 +1,125 @@
+package silverlatch.drill.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import silverlatch.deck.Effect;
+import silverlatch.ledger.Note;
+
+/** A small disk: what is synced stays, what is not may be gone; it can stall, fill up, limp, or be taken away. */
+public final class Disk {
+    private final Engine engine;
+    private final List<Note> notes = new ArrayList<>();
+    private final List<Runnable> waiting = new ArrayList<>();
+    private String identity;
+    private long epoch;
+    private long free;
+    private boolean stalled;
+    private boolean full;
+    private long slow = 1;
+    private long syncs;
+
+    /** An empty disk. */
+    public Disk(final Engine engine) {
+        this.engine = engine;
+        this.identity = name();
+    }
+
+    /** The identity made with the data folder. */
+    public String identity() {
+        return identity;
+    }
+
+    /** All that was synced. */
+    public List<Note> notes() {
+        return List.copyOf(notes);
+    }
+
+    /** How many syncs were done. */
+    public long syncs() {
+        return syncs;
+    }
+
+    /** Writes and syncs; then tells, unless the power went away before. */
+    public void write(final Effect.Keep keep, final Consumer<Long> kept, final Consumer<String> broke) {
+        final long mine = epoch;
+        if (full) {
+            engine.in(500, () -> {
+                if (mine == epoch) {
+                    broke.accept("no space left");
+                }
+            });
+            return;
+        }
+        final Runnable job = () -> {
+            if (mine == epoch) {
+                store(keep.notes());
+                syncs++;
+                kept.accept(keep.token());
+            }
+        };
+        if (stalled) {
+            waiting.add(job);
+            return;
+        }
+        final long due = Math.max(free, engine.now() + (300 + engine.luck().nextLong(2_000)) * slow);
+        free = due;
+        engine.at(due, () -> {
+            if (stalled) {
+                waiting.add(job);
+            } else {
+                job.run();
+            }
+        });
+    }
+
+    /** The power goes: what is not synced is gone, or some of it is there all the same. */
+    public void power() {
+        epoch++;
+        waiting.clear();
+        free = 0;
+    }
+
+    /** The disk stops or goes on. */
+    public void stall(final boolean on) {
+        stalled = on;
+        if (!on) {
+            final List<Runnable> all = List.copyOf(waiting);
+            waiting.clear();
+            all.forEach(r -> engine.in(100, r));
+        }
+    }
+
+    /** The disk is full or not. */
+    public void full(final boolean on) {
+        full = on;
+    }
+
+    /** The disk takes so many times as long. */
+    public void limp(final long times) {
+        slow = times;
+    }
+
+    /** The disk is replaced by an empty one: a new identity. */
+    public void wipe() {
+        epoch++;
+        waiting.clear();
+        notes.clear();
+        identity = name();
+        stalled = false;
+        full = false;
+    }
+
+    private void store(final List<Note> list) {
+        for (final Note n : list) {
+            if (n instanceof Note.Picture) {
+                notes.clear();
+            }
+            notes.add(n);
+        }
+    }
+
+    private String name() {
+        return String.format("%016x", engine.luck().nextLong());
+    }
+}
--- /dev/null
+++ b/drill/src/main/java/silverlatch/drill/sim/Fault.java
@@ -0,0 +1,375 @@
+package silverlatch.drill.sim;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import silverlatch.drill.fleet.Plan;
+import silverlatch.drill.worker.Faults;
+
+/** Everything of the brief's "what fails", each as something that can be done to a world and is healed after a time. */
+public enum Fault {
+    /** A purser is killed and comes back. */
+    PURSER_KILLED {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.pursers());
+            w.tell("kill " + n.name());
+            n.kill();
+            w.engine().in(span, n::start);
+        }
+    },
+    /** Half of the pursers are killed at once. */
+    PURSERS_KILLED {
+        @Override
+        void hit(final World w, final long span) {
+            final List<Node> some = half(w, w.pursers());
+            w.tell("kill " + some.stream().map(Node::name).toList());
+            some.forEach(Node::kill);
+            some.forEach(n -> w.engine().in(span / 2 + w.engine().luck().nextLong(span), n::start));
+        }
+    },
+    /** A purser freezes and wakes. */
+    PURSER_FROZEN {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.pursers());
+            w.tell("freeze " + n.name());
+            n.freeze(true);
+            w.engine().in(span, () -> n.freeze(false));
+        }
+    },
+    /** A purser is asked to stop, and comes back. */
+    PURSER_STOPPED {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.pursers());
+            w.tell("stop " + n.name());
+            n.stop();
+            w.engine().in(span + 5_000_000, n::start);
+        }
+    },
+    /** A worker crashes and comes back cold. */
+    WORKER_CRASHED {
+        @Override
+        void hit(final World w, final long span) {
+            final Mill m = w.some(w.mills());
+            w.tell("crash " + m.name());
+            m.kill();
+            w.engine().in(span, m::start);
+        }
+    },
+    /** A worker goes dark: it takes connections and says nothing; its announcements don't come through. */
+    WORKER_DARK {
+        @Override
+        void hit(final World w, final long span) {
+            final Mill m = w.some(w.mills());
+            w.tell("dark " + m.name());
+            m.fault(Faults.DARK);
+            final Runnable heal = w.net().island(Set.of(m.name()));
+            w.engine().in(span, () -> {
+                heal.run();
+                m.fault(Faults.NONE);
+            });
+        }
+    },
+    /** A worker says that it leaves, and is gone a little later; a new one comes. */
+    WORKER_LEAVES {
+        @Override
+        void hit(final World w, final long span) {
+            final Mill m = w.some(w.mills());
+            w.tell("leave " + m.name());
+            m.leave();
+            w.engine().in(span + 4_000_000, m::kill);
+            w.engine().in(span + 6_000_000, m::start);
+        }
+    },
+    /** All workers of a region are replaced one by one at short notice. */
+    WORKERS_REPLACED {
+        @Override
+        void hit(final World w, final long span) {
+            final String region = w.some(w.plan().regions()).region();
+            w.tell("replace workers of " + region);
+            long at = 0;
+            for (final Mill m : w.mills()) {
+                if (m.region().equals(region)) {
+                    w.engine().in(at, m::leave);
+                    w.engine().in(at + 1_500_000, m::kill);
+                    w.engine().in(at + 2_500_000, m::start);
+                    at += 3_000_000;
+                }
+            }
+        }
+    },
+    /** A worker breaks the rules of the stream, or limps, or denies. */
+    WORKER_BREAKS {
+        @Override
+        void hit(final World w, final long span) {
+            final Mill m = w.some(w.mills());
+            final Faults f = w.some(List.of(Faults.GAP, Faults.REPEAT, Faults.FOREIGN, Faults.NOSEAL, Faults.WRONGSEAL, Faults.DENY, Faults.SLOW));
+            w.tell(f + " " + m.name());
+            m.fault(f);
+            w.engine().in(span, () -> m.fault(Faults.NONE));
+        }
+    },
+    /** Consumers move between zones and come back to their streams. */
+    CONSUMERS_MOVE {
+        @Override
+        void hit(final World w, final long span) {
+            w.tell("consumers move");
+            w.roaming(true);
+            w.engine().in(span * 2, () -> w.roaming(false));
+        }
+    },
+    /** A crowd arrives, and the mix swings. */
+    CROWD {
+        @Override
+        void hit(final World w, final long span) {
+            final long rate = w.rate();
+            final int lean = w.engine().luck().nextInt(3) - 1;
+            w.tell("crowd, leaning " + lean);
+            w.crowd(rate * 4, lean);
+            w.engine().in(Math.min(span, 6_000_000), () -> w.crowd(rate, 0));
+        }
+    },
+    /** A harbor loses its power, perhaps just after it said yes. */
+    HARBOR_KILLED {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.harbors());
+            w.tell("kill " + n.name());
+            n.kill();
+            w.engine().in(span, n::start);
+        }
+    },
+    /** A harbor loses its power and its disk, and starts with an empty one. */
+    HARBOR_WIPED {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.harbors());
+            w.tell("wipe " + n.name());
+            n.kill();
+            n.disk().ifPresent(Disk::wipe);
+            w.engine().in(span, n::start);
+        }
+    },
+    /** A harbor freezes and wakes. */
+    HARBOR_FROZEN {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.harbors());
+            w.tell("freeze " + n.name());
+            n.freeze(true);
+            w.engine().in(span, () -> n.freeze(false));
+        }
+    },
+    /** A harbor's disk stalls. */
+    DISK_STALLED {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.harbors());
+            w.tell("stall " + n.name());
+            n.disk().ifPresent(d -> d.stall(true));
+            w.engine().in(span, () -> n.disk().ifPresent(d -> d.stall(false)));
+        }
+    },
+    /** A harbor's disk is full; the machine is restarted when there is space again. */
+    DISK_FULL {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.harbors());
+            w.tell("full " + n.name());
+            n.disk().ifPresent(d -> d.full(true));
+            w.engine().in(span, () -> {
+                n.kill();
+                n.disk().ifPresent(d -> d.full(false));
+                n.start();
+            });
+        }
+    },
+    /** A harbor's disk limps. */
+    DISK_LIMPS {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.harbors());
+            w.tell("limp " + n.name());
+            n.disk().ifPresent(d -> d.limp(60));
+            w.engine().in(span, () -> n.disk().ifPresent(d -> d.limp(1)));
+        }
+    },
+    /** A harbor is replaced by an empty machine at a new address. */
+    HARBOR_SWAPPED {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.harbors());
+            w.tell("swap " + n.name() + " for " + w.swap(n).name());
+        }
+    },
+    /** All harbors are swapped for others, one after another. */
+    HARBORS_SWAPPED {
+        @Override
+        void hit(final World w, final long span) {
+            long at = 0;
+            for (final Node n : w.harbors()) {
+                w.engine().in(at, () -> w.tell("swap " + n.name() + " for " + w.swap(n).name()));
+                at += 14_000_000;
+            }
+        }
+    },
+    /** One harbor is cut off from the others. */
+    CORE_SPLIT {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.harbors());
+            w.tell("split off " + n.name() + " from the harbors");
+            final Set<String> rest = w.harbors().stream().map(Node::name).filter(x -> !x.equals(n.name())).collect(Collectors.toSet());
+            final Runnable one = w.net().cut(Set.of(n.name()), rest);
+            final Runnable two = w.engine().luck().nextBoolean() ? w.net().cut(rest, Set.of(n.name())) : () -> {
+            };
+            w.engine().in(span, () -> {
+                one.run();
+                two.run();
+            });
+        }
+    },
+    /** All harbors are cut off from the pursers. */
+    CORE_CUT {
+        @Override
+        void hit(final World w, final long span) {
+            w.tell("cut the harbors off");
+            final Set<String> core = w.harbors().stream().map(Node::name).collect(Collectors.toSet());
+            final Set<String> rest = w.pursers().stream().map(Node::name).collect(Collectors.toSet());
+            final Runnable one = w.net().cut(core, rest);
+            final Runnable two = w.net().cut(rest, core);
+            w.engine().in(span, () -> {
+                one.run();
+                two.run();
+            });
+        }
+    },
+    /** A region is cut off. */
+    REGION_CUT {
+        @Override
+        void hit(final World w, final long span) {
+            final String region = w.some(w.plan().regions()).region();
+            w.tell("cut off " + region);
+            w.engine().in(span, w.net().island(places(w, region)));
+        }
+    },
+    /** A region is lost and comes back cold. */
+    REGION_LOST {
+        @Override
+        void hit(final World w, final long span) {
+            final Plan.Region r = w.some(w.plan().regions());
+            w.tell("lose " + r.region());
+            lose(w, r.region());
+            w.engine().in(span, () -> back(w, r.region()));
+        }
+    },
+    /** Everything is killed at once and started again. */
+    ALL_KILLED {
+        @Override
+        void hit(final World w, final long span) {
+            w.tell("kill every daemon");
+            final List<Node> all = new ArrayList<>(w.pursers());
+            all.addAll(w.harbors());
+            all.forEach(Node::kill);
+            all.forEach(n -> w.engine().in(200_000 + w.engine().luck().nextLong(span), n::start));
+        }
+    },
+    /** The wall clock of a machine jumps while it runs. */
+    CLOCK_JUMPS {
+        @Override
+        void hit(final World w, final long span) {
+            final List<Node> all = new ArrayList<>(w.pursers());
+            all.addAll(w.harbors());
+            final Node n = w.some(all);
+            final long off = (w.engine().luck().nextBoolean() ? 1 : -1) * (100_000 + w.engine().luck().nextLong(600_000_000L));
+            w.tell("clock of " + n.name() + " jumps by " + off / 1000 + " ms");
+            n.clock(off);
+            w.engine().in(span, () -> n.clock(0));
+        }
+    },
+    /** A machine starts with its clock far off. */
+    CLOCK_OFF {
+        @Override
+        void hit(final World w, final long span) {
+            final List<Node> all = new ArrayList<>(w.pursers());
+            all.addAll(w.harbors());
+            final Node n = w.some(all);
+            final long off = (w.engine().luck().nextBoolean() ? 1 : -1) * (100_000 + w.engine().luck().nextLong(600_000_000L));
+            w.tell("restart " + n.name() + " with its clock off by " + off / 1000 + " ms");
+            n.kill();
+            n.clock(off);
+            w.engine().in(500_000, n::start);
+        }
+    },
+    /** Frames are lost and overtake each other. */
+    NET_ROUGH {
+        @Override
+        void hit(final World w, final long span) {
+            w.tell("rough network");
+            w.net().rough(0.1, 0.1);
+            w.engine().in(span, () -> w.net().rough(0, 0));
+        }
+    },
+    /** A zone is emptied and given back. */
+    ZONE_DRAINED {
+        @Override
+        void hit(final World w, final long span) {
+            final String zone = w.some(w.plan().regions()).zone();
+            w.drain(zone, true);
+            w.engine().in(span + 6_000_000, () -> w.drain(zone, false));
+        }
+    },
+    /** Two of the three harbors lose their disks while the third is cut off, and try to found anew. */
+    REFOUNDING {
+        @Override
+        void hit(final World w, final long span) {
+            final List<Node> two = w.harbors().subList(1, w.harbors().size());
+            final Node third = w.harbors().getFirst();
+            w.tell("wipe " + two.stream().map(Node::name).toList() + " with " + third.name() + " cut off");
+            final Runnable heal = w.net().island(Set.of(third.name()));
+            two.forEach(n -> {
+                n.kill();
+                n.disk().ifPresent(Disk::wipe);
+                n.start();
+            });
+            w.engine().in(span, heal);
+        }
+    };
+
+    abstract void hit(World w, long span);
+
+    static void lose(final World w, final String region) {
+        w.pursers().stream().filter(n -> n.region().equals(region)).forEach(Node::kill);
+        w.harbors().stream().filter(n -> n.region().equals(region)).forEach(Node::kill);
+        w.mills().stream().filter(m -> m.region().equals(region)).forEach(Mill::kill);
+    }
+
+    static void back(final World w, final String region) {
+        w.tell("back " + region);
+        w.pursers().stream().filter(n -> n.region().equals(region)).forEach(Node::start);
+        w.harbors().stream().filter(n -> n.region().equals(region)).forEach(Node::start);
+        w.mills().stream().filter(m -> m.region().equals(region)).forEach(Mill::start);
+    }
+
+    private static List<Node> half(final World w, final List<Node> all) {
+        final List<Node> some = new ArrayList<>();
+        for (final Node n : all) {
+            if (w.engine().luck().nextBoolean()) {
+                some.add(n);
+            }
+        }
+        return some;
+    }
+
+    private static Set<String> places(final World w, final String region) {
+        final Set<String> set = new HashSet<>(Set.of("consumers-" + region));
+        w.pursers().stream().filter(n -> n.region().equals(region)).forEach(n -> set.add(n.name()));
+        w.harbors().stream().filter(n -> n.region().equals(region)).forEach(n -> set.add(n.name()));
+        w.mills().stream().filter(m -> m.region().equals(region)).forEach(m -> set.add(m.name()));
+        return set;
+    }
+}
--- /dev/null
+++ b/drill/src/main/java/silverlatch/drill/sim/Node.java
@@ -0,0 +1,434 @@
+package silverlatch.drill.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import silverlatch.carry.Act;
+import silverlatch.carry.Carry;
+import silverlatch.carry.Facts;
+import silverlatch.carry.permit.Seals;
+import silverlatch.crew.Crew;
+import silverlatch.crew.Member;
+import silverlatch.deck.Deck;
+import silverlatch.deck.Effect;
+import silverlatch.deck.Event;
+import silverlatch.deck.Ship;
+import silverlatch.quay.Berth;
+import silverlatch.quay.Quay;
+import silverlatch.rumor.Rumor;
+import silverlatch.rumor.Worker;
+import silverlatch.tariff.Entry;
+import silverlatch.tariff.Leaf;
+import silverlatch.tariff.Verdict;
+import silverlatch.tariff.Wish;
+import silverlatch.tide.Anchor;
+import silverlatch.wire.Frame;
+
+/** A daemon in the simulator: the shipping deck and, for a purser, the shipping carry, with fakes for the world around. */
+final class Node {
+    private static final long BEAT = 20_000L;
+    private static final long EPOCH = 1_790_000_000_000_000L;
+    private final World world;
+    private final String name;
+    private final String zone;
+    private final String region;
+    private final String address;
+    private final List<String> seeds;
+    private final Optional<Disk> disk;
+    private final Map<Long, Consumer<Object>> asked = new HashMap<>();
+    private final Map<Long, Consumer<Act>> calls = new HashMap<>();
+    private final Map<Long, Consumer<String>> jobs = new HashMap<>();
+    private final List<Runnable> frozen = new ArrayList<>();
+    private final Map<Event, Long> logs = new HashMap<>();
+    private Optional<Deck> deck = Optional.empty();
+    private Optional<Carry> carry = Optional.empty();
+    private Optional<Facts> facts = Optional.empty();
+    private long epoch;
+    private long base;
+    private double rate = 1;
+    private long wall;
+    private boolean cold;
+    private long token;
+    private boolean ready;
+
+    Node(final World world, final String name, final String zone, final String region, final String address, final List<String> seeds,
+         final boolean disk) {
+        this.world = world;
+        this.name = name;
+        this.zone = zone;
+        this.region = region;
+        this.address = address;
+        this.seeds = seeds;
+        this.disk = disk ? Optional.of(new Disk(world.engine())) : Optional.empty();
+    }
+
+    String name() {
+        return name;
+    }
+
+    String zone() {
+        return zone;
+    }
+
+    String region() {
+        return region;
+    }
+
+    String address() {
+        return address;
+    }
+
+    boolean harbor() {
+        return name.startsWith("harbor");
+    }
+
+    Optional<Disk> disk() {
+        return disk;
+    }
+
+    Optional<Deck> deck() {
+        return deck;
+    }
+
+    Optional<Carry> carry() {
+        return carry;
+    }
+
+    Optional<Facts> facts() {
+        return facts;
+    }
+
+    boolean alive() {
+        return deck.isPresent();
+    }
+
+    boolean ready() {
+        return ready && alive() && !cold;
+    }
+
+    long logged(final Event e) {
+        return logs.getOrDefault(e, 0L);
+    }
+
+    long epoch() {
+        return epoch;
+    }
+
+    long now() {
+        return base + (long) (world.engine().now() * rate);
+    }
+
+    private long wall() {
+        return EPOCH * 1000 + (world.engine().now() + wall) * 1000;
+    }
+
+    /** The wall clock is off by so many microseconds from now on. */
+    void clock(final long off) {
+        wall = off;
+    }
+
+    void start() {
+        if (alive()) {
+            return;
+        }
+        epoch++;
+        base = world.engine().luck().nextLong(1_000_000_000_000L);
+        rate = 1 + (world.engine().luck().nextDouble() - 0.5) * 1e-4;
+        asked.clear();
+        final Member me = new Member(name, harbor() ? "harbor" : "purser", zone, region, address, address, wall() / 1000, 0, "up", false);
+        final Optional<Quay.Setup> chain = disk.map(d -> {
+            final Quay.Setup s = Quay.Setup.of(new Berth(d.identity(), address), seeds);
+            return world.guards().lease() ? s : new Quay.Setup(s.me(), s.seats(), 3_600_000_000L, s.ask(), s.suspect(), s.swap(), s.stall(), s.copies());
+        });
+        final Deck made = new Deck(new Deck.Setup(me, seeds, 7, 50_000, Crew.Times.PLAIN, Rumor.Times.PLAIN), chain,
+                disk.map(Disk::notes).orElse(List.of()), new Anchor(wall(), now(), 0), world.engine().luck().split(), now());
+        deck = Optional.of(made);
+        if (!harbor()) {
+            facts = Optional.of(made.facts());
+            carry = Optional.of(new Carry(world.guards().carry(), new Seals("simulated-cluster-key"), made.facts(), () -> made.local(now()),
+                    world.engine().luck().split()));
+        }
+        beat(epoch);
+    }
+
+    /** The process ends at once; with the power also what was not synced is gone. */
+    void kill() {
+        if (!alive()) {
+            return;
+        }
+        epoch++;
+        deck = Optional.empty();
+        carry = Optional.empty();
+        ready = false;
+        cold = false;
+        frozen.clear();
+        disk.ifPresent(Disk::power);
+        final List<Consumer<Act>> open = List.copyOf(calls.values());
+        calls.clear();
+        open.forEach(c -> c.accept(new Act.Rejected(0, 0, "", "the connection broke", 0, "")));
+        final List<Consumer<String>> runs = List.copyOf(jobs.values());
+        jobs.clear();
+        runs.forEach(r -> r.accept("cut"));
+    }
+
+    /** Stops in good order, as a process does when it is asked to. */
+    void stop() {
+        carry.ifPresent(Carry::close);
+        post(() -> {
+            deck.ifPresent(d -> d.ready(false));
+            flush();
+        });
+        world.engine().in(3_000_000, () -> post(() -> {
+            carry.ifPresent(c -> c.end(now()));
+            deck.ifPresent(d -> d.leave(now()));
+            flush();
+        }));
+        final long mine = epoch;
+        world.engine().in(4_500_000, () -> {
+            if (mine == epoch) {
+                kill();
+            }
+        });
+    }
+
+    /** The process freezes or wakes. */
+    void freeze(final boolean on) {
+        if (!alive()) {
+            return;
+        }
+        cold = on;
+        if (!on) {
+            final List<Runnable> all = List.copyOf(frozen);
+            frozen.clear();
+            all.forEach(Runnable::run);
+        }
+    }
+
+    /** Does something in this process, unless it has ended since; when it is frozen, once it wakes. */
+    void post(final Runnable job) {
+        if (!alive()) {
+            return;
+        }
+        final long mine = epoch;
+        final Runnable guarded = () -> {
+            if (mine == epoch) {
+                job.run();
+            }
+        };
+        if (cold) {
+            frozen.add(guarded);
+        } else {
+            guarded.run();
+        }
+    }
+
+    void frame(final Frame f) {
+        post(() -> {
+            deck.ifPresent(d -> {
+                d.frame(f, now());
+                world.heard(this, f, d);
+            });
+            flush();
+        });
+    }
+
+    void wish(final Wish w, final long span, final Consumer<Object> then) {
+        post(() -> {
+            token++;
+            asked.put(token, then);
+            deck.ifPresent(d -> d.wish(w, token, now(), now() + span));
+            flush();
+        });
+    }
+
+    void read(final String start, final long span, final Consumer<Object> then) {
+        post(() -> {
+            token++;
+            asked.put(token, then);
+            deck.ifPresent(d -> d.read(start, token, now(), now() + span));
+            flush();
+        });
+    }
+
+    void announced(final Worker w, final long echo, final Consumer<Long> then) {
+        post(() -> {
+            final Worker seen = world.guards().ramp() ? w : new Worker(w.id(), w.address(), w.zone(), w.region(), w.life(), w.sequence(),
+                    0, 0, 10_000, w.kept(), w.leaving(), Long.MAX_VALUE / 4);
+            deck.ifPresent(d -> then.accept(d.announced(seen, echo, now())));
+            flush();
+        });
+    }
+
+    /** A consumer's call: the job gets the token and the carry; the acts for the token come back. */
+    void call(final java.util.function.ObjLongConsumer<Carry> job, final Consumer<Act> back, final Consumer<Long> number) {
+        post(() -> {
+            token++;
+            calls.put(token, back);
+            number.accept(token);
+            carry.ifPresent(c -> job.accept(c, token));
+            flush();
+        });
+    }
+
+    void carrying(final Consumer<Carry> job) {
+        post(() -> {
+            carry.ifPresent(job);
+            flush();
+        });
+    }
+
+    void hangUp(final long number) {
+        post(() -> {
+            calls.remove(number);
+            carry.ifPresent(c -> c.left(number, now()));
+            flush();
+        });
+    }
+
+    private void beat(final long mine) {
+        if (mine != epoch) {
+            return;
+        }
+        post(() -> {
+            deck.ifPresent(d -> d.tick(now(), wall()));
+            flush();
+            deck.ifPresent(this::look);
+        });
+        world.engine().in(BEAT, () -> beat(mine));
+    }
+
+    private void look(final Deck d) {
+        if (harbor()) {
+            ready = d.quay().map(q -> {
+                final Quay.State s = q.state(now());
+                return s.spot().equals("chained") && s.level() && s.leased();
+            }).orElse(d.rumor().age(now()) < 2_500_000L);
+        } else {
+            carry.ifPresent(c -> {
+                c.tick(now());
+                ready = c.unready(now()).isEmpty();
+            });
+        }
+        d.ready(ready);
+        flush();
+    }
+
+    private void flush() {
+        if (deck.isEmpty()) {
+            return;
+        }
+        final Deck d = deck.get();
+        boolean more = true;
+        while (more && alive()) {
+            carry.ifPresent(c -> {
+                final Facts f = bent(d.facts());
+                facts = Optional.of(f);
+                c.facts(f, now());
+            });
+            final List<Ship> ships = d.ships();
+            ships.forEach(s -> world.ship(this, s));
+            final List<Effect> effects = d.drain();
+            effects.forEach(this::effect);
+            final List<Act> acts = carry.map(Carry::drain).orElse(List.of());
+            acts.forEach(this::act);
+            more = !effects.isEmpty() || !acts.isEmpty();
+        }
+        if (alive() && d.parked()) {
+            final long mine = epoch;
+            world.engine().in(500, () -> {
+                if (mine == epoch) {
+                    post(() -> {
+                        deck.ifPresent(x -> x.tick(now(), wall()));
+                        flush();
+                    });
+                }
+            });
+        }
+    }
+
+    private Facts bent(final Facts f) {
+        final Guards g = world.guards();
+        if (g.drain() && g.home() && g.back()) {
+            return f;
+        }
+        final Map<String, Entry> policy = new HashMap<>();
+        f.policy().forEach((k, e) -> {
+            if (!g.drain() && k.startsWith("z/")) {
+                return;
+            }
+            policy.put(k, !g.home() && e.leaf().getFirst() instanceof Leaf.Tenant t
+                    ? new Entry(k, e.sequence(), List.of(new Leaf.Tenant(t.name(), List.of(), t.share(), t.hash(), t.salt()))) : e);
+        });
+        final long page = g.back() || world.engine().luck().nextInt(20) > 0 ? f.page() : f.page() / 2;
+        return new Facts(f.me(), page, f.sure(), policy, f.workers(), f.crew());
+    }
+
+    private void effect(final Effect e) {
+        switch (e) {
+            case Effect.Answer a -> Optional.ofNullable(asked.remove(a.token())).ifPresent(c -> c.accept(a.reply()));
+            case Effect.Keep k -> {
+                final long mine = epoch;
+                disk.ifPresent(x -> x.write(k, t -> {
+                    if (mine == epoch) {
+                        post(() -> {
+                            deck.ifPresent(d -> d.kept(t, now()));
+                            flush();
+                        });
+                    }
+                }, why -> post(() -> {
+                    deck.ifPresent(d -> d.broke(why, now()));
+                    flush();
+                })));
+            }
+            case Effect.Log l -> {
+                logs.merge(l.event(), 1L, Long::sum);
+                world.log(this, l);
+            }
+            case Effect.Send s -> throw new IllegalStateException("a send left the deck unstamped");
+        }
+    }
+
+    private void act(final Act a) {
+        switch (a) {
+            case Act.Picked p -> call(p.token(), a, true);
+            case Act.Pointed p -> call(p.token(), a, true);
+            case Act.Rejected r -> call(r.token(), a, true);
+            case Act.Flow f -> call(f.token(), a, f.last());
+            case Act.Run r -> world.run(this, r, jobs);
+            case Act.Cut c -> Optional.ofNullable(jobs.remove(c.job())).ifPresent(j -> j.accept("cut"));
+            case Act.Claim c -> {
+                if (!world.guards().claim() && c.wish() instanceof Wish.Hold) {
+                    post(() -> {
+                        carry.ifPresent(x -> x.verdict(c.job(), new Verdict.Kept(1), now()));
+                    });
+                } else {
+                    wish(c.wish(), c.span(), v -> carry.ifPresent(x -> x.verdict(c.job(), (Verdict) v, now())));
+                }
+            }
+            case Act.Log l -> {
+                logs.merge(l.event(), 1L, Long::sum);
+                world.log(this, new Effect.Log(l.event(), l.text()));
+            }
+        }
+    }
+
+    private void call(final long number, final Act a, final boolean last) {
+        Optional.ofNullable(last ? calls.remove(number) : calls.get(number)).ifPresent(c -> c.accept(a));
+    }
+
+    /** The values of the marked cells that this daemon goes by. */
+    Set<String> values() {
+        final Set<String> set = new HashSet<>();
+        facts.ifPresent(f -> f.policy().values().forEach(e -> e.leaf().forEach(l -> {
+            if (l instanceof Leaf.Row r) {
+                set.add(World.value(r.rate()));
+            }
+        })));
+        return set;
+    }
+}
--- /dev/null
+++ b/drill/src/main/java/silverlatch/drill/sim/Traveller.java
@@ -0,0 +1,237 @@
+package silverlatch.drill.sim;
+
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import silverlatch.carry.Act;
+import silverlatch.carry.Line;
+import silverlatch.carry.Load;
+import silverlatch.carry.Order;
+import silverlatch.carry.permit.Seals;
+import silverlatch.drill.worker.Speech;
+
+/** One consumer's ticket in the simulator, from the pick to its end, verified as it comes. */
+final class Traveller {
+    private static final long PATIENCE = 12_000_000L;
+    private final World world;
+    private final World.Person person;
+    private final World.Sort sort;
+    private final String key;
+    private final String place;
+    private final int tries;
+    private final String prompt;
+    private final List<String> prefix;
+    private final boolean roams;
+    private final MessageDigest sum = Seals.digest();
+    private String ticket = "";
+    private String run = "";
+    private Optional<Node> carrier = Optional.empty();
+    private long number;
+    private long next;
+    private boolean over;
+    private boolean sealed;
+    private long leg;
+
+    Traveller(final World world, final World.Person person, final World.Sort sort, final String key, final String place, final int tries,
+              final String prompt, final List<String> prefix, final boolean roams) {
+        this.world = world;
+        this.person = person;
+        this.sort = sort;
+        this.key = key;
+        this.place = place;
+        this.tries = tries;
+        this.prompt = prompt;
+        this.prefix = prefix;
+        this.roams = roams;
+    }
+
+    void go() {
+        world.engine().in(PATIENCE, () -> end("cut"));
+        pick(world.some(world.pursers()), 0);
+    }
+
+    String ticket() {
+        return ticket;
+    }
+
+    private void pick(final Node n, final int hops) {
+        if (!n.alive()) {
+            end("unreached");
+            return;
+        }
+        final Order o = new Order(person.secret(), person.name(), sort.kind(), prefix, prompt.length(), key, tries);
+        world.net().bytes(place + ">" + n.name() + n.epoch() + this.hashCode(), place, n.name(), () -> n.call((c, t) -> c.pick(o, t, n.now()),
+                a -> back(n, a, () -> picked(n, a, hops)), t -> {
+                }));
+    }
+
+    private void picked(final Node n, final Act a, final int hops) {
+        if (over) {
+            return;
+        }
+        switch (a) {
+            case Act.Picked p -> {
+                world.watch().shown(n.name(), p.page(), world.engine().now());
+                ticket = p.ticket();
+                world.known(this, ticket, person, key, tries);
+                final long pause = world.engine().luck().nextInt(30) == 0 ? world.engine().luck().nextLong(3_000_000) : 0;
+                world.engine().in(pause, () -> hand(n, p.permit()));
+                if (world.engine().luck().nextInt(50) == 0) {
+                    world.engine().in(pause + world.engine().luck().nextLong(1_500_000), () -> twin(n, p.permit()));
+                }
+            }
+            case Act.Pointed p -> {
+                final Optional<Node> other = world.node(p.doors().getFirst());
+                if (hops > 3 || other.isEmpty()) {
+                    end("rejected");
+                } else {
+                    pick(other.get(), hops + 1);
+                }
+            }
+            case Act.Rejected r -> refused(r);
+            default -> end("unreached");
+        }
+    }
+
+    private void hand(final Node n, final String permit) {
+        if (over) {
+            return;
+        }
+        if (!n.alive()) {
+            end("broken");
+            return;
+        }
+        carrier = Optional.of(n);
+        final Load l = new Load(person.secret(), permit, prefix, prompt, 10_000_000);
+        world.net().bytes(lane(n), place, n.name(), () -> n.call((c, t) -> c.ticket(l, t, n.now()), a -> back(n, a, () -> {
+            if (leg == 0) {
+                flow(n, a);
+            }
+        }), t -> number = t));
+        if (roams) {
+            world.engine().in(150_000, () -> move(n));
+        }
+    }
+
+    private void twin(final Node n, final String permit) {
+        if (n.alive()) {
+            world.watch().count("twins");
+            n.call((c, t) -> c.ticket(new Load(person.secret(), permit, prefix, prompt, 10_000_000), t, n.now()), a -> {
+            }, t -> {
+            });
+        }
+    }
+
+    private void move(final Node n) {
+        if (over || !n.alive() || ticket.isEmpty()) {
+            return;
+        }
+        world.watch().count("moves");
+        leg++;
+        final long mine = leg;
+        n.hangUp(number);
+        world.net().bytes(lane(n), place, n.name(), () -> n.call((c, t) -> c.attach(ticket, person.secret(), next, t, n.now()), a -> back(n, a, () -> {
+            if (mine == leg) {
+                flow(n, a);
+            }
+        }), t -> number = t));
+    }
+
+    private void back(final Node n, final Act a, final Runnable then) {
+        world.net().bytes(lane(n) + "<", n.name(), place, then);
+    }
+
+    private String lane(final Node n) {
+        return place + ">" + n.name() + "/" + ticket + "/" + leg;
+    }
+
+    private void flow(final Node n, final Act a) {
+        if (over) {
+            return;
+        }
+        switch (a) {
+            case Act.Flow f -> {
+                f.lines().forEach(this::line);
+                if (f.last()) {
+                    end(sealed ? "done" : "lost");
+                } else {
+                    n.carrying(c -> c.hungry(f.token()));
+                }
+            }
+            case Act.Rejected r -> refused(r);
+            default -> end("broken");
+        }
+    }
+
+    private void refused(final Act.Rejected r) {
+        if (r.code() == 0) {
+            end("broken");
+            return;
+        }
+        if (r.code() == 410 || r.code() == 409 && r.why().startsWith("the ticket was handed")) {
+            end("broken");
+            return;
+        }
+        if (r.code() == 409) {
+            world.watch().count("stands");
+        }
+        if (next > 0) {
+            world.watch().stream(ticket, "rejected after pieces came");
+        }
+        world.watch().count("code" + r.code());
+        end(r.code() == 404 ? "broken" : "rejected");
+        if (r.after() > 0 && tries < 2 && !key.isEmpty() | world.engine().luck().nextInt(3) == 0) {
+            world.engine().in(r.after(), () -> world.travel(new Traveller(world, person, sort, key, place, tries + 1, prompt, prefix, false)));
+        }
+    }
+
+    private void line(final Line l) {
+        switch (l) {
+            case Line.Piece p -> {
+                if (next == 0) {
+                    run = p.run();
+                }
+                if (sealed) {
+                    world.watch().stream(ticket, "a piece after the seal");
+                }
+                if (p.number() != next) {
+                    world.watch().stream(ticket, "piece " + p.number() + " where " + next + " was due");
+                }
+                if (!p.ticket().equals(ticket) || !p.run().equals(run)) {
+                    world.watch().stream(ticket, "a piece of another ticket or run");
+                }
+                if (!p.text().equals(Speech.piece(prompt, p.number()))) {
+                    world.watch().stream(ticket, "someone else's text");
+                }
+                next++;
+                sum.update(p.text().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+            }
+            case Line.Seal s -> {
+                sealed = true;
+                if (next != Speech.count(prompt) || s.count() != next || !s.sha().equals(HexFormat.of().formatHex(sum.digest()))) {
+                    world.watch().stream(ticket, "a seal that does not fit what came");
+                }
+            }
+            case Line.Lost x -> sealed = false;
+        }
+    }
+
+    private void end(final String outcome) {
+        if (over) {
+            return;
+        }
+        over = true;
+        if (outcome.equals("cut")) {
+            carrier.filter(Node::alive).ifPresent(n -> n.hangUp(number));
+        }
+        if (!ticket.isEmpty()) {
+            world.watch().ended(ticket, outcome, world.engine().now());
+        } else {
+            world.watch().count("pick-" + outcome);
+        }
+        if ((outcome.equals("cut") || outcome.equals("broken") || outcome.equals("lost")) && !key.isEmpty() && tries < 2) {
+            world.engine().in(500_000, () -> world.travel(new Traveller(world, person, sort, key, place, tries + 1, prompt, prefix, false)));
+        }
+    }
+}
