Give a run that shows no start within a second up, and confirm the table within 2 s

The worker now says at once that it starts; a carrier that hears nothing within start (1 s) resets the connection and tells lost. With sure at 2 s the worst case is 3 s. So that a mend does not make pursers unready, lease 0.6 s, suspect 0.8 s. Ruled out: stale words or an old table at the dispatch itself (ages were 0.4 s there).

--- a/core/src/main/java/silverlatch/carry/Carry.java
+++ b/core/src/main/java/silverlatch/carry/Carry.java
@@ -65,10 +65,10 @@
 
     /** Settings; times in microseconds. */
     public record Setup(int slab, int queue, long permit, long word, long sure, long claim, long keep, int buffer,
-                        double tries, long shun, long patience, long memory) {
+                        double tries, long shun, long patience, long memory, long start) {
         /** What holds when nothing is said. */
-        public static final Setup PLAIN = new Setup(4_096, 2_048, 2 * SECOND, 2 * SECOND, 2_500_000L, SECOND, 20 * SECOND,
-                4 << 20, 0.1, SECOND, 5 * SECOND, 30 * SECOND);
+        public static final Setup PLAIN = new Setup(4_096, 2_048, 2 * SECOND, 2 * SECOND, 2 * SECOND, SECOND, 20 * SECOND,
+                4 << 20, 0.1, SECOND, 5 * SECOND, 30 * SECOND, SECOND);
     }
 
     /** A purser that carries nothing yet. */
@@ -325,6 +325,11 @@
         pump(now);
     }
 
+    /** The worker said that it starts. */
+    public void begun(final long id) {
+        job(id).filter(t -> t.state.equals("asking")).ifPresent(t -> move(t, "start"));
+    }
+
     /** The worker sent a line. */
     public void line(final long id, final Line line, final long now) {
         job(id).ifPresent(t -> {
@@ -396,9 +401,10 @@
         for (final long place : List.copyOf(open.values())) {
             slab.get(place).filter(t -> t.state.equals("running") || t.state.equals("asking")).ifPresent(t -> {
                 final boolean alone = t.left.map(at -> now - at > setup.patience()).orElse(false);
-                if (now >= t.expiry || alone) {
+                final boolean mute = t.state.equals("asking") && now - t.asked > setup.start();
+                if (now >= t.expiry || alone || mute) {
                     out.add(new Act.Cut(t.job));
-                    lose(t, alone ? "the consumer went away" : "the expiry passed", now);
+                    lose(t, alone ? "the consumer went away" : mute ? "the worker gave no sign of a start in time" : "the expiry passed", now);
                 }
             });
         }
@@ -520,6 +526,7 @@
         move(t, "ask");
         job(t);
         t.tries++;
+        t.asked = now;
         t.run = t.permit.ticket() + "." + t.tries;
         count("asked");
         if (t.tries > 1) {
@@ -808,6 +815,7 @@
         private boolean held;
         private int sent;
         private int tries;
+        private long asked;
         private long place;
         private long job;
         private long bytes;
--- a/core/src/main/java/silverlatch/deck/Deck.java
+++ b/core/src/main/java/silverlatch/deck/Deck.java
@@ -53,6 +53,7 @@
     private long judged;
     private long slewed;
     private boolean mustered;
+    private Optional<Stamp> floor;
     private Map<String, Entry> policy = Map.of();
     private long policyPage;
 
@@ -73,7 +74,7 @@
         final long phys = anchor.phys(now);
         final Tide tide = Tide.start(phys, setup.low(), Ntp.span(setup.skew()), 0);
         this.keeper = new Keeper(tide);
-        floor(notes).ifPresent(f -> keeper.floor(f, phys));
+        this.floor = floor(notes);
         this.crew = new Crew(setup.me(), setup.seeds(), setup.crew());
         this.rumor = new Rumor(crew, luck, setup.rumor());
         this.quay = chain.map(c -> new Quay(c, notes, this::local, now));
@@ -82,7 +83,11 @@
     }
 
     private static Optional<Stamp> floor(final List<Note> notes) {
-        return notes.stream().filter(n -> n instanceof Note.Deed).map(n -> ((Note.Deed) n).change().stamp()).max(Stamp::compareTo);
+        return notes.stream().flatMap(n -> switch (n) {
+            case Note.Deed d -> java.util.stream.Stream.of(d.change().stamp());
+            case Note.Picture p -> java.util.stream.Stream.of(new Stamp(p.roof()));
+            default -> java.util.stream.Stream.<Stamp>empty();
+        }).max(Stamp::compareTo);
     }
 
     /** The stamp of a local event at this moment of the duty's own clock. */
@@ -217,6 +222,7 @@
                 out.add(new Effect.Log(Event.WALL_JUMP, "the wall clock is not followed"));
             }
         }
+        floor = floor.filter(f -> keeper.floor(f, anchor.phys(now)).isEmpty());
         parked(now);
         judge(now);
         crew.tick(now);
--- a/core/src/main/java/silverlatch/ledger/Note.java
+++ b/core/src/main/java/silverlatch/ledger/Note.java
@@ -27,10 +27,6 @@
     record Birth(View view) implements Note {
     }
 
-    /** A reserved ceiling for stamps. */
-    record Roof(long bits) implements Note {
-    }
-
     /** Notes written and synced together. */
     record Batch(List<Note> notes) implements Note {
         /** Copies the notes. */
@@ -39,7 +35,7 @@
         }
     }
 
-    /** Everything up to a sequence. */
+    /** Everything up to a sequence; the roof is the newest stamp of a change. */
     record Picture(long sequence, View view, boolean level, long ballot, long nodded, List<View> nod, long roof,
                    List<Entry> entries) implements Note {
         /** Copies the lists. */
--- a/core/src/main/java/silverlatch/quay/Quay.java
+++ b/core/src/main/java/silverlatch/quay/Quay.java
@@ -35,6 +35,8 @@
     private static final int BATCH = 512;
     private static final int PENDING = 4_096;
     private static final long RESEND = 300_000L;
+    private static final long SWEEP = 10_000_000L;
+    private static final long KEEP = 7L * 86_400 * 1_000_000;
     private final Setup setup;
     private final Supplier<Stamp> stamps;
     private final Chart chart = Chart.load("harbor");
@@ -74,7 +76,10 @@
     private long low;
     private long clock;
     private long epoch;
+    private long roof;
+    private long swept;
     private boolean quit;
+    private boolean joining;
 
     /** A machine as its ledger left it. */
     public Quay(final Setup setup, final List<Note> notes, final Supplier<Stamp> stamps, final long now) {
@@ -107,7 +112,7 @@
 
         /** The times that hold when nothing is said. */
         public static Setup of(final Berth me, final List<String> seats) {
-            return new Setup(me, seats, 800_000L, 150_000L, 1_000_000L, 5_000_000L, 1_000_000L, 2);
+            return new Setup(me, seats, 600_000L, 120_000L, 800_000L, 5_000_000L, 1_000_000L, 2);
         }
     }
 
@@ -225,11 +230,12 @@
             view.voters().forEach(b -> send(b.address(), new Msg.Lease(view.number(), now, setup.me())));
         }
         if (chained()) {
+            sweep(now);
             again(now);
             if (!stalled) {
                 watch(now);
             }
-        } else if (now - soughtAt >= RESEND && !stalled) {
+        } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled && !quit) {
             soughtAt = now;
             view.tail().ifPresent(t -> send(t.address(), compareOf()));
             setup.seats().forEach(s -> send(s, new Msg.Lease(view.number(), now, setup.me())));
@@ -250,6 +256,7 @@
                 pend.clear();
                 overlay.clear();
                 last = p.sequence();
+                roof = Math.max(roof, p.roof());
             }
             case Note.Deed d -> {
                 if (d.change().sequence() == last + 1) {
@@ -278,8 +285,6 @@
             }
             case Note.Birth b -> birth = Optional.of(b.view());
             case Note.Batch b -> b.notes().forEach(this::recall);
-            case Note.Roof r -> {
-            }
         }
     }
 
@@ -363,9 +368,16 @@
         late.clear();
         joins.clear();
         want = Optional.empty();
+        joining = false;
         low = now;
         heard.keySet().retainAll(view.voters().stream().map(Berth::id).toList());
-        view.voters().forEach(b -> heard.putIfAbsent(b.id(), now));
+        view.voters().forEach(b -> {
+            if (was) {
+                heard.putIfAbsent(b.id(), now);
+            } else {
+                heard.put(b.id(), now);
+            }
+        });
         asked = 0;
         spot = chart.move(spot, in ? "chain" : "learn");
         keep(List.of(new Note.Seen(view, level)), t -> {
@@ -500,10 +512,11 @@
         }
         if (doubt == 0) {
             doubt = now;
+            view.chain().stream().filter(b -> missed(b.id(), now, setup.suspect())).forEach(b -> log(Event.CHAIN_SUSPECT, b.address()));
         }
         final List<Berth> able = view.voters().stream().filter(b -> !missed(b.id(), now, setup.suspect())).toList();
         final int rank = Math.max(0, able.stream().map(Berth::id).toList().indexOf(setup.me().id()));
-        if (now - doubt < rank * setup.suspect() / 2 || !view.majority(able.size())) {
+        if (now - doubt < rank * setup.suspect() || !view.majority(able.size())) {
             return;
         }
         round++;
@@ -521,9 +534,6 @@
             if (me ? quit && view.chain().size() > 1 : missed(b.id(), now, setup.suspect())) {
                 final List<Berth> chain = view.chain().stream().filter(c -> !c.equals(b)).toList();
                 final String holder = view.holder().equals(b.id()) ? chain.getFirst().id() : view.holder();
-                if (!me) {
-                    log(Event.CHAIN_SUSPECT, b.address());
-                }
                 return Optional.of(new View(number, view.fleet(), view.voters(), chain, holder));
             }
         }
@@ -547,6 +557,18 @@
         return Optional.empty();
     }
 
+    private void sweep(final long now) {
+        if (!view.holder().equals(setup.me().id()) || !level || now - swept < SWEEP) {
+            return;
+        }
+        swept = now;
+        final long before = stamps.get().bits() - silverlatch.tide.Ntp.span(KEEP);
+        if (!books.stale(before, 1).isEmpty()) {
+            view.head().ifPresent(h -> send(h.address(), new Msg.Write(0, setup.me().address(),
+                    new Wish.Sweep("sweep-" + view.number() + "-" + before, before, view.number()))));
+        }
+    }
+
     private boolean missed(final String id, final long now, final long span) {
         return !id.equals(setup.me().id()) && now - heard.getOrDefault(id, 0L) > span;
     }
@@ -606,7 +628,16 @@
             reject(m, 503, "too many changes wait");
             return;
         }
-        switch (books.judge(m.wish(), overlay, last + 1, stamps.get())) {
+        final Stamp stamp = stamps.get();
+        if (stamp.bits() <= roof) {
+            reject(m, 503, "the clock here is behind the newest change");
+            return;
+        }
+        if (m.wish() instanceof Wish.Sweep s && s.fence() != view.number()) {
+            reject(m, 409, "the duty has another holder");
+            return;
+        }
+        switch (books.judge(m.wish(), overlay, last + 1, stamp)) {
             case Books.Judged.Over over -> {
                 if (over.verdict() instanceof Verdict.Kept k && k.sequence() > books.sequence()) {
                     waits.computeIfAbsent(k.sequence(), s -> new ArrayList<>()).add(m);
@@ -618,7 +649,7 @@
                 }
             }
             case Books.Judged.Let let -> {
-                final Change c = new Change(last + 1, view.number(), stamps.get(), let.puts());
+                final Change c = new Change(last + 1, view.number(), stamp, let.puts());
                 waits.computeIfAbsent(c.sequence(), s -> new ArrayList<>()).add(m);
                 append(List.of(c));
             }
@@ -631,6 +662,7 @@
 
     private void enter(final Change c) {
         last = c.sequence();
+        roof = Math.max(roof, c.stamp().bits());
         pend.add(c);
         c.puts().forEach(e -> overlay.put(e.key(), e));
     }
@@ -732,7 +764,7 @@
 
     private void picture(final LongConsumer then) {
         final List<Note> notes = new ArrayList<>();
-        notes.add(new Note.Picture(books.sequence(), view, level, promised, nodded, nod.stream().toList(), 0, books.all()));
+        notes.add(new Note.Picture(books.sequence(), view, level, promised, nodded, nod.stream().toList(), roof, books.all()));
         pend.forEach(c -> notes.add(new Note.Deed(c)));
         final long sequence = books.sequence();
         keep(notes, t -> {
@@ -785,6 +817,7 @@
         kept = last;
         epoch++;
         low = clock;
+        joining = true;
         final long number = view.number();
         picture(t -> {
             if (number == view.number() && !chained()) {
--- a/core/src/main/java/silverlatch/tariff/Books.java
+++ b/core/src/main/java/silverlatch/tariff/Books.java
@@ -134,6 +134,10 @@
                     w.id(), seq, new Leaf.Drain(w.zone(), w.on(), stamp));
             case Wish.Hold w -> hold(w, look, seq);
             case Wish.End w -> end(w, look, seq);
+            case Wish.Sweep w -> {
+                final List<Entry> gone = stale(w.before(), 1_000).stream().map(k -> new Entry(k, seq, List.of())).toList();
+                yield gone.isEmpty() ? new Judged.Over(new Verdict.Kept(sequence)) : new Judged.Let(gone);
+            }
         };
     }
 
@@ -256,7 +260,7 @@
         return new Judged.Over(new Verdict.Rejected(code, List.of(why), now));
     }
 
-    /** Cell edits at a time when claims outlive their span: the keys that may be dropped. */
+    /** The keys of claims made before a stamp. */
     public List<String> stale(final long before, final int most) {
         return part("c/").values().stream()
                 .filter(e -> e.leaf().getFirst() instanceof Leaf.Claim c && c.at() < before)
--- a/core/src/main/java/silverlatch/tariff/Wish.java
+++ b/core/src/main/java/silverlatch/tariff/Wish.java
@@ -43,6 +43,10 @@
     record End(String id, String key, String ticket, String state) implements Wish {
     }
 
+    /** Claims older than a stamp are let go; a duty, fenced by the view's number. */
+    record Sweep(String id, long before, long fence) implements Wish {
+    }
+
     /** One cell of the table. */
     record Cell(String tenant, String kind, String field, String value) {
     }
--- a/core/src/test/java/silverlatch/ledger/LedgerTest.java
+++ b/core/src/test/java/silverlatch/ledger/LedgerTest.java
@@ -28,18 +28,18 @@
     @Test
     void whatWasWrittenIsReadBackUnderTheSameIdentity() throws IOException {
         final Ledger.Opened.Good first = open(folder);
-        first.ledger().write(List.of(new Note.Roof(1), new Note.Vow(2, 3)));
-        first.ledger().write(List.of(new Note.Roof(4)));
+        first.ledger().write(List.of(new Note.Vow(1, 0), new Note.Vow(2, 3)));
+        first.ledger().write(List.of(new Note.Vow(4, 0)));
         first.ledger().close();
         final Ledger.Opened.Good second = open(folder);
         assertThat(second.identity(), is(first.identity()));
-        assertThat(second.notes(), is(List.of(new Note.Roof(1), new Note.Vow(2, 3), new Note.Roof(4))));
+        assertThat(second.notes(), is(List.of(new Note.Vow(1, 0), new Note.Vow(2, 3), new Note.Vow(4, 0))));
     }
 
     @Test
     void aTornTailIsCutOffWhereverItTears() throws IOException {
         final Ledger.Opened.Good first = open(folder);
-        first.ledger().write(List.of(new Note.Roof(1)));
+        first.ledger().write(List.of(new Note.Vow(1, 0)));
         final long whole = Files.size(segment(1));
         first.ledger().write(List.of(new Note.Vow(2, 3)));
         first.ledger().close();
@@ -47,18 +47,18 @@
         for (int cut = (int) whole; cut < all.length; cut++) {
             Files.write(segment(1), Arrays.copyOf(all, cut));
             final Ledger.Opened.Good again = open(folder);
-            assertThat(again.notes(), is(List.of((Note) new Note.Roof(1))));
+            assertThat(again.notes(), is(List.of((Note) new Note.Vow(1, 0))));
             assertThat(again.torn(), is(cut - whole));
-            again.ledger().write(List.of(new Note.Roof(9)));
+            again.ledger().write(List.of(new Note.Vow(9, 0)));
             again.ledger().close();
-            assertThat(open(folder).notes().getLast(), is(new Note.Roof(9)));
+            assertThat(open(folder).notes().getLast(), is(new Note.Vow(9, 0)));
         }
     }
 
     @Test
     void damageInTheMiddleIsRejected() throws IOException {
         final Ledger.Opened.Good first = open(folder);
-        first.ledger().write(List.of(new Note.Roof(1)));
+        first.ledger().write(List.of(new Note.Vow(1, 0)));
         first.ledger().write(List.of(new Note.Vow(2, 3)));
         first.ledger().close();
         final byte[] all = Files.readAllBytes(segment(1));
@@ -73,13 +73,13 @@
     @Test
     void aPictureFreesOldSegmentsAndKeepsWhatFollows() throws IOException {
         final Ledger.Opened.Good first = open(folder);
-        first.ledger().write(List.of(new Note.Roof(1)));
+        first.ledger().write(List.of(new Note.Vow(1, 0)));
         final Note.Picture picture = new Note.Picture(7, View.NONE, true, 0, 0, List.of(), 0, List.of());
-        first.ledger().write(List.of(picture, new Note.Roof(2)));
-        first.ledger().write(List.of(new Note.Roof(3)));
+        first.ledger().write(List.of(picture, new Note.Vow(2, 0)));
+        first.ledger().write(List.of(new Note.Vow(3, 0)));
         first.ledger().close();
         assertThat(Files.exists(segment(1)), is(false));
-        assertThat(open(folder).notes(), is(List.of(picture, new Note.Roof(2), new Note.Roof(3))));
+        assertThat(open(folder).notes(), is(List.of(picture, new Note.Vow(2, 0), new Note.Vow(3, 0))));
         Files.write(folder.resolve("picture-000000000002"), new byte[] {1, 2, 3});
         assertThat(Ledger.open(folder), instanceOf(Ledger.Opened.Damaged.class));
     }
--- /dev/null
+++ b/core/src/test/java/silverlatch/quay/QuayTest.java
@@ -0,0 +1,272 @@
+package silverlatch.quay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import silverlatch.deck.Effect;
+import silverlatch.ledger.Note;
+import silverlatch.tariff.Leaf;
+import silverlatch.tariff.Verdict;
+import silverlatch.tariff.Wish;
+import silverlatch.tide.Stamp;
+import silverlatch.wire.Msg;
+
+/** Three machines, a scripted operator, and a fake clock; messages go only where the script lets them. */
+final class QuayTest {
+    private static final List<String> SEATS = List.of("a", "b", "c");
+    private final Map<String, Quay> quays = new LinkedHashMap<>();
+    private final Map<String, List<Note>> disks = new LinkedHashMap<>();
+    private final Map<String, List<Effect.Keep>> unsynced = new LinkedHashMap<>();
+    private final Set<String> down = new TreeSet<>();
+    private final Set<String> stuck = new TreeSet<>();
+    private final List<Msg> told = new ArrayList<>();
+    private final Deque<Runnable> mail = new ArrayDeque<>();
+    private long now = 1_000_000;
+    private long stamp = 1_000;
+
+    private void start(final String seat, final String id) {
+        disks.putIfAbsent(seat, new ArrayList<>());
+        unsynced.put(seat, new ArrayList<>());
+        quays.put(seat, new Quay(Quay.Setup.of(new Berth(id, seat), SEATS), List.copyOf(disks.get(seat)), () -> new Stamp(++stamp), now));
+        down.remove(seat);
+    }
+
+    private void found() {
+        SEATS.forEach(s -> start(s, "id-" + s));
+        pass(3_000_000);
+    }
+
+    private void pass(final long span) {
+        final long end = now + span;
+        while (now < end) {
+            now += 50_000;
+            quays.forEach((s, q) -> {
+                if (!down.contains(s)) {
+                    q.tick(now);
+                }
+            });
+            pump();
+        }
+    }
+
+    private void pump() {
+        boolean more = true;
+        while (more) {
+            final int before = told.size();
+            quays.forEach((s, q) -> {
+                if (!down.contains(s)) {
+                    q.drain().forEach(e -> effect(s, q, e));
+                }
+            });
+            more = !mail.isEmpty() || told.size() > before;
+            for (int i = mail.size(); i > 0; i--) {
+                mail.poll().run();
+            }
+        }
+    }
+
+    private void effect(final String seat, final Quay q, final Effect e) {
+        switch (e) {
+            case Effect.Send s when s.to().equals("operator") -> told.add(s.body());
+            case Effect.Send s -> mail.add(() -> {
+                if (!down.contains(s.to()) && !down.contains(seat) && quays.containsKey(s.to())) {
+                    quays.get(s.to()).on(s.body(), seat, now);
+                }
+            });
+            case Effect.Keep k -> {
+                if (stuck.contains(seat)) {
+                    unsynced.get(seat).add(k);
+                } else {
+                    mail.add(() -> sync(seat, q, k));
+                }
+            }
+            default -> {
+            }
+        }
+    }
+
+    private void sync(final String seat, final Quay q, final Effect.Keep k) {
+        if (quays.get(seat) == q && !down.contains(seat)) {
+            k.notes().forEach(n -> {
+                if (n instanceof Note.Picture) {
+                    disks.get(seat).clear();
+                }
+                disks.get(seat).add(n);
+            });
+            q.kept(k.token(), now);
+        }
+    }
+
+    private void put(final String at, final String id, final long match) {
+        quays.get(at).on(new Msg.Write(1, "operator", new Wish.Table(id, List.of(silverlatch.tariff.Tariff.plain("*", id)), match)), "operator", now);
+        pump();
+    }
+
+    private Msg last() {
+        return told.getLast();
+    }
+
+    private Set<String> kinds(final String at) {
+        final Set<String> set = new TreeSet<>();
+        quays.get(at).books().part("r/").values().stream().filter(e -> !e.gone()).forEach(e -> set.add(((Leaf.Row) e.leaf().getFirst()).kind()));
+        return set;
+    }
+
+    @Test
+    void threeEmptyMachinesFoundOneChainAndAWriteIsOnAllOfThemBeforeItsAck() {
+        found();
+        assertThat(quays.get("a").view().chain().stream().map(Berth::address).toList(), is(SEATS));
+        put("a", "one", -1);
+        assertThat(((Msg.Wrote) last()).verdict(), instanceOf(Verdict.Kept.class));
+        SEATS.forEach(s -> assertThat(disks.get(s).stream().anyMatch(n -> n instanceof Note.Deed), is(true)));
+    }
+
+    @Test
+    void twoMachinesAloneFoundNothing() {
+        start("a", "id-a");
+        start("b", "id-b");
+        pass(5_000_000);
+        assertThat(quays.get("a").view().number(), is(0L));
+        assertThat(quays.get("b").view().number(), is(0L));
+    }
+
+    @Test
+    void aWriteThatDidNotReachTheTailIsNotAckedAndAHeadThatLosesItsDiskTakesItAlong() {
+        found();
+        stuck.add("a");
+        put("a", "gone", -1);
+        assertThat(told.isEmpty(), is(true));
+        down.add("a");
+        disks.get("a").clear();
+        pass(4_000_000);
+        stuck.clear();
+        put("b", "next", -1);
+        assertThat(((Msg.Wrote) last()).verdict(), instanceOf(Verdict.Kept.class));
+        start("a", "id-a2");
+        pass(12_000_000);
+        assertThat(quays.get("a").view().chain().size(), is(3));
+        assertThat(kinds("a"), is(Set.of("next")));
+        assertThat(quays.get("a").view().votes("id-a"), is(false));
+    }
+
+    @Test
+    void aHeadThatDiesBetweenSyncAndReplyLeavesItsChangeToTheNextHead() {
+        found();
+        put("a", "one", -1);
+        quays.get("a").on(new Msg.Write(2, "operator", new Wish.Table("two", List.of(silverlatch.tariff.Tariff.plain("*", "two")), -1)), "operator", now);
+        quays.get("a").drain().forEach(e -> effect("a", quays.get("a"), e));
+        for (int i = mail.size(); i > 0; i--) {
+            mail.poll().run();
+        }
+        quays.get("a").drain().forEach(e -> effect("a", quays.get("a"), e));
+        mail.poll().run();
+        down.add("a");
+        pass(5_000_000);
+        assertThat(kinds("b"), is(Set.of("two")));
+        assertThat(kinds("c"), is(Set.of("two")));
+    }
+
+    @Test
+    void ofTwoRacingChangesTheLoserIsToldTheWinnersSequence() {
+        found();
+        put("a", "base", -1);
+        final long match = ((Verdict.Kept) ((Msg.Wrote) last()).verdict()).sequence();
+        put("a", "win", match);
+        final long won = ((Verdict.Kept) ((Msg.Wrote) last()).verdict()).sequence();
+        put("a", "lose", match);
+        final Verdict.Rejected lost = (Verdict.Rejected) ((Msg.Wrote) last()).verdict();
+        assertThat(lost.code(), is(409));
+        assertThat(lost.sequence(), is(won));
+        assertThat(kinds("c"), is(Set.of("win")));
+    }
+
+    @Test
+    void aTailThatIsCutOffStopsReadingBeforeTheOthersGoOnWithoutIt() {
+        found();
+        put("a", "old", -1);
+        down.add("c");
+        boolean overlap = false;
+        for (int i = 0; i < 80; i++) {
+            now += 50_000;
+            quays.get("a").tick(now);
+            quays.get("b").tick(now);
+            pump();
+            final boolean reads = quays.get("c").state(now).leased();
+            final boolean moved = quays.get("a").view().number() > 1 || quays.get("b").view().number() > 1;
+            overlap |= reads && moved;
+        }
+        assertThat("the chain went on", quays.get("b").view().number() > 1, is(true));
+        assertThat("and the old tail read on", overlap, is(false));
+    }
+
+    @Test
+    void aRestartedMachineRemembersWhatItPromisedAndWhatItKept() {
+        found();
+        put("a", "one", -1);
+        SEATS.forEach(down::add);
+        SEATS.forEach(s -> start(s, "id-" + s));
+        pass(2_000_000);
+        SEATS.forEach(s -> assertThat(s, kinds(s), is(Set.of("one"))));
+        quays.get("b").on(new Msg.Prepare(2, 9 << 8), "operator", now);
+        pump();
+        assertThat(last(), instanceOf(Msg.Promise.class));
+        down.add("b");
+        start("b", "id-b");
+        quays.get("b").on(new Msg.Prepare(2, 8 << 8), "operator", now);
+        pump();
+        assertThat(last(), is(new Msg.Outbid(2, 9 << 8)));
+    }
+
+    @Test
+    void aChangeWithAStampThatIsNotAboveTheNewestIsRejected() {
+        found();
+        put("a", "one", -1);
+        stamp = 0;
+        put("a", "two", -1);
+        assertThat(((Verdict.Rejected) ((Msg.Wrote) last()).verdict()).code(), is(503));
+        assertThat(kinds("c"), is(Set.of("one")));
+    }
+
+    @Test
+    void aDutyOfAnOldHolderIsRejected() {
+        found();
+        quays.get("a").on(new Msg.Write(3, "operator", new Wish.Sweep("sweep-0", Long.MAX_VALUE, 0)), "operator", now);
+        pump();
+        assertThat(((Verdict.Rejected) ((Msg.Wrote) last()).verdict()).code(), is(409));
+    }
+
+    @Test
+    void aMachineThatLeavesNamesItsSuccessorAndTheChainGoesOn() {
+        found();
+        assertThat(quays.get("a").view().holder(), is("id-a"));
+        quays.get("a").leave();
+        pass(3_000_000);
+        assertThat(quays.get("b").view().holder(), is("id-b"));
+        assertThat(quays.get("b").view().place("id-a"), is(-1));
+    }
+
+    @Test
+    void aStalledDiskIsMendedOutAndComesBack() {
+        found();
+        stuck.add("b");
+        put("a", "slow", -1);
+        pass(5_000_000);
+        assertThat(quays.get("a").view().place("id-b"), is(-1));
+        assertThat(kinds("c"), is(Set.of("slow")));
+        stuck.clear();
+        unsynced.get("b").forEach(k -> sync("b", quays.get("b"), k));
+        pass(5_000_000);
+        assertThat(quays.get("a").view().place("id-b") >= 0, is(true));
+        assertThat(kinds("b"), is(Set.of("slow")));
+    }
+}
--- a/desk/src/main/java/silverlatch/desk/back/Back.java
+++ b/desk/src/main/java/silverlatch/desk/back/Back.java
@@ -1,6 +1,10 @@
 package silverlatch.desk.back;
 
+import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.net.URI;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SocketChannel;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +28,9 @@
 
     /** Where a worker's words go. */
     public interface Sink {
+        /** The worker said that it starts. */
+        void begun(long job);
+
         /** A line came. */
         void line(long job, Line line);
 
@@ -35,7 +42,7 @@
     public Back(final int line, final Sink sink) {
         this.line = line;
         this.sink = sink;
-        final ClientConnector connector = new ClientConnector();
+        final ClientConnector connector = new Abrupt();
         final QueuedThreadPool pool = new QueuedThreadPool(16, 2);
         pool.setName("back");
         pool.setDaemon(true);
@@ -67,6 +74,11 @@
         final Request request = http.newRequest(URI.create("http://" + r.address() + "/v1/runs")).method("POST")
                 .body(new StringRequestContent("application/json", body))
                 .onRequestBegin(q -> begun.set(true))
+                .onResponseHeaders(response -> {
+                    if (response.getStatus() == 200) {
+                        sink.begun(r.job());
+                    }
+                })
                 .onResponseContent((response, bytes) -> {
                     if (response.getStatus() == 200) {
                         lines.take(bytes);
@@ -88,6 +100,16 @@
         java.util.Optional.ofNullable(jobs.remove(job)).ifPresent(r -> r.abort(new java.util.concurrent.CancellationException("cut")));
     }
 
+    private static final class Abrupt extends ClientConnector {
+        @Override
+        protected void configure(final SelectableChannel channel) throws IOException {
+            super.configure(channel);
+            if (channel instanceof SocketChannel socket) {
+                socket.setOption(StandardSocketOptions.SO_LINGER, 0);
+            }
+        }
+    }
+
     /** A fault of the client. */
     public static final class BackFault extends Exception {
         /** What caused it. */
--- a/desk/src/main/java/silverlatch/desk/purser/Purser.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Purser.java
@@ -95,6 +95,11 @@
         }
     }
 
+    @Override
+    public void begun(final long job) {
+        post(() -> carry.begun(job));
+    }
+
     @Override
     public void line(final long job, final Line line) {
         post(() -> carry.line(job, line, Duty.now()));
--- a/desk/src/main/java/silverlatch/desk/settings/Settings.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Settings.java
@@ -66,7 +66,8 @@
                         s.whole("keep", 0, 600_000_000L, plain.keep()), (int) s.whole("buffer", 1_024, 64 << 20, plain.buffer()),
                         s.number("tries", plain.tries()), s.whole("shun", 0, 60_000_000L, plain.shun()),
                         s.whole("patience", 0, 600_000_000L, plain.patience()),
-                        s.whole("memory", 10_000_000L, 600_000_000L, plain.memory())),
+                        s.whole("memory", 10_000_000L, 600_000_000L, plain.memory()),
+                        s.whole("start", 100_000L, 60_000_000L, plain.start())),
                 (int) s.whole("body", 1_024, 16 << 20, 4 << 20), (int) s.whole("line", 1_024, 4 << 20, 256 << 10));
         faults.addAll(s.end());
         faults.addAll(Tariff.word("name", made.name()));
--- a/drill/src/main/java/silverlatch/drill/sim/Guards.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Guards.java
@@ -35,6 +35,6 @@
         final Carry.Setup p = Carry.Setup.PLAIN;
         final long never = Long.MAX_VALUE / 4;
         return new Carry.Setup(p.slab(), p.queue(), p.permit(), word ? p.word() : never, sure ? p.sure() : never, p.claim(), p.keep(),
-                p.buffer(), tries ? p.tries() : 100, p.shun(), p.patience(), p.memory());
+                p.buffer(), tries ? p.tries() : 100, p.shun(), p.patience(), p.memory(), p.start());
     }
 }
--- a/drill/src/main/java/silverlatch/drill/sim/Node.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Node.java
@@ -140,6 +140,8 @@
         base = world.engine().luck().nextLong(1_000_000_000_000L);
         rate = 1 + (world.engine().luck().nextDouble() - 0.5) * 1e-4;
         asked.clear();
+        final List<String> around = world.harbors().stream().map(Node::address).toList();
+        final List<String> seeds = around.stream().anyMatch(this.seeds::contains) ? this.seeds : around;
         final Member me = new Member(name, harbor() ? "harbor" : "purser", zone, region, address, address, wall() / 1000, 0, "up", false);
         final Optional<Quay.Setup> chain = disk.map(d -> {
             final Quay.Setup s = Quay.Setup.of(new Berth(d.identity(), address), seeds);
--- a/drill/src/main/java/silverlatch/drill/sim/Traveller.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Traveller.java
@@ -62,7 +62,12 @@
         }
         final Order o = new Order(person.secret(), person.name(), sort.kind(), prefix, prompt.length(), key, tries);
         world.net().bytes(place + ">" + n.name() + n.epoch() + this.hashCode(), place, n.name(), () -> n.call((c, t) -> c.pick(o, t, n.now()),
-                a -> back(n, a, () -> picked(n, a, hops)), t -> {
+                a -> {
+                    if (a instanceof Act.Picked p) {
+                        world.watch().shown(n.name(), p.page(), world.engine().now());
+                    }
+                    back(n, a, () -> picked(n, a, hops));
+                }, t -> {
                 }));
     }
 
@@ -72,7 +77,6 @@
         }
         switch (a) {
             case Act.Picked p -> {
-                world.watch().shown(n.name(), p.page(), world.engine().now());
                 ticket = p.ticket();
                 world.known(this, ticket, person, key, tries);
                 final long pause = world.engine().luck().nextInt(30) == 0 ? world.engine().luck().nextLong(3_000_000) : 0;
--- a/drill/src/main/java/silverlatch/drill/sim/World.java
+++ b/drill/src/main/java/silverlatch/drill/sim/World.java
@@ -300,6 +300,7 @@
                 net.bytes(lane + "<", m.name(), n.name(), () -> fail(n, r.job(), false, "not started"));
                 return;
             }
+            net.bytes(lane + "<", m.name(), n.name(), () -> n.carrying(c -> c.begun(r.job())));
             final Known k = known.getOrDefault(r.ticket(), new Known(people.getFirst(), "", 0));
             watch.started(r.ticket(), r.tenant(), k.key(), k.person().homes(), m.name(), m.zone(), m.region(), n.region(), page, engine.now());
             follow(n, m, r, over, life);
--- a/drill/src/main/java/silverlatch/drill/worker/Main.java
+++ b/drill/src/main/java/silverlatch/drill/worker/Main.java
@@ -125,6 +125,9 @@
         final List<Long> prefix = s.wholes("prefix", 64);
         note(Map.of("event", "start", "ticket", ticket, "run", run, "tenant", tenant, "kind", kind, "region", region, "worker", name,
                 "prompt", silverlatch.carry.permit.Seals.hash(prompt).substring(0, 12), "at", System.currentTimeMillis()));
+        c.stream("", false, () -> {
+        }, () -> {
+        });
         final Runnable job = () -> {
             running++;
             final long fresh = prefix.stream().filter(p -> !kept.containsKey(p)).count();
