--- a/drill/src/main/java/silverlatch/drill/fleet/Fleet.java
+++ b/drill/src/main/java/silverlatch/drill/fleet/Fleet.java
@@ -143,10 +143,16 @@
         }
     }
 
-    /** The reply of a daemon's door. */
+    /** The reply of a daemon's door to the operator. */
     public HttpResponse<String> ask(final String name, final String method, final String path, final String body) throws IOException, InterruptedException {
+        return as(OPERATOR, name, method, path, body);
+    }
+
+    /** The reply of a daemon's door to the bearer of a key. */
+    public HttpResponse<String> as(final String key, final String name, final String method, final String path, final String body)
+            throws IOException, InterruptedException {
         final HttpRequest r = HttpRequest.newBuilder(URI.create("http://" + door(name) + path)).timeout(Duration.ofSeconds(10))
-                .header("Authorization", "Bearer " + OPERATOR).header("Content-Type", "application/json")
+                .header("Authorization", "Bearer " + key).header("Content-Type", "application/json")
                 .method(method, body.isEmpty() ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body)).build();
         return http.send(r, HttpResponse.BodyHandlers.ofString());
     }
--- a/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
+++ b/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
@@ -68,7 +68,77 @@
             assertThat(fleet.ask("harbor-2", "PATCH", "/v1/table",
                     "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"field\":\"load\",\"value\":3}]}").statusCode(), is(200));
             assertThat(fleet.ask("harbor-3", "GET", "/v1/table", "").body(), containsString("\"load\":3"));
+            rejects(fleet);
+            tool(fleet);
             assertThat(fleet.stop("purser-1"), is(143));
+            assertThat(fleet.stop("harbor-1"), is(143));
+            assertThat("the chain goes on without the stopped harbor", fleet.until(() -> status(fleet, "harbor-2").contains("\"leased\":true"), 30), is(true));
+            assertThat(fleet.ask("harbor-2", "PUT", "/v1/zones/syros", "{\"empty\":true}").statusCode(), is(200));
         }
     }
+
+    private static String status(final Fleet fleet, final String name) {
+        try {
+            return fleet.ask(name, "GET", "/status", "").body();
+        } catch (final java.io.IOException e) {
+            return "";
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return "";
+        }
+    }
+
+    private static void says(final java.net.http.HttpResponse<String> reply, final int code, final String text) {
+        assertThat(reply.body(), reply.statusCode(), is(code));
+        assertThat(reply.body(), containsString(text));
+    }
+
+    private static void rejects(final Fleet fleet) throws Exception {
+        final String pick = "{\"tenant\":\"travellers\",\"kind\":\"fare\"}";
+        says(fleet.ask("purser-1", "POST", "/v1/picks", "{nonsense"), 400, "$: not JSON");
+        says(fleet.ask("purser-1", "POST", "/v1/picks", "[".repeat(40) + "]".repeat(40)), 422, "$: deeper than");
+        says(fleet.ask("purser-1", "POST", "/v1/picks", "{\"tenant\":7,\"kind\":\"fare\",\"prefix\":[1],\"odd\":1}"), 422, "$.tenant: a text is needed");
+        says(fleet.ask("purser-1", "POST", "/v1/picks", "{\"tenant\":\"t\",\"kind\":\"fare\",\"odd\":1}"), 422, "$.odd: unknown key");
+        says(fleet.ask("purser-1", "POST", "/v1/picks", pick), 401, "the tenant or its key is not known");
+        says(fleet.as("key-travellers", "purser-1", "POST", "/v1/picks", pick.replace("fare", "nothing")), 422, "$.kind: no kind nothing");
+        says(fleet.as("key-travellers", "purser-1", "POST", "/v1/picks", pick.replace("fare", "ruling")), 422, "$.key");
+        says(fleet.as("key-travellers", "purser-1", "POST", "/v1/picks", pick), 200, "picked");
+        says(fleet.as("key-travellers", "purser-1", "POST", "/v1/tickets", "{\"permit\":\"forged.forged\",\"prompt\":\"x\"}"), 403, "no seal of ours");
+        says(fleet.as("key-travellers", "purser-1", "GET", "/v1/tickets/someone-elses", ""), 404, "no such ticket");
+        says(fleet.as("key-travellers", "purser-1", "POST", "/v1/tickets", "{\"prompt\":\"" + "x".repeat(5 << 20) + "\"}"), 413, "larger than");
+        says(fleet.as("key-kiosks", "purser-1", "POST", "/v1/picks", pick.replace("travellers", "kiosks-rhodes")), 200, "pointed");
+        says(fleet.as("wrong", "harbor-1", "GET", "/v1/table", ""), 401, "operator's key");
+        says(fleet.ask("harbor-1", "PATCH", "/v1/table", "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"field\":\"rate\",\"value\":\"fast\"},"
+                + "{\"tenant\":\"nobody\",\"kind\":\"fare\",\"field\":\"load\",\"value\":1}]}"), 422, "$.cells[0]: rate takes a number, not fast");
+        says(fleet.ask("harbor-1", "PUT", "/v1/table", "{\"rows\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"rate\":-1,\"colour\":2}]}"), 422, "$.rows[0].colour: unknown key");
+        says(fleet.ask("harbor-1", "PUT", "/v1/zones/syros", "{}"), 422, "$.empty: missing");
+        says(fleet.ask("harbor-1", "GET", "/v1/changes/none-such", ""), 404, "absent");
+    }
+
+    private void tool(final Fleet fleet) throws Exception {
+        final Path out = folder.resolve("tool.out");
+        final String door = fleet.doors("harbor");
+        final List<String> start = List.of("--door", door, "--key", Fleet.OPERATOR);
+        assertThat(run(fleet, out, start, "table", "set", "*", "fare", "cross", "0.75"), is(0));
+        assertThat(run(fleet, out, start, "table", "get"), is(0));
+        assertThat(Files.readString(out), containsString("cross=0.75"));
+        assertThat(run(fleet, out, start, "--match", "1", "table", "set", "*", "fare", "cross", "0.5"), is(1));
+        assertThat(Files.readString(out), containsString("409"));
+        assertThat(run(fleet, out, start, "table", "twist"), is(2));
+        assertThat(run(fleet, out, List.of("--door", "127.0.0.1:1", "--key", "x"), "table", "get"), is(3));
+        assertThat(run(fleet, out, List.of("--help")), is(0));
+        assertThat(run(fleet, out, start, "drain", "syros"), is(0));
+        assertThat(run(fleet, out, start, "undrain", "syros"), is(0));
+        assertThat(fleet.run("silverlatch.desk.purser.Main", out, List.of("--name", "p", "--address", "nowhere", "--check")), is(2));
+        assertThat(Files.readString(out), containsString("address: an IP number and a port are needed"));
+        assertThat(Files.readString(out), containsString("key: at least 16 characters"));
+        assertThat(fleet.run("silverlatch.desk.harbor.Main", out, List.of("--settings", "../examples/ferry/settings.json", "--check")), is(0));
+        assertThat(fleet.run("silverlatch.desk.harbor.Main", out, List.of("--version")), is(0));
+    }
+
+    private static int run(final Fleet fleet, final Path out, final List<String> start, final String... words) throws Exception {
+        final List<String> all = new java.util.ArrayList<>(start);
+        all.addAll(List.of(words));
+        return fleet.run("silverlatch.desk.tool.Main", out, all);
+    }
 }
