--- /dev/null
+++ b/core/src/test/java/silverlatch/carry/CarryTest.java
@@ -0,0 +1,283 @@
+package silverlatch.carry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import silverlatch.carry.permit.Permit;
+import silverlatch.carry.permit.Seals;
+import silverlatch.crew.Member;
+import silverlatch.rumor.Rumor;
+import silverlatch.rumor.Worker;
+import silverlatch.tariff.Books;
+import silverlatch.tariff.Entry;
+import silverlatch.tariff.Leaf;
+import silverlatch.tariff.Tariff;
+import silverlatch.tariff.Verdict;
+import silverlatch.tide.Stamp;
+
+/** One purser with scripted consumers, workers and chain, on a fake clock. */
+final class CarryTest {
+    private static final Seals SEALS = new Seals("a-cluster-key-for-tests");
+    private static final Member ME = new Member("p1", "purser", "z1", "r1", "a", "d", 7, 0, "up", true);
+    private final Map<String, Entry> policy = new HashMap<>();
+    private final Map<String, Rumor.Heard> workers = new HashMap<>();
+    private final List<Act> acts = new ArrayList<>();
+    private long now = 100_000_000;
+    private long page = 1;
+    private long stamp = 1_000;
+    private long token;
+    private Carry carry = made(ME);
+
+    private Carry made(final Member me) {
+        tenant("one", List.of(), 1);
+        tenant("two", List.of(), 1);
+        row(Tariff.plain("*", "ask"));
+        worker("w1", "z1", "r1", 4);
+        return new Carry(Carry.Setup.PLAIN, SEALS, facts(me), () -> new Stamp(++stamp), new SplittableRandom(3));
+    }
+
+    private Facts facts(final Member me) {
+        return new Facts(me, page, Optional.of(now), policy, workers, List.of());
+    }
+
+    private void tenant(final String name, final List<String> homes, final double share) {
+        policy.put("t/" + name, new Entry("t/" + name, page, List.of(new Leaf.Tenant(name, homes, share, Seals.hash("key-" + name), "salt"))));
+    }
+
+    private void row(final Leaf.Row r) {
+        policy.put(Books.row(r.tenant(), r.kind()), new Entry(Books.row(r.tenant(), r.kind()), page, List.of(r)));
+    }
+
+    private void worker(final String id, final String zone, final String region, final int slots) {
+        workers.put(id, new Rumor.Heard(new Worker(id, id, zone, region, 1, now, 0, 0, slots, List.of(), false, 60_000_000), Optional.of(now)));
+    }
+
+    private void learn() {
+        workers.replaceAll((k, h) -> new Rumor.Heard(h.worker(), Optional.of(now)));
+        carry.facts(facts(ME), now);
+        gather();
+    }
+
+    private void gather() {
+        acts.addAll(carry.drain());
+    }
+
+    private <T extends Act> List<T> all(final Class<T> type) {
+        return acts.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    private Act.Picked pick(final String tenant, final String kind, final String key) {
+        carry.pick(new Order("key-" + tenant, tenant, kind, List.of(), 1, key, 0), ++token, now);
+        gather();
+        return all(Act.Picked.class).getLast();
+    }
+
+    private long hand(final String tenant, final String permit) {
+        carry.ticket(new Load("key-" + tenant, permit, List.of(), "3 hello", 20_000_000), ++token, now);
+        gather();
+        return token;
+    }
+
+    private Act.Rejected rejected(final long of) {
+        return all(Act.Rejected.class).stream().filter(r -> r.token() == of).findFirst().orElseThrow();
+    }
+
+    private Act.Run run() {
+        return all(Act.Run.class).getLast();
+    }
+
+    private Line.Seal seal(final Act.Run r, final String... texts) {
+        return new Line.Seal(r.worker(), r.ticket(), r.run(), texts.length, HexFormat.of().formatHex(
+                Seals.digest().digest(String.join("", texts).getBytes(java.nio.charset.StandardCharsets.UTF_8))));
+    }
+
+    private List<Line> flowed(final long of) {
+        return all(Act.Flow.class).stream().filter(f -> f.token() == of).flatMap(f -> f.lines().stream()).toList();
+    }
+
+    @Test
+    void aTicketRunsStreamsAndIsSealed() {
+        final long t = hand("one", pick("one", "ask", "").permit());
+        final Act.Run r = run();
+        carry.begun(r.job());
+        carry.line(r.job(), new Line.Piece(r.ticket(), r.run(), 0, "hi"), now);
+        gather();
+        carry.hungry(t);
+        carry.line(r.job(), seal(r, "hi"), now);
+        gather();
+        assertThat(flowed(t), is(List.of(new Line.Piece(r.ticket(), r.run(), 0, "hi"), seal(r, "hi"))));
+    }
+
+    @Test
+    void whatDoesNotFitEndsAsLostAndNeverWithASeal() {
+        final List<java.util.function.Function<Act.Run, Line>> wrongs = List.of(r -> new Line.Piece(r.ticket(), r.run(), 1, "b"),
+                r -> new Line.Piece(r.ticket() + "x", r.run(), 0, "b"), r -> new Line.Piece(r.ticket(), r.run() + "x", 0, "b"),
+                r -> seal(r, "more"), r -> new Line.Seal(r.worker(), r.ticket(), r.run(), 0, "00"));
+        for (final java.util.function.Function<Act.Run, Line> wrong : wrongs) {
+            final long t = hand("one", pick("one", "ask", "").permit());
+            carry.line(run().job(), wrong.apply(run()), now);
+            gather();
+            assertThat(flowed(t).getLast() instanceof Line.Lost, is(true));
+            assertThat(flowed(t).stream().anyMatch(l -> l instanceof Line.Seal), is(false));
+        }
+    }
+
+    @Test
+    void aForgedPermitIsRejectedAndALateCopyNeverRuns() {
+        final String permit = pick("one", "ask", "").permit();
+        assertThat(rejected(hand("one", permit.substring(0, permit.length() - 2) + "AA")).code(), is(403));
+        assertThat(rejected(hand("two", permit)).code(), is(401));
+        hand("one", permit);
+        final int runs = all(Act.Run.class).size();
+        assertThat(rejected(hand("one", permit)).code(), is(409));
+        now += 3_000_000;
+        learn();
+        assertThat(rejected(hand("one", permit)).code(), is(409));
+        final String old = SEALS.write(new Permit("t", "one", "ask", "w1", "p1", 6, 1, new Stamp(5), now + 1_000_000, ""));
+        assertThat(rejected(hand("one", old)).code(), is(410));
+        assertThat(all(Act.Run.class).size(), is(runs));
+    }
+
+    @Test
+    void aPickMadeBeforeADrainIsMadeAgainOrRejected() {
+        worker("w2", "z2", "r1", 4);
+        learn();
+        final Act.Picked p = pick("one", "ask", "");
+        final String zone = p.worker().equals("w1") ? "z1" : "z2";
+        final String other = p.worker().equals("w1") ? "w2" : "w1";
+        policy.put("z/" + zone, new Entry("z/" + zone, ++page, List.of(new Leaf.Drain(zone, true, new Stamp(++stamp)))));
+        if (zone.equals("z1")) {
+            carry.facts(new Facts(ME, page, Optional.of(now), policy, workers, List.of()), now);
+            assertThat(rejected(hand("one", p.permit())).why(), containsString("being emptied"));
+        } else {
+            learn();
+            hand("one", p.permit());
+            assertThat(run().worker(), is(other));
+        }
+    }
+
+    @Test
+    void anUnconfirmedTableIsNotActedOn() {
+        final String permit = pick("one", "ask", "").permit();
+        now += 1_900_000;
+        hand("one", permit);
+        assertThat(all(Act.Run.class).size(), is(1));
+        now += 200_000;
+        carry.pick(new Order("key-one", "one", "ask", List.of(), 1, "", 0), ++token, now);
+        gather();
+        assertThat(rejected(token).code(), is(503));
+        assertThat(rejected(token).after(), greaterThan(0L));
+    }
+
+    @Test
+    void aKeyIsClaimedBeforeTheWorkerIsAskedAndATakenOneNeverRuns() {
+        row(new Leaf.Row("*", "rule", 1, 1, 1, 1, 50, 100, 32, 64, 2_000_000, true, 9));
+        learn();
+        hand("one", pick("one", "rule", "k").permit());
+        assertThat(all(Act.Run.class).isEmpty(), is(true));
+        final long first = all(Act.Claim.class).getLast().job();
+        carry.verdict(first, new Verdict.Kept(5), now);
+        gather();
+        assertThat(all(Act.Run.class).size(), is(1));
+        final long t = hand("one", pick("one", "rule", "k").permit());
+        carry.verdict(all(Act.Claim.class).getLast().job(), new Verdict.Stands(new Leaf.Claim("x", "p1", "running", 0)), now);
+        gather();
+        assertThat(rejected(t).code(), is(409));
+        assertThat(rejected(t).stands(), containsString("running"));
+        final long u = hand("one", pick("one", "rule", "k2").permit());
+        carry.verdict(all(Act.Claim.class).getLast().job(), new Verdict.Unknown("id"), now);
+        gather();
+        assertThat(rejected(u).code(), is(503));
+        assertThat(all(Act.Run.class).size(), is(1));
+    }
+
+    @Test
+    void aSecondTryOnlyWhereTheFirstDidNotStartAndWithinTheBudget() {
+        int again = 0;
+        for (int i = 0; i < 60; i++) {
+            now += 1_100_000;
+            learn();
+            final long t = hand("one", pick("one", "ask", "").permit());
+            final int before = all(Act.Run.class).size();
+            carry.failed(run().job(), false, "denied", now);
+            now += 1_100_000;
+            learn();
+            carry.tick(now);
+            gather();
+            if (all(Act.Run.class).size() > before) {
+                again++;
+                carry.failed(run().job(), true, "broke", now);
+                gather();
+                assertThat(flowed(t).getLast() instanceof Line.Lost, is(true));
+            }
+        }
+        assertThat(again, greaterThan(2));
+        assertThat(again, lessThan(13));
+    }
+
+    @Test
+    void aGreedyTenantDoesNotStarveAnother() {
+        row(new Leaf.Row("*", "ask", 1, 1, 1, 1, 10_000, 10_000, 1_000, 1_000, 60_000_000, false, 1));
+        learn();
+        for (int i = 0; i < 100; i++) {
+            hand("one", pick("one", "ask", "").permit());
+        }
+        for (int i = 0; i < 10; i++) {
+            hand("two", pick("two", "ask", "").permit());
+        }
+        for (int i = 0; i < 24; i++) {
+            final Act.Run r = all(Act.Run.class).get(i);
+            carry.line(r.job(), seal(r), now);
+            now += 1_000;
+            learn();
+        }
+        final long two = all(Act.Run.class).stream().limit(28).filter(r -> r.tenant().equals("two")).count();
+        assertThat(two, is(10L));
+    }
+
+    @Test
+    void aConsumerThatMovedReadsOnFromItsPiece() {
+        final long t = hand("one", pick("one", "ask", "").permit());
+        final Act.Run r = run();
+        carry.line(r.job(), new Line.Piece(r.ticket(), r.run(), 0, "a"), now);
+        carry.left(t, now);
+        carry.line(r.job(), new Line.Piece(r.ticket(), r.run(), 1, "b"), now);
+        carry.attach(r.ticket(), "key-two", 1, ++token, now);
+        gather();
+        assertThat(rejected(token).code(), is(404));
+        carry.attach(r.ticket(), "key-one", 1, ++token, now);
+        gather();
+        assertThat(flowed(token), is(List.of((Line) new Line.Piece(r.ticket(), r.run(), 1, "b"))));
+    }
+
+    @Test
+    void aTicketGivenUpOnIsToldAtOnceWithATimeToComeBack() {
+        workers.clear();
+        carry.facts(facts(ME), now);
+        carry.pick(new Order("key-one", "one", "ask", List.of(), 1, "", 0), ++token, now);
+        gather();
+        assertThat(rejected(token).code(), is(503));
+        assertThat(rejected(token).after(), greaterThan(0L));
+    }
+
+    @Test
+    void aRunWithoutASignOfItsStartIsGivenUpAndCut() {
+        final long t = hand("one", pick("one", "ask", "").permit());
+        now += 1_100_000;
+        carry.tick(now);
+        gather();
+        assertThat(all(Act.Cut.class).getLast().job(), is(run().job()));
+        assertThat(flowed(t).getLast() instanceof Line.Lost, is(true));
+    }
+}
--- a/drill/src/main/java/silverlatch/drill/consumer/Main.java
+++ b/drill/src/main/java/silverlatch/drill/consumer/Main.java
@@ -142,6 +142,7 @@
         private String ticket = "";
         private String worker = "";
         private long table;
+        private long picked;
         private long next;
         private String run = "";
         private String fault = "";
@@ -185,6 +186,7 @@
                 }
                 ticket = s.text("ticket", 256);
                 table = s.whole("table", 0, Long.MAX_VALUE);
+                picked = System.currentTimeMillis();
                 hand(s.text("carrier", 64), s.text("permit", 4096));
             });
         }
@@ -267,6 +269,7 @@
             final Map<String, Object> map = new LinkedHashMap<>(Map.of("ticket", ticket, "tenant", tenant, "kind", kind, "key", key,
                     "outcome", outcome, "run", run, "worker", worker, "table", table, "pieces", next));
             map.put("prompt", Seals.hash(prompt).substring(0, 12));
+            map.put("picked", picked);
             map.put("why", s.has("faults") ? String.join("; ", s.texts("faults", 10, 500)) : "");
             synchronized (Main.this) {
                 book.println(Sheet.write(map));
--- a/drill/src/main/java/silverlatch/drill/fleet/Main.java
+++ b/drill/src/main/java/silverlatch/drill/fleet/Main.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import silverlatch.sheet.Sheet;
 
 /** Stands up a deployment, serves a mixed load for some seconds, changes a cell, and checks every reply. */
 public final class Main {
@@ -23,6 +24,26 @@
         System.exit(code);
     }
 
+    private static boolean obeyed(final Path receipts, final String changed, final long acked) throws Exception {
+        final long sequence = Sheet.parse(changed.getBytes(java.nio.charset.StandardCharsets.UTF_8), 4096) instanceof Sheet.Parsed.Good g
+                ? g.sheet().whole("sequence", 1, Long.MAX_VALUE) : Long.MAX_VALUE;
+        long under = 0;
+        long late = 0;
+        long first = Long.MAX_VALUE;
+        for (final String line : Files.readAllLines(receipts)) {
+            if (Sheet.parse(line.getBytes(java.nio.charset.StandardCharsets.UTF_8), 1 << 20) instanceof Sheet.Parsed.Good r
+                    && r.sheet().whole("picked", 0, Long.MAX_VALUE) > 0) {
+                final long at = r.sheet().whole("picked", 0, Long.MAX_VALUE);
+                final boolean fresh = r.sheet().whole("table", 0, Long.MAX_VALUE) >= sequence;
+                under += fresh ? 1 : 0;
+                late += !fresh && at > acked + 3_000 ? 1 : 0;
+                first = fresh ? Math.min(first, at - acked) : first;
+            }
+        }
+        System.out.println("picks under the changed table: " + under + ", the first " + first + " ms after its ack; picks under an older one 3 s after: " + late);
+        return under > 0 && late == 0;
+    }
+
     private static int drive(final Fleet fleet, final int seconds, final String rate) throws Exception {
         fleet.all("harbor");
         fleet.all("purser");
@@ -37,8 +58,10 @@
                 "--rate", rate, "--tenants", fleet.plan().people(), "--kinds", fleet.plan().sorts(), "--receipts", receipts.toString()));
         Thread.sleep(seconds * 500L);
         final String kind = fleet.plan().kinds().getFirst().kind();
-        System.out.println("cell changed: " + fleet.ask("harbor-2", "PATCH", "/v1/table", "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"" + kind
-                + "\",\"field\":\"cross\",\"value\":2}]}").body());
+        final String changed = fleet.ask("harbor-2", "PATCH", "/v1/table", "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"" + kind
+                + "\",\"field\":\"cross\",\"value\":2}]}").body();
+        final long acked = System.currentTimeMillis();
+        System.out.println("cell changed: " + changed);
         final int served = load.waitFor();
         System.out.print(Files.readString(out));
         final List<String> words = new ArrayList<>(List.of(receipts.toString(), fleet.plan().homes()));
@@ -46,6 +69,7 @@
         final Path checked = fleet.folder().resolve("check.out");
         final int right = fleet.run("silverlatch.drill.check.Main", checked, words);
         System.out.print(Files.readString(checked));
-        return served == 0 && right == 0 ? 0 : 1;
+        final boolean obeyed = obeyed(receipts, changed, acked);
+        return served == 0 && right == 0 && obeyed ? 0 : 1;
     }
 }
