--- a/core/src/main/java/silverlatch/carry/Act.java
+++ b/core/src/main/java/silverlatch/carry/Act.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import silverlatch.deck.Event;
+import silverlatch.judge.Case;
+import silverlatch.judge.Sight;
 import silverlatch.tariff.Wish;
 
 /** What carrying wants done in the world outside. */
@@ -47,6 +49,18 @@
     record Claim(long job, Wish wish, long span) implements Act {
     }
 
+    /** A placement as it was judged, for a recorded day: all that is needed to judge it again. */
+    record Judged(Case plea, List<Sight> sights, long seed, long page, long stamp, String worker) implements Act {
+        /** Copies the sights. */
+        public Judged {
+            sights = List.copyOf(sights);
+        }
+    }
+
+    /** How a ticket ended, for a recorded day. */
+    record Ended(String ticket, String state, String why) implements Act {
+    }
+
     /** A numbered event for the log. */
     record Log(Event event, String text) implements Act {
     }
--- a/core/src/main/java/silverlatch/carry/Carry.java
+++ b/core/src/main/java/silverlatch/carry/Carry.java
@@ -168,15 +168,16 @@
         final String ticket = facts.me().id() + "-" + Long.toString(facts.me().life(), 36) + "-" + Long.toString(++serial, 36)
                 + Long.toString(luck.nextLong() >>> 20, 36);
         final Case plea = plea(ticket, who.get(), row.get(), salted(who.get(), o.prefix()));
-        final Court.Ruling ruling = court.pick(plea, sights(now), luck);
+        final long stampOf = stamps.get().bits();
+        final Court.Ruling ruling = judged(plea, sights(now), stampOf);
         if (ruling instanceof Court.Ruling.Barred) {
-            tales.put(new Tales.Tale(ticket, o.tenant(), o.kind(), "", facts.page(), stamps.get().bits(), "rejected",
+            tales.put(new Tales.Tale(ticket, o.tenant(), o.kind(), "", facts.page(), stampOf, "rejected",
                     "no worker is allowed", 0, ruling.opinions()));
             no(token, 503, ticket, "no worker is allowed", SECOND, "");
             return;
         }
         final String worker = ruling instanceof Court.Ruling.Picked p ? p.worker().worker().id() : "";
-        final Stamp stamp = stamps.get();
+        final Stamp stamp = new Stamp(stampOf);
         final Permit permit = new Permit(ticket, o.tenant(), o.kind(), worker, facts.me().id(), facts.me().life(), facts.page(),
                 stamp, now + setup.permit(), o.key());
         tales.put(new Tales.Tale(ticket, o.tenant(), o.kind(), worker, facts.page(), stamp.bits(), "picked", "", 0, ruling.opinions()));
@@ -497,10 +498,21 @@
         if (wanted.isPresent() && t.permit.page() == facts.page()) {
             return new Court.Ruling.Picked(wanted.get(), List.of());
         }
-        final Court.Ruling ruling = court.pick(plea, all, luck);
+        final long stamp = stamps.get().bits();
+        final Court.Ruling ruling = judged(plea, all, stamp);
         if (ruling instanceof Court.Ruling.Picked p) {
             tales.put(new Tales.Tale(t.permit.ticket(), t.permit.tenant(), t.permit.kind(), p.worker().worker().id(), facts.page(),
-                    stamps.get().bits(), t.state, "", t.tries, ruling.opinions()));
+                    stamp, t.state, "", t.tries, ruling.opinions()));
+        }
+        return ruling;
+    }
+
+    private Court.Ruling judged(final Case plea, final List<Sight> all, final long stamp) {
+        final long seed = luck.nextLong() >>> 12;
+        final Court.Ruling ruling = court.pick(plea, all, new java.util.SplittableRandom(seed));
+        if (!(ruling instanceof Court.Ruling.Full)) {
+            out.add(new Act.Judged(plea, all, seed, facts.page(), stamp,
+                    ruling instanceof Court.Ruling.Picked p ? p.worker().worker().id() : ""));
         }
         return ruling;
     }
@@ -619,6 +631,7 @@
     private void finish(final Ticket t, final String event) {
         move(t, event);
         count(t.state);
+        out.add(new Act.Ended(t.permit.ticket(), t.state, t.why));
         jobs.remove(t.job);
         open.remove(t.permit.ticket());
         if (t.claimed) {
--- a/core/src/main/java/silverlatch/deck/Event.java
+++ b/core/src/main/java/silverlatch/deck/Event.java
@@ -71,7 +71,9 @@
     /** A worker is leaving. */
     WORKER_LEAVING(603, false),
     /** A worker broke the rules of the stream. */
-    WORKER_BROKE(604, true);
+    WORKER_BROKE(604, true),
+    /** The recording of the day can't be written; it ends here. */
+    RECORD_BROKEN(700, true);
 
     private final int number;
     private final boolean warning;
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/logbook/Pages.java
@@ -0,0 +1,194 @@
+package silverlatch.desk.logbook;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import silverlatch.carry.Act;
+import silverlatch.desk.harbor.Rows;
+import silverlatch.judge.Case;
+import silverlatch.judge.Sight;
+import silverlatch.rumor.Worker;
+import silverlatch.sheet.Sheet;
+import silverlatch.tariff.Leaf;
+import silverlatch.tariff.Tariff;
+
+/** The lines of a recorded day, both ways; no prompt is among them. */
+public final class Pages {
+    /** The first line of every recording. */
+    public static final String HEAD = "{\"silverlatch\":\"day\",\"format\":1}";
+    private static final int LINE = 4 << 20;
+    private static final long FAR = 1L << 50;
+
+    private Pages() {
+    }
+
+    /** What a recording held. */
+    public record Day(List<Act.Judged> judged, Map<String, String> ends) {
+        /** Copies the collections. */
+        public Day {
+            judged = List.copyOf(judged);
+            ends = Map.copyOf(ends);
+        }
+    }
+
+    /** What reading gave. */
+    public sealed interface Read {
+        /** A whole recording. */
+        record Good(Day day) implements Read {
+        }
+
+        /** The place of each fault. */
+        record Bad(List<String> faults) implements Read {
+            /** Copies the faults. */
+            public Bad {
+                faults = List.copyOf(faults);
+            }
+        }
+    }
+
+    /** A placement as a line. */
+    public static String write(final Act.Judged j) {
+        final Case c = j.plea();
+        final List<Map<String, Object>> sights = new ArrayList<>();
+        j.sights().forEach(s -> {
+            final Worker w = s.worker();
+            final Map<String, Object> map = new LinkedHashMap<>();
+            map.put("worker", w.id());
+            map.put("zone", w.zone());
+            map.put("region", w.region());
+            map.put("running", w.running());
+            map.put("queued", w.queued());
+            map.put("slots", w.slots());
+            map.put("kept", c.prefix().stream().filter(w.kept()::contains).toList());
+            map.put("leaving", w.leaving());
+            map.put("up", Math.min(FAR, w.up()));
+            map.put("age", Math.min(FAR, s.age()));
+            map.put("since", s.since());
+            map.put("mine", s.mine());
+            map.put("back", Math.clamp(s.back(), 0, FAR));
+            map.put("shunned", s.shunned());
+            map.put("peers", s.peers());
+            sights.add(map);
+        });
+        final Map<String, Object> map = new LinkedHashMap<>();
+        map.put("ticket", c.ticket());
+        map.put("tenant", c.tenant().name());
+        map.put("homes", c.tenant().homes());
+        map.put("row", Rows.write(c.row()));
+        map.put("prefix", c.prefix());
+        map.put("zone", c.zone());
+        map.put("region", c.region());
+        map.put("empty", c.empty().stream().sorted().toList());
+        map.put("page", j.page());
+        map.put("stamp", "" + j.stamp());
+        map.put("seed", j.seed());
+        map.put("picked", j.worker());
+        map.put("sights", sights);
+        return Sheet.write(Map.of("pick", map));
+    }
+
+    /** An end as a line. */
+    public static String write(final Act.Ended e) {
+        return Sheet.write(Map.of("end", Map.of("ticket", e.ticket(), "state", e.state(), "why", e.why())));
+    }
+
+    /** Reads recordings whole, or names the place of each fault. */
+    public static Read read(final List<Path> files) {
+        final List<String> faults = new ArrayList<>();
+        final List<Act.Judged> judged = new ArrayList<>();
+        final Map<String, String> ends = new HashMap<>();
+        for (final Path file : files) {
+            try {
+                final List<String> lines = Files.readAllLines(file, StandardCharsets.UTF_8);
+                if (lines.isEmpty() || !lines.getFirst().equals(HEAD)) {
+                    faults.add(file + ":1: not a recording of ours");
+                    continue;
+                }
+                for (int i = 1; i < lines.size() && faults.size() < 50; i++) {
+                    line(file + ":" + (i + 1) + ": ", lines.get(i), judged, ends, faults);
+                }
+            } catch (final IOException e) {
+                faults.add(file + ": can't be read: " + e.getMessage());
+            }
+        }
+        return faults.isEmpty() ? new Read.Good(new Day(judged, ends)) : new Read.Bad(faults);
+    }
+
+    private static void line(final String at, final String text, final List<Act.Judged> judged, final Map<String, String> ends,
+                             final List<String> faults) {
+        switch (Sheet.parse(text.getBytes(StandardCharsets.UTF_8), LINE)) {
+            case Sheet.Parsed.Bad bad -> faults.add(at + bad.why());
+            case Sheet.Parsed.Good good -> {
+                final Sheet s = good.sheet();
+                if (s.has("end")) {
+                    final Sheet e = s.sheet("end");
+                    ends.put(e.text("ticket", 256), e.text("state", 32));
+                    e.text("why", 4096, "");
+                    e.end();
+                } else {
+                    final Sheet p = s.sheet("pick");
+                    if (s.faults().isEmpty()) {
+                        judged.add(judged(p));
+                    }
+                }
+                s.end().forEach(f -> faults.add(at + f));
+            }
+        }
+    }
+
+    private static Act.Judged judged(final Sheet s) {
+        final Sheet r = s.sheet("row");
+        final Leaf.Row row = Rows.read(r);
+        r.end();
+        final List<Sight> sights = new ArrayList<>();
+        s.sheets("sights", 10_000).forEach(x -> {
+            final Worker w = new Worker(x.text("worker", 64), "", x.text("zone", 64), x.text("region", 64), 0, 0, (int) x.whole("running", 0, Integer.MAX_VALUE),
+                    (int) x.whole("queued", 0, Integer.MAX_VALUE), (int) x.whole("slots", 1, Integer.MAX_VALUE), x.wholes("kept", 4_096),
+                    x.flag("leaving", false), x.whole("up", 0, FAR));
+            sights.add(new Sight(w, x.whole("age", 0, FAR), (int) x.whole("since", 0, Integer.MAX_VALUE), (int) x.whole("mine", 0, Integer.MAX_VALUE),
+                    x.whole("back", 0, FAR), x.flag("shunned", false), (int) x.whole("peers", 1, Integer.MAX_VALUE)));
+            x.end();
+        });
+        final Leaf.Tenant who = new Leaf.Tenant(s.text("tenant", 64), s.texts("homes", 64, 64), 1, "", "");
+        final Case plea = new Case(s.text("ticket", 256), who, row, s.wholes("prefix", 64), s.text("zone", 64), s.text("region", 64),
+                Set.copyOf(s.texts("empty", 64, 64)));
+        final String stamp = s.text("stamp", 20);
+        final Act.Judged made = new Act.Judged(plea, sights, s.whole("seed", 0, Long.MAX_VALUE), s.whole("page", 0, Long.MAX_VALUE),
+                stamp.matches("\\d{1,19}") ? Long.parseLong(stamp) : 0, s.text("picked", 64));
+        s.end();
+        return made;
+    }
+
+    /** The rows of a table file by tenant and kind, or its faults. */
+    public static Map<String, Leaf.Row> table(final Path file, final List<String> faults) {
+        final Map<String, Leaf.Row> rows = new HashMap<>();
+        try {
+            switch (Sheet.parse(Files.readAllBytes(file), 64 << 20)) {
+                case Sheet.Parsed.Bad bad -> faults.add(file + ": " + bad.why());
+                case Sheet.Parsed.Good good -> {
+                    final Sheet s = good.sheet();
+                    s.whole("sequence", 0, Long.MAX_VALUE, 0);
+                    final List<Sheet> list = s.sheets("rows", 20_000);
+                    for (int i = 0; i < list.size(); i++) {
+                        final Leaf.Row row = Rows.read(list.get(i));
+                        list.get(i).end();
+                        final String at = file + ": $.rows[" + i + "].";
+                        Tariff.faults(row).forEach(f -> faults.add(at + f));
+                        rows.put(row.tenant() + "/" + row.kind(), row);
+                    }
+                    s.end().forEach(f -> faults.add(file + ": " + f));
+                }
+            }
+        } catch (final IOException e) {
+            faults.add(file + ": can't be read: " + e.getMessage());
+        }
+        return rows;
+    }
+}
--- a/desk/src/main/java/silverlatch/desk/purser/Purser.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Purser.java
@@ -27,6 +27,8 @@
 import silverlatch.desk.duty.Bridge;
 import silverlatch.desk.duty.Duty;
 import silverlatch.desk.duty.Logs;
+import silverlatch.desk.logbook.Pages;
+import silverlatch.desk.logbook.Recorder;
 import silverlatch.desk.settings.Settings;
 import silverlatch.desk.web.Call;
 import silverlatch.desk.web.Web;
@@ -46,6 +48,7 @@
     private final Web web;
     private final Back back;
     private final Bridge bridge;
+    private final Optional<Recorder> book;
     private final Duty duty;
     private final Map<Long, Call> calls = new ConcurrentHashMap<>();
     private final AtomicLong tokens = new AtomicLong();
@@ -63,10 +66,12 @@
         }, this::publish);
         this.web = new Web(settings.door(), settings.body(), this::route);
         this.back = new Back(settings.line(), this);
+        this.book = settings.record().map(Recorder::new);
     }
 
     /** Opens the doors. */
     public void start() throws IOException, Web.WebFault, Back.BackFault {
+        book.ifPresent(Recorder::start);
         back.start();
         dock.start();
         bridge.start();
@@ -148,6 +153,8 @@
                 case Act.Run r -> back.run(r);
                 case Act.Cut c -> back.cut(c.job());
                 case Act.Claim c -> bridge.wish(c.wish(), c.span(), v -> post(() -> carry.verdict(c.job(), (Verdict) v, Duty.now())));
+                case Act.Judged j -> book.ifPresent(b -> b.write(Pages.write(j)));
+                case Act.Ended e -> book.ifPresent(b -> b.write(Pages.write(e)));
                 case Act.Log l -> Logs.write(l.event(), l.text());
             }
         }
--- a/desk/src/main/java/silverlatch/desk/settings/Flags.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Flags.java
@@ -32,6 +32,8 @@
     private String seeds = "";
     @Option(name = "--data", metaVar = "FOLDER", usage = "the data folder (harbors only)")
     private String data = "";
+    @Option(name = "--record", metaVar = "FOLDER", usage = "record the day's placements into a folder (pursers only)")
+    private String record = "";
     @Option(name = "--check", usage = "check the settings and end")
     private boolean check;
     @Option(name = "--help", help = true, usage = "show this text and end")
@@ -88,7 +90,7 @@
 
     private Map<String, Object> over() {
         final Map<String, Object> map = new HashMap<>();
-        final Map<String, String> texts = Map.of("name", name, "zone", zone, "region", region, "address", address, "door", door, "data", data);
+        final Map<String, String> texts = Map.of("name", name, "zone", zone, "region", region, "address", address, "door", door, "data", data, "record", record);
         texts.forEach((k, v) -> {
             if (!v.isEmpty()) {
                 map.put(k, v);
--- a/desk/src/main/java/silverlatch/desk/settings/Settings.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Settings.java
@@ -13,7 +13,7 @@
 
 /** A process's place and limits, read from one JSON file and flags and checked as a whole; times in microseconds. */
 public record Settings(String name, String zone, String region, String address, String door, List<String> seeds,
-                       Optional<String> data, String key, String operator, int low, long skew, long grace, Carry.Setup carry,
+                       Optional<String> data, Optional<String> record, String key, String operator, int low, long skew, long grace, Carry.Setup carry,
                        int body, int line) {
     /** The largest settings file. */
     public static final int MOST = 64 << 10;
@@ -57,7 +57,8 @@
         final Carry.Setup plain = Carry.Setup.PLAIN;
         final String data = s.text("data", 4096, "");
         final Settings made = new Settings(s.text("name", 64), s.text("zone", 64), s.text("region", 64), s.text("address", 64),
-                s.text("door", 64), s.texts("seeds", 3, 64), data.isEmpty() ? Optional.empty() : Optional.of(data), s.text("key", 256),
+                s.text("door", 64), s.texts("seeds", 3, 64), data.isEmpty() ? Optional.empty() : Optional.of(data),
+                Optional.of(s.text("record", 4096, "")).filter(r -> !r.isEmpty()), s.text("key", 256),
                 s.text("operator", 256), (int) s.whole("low", 1, 30, 7), s.whole("skew", 0, 10_000_000L, 50_000L),
                 s.whole("grace", 0, 600_000_000L, 5_000_000L),
                 new Carry.Setup((int) s.whole("slab", 1, 1_000_000, plain.slab()), (int) s.whole("queue", 1, 1_000_000, plain.queue()),
@@ -88,6 +89,9 @@
         if (!harbor && made.data().isPresent()) {
             faults.add("data: a purser keeps no data folder");
         }
+        if (harbor && made.record().isPresent()) {
+            faults.add("record: a harbor has no day to record");
+        }
         if (!(made.carry().tries() >= 0 && made.carry().tries() <= 0.2)) {
             faults.add("tries: not within 0 and 0.2");
         }
--- a/drill/src/main/java/silverlatch/drill/fleet/Fleet.java
+++ b/drill/src/main/java/silverlatch/drill/fleet/Fleet.java
@@ -234,6 +234,8 @@
                 "--zone", r.zone(), "--region", r.region(), "--address", address, "--door", door));
         if (!data.toString().isEmpty()) {
             args.addAll(List.of("--data", data.toString()));
+        } else {
+            args.addAll(List.of("--record", folder.resolve(name + ".day").toString()));
         }
         parts.put(name, new Part(name, main, args, address, door, new ArrayList<>()));
     }
--- a/drill/src/main/java/silverlatch/drill/sim/Node.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Node.java
@@ -417,6 +417,8 @@
                     wish(c.wish(), c.span(), v -> carry.ifPresent(x -> x.verdict(c.job(), (Verdict) v, now())));
                 }
             }
+            case Act.Judged j -> world.watch().count("judged");
+            case Act.Ended e -> world.watch().count("ended-" + e.state());
             case Act.Log l -> {
                 logs.merge(l.event(), 1L, Long::sum);
                 world.log(this, new Effect.Log(l.event(), l.text()));
--- a/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
+++ b/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
@@ -68,6 +68,7 @@
             assertThat(fleet.ask("harbor-2", "PATCH", "/v1/table",
                     "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"field\":\"load\",\"value\":3}]}").statusCode(), is(200));
             assertThat(fleet.ask("harbor-3", "GET", "/v1/table", "").body(), containsString("\"load\":3"));
+            book(fleet);
             rejects(fleet);
             tool(fleet);
             assertThat(fleet.stop("purser-1"), is(143));
@@ -88,6 +89,23 @@
         }
     }
 
+    private void book(final Fleet fleet) throws Exception {
+        final Path out = folder.resolve("logbook.out");
+        final Path day = fleet.folder().resolve("purser-1.day").resolve("day-0.jsonl");
+        assertThat(fleet.run("silverlatch.desk.logbook.Main", out, List.of(day.toString())), is(0));
+        assertThat(Files.readString(out), containsString(", 0 changed"));
+        final Path other = folder.resolve("other.json");
+        Files.writeString(other, Files.readString(fleet.plan().table()).replaceAll("\"load\": [0-9.]+", "\"load\": 0")
+                .replaceAll("\"cross\": [0-9.]+", "\"cross\": 900"));
+        assertThat(fleet.run("silverlatch.desk.logbook.Main", out, List.of("--table", other.toString(), day.toString())), is(0));
+        assertThat(Files.readString(out), containsString(" -> "));
+        Files.writeString(other, Files.readString(day) + "{\"pick\":{\"ticket\":7}}\n{odd\n");
+        assertThat(fleet.run("silverlatch.desk.logbook.Main", out, List.of(other.toString())), is(2));
+        assertThat(Files.readString(out), containsString("$.pick.ticket: a text is needed"));
+        assertThat(fleet.run("silverlatch.desk.logbook.Main", out, List.of(fleet.plan().table().toString())), is(2));
+        assertThat(Files.readString(out), containsString("not a recording of ours"));
+    }
+
     private static void says(final java.net.http.HttpResponse<String> reply, final int code, final String text) {
         assertThat(reply.body(), reply.statusCode(), is(code));
         assertThat(reply.body(), containsString(text));
