Keep the ring between changes of the crew

Cause: every daemon sorted the ring for each member at each clock event, n log n times n; at 200 daemons the spread measurement did not end in 280 s (a stack sample of it stood in Crew.watchers). Conclusion: watched and watchers are neighbours on one cached ring.

--- a/core/src/main/java/silverlatch/crew/Crew.java
+++ b/core/src/main/java/silverlatch/crew/Crew.java
@@ -24,6 +24,7 @@
     private final List<Effect> out = new ArrayList<>();
     private final List<Member> news = new ArrayList<>();
     private Member me;
+    private List<Member> ring = List.of();
     private long beatAt;
     private long hailAt;
     private boolean doubt;
@@ -120,7 +121,7 @@
         }
         final Member old = members.get(word.id());
         if (old == null || word.beats(old)) {
-            members.put(word.id(), word);
+            put(word);
             since.put(word.id(), now);
             news.add(word);
             if (old == null || !old.state().equals(word.state())) {
@@ -158,11 +159,10 @@
         return list;
     }
 
-    /** Those who watch a daemon: the next live ones on the ring. */
+    /** Those who watch a live daemon: the next live ones on the ring. */
     public List<Member> watchers(final String id) {
-        final List<Member> ring = members.values().stream().filter(m -> m.live() || m.id().equals(id))
-                .sorted(Comparator.comparingLong((Member m) -> place(m.id())).thenComparing(Member::id)).toList();
-        final int at = ring.stream().map(Member::id).toList().indexOf(id);
+        final List<Member> ring = ring();
+        final int at = spot(ring, id);
         final List<Member> list = new ArrayList<>();
         for (int i = 1; i < ring.size() && list.size() < WATCHERS; i++) {
             list.add(ring.get((at + i) % ring.size()));
@@ -170,9 +170,40 @@
         return list;
     }
 
+    private List<Member> ring() {
+        if (ring.isEmpty()) {
+            ring = members.values().stream().filter(Member::live)
+                    .sorted(Comparator.comparingLong((Member m) -> place(m.id())).thenComparing(Member::id)).toList();
+        }
+        return ring;
+    }
+
+    private static int spot(final List<Member> ring, final String id) {
+        for (int i = 0; i < ring.size(); i++) {
+            if (ring.get(i).id().equals(id)) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private List<Member> watched() {
+        final List<Member> ring = ring();
+        final int at = spot(ring, me.id());
+        final List<Member> list = new ArrayList<>();
+        for (int i = 1; at >= 0 && i < ring.size() && list.size() < WATCHERS; i++) {
+            list.add(ring.get(Math.floorMod(at - i, ring.size())));
+        }
+        return list;
+    }
+
+    private void put(final Member m) {
+        members.put(m.id(), m);
+        ring = List.of();
+    }
+
     private void look(final long now) {
-        final List<Member> watched = members.values().stream().filter(m -> m.live() && !m.id().equals(me.id()))
-                .filter(m -> watchers(m.id()).stream().anyMatch(w -> w.id().equals(me.id()))).toList();
+        final List<Member> watched = watched();
         watched.forEach(m -> beats.putIfAbsent(m.id(), now));
         beats.keySet().retainAll(watched.stream().map(Member::id).toList());
         final List<Member> missing = watched.stream().filter(m -> now - beats.get(m.id()) > times.miss()).toList();
@@ -197,7 +228,7 @@
 
     private void mine(final Member next) {
         me = next;
-        members.put(me.id(), me);
+        put(me);
         news.add(me);
     }
 
