Keep rejections in the chain, so that a copy that comes late finds them

The first head let it in; the next one, its clock still off after a restart, said rejected (503) before it looked whether the change was already there. Likewise a 422 could turn out otherwise for a late copy. Ruled out: a fall back of the chain (all members held the change), the overlay (its id was in it). Now a head that can't take a change says nothing, and a rejection that could change is a write itself.

--- a/core/src/main/java/silverlatch/quay/Quay.java
+++ b/core/src/main/java/silverlatch/quay/Quay.java
@@ -19,6 +19,7 @@
 import silverlatch.ledger.Note;
 import silverlatch.tariff.Books;
 import silverlatch.tariff.Entry;
+import silverlatch.tariff.Leaf;
 import silverlatch.tariff.Verdict;
 import silverlatch.tariff.Wish;
 import silverlatch.tide.Stamp;
@@ -620,17 +621,8 @@
         if (!chained() || !level || view.place(setup.me().id()) != 0) {
             return;
         }
-        if (view.chain().size() < setup.copies()) {
-            reject(m, 503, "fewer than " + setup.copies() + " copies can be synced");
-            return;
-        }
-        if (pend.size() >= PENDING) {
-            reject(m, 503, "too many changes wait");
-            return;
-        }
         final Stamp stamp = stamps.get();
-        if (stamp.bits() <= roof) {
-            reject(m, 503, "the clock here is behind the newest change");
+        if (view.chain().size() < setup.copies() || pend.size() >= PENDING || stamp.bits() <= roof) {
             return;
         }
         if (m.wish() instanceof Wish.Sweep s && s.fence() != view.number()) {
@@ -639,7 +631,10 @@
         }
         switch (books.judge(m.wish(), overlay, last + 1, stamp)) {
             case Books.Judged.Over over -> {
-                if (over.verdict() instanceof Verdict.Kept k && k.sequence() > books.sequence()) {
+                final Optional<Entry> early = Optional.ofNullable(overlay.get("o/" + m.wish().id()));
+                if (early.isPresent()) {
+                    waits.computeIfAbsent(early.get().sequence(), s -> new ArrayList<>()).add(m);
+                } else if (over.verdict() instanceof Verdict.Kept k && k.sequence() > books.sequence()) {
                     waits.computeIfAbsent(k.sequence(), s -> new ArrayList<>()).add(m);
                 } else {
                     if (over.verdict() instanceof Verdict.Rejected r) {
@@ -750,8 +745,7 @@
             if (c.puts().stream().anyMatch(Entry::policy)) {
                 log(Event.CHANGED, "sequence " + c.sequence() + " view " + c.view() + " stamp " + c.stamp().bits());
             }
-            Optional.ofNullable(waits.remove(c.sequence())).ifPresent(l -> l.forEach(w ->
-                    send(w.home(), new Msg.Wrote(w.ask(), new Verdict.Kept(c.sequence())))));
+            Optional.ofNullable(waits.remove(c.sequence())).ifPresent(l -> l.forEach(w -> decided(w, c.sequence())));
             if (entries > RECENT || recent.size() > 10_000) {
                 for (int i = 0; i < 2_000 && recent.size() > 1; i++) {
                     entries -= recent.poll().puts().size();
@@ -762,6 +756,16 @@
         }
     }
 
+    private void decided(final Msg.Write w, final long sequence) {
+        final Optional<Leaf.Deed> deed = books.get("o/" + w.wish().id()).map(e -> (Leaf.Deed) e.leaf().getFirst());
+        final Verdict verdict = deed.filter(d -> d.code() != 0)
+                .map(d -> (Verdict) new Verdict.Rejected(d.code(), d.faults(), d.sequence())).orElse(new Verdict.Kept(sequence));
+        if (verdict instanceof Verdict.Rejected r) {
+            log(Event.CHANGE_REJECTED, w.wish().id() + " " + r.code());
+        }
+        send(w.home(), new Msg.Wrote(w.ask(), verdict));
+    }
+
     private void picture(final LongConsumer then) {
         final List<Note> notes = new ArrayList<>();
         notes.add(new Note.Picture(books.sequence(), view, level, promised, nodded, nod.stream().toList(), roof, books.all()));
--- a/core/src/main/java/silverlatch/tariff/Books.java
+++ b/core/src/main/java/silverlatch/tariff/Books.java
@@ -112,16 +112,25 @@
     }
 
     /**
-     * Judges a wish: either the entries it writes at the given sequence, or a verdict that it is rejected.
+     * Judges a wish: either the entries it writes at the given sequence, or a verdict. A rejection that could turn out
+     * otherwise later is written too, so that a copy of the wish that comes late finds it.
      * The overlay holds what was let in but is not applied yet.
      */
     public Judged judge(final Wish wish, final Map<String, Entry> overlay, final long seq, final Stamp stamp) {
         final Map<String, Entry> seen = new HashMap<>(overlay);
         final Look look = new Look(seen);
         final Optional<Entry> done = look.at("o/" + wish.id());
-        if (done.isPresent()) {
-            return new Judged.Over(new Verdict.Kept(done.get().sequence()));
+        if (done.isPresent() && done.get().leaf().getFirst() instanceof Leaf.Deed d) {
+            return new Judged.Over(d.code() == 0 ? new Verdict.Kept(done.get().sequence())
+                    : new Verdict.Rejected(d.code(), d.faults(), d.sequence()));
         }
+        final Judged judged = judged(wish, look, seq, stamp);
+        final boolean lasting = wish instanceof Wish.Hold || wish instanceof Wish.End || wish instanceof Wish.Sweep;
+        return judged instanceof Judged.Over over && over.verdict() instanceof Verdict.Rejected r && r.code() != 409 && !lasting
+                ? let(look, List.of(), wish.id(), seq, new Leaf.Deed(r.sequence(), r.code(), r.faults())) : judged;
+    }
+
+    private Judged judged(final Wish wish, final Look look, final long seq, final Stamp stamp) {
         return switch (wish) {
             case Wish.Cells w -> cells(w, look, seq);
             case Wish.Table w -> table(w, look, seq);
@@ -246,8 +255,12 @@
     }
 
     private Judged let(final Look look, final List<Entry> puts, final String id, final long seq) {
+        return let(look, puts, id, seq, new Leaf.Deed(seq, 0, List.of()));
+    }
+
+    private Judged let(final Look look, final List<Entry> puts, final String id, final long seq, final Leaf.Deed deed) {
         final List<Entry> all = new ArrayList<>(puts);
-        all.add(new Entry("o/" + id, seq, List.of(new Leaf.Deed(seq))));
+        all.add(new Entry("o/" + id, seq, List.of(deed)));
         final SortedMap<String, Entry> deeds = part("o/");
         if (deeds.size() >= DEEDS) {
             deeds.values().stream().min(java.util.Comparator.comparingLong(Entry::sequence))
--- a/core/src/main/java/silverlatch/tariff/Leaf.java
+++ b/core/src/main/java/silverlatch/tariff/Leaf.java
@@ -26,7 +26,11 @@
     record Claim(String ticket, String carrier, String state, long at) implements Leaf {
     }
 
-    /** A change that took effect, by its id. */
-    record Deed(long sequence) implements Leaf {
+    /** How a change was decided, by its id: kept when the code is 0, else rejected with its faults. */
+    record Deed(long sequence, int code, List<String> faults) implements Leaf {
+        /** Copies the faults. */
+        public Deed {
+            faults = List.copyOf(faults);
+        }
     }
 }
--- a/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
@@ -172,8 +172,10 @@
     private void change(final Call c, final String id) {
         read(c, "o/" + id, p -> {
             final Optional<silverlatch.tariff.Entry> e = p.entries().stream().filter(x -> x.key().equals("o/" + id)).findFirst();
-            c.reply(e.isPresent() ? 200 : 404, e.isPresent() ? Map.of("outcome", "kept", "sequence", e.get().sequence())
-                    : Map.of("outcome", "absent", "faults", List.of("no such change took effect")));
+            final Optional<Leaf.Deed> deed = e.map(x -> (Leaf.Deed) x.leaf().getFirst());
+            c.reply(deed.isPresent() ? 200 : 404, deed.isEmpty() ? Map.of("outcome", "absent", "faults", List.of("no such change took effect"))
+                    : deed.get().code() == 0 ? Map.of("outcome", "kept", "sequence", deed.get().sequence())
+                    : Map.of("outcome", "rejected", "code", deed.get().code(), "faults", deed.get().faults()));
         });
     }
 
--- a/drill/src/main/java/silverlatch/drill/measure/Main.java
+++ b/drill/src/main/java/silverlatch/drill/measure/Main.java
@@ -4,7 +4,7 @@
 import silverlatch.drill.fleet.Plan;
 import silverlatch.drill.sim.Measure;
 
-/** Takes the figures of docs/measure.md: bits, spread, mend or disk. */
+/** Takes the figures of docs/measure.md: bits, spread, mend, crowd or disk. */
 public final class Main {
     private Main() {
     }
@@ -16,6 +16,7 @@
             case "bits" -> Bits.run(seed, 10);
             case "spread" -> Measure.spread(Plan.read(Path.of(args[0])), seed);
             case "mend" -> Measure.mend(Plan.read(Path.of(args[0])), seed);
+            case "crowd" -> Measure.crowd(Plan.read(Path.of(args[0])), seed);
             case "disk" -> Disks.run();
             default -> System.exit(2);
         }
--- a/drill/src/main/java/silverlatch/drill/sim/Measure.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Measure.java
@@ -65,6 +65,41 @@
         }
     }
 
+    /** What is served under a crowd, by kind and by tenant. */
+    public static void crowd(final Plan plan, final long seed) {
+        System.out.println("| tickets a second | kind | sent | done | key taken | first piece ms median/p95 | prefix kept | crossings |");
+        System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
+        for (final long rate : new long[] {60, 400, 800, 1600}) {
+            final World w = new World(plan, seed, rate, Guards.ALL, false);
+            w.open();
+            w.engine().run(w.engine().now() + 15 * SECOND);
+            w.hush();
+            w.engine().run(w.engine().now() + 14 * SECOND);
+            final double runs = Math.max(1, w.watch().tally().getOrDefault("runs", 0L));
+            for (final Plan.Kind k : plan.kinds()) {
+                final List<Long> firsts = w.watch().firsts(k.kind());
+                final long sent = w.watch().kinds().entrySet().stream().filter(e -> e.getKey().startsWith(k.kind() + " ")).mapToLong(e -> e.getValue()).sum();
+                System.out.printf("| %d | %s | %d | %d | %d | %s | %.1f %% | %.1f %% |%n", rate, k.kind(), sent, firsts.size(),
+                        k.once() ? w.watch().tally().getOrDefault("stands", 0L) : 0L,
+                        firsts.isEmpty() ? "-" : firsts.get(firsts.size() / 2) / 1000 + "/" + firsts.get(firsts.size() * 95 / 100) / 1000,
+                        100 * w.watch().tally().getOrDefault("prefixKept", 0L) / runs, 100 * w.watch().tally().getOrDefault("crossings", 0L) / runs);
+            }
+        }
+        System.out.println("| tenant, the first sending ten times as much at 800 a second | sent | done |");
+        System.out.println("| --- | --- | --- |");
+        final World w = new World(plan, seed, 800, Guards.ALL, false);
+        w.open();
+        w.greedy(10);
+        w.engine().run(w.engine().now() + 15 * SECOND);
+        w.hush();
+        w.engine().run(w.engine().now() + 14 * SECOND);
+        for (final Plan.Tenant t : plan.tenants()) {
+            final String start = "tenant " + t.name() + " ";
+            System.out.println("| " + t.name() + " | " + w.watch().kinds().entrySet().stream().filter(e -> e.getKey().startsWith(start))
+                    .mapToLong(e -> e.getValue()).sum() + " | " + w.watch().kinds().getOrDefault(start + "done", 0L) + " |");
+        }
+    }
+
     /** How long writes stop when a member of the chain dies, and what is served with a region gone. */
     public static void mend(final Plan plan, final long seed) {
         System.out.println("| lost | first ack after, ms min/median/max of 12 |");
--- a/drill/src/main/java/silverlatch/drill/sim/Traveller.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Traveller.java
@@ -32,6 +32,8 @@
     private boolean over;
     private boolean sealed;
     private long leg;
+    private long begun;
+    private long first;
 
     Traveller(final World world, final World.Person person, final World.Sort sort, final String key, final String place, final int tries,
               final String prompt, final List<String> prefix, final boolean roams) {
@@ -47,6 +49,7 @@
     }
 
     void go() {
+        begun = world.engine().now();
         world.engine().in(PATIENCE, () -> end("cut"));
         pick(world.some(world.pursers()), 0);
     }
@@ -199,6 +202,7 @@
             case Line.Piece p -> {
                 if (next == 0) {
                     run = p.run();
+                    first = world.engine().now();
                 }
                 if (sealed) {
                     world.watch().stream(ticket, "a piece after the seal");
@@ -230,6 +234,7 @@
             return;
         }
         over = true;
+        world.watch().kind(sort.kind(), person.name(), outcome, first - begun);
         if (outcome.equals("cut")) {
             carrier.filter(Node::alive).ifPresent(n -> n.hangUp(number));
         }
--- a/drill/src/main/java/silverlatch/drill/sim/Watch.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Watch.java
@@ -27,6 +27,8 @@
     private final Map<Long, String> matches = new HashMap<>();
     private final List<long[]> acks = new ArrayList<>();
     private final List<Long> good = new ArrayList<>();
+    private final Map<String, Long> kinds = new TreeMap<>();
+    private final Map<String, List<Long>> firsts = new TreeMap<>();
     private long acked;
     private long first;
     private long again;
@@ -56,6 +58,9 @@
     public void started(final String ticket, final String tenant, final String key, final List<String> homes, final String worker,
                         final String zone, final String region, final String carrier, final long page, final long at) {
         count("runs");
+        if (!carrier.equals(region)) {
+            count("crossings");
+        }
         final List<Start> list = starts.computeIfAbsent(ticket, k -> new ArrayList<>());
         list.add(new Start(worker, region, at));
         if (list.size() > 1) {
@@ -207,6 +212,25 @@
         fault("STAMP " + what);
     }
 
+    /** How a ticket of a kind and tenant ended, and when its first piece came. */
+    public void kind(final String kind, final String tenant, final String outcome, final long first) {
+        kinds.merge(kind + " " + outcome, 1L, Long::sum);
+        kinds.merge("tenant " + tenant + " " + outcome, 1L, Long::sum);
+        if (outcome.equals("done")) {
+            firsts.computeIfAbsent(kind, k -> new ArrayList<>()).add(first);
+        }
+    }
+
+    /** Ends by kind and by tenant. */
+    public Map<String, Long> kinds() {
+        return Map.copyOf(kinds);
+    }
+
+    /** Microseconds to the first piece, of a kind's tickets that were done, in order. */
+    public List<Long> firsts(final String kind) {
+        return firsts.getOrDefault(kind, List.of()).stream().sorted().toList();
+    }
+
     /** How many tickets were done between two times. */
     public long done(final long from, final long to) {
         return good.stream().filter(t -> t >= from && t < to).count();
--- a/drill/src/main/java/silverlatch/drill/sim/World.java
+++ b/drill/src/main/java/silverlatch/drill/sim/World.java
@@ -366,6 +366,13 @@
         return new Leaf.Row("*", s.kind(), s.prefix() > 8 ? 3 : 1, r.load(), r.cold(), r.cross(), rate, 2_000, 400, 600, 3_000_000, s.once(), s.once() ? 9 : 1);
     }
 
+    /** One tenant sends so many times as much as each other. */
+    void greedy(final int times) {
+        for (int i = 1; i < times; i++) {
+            people.add(people.getFirst());
+        }
+    }
+
     private void arrive() {
         if (quiet) {
             return;
