Let announcements and runs bear the workers' key

Cause: anyone who reached a purser's door could announce a worker and be sent prompts. Both ways now bear a key of their own; secrets are compared without telling by time; a purser's status needs the operator's key; an error inside a duty ends the process instead of leaving it without a thread. FleetTest: 401 without the keys, explain and status through the command.

--- a/core/src/main/java/silverlatch/carry/Carry.java
+++ b/core/src/main/java/silverlatch/carry/Carry.java
@@ -134,8 +134,7 @@
     public void pick(final Order o, final long token, final long now) {
         count("picks");
         final Optional<Leaf.Tenant> who = facts.tenant(o.tenant());
-        if (who.isEmpty() || !MessageDigest.isEqual(Seals.hash(o.secret()).getBytes(java.nio.charset.StandardCharsets.UTF_8),
-                who.get().hash().getBytes(java.nio.charset.StandardCharsets.UTF_8))) {
+        if (who.isEmpty() || !Seals.same(Seals.hash(o.secret()), who.get().hash())) {
             final Optional<String> why = unready(now);
             no(token, why.isPresent() ? 503 : 401, "", why.orElse("the tenant or its key is not known"), why.isPresent() ? SECOND : 0, "");
             return;
@@ -195,7 +194,7 @@
         }
         final Permit p = read.get();
         final Optional<Leaf.Tenant> who = facts.tenant(p.tenant());
-        if (who.map(w -> !w.hash().equals(Seals.hash(l.secret()))).orElse(true)) {
+        if (who.map(w -> !Seals.same(w.hash(), Seals.hash(l.secret()))).orElse(true)) {
             no(token, 401, "", "the tenant or its key is not known", 0, "");
             return;
         }
@@ -258,7 +257,7 @@
     public void attach(final String ticket, final String secret, final long from, final long token, final long now) {
         final Optional<Ticket> found = Optional.ofNullable(open.get(ticket)).flatMap(slab::get)
                 .or(() -> ended.stream().map(Ended::ticket).filter(t -> t.permit.ticket().equals(ticket)).findFirst())
-                .filter(t -> t.tenant.hash().equals(Seals.hash(secret)));
+                .filter(t -> Seals.same(t.tenant.hash(), Seals.hash(secret)));
         if (found.isEmpty() || from < 0 || from > found.get().lines.size()) {
             no(token, 404, "", "no such ticket or piece", 0, "");
             return;
--- a/core/src/main/java/silverlatch/carry/permit/Seals.java
+++ b/core/src/main/java/silverlatch/carry/permit/Seals.java
@@ -48,6 +48,11 @@
         }
     }
 
+    /** Whether two secrets are the same, without telling by time where they differ. */
+    public static boolean same(final String one, final String other) {
+        return MessageDigest.isEqual(one.getBytes(StandardCharsets.UTF_8), other.getBytes(StandardCharsets.UTF_8));
+    }
+
     /** SHA-256 of a text in hexadecimal digits. */
     public static String hash(final String text) {
         return HexFormat.of().formatHex(digest().digest(text.getBytes(StandardCharsets.UTF_8)));
--- a/core/src/main/java/silverlatch/rumor/Rumor.java
+++ b/core/src/main/java/silverlatch/rumor/Rumor.java
@@ -21,6 +21,7 @@
  */
 public final class Rumor {
     private static final int FEW = 3;
+    private static final int MOST = 4_096;
     private static final long FORGET = 60_000_000L;
     private final Times times;
     private final Crew crew;
@@ -158,6 +159,7 @@
             some(roots, 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
         }
         workers.values().removeIf(h -> h.age(now) > FORGET && h.asOf().isPresent());
+        echoes.keySet().retainAll(workers.keySet());
     }
 
     /** What is to be done; it is handed over once. */
@@ -254,6 +256,9 @@
 
     private void take(final Worker word, final Optional<Long> asOf, final long now) {
         final Optional<Heard> old = Optional.ofNullable(workers.get(word.id()));
+        if (old.isEmpty() && workers.size() >= MOST) {
+            return;
+        }
         if (old.map(h -> word.after(h.worker())).orElse(true)) {
             final boolean same = old.map(h -> h.worker().life() == word.life()).orElse(false);
             final boolean left = old.map(h -> h.worker().leaving()).orElse(false) && same;
--- a/desk/src/main/java/silverlatch/desk/back/Back.java
+++ b/desk/src/main/java/silverlatch/desk/back/Back.java
@@ -23,6 +23,7 @@
 public final class Back {
     private final HttpClient http;
     private final int line;
+    private final String key;
     private final Sink sink;
     private final Map<Long, Request> jobs = new ConcurrentHashMap<>();
 
@@ -39,8 +40,9 @@
     }
 
     /** A client for workers. */
-    public Back(final int line, final Sink sink) {
+    public Back(final int line, final String key, final Sink sink) {
         this.line = line;
+        this.key = key;
         this.sink = sink;
         final ClientConnector connector = new Abrupt();
         final QueuedThreadPool pool = new QueuedThreadPool(16, 2);
@@ -72,6 +74,7 @@
         final String body = Sheet.write(Map.of("ticket", r.ticket(), "run", r.run(), "tenant", r.tenant(), "kind", r.kind(),
                 "prefix", r.prefix(), "prompt", r.prompt()));
         final Request request = http.newRequest(URI.create("http://" + r.address() + "/v1/runs")).method("POST")
+                .headers(h -> h.put("Authorization", "Bearer " + key))
                 .body(new StringRequestContent("application/json", body))
                 .onRequestBegin(q -> begun.set(true))
                 .onResponseHeaders(response -> {
--- a/desk/src/main/java/silverlatch/desk/duty/Duty.java
+++ b/desk/src/main/java/silverlatch/desk/duty/Duty.java
@@ -68,6 +68,9 @@
                 return;
             } catch (final RuntimeException e) {
                 Logs.write(Event.FAULT, thread.getName(), e);
+            } catch (final Error e) {
+                Logs.write(Event.FAULT, thread.getName() + " ends the process", e);
+                Runtime.getRuntime().halt(3);
             }
         }
     }
--- a/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
@@ -147,7 +147,7 @@
             case "GET /ready" -> c.reply(unready.isEmpty() ? 200 : 503, Map.of("ready", unready.isEmpty(), "why", unready.orElse("")));
             case "GET /metrics" -> metrics(c);
             default -> {
-                if (!c.secret().equals(settings.operator())) {
+                if (!Seals.same(c.secret(), settings.operator())) {
                     no(c, 401, "the operator's key is needed");
                 } else {
                     order(c, at);
--- a/desk/src/main/java/silverlatch/desk/purser/Purser.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Purser.java
@@ -19,6 +19,7 @@
 import silverlatch.carry.Load;
 import silverlatch.carry.Order;
 import silverlatch.carry.Tales;
+import silverlatch.carry.permit.Seals;
 import silverlatch.deck.Deck;
 import silverlatch.deck.Event;
 import silverlatch.desk.back.Back;
@@ -65,7 +66,7 @@
         this.bridge = new Bridge(deck, dock::ship, k -> {
         }, this::publish);
         this.web = new Web(settings.door(), settings.body(), this::route);
-        this.back = new Back(settings.line(), this);
+        this.back = new Back(settings.line(), settings.worker(), this);
         this.book = settings.record().map(Recorder::new);
     }
 
@@ -267,6 +268,10 @@
     }
 
     private void announce(final Call c) {
+        if (!Seals.same(c.secret(), settings.worker())) {
+            c.reply(401, Map.of("outcome", "rejected", "faults", List.of("the workers' key is needed")));
+            return;
+        }
         sheet(c).ifPresent(s -> {
             final Worker w = new Worker(s.text("worker", 64), s.text("address", 64), s.text("zone", 64), s.text("region", 64),
                     s.whole("life", 0, Long.MAX_VALUE), s.whole("sequence", 0, Long.MAX_VALUE), (int) s.whole("running", 0, 1_000_000, 0),
@@ -287,7 +292,7 @@
     }
 
     private boolean operator(final Call c) {
-        final boolean good = c.secret().equals(settings.operator());
+        final boolean good = Seals.same(c.secret(), settings.operator());
         if (!good) {
             c.reply(401, Map.of("outcome", "rejected", "faults", List.of("the operator's key is needed")));
         }
@@ -316,6 +321,9 @@
     }
 
     private void status(final Call c) {
+        if (!operator(c)) {
+            return;
+        }
         bridge.with(d -> {
             final long now = Duty.now();
             final Map<String, Object> map = new TreeMap<>();
--- a/desk/src/main/java/silverlatch/desk/settings/Settings.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Settings.java
@@ -13,7 +13,7 @@
 
 /** A process's place and limits, read from one JSON file and flags and checked as a whole; times in microseconds. */
 public record Settings(String name, String zone, String region, String address, String door, List<String> seeds,
-                       Optional<String> data, Optional<String> record, String key, String operator, int low, long skew, long grace, Carry.Setup carry,
+                       Optional<String> data, Optional<String> record, String key, String operator, String worker, int low, long skew, long grace, Carry.Setup carry,
                        int body, int line) {
     /** The largest settings file. */
     public static final int MOST = 64 << 10;
@@ -59,7 +59,7 @@
         final Settings made = new Settings(s.text("name", 64), s.text("zone", 64), s.text("region", 64), s.text("address", 64),
                 s.text("door", 64), s.texts("seeds", 3, 64), data.isEmpty() ? Optional.empty() : Optional.of(data),
                 Optional.of(s.text("record", 4096, "")).filter(r -> !r.isEmpty()), s.text("key", 256),
-                s.text("operator", 256), (int) s.whole("low", 1, 30, 7), s.whole("skew", 0, 10_000_000L, 50_000L),
+                s.text("operator", 256), s.text("worker", 256), (int) s.whole("low", 1, 30, 7), s.whole("skew", 0, 10_000_000L, 50_000L),
                 s.whole("grace", 0, 600_000_000L, 5_000_000L),
                 new Carry.Setup((int) s.whole("slab", 1, 1_000_000, plain.slab()), (int) s.whole("queue", 1, 1_000_000, plain.queue()),
                         s.whole("permit", 100_000, 10_000_000, plain.permit()), s.whole("word", 500_000, 2_500_000, plain.word()),
@@ -86,6 +86,9 @@
         if (made.operator().length() < 8) {
             faults.add("operator: at least 8 characters are needed");
         }
+        if (made.worker().length() < 8) {
+            faults.add("worker: at least 8 characters are needed");
+        }
         if (!harbor && made.data().isPresent()) {
             faults.add("data: a purser keeps no data folder");
         }
--- a/desk/src/test/java/silverlatch/desk/settings/SettingsTest.java
+++ b/desk/src/test/java/silverlatch/desk/settings/SettingsTest.java
@@ -25,7 +25,7 @@
                 + "\"seeds\":[\"10.0.0.1:1\",\"10.0.0.1:1\",\"10.0.0.1:2\"],\"key\":\"short\",\"operator\":\"long-enough\",\"low\":99,\"colour\":1}");
         final Settings.Read.Bad bad = (Settings.Read.Bad) Settings.read(Optional.of(file.toString()), Map.of(), true);
         assertThat(bad.faults().stream().map(f -> f.substring(0, f.indexOf(':'))).toList(),
-                containsInAnyOrder("$.low", "$.colour", "name", "address", "seeds", "key"));
+                containsInAnyOrder("$.low", "$.colour", "$.worker", "worker", "name", "address", "seeds", "key"));
     }
 
     @Test
--- a/drill/src/main/java/silverlatch/drill/fleet/Fleet.java
+++ b/drill/src/main/java/silverlatch/drill/fleet/Fleet.java
@@ -21,6 +21,7 @@
 public final class Fleet implements AutoCloseable {
     /** The operator's key of a drill. */
     public static final String OPERATOR = "drill-operator-key";
+    private static final String WORKERS = "drill-workers-key";
     private final Path folder;
     private final Plan plan;
     private final String classes;
@@ -43,7 +44,7 @@
             seeds.add(free());
         }
         Files.writeString(folder.resolve("settings.json"), Sheet.write(Map.of("seeds", seeds, "key", "drill-cluster-key-of-this-fleet",
-                "operator", OPERATOR, "grace", 3_000_000)));
+                "operator", OPERATOR, "worker", WORKERS, "grace", 3_000_000)));
         int n = 0;
         for (final Plan.Region r : plan.regions()) {
             n++;
@@ -66,7 +67,7 @@
                 final String door = free();
                 final String name = "worker-" + ++n;
                 parts.put(name, new Part(name, "silverlatch.drill.worker.Main", List.of("--name", name, "--zone", r.zone(), "--region", r.region(),
-                        "--door", door, "--pursers", String.join(",", near), "--record", folder.resolve(name + ".runs").toString()),
+                        "--door", door, "--pursers", String.join(",", near), "--key", WORKERS, "--record", folder.resolve(name + ".runs").toString()),
                         "", door, new ArrayList<>()));
             }
         }
--- a/drill/src/main/java/silverlatch/drill/worker/Main.java
+++ b/drill/src/main/java/silverlatch/drill/worker/Main.java
@@ -43,6 +43,8 @@
     private String pursers = "";
     @Option(name = "--record", required = true, usage = "the file of runs")
     private String record = "";
+    @Option(name = "--key", required = true, usage = "the workers' key")
+    private String key = "";
     @Option(name = "--slots")
     private int slots = 16;
     @Option(name = "--piece", usage = "microseconds for a piece")
@@ -108,6 +110,10 @@
     }
 
     private void take(final Call c) {
+        if (!c.secret().equals(key)) {
+            c.reply(401, Map.of("faults", List.of("the workers' key is needed")), Map.of("X-Started", "no"));
+            return;
+        }
         if (!(Sheet.parse(c.body(), 4 << 20) instanceof Sheet.Parsed.Good good)) {
             c.reply(400, Map.of("faults", List.of("not JSON")), Map.of("X-Started", "no"));
             return;
@@ -201,6 +207,7 @@
             word.put("up", Duty.now() - began);
             word.put("echo", echoes.getOrDefault(p, 0L));
             http.newRequest(URI.create("http://" + p + "/v1/announcements")).method("POST")
+                    .headers(h -> h.put("Authorization", "Bearer " + key))
                     .body(new StringRequestContent("application/json", Sheet.write(word))).timeout(2, TimeUnit.SECONDS)
                     .send(new org.eclipse.jetty.client.BufferingResponseListener() {
                         @Override
--- a/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
+++ b/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
@@ -137,6 +137,8 @@
         says(fleet.as("key-travellers", "purser-1", "GET", "/v1/tickets/someone-elses", ""), 404, "no such ticket");
         says(fleet.as("key-travellers", "purser-1", "POST", "/v1/tickets", "{\"prompt\":\"" + "x".repeat(5 << 20) + "\"}"), 413, "larger than");
         says(fleet.as("key-kiosks", "purser-1", "POST", "/v1/picks", pick.replace("travellers", "kiosks-rhodes")), 200, "pointed");
+        says(fleet.as("wrong", "purser-1", "POST", "/v1/announcements", "{}"), 401, "workers' key");
+        says(fleet.as("wrong", "purser-1", "GET", "/status", ""), 401, "operator's key");
         says(fleet.as("wrong", "harbor-1", "GET", "/v1/table", ""), 401, "operator's key");
         says(fleet.ask("harbor-1", "PATCH", "/v1/table", "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"field\":\"rate\",\"value\":\"fast\"},"
                 + "{\"tenant\":\"nobody\",\"kind\":\"fare\",\"field\":\"load\",\"value\":1}]}"), 422, "$.cells[0]: rate takes a number, not fast");
@@ -154,6 +156,13 @@
         assertThat(Files.readString(out), containsString("cross=0.75"));
         assertThat(run(fleet, out, start, "--match", "1", "table", "set", "*", "fare", "cross", "0.5"), is(1));
         assertThat(Files.readString(out), containsString("409"));
+        final String ticket = Files.readAllLines(folder.resolve("receipts")).stream().filter(r -> r.contains("\"done\"") && r.contains("\"purser-1-"))
+                .map(r -> r.replaceAll(".*\"ticket\":\"([^\"]*)\".*", "$1")).findFirst().orElseThrow();
+        assertThat(run(fleet, out, List.of("--door", fleet.door("purser-1"), "--key", Fleet.OPERATOR), "explain", ticket), is(0));
+        assertThat(Files.readString(out), containsString("judge=prefix"));
+        assertThat(Files.readString(out), containsString("state: done"));
+        assertThat(run(fleet, out, start, "status"), is(0));
+        assertThat(Files.readString(out), containsString("leased: true"));
         assertThat(run(fleet, out, start, "table", "twist"), is(2));
         assertThat(run(fleet, out, List.of("--door", "127.0.0.1:1", "--key", "x"), "table", "get"), is(3));
         assertThat(run(fleet, out, List.of("--help")), is(0));
