Keep two copies in the chain when machines leave in good order

Cause: tried as a new user would, stopping all harbors one after another left a chain of the last one; had it not come back, what the others held would have been out of reach. A machine that leaves is now taken out only while two copies (the setting for an ack) remain. Before: QuayTest's new case failed (nothing could be read with the last disk lost).

--- a/core/src/main/java/silverlatch/quay/Quay.java
+++ b/core/src/main/java/silverlatch/quay/Quay.java
@@ -207,9 +207,9 @@
         quit = true;
     }
 
-    /** Whether the chain goes on without this machine. */
+    /** Whether the chain goes on without this machine, or would have too few copies if it did. */
     public boolean gone() {
-        return view.place(setup.me().id()) < 0;
+        return view.place(setup.me().id()) < 0 || view.chain().size() <= setup.copies();
     }
 
     /** A clock event, a few each lease. */
@@ -537,7 +537,7 @@
         final long number = view.number() + 1;
         for (final Berth b : view.chain()) {
             final boolean me = b.id().equals(setup.me().id());
-            if (me ? quit && view.chain().size() > 1 : missed(b.id(), now, setup.suspect())) {
+            if (me ? quit && view.chain().size() > setup.copies() : missed(b.id(), now, setup.suspect())) {
                 final List<Berth> chain = view.chain().stream().filter(c -> !c.equals(b)).toList();
                 final String holder = view.holder().equals(b.id()) ? chain.getFirst().id() : view.holder();
                 return Optional.of(new View(number, view.fleet(), view.voters(), chain, holder));
--- a/core/src/test/java/silverlatch/quay/QuayTest.java
+++ b/core/src/test/java/silverlatch/quay/QuayTest.java
@@ -272,6 +272,25 @@
         assertThat(quays.get("b").view().place("id-a"), is(-1));
     }
 
+    @Test
+    void machinesThatAllLeaveKeepTwoCopiesInTheChain() {
+        found();
+        put("a", "one", -1);
+        for (final String s : SEATS) {
+            quays.get(s).leave();
+            pass(3_000_000);
+            assertThat(s, quays.get(s).gone(), is(true));
+            down.add(s);
+        }
+        disks.get("c").clear();
+        start("b", "id-b");
+        start("a", "id-a");
+        start("c", "id-c2");
+        pass(15_000_000);
+        assertThat(kinds("b"), is(Set.of("one")));
+        assertThat(quays.get("b").view().chain().size(), is(3));
+    }
+
     @Test
     void aStalledDiskIsMendedOutAndComesBack() {
         found();
--- a/drill/src/main/java/silverlatch/drill/sim/Fault.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Fault.java
@@ -143,6 +143,31 @@
             w.engine().in(span, n::start);
         }
     },
+    /** A harbor is asked to stop, and comes back. */
+    HARBOR_STOPPED {
+        @Override
+        void hit(final World w, final long span) {
+            final Node n = w.some(w.harbors());
+            w.tell("stop " + n.name());
+            n.stop();
+            w.engine().in(span + 5_000_000, n::start);
+        }
+    },
+    /** Everything is asked to stop, one after another, and comes back. */
+    ALL_STOPPED {
+        @Override
+        void hit(final World w, final long span) {
+            w.tell("stop every daemon");
+            final List<Node> all = new ArrayList<>(w.harbors());
+            all.addAll(w.pursers());
+            long at = 0;
+            for (final Node n : all) {
+                w.engine().in(at, n::stop);
+                w.engine().in(at + 20_000_000, n::start);
+                at += 1_000_000;
+            }
+        }
+    },
     /** A harbor loses its power and its disk, and starts with an empty one. */
     HARBOR_WIPED {
         @Override
