Let no run leave later than its due time, however long the process slept

Cause: ages were checked as a run was decided, but a process frozen between that and the socket would send it on waking. The run now carries a due time, looked at as its first byte would leave. Ruled out: the core (it checks again at dispatch) and the announcements (their echo dates them).

--- a/core/src/main/java/silverlatch/carry/Act.java
+++ b/core/src/main/java/silverlatch/carry/Act.java
@@ -32,8 +32,8 @@
         }
     }
 
-    /** Ask a worker to run. */
-    record Run(long job, String worker, String address, String ticket, String run, String tenant, String kind,
+    /** Ask a worker to run, if no byte of it would leave after the due time of the monotonic clock. */
+    record Run(long job, long due, String worker, String address, String ticket, String run, String tenant, String kind,
                List<Long> prefix, String prompt) implements Act {
         /** Copies the prefix. */
         public Run {
--- a/core/src/main/java/silverlatch/carry/Carry.java
+++ b/core/src/main/java/silverlatch/carry/Carry.java
@@ -549,7 +549,7 @@
             count("extra");
         }
         final Worker x = w.get().worker();
-        out.add(new Act.Run(t.job, x.id(), x.address(), t.permit.ticket(), t.run, t.permit.tenant(), t.permit.kind(), t.prefix, t.prompt));
+        out.add(new Act.Run(t.job, now + setup.start(), x.id(), x.address(), t.permit.ticket(), t.run, t.permit.tenant(), t.permit.kind(), t.prefix, t.prompt));
     }
 
     private boolean allowed(final Ticket t, final Leaf.Tenant who, final Leaf.Row row, final Rumor.Heard h, final long now) {
--- a/desk/src/main/java/silverlatch/desk/back/Back.java
+++ b/desk/src/main/java/silverlatch/desk/back/Back.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -17,6 +18,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import silverlatch.carry.Act;
 import silverlatch.carry.Line;
+import silverlatch.desk.duty.Duty;
 import silverlatch.sheet.Sheet;
 
 /** Asks workers to run, by Jetty's client. */
@@ -76,7 +78,13 @@
         final Request request = http.newRequest(URI.create("http://" + r.address() + "/v1/runs")).method("POST")
                 .headers(h -> h.put("Authorization", "Bearer " + key))
                 .body(new StringRequestContent("application/json", body))
-                .onRequestBegin(q -> begun.set(true))
+                .onRequestBegin(q -> {
+                    if (Duty.now() > r.due()) {
+                        q.abort(new TimeoutException("it would leave too late"));
+                    } else {
+                        begun.set(true);
+                    }
+                })
                 .onResponseHeaders(response -> {
                     if (response.getStatus() == 200) {
                         sink.begun(r.job());
