--- a/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
+++ b/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
@@ -73,6 +73,7 @@
             assertThat(fleet.ask("harbor-3", "GET", "/v1/table", "").body(), containsString("\"load\":3"));
             book(fleet);
             rejects(fleet);
+            large(fleet);
             tool(fleet);
             assertThat(fleet.stop("purser-1"), is(143));
             assertThat(fleet.stop("harbor-1"), is(143));
@@ -118,6 +119,25 @@
         assertThat(Files.readString(out), containsString("not a recording of ours"));
     }
 
+    private static void large(final Fleet fleet) throws Exception {
+        final String was = fleet.ask("harbor-1", "GET", "/v1/table", "").body();
+        final StringBuilder rows = new StringBuilder(was.substring(0, was.lastIndexOf(']')));
+        for (int i = 0; i < 15_000; i++) {
+            rows.append(",{\"tenant\":\"*\",\"kind\":\"kind-").append(i).append("\"}");
+        }
+        says(fleet.ask("harbor-2", "PUT", "/v1/table", rows + "]}"), 200, "kept");
+        final java.net.http.HttpResponse<String> back = fleet.ask("harbor-3", "GET", "/v1/table", "");
+        assertThat(back.body().split("\"kind\":").length, is(15_000 + 3 + 1));
+        assertThat("the pursers know the large table", fleet.until(() -> fleet.names("purser").stream().allMatch(p ->
+                body(fleet, p, "/status").contains("\"table\":" + back.headers().firstValue("ETag").orElse("").replace("\"", "") + ",")), 60), is(true));
+        says(fleet.as("key-travellers", "purser-1", "POST", "/v1/picks", "{\"tenant\":\"travellers\",\"kind\":\"kind-14999\"}"), 200, "picked");
+        for (int i = 0; i < 6_000; i++) {
+            rows.append(",{\"tenant\":\"*\",\"kind\":\"more-").append(i).append("\"}");
+        }
+        says(fleet.ask("harbor-2", "PUT", "/v1/table", rows + "]}"), 422, "$.rows: at most");
+        says(fleet.ask("harbor-2", "PUT", "/v1/table", was), 200, "kept");
+    }
+
     private static void says(final java.net.http.HttpResponse<String> reply, final int code, final String text) {
         assertThat(reply.body(), reply.statusCode(), is(code));
         assertThat(reply.body(), containsString(text));
