--- a/core/src/test/java/silverlatch/carry/CarryTest.java
+++ b/core/src/test/java/silverlatch/carry/CarryTest.java
@@ -226,6 +226,24 @@
         assertThat(again, lessThan(13));
     }
 
+    @Test
+    void overTheRateIsToldAtOnceAndTheRateComesBack() {
+        row(new Leaf.Row("one", "ask", 1, 1, 1, 1, 2, 3, 32, 64, 2_000_000, false, 1));
+        learn();
+        for (int i = 0; i < 4; i++) {
+            carry.pick(new Order("key-one", "one", "ask", List.of(), 1, "", 0), ++token, now);
+            gather();
+        }
+        assertThat(all(Act.Picked.class).size(), is(3));
+        assertThat(rejected(token).code(), is(429));
+        assertThat(rejected(token).after(), greaterThan(0L));
+        now += 600_000;
+        learn();
+        carry.pick(new Order("key-one", "one", "ask", List.of(), 1, "", 0), ++token, now);
+        gather();
+        assertThat(all(Act.Picked.class).size(), is(4));
+    }
+
     @Test
     void aGreedyTenantDoesNotStarveAnother() {
         row(new Leaf.Row("*", "ask", 1, 1, 1, 1, 10_000, 10_000, 1_000, 1_000, 60_000_000, false, 1));
--- a/drill/src/main/java/silverlatch/drill/consumer/Main.java
+++ b/drill/src/main/java/silverlatch/drill/consumer/Main.java
@@ -45,6 +45,8 @@
     private String receipts = "";
     @Option(name = "--seed")
     private long seed = 1;
+    @Option(name = "--crowd", usage = "how many times as many tickets come in the middle third")
+    private int crowd = 1;
     @Option(name = "--again", usage = "each so many once-only tickets is sent again under its key")
     private int again = 10;
     private final HttpClient http = new HttpClient();
@@ -83,8 +85,11 @@
             }
         }
         final long begin = Duty.now();
-        for (long n = 0; n < (long) seconds * rate; n++) {
-            final long wait = begin + n * 1_000_000 / rate - Duty.now();
+        double due = 0;
+        for (long n = 0; due < seconds * 1e6; n++) {
+            final boolean middle = due > seconds * 1e6 / 3 && due < seconds * 2e6 / 3;
+            due += 1e6 / rate / (middle ? crowd : 1);
+            final long wait = begin + (long) due - Duty.now();
             if (wait > 0) {
                 TimeUnit.MICROSECONDS.sleep(wait);
             }
--- a/drill/src/main/java/silverlatch/drill/fleet/Fleet.java
+++ b/drill/src/main/java/silverlatch/drill/fleet/Fleet.java
@@ -102,6 +102,11 @@
         return parts.get(name).door();
     }
 
+    /** Where a daemon takes frames. */
+    public String address(final String name) {
+        return parts.get(name).address();
+    }
+
     /** The doors of all whose names start so. */
     public String doors(final String start) {
         return String.join(",", names(start).stream().map(this::door).toList());
--- a/drill/src/main/java/silverlatch/drill/sim/Node.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Node.java
@@ -40,6 +40,7 @@
     private final String address;
     private final List<String> seeds;
     private final Optional<Disk> disk;
+    private final long skew;
     private final Map<Long, Consumer<Object>> asked = new HashMap<>();
     private final Map<Long, Consumer<Act>> calls = new HashMap<>();
     private final Map<Long, Consumer<String>> jobs = new HashMap<>();
@@ -64,6 +65,7 @@
         this.region = region;
         this.address = address;
         this.seeds = seeds;
+        this.skew = world.engine().luck().nextLong(30_000) - 15_000;
         this.disk = disk ? Optional.of(new Disk(world.engine())) : Optional.empty();
     }
 
@@ -124,7 +126,7 @@
     }
 
     private long wall() {
-        return EPOCH * 1000 + (world.engine().now() + wall) * 1000;
+        return EPOCH * 1000 + (world.engine().now() + wall + skew) * 1000;
     }
 
     /** The wall clock is off by so many microseconds from now on. */
--- a/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
+++ b/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
@@ -72,6 +72,7 @@
                     "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"field\":\"load\",\"value\":3}]}").statusCode(), is(200));
             assertThat(fleet.ask("harbor-3", "GET", "/v1/table", "").body(), containsString("\"load\":3"));
             book(fleet);
+            garbles(fleet);
             rejects(fleet);
             large(fleet);
             tool(fleet);
@@ -119,6 +120,21 @@
         assertThat(Files.readString(out), containsString("not a recording of ours"));
     }
 
+    private static void garbles(final Fleet fleet) throws Exception {
+        for (final String name : List.of("purser-1", "harbor-1")) {
+            for (final byte[] bytes : List.of(new byte[] {0x7f, -1, -1, -1, 1, 2}, new byte[] {0, 0, 0, 4, 99, 98, 97, 96})) {
+                try (java.net.Socket s = new java.net.Socket()) {
+                    s.connect(silverlatch.desk.dock.Dock.place(fleet.address(name)));
+                    s.getOutputStream().write(bytes);
+                    assertThat("the connection ends", s.getInputStream().read(), is(-1));
+                }
+            }
+            assertThat(body(fleet, name, "/metrics"), containsString("silverlatch_wire_bad 2"));
+            assertThat(Files.readString(fleet.folder().resolve(name + ".log")), containsString("SL300 BAD_FRAME"));
+            assertThat(fleet.isReady(name), is(true));
+        }
+    }
+
     private static void large(final Fleet fleet) throws Exception {
         final String was = fleet.ask("harbor-1", "GET", "/v1/table", "").body();
         final StringBuilder rows = new StringBuilder(was.substring(0, was.lastIndexOf(']')));
