--- a/core/src/test/java/silverlatch/carry/CarryTest.java
+++ b/core/src/test/java/silverlatch/carry/CarryTest.java
@@ -199,6 +199,10 @@
         carry.verdict(all(Act.Claim.class).getLast().job(), new Verdict.Unknown("id"), now);
         gather();
         assertThat(rejected(u).code(), is(503));
+        final long f = hand("one", pick("one", "rule", "k3").permit());
+        carry.verdict(all(Act.Claim.class).getLast().job(), new Verdict.Rejected(507, List.of("full"), 5), now);
+        gather();
+        assertThat(rejected(f).code(), is(507));
         assertThat(all(Act.Run.class).size(), is(1));
     }
 
