--- a/core/src/main/java/silverlatch/carry/Carry.java
+++ b/core/src/main/java/silverlatch/carry/Carry.java
@@ -89,7 +89,9 @@
         if (next.me().life() != facts.me().life()) {
             flows.values().forEach(f -> List.copyOf(f.queue).forEach(t -> reject(t, 503, "the carrier joined anew", SECOND)));
         }
-        next.workers().forEach((id, h) -> hands.computeIfAbsent(id, k -> new Hand(h.worker().life())).see(h, now));
+        if (next.workers() != facts.workers()) {
+            next.workers().forEach((id, h) -> hands.computeIfAbsent(id, k -> new Hand(h.worker().life())).see(h, now));
+        }
         hands.keySet().removeIf(id -> !next.workers().containsKey(id) && hands.get(id).mine == 0);
         facts = next;
         pump(now);
@@ -388,7 +390,15 @@
     /** A clock event. */
     public void tick(final long now) {
         time = now;
-        spent.entrySet().removeIf(e -> now - e.getValue() > 2 * setup.memory() && !open.containsKey(e.getKey()));
+        for (final var all = spent.entrySet().iterator(); all.hasNext();) {
+            final Map.Entry<String, Long> e = all.next();
+            if (now - e.getValue() <= 3 * setup.memory()) {
+                break;
+            }
+            if (!open.containsKey(e.getKey())) {
+                all.remove();
+            }
+        }
         while (!ended.isEmpty() && (ended.peek().at() + setup.keep() < now || ended.size() > setup.slab())) {
             drop(ended.poll().ticket());
         }
--- a/core/src/main/java/silverlatch/crew/Crew.java
+++ b/core/src/main/java/silverlatch/crew/Crew.java
@@ -27,6 +27,7 @@
     private List<Member> ring = List.of();
     private long beatAt;
     private long hailAt;
+    private List<Member> live = List.of();
     private boolean doubt;
     private boolean fresh = true;
 
@@ -56,7 +57,10 @@
 
     /** Those thought to live, without this daemon. */
     public List<Member> live() {
-        return members.values().stream().filter(m -> m.live() && !m.id().equals(me.id())).toList();
+        if (live.isEmpty()) {
+            live = members.values().stream().filter(m -> m.live() && !m.id().equals(me.id())).toList();
+        }
+        return live;
     }
 
     /** A daemon by its name. */
@@ -200,6 +204,7 @@
     private void put(final Member m) {
         members.put(m.id(), m);
         ring = List.of();
+        live = List.of();
     }
 
     private void look(final long now) {
--- a/core/src/main/java/silverlatch/rumor/Rumor.java
+++ b/core/src/main/java/silverlatch/rumor/Rumor.java
@@ -30,6 +30,7 @@
     private final Map<String, Heard> workers = new TreeMap<>();
     private final Map<String, Echo> echoes = new HashMap<>();
     private final List<Effect> out = new ArrayList<>();
+    private Map<String, Heard> seen = Map.of();
     private final List<Worker> fresh = new ArrayList<>();
     private Optional<Long> sure = Optional.empty();
     private long page;
@@ -87,13 +88,17 @@
 
     /** The workers heard of. */
     public Map<String, Heard> workers() {
-        return Map.copyOf(workers);
+        if (seen.size() != workers.size()) {
+            seen = Map.copyOf(workers);
+        }
+        return seen;
     }
 
     /** Forgets what makes this daemon sure, as a rejoin does. */
     public void doubt() {
         sure = Optional.empty();
         workers.replaceAll((k, h) -> new Heard(h.worker(), Optional.empty()));
+        seen = Map.of();
     }
 
     /** What a harbor knows for itself. */
@@ -158,7 +163,9 @@
                     .filter(m -> chain.isEmpty() || chain.contains(m.address())).toList();
             some(roots, 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
         }
-        workers.values().removeIf(h -> h.age(now) > FORGET && h.asOf().isPresent());
+        if (workers.values().removeIf(h -> h.age(now) > FORGET && h.asOf().isPresent())) {
+            seen = Map.of();
+        }
         echoes.keySet().retainAll(workers.keySet());
     }
 
@@ -250,7 +257,7 @@
 
     private void renew(final Heard h, final long asOf) {
         if (h.asOf().map(t -> t < asOf).orElse(true)) {
-            workers.put(h.worker().id(), new Heard(h.worker(), Optional.of(asOf)));
+            put(new Heard(h.worker(), Optional.of(asOf)));
         }
     }
 
@@ -262,8 +269,7 @@
         if (old.map(h -> word.after(h.worker())).orElse(true)) {
             final boolean same = old.map(h -> h.worker().life() == word.life()).orElse(false);
             final boolean left = old.map(h -> h.worker().leaving()).orElse(false) && same;
-            workers.put(word.id(), new Heard(word,
-                    asOf.or(() -> old.filter(h -> same).flatMap(Heard::asOf))));
+            put(new Heard(word, asOf.or(() -> old.filter(h -> same).flatMap(Heard::asOf))));
             if (old.isEmpty()) {
                 out.add(new Effect.Log(Event.WORKER_KNOWN, word.id() + " " + word.address() + " zone " + word.zone()));
             }
@@ -277,6 +283,11 @@
                 .ifPresent(h -> renew(h, t)));
     }
 
+    private void put(final Heard heard) {
+        workers.put(heard.worker().id(), heard);
+        seen = Map.of();
+    }
+
     private record Echo(long life, long token, long at) {
     }
 }
--- a/drill/src/main/java/silverlatch/drill/sim/Engine.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Engine.java
@@ -1,12 +1,11 @@
 package silverlatch.drill.sim;
 
-import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
 /** One fake clock for everything: events happen in the order of their time, and of their making. */
 public final class Engine {
-    private final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::number));
+    private final PriorityQueue<Due> queue = new PriorityQueue<>();
     private final SplittableRandom luck;
     private long now;
     private long number;
@@ -46,6 +45,10 @@
         now = until;
     }
 
-    private record Due(long at, long number, Runnable job) {
+    private record Due(long at, long number, Runnable job) implements Comparable<Due> {
+        @Override
+        public int compareTo(final Due other) {
+            return at == other.at ? Long.compare(number, other.number) : Long.compare(at, other.at);
+        }
     }
 }
