--- /dev/null
+++ b/drill/src/test/java/silverlatch/drill/sim/BriefTest.java
@@ -0,0 +1,82 @@
+package silverlatch.drill.sim;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import silverlatch.guard.Guard;
+
+/** Holds docs/brief.md to what there is: each name in it exists, and no fault, guard or mark is left out. */
+final class BriefTest {
+    private static final Path ROOT = Path.of("..");
+
+    private static Set<String> named(final String text, final String regex) {
+        final Set<String> found = new TreeSet<>();
+        final Matcher m = Pattern.compile(regex).matcher(text);
+        while (m.find()) {
+            found.add(m.group(1));
+        }
+        return found;
+    }
+
+    private static Set<String> names(final Enum<?>[] all) {
+        return Arrays.stream(all).map(Enum::name).collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private static List<Path> sources(final String... folders) throws IOException {
+        final List<Path> list = new ArrayList<>();
+        for (final String f : folders) {
+            try (Stream<Path> files = Files.walk(ROOT.resolve(f))) {
+                files.filter(p -> p.toString().endsWith(".java")).forEach(list::add);
+            }
+        }
+        return list;
+    }
+
+    @Test
+    void theBriefsPageNamesEveryFaultGuardAndMarkAndNothingElse() throws IOException {
+        final String page = Files.readString(ROOT.resolve("docs/brief.md"));
+        assertThat(named(page, "`Fault\\.([A-Z_]+)`"), is(names(Fault.values())));
+        assertThat(named(page, "`Guard\\.([A-Z_]+)`"), is(names(Guard.values())));
+        assertThat(named(page, "`Mark\\.([A-Z_]+)`"), is(names(Mark.values())));
+    }
+
+    @Test
+    void theBriefsPageNamesTestsThatExist() throws IOException {
+        final String page = Files.readString(ROOT.resolve("docs/brief.md"));
+        final Set<String> there = new TreeSet<>();
+        for (final Path p : sources("core/src/test", "desk/src/test", "drill/src/test")) {
+            final String name = p.getFileName().toString().replace(".java", "");
+            there.add(name);
+            named(Files.readString(p), "void (\\w+)\\(").forEach(m -> there.add(name + "." + m));
+        }
+        final Set<String> told = named(page, "`(\\w+Test(?:\\.\\w+)?)`");
+        told.removeAll(there);
+        assertThat(told, is(empty()));
+    }
+
+    @Test
+    void theProgramsKnowNoGuardLetDown() throws IOException {
+        final List<String> found = new ArrayList<>();
+        for (final Path p : sources("core/src/main", "desk/src/main")) {
+            if (Files.readString(p).contains("new Guards(") && !p.endsWith("guard/Guards.java")) {
+                found.add(p.toString());
+            }
+        }
+        assertThat(found, is(empty()));
+        assertThat(Files.readString(ROOT.resolve("core/src/main/java/silverlatch/guard/Guards.java")).split("new Guards\\(").length, is(2));
+    }
+}
