Let queues that wait be all that a clock event and a pump look at

Cause: with 500 tenants of three kinds each clock event (fifty a second) compared every share with every flow and walked every flow, and each placement walked all flows for the one that goes next, idle or not. Change: flows that wait are kept apart, queued tickets are counted, idle flows are looked for once a second.

--- a/core/src/main/java/silverlatch/carry/Carry.java
+++ b/core/src/main/java/silverlatch/carry/Carry.java
@@ -51,6 +51,7 @@
     private final Map<String, Long> open = new HashMap<>();
     private final Map<Long, Long> jobs = new HashMap<>();
     private final Map<String, Flow> flows = new TreeMap<>();
+    private final TreeMap<String, Flow> waiting = new TreeMap<>();
     private final Map<String, Hand> hands = new HashMap<>();
     private final Map<String, Share> shares = new HashMap<>();
     private final LinkedHashMap<String, Long> spent = new LinkedHashMap<>();
@@ -65,6 +66,8 @@
     private long job;
     private double clock;
     private long time;
+    private long swept;
+    private int queued;
     private boolean closing;
 
     /** Settings; times in microseconds. */
@@ -309,7 +312,7 @@
         open.put(p.ticket(), t.place);
         readers.put(token, t.place);
         move(t, "queue");
-        flow.join(t);
+        join(flow, t, false);
         final boolean stale = p.page() < facts.page() || facts.workers().containsKey(p.worker())
                 && facts.drained(facts.workers().get(p.worker()).worker().zone(), p.stamp());
         if (stale) {
@@ -451,7 +454,7 @@
                 count("again");
                 move(t, "again");
                 t.want = Optional.empty();
-                flow(t.permit.tenant(), t.permit.kind()).queue.addFirst(t);
+                join(flow(t.permit.tenant(), t.permit.kind()), t, true);
             } else {
                 reject(t, 503, "the worker did not take it: " + why, SECOND);
             }
@@ -474,7 +477,7 @@
         while (!ended.isEmpty() && (ended.peek().at() + setup.keep() < now || ended.size() > setup.slab())) {
             drop(ended.poll().ticket());
         }
-        for (final Flow f : flows.values()) {
+        for (final Flow f : List.copyOf(waiting.values())) {
             for (final Ticket t : List.copyOf(f.queue)) {
                 if (now >= t.hold) {
                     reject(t, 503, "no room came in time", SECOND);
@@ -491,8 +494,12 @@
                 }
             });
         }
-        flows.values().removeIf(f -> f.idle(now));
-        shares.keySet().removeIf(k -> flows.values().stream().noneMatch(f -> f.tenant.equals(k)));
+        if (now - swept >= SECOND) {
+            swept = now;
+            if (flows.values().removeIf(f -> f.idle(now))) {
+                shares.keySet().retainAll(flows.values().stream().map(f -> f.tenant).collect(java.util.stream.Collectors.toSet()));
+            }
+        }
         pump(now);
     }
 
@@ -550,7 +557,7 @@
         }
         final Set<Flow> stuck = new java.util.HashSet<>();
         while (true) {
-            final Optional<Flow> next = flows.values().stream().filter(f -> !f.queue.isEmpty() && !stuck.contains(f))
+            final Optional<Flow> next = waiting.values().stream().filter(f -> !stuck.contains(f))
                     .min(Comparator.comparingDouble((Flow f) -> share(f).tag).thenComparing(f -> -f.queue.peek().row.rank())
                             .thenComparingDouble(f -> f.tag));
             if (next.isEmpty()) {
@@ -565,7 +572,7 @@
             }
             switch (place(t, row, now)) {
                 case Court.Ruling.Picked p -> {
-                    f.queue.poll();
+                    quit(f, t);
                     final Share share = share(f);
                     clock = Math.max(clock, share.tag);
                     share.tag = clock + t.cost() / Math.max(0.001, t.tenant.share());
@@ -715,7 +722,7 @@
     }
 
     private void reject(final Ticket t, final int code, final String why, final long after) {
-        flow(t.permit.tenant(), t.permit.kind()).queue.remove(t);
+        quit(flow(t.permit.tenant(), t.permit.kind()), t);
         t.why = why;
         finish(t, "reject");
         no(t, code, why, after, "");
@@ -783,11 +790,10 @@
     }
 
     private boolean room(final Leaf.Row row) {
-        final int queued = flows.values().stream().mapToInt(f -> f.queue.size()).sum();
         if (queued < setup.queue() && slab.used() < slab.size()) {
             return true;
         }
-        final Optional<Ticket> least = flows.values().stream().flatMap(f -> f.queue.stream())
+        final Optional<Ticket> least = waiting.values().stream().flatMap(f -> f.queue.stream())
                 .min(Comparator.comparingInt((Ticket t) -> t.row.rank()).thenComparing(t -> -t.begun));
         if (least.isPresent() && least.get().row.rank() < row.rank()) {
             reject(least.get(), 503, "shed for a kind that goes before", SECOND);
@@ -825,8 +831,27 @@
         return prefix.stream().map(d -> Seals.salted(who.salt(), d)).toList();
     }
 
+    private void join(final Flow f, final Ticket t, final boolean first) {
+        if (first) {
+            f.queue.addFirst(t);
+        } else {
+            f.queue.add(t);
+        }
+        queued++;
+        waiting.put(f.name, f);
+    }
+
+    private void quit(final Flow f, final Ticket t) {
+        if (f.queue.remove(t)) {
+            queued--;
+            if (f.queue.isEmpty()) {
+                waiting.remove(f.name);
+            }
+        }
+    }
+
     private Flow flow(final String tenant, final String kind) {
-        return flows.computeIfAbsent(tenant + "/" + kind, k -> new Flow(tenant, clock));
+        return flows.computeIfAbsent(tenant + "/" + kind, k -> new Flow(k, tenant, clock));
     }
 
     private Share share(final Flow f) {
@@ -849,6 +874,7 @@
     }
 
     private static final class Flow {
+        private final String name;
         private final String tenant;
         private final Deque<Ticket> queue = new ArrayDeque<>();
         private double tag;
@@ -856,15 +882,12 @@
         private double held = -1;
         private long filled;
 
-        Flow(final String tenant, final double tag) {
+        Flow(final String name, final String tenant, final double tag) {
+            this.name = name;
             this.tenant = tenant;
             this.tag = tag;
         }
 
-        void join(final Ticket t) {
-            queue.add(t);
-        }
-
         boolean take(final double rate, final double most, final long now) {
             held = held < 0 ? most : Math.min(most, held + (now - filled) * rate / SECOND);
             filled = now;
--- a/drill/src/main/java/silverlatch/drill/sim/Office.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Office.java
@@ -143,6 +143,7 @@
             watch.rules().undrain(zone);
         }
         insist("z/", "z/" + zone, m -> new Wish.Zone("zone-" + ++turns, zone, on, m), s -> {
+            world.stir();
             if (on) {
                 watch.count("drains");
                 watch.rules().drained(zone, world.engine().now());
@@ -192,6 +193,7 @@
         final Runnable ack = watch.rules().home(p.name(), Set.copyOf(homes), false, world.engine().now());
         insist("t/", "t/" + p.name(), m -> new Wish.Person("move-" + ++turns, leaf(p, homes), m), s -> {
             ack.run();
+            world.stir();
             watch.count("homeMoves");
         });
     }
@@ -202,6 +204,7 @@
         final Runnable ack = watch.rules().home(p.name(), Set.of(), true, world.engine().now());
         insist("t/", "t/" + p.name(), m -> new Wish.Drop("drop-" + ++turns, p.name(), m), s -> {
             ack.run();
+            world.stir();
             watch.count("drops");
         });
     }
