Show operators open claims, and what a file would change before it is put

Cause: a once-only key whose carrier died stays claimed, and nobody could see which or since when; a whole table could be put only blind. Change: GET /v1/claims/XX and silverlatch claims (in 256 small pages, since there can be 200,000); silverlatch table diff FILE compares cell by cell and changes nothing. FleetTest asks both of a running fleet, bad files too. Ruled out: a dry run at the harbor; the comparison needs no word of the chain beyond reading the table.

--- a/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
@@ -177,6 +177,8 @@
                     calendar(c, part[3]);
                 } else if (part.length == 4 && at.startsWith("DELETE /v1/calendars/")) {
                     match(c).ifPresent(m -> wish(c, new Wish.Undiary(id(c), part[3], m)));
+                } else if (part.length == 4 && at.startsWith("GET /v1/claims/") && part[3].matches("[0-9a-f]{2}")) {
+                    page(c, "c/" + part[3], "claims");
                 } else if (part.length == 4 && at.startsWith("GET /v1/changes/")) {
                     change(c, part[3]);
                 } else {
--- a/desk/src/main/java/silverlatch/desk/harbor/Rows.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Rows.java
@@ -53,6 +53,10 @@
         return map;
     }
 
+    private static String since(final long stamp) {
+        return java.time.Instant.ofEpochSecond(silverlatch.tide.Ntp.EPOCH + (stamp >> 32)).toString();
+    }
+
     private static Map<String, Object> one(final Entry e) {
         return switch (e.leaf().getFirst()) {
             case Leaf.Row r -> write(r);
@@ -60,7 +64,7 @@
             case Leaf.Drain d -> Map.of("zone", d.zone(), "empty", d.on(), "stamp", "" + d.at().bits(), "sequence", e.sequence());
             case Leaf.Calendar k -> Map.of("name", k.name(), "cron", k.cron(), "cells", k.cells().stream().map(c -> c.tenant() + " " + c.kind()
                     + " " + c.field() + " = " + c.value()).toList(), "zone", k.zone(), "empty", k.empty(), "sequence", e.sequence());
-            case Leaf.Claim c -> Map.of("ticket", c.ticket(), "carrier", c.carrier(), "state", c.state(), "stamp", c.at(), "turn", c.turn());
+            case Leaf.Claim c -> Map.of("ticket", c.ticket(), "carrier", c.carrier(), "state", c.state(), "since", since(c.at()));
             case Leaf.Glass g -> Map.of("turn", g.turn());
             case Leaf.Deed d -> Map.of("change", e.key().substring(2), "sequence", d.sequence(), "code", d.code(), "faults", d.faults());
         };
--- a/desk/src/main/java/silverlatch/desk/tool/Main.java
+++ b/desk/src/main/java/silverlatch/desk/tool/Main.java
@@ -1,5 +1,6 @@
 package silverlatch.desk.tool;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.URI;
@@ -33,6 +34,7 @@
             silverlatch [flags] COMMAND
               table get                              show the table
               table put FILE                         put a whole table (JSON with rows)
+              table diff FILE                        show the cells that FILE would change; changes nothing
               table set TENANT KIND FIELD VALUE      change one cell (TENANT * is the row for all)
               tenant list
               tenant put NAME KEY SHARE [HOME ...]   make or change a tenant
@@ -44,6 +46,7 @@
               calendar put NAME FILE                 make or change one (JSON with cron, and cells or zone and empty)
               calendar drop NAME
               change ID                              ask how a change stands
+              claims [STATE]                         list once-only keys by how they stand (running is listed if none is given)
               status                                 show what the daemon at --door knows
               explain TICKET                         show why a ticket went where it went (ask its carrier's door)
             exit codes: 0 done, 1 rejected, 2 wrong use, 3 not reached, 4 not known whether it takes effect""";
@@ -90,6 +93,12 @@
             return 0;
         }
         try {
+            if (words.size() == 3 && words.get(0).equals("table") && words.get(1).equals("diff")) {
+                return diff(Files.readAllBytes(Path.of(words.get(2))), out, err);
+            }
+            if (!words.isEmpty() && words.size() < 3 && words.get(0).equals("claims")) {
+                return claims(words.size() > 1 ? words.get(1) : "running", out, err);
+            }
             final Optional<Ask> ask = ask();
             if (ask.isEmpty()) {
                 err.println(USE);
@@ -183,6 +192,59 @@
         }
     }
 
+    /** Asks quietly; the reply's sheet, or nothing when it was said already why there is none. */
+    private Optional<Sheet> quiet(final String path, final PrintStream err, final int[] code) {
+        final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        final boolean was = json;
+        json = true;
+        code[0] = send(new Ask("GET", path, Optional.empty()), new PrintStream(bytes, true, StandardCharsets.UTF_8), err);
+        json = was;
+        if (code[0] == 0 && Sheet.parse(bytes.toByteArray(), 64 << 20) instanceof Sheet.Parsed.Good good) {
+            return Optional.of(good.sheet());
+        }
+        err.print(bytes.toString(StandardCharsets.UTF_8));
+        return Optional.empty();
+    }
+
+    private int diff(final byte[] file, final PrintStream out, final PrintStream err) {
+        final int[] code = {0};
+        final Optional<Sheet> now = quiet("/v1/table", err, code);
+        if (now.isEmpty()) {
+            return code[0];
+        }
+        return switch (Difference.between(now.get(), file)) {
+            case Difference.Bad bad -> {
+                bad.faults().forEach(err::println);
+                yield 1;
+            }
+            case Difference.Good good -> {
+                good.lines().forEach(out::println);
+                out.println(good.lines().size() + " differences from sequence " + good.sequence());
+                yield 0;
+            }
+        };
+    }
+
+    private int claims(final String state, final PrintStream out, final PrintStream err) {
+        if (!List.of("running", "done", "lost", "rejected").contains(state)) {
+            err.println("silverlatch: a claim is running, done, lost or rejected, not " + state);
+            return 2;
+        }
+        final int[] code = {0};
+        int found = 0;
+        for (int i = 0; i < 256; i++) {
+            final Optional<Sheet> page = quiet(String.format("/v1/claims/%02x", i), err, code);
+            if (page.isEmpty()) {
+                return code[0];
+            }
+            final List<Sheet> all = page.get().sheets("claims", Integer.MAX_VALUE).stream().filter(s -> s.text("state", 16).equals(state)).toList();
+            all.forEach(s -> out.println("ticket=" + s.text("ticket", 256) + "  carrier=" + s.text("carrier", 64) + "  since=" + s.text("since", 64)));
+            found += all.size();
+        }
+        out.println(found + " " + state);
+        return 0;
+    }
+
     private int show(final ContentResponse reply, final PrintStream out, final PrintStream err) {
         final String text = reply.getContentAsString();
         final int code = reply.getStatus() < 300 ? 0 : reply.getStatus() == 504 ? 4 : 1;
--- a/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
+++ b/drill/src/test/java/silverlatch/drill/fleet/FleetTest.java
@@ -229,6 +229,19 @@
         assertThat(run(fleet, out, start, "table", "set", "*", "fare", "cross", "0.75"), is(0));
         assertThat(run(fleet, out, start, "table", "get"), is(0));
         assertThat(Files.readString(out), containsString("cross=0.75"));
+        final Path file = folder.resolve("next.json");
+        final String was = fleet.ask("harbor-1", "GET", "/v1/table", "").body();
+        Files.writeString(file, was.replace("\"cross\":0.75", "\"cross\":0.25"));
+        assertThat(run(fleet, out, start, "table", "diff", file.toString()), is(0));
+        assertThat(Files.readString(out), containsString("* fare cross: 0.75 -> 0.25"));
+        assertThat(Files.readString(out), containsString("1 differences from sequence"));
+        assertThat(fleet.ask("harbor-1", "GET", "/v1/table", "").body(), is(was));
+        Files.writeString(file, was.replace("\"cross\":0.75", "\"cross\":-4"));
+        assertThat(run(fleet, out, start, "table", "diff", file.toString()), is(1));
+        assertThat(Files.readString(out), containsString("].cross: -4"));
+        assertThat(run(fleet, out, start, "claims", "done"), is(0));
+        assertThat(Files.readString(out), containsString("carrier=purser-"));
+        assertThat(run(fleet, out, start, "claims", "odd"), is(2));
         assertThat(run(fleet, out, start, "--match", "1", "table", "set", "*", "fare", "cross", "0.5"), is(1));
         assertThat(Files.readString(out), containsString("409"));
         final String ticket = Files.readAllLines(folder.resolve("receipts")).stream().filter(r -> r.contains("\"done\"") && r.contains("\"purser-1-"))
