Split the faults of the drill by what they are done to

Change: the enum names them; Blows, Ways, Loads, Orders and Aims hold them. No code that ships changed.

--- a/drill/src/main/java/silverlatch/drill/sim/Measure.java
+++ b/drill/src/main/java/silverlatch/drill/sim/Measure.java
@@ -130,9 +130,9 @@
             w.open();
             final long at = w.engine().now() + 5 * SECOND;
             w.engine().run(at);
-            Fault.lose(w, r.region());
+            Blows.lose(w, r.region());
             w.engine().run(at + 10 * SECOND);
-            Fault.back(w, r.region());
+            Blows.back(w, r.region());
             w.engine().run(at + 30 * SECOND);
             System.out.println("| " + r.region() + " | " + w.watch().done(at - 3 * SECOND, at) / 3 + ", " + w.watch().done(at + 5 * SECOND, at + 10 * SECOND) / 5
                     + ", " + w.watch().done(at + 22 * SECOND, at + 27 * SECOND) / 5 + " |");
--- a/drill/src/test/java/silverlatch/drill/fleet/RollTest.java
+++ b/drill/src/test/java/silverlatch/drill/fleet/RollTest.java
@@ -35,6 +35,17 @@
         }
     }
 
+    /** Whether a harbor keeps a change within a minute of asking. */
+    private static boolean takes(final Fleet fleet, final String harbor, final String path, final String body) throws InterruptedException {
+        return fleet.until(() -> {
+            try {
+                return fleet.ask(harbor, "PUT", path, body).statusCode() == 200;
+            } catch (final IOException | InterruptedException e) {
+                return false;
+            }
+        }, 60);
+    }
+
     /** A stream as its consumer sees it: the lines that came, and its end. */
     private record Stream(ConcurrentLinkedQueue<String> lines, CompletableFuture<Boolean> end) {
         String whole() throws Exception {
@@ -139,13 +150,7 @@
         fleet.harbor("harbor-8", fleet.plan().regions().get(2), false);
         fleet.start("harbor-8");
         assertThat("a harbor without a data folder replies", fleet.until(() -> body(fleet, "harbor-8", "/v1/table").contains("\"rows\""), 60), is(true));
-        assertThat(fleet.until(() -> {
-            try {
-                return fleet.ask("harbor-8", "PUT", "/v1/zones/nowhere", "{\"empty\":true}").statusCode() == 200;
-            } catch (final IOException | InterruptedException e) {
-                return false;
-            }
-        }, 60), is(true));
+        assertThat(takes(fleet, "harbor-8", "/v1/zones/nowhere", "{\"empty\":true}"), is(true));
         assertThat(body(fleet, "harbor-9", "/v1/zones"), containsString("nowhere"));
     }
 
@@ -154,13 +159,7 @@
         for (final String name : lost) {
             fleet.kill(name);
         }
-        assertThat("the others take changes", fleet.until(() -> {
-            try {
-                return fleet.ask("harbor-1", "PUT", "/v1/zones/elsewhere", "{\"empty\":true}").statusCode() == 200;
-            } catch (final IOException | InterruptedException e) {
-                return false;
-            }
-        }, 60), is(true));
+        assertThat("the others take changes", takes(fleet, "harbor-1", "/v1/zones/elsewhere", "{\"empty\":true}"), is(true));
         for (final String name : lost) {
             fleet.start(name);
         }
@@ -177,21 +176,9 @@
         for (int i = 0; i < 12_000; i++) {
             rows.append(",{\"tenant\":\"*\",\"kind\":\"kind-").append(i).append("\"}");
         }
-        assertThat(fleet.until(() -> {
-            try {
-                return fleet.ask("harbor-1", "PUT", "/v1/table", rows + "]}").statusCode() == 200;
-            } catch (final IOException | InterruptedException e) {
-                return false;
-            }
-        }, 60), is(true));
+        assertThat(takes(fleet, "harbor-1", "/v1/table", rows + "]}"), is(true));
         assertThat("the full machine leaves the chain", fleet.until(() -> body(fleet, "harbor-3", "/ready").contains("broken"), 60), is(true));
-        assertThat("the fleet goes on", fleet.until(() -> {
-            try {
-                return fleet.ask("harbor-1", "PUT", "/v1/zones/nowhere", "{\"empty\":false}").statusCode() == 200;
-            } catch (final IOException | InterruptedException e) {
-                return false;
-            }
-        }, 60), is(true));
+        assertThat("the fleet goes on", takes(fleet, "harbor-1", "/v1/zones/nowhere", "{\"empty\":false}"), is(true));
         assertThat(Files.readString(fleet.folder().resolve("harbor-3.log")), containsString("SL405 DISK_BROKEN"));
     }
 }
