--- /dev/null
+++ b/core/src/main/java/silverlatch/carry/Share.java
@@ -0,0 +1,10 @@
+package silverlatch.carry;
+
+/** A tenant's place in the weighted fair order. One duty owns it. */
+final class Share {
+    double tag;
+
+    Share(final double tag) {
+        this.tag = tag;
+    }
+}
