--- a/drill/src/main/java/silverlatch/drill/sim/World.java
+++ b/drill/src/main/java/silverlatch/drill/sim/World.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,7 +30,8 @@
     private final Map<String, Node> nodes = new LinkedHashMap<>();
     private final Map<String, Mill> mills = new LinkedHashMap<>();
     private final Map<String, Known> known = new HashMap<>();
-    private final Map<String, Person> carried = new HashMap<>();
+    private final Map<String, Frame> newest = new HashMap<>();
+    private final Map<String, String> sources = new HashMap<>();
     private final Map<Step, Consumer<Node>> aims = new EnumMap<>(Step.class);
     private final List<Person> people = new ArrayList<>();
     private final List<Sort> sorts = new ArrayList<>();
@@ -340,8 +340,6 @@
         });
     }
 
-    private final Map<String, Frame> newest = new HashMap<>();
-
     private Frame again(final Frame f) {
         return codec.read(codec.write(f), Frame.class) instanceof Codec.Read.Good<Frame> good ? good.thing() : f;
     }
@@ -391,7 +389,6 @@
                 return;
             }
             net.bytes(lane + "<", m.name(), n.name(), () -> n.carrying(c -> c.begun(r.job())));
-            carried.put(r.ticket(), who.person());
             sources.put(r.run(), m.region());
             watch.started(new Watch.Run(r.ticket(), r.tenant(), r.kind(), who.key(), m.name(), m.zone(), m.region(), n.name(), n.region(), page),
                     engine.now());
@@ -402,8 +399,6 @@
         });
     }
 
-    private final Map<String, String> sources = new HashMap<>();
-
     /** The region of the worker that had a run. */
     String source(final String run) {
         return sources.getOrDefault(run, "");
