--- a/drill/src/test/java/silverlatch/drill/sim/DayTest.java
+++ b/drill/src/test/java/silverlatch/drill/sim/DayTest.java
@@ -167,4 +167,15 @@
     void wrongWordsOnTheDrillsCommandLineEndWithTwo(final String words) throws Exception {
         assertThat(Main.wrong(words.split(" ")), is(2));
     }
+
+    @Test
+    void aPlanWithFaultsIsToldWithThePlaceOfEach(@org.junit.jupiter.api.io.TempDir final Path folder) throws Exception {
+        java.nio.file.Files.writeString(folder.resolve("plan.json"), "{\"regions\":[{\"region\":7,\"zone\":\"z\",\"pursers\":-1,\"workers\":1}],"
+                + "\"kinds\":[],\"tenants\":[],\"odd\":1}");
+        final IOException told = org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> Plan.read(folder));
+        for (final String place : List.of("$.regions[0].region", "$.regions[0].pursers", "$.odd")) {
+            assertThat(told.getMessage(), org.hamcrest.Matchers.containsString(place));
+        }
+        assertThat(Main.wrong(new String[] {folder.toString(), "1", "1"}), is(2));
+    }
 }
