--- a/core/src/main/java/silverlatch/tariff/Books.java
+++ b/core/src/main/java/silverlatch/tariff/Books.java
@@ -198,6 +198,7 @@
                     : matched(look, "k/" + w.name(), w.match(), List::of, w.id(), seq);
             case Wish.Timed w -> judged(w.wish(), look, seq, stamp);
             case Wish.Sweep w -> sweep(w, look, seq);
+            case Wish.Lay w -> lay(w, look, seq);
         };
     }
 
@@ -336,6 +337,10 @@
         return new Judged.Let(all);
     }
 
+    private Judged lay(final Wish.Lay w, final Look look, final long seq) {
+        return rejected(501, "not built yet", seq);
+    }
+
     private static Judged rejected(final int code, final String why, final long now) {
         return new Judged.Over(new Verdict.Rejected(code, List.of(why), now));
     }
--- a/core/src/main/java/silverlatch/tariff/Entry.java
+++ b/core/src/main/java/silverlatch/tariff/Entry.java
@@ -19,6 +19,7 @@
 
     /** Whether the entry is part of what the data plane follows. */
     public boolean policy() {
-        return key.startsWith("t/") || key.startsWith("r/") || key.startsWith("z/");
+        return key.startsWith("t/") || key.startsWith("r/") || key.startsWith("z/")
+                || key.startsWith("u/") || key.startsWith("b/") || key.startsWith("p/");
     }
 }
--- a/core/src/main/java/silverlatch/tariff/Leaf.java
+++ b/core/src/main/java/silverlatch/tariff/Leaf.java
@@ -38,6 +38,65 @@
     record Glass(long turn) implements Leaf {
     }
 
+    /**
+     * Where tickets that come by host and path go: the longest path of a host that begins a ticket's path rules it.
+     *
+     * @param name   what operators call it
+     * @param host   the host it rules
+     * @param path   how the paths it rules begin
+     * @param once   whether a ticket may run at most once
+     * @param stream whether the reply is a stream of events
+     * @param resume whether a broken stream may go on at another worker
+     * @param kept   whether prompts share parts that are worth keeping
+     * @param hold   the longest time a ticket is held, in microseconds
+     * @param aim    the time within which a reply, or its first event, has its full worth, in microseconds
+     * @param gap    the longest pause between events of a stream that is in time, in microseconds
+     * @param rank   0 comes first
+     * @param tries  how many workers one ticket may be sent to
+     * @param homes  the regions it may run in; none means all
+     * @param lots   the pools it goes to, by weight
+     */
+    record Rule(String name, String host, String path, boolean once, boolean stream, boolean resume, boolean kept,
+                long hold, long aim, long gap, int rank, int tries, List<String> homes, List<Lot> lots) implements Leaf {
+        /** Copies the lists. */
+        public Rule {
+            homes = List.copyOf(homes);
+            lots = List.copyOf(lots);
+        }
+
+        /** Whether a ticket may be run a second time where the first came to nothing. */
+        public boolean again() {
+            return !once || resume;
+        }
+    }
+
+    /** A pool's part in a rule. */
+    record Lot(String pool, int weight) {
+    }
+
+    /**
+     * A pool of workers.
+     *
+     * @param name   its name
+     * @param health the path of a worker's health reply
+     * @param lines  how many connections a worker takes from all callers together
+     * @param cold   how long a worker stays cold, in microseconds
+     * @param rate   how many tickets a second a cold worker bears
+     * @param slots  how many tickets a worker runs at once
+     * @param memory how many tokens a worker holds
+     * @param stride how many tokens an event holds
+     */
+    record Pool(String name, String health, int lines, long cold, double rate, int slots, int memory, int stride) implements Leaf {
+    }
+
+    /** The charter in force: the operators' own number, and what a consumer may send (bytes, microseconds). */
+    record Charter(long number, int head, int body, long slow, long idle) implements Leaf {
+    }
+
+    /** The charter as the operator wrote it, to the letter. */
+    record Paper(long number, String text) implements Leaf {
+    }
+
     /** How a change was decided, by its id: kept when the code is 0, else rejected with its faults. */
     record Deed(long sequence, int code, List<String> faults) implements Leaf {
         /** Copies the faults. */
--- a/core/src/main/java/silverlatch/tariff/Wish.java
+++ b/core/src/main/java/silverlatch/tariff/Wish.java
@@ -59,6 +59,18 @@
     record Timed(String id, long fence, Wish wish) implements Wish {
     }
 
+    /**
+     * A whole new charter: rules, pools and bounds, and the operator's own paper. The match is the number of the charter
+     * it builds on.
+     */
+    record Lay(String id, Leaf.Charter charter, List<Leaf.Rule> rules, List<Leaf.Pool> pools, String paper, long match) implements Wish {
+        /** Copies the lists. */
+        public Lay {
+            rules = List.copyOf(rules);
+            pools = List.copyOf(pools);
+        }
+    }
+
     /** One cell of the table. */
     record Cell(String tenant, String kind, String field, String value) {
     }
--- a/core/src/main/java/silverlatch/wire/Codec.java
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -55,7 +55,7 @@
                 Arrays.stream(type.getRecordComponents()).map(c -> c.getType())
                         .filter(t -> t.getName().startsWith("silverlatch")).forEach(open::add);
                 if (type == Msg.Ask.class) {
-                    open.addAll(List.of(Msg.Mark.class, Msg.Aged.class, Msg.Span.class, Wish.Cell.class,
+                    open.addAll(List.of(Msg.Mark.class, Msg.Aged.class, Msg.Span.class, Wish.Cell.class, Leaf.Lot.class,
                             silverlatch.tariff.Entry.class, silverlatch.rumor.Worker.class));
                 }
             }
