--- a/core/src/main/java/silverlatch/deck/Event.java
+++ b/core/src/main/java/silverlatch/deck/Event.java
@@ -74,6 +74,8 @@
     WORKER_LEAVING(603, false),
     /** A worker broke the rules of the stream. */
     WORKER_BROKE(604, true),
+    /** A run broke, or was moved from a silent worker. */
+    RUN_BROKE(605, false),
     /** The recording of the day can't be written; it ends here. */
     RECORD_BROKEN(700, true);
 
--- /dev/null
+++ b/core/src/main/java/silverlatch/passage/Passage.java
@@ -0,0 +1,433 @@
+package silverlatch.passage;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import silverlatch.carry.Budget;
+import silverlatch.carry.Facts;
+import silverlatch.carry.slab.Slab;
+import silverlatch.deck.Event;
+import silverlatch.judge.Case;
+import silverlatch.judge.Court;
+import silverlatch.judge.Sight;
+import silverlatch.rumor.Worker;
+import silverlatch.tariff.Leaf;
+import silverlatch.tariff.Tariff;
+import silverlatch.tide.Stamp;
+
+/**
+ * Places the tickets that come by host and path, and decides what follows when a run breaks. It does no input or
+ * output: events go in, moves come out. One duty owns it.
+ */
+public final class Passage {
+    private static final long SECOND = 1_000_000L;
+    private static final double NEAR = 0.08;
+    private final Setup setup;
+    private final Supplier<Stamp> stamps;
+    private final RandomGenerator luck;
+    private final Court last;
+    private final Slab<Open> slab;
+    private final Map<Long, Long> places = new HashMap<>();
+    private final Map<Long, Long> jobs = new HashMap<>();
+    private final Map<String, Stand> stands = new TreeMap<>();
+    private final Map<String, Leaf.Tenant> tenants = new HashMap<>();
+    private final Map<String, Long> tally = new TreeMap<>();
+    private final List<Move> out = new ArrayList<>();
+    private final Budget budget;
+    private Charters charters = Charters.NONE;
+    private Facts facts;
+    private long job;
+    private int most = 1;
+    private int peak = 1;
+    private long turned;
+    private boolean leaving;
+    private boolean closing;
+
+    /** Settings: open tickets at most, the part of extra tries, how old a word on a worker may be, in microseconds. */
+    public record Setup(int slab, double tries, long word) {
+        /** What holds when nothing is said. */
+        public static final Setup PLAIN = new Setup(2_048, 0.1, Long.MAX_VALUE);
+    }
+
+    private static final class Open {
+        final Fare fare;
+        final Leaf.Rule rule;
+        final String pool;
+        final long begun;
+        final long end;
+        final Stamp stamp;
+        int tries;
+        long place;
+        long run;
+        String worker = "";
+        boolean begunReply;
+        final List<String> failed = new ArrayList<>();
+
+        Open(final Fare fare, final Leaf.Rule rule, final String pool, final long begun, final Stamp stamp) {
+            this.fare = fare;
+            this.rule = rule;
+            this.pool = pool;
+            this.begun = begun;
+            this.stamp = stamp;
+            this.end = begun + Math.min(fare.left(), rule.hold());
+        }
+    }
+
+    /** A purser that carries nothing yet. */
+    public Passage(final Setup setup, final Facts facts, final Supplier<Stamp> stamps, final RandomGenerator luck) {
+        this.setup = setup;
+        this.facts = facts;
+        this.stamps = stamps;
+        this.luck = luck;
+        this.last = Court.last(setup.word(), silverlatch.guard.Guards.ALL);
+        this.slab = new Slab<>(setup.slab());
+        this.budget = new Budget(setup.tries(), 2);
+    }
+
+    /** Takes what the purser knows now. */
+    public void facts(final Facts next, final long now) {
+        if (next.page() != facts.page() || charters == Charters.NONE) {
+            charters = new Charters(next.policy());
+            tenants.clear();
+        }
+        facts = next;
+        facts.workers().forEach((id, h) -> {
+            final Stand s = stands.computeIfAbsent(id, k -> new Stand(h.worker(), now));
+            if (!s.worker.equals(h.worker())) {
+                s.word(h.worker(), now);
+            }
+        });
+        stands.values().removeIf(s -> s.runs.isEmpty() && !facts.workers().containsKey(s.worker.id()));
+        if (now - turned > 30 * SECOND) {
+            turned = now;
+            most = peak;
+            peak = 1;
+        }
+        peak = Math.max(peak, facts.crew().size() + 1);
+        most = Math.max(most, peak);
+    }
+
+    /** The number of the charter in force here, or 0. */
+    public long charter() {
+        return charters.number();
+    }
+
+    /** Whether tickets are taken, or why not. */
+    public Optional<String> unready() {
+        return leaving || closing ? Optional.of("stopping") : charters.number() == 0 ? Optional.of("no charter is known here yet") : Optional.empty();
+    }
+
+    /** This purser is about to stop: it is no longer ready, but still takes what comes. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** No new ticket is taken from now on. */
+    public void close() {
+        closing = true;
+    }
+
+    /** How many tickets are under way. */
+    public int open() {
+        return slab.used();
+    }
+
+    /** Counts by name. */
+    public Map<String, Long> tally() {
+        return Map.copyOf(tally);
+    }
+
+    /** What is to be done; it is handed over once. */
+    public List<Move> drain() {
+        final List<Move> list = List.copyOf(out);
+        out.clear();
+        return list;
+    }
+
+    /** A ticket came in whole. */
+    public void arrive(final Fare fare, final long now) {
+        count("tickets");
+        if (closing || charters.number() == 0) {
+            reject(fare.token(), 503, SECOND / 20, closing ? "stopping" : "no charter is known here yet");
+            return;
+        }
+        final Optional<Leaf.Rule> rule = charters.rule(fare.host(), fare.path());
+        if (rule.isEmpty()) {
+            reject(fare.token(), 404, 0, "no rule for " + fare.host() + fare.path());
+            return;
+        }
+        final Open o = new Open(fare, rule.get(), lot(rule.get()), now, stamps.get());
+        final Optional<Long> place = slab.put(o);
+        if (place.isEmpty()) {
+            reject(fare.token(), 503, SECOND / 2, "the slab is full");
+            return;
+        }
+        o.place = place.get();
+        places.put(fare.token(), o.place);
+        budget.fresh(now);
+        send(o, now);
+    }
+
+    /** The reply's head has come and is passed on. */
+    public void headed(final long run, final Optional<Load> load, final long now) {
+        find(run).ifPresent(o -> {
+            o.begunReply = true;
+            final Stand s = stands.get(o.worker);
+            load.ifPresent(l -> s.load(l.running(), l.waiting(), l.slots(), now));
+        });
+    }
+
+    /** An event was passed on. */
+    public void heard(final long run, final long now) {
+        find(run).ifPresent(o -> {
+            final Stand s = stands.get(o.worker);
+            final Stand.Run r = s.runs.get(run);
+            r.heard = now;
+            if (!r.first) {
+                r.first = true;
+                s.good(r, now);
+            }
+        });
+    }
+
+    /** A worker's whole reply that is no success is at hand; not passed on yet. */
+    public void ill(final long run, final int status, final Optional<Load> load, final long now) {
+        find(run).ifPresent(o -> {
+            load.ifPresent(l -> stands.get(o.worker).load(l.running(), l.waiting(), l.slots(), now));
+            if (status >= 500 && o.rule.again() && o.tries < o.rule.tries() && now < o.end && !place(o, now).isEmpty() && budget.take(now)) {
+                count("again_ill");
+                drop(o, true, now);
+                send(o, now);
+            } else {
+                out.add(new Move.Pass(o.fare.token(), run));
+            }
+        });
+    }
+
+    /** The worker's reply was passed on whole. */
+    public void ended(final long run, final boolean good, final long now) {
+        find(run).ifPresent(o -> {
+            count(good ? "done" : "passed");
+            drop(o, !good, now);
+            close(o);
+        });
+    }
+
+    /** A run broke. */
+    public void failed(final long run, final Break point, final long now) {
+        find(run).ifPresent(o -> {
+            count("broke_" + point.name().toLowerCase(java.util.Locale.ROOT));
+            out.add(new Move.Log(Event.RUN_BROKE, o.worker + " " + point + " after " + (now - o.begun) / 1000 + " ms"));
+            final Stand s = stands.get(o.worker);
+            drop(o, point != Break.NOT_RUN, now);
+            o.failed.add(o.worker);
+            if (point == Break.NOT_RUN) {
+                s.shunUntil = Math.max(s.shunUntil, now + 150_000);
+            }
+            final boolean free = point == Break.UNSENT || point == Break.NOT_RUN || point == Break.STRANGER;
+            final boolean may = (free || o.rule.again() && (point != Break.BEGUN || o.rule.resume())) && now < o.end;
+            final boolean left = point == Break.UNSENT && o.tries <= o.rule.tries() + 1 || o.tries < o.rule.tries();
+            if (may && left && !place(o, now).isEmpty() && (point == Break.UNSENT || budget.take(now))) {
+                o.tries -= point == Break.UNSENT ? 1 : 0;
+                count("again");
+                send(o, now);
+            } else if (free && !o.begunReply) {
+                close(o);
+                reject(o.fare.token(), 503, away(o), "no worker ran it");
+            } else {
+                close(o);
+                out.add(new Move.Fail(o.fare.token(), 502, "the worker broke off"));
+            }
+        });
+    }
+
+    /** The consumer is gone. */
+    public void left(final long token, final long now) {
+        Optional.ofNullable(places.get(token)).flatMap(slab::get).ifPresent(o -> {
+            count("left");
+            cut(o, now);
+            close(o);
+        });
+    }
+
+    /** A clock event. */
+    public void tick(final long now) {
+        for (final long token : List.copyOf(places.keySet())) {
+            slab.get(places.get(token)).ifPresent(o -> look(o, now));
+        }
+    }
+
+    /** Ends all that is under way. */
+    public void end(final long now) {
+        for (final long place : List.copyOf(places.values())) {
+            slab.get(place).ifPresent(o -> {
+                cut(o, now);
+                close(o);
+                out.add(new Move.Fail(o.fare.token(), 502, "stopping"));
+            });
+        }
+    }
+
+    private void look(final Open o, final long now) {
+        if (now >= o.end) {
+            count("expired");
+            cut(o, now);
+            close(o);
+            out.add(new Move.Fail(o.fare.token(), 504, "its time is up"));
+            return;
+        }
+        final Stand s = stands.get(o.worker);
+        final Stand.Run r = s.runs.get(o.run);
+        final long patience = r.first ? Math.max(SECOND, 2 * o.rule.gap()) : Math.max(o.rule.aim() * 3 / 4, 3 * r.guess);
+        if (o.rule.again() && (!o.begunReply || o.rule.resume()) && o.tries < o.rule.tries() && now - r.heard > patience
+                && !o.failed.contains(o.worker)) {
+            out.add(new Move.Log(Event.RUN_BROKE, o.worker + " silent for " + (now - r.heard) / 1000 + " ms"));
+            final List<Pick> others = places(o, now).stream().filter(p -> !p.stand().worker.id().equals(o.worker)).toList();
+            if (!others.isEmpty() && budget.take(now)) {
+                count("moved");
+                o.failed.add(o.worker);
+                out.add(new Move.Cut(o.run));
+                s.bad(now);
+                drop(o, false, now);
+                send(o, now);
+            }
+        }
+    }
+
+    private String lot(final Leaf.Rule rule) {
+        final int sum = rule.lots().stream().mapToInt(Leaf.Lot::weight).sum();
+        int at = sum <= 0 ? 0 : luck.nextInt(sum);
+        for (final Leaf.Lot l : rule.lots()) {
+            at -= l.weight();
+            if (at < 0) {
+                return l.pool();
+            }
+        }
+        return rule.lots().isEmpty() ? "" : rule.lots().getFirst().pool();
+    }
+
+    private record Pick(Stand stand, Outlook.View view) {
+    }
+
+    private List<Pick> places(final Open o, final long now) {
+        final Leaf.Tenant who = tenants.computeIfAbsent(o.rule.name(), n -> new Leaf.Tenant(n, o.rule.homes(), 1, "", ""));
+        final Case plea = new Case(o.fare.ticket(), who, Tariff.plain("*", o.rule.name()), List.of(), facts.me().zone(), facts.me().region(), facts.empty());
+        final List<Stand> fit = stands.values().stream().filter(s -> s.worker.pool().equals(o.pool) && facts.workers().containsKey(s.worker.id()))
+                .filter(s -> last.stands(plea, new Sight(s.worker, facts.workers().get(s.worker.id()).age(now), 0, 0, 0, false, 1)))
+                .filter(s -> !o.failed.contains(s.worker.id()))
+                .filter(s -> !s.cold(now) || warm(s, o.pool, now)).toList();
+        final Map<Long, String> homes = homes(o.fare, fit);
+        return fit.stream().map(s -> new Pick(s, Outlook.of(o.fare, o.rule, s, facts.me().zone(), facts.me().region(), homes, now)))
+                .sorted(Comparator.comparingLong(p -> p.view().cost() + (p.stand().shunned(now) ? o.rule.aim() * 4 : 0))).toList();
+    }
+
+    private Optional<Pick> place(final Open o, final long now) {
+        final List<Pick> all = places(o, now);
+        if (all.isEmpty()) {
+            return Optional.empty();
+        }
+        final long best = all.getFirst().view().cost();
+        final List<Pick> near = all.stream().filter(p -> p.stand().shunned(now) == all.getFirst().stand().shunned(now)
+                && p.view().cost() <= best + NEAR * o.rule.aim()).toList();
+        final List<Pick> least = near.stream().sorted(Comparator.comparingInt(p -> p.stand().runs.size())).toList();
+        return Outlook.worth(o.fare.parts()) ? Optional.of(all.getFirst())
+                : Optional.of(least.get(luck.nextInt(Math.min(2, least.size()))));
+    }
+
+    /** For each part of a prompt the worker of each region that keeps it by common rule; the nearest region goes first. */
+    private Map<Long, String> homes(final Fare fare, final List<Stand> fit) {
+        final Map<Long, String> homes = new HashMap<>();
+        if (!Outlook.worth(fare.parts())) {
+            return homes;
+        }
+        final boolean near = fit.stream().anyMatch(s -> s.worker.region().equals(facts.me().region()));
+        final long key = fare.parts().get(fare.parts().size() - 2).name();
+        fit.stream().filter(s -> !near || s.worker.region().equals(facts.me().region()))
+                .max(Comparator.comparingLong(s -> Outlook.draw(key, s.worker.id())))
+                .ifPresent(s -> fare.parts().subList(0, fare.parts().size() - 1).forEach(p -> homes.put(p.name(), s.worker.id())));
+        return homes;
+    }
+
+    /** Whether this purser may send to a cold worker now: a few pursers named by hashing share what it bears. */
+    private boolean warm(final Stand s, final String pool, final long now) {
+        final double rate = charters.pool(pool).map(Leaf.Pool::rate).filter(r -> r > 0).orElse(1.0);
+        final int share = Math.max(1, Math.min(most, (int) Math.floor(rate)));
+        final long mine = Outlook.draw(7, s.worker.id() + facts.me().id());
+        final long before = facts.crew().stream().filter(m -> Outlook.draw(7, s.worker.id() + m.id()) > mine).count();
+        final long gap = Math.max(SECOND, Math.round(share * SECOND / rate));
+        return before < share && now - s.lastSent >= gap;
+    }
+
+    private void send(final Open o, final long now) {
+        final Optional<Pick> pick = place(o, now);
+        if (pick.isEmpty()) {
+            count("nowhere");
+            close(o);
+            if (o.begunReply) {
+                out.add(new Move.Fail(o.fare.token(), 502, "no worker is allowed"));
+            } else {
+                reject(o.fare.token(), 503, away(o), "no worker is allowed");
+            }
+            return;
+        }
+        final Stand s = pick.get().stand();
+        final Worker w = s.worker;
+        job++;
+        o.tries++;
+        o.run = job;
+        o.worker = w.id();
+        s.runs.put(job, new Stand.Run(now, pick.get().view().unread(), pick.get().view().first()));
+        s.lastSent = now;
+        o.fare.parts().forEach(p -> s.keep(p.name(), now));
+        jobs.put(job, o.place);
+        count("sends");
+        out.add(new Move.Send(o.fare.token(), job, w.id(), w.address(), o.end - now, o.rule.rank(), !o.rule.again(), o.rule.stream()));
+    }
+
+    private long away(final Open o) {
+        return Math.max(SECOND / 20, o.rule.aim() / 4 + luck.nextLong(Math.max(1, o.rule.aim() / 4)));
+    }
+
+    private Optional<Open> find(final long run) {
+        return Optional.ofNullable(jobs.get(run)).flatMap(slab::get).filter(o -> o.run == run);
+    }
+
+    private void drop(final Open o, final boolean bad, final long now) {
+        jobs.remove(o.run);
+        Optional.ofNullable(stands.get(o.worker)).ifPresent(s -> {
+            s.runs.remove(o.run);
+            if (bad) {
+                s.bad(now);
+            }
+        });
+    }
+
+    private void cut(final Open o, final long now) {
+        out.add(new Move.Cut(o.run));
+        drop(o, false, now);
+    }
+
+    private void close(final Open o) {
+        slab.drop(o.place);
+        places.remove(o.fare.token());
+    }
+
+    private void reject(final long token, final int code, final long after, final String why) {
+        count("rejected_" + code);
+        out.add(new Move.Reject(token, code, after, why));
+    }
+
+    private void count(final String name) {
+        tally.merge(name, 1L, Long::sum);
+    }
+
+    /** What a worker's reply tells of its load. */
+    public record Load(int running, int waiting, int slots) {
+    }
+}
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/gate/Events.java
@@ -0,0 +1,49 @@
+package silverlatch.desk.gate;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+/** Cuts a stream into whole events, and remembers the id of the last whole one. */
+final class Events {
+    private final ByteArrayOutputStream part = new ByteArrayOutputStream();
+    private String last = "";
+
+    /** Takes bytes of the stream, and gives those that end whole events. */
+    byte[] take(final byte[] bytes) {
+        part.writeBytes(bytes);
+        final byte[] all = part.toByteArray();
+        final int end = end(all);
+        if (end == 0) {
+            return new byte[0];
+        }
+        part.reset();
+        part.write(all, end, all.length - end);
+        final String text = new String(all, 0, end, StandardCharsets.ISO_8859_1);
+        final int id = Math.max(text.startsWith("id:") ? 0 : -1, text.lastIndexOf("\nid:") + 1 > 0 ? text.lastIndexOf("\nid:") + 1 : -1);
+        if (id >= 0) {
+            last = text.substring(id + 3, text.indexOf('\n', id)).strip();
+        }
+        return java.util.Arrays.copyOf(all, end);
+    }
+
+    /** The id of the last whole event, or empty. */
+    String last() {
+        return last;
+    }
+
+    /** What is left behind the last whole event. */
+    byte[] rest() {
+        return part.toByteArray();
+    }
+
+    private static int end(final byte[] all) {
+        for (int i = all.length - 1; i > 0; i--) {
+            final boolean plain = all[i] == '\n' && all[i - 1] == '\n';
+            final boolean both = i > 2 && all[i] == '\n' && all[i - 1] == '\r' && all[i - 2] == '\n';
+            if (plain || both) {
+                return i + 1;
+            }
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/gate/Words.java
@@ -0,0 +1,73 @@
+package silverlatch.desk.gate;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import silverlatch.passage.Fare;
+import silverlatch.passage.Passage;
+
+/**
+ * The names of the header fields at the gate, towards consumers and towards workers.
+ *
+ * @param ticket   the consumer's id of a try
+ * @param expiry   how many milliseconds the consumer waits
+ * @param parts    the parts of the prompt as ID:TOKENS, separated by commas, the ID in hexadecimal digits
+ * @param tokens   the tokens of the prompt, and the most of the reply
+ * @param seal     the worker's own seal on a reply
+ * @param expect   the worker that a ticket is for
+ * @param load     a worker's runs, waiting tickets and slots
+ * @param none     says that a worker did not run the ticket
+ * @param rank     how urgent a ticket is; 0 comes first
+ */
+public record Words(String ticket, String expiry, String parts, String tokens, String seal, String expect, String load, String none, String rank) {
+    /** The product's own names. */
+    public static final Words PLAIN = new Words("Silverlatch-Ticket", "Silverlatch-Expiry-Ms", "Silverlatch-Parts", "Silverlatch-Tokens",
+            "Silverlatch-Seal", "Silverlatch-Worker", "Silverlatch-Load", "Silverlatch-Not-Run", "Silverlatch-Rank");
+    private static final int MOST = 256;
+
+    /** The names that the gate sets itself on what it sends to a worker, in lower case. */
+    Set<String> own() {
+        final Set<String> set = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+        set.addAll(List.of(expiry, expect, rank));
+        return set;
+    }
+
+    /** Reads the parts of a prompt; what can't be read is left out. */
+    static List<Fare.Part> parts(final Optional<String> text) {
+        final List<Fare.Part> list = new java.util.ArrayList<>();
+        for (final String one : text.orElse("").split(",")) {
+            final int colon = one.indexOf(':');
+            if (colon > 0 && list.size() < MOST) {
+                final String name = one.substring(0, colon).strip();
+                final Optional<Long> tokens = whole(one.substring(colon + 1));
+                tokens.filter(t -> t <= Integer.MAX_VALUE).ifPresent(t -> list.add(new Fare.Part(name(name), t.intValue())));
+            }
+        }
+        return list;
+    }
+
+    /** Reads a load. */
+    static Optional<Passage.Load> load(final Optional<String> text) {
+        final String[] part = text.orElse("").split(",");
+        if (part.length != 3) {
+            return Optional.empty();
+        }
+        final List<Long> all = java.util.Arrays.stream(part).map(Words::whole).flatMap(Optional::stream).filter(n -> n < 1_000_000).toList();
+        return all.size() == 3 ? Optional.of(new Passage.Load(all.get(0).intValue(), all.get(1).intValue(), all.get(2).intValue())) : Optional.empty();
+    }
+
+    /** A whole number that is not negative. */
+    static Optional<Long> whole(final String text) {
+        final String t = text.strip();
+        return t.matches("\\d{1,15}") ? Optional.of(Long.parseLong(t)) : Optional.empty();
+    }
+
+    private static long name(final String text) {
+        long sum = 0xCBF29CE484222325L;
+        for (int i = 0; i < text.length(); i++) {
+            sum = (sum ^ text.charAt(i)) * 0x100000001B3L;
+        }
+        return sum;
+    }
+}
--- a/desk/src/main/java/silverlatch/desk/purser/Main.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Main.java
@@ -20,6 +20,7 @@
 import silverlatch.desk.duty.Logs;
 import silverlatch.desk.settings.Flags;
 import silverlatch.desk.settings.Settings;
+import silverlatch.passage.Passage;
 import silverlatch.rumor.Rumor;
 import silverlatch.tide.Anchor;
 
@@ -88,5 +89,11 @@
         static Carry carry(final Settings s, final Deck deck, final SplittableRandom luck) {
             return new Carry(s.carry(), new Seals(s.key()), deck.facts(), () -> deck.local(Duty.now()), luck.split());
         }
+
+        @Provides
+        @Singleton
+        static Passage passage(final Settings s, final Deck deck, final SplittableRandom luck) {
+            return new Passage(Passage.Setup.PLAIN, deck.facts(), () -> deck.local(Duty.now()), luck.split());
+        }
     }
 }
--- a/desk/src/main/java/silverlatch/desk/purser/Purser.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Purser.java
@@ -30,6 +30,11 @@
 import silverlatch.desk.duty.Logs;
 import silverlatch.desk.logbook.Pages;
 import silverlatch.desk.logbook.Recorder;
+import silverlatch.crew.Member;
+import silverlatch.desk.gate.Gate;
+import silverlatch.desk.gate.Lighter;
+import silverlatch.desk.gate.Words;
+import silverlatch.passage.Passage;
 import silverlatch.desk.settings.Settings;
 import silverlatch.desk.web.Call;
 import silverlatch.desk.web.Web;
@@ -42,6 +47,7 @@
 @Singleton
 public final class Purser implements Back.Sink {
     private static final long MILLION = 1_000_000L;
+    private static final long LINGER = 2_500_000L;
     private final Settings settings;
     private final Deck deck;
     private final Carry carry;
@@ -53,14 +59,18 @@
     private final Duty duty;
     private final Map<Long, Call> calls = new ConcurrentHashMap<>();
     private final AtomicLong tokens = new AtomicLong();
+    private final Passage passage;
+    private volatile Optional<Gate> gate = Optional.empty();
     private volatile Optional<String> unready = Optional.of("starting");
+    private volatile List<Member> pursers = List.of();
 
     /** Joins the parts. */
     @Inject
-    public Purser(final Settings settings, final Deck deck, final Carry carry) {
+    public Purser(final Settings settings, final Deck deck, final Carry carry, final Passage passage) {
         this.settings = settings;
         this.deck = deck;
         this.carry = carry;
+        this.passage = passage;
         this.duty = new Duty("carry", 16_384, 20_000L, this::beat);
         this.dock = new Dock(settings.address(), this::frame);
         this.bridge = new Bridge(deck, dock::ship, k -> {
@@ -85,13 +95,17 @@
     public void stop() {
         try {
             duty.post(carry::close);
+            duty.post(passage::leave);
+            gate.ifPresent(Gate::close);
             bridge.with(d -> d.ready(false));
             final long end = Duty.now() + settings.grace();
-            TimeUnit.MILLISECONDS.sleep(200);
-            while (Duty.now() < end && carry.open() > 0) {
+            TimeUnit.MICROSECONDS.sleep(gate.isEmpty() ? 200_000L : Math.min(LINGER, settings.grace() / 3));
+            duty.post(passage::close);
+            while (Duty.now() < end && carry.open() + gate.map(Gate::open).orElse(0) > 0) {
                 TimeUnit.MILLISECONDS.sleep(20);
             }
             post(() -> carry.end(Duty.now()));
+            post(() -> passage.end(Duty.now()));
             bridge.with(d -> d.leave(Duty.now()));
             TimeUnit.MILLISECONDS.sleep(150);
             Logs.write(Event.STOPPED, "purser " + settings.name());
@@ -120,9 +134,30 @@
         bridge.with(d -> d.frame(f, Duty.now()));
     }
 
+    /** Makes the gate for tickets that come by host and path; where there is one it decides when this purser is ready. */
+    public Gate gate(final Words words, final Lighter lighter) {
+        final Gate made = new Gate(words, lighter, job -> post(() -> job.accept(passage)));
+        gate = Optional.of(made);
+        return made;
+    }
+
+    /** Whether tickets are taken, or why not. */
+    public Optional<String> unready() {
+        return unready;
+    }
+
+    /** The pursers that take tickets as far as is known here, this one among them. */
+    public List<Member> pursers() {
+        return pursers;
+    }
+
     private void publish(final Deck d) {
         final Facts facts = d.facts();
-        post(() -> carry.facts(facts, Duty.now()));
+        pursers = java.util.stream.Stream.concat(java.util.stream.Stream.of(facts.me()), facts.crew().stream()).filter(Member::ready).toList();
+        post(() -> {
+            carry.facts(facts, Duty.now());
+            passage.facts(facts, Duty.now());
+        });
     }
 
     private boolean post(final Runnable job) {
@@ -134,8 +169,9 @@
 
     private void beat() {
         carry.tick(Duty.now());
+        passage.tick(Duty.now());
         act();
-        final Optional<String> why = carry.unready(Duty.now());
+        final Optional<String> why = gate.isEmpty() ? carry.unready(Duty.now()) : passage.unready();
         if (why.isPresent() != unready.isPresent()) {
             Logs.write(why.isPresent() ? Event.UNREADY : Event.READY, settings.name() + why.map(w -> ": " + w).orElse(""));
             bridge.with(d -> d.ready(why.isEmpty()));
@@ -144,6 +180,7 @@
     }
 
     private void act() {
+        gate.ifPresent(g -> passage.drain().forEach(g::move));
         for (final Act a : carry.drain()) {
             switch (a) {
                 case Act.Picked p -> call(p.token(), c -> c.reply(200, Map.of("outcome", "picked", "ticket", p.ticket(), "carrier",
--- a/desk/src/main/java/silverlatch/desk/web/Web.java
+++ b/desk/src/main/java/silverlatch/desk/web/Web.java
@@ -72,7 +72,7 @@
         }
     }
 
-    private static final class Router extends Handler.Abstract.NonBlocking {
+    static final class Router extends Handler.Abstract.NonBlocking {
         private final int most;
         private final Consumer<Call> router;
 
