--- a/core/src/main/java/silverlatch/tariff/Books.java
+++ b/core/src/main/java/silverlatch/tariff/Books.java
@@ -338,7 +338,23 @@
     }
 
     private Judged lay(final Wish.Lay w, final Look look, final long seq) {
-        return rejected(501, "not built yet", seq);
+        final Optional<Entry> held = look.at(Charters.CHARTER);
+        final long now = held.map(e -> ((Leaf.Charter) e.leaf().getFirst()).number()).orElse(0L);
+        final boolean same = now == w.charter().number()
+                && look.at(Charters.PAPER).map(e -> ((Leaf.Paper) e.leaf().getFirst()).text().equals(w.paper())).orElse(false);
+        if (same) {
+            return new Judged.Over(new Verdict.Kept(look.sequence(Charters.CHARTER)));
+        }
+        if (lost(w.match(), now)) {
+            return rejected(409, "the charter in force is number " + now, now);
+        }
+        final List<String> faults = Charters.faults(w, now);
+        if (!faults.isEmpty()) {
+            return new Judged.Over(new Verdict.Rejected(422, faults, now));
+        }
+        final Map<String, Entry> old = look.under(Charters.RULES);
+        old.putAll(look.under(Charters.POOLS));
+        return let(look, Charters.puts(w, old, seq), w.id(), seq);
     }
 
     private static Judged rejected(final int code, final String why, final long now) {
@@ -419,16 +435,14 @@
         }
 
         Set<String> rows() {
-            final Set<String> keys = new HashSet<>();
-            part("r/").values().stream().filter(e -> !e.gone()).forEach(e -> keys.add(e.key()));
-            seen.values().stream().filter(e -> e.key().startsWith("r/")).forEach(e -> {
-                if (e.gone()) {
-                    keys.remove(e.key());
-                } else {
-                    keys.add(e.key());
-                }
-            });
-            return keys;
+            return under("r/").keySet();
+        }
+
+        Map<String, Entry> under(final String start) {
+            final Map<String, Entry> all = new HashMap<>(part(start));
+            seen.values().stream().filter(e -> e.key().startsWith(start)).forEach(e -> all.put(e.key(), e));
+            all.values().removeIf(Entry::gone);
+            return all;
         }
 
         long fresh(final String start) {
--- a/core/src/main/java/silverlatch/tariff/Wish.java
+++ b/core/src/main/java/silverlatch/tariff/Wish.java
@@ -61,7 +61,7 @@
 
     /**
      * A whole new charter: rules, pools and bounds, and the operator's own paper. The match is the number of the charter
-     * it builds on.
+     * it builds on, 0 where there is none; a lost race is told with the number in force in place of a sequence.
      */
     record Lay(String id, Leaf.Charter charter, List<Leaf.Rule> rules, List<Leaf.Pool> pools, String paper, long match) implements Wish {
         /** Copies the lists. */
