--- a/core/src/main/java/silverlatch/ledger/Ledger.java
+++ b/core/src/main/java/silverlatch/ledger/Ledger.java
@@ -24,6 +24,7 @@
 public final class Ledger {
     private static final long MAGIC = 0x5349_4C56_4C41_5443L;
     private static final int HEAD = Long.BYTES + 2 * Integer.BYTES;
+    private static final String FOUNDER = "founder";
     private static final long SEGMENT = 8L << 20;
     private final Path folder;
     private final Codec codec = new Codec();
@@ -38,8 +39,11 @@
 
     /** What opening a folder gave. */
     public sealed interface Opened {
-        /** The ledger, its machine's identity, all that it held, and how many bytes of a torn tail were cut off. */
-        record Good(Ledger ledger, String identity, List<Note> notes, long torn) implements Opened {
+        /**
+         * The ledger, its machine's identity, all that it held, how many bytes of a torn tail were cut off, and whether
+         * the folder was made to take part in a first founding.
+         */
+        record Good(Ledger ledger, String identity, List<Note> notes, long torn, boolean founder) implements Opened {
             /** Copies the notes. */
             public Good {
                 notes = List.copyOf(notes);
@@ -51,14 +55,22 @@
         }
     }
 
-    /** Opens a folder, and makes it when there is none. */
+    /** Opens a folder, and makes it when there is none; one made here may take part in a first founding. */
     public static Opened open(final Path folder) {
+        return open(folder, true);
+    }
+
+    /** Opens a folder, and makes it when there is none; one made here may take part in a first founding if it is to. */
+    public static Opened open(final Path folder, final boolean found) {
         try {
             Files.createDirectories(folder);
             final Path name = folder.resolve("identity");
             if (!Files.exists(name)) {
                 final byte[] seed = new byte[8];
                 new SecureRandom().nextBytes(seed);
+                if (found) {
+                    put(folder.resolve(FOUNDER), new byte[0]);
+                }
                 put(name, HexFormat.of().formatHex(seed).getBytes(java.nio.charset.StandardCharsets.US_ASCII));
             }
             final String identity = Files.readString(name).strip();
@@ -156,7 +168,7 @@
                 StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         ch.position(ch.size());
         sync(folder);
-        return new Opened.Good(new Ledger(folder, ch, last), identity, notes, torn);
+        return new Opened.Good(new Ledger(folder, ch, last), identity, notes, torn, Files.exists(folder.resolve(FOUNDER)));
     }
 
     private static int scan(final byte[] all, final List<byte[]> frames) {
--- a/core/src/main/java/silverlatch/quay/Quay.java
+++ b/core/src/main/java/silverlatch/quay/Quay.java
@@ -107,8 +107,15 @@
         }
     }
 
-    /** What this machine is made with; times in microseconds. */
-    public record Setup(Berth me, List<String> seats, long lease, long ask, long suspect, long swap, long stall, int copies, Guards guards) {
+    /**
+     * What this machine is made with; times in microseconds.
+     *
+     * @param copies how many synced copies there are before an acknowledgement
+     * @param most   how many machines vote where so many are there
+     * @param found  whether this machine may take part in a first founding
+     */
+    public record Setup(Berth me, List<String> seats, long lease, long ask, long suspect, long swap, long stall, int copies, int most,
+                        boolean found, Guards guards) {
         /** Copies the seats. */
         public Setup {
             seats = List.copyOf(seats);
@@ -116,12 +123,22 @@
 
         /** The times that hold when nothing is said. */
         public static Setup of(final Berth me, final List<String> seats) {
-            return new Setup(me, seats, 600_000L, 120_000L, 800_000L, 5_000_000L, 1_000_000L, 2, Guards.ALL);
+            return new Setup(me, seats, 600_000L, 120_000L, 800_000L, 5_000_000L, 1_000_000L, 2, 3, true, Guards.ALL);
         }
 
         /** The same under the guards that stand. */
         public Setup under(final Guards standing) {
-            return new Setup(me, seats, lease, ask, suspect, swap, stall, copies, standing);
+            return new Setup(me, seats, lease, ask, suspect, swap, stall, copies, most, found, standing);
+        }
+
+        /** The same with other counts of copies and of voters. */
+        public Setup counts(final int synced, final int voters) {
+            return new Setup(me, seats, lease, ask, suspect, swap, stall, synced, voters, found, guards);
+        }
+
+        /** The same, where a first founding is allowed or not. */
+        public Setup founds(final boolean allowed) {
+            return new Setup(me, seats, lease, ask, suspect, swap, stall, copies, most, allowed, guards);
         }
     }
 
@@ -308,7 +325,7 @@
         }
         soughtAt = now;
         sought.values().removeIf(s -> now - s.at() > 2_000_000L);
-        final Msg.Seek seek = new Msg.Seek(setup.me(), birth.isEmpty(), sought.values().stream().map(s -> s.seek().me()).toList());
+        final Msg.Seek seek = new Msg.Seek(setup.me(), birth.isEmpty() && setup.found(), sought.values().stream().map(s -> s.seek().me()).toList());
         setup.seats().forEach(s -> send(s, seek));
         birth.filter(v -> first(v).equals(setup.me())).ifPresent(v -> v.voters().forEach(b -> send(b.address(), new Msg.Found(v))));
     }
@@ -322,7 +339,8 @@
             send(m.me().address(), new Msg.Decided(view));
             return;
         }
-        if (!m.empty() || birth.isPresent() || !setup.seats().contains(setup.me().address())) {
+        if (!m.empty() || birth.isPresent() || !setup.found() || !setup.seats().contains(setup.me().address())
+                || !setup.seats().contains(m.me().address())) {
             return;
         }
         sought.put(m.me().id(), new Sought(m, now));
--- a/core/src/test/java/silverlatch/ledger/LedgerTest.java
+++ b/core/src/test/java/silverlatch/ledger/LedgerTest.java
@@ -36,6 +36,15 @@
         assertThat(second.notes(), is(List.of(new Note.Vow(1, 0), new Note.Vow(2, 3), new Note.Vow(4, 0))));
     }
 
+    @Test
+    void aFolderKeepsWhetherItWasMadeToFound() {
+        assertThat(open(folder).founder(), is(true));
+        assertThat(((Ledger.Opened.Good) Ledger.open(folder, false)).founder(), is(true));
+        final Path wiped = folder.resolve("wiped");
+        assertThat(((Ledger.Opened.Good) Ledger.open(wiped, false)).founder(), is(false));
+        assertThat(((Ledger.Opened.Good) Ledger.open(wiped, false)).founder(), is(false));
+    }
+
     @Test
     void aTornTailIsCutOffWhereverItTears() throws IOException {
         final Ledger.Opened.Good first = open(folder);
--- a/desk/src/main/java/silverlatch/desk/harbor/Main.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Main.java
@@ -42,7 +42,7 @@
     private static void start(final Settings s) {
         Optional<Ledger.Opened.Good> opened = Optional.empty();
         if (s.data().isPresent()) {
-            switch (Ledger.open(Path.of(s.data().get()))) {
+            switch (Ledger.open(Path.of(s.data().get()), s.found())) {
                 case Ledger.Opened.Damaged d -> {
                     Logs.write(Event.DAMAGED, d.why());
                     System.exit(4);
@@ -99,7 +99,8 @@
             final Member me = new Member(s.name(), "harbor", s.zone(), s.region(), s.address(), s.door(), wall / 1000, 0, "up", false);
             final List<Note> notes = opened.map(Ledger.Opened.Good::notes).orElse(List.of());
             return new Deck(new Deck.Setup(me, s.seeds(), s.low(), s.skew(), Crew.Times.PLAIN, Rumor.Times.PLAIN),
-                    opened.map(o -> Quay.Setup.of(new Berth(o.identity(), s.address()), s.seeds())), notes,
+                    opened.map(o -> Quay.Setup.of(new Berth(o.identity(), s.address()), s.seeds()).counts(s.copies(), s.voters())
+                            .founds(s.found() || o.founder())), notes,
                     new Anchor(wall, now, 0), new SplittableRandom(new SecureRandom().nextLong()), now);
         }
     }
--- a/desk/src/main/java/silverlatch/desk/settings/Flags.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Flags.java
@@ -28,7 +28,7 @@
     private String address = "";
     @Option(name = "--door", metaVar = "IP:PORT", usage = "where it takes HTTP")
     private String door = "";
-    @Option(name = "--seeds", metaVar = "A,B,C", usage = "three addresses of harbors")
+    @Option(name = "--seeds", metaVar = "A,B,C", usage = "one to three addresses of harbors")
     private String seeds = "";
     @Option(name = "--data", metaVar = "FOLDER", usage = "the data folder (harbors only)")
     private String data = "";
--- a/desk/src/main/java/silverlatch/desk/settings/Settings.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Settings.java
@@ -11,10 +11,16 @@
 import silverlatch.sheet.Sheet;
 import silverlatch.tariff.Tariff;
 
-/** A process's place and limits, read from one JSON file and flags and checked as a whole; times in microseconds. */
+/**
+ * A process's place and limits, read from one JSON file and flags and checked as a whole; times in microseconds.
+ *
+ * @param found  whether a data folder made at this start may take part in a first founding
+ * @param copies how many synced copies there are before an acknowledgement
+ * @param voters how many harbors with a data folder vote, where so many are there
+ */
 public record Settings(String name, String zone, String region, String address, String door, List<String> seeds,
                        Optional<String> data, Optional<String> record, String key, String operator, String worker, int low, long skew, long grace, Carry.Setup carry,
-                       int body, int line) {
+                       int body, int line, boolean found, int copies, int voters) {
     /** The largest settings file. */
     public static final int MOST = 64 << 10;
 
@@ -69,7 +75,8 @@
                         s.whole("patience", 0, 600_000_000L, plain.patience()),
                         s.whole("memory", 10_000_000L, 600_000_000L, plain.memory()),
                         s.whole("start", 100_000L, 60_000_000L, plain.start())),
-                (int) s.whole("body", 1_024, 16 << 20, 4 << 20), (int) s.whole("line", 1_024, 4 << 20, 256 << 10));
+                (int) s.whole("body", 1_024, 16 << 20, 4 << 20), (int) s.whole("line", 1_024, 4 << 20, 256 << 10),
+                s.flag("found", true), (int) s.whole("copies", 1, 7, 2), (int) s.whole("voters", 1, 9, 3));
         faults.addAll(s.end());
         faults.addAll(Tariff.word("name", made.name()));
         faults.addAll(Tariff.word("zone", made.zone()));
@@ -77,8 +84,11 @@
         place(faults, "address", made.address());
         place(faults, "door", made.door());
         made.seeds().forEach(x -> place(faults, "seeds", x));
-        if (made.seeds().size() != 3 || made.seeds().stream().distinct().count() != 3) {
-            faults.add("seeds: three different addresses are needed");
+        if (made.seeds().isEmpty() || made.seeds().stream().distinct().count() != made.seeds().size()) {
+            faults.add("seeds: one to three different addresses are needed");
+        }
+        if (made.copies() > made.voters()) {
+            faults.add("copies: more than the voters, of whom there are " + made.voters());
         }
         if (made.key().length() < 16) {
             faults.add("key: at least 16 characters are needed");
--- a/desk/src/test/java/silverlatch/desk/settings/SettingsTest.java
+++ b/desk/src/test/java/silverlatch/desk/settings/SettingsTest.java
@@ -36,5 +36,21 @@
         final Settings.Read.Good good = (Settings.Read.Good) Settings.read(Optional.of("../examples/ferry/settings.json"),
                 Map.of("name", "other"), true);
         assertThat(good.settings().name(), is("other"));
+        assertThat(good.settings().found(), is(true));
+        assertThat(good.settings().copies(), is(2));
+        assertThat(good.settings().voters(), is(3));
+    }
+
+    @Test
+    void aFleetOfFewerOrMoreMachinesIsSound() {
+        final Settings.Read.Good good = (Settings.Read.Good) Settings.read(Optional.of("../examples/ferry/settings.json"),
+                Map.of("name", "one", "seeds", List.of("10.0.0.1:7000"), "found", false, "copies", 3, "voters", 6), true);
+        assertThat(good.settings().seeds().size(), is(1));
+        assertThat(good.settings().found(), is(false));
+        assertThat(good.settings().copies(), is(3));
+        assertThat(good.settings().voters(), is(6));
+        final Settings.Read.Bad bad = (Settings.Read.Bad) Settings.read(Optional.of("../examples/ferry/settings.json"),
+                Map.of("name", "one", "copies", 4), true);
+        assertThat(bad.faults(), is(List.of("copies: more than the voters, of whom there are 3")));
     }
 }
