--- a/desk/src/main/java/silverlatch/desk/duty/Bridge.java
+++ b/desk/src/main/java/silverlatch/desk/duty/Bridge.java
@@ -48,21 +48,32 @@
         });
     }
 
-    /** Sends a wish; the verdict comes back on the deck's duty. False when the ring is full. */
+    /** Does something with the deck on its duty, and something else when all that came of it is on its way. */
+    public boolean with(final Consumer<Deck> job, final Runnable then) {
+        return duty.post(() -> {
+            job.accept(deck);
+            flush();
+            then.run();
+        });
+    }
+
+    /** Sends a wish; the verdict comes back on the deck's duty before the span is over. False when the ring is full. */
     public boolean wish(final Wish wish, final long span, final Consumer<Object> then) {
         final long token = tokens.incrementAndGet();
+        final long end = Duty.now() + span;
         return with(d -> {
             asked.put(token, then);
-            d.wish(wish, token, Duty.now(), Duty.now() + span);
+            d.wish(wish, token, Duty.now(), end);
         });
     }
 
-    /** Asks the tail; the page comes back on the deck's duty. False when the ring is full. */
+    /** Asks the tail; the page comes back on the deck's duty before the span is over. False when the ring is full. */
     public boolean read(final String start, final long span, final Consumer<Object> then) {
         final long token = tokens.incrementAndGet();
+        final long end = Duty.now() + span;
         return with(d -> {
             asked.put(token, then);
-            d.read(start, token, Duty.now(), Duty.now() + span);
+            d.read(start, token, Duty.now(), end);
         });
     }
 
--- a/desk/src/main/java/silverlatch/desk/harbor/Counter.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Counter.java
@@ -6,20 +6,24 @@
 import silverlatch.tariff.Verdict;
 import silverlatch.tariff.Wish;
 
-/** What a harbor does for operators and workers, whatever door they came by. Replies come on the harbor's own duty. */
+/**
+ * What a harbor does for operators and workers, whatever door they came by. Replies come on the harbor's own duty, those
+ * that wait for the chain at the latest 900 ms after the call; where the duty can take no more, a rejection comes at once
+ * on the caller's own thread.
+ */
 public interface Counter {
-    /** Lays down a charter. */
+    /** Lays down a charter; what is not decided in time is told as unknown. */
     void lay(Wish.Lay wish, Consumer<Verdict> then);
 
-    /** Asks for the newest acknowledged charter's paper; the page is not ok where none can tell it now. */
+    /** Asks for the newest acknowledged charter's paper; no entry where there is none, not ok where none can tell it now. */
     void paper(Consumer<Clerk.Page> then);
 
-    /** Empties a zone, or gives it back. */
+    /** Empties a zone, or gives it back; what is not decided in time is told as unknown. */
     void zone(String zone, boolean on, Consumer<Verdict> then);
 
     /** Takes a worker's word on itself; true when it is taken and on its way to the others. */
     void word(Worker worker, Consumer<Boolean> then);
 
-    /** A worker said that it is gone. */
+    /** A worker said that it is gone; true when its leaving is on its way to the others, false when it isn't known here. */
     void gone(String worker, Consumer<Boolean> then);
 }
--- a/desk/src/main/java/silverlatch/desk/harbor/Rows.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Rows.java
@@ -66,8 +66,8 @@
                     + " " + c.field() + " = " + c.value()).toList(), "zone", k.zone(), "empty", k.empty(), "sequence", e.sequence());
             case Leaf.Claim c -> Map.of("ticket", c.ticket(), "carrier", c.carrier(), "state", c.state(), "since", since(c.at()));
             case Leaf.Glass g -> Map.of("turn", g.turn());
-            case Leaf.Rule r -> Map.of("name", r.name(), "host", r.host(), "path", r.path(), "sequence", e.sequence());
-            case Leaf.Pool p -> Map.of("name", p.name(), "slots", p.slots(), "sequence", e.sequence());
+            case Leaf.Rule r -> Articles.write(r);
+            case Leaf.Pool p -> Articles.write(p);
             case Leaf.Charter c -> Map.of("number", c.number(), "sequence", e.sequence());
             case Leaf.Paper p -> Map.of("number", p.number(), "paper", p.text());
             case Leaf.Deed d -> Map.of("change", e.key().substring(2), "sequence", d.sequence(), "code", d.code(), "faults", d.faults());
--- a/desk/src/main/java/silverlatch/desk/purser/Purser.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Purser.java
@@ -33,6 +33,7 @@
 import silverlatch.desk.settings.Settings;
 import silverlatch.desk.web.Call;
 import silverlatch.desk.web.Web;
+import silverlatch.desk.web.Words;
 import silverlatch.judge.Finding;
 import silverlatch.rumor.Worker;
 import silverlatch.sheet.Sheet;
@@ -271,11 +272,8 @@
             return;
         }
         sheet(c).ifPresent(s -> {
-            final Worker w = new Worker(s.text("worker", 64), s.text("address", 64), s.text("zone", 64), s.text("region", 64),
-                    s.whole("life", 0, Long.MAX_VALUE), s.whole("sequence", 0, Long.MAX_VALUE), (int) s.whole("running", 0, 1_000_000, 0),
-                    (int) s.whole("queued", 0, 1_000_000, 0), (int) s.whole("slots", 1, 100_000), s.wholes("kept", 4_096),
-                    s.flag("leaving", false), s.whole("up", 0, Long.MAX_VALUE, 0));
-            final long echo = s.whole("echo", 0, Long.MAX_VALUE, 0);
+            final Worker w = Words.read(s);
+            final long echo = Words.echo(s);
             if (faulty(c, s)) {
                 return;
             }
--- a/desk/src/main/java/silverlatch/desk/tool/Main.java
+++ b/desk/src/main/java/silverlatch/desk/tool/Main.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -30,6 +31,8 @@
 
 /** The operators' command. Exit codes: 0 done, 1 rejected, 2 wrong use, 3 not reached, 4 not known. */
 public final class Main {
+    private static final int LARGEST = 64 << 20;
+    private static final String PAPER = "/v1/charter";
     private static final String USE = """
             silverlatch [flags] COMMAND
               table get                              show the table
@@ -39,6 +42,9 @@
               tenant list
               tenant put NAME KEY SHARE [HOME ...]   make or change a tenant
               tenant drop NAME
+              charter get                            show the charter in force, as it was put
+              charter put FILE [MATCH]               put a whole charter, where MATCH is the number it builds on
+              charter rules                          show the rules in force
               drain ZONE                             empty a zone
               undrain ZONE                           give it back
               zones                                  show the orders on zones
@@ -129,6 +135,13 @@
                     "share", Double.parseDouble(words.get(4)), "homes", words.subList(5, n)))));
         } else if (pair.equals("tenant drop") && n == 3) {
             return ask("DELETE", "/v1/tenants/" + words.get(2));
+        } else if (pair.equals("charter get") && n == 2) {
+            return ask("GET", PAPER);
+        } else if (pair.equals("charter rules") && n == 2) {
+            return ask("GET", "/v1/rules");
+        } else if (pair.equals("charter put") && (n == 3 || n == 4 && words.get(3).matches("\\d{1,18}"))) {
+            match = n == 4 ? words.get(3) : match;
+            return Optional.of(new Ask("PUT", PAPER, Optional.of(Files.readAllBytes(Path.of(words.get(2))))));
         } else if ((verb.equals("drain") || verb.equals("undrain")) && n == 2) {
             return Optional.of(new Ask("PUT", "/v1/zones/" + words.get(1), body(Map.of("empty", verb.equals("drain")))));
         } else if (pair.equals("calendar list") && n == 2) {
@@ -169,7 +182,8 @@
                             .headers(h -> h.put("Authorization", "Bearer " + key).put("X-Change", change).put("If-Match", match))
                             .timeout(10, TimeUnit.SECONDS);
                     ask.body().ifPresent(b -> r.body(new BytesRequestContent("application/json", b)));
-                    return show(r.send(), out, err);
+                    final ContentResponse reply = new CompletableResponseListener(r, LARGEST).send().get(10, TimeUnit.SECONDS);
+                    return show(reply, json || ask.method().equals("GET") && ask.path().equals(PAPER), out, err);
                 } catch (final ExecutionException | TimeoutException e) {
                     why = d + ": " + e.getMessage();
                     if (!ask.method().equals("GET") && !(e.getCause() instanceof java.net.ConnectException)) {
@@ -245,10 +259,10 @@
         return 0;
     }
 
-    private int show(final ContentResponse reply, final PrintStream out, final PrintStream err) {
+    private int show(final ContentResponse reply, final boolean raw, final PrintStream out, final PrintStream err) {
         final String text = reply.getContentAsString();
         final int code = reply.getStatus() < 300 ? 0 : reply.getStatus() == 504 ? 4 : 1;
-        if (json) {
+        if (raw && (json || code == 0)) {
             out.println(text);
             return code;
         }
--- a/desk/src/main/java/silverlatch/desk/web/Call.java
+++ b/desk/src/main/java/silverlatch/desk/web/Call.java
@@ -83,9 +83,15 @@
 
     /** Replies with plain text. */
     public void text(final String text) {
+        text("text/plain; charset=utf-8", text, Map.of());
+    }
+
+    /** Replies with a text as it is. */
+    public void text(final String type, final String text, final Map<String, String> headers) {
         if (ended.compareAndSet(false, true)) {
             response.setStatus(200);
-            response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; charset=utf-8");
+            response.getHeaders().put(HttpHeader.CONTENT_TYPE, type);
+            headers.forEach((k, v) -> response.getHeaders().put(k, v));
             response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
         }
     }
