--- a/desk/src/main/java/silverlatch/desk/harbor/Main.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Main.java
@@ -39,22 +39,29 @@
         }
     }
 
-    private static void start(final Settings s) {
-        Optional<Ledger.Opened.Good> opened = Optional.empty();
-        if (s.data().isPresent()) {
-            switch (Ledger.open(Path.of(s.data().get()))) {
-                case Ledger.Opened.Damaged d -> {
-                    Logs.write(Event.DAMAGED, d.why());
-                    System.exit(4);
-                }
-                case Ledger.Opened.Good g -> {
-                    Logs.write(Event.RECOVERED, g.notes().size() + " notes, " + g.torn() + " bytes of a torn tail cut off");
-                    opened = Optional.of(g);
-                }
+    /** Opens the ledger in the data folder, if there is one; a damaged one ends the process. */
+    public static Optional<Ledger.Opened.Good> open(final Settings s) {
+        return s.data().flatMap(data -> switch (Ledger.open(Path.of(data))) {
+            case Ledger.Opened.Damaged d -> {
+                Logs.write(Event.DAMAGED, d.why());
+                System.exit(4);
+                yield Optional.empty();
             }
-        }
+            case Ledger.Opened.Good g -> {
+                Logs.write(Event.RECOVERED, g.notes().size() + " notes, " + g.torn() + " bytes of a torn tail cut off");
+                yield Optional.of(g);
+            }
+        });
+    }
+
+    /** Builds a harbor from its settings and its ledger, if it has a data folder. */
+    public static Harbor build(final Settings s, final Optional<Ledger.Opened.Good> opened) {
+        return DaggerMain_Parts.factory().make(s, opened).harbor();
+    }
+
+    private static void start(final Settings s) {
         try {
-            final Harbor harbor = DaggerMain_Parts.factory().make(s, opened).harbor();
+            final Harbor harbor = build(s, open(s));
             Runtime.getRuntime().addShutdownHook(new Thread(harbor::stop, "stop"));
             harbor.start();
             Thread.currentThread().join();
--- a/desk/src/main/java/silverlatch/desk/purser/Main.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Main.java
@@ -34,7 +34,7 @@
             case Flags.Parsed.End end -> System.exit(end.code());
             case Flags.Parsed.Run run -> {
                 try {
-                    final Purser purser = DaggerMain_Parts.factory().make(run.settings()).purser();
+                    final Purser purser = build(run.settings());
                     Runtime.getRuntime().addShutdownHook(new Thread(purser::stop, "stop"));
                     purser.start();
                     Thread.currentThread().join();
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Builds a purser from its settings. */
+    public static Purser build(final Settings s) {
+        return DaggerMain_Parts.factory().make(s).purser();
+    }
+
     /** The parts of a purser. */
     @Singleton
     @Component(modules = Shed.class)
--- a/desk/src/main/java/silverlatch/desk/web/Call.java
+++ b/desk/src/main/java/silverlatch/desk/web/Call.java
@@ -67,13 +67,18 @@
 
     /** Replies with JSON. */
     public void reply(final int code, final Map<String, ?> value, final Map<String, String> headers) {
+        json(code, Sheet.write(value), headers);
+    }
+
+    /** Replies with JSON that stands written already, to the letter. */
+    public void json(final int code, final String text, final Map<String, String> headers) {
         if (!ended.compareAndSet(false, true)) {
             return;
         }
         response.setStatus(code);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
         headers.forEach((k, v) -> response.getHeaders().put(k, v));
-        response.write(true, ByteBuffer.wrap(Sheet.write(value).getBytes(StandardCharsets.UTF_8)), callback);
+        response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
     }
 
     /** Replies with JSON. */
