--- a/desk/src/main/java/silverlatch/desk/gate/Words.java
+++ b/desk/src/main/java/silverlatch/desk/gate/Fields.java
@@ -20,9 +20,9 @@
  * @param none     says that a worker did not run the ticket
  * @param rank     how urgent a ticket is; 0 comes first
  */
-public record Words(String ticket, String expiry, String parts, String tokens, String seal, String expect, String load, String none, String rank) {
+public record Fields(String ticket, String expiry, String parts, String tokens, String seal, String expect, String load, String none, String rank) {
     /** The product's own names. */
-    public static final Words PLAIN = new Words("Silverlatch-Ticket", "Silverlatch-Expiry-Ms", "Silverlatch-Parts", "Silverlatch-Tokens",
+    public static final Fields PLAIN = new Fields("Silverlatch-Ticket", "Silverlatch-Expiry-Ms", "Silverlatch-Parts", "Silverlatch-Tokens",
             "Silverlatch-Seal", "Silverlatch-Worker", "Silverlatch-Load", "Silverlatch-Not-Run", "Silverlatch-Rank");
     private static final int MOST = 256;
 
@@ -53,7 +53,7 @@
         if (part.length != 3) {
             return Optional.empty();
         }
-        final List<Long> all = java.util.Arrays.stream(part).map(Words::whole).flatMap(Optional::stream).filter(n -> n < 1_000_000).toList();
+        final List<Long> all = java.util.Arrays.stream(part).map(Fields::whole).flatMap(Optional::stream).filter(n -> n < 1_000_000).toList();
         return all.size() == 3 ? Optional.of(new Passage.Load(all.get(0).intValue(), all.get(1).intValue(), all.get(2).intValue())) : Optional.empty();
     }
 
--- a/desk/src/main/java/silverlatch/desk/gate/Gate.java
+++ b/desk/src/main/java/silverlatch/desk/gate/Gate.java
@@ -18,7 +18,7 @@
 
 /** Where tickets come in by host and path: it takes them in whole, and does what passage decides. */
 public final class Gate extends Handler.Abstract.NonBlocking {
-    private final Words words;
+    private final Fields words;
     private final Lighter lighter;
     private final Consumer<Consumer<Passage>> duty;
     private final Map<Long, Voyage> voyages = new ConcurrentHashMap<>();
@@ -27,7 +27,7 @@
     private volatile boolean closing;
 
     /** A gate under these names; the duty runs what passage is to be told. */
-    public Gate(final Words words, final Lighter lighter, final Consumer<Consumer<Passage>> duty) {
+    public Gate(final Fields words, final Lighter lighter, final Consumer<Consumer<Passage>> duty) {
         this.words = words;
         this.lighter = lighter;
         this.duty = duty;
@@ -99,7 +99,7 @@
         return closing;
     }
 
-    Words words() {
+    Fields words() {
         return words;
     }
 
@@ -121,7 +121,7 @@
         final String path = Request.getPathInContext(request);
         final String[] tokensOf = text(request, words.tokens()).orElse("0,0").split(",");
         final Fare fare = new Fare(token, host.orElse(""), path, text(request, words.ticket()).orElse(""),
-                text(request, words.expiry()).flatMap(Words::whole).orElse(60_000L) * 1000, Words.parts(text(request, words.parts())),
+                text(request, words.expiry()).flatMap(Fields::whole).orElse(60_000L) * 1000, Fields.parts(text(request, words.parts())),
                 count(tokensOf, 0), count(tokensOf, 1));
         voyages.put(token, new Voyage(this, token, fare, request, response, callback, body));
         request.addFailureListener(f -> gone(token));
@@ -129,7 +129,7 @@
     }
 
     private static int count(final String[] list, final int at) {
-        return at < list.length ? Words.whole(list[at]).map(n -> (int) Math.min(n, 10_000_000)).orElse(0) : 0;
+        return at < list.length ? Fields.whole(list[at]).map(n -> (int) Math.min(n, 10_000_000)).orElse(0) : 0;
     }
 
     private static Optional<String> text(final Request request, final String name) {
--- a/desk/src/main/java/silverlatch/desk/gate/Voyage.java
+++ b/desk/src/main/java/silverlatch/desk/gate/Voyage.java
@@ -239,7 +239,7 @@
         private void headers(final org.eclipse.jetty.client.Response r) {
             reply = r;
             final HttpFields h = r.getHeaders();
-            final Words w = gate.words();
+            final Fields w = gate.words();
             final String mine = Optional.ofNullable(request.getHeaders().get(w.ticket())).orElse("");
             final String theirs = Optional.ofNullable(h.get(w.ticket())).orElse(mine.isEmpty() || r.getStatus() / 100 != 2 ? mine : "?");
             good = r.getStatus() / 100 == 2 && h.contains(w.seal()) && !h.contains(HttpHeader.CONTENT_ENCODING);
@@ -248,7 +248,7 @@
                 r.abort(new CancellationException("not this ticket's reply"));
                 return;
             }
-            final Optional<Passage.Load> load = Words.load(Optional.ofNullable(h.get(w.load())));
+            final Optional<Passage.Load> load = Fields.load(Optional.ofNullable(h.get(w.load())));
             if (good) {
                 synchronized (Voyage.this) {
                     if (over.get() || ended) {
@@ -305,7 +305,7 @@
                 }
             } else if (whole && !wrong) {
                 final boolean none = reply.getHeaders().contains(gate.words().none());
-                final Optional<Passage.Load> load = Words.load(Optional.ofNullable(reply.getHeaders().get(gate.words().load())));
+                final Optional<Passage.Load> load = Fields.load(Optional.ofNullable(reply.getHeaders().get(gate.words().load())));
                 if (reply.getStatus() == 421 || none && reply.getStatus() != 400) {
                     gate.tell(p -> p.failed(job, reply.getStatus() == 421 ? Break.STRANGER : Break.NOT_RUN, Duty.now()));
                 } else if (headed) {
--- a/desk/src/main/java/silverlatch/desk/purser/Purser.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Purser.java
@@ -33,7 +33,7 @@
 import silverlatch.crew.Member;
 import silverlatch.desk.gate.Gate;
 import silverlatch.desk.gate.Lighter;
-import silverlatch.desk.gate.Words;
+import silverlatch.desk.gate.Fields;
 import silverlatch.passage.Passage;
 import silverlatch.desk.settings.Settings;
 import silverlatch.desk.web.Call;
@@ -136,7 +136,7 @@
     }
 
     /** Makes the gate for tickets that come by host and path; where there is one it decides when this purser is ready. */
-    public Gate gate(final Words words, final Lighter lighter) {
+    public Gate gate(final Fields words, final Lighter lighter) {
         final Gate made = new Gate(words, lighter, job -> post(() -> job.accept(passage)));
         gate = Optional.of(made);
         return made;
