--- a/core/src/main/java/silverlatch/passage/Outlook.java
+++ b/core/src/main/java/silverlatch/passage/Outlook.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import silverlatch.tariff.Leaf;
 
 /**
@@ -17,6 +18,8 @@
     private static final double FIRST = 0.9;
     private static final double OTHER = 0.15;
     private static final long STALE = 1_500_000L;
+    private static final long LONG = 25_000;
+    private static final long APART = 200_000;
     private static final int WORTH = 512;
 
     private Outlook() {
@@ -27,7 +30,7 @@
     }
 
     static View of(final Fare fare, final Leaf.Rule rule, final Stand s, final String zone, final String region,
-                   final Map<Long, String> homes, final long now) {
+                   final Map<Long, String> homes, final Set<String> writers, final long now) {
         final boolean far = !s.worker.region().equals(region);
         final int unread = unread(fare, s, homes, now);
         final double read = unread * TOKEN * s.pace + s.unread() * TOKEN * s.pace;
@@ -36,7 +39,8 @@
         final long queue = told ? s.waiting * WAIT : 0;
         final long way = far ? FAR : s.worker.zone().equals(zone) ? 0 : NEAR;
         final long first = Math.round(way + BASE * s.pace + read + queue + full * 60_000 + Math.max(0, full - 0.8) * 2_000_000);
-        final long extra = (far ? rule.aim() / 8 : 0) + Math.max(0, s.overdue(now)) * 2 + (s.cold(now) ? rule.aim() / 2 : 0);
+        final boolean odd = !writers.isEmpty() && writers.contains(s.worker.id()) == Habits.lengthy(fare);
+        final long extra = (far ? LONG : 0) + (odd ? APART : 0) + Math.max(0, s.overdue(now)) * 2 + (s.cold(now) ? rule.aim() / 2 : 0);
         return new View(first, first + extra, unread);
     }
 
@@ -59,6 +63,11 @@
         return parts.size() > 1 && parts.subList(0, parts.size() - 1).stream().mapToInt(Fare.Part::tokens).sum() >= WORTH;
     }
 
+    /** The name of a prompt's longest run of shared parts. */
+    static long key(final Fare fare) {
+        return fare.parts().get(fare.parts().size() - 2).name();
+    }
+
     static long draw(final long seed, final String name) {
         long sum = 0xCBF29CE484222325L ^ seed;
         for (int i = 0; i < name.length(); i++) {
--- a/core/src/main/java/silverlatch/passage/Passage.java
+++ b/core/src/main/java/silverlatch/passage/Passage.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -40,6 +41,7 @@
     private final Map<String, Long> tally = new TreeMap<>();
     private final List<Move> out = new ArrayList<>();
     private final Budget budget;
+    private final Habits habits = new Habits();
     private Charters charters = Charters.NONE;
     private Facts facts;
     private long job;
@@ -171,6 +173,7 @@
         o.place = place.get();
         places.put(fare.token(), o.place);
         budget.fresh(now);
+        habits.note(fare, o.rule, now);
         send(o, now);
     }
 
@@ -322,8 +325,9 @@
                 .filter(s -> last.stands(plea, new Sight(s.worker, facts.workers().get(s.worker.id()).age(now), 0, 0, 0, false, 1)))
                 .filter(s -> !o.failed.contains(s.worker.id()))
                 .filter(s -> !s.cold(now) || warm(s, o.pool, now)).toList();
-        final Map<Long, String> homes = homes(o.fare, fit);
-        return fit.stream().map(s -> new Pick(s, Outlook.of(o.fare, o.rule, s, facts.me().zone(), facts.me().region(), homes, now)))
+        final Set<String> writers = habits.writers(stands.values().stream().filter(s -> s.worker.pool().equals(o.pool)).toList(), now);
+        final Map<Long, String> homes = homes(o.fare, fit, writers);
+        return fit.stream().map(s -> new Pick(s, Outlook.of(o.fare, o.rule, s, facts.me().zone(), facts.me().region(), homes, writers, now)))
                 .sorted(Comparator.comparingLong(p -> p.view().cost() + (p.stand().shunned(now) ? o.rule.aim() * 4 : 0))).toList();
     }
 
@@ -340,15 +344,21 @@
                 : Optional.of(least.get(luck.nextInt(Math.min(2, least.size()))));
     }
 
-    /** For each part of a prompt the worker of each region that keeps it by common rule; the nearest region goes first. */
-    private Map<Long, String> homes(final Fare fare, final List<Stand> fit) {
+    /**
+     * For each shared part of a prompt the worker that keeps it by common rule: one of this region where such parts come up
+     * often, else one of all regions, so that it is read once only.
+     */
+    private Map<Long, String> homes(final Fare fare, final List<Stand> fit, final Set<String> writers) {
         final Map<Long, String> homes = new HashMap<>();
         if (!Outlook.worth(fare.parts())) {
             return homes;
         }
-        final boolean near = fit.stream().anyMatch(s -> s.worker.region().equals(facts.me().region()));
-        final long key = fare.parts().get(fare.parts().size() - 2).name();
-        fit.stream().filter(s -> !near || s.worker.region().equals(facts.me().region()))
+        final String here = facts.me().region();
+        final List<Stand> readers = fit.stream().filter(s -> !writers.contains(s.worker.id())).toList();
+        final int pursers = 1 + (int) facts.crew().stream().filter(m -> m.region().equals(here)).count();
+        final boolean near = readers.stream().anyMatch(s -> s.worker.region().equals(here)) && habits.often(pursers);
+        final long key = Outlook.key(fare);
+        readers.stream().filter(s -> !near || s.worker.region().equals(here))
                 .max(Comparator.comparingLong(s -> Outlook.draw(key, s.worker.id())))
                 .ifPresent(s -> fare.parts().subList(0, fare.parts().size() - 1).forEach(p -> homes.put(p.name(), s.worker.id())));
         return homes;
