--- a/core/src/main/java/silverlatch/quay/Quay.java
+++ b/core/src/main/java/silverlatch/quay/Quay.java
@@ -59,7 +59,9 @@
     private View view = View.NONE;
     private boolean level;
     private boolean shut;
-    private long given;
+    private final Map<String, Long> given = new HashMap<>();
+    private final Set<String> levels = new HashSet<>();
+    private long floor;
     private long promised;
     private long nodded;
     private Optional<View> nod = Optional.empty();
@@ -90,7 +92,7 @@
         this.books = new Books(setup.guards());
         this.spot = chart.start();
         notes.forEach(this::recall);
-        given = now + setup.lease();
+        floor = now + setup.lease();
         clock = now;
         swept = now;
         if (view.number() > 0) {
@@ -102,7 +104,7 @@
             view.voters().forEach(b -> heard.put(b.id(), now));
         }
         kept = last;
-        if (tail() && level) {
+        if (tail() && level && enough()) {
             commit(kept);
         }
     }
@@ -257,8 +259,7 @@
             return;
         }
         if (now - asked >= setup.ask() && !stalled) {
-            asked = now;
-            view.voters().forEach(b -> send(b.address(), new Msg.Lease(view.number(), now, setup.me())));
+            ask(now);
         }
         if (chained()) {
             sweep(now);
@@ -269,10 +270,15 @@
         } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled && !quit) {
             soughtAt = now;
             view.tail().ifPresent(t -> send(t.address(), compareOf()));
-            setup.seats().forEach(s -> send(s, new Msg.Lease(view.number(), now, setup.me())));
+            setup.seats().forEach(s -> send(s, new Msg.Lease(view.number(), now, setup.me(), false)));
         }
     }
 
+    private void ask(final long now) {
+        asked = now;
+        view.voters().forEach(b -> send(b.address(), new Msg.Lease(view.number(), now, setup.me(), chained() && level)));
+    }
+
     private void recall(final Note note) {
         switch (note) {
             case Note.Picture p -> {
@@ -387,6 +393,8 @@
         final boolean was = view.place(setup.me().id()) >= 0;
         final boolean in = next.place(setup.me().id()) >= 0;
         final boolean born = birth.map(next::equals).orElse(false);
+        given.values().removeIf(t -> t <= now);
+        floor = Set.copyOf(view.voters()).equals(Set.copyOf(next.voters())) ? floor : now + setup.lease();
         view = next;
         level = in && (was && level || born);
         birth = Optional.empty();
@@ -402,6 +410,7 @@
         want = Optional.empty();
         joining = false;
         low = now;
+        levels.retainAll(view.chain().stream().map(Berth::id).toList());
         heard.keySet().retainAll(view.voters().stream().map(Berth::id).toList());
         view.voters().forEach(b -> {
             if (was) {
@@ -410,11 +419,11 @@
                 heard.put(b.id(), now);
             }
         });
-        asked = 0;
         spot = chart.move(spot, in ? "chain" : "learn");
         keep(List.of(new Note.Seen(view, level)), t -> {
         });
         log(Event.VIEW, "view " + view.number() + " chain " + view.chain().stream().map(Berth::address).toList());
+        ask(now);
         if (!in) {
             forget();
             return;
@@ -444,8 +453,11 @@
             if (view.votes(m.me().id())) {
                 heard.put(m.me().id(), now);
             }
+            if (m.level()) {
+                levels.add(m.me().id());
+            }
             if (!shut && view.place(m.me().id()) >= 0) {
-                given = Math.max(given, now + setup.lease());
+                given.put(m.me().id(), now + setup.lease());
                 send(m.me().address(), new Msg.Grant(view.number(), m.at(), setup.me().id()));
             }
         }
@@ -490,14 +502,24 @@
         shut = true;
         final Msg.Accepted reply = new Msg.Accepted(m.number(), m.ballot(), setup.me().id());
         keep(List.of(new Note.Nod(m.number(), m.ballot(), m.view())), t -> {
-            if (t >= given) {
+            final long due = due(m.view());
+            if (t >= due) {
                 send(home, reply);
             } else {
-                late.add(new Late(given, m.number(), home, reply));
+                late.add(new Late(due, m.number(), home, reply));
             }
         });
     }
 
+    /**
+     * When none that goes with this view can answer under a lease from here any more. Those that stay can't answer for
+     * the old view alone: what the new one acknowledges has passed them.
+     */
+    private long due(final View next) {
+        return Succession.grown(view, next) ? 0 : view.chain().stream().filter(b -> next.place(b.id()) < 0)
+                .mapToLong(b -> given.getOrDefault(b.id(), 0L)).reduce(floor, Math::max);
+    }
+
     private void promise(final Msg.Promise m, final long now) {
         bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && !b.asking()).ifPresent(b -> {
             b.yes().add(m.voter());
@@ -537,17 +559,21 @@
         if (!view.votes(setup.me().id()) || !setup.guards().stands(Guard.MEND)) {
             return;
         }
-        final Optional<View> next = wanted(now);
+        if (level) {
+            levels.add(setup.me().id());
+        }
+        final Succession after = new Succession(setup, view, id -> silent(id, now), levels);
+        final Optional<View> next = after.next(quit, joins.values());
         if (next.isEmpty() && nod.isEmpty()) {
             doubt = 0;
             return;
         }
         if (doubt == 0) {
             doubt = now;
-            view.chain().stream().filter(b -> missed(b.id(), now, setup.suspect())).forEach(b -> log(Event.CHAIN_SUSPECT, b.address()));
+            after.missed().forEach(b -> log(Event.CHAIN_SUSPECT, b.address()));
         }
-        final List<Berth> able = view.voters().stream().filter(b -> !missed(b.id(), now, setup.suspect())).toList();
-        final int rank = Math.max(0, able.stream().map(Berth::id).toList().indexOf(setup.me().id()));
+        final List<Berth> able = after.able();
+        final int rank = Math.max(0, able.stream().map(Berth::id).filter(i -> view.place(i) >= 0).toList().indexOf(setup.me().id()));
         if (now - doubt < rank * setup.suspect() || !view.majority(able.size())) {
             return;
         }
@@ -559,36 +585,6 @@
         view.voters().forEach(b -> send(b.address(), new Msg.Prepare(mine.number(), mine.ballot())));
     }
 
-    private Optional<View> wanted(final long now) {
-        final long number = view.number() + 1;
-        for (final Berth b : view.chain()) {
-            final boolean me = b.id().equals(setup.me().id());
-            if (me ? quit && view.chain().size() > setup.copies() : missed(b.id(), now, setup.suspect())) {
-                final List<Berth> chain = view.chain().stream().filter(c -> !c.equals(b)).toList();
-                final String holder = view.holder().equals(b.id()) ? chain.getFirst().id() : view.holder();
-                return Optional.of(new View(number, view.fleet(), view.voters(), chain, holder));
-            }
-        }
-        for (final Msg.Join j : joins.values()) {
-            if (j.view() != view.number() || view.place(j.me().id()) >= 0) {
-                continue;
-            }
-            final List<Berth> chain = new ArrayList<>(view.chain());
-            chain.add(j.me());
-            if (view.votes(j.me().id())) {
-                final List<Berth> voters = view.voters().stream().map(v -> v.id().equals(j.me().id()) ? j.me() : v).toList();
-                return Optional.of(new View(number, view.fleet(), voters, chain, view.holder()));
-            }
-            final Optional<Berth> lost = view.voters().stream().filter(v -> view.place(v.id()) < 0
-                    && missed(v.id(), now, setup.swap())).findFirst();
-            if (lost.isPresent()) {
-                final List<Berth> voters = view.voters().stream().map(v -> v.equals(lost.get()) ? j.me() : v).toList();
-                return Optional.of(new View(number, view.fleet(), voters, chain, view.holder()));
-            }
-        }
-        return Optional.empty();
-    }
-
     private void sweep(final long now) {
         if (duty(now).isEmpty()) {
             swept = now;
@@ -600,8 +596,13 @@
         }
     }
 
-    private boolean missed(final String id, final long now, final long span) {
-        return !id.equals(setup.me().id()) && now - heard.getOrDefault(id, 0L) > span;
+    private long silent(final String id, final long now) {
+        return id.equals(setup.me().id()) ? 0 : now - heard.getOrDefault(id, 0L);
+    }
+
+    /** Whether the chain is long enough for an acknowledgement. */
+    private boolean enough() {
+        return view.chain().size() >= setup.copies();
     }
 
     private void again(final long now) {
@@ -638,7 +639,7 @@
     }
 
     private void settle(final long now) {
-        if (tail() && level) {
+        if (tail() && level && enough()) {
             final long old = books.sequence();
             commit(kept);
             if (books.sequence() > old) {
@@ -652,7 +653,7 @@
             return;
         }
         final Stamp stamp = stamps.get();
-        if (!leased(clock) || view.chain().size() < setup.copies() || pend.size() >= PENDING || stamp.bits() <= roof) {
+        if (!leased(clock) || !enough() || pend.size() >= PENDING || stamp.bits() <= roof) {
             return;
         }
         if (m.wish() instanceof Wish.Sweep s && s.fence() != view.number()
@@ -863,7 +864,8 @@
     }
 
     private void read(final Msg.Read m, final long now) {
-        final boolean ok = tail() && level && (leased(now) || !setup.guards().stands(Guard.LEASE));
+        final boolean held = !enough() && pend.stream().anyMatch(c -> c.sequence() <= kept);
+        final boolean ok = tail() && level && !held && (leased(now) || !setup.guards().stands(Guard.LEASE));
         send(m.home(), new Msg.Seen(m.ask(), ok, books.sequence(),
                 ok ? List.copyOf(books.part(m.start()).values()) : List.of()));
     }
--- a/core/src/main/java/silverlatch/wire/Msg.java
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -82,8 +82,8 @@
     record Agreed(long fleet, Berth me) implements Msg {
     }
 
-    /** A member asks a voter that its view still holds. */
-    record Lease(long view, long at, Berth me) implements Msg {
+    /** A member asks a voter that its view still holds, and says whether it has all that its chain has. */
+    record Lease(long view, long at, Berth me, boolean level) implements Msg {
     }
 
     /** A voter says that the view holds. */
--- /dev/null
+++ b/core/src/test/java/silverlatch/quay/Bay.java
@@ -0,0 +1,247 @@
+package silverlatch.quay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.UnaryOperator;
+import silverlatch.deck.Effect;
+import silverlatch.ledger.Note;
+import silverlatch.tariff.Charters;
+import silverlatch.tariff.Leaf;
+import silverlatch.tariff.Verdict;
+import silverlatch.tariff.Wish;
+import silverlatch.tide.Stamp;
+import silverlatch.wire.Msg;
+
+/** Machines with ledgers and clerks on a fake clock: frames take a time, syncs take a time, and a power cut loses what wasn't synced. */
+final class Bay {
+    static final long BEAT = 20_000;
+    private final List<String> seats;
+    private final long hop;
+    private final UnaryOperator<Quay.Setup> setup;
+    private final Map<String, Quay> quays = new TreeMap<>();
+    private final Map<String, Clerk> clerks = new HashMap<>();
+    private final Map<String, List<Note>> disks = new TreeMap<>();
+    private final Map<String, String> names = new HashMap<>();
+    private final Set<String> deaf = new TreeSet<>();
+    private final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::turn));
+    private final Map<Long, Asked> asked = new LinkedHashMap<>();
+    private long now = 1_000_000;
+    private long turn;
+    private long stamp = 1_000;
+    private long token;
+
+    Bay(final List<String> seats, final long hop, final UnaryOperator<Quay.Setup> setup) {
+        this.seats = seats;
+        this.hop = hop;
+        this.setup = setup;
+    }
+
+    /** What came of a wish or a question, and when. */
+    static final class Asked {
+        private final long at;
+        private Optional<Object> reply = Optional.empty();
+        private long end;
+
+        Asked(final long at) {
+            this.at = at;
+        }
+
+        boolean kept() {
+            return reply.filter(r -> r instanceof Verdict.Kept).isPresent();
+        }
+
+        long span() {
+            return end - at;
+        }
+
+        Object reply() {
+            return reply.orElseThrow();
+        }
+    }
+
+    long now() {
+        return now;
+    }
+
+    Quay quay(final String seat) {
+        return quays.get(seat);
+    }
+
+    Set<String> up() {
+        return Set.copyOf(quays.keySet());
+    }
+
+    /** Starts a machine: from its disk, or empty under a new identity. */
+    void start(final String seat, final boolean found) {
+        final List<Note> disk = disks.computeIfAbsent(seat, s -> new ArrayList<>());
+        final String name = names.computeIfAbsent(seat, s -> "id-" + s + "-" + ++turn);
+        final Quay q = new Quay(setup.apply(Quay.Setup.of(new Berth(name, seat), seats)).founds(found), List.copyOf(disk),
+                () -> new Stamp(++stamp), now);
+        quays.put(seat, q);
+        clerks.put(seat, new Clerk(seat, q::view, turn++ * 1_000_000));
+        beat(seat, q);
+    }
+
+    /** The machine's process ends, and its power with it. */
+    void kill(final String seat) {
+        quays.remove(seat);
+        clerks.remove(seat);
+    }
+
+    /** The disk is lost; the next start is under a new identity. */
+    void wipe(final String seat) {
+        disks.remove(seat);
+        names.remove(seat);
+    }
+
+    /** Nothing reaches the machine and nothing leaves it. */
+    void cut(final String seat, final boolean off) {
+        if (off) {
+            deaf.add(seat);
+        } else {
+            deaf.remove(seat);
+        }
+    }
+
+    void pass(final long span) {
+        final long end = now + span;
+        while (!queue.isEmpty() && queue.peek().at() <= end) {
+            final Due d = queue.poll();
+            now = d.at();
+            d.job().run();
+        }
+        now = end;
+    }
+
+    /** Passes time until something holds; how long it took, or -1 when it did not come. */
+    long until(final long most, final java.util.function.BooleanSupplier what) {
+        final long from = now;
+        while (!what.getAsBoolean()) {
+            if (now - from > most) {
+                return -1;
+            }
+            pass(1_000);
+        }
+        return now - from;
+    }
+
+    static Wish.Lay charter(final long number, final long match) {
+        final Leaf.Pool pool = new Leaf.Pool("pool", "/", 1, 0, 1, 1, 0, 1);
+        final Leaf.Rule rule = new Leaf.Rule("rule", "host" + number, "/", false, false, false, false, 1, 0, 0, 0, 1, List.of(),
+                List.of(new Leaf.Lot("pool", 1)));
+        return new Wish.Lay("lay-" + number + "-" + match, new Leaf.Charter(number, 1, 1, 1, 1), List.of(rule), List.of(pool), "paper " + number, match);
+    }
+
+    Asked lay(final String at, final long number, final long match, final long span) {
+        final Asked a = new Asked(now);
+        asked.put(++token, a);
+        clerks.get(at).wish(charter(number, match), token, now, now + span);
+        flush(at, quays.get(at));
+        return a;
+    }
+
+    Asked read(final String at, final long span) {
+        final Asked a = new Asked(now);
+        asked.put(++token, a);
+        clerks.get(at).read(Charters.PAPER, token, now, now + span);
+        flush(at, quays.get(at));
+        return a;
+    }
+
+    /** The number of the charter that a machine holds as acknowledged. */
+    long held(final String seat) {
+        return quays.get(seat).books().get(Charters.CHARTER).map(e -> ((Leaf.Charter) e.leaf().getFirst()).number()).orElse(0L);
+    }
+
+    /** On how many of the disks a charter is synced, as a change or within a picture. */
+    long synced(final long number) {
+        return disks.values().stream().filter(d -> d.stream().anyMatch(n -> switch (n) {
+            case Note.Deed x -> x.change().puts().stream().anyMatch(e -> e.key().equals(Charters.CHARTER) && at(e, number));
+            case Note.Picture p -> p.entries().stream().anyMatch(e -> e.key().equals(Charters.CHARTER) && at(e, number));
+            default -> false;
+        })).count();
+    }
+
+    private static boolean at(final silverlatch.tariff.Entry e, final long number) {
+        return ((Leaf.Charter) e.leaf().getFirst()).number() >= number;
+    }
+
+    private void at(final long when, final Runnable job) {
+        queue.add(new Due(when, turn++, job));
+    }
+
+    private void beat(final String seat, final Quay q) {
+        at(now + BEAT, () -> {
+            if (quays.get(seat) == q) {
+                q.tick(now);
+                clerks.get(seat).tick(now);
+                flush(seat, q);
+                beat(seat, q);
+            }
+        });
+    }
+
+    private void flush(final String seat, final Quay q) {
+        boolean more = true;
+        while (more) {
+            final List<Effect> all = new ArrayList<>(q.drain());
+            all.addAll(clerks.get(seat).drain());
+            more = !all.isEmpty();
+            all.forEach(e -> effect(seat, q, e));
+        }
+    }
+
+    private void effect(final String seat, final Quay q, final Effect e) {
+        switch (e) {
+            case Effect.Send s when s.to().equals(seat) -> hand(seat, q, s.body(), seat);
+            case Effect.Send s -> {
+                if (!deaf.contains(seat)) {
+                    at(now + hop, () -> {
+                        if (quays.containsKey(s.to()) && !deaf.contains(s.to())) {
+                            hand(s.to(), quays.get(s.to()), s.body(), seat);
+                            flush(s.to(), quays.get(s.to()));
+                        }
+                    });
+                }
+            }
+            case Effect.Keep k -> at(now + 2_000, () -> {
+                if (quays.get(seat) == q) {
+                    k.notes().forEach(n -> {
+                        if (n instanceof Note.Picture) {
+                            disks.get(seat).clear();
+                        }
+                        disks.get(seat).add(n);
+                    });
+                    q.kept(k.token(), now);
+                    flush(seat, q);
+                }
+            });
+            case Effect.Answer a -> Optional.ofNullable(asked.remove(a.token())).ifPresent(x -> {
+                x.reply = Optional.of(a.reply());
+                x.end = now;
+            });
+            case Effect.Log l -> {
+            }
+        }
+    }
+
+    private void hand(final String seat, final Quay q, final Msg msg, final String home) {
+        switch (msg) {
+            case Msg.Wrote m -> clerks.get(seat).on(m);
+            case Msg.Seen m -> clerks.get(seat).on(m);
+            default -> q.on(msg, home, now);
+        }
+    }
+
+    private record Due(long at, long turn, Runnable job) {
+    }
+}
