--- a/core/src/main/java/silverlatch/quay/Clerk.java
+++ b/core/src/main/java/silverlatch/quay/Clerk.java
@@ -18,6 +18,7 @@
     private final Map<Long, Open> open = new LinkedHashMap<>();
     private final List<Effect> out = new ArrayList<>();
     private long ask;
+    private long number;
 
     /** A clerk of the daemon that listens at the address. */
     public Clerk(final String home, final Supplier<View> views, final long first) {
@@ -64,15 +65,17 @@
         }
     }
 
-    /** A clock event: asks again, and ends what is past its expiry. */
+    /** A clock event: asks again, at once under another view, and ends what is past its expiry. */
     public void tick(final long now) {
+        final boolean other = views.get().number() != number;
+        number = views.get().number();
         for (final Map.Entry<Long, Open> e : List.copyOf(open.entrySet())) {
             final Open o = e.getValue();
             if (now >= o.expiry()) {
                 open.remove(e.getKey());
                 out.add(new Effect.Answer(o.token(), o.msg() instanceof Msg.Write w
                         ? new Verdict.Unknown(w.wish().id()) : new Page(false, 0, List.of())));
-            } else if (now - o.sent() >= AGAIN) {
+            } else if (other || now - o.sent() >= AGAIN) {
                 open(e.getKey(), o, now);
             }
         }
--- a/core/src/main/java/silverlatch/quay/Quay.java
+++ b/core/src/main/java/silverlatch/quay/Quay.java
@@ -37,6 +37,7 @@
     private static final int RECENT = 200_000;
     private static final int BATCH = 512;
     private static final int PENDING = 4_096;
+    private static final int EARLY = 64;
     private static final long RESEND = 300_000L;
     private static final long SWEEP = 600_000_000L;
     private final Setup setup;
@@ -54,6 +55,7 @@
     private final Map<String, Msg.Join> joins = new TreeMap<>();
     private final Map<Long, List<Msg.Write>> waits = new HashMap<>();
     private final List<Late> late = new ArrayList<>();
+    private final List<Early> early = new ArrayList<>();
     private final Set<String> agreed = new HashSet<>();
     private String spot;
     private View view = View.NONE;
@@ -258,7 +260,7 @@
             hunt(now);
             return;
         }
-        if (now - asked >= setup.ask() && !stalled) {
+        if (now - asked >= (view.votes(setup.me().id()) ? setup.ask() : RESEND) && !stalled) {
             ask(now);
         }
         if (chained()) {
@@ -410,7 +412,7 @@
         want = Optional.empty();
         joining = false;
         low = now;
-        levels.retainAll(view.chain().stream().map(Berth::id).toList());
+        levels.clear();
         heard.keySet().retainAll(view.voters().stream().map(Berth::id).toList());
         view.voters().forEach(b -> {
             if (was) {
@@ -455,6 +457,8 @@
             }
             if (m.level()) {
                 levels.add(m.me().id());
+            } else {
+                levels.remove(m.me().id());
             }
             if (!shut && view.place(m.me().id()) >= 0) {
                 given.put(m.me().id(), now + setup.lease());
@@ -466,6 +470,11 @@
     private void grant(final Msg.Grant m, final long now) {
         if (m.view() == view.number() && view.votes(m.voter())) {
             granted.merge(m.voter(), m.at(), Math::max);
+            if (!early.isEmpty() && leased(now)) {
+                final List<Early> due = List.copyOf(early);
+                early.clear();
+                due.stream().filter(e -> now - e.at() < setup.lease()).forEach(e -> write(e.msg()));
+            }
         }
     }
 
@@ -652,8 +661,14 @@
         if (!chained() || !level || view.place(setup.me().id()) != 0) {
             return;
         }
+        if (!leased(clock)) {
+            if (early.size() < EARLY) {
+                early.add(new Early(clock, m));
+            }
+            return;
+        }
         final Stamp stamp = stamps.get();
-        if (!leased(clock) || !enough() || pend.size() >= PENDING || stamp.bits() <= roof) {
+        if (!enough() || pend.size() >= PENDING || stamp.bits() <= roof) {
             return;
         }
         if (m.wish() instanceof Wish.Sweep s && s.fence() != view.number()
@@ -895,6 +910,9 @@
     private record Held(long at, LongConsumer then) {
     }
 
+    private record Early(long at, Msg.Write msg) {
+    }
+
     private record Late(long due, long number, String to, Msg msg) {
     }
 
