--- a/core/src/main/java/silverlatch/sheet/Sheet.java
+++ b/core/src/main/java/silverlatch/sheet/Sheet.java
@@ -1,6 +1,8 @@
 package silverlatch.sheet;
 
 import io.avaje.jsonb.Jsonb;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -40,13 +42,22 @@
         if (body.length > most) {
             return new Parsed.Bad(413, "$: larger than " + most + " bytes");
         }
-        if (depth(body) > DEEP) {
-            return new Parsed.Bad(422, "$: deeper than " + DEEP + " levels");
+        switch (Shape.of(body, DEEP)) {
+            case DEEP -> {
+                return new Parsed.Bad(422, "$: deeper than " + DEEP + " levels");
+            }
+            case BROKEN -> {
+                return new Parsed.Bad(400, "$: not JSON");
+            }
+            case WHOLE -> {
+            }
         }
         try {
-            final Object root = JSON.type(Object.class).fromJson(new String(body, StandardCharsets.UTF_8));
+            final Object root = JSON.type(Object.class).fromJson(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString());
             return root instanceof Map<?, ?> map ? new Parsed.Good(new Sheet("$", map, new ArrayList<>()))
                     : new Parsed.Bad(400, "$: an object is needed");
+        } catch (final CharacterCodingException e) {
+            return new Parsed.Bad(400, "$: not UTF-8");
         } catch (final RuntimeException e) {
             return new Parsed.Bad(400, "$: not JSON");
         }
@@ -93,6 +104,18 @@
         return value(key).isPresent();
     }
 
+    /** Notes a fault of a key. */
+    public void fault(final String key, final String why) {
+        faults.add(path + "." + key + ": " + why);
+    }
+
+    /** Notes a key that isn't there. */
+    public void need(final String key) {
+        if (!has(key)) {
+            fault(key, "missing");
+        }
+    }
+
     /** A text of at most so many characters. */
     public String text(final String key, final int most) {
         return value(key).map(v -> text(path + "." + key, v, most)).orElseGet(() -> missing(key, ""));
@@ -240,27 +263,4 @@
         asked.add(key);
         return Optional.ofNullable(fields.get(key));
     }
-
-    private static int depth(final byte[] body) {
-        int deep = 0;
-        int most = 0;
-        boolean text = false;
-        for (int i = 0; i < body.length; i++) {
-            final byte b = body[i];
-            if (text) {
-                if (b == '\\') {
-                    i++;
-                } else if (b == '"') {
-                    text = false;
-                }
-            } else if (b == '"') {
-                text = true;
-            } else if (b == '{' || b == '[') {
-                most = Math.max(most, ++deep);
-            } else if (b == '}' || b == ']') {
-                deep--;
-            }
-        }
-        return most;
-    }
 }
