--- a/core/src/main/java/silverlatch/crew/Crew.java
+++ b/core/src/main/java/silverlatch/crew/Crew.java
@@ -30,6 +30,7 @@
     private List<Member> live = List.of();
     private boolean doubt;
     private boolean fresh = true;
+    private long version;
 
     /** Times in microseconds. */
     public record Times(long beat, long miss, long bury, long hail) {
@@ -55,6 +56,11 @@
         return List.copyOf(members.values());
     }
 
+    /** A number that changes whenever what is known of anyone does. */
+    public long version() {
+        return version;
+    }
+
     /** Those thought to live, without this daemon. */
     public List<Member> live() {
         if (live.isEmpty()) {
@@ -205,6 +211,7 @@
         members.put(m.id(), m);
         ring = List.of();
         live = List.of();
+        version++;
     }
 
     private void look(final long now) {
--- a/core/src/main/java/silverlatch/crew/Member.java
+++ b/core/src/main/java/silverlatch/crew/Member.java
@@ -29,6 +29,11 @@
         return grave(state) > grave(old.state);
     }
 
+    /** The place of this word among those of one life. */
+    public long rank() {
+        return turn * 4 + grave(state);
+    }
+
     /** The same daemon in another state. */
     public Member in(final String next) {
         return new Member(id, role, zone, region, address, door, life, turn, next, ready);
--- a/core/src/main/java/silverlatch/deck/Deck.java
+++ b/core/src/main/java/silverlatch/deck/Deck.java
@@ -173,6 +173,14 @@
         return token;
     }
 
+    /** A worker's life is over; false when it isn't known here. */
+    public boolean gone(final String id, final long now) {
+        step(now);
+        final boolean known = rumor.gone(id, now);
+        settle(now);
+        return known;
+    }
+
     /** Someone here wishes for a change. */
     public void wish(final Wish wish, final long token, final long now, final long expiry) {
         step(now);
@@ -309,6 +317,8 @@
                 rumor.on(m, home, now);
             }
             case Msg.Tell m -> rumor.on(m, home, now);
+            case Msg.Marks m -> rumor.on(m, home, now);
+            case Msg.Bodies m -> rumor.on(m, home, now);
             case Msg.Wrote m -> clerk.on(m);
             case Msg.Seen m -> clerk.on(m);
             case Msg.Astray m -> {
--- a/core/src/main/java/silverlatch/deck/Event.java
+++ b/core/src/main/java/silverlatch/deck/Event.java
@@ -74,6 +74,10 @@
     WORKER_LEAVING(603, false),
     /** A worker broke the rules of the stream. */
     WORKER_BROKE(604, true),
+    /** No harbor has heard from a worker for long. */
+    WORKER_SILENT(605, true),
+    /** A worker's life is over. */
+    WORKER_GONE(606, false),
     /** The recording of the day can't be written; it ends here. */
     RECORD_BROKEN(700, true);
 
--- /dev/null
+++ b/core/src/main/java/silverlatch/rumor/Peers.java
@@ -0,0 +1,125 @@
+package silverlatch.rumor;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import silverlatch.crew.Crew;
+import silverlatch.crew.Member;
+import silverlatch.quay.View;
+import silverlatch.wire.Msg;
+
+/** Whom to ask and whom to tell, and the crew in short. */
+final class Peers {
+    private final Crew crew;
+    private final RandomGenerator luck;
+    private Sums ring = new Sums();
+    private List<Member> harbors = List.of();
+    private long known = -1;
+    private int turn;
+
+    Peers(final Crew crew, final RandomGenerator luck) {
+        this.crew = crew;
+        this.luck = luck;
+    }
+
+    /** Whether this daemon is a harbor. */
+    boolean harbor() {
+        return !crew.me().purser();
+    }
+
+    /** The other harbors, also those thought dead; not those that left. */
+    List<Member> harbors() {
+        refresh();
+        return harbors;
+    }
+
+    /** Whether another harbor takes frames at this address. */
+    boolean harbor(final String home) {
+        return harbors().stream().anyMatch(m -> m.address().equals(home));
+    }
+
+    /** Digests over the crew. */
+    Sums ring() {
+        refresh();
+        return ring;
+    }
+
+    /** So many of these, drawn. */
+    <T> List<T> some(final List<T> all, final int count) {
+        final List<T> list = new ArrayList<>(all);
+        final List<T> few = new ArrayList<>();
+        while (few.size() < count && !list.isEmpty()) {
+            few.add(list.remove(luck.nextInt(list.size())));
+        }
+        return few;
+    }
+
+    /** So many of these, each in its turn. */
+    List<Member> turn(final List<Member> all, final int count) {
+        final List<Member> next = new ArrayList<>();
+        for (int i = 0; i < Math.min(count, all.size()); i++) {
+            next.add(all.get(turn++ % all.size()));
+        }
+        return next;
+    }
+
+    /** So many to pass news on to: one from anywhere, the others from this region. */
+    List<Member> spread(final int count) {
+        final List<Member> live = crew.live();
+        final List<Member> few = some(near(live), count - 1);
+        few.addAll(some(live.stream().filter(m -> !few.contains(m)).toList(), count - few.size()));
+        return few;
+    }
+
+    /** Live harbors to ask: those of the chain, or all. */
+    List<Member> roots(final View view, final boolean all) {
+        final List<String> chain = view.chain().stream().map(b -> b.address()).toList();
+        return crew.live().stream().filter(m -> !m.purser())
+                .filter(m -> all || chain.isEmpty() || chain.contains(m.address())).toList();
+    }
+
+    /** Those of this region, or all where there are none. */
+    List<Member> near(final List<Member> all) {
+        final List<Member> near = all.stream().filter(m -> m.region().equals(crew.me().region())).toList();
+        return near.isEmpty() ? all : near;
+    }
+
+    /** What is known of the crew in these ranges. */
+    List<Msg.Mark> marks(final long bits) {
+        return crew.all().stream().filter(m -> Sums.in(bits, m.id())).map(Peers::mark).toList();
+    }
+
+    /** Who is known better here than by these marks, which are all that another holds in these ranges. */
+    List<Member> newer(final long bits, final List<Msg.Mark> marks) {
+        final Map<String, Msg.Mark> map = new HashMap<>();
+        marks.forEach(k -> map.put(k.id(), k));
+        return crew.all().stream().filter(m -> Sums.in(bits, m.id()))
+                .filter(m -> Optional.ofNullable(map.get(m.id())).map(k -> after(mark(m), k)).orElse(true)).toList();
+    }
+
+    /** Who is known worse here than by these marks. */
+    List<String> lacks(final List<Msg.Mark> marks) {
+        return marks.stream().filter(k -> crew.get(k.id()).map(m -> after(k, mark(m))).orElse(true)).map(Msg.Mark::id).toList();
+    }
+
+    private static boolean after(final Msg.Mark a, final Msg.Mark b) {
+        return a.life() != b.life() ? a.life() > b.life() : a.sequence() > b.sequence();
+    }
+
+    private static Msg.Mark mark(final Member m) {
+        return new Msg.Mark(m.id(), m.life(), m.rank());
+    }
+
+    private void refresh() {
+        if (known != crew.version()) {
+            known = crew.version();
+            final List<Member> all = crew.all();
+            harbors = all.stream().filter(m -> !m.purser() && !m.state().equals("left") && !m.id().equals(crew.me().id())).toList();
+            ring = new Sums();
+            all.forEach(m -> ring.add(mark(m)));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/rumor/Pulls.java
@@ -0,0 +1,78 @@
+package silverlatch.rumor;
+
+import java.util.List;
+import java.util.Optional;
+import silverlatch.crew.Crew;
+import silverlatch.wire.Msg;
+
+/** What is said in a pull where workers announce to harbors: digests first, then marks, then bodies that differ. */
+final class Pulls {
+    private final Words words;
+    private final Peers peers;
+    private final Crew crew;
+    private Optional<Pull> open = Optional.empty();
+
+    Pulls(final Words words, final Peers peers, final Crew crew) {
+        this.words = words;
+        this.peers = peers;
+        this.crew = crew;
+    }
+
+    /** What the asked says of workers and members; the age is that of its own words. */
+    Msg.News.Brief brief(final Msg.Ask m, final String home, final long age, final long now) {
+        final boolean word = m.words() != words.sums().total();
+        final boolean who = m.crew() != peers.ring().total();
+        final Msg.Ranges ranges = new Msg.Ranges(word ? words.sums().ranges() : new long[0], who ? peers.ring().ranges() : new long[0]);
+        return new Msg.News.Brief(age == Long.MAX_VALUE ? -1 : age, word || who ? List.of(ranges) : List.of(),
+                peers.harbor() && peers.harbor(home) ? List.of(words.beats(now)) : List.of());
+    }
+
+    /** What the asker says to that: nothing where all is equal. */
+    Optional<Msg.Marks> told(final Msg.News.Brief b, final long at, final String home) {
+        if (peers.harbor()) {
+            b.beats().forEach(x -> words.beats(x, home, at));
+        }
+        final Pull pull = new Pull(home, at, b.age());
+        final long word = b.ranges().stream().mapToLong(r -> words.sums().differ(r.words())).findFirst().orElse(0);
+        final long who = b.ranges().stream().mapToLong(r -> peers.ring().differ(r.crew())).findFirst().orElse(0);
+        if (word == 0 && who == 0) {
+            match(pull);
+            return Optional.empty();
+        }
+        open = Optional.of(pull);
+        return Optional.of(new Msg.Marks(at, word, who, words.marks(word), peers.marks(who)));
+    }
+
+    /** What the asked holds that the asker lacks, and what it lacks itself. */
+    Msg.Bodies bodies(final Msg.Marks m, final long now) {
+        return new Msg.Bodies(m.at(), words.newer(m.words(), m.workers(), now), peers.newer(m.crew(), m.members()),
+                words.lacks(m.workers()), peers.lacks(m.members()));
+    }
+
+    /** Takes bodies, and gives those that the other lacks. */
+    Optional<Msg.Bodies> take(final Msg.Bodies m, final String home, final long now) {
+        m.members().forEach(x -> crew.learn(x, now));
+        m.words().forEach(x -> words.take(x, false, now));
+        open.filter(p -> p.at() == m.at() && p.home().equals(home)).ifPresent(this::match);
+        return m.workers().isEmpty() && m.daemons().isEmpty() ? Optional.empty() : Optional.of(new Msg.Bodies(0, words.words(m.workers(), now),
+                m.daemons().stream().flatMap(id -> crew.get(id).stream()).toList(), List.of(), List.of()));
+    }
+
+    /** Forgets a pull under way. */
+    void doubt() {
+        open = Optional.empty();
+    }
+
+    private void match(final Pull p) {
+        open = Optional.empty();
+        if (peers.harbor(p.home())) {
+            words.match(p.home(), p.at());
+        }
+        if (p.age() >= 0) {
+            words.sure(p.at() - p.age());
+        }
+    }
+
+    private record Pull(String home, long at, long age) {
+    }
+}
--- a/core/src/main/java/silverlatch/rumor/Rumor.java
+++ b/core/src/main/java/silverlatch/rumor/Rumor.java
@@ -25,10 +25,12 @@
     private static final int FEW = 3;
     private static final int MOST = 4_096;
     private static final long FORGET = 60_000_000L;
+    private static final long OLD = 1_000_000L;
     private final Times times;
     private final Crew crew;
     private final Guards guards;
     private final RandomGenerator luck;
+    private final Peers peers;
     private final Books books = new Books();
     private final Map<String, Heard> workers = new TreeMap<>();
     private final Map<String, Echo> echoes = new HashMap<>();
@@ -42,15 +44,46 @@
     private View view = View.NONE;
     private long askAt;
     private long rootAt;
+    private final Optional<Words> words;
+    private final Optional<Pulls> pulls;
 
-    /** Times in microseconds. */
-    public record Times(long pull, long root) {
+    /** How often to pull from pursers and from harbors, in microseconds, and how words of workers spread. */
+    public record Times(long pull, long root, Way way) {
         /** The times that hold when nothing is said. */
         public static final Times PLAIN = new Times(250_000L, 400_000L);
+        /** Times for a large fleet whose workers announce to harbors. */
+        public static final Times QUIET = new Times(1_000_000L, 400_000L, Way.Harbors.PLAIN);
+
+        /** Times where words spread everywhere. */
+        public Times(final long pull, final long root) {
+            this(pull, root, new Way.Everywhere());
+        }
     }
 
-    /** A worker's word and the moment up to which it is surely true, by this daemon's monotonic clock. */
-    public record Heard(Worker worker, Optional<Long> asOf) {
+    /**
+     * A worker's word, by this daemon's monotonic clock.
+     *
+     * @param worker what it said of itself
+     * @param asOf   the moment up to which it is surely true
+     * @param silent whether no harbor has heard from it for long
+     * @param at     the moment from which the spans it told run
+     */
+    public record Heard(Worker worker, Optional<Long> asOf, boolean silent, long at) {
+        /** A worker that isn't silent; its spans run from the moment up to which its word is true. */
+        public Heard(final Worker worker, final Optional<Long> asOf) {
+            this(worker, asOf, false, asOf.orElse(0L));
+        }
+
+        /** How long it stays cold yet. */
+        public long cold(final long now) {
+            return worker.aged(now - at).cold();
+        }
+
+        /** How long it is there yet by its own word; 0 when it says nothing of its end. */
+        public long rest(final long now) {
+            return worker.aged(now - at).rest();
+        }
+
         /** How old the word is; the largest number when it was never renewed here. */
         public long age(final long now) {
             return asOf.map(t -> now - t).orElse(Long.MAX_VALUE);
@@ -61,8 +94,11 @@
     public Rumor(final Crew crew, final RandomGenerator luck, final Times times, final Guards guards) {
         this.crew = crew;
         this.luck = luck;
+        this.peers = new Peers(crew, luck);
         this.times = times;
         this.guards = guards;
+        this.words = times.way() instanceof Way.Harbors h ? Optional.of(new Words(h)) : Optional.empty();
+        this.pulls = words.map(w -> new Pulls(w, peers, crew));
     }
 
     /** The copy of the books held here; the caller does not change it. */
@@ -92,14 +128,24 @@
 
     /** The workers heard of. */
     public Map<String, Heard> workers() {
+        if (words.isPresent()) {
+            return words.get().workers(peers.harbor());
+        }
         if (seen.size() != workers.size()) {
             seen = Map.copyOf(workers);
         }
         return seen;
     }
 
+    /** How long ago the words on workers here were surely the newest. */
+    public long sure(final long now) {
+        return words.flatMap(w -> w.sure(peers.harbor(), peers.harbors().size() + 1, now)).map(t -> Math.max(0, now - t)).orElse(Long.MAX_VALUE);
+    }
+
     /** Forgets what makes this daemon sure, as a rejoin does. */
     public void doubt() {
+        words.ifPresent(Words::doubt);
+        pulls.ifPresent(Pulls::doubt);
         sure = Optional.empty();
         workers.replaceAll((k, h) -> new Heard(h.worker(), Optional.empty()));
         seen = Map.of();
@@ -122,6 +168,11 @@
 
     /** A worker announced itself here; the echo proves how old its word can be. Gives the echo to hand back. */
     public long announced(final Worker word, final long echo, final long now) {
+        if (words.isPresent()) {
+            words.get().say(word, now);
+            spread(now);
+            return 0;
+        }
         final Optional<Long> asOf = Optional.ofNullable(echoes.get(word.id()))
                 .filter(e -> e.life() == word.life() && e.token() == echo).map(Echo::at);
         take(word, asOf, now);
@@ -130,12 +181,22 @@
         return token;
     }
 
+    /** A worker's life is over; false when it isn't known here. */
+    public boolean gone(final String id, final long now) {
+        final boolean known = words.map(w -> w.gone(id, now)).orElse(false);
+        spread(now);
+        return known;
+    }
+
     /** Takes a message. */
     public void on(final Msg msg, final String home, final long now) {
         switch (msg) {
             case Msg.Ask m -> tell(m, home, now);
-            case Msg.Tell m -> told(m, now);
+            case Msg.Tell m -> told(m, home, now);
+            case Msg.Marks m -> pulls.ifPresent(p -> out.add(new Effect.Send(home, p.bodies(m, now))));
+            case Msg.Bodies m -> pulls.flatMap(p -> p.take(m, home, now)).ifPresent(b -> out.add(new Effect.Send(home, b)));
             case Msg.Push m -> {
+                words.ifPresent(w -> m.words().forEach(x -> w.take(x, true, now)));
                 m.members().forEach(x -> crew.learn(x, now));
                 m.workers().forEach(w -> take(w, Optional.empty(), now));
                 if (m.page() > page) {
@@ -150,22 +211,15 @@
 
     /** A clock event. */
     public void tick(final long now) {
-        final List<Member> live = crew.live();
-        final List<Member> news = crew.news();
-        if (!news.isEmpty() || !fresh.isEmpty()) {
-            push(new Msg.Push(news, List.copyOf(fresh), page()));
-            fresh.clear();
-        }
-        if (now - askAt >= times.pull()) {
+        words.ifPresent(w -> w.tick(peers.harbor(), peers.harbors(), now));
+        spread(now);
+        if (now - askAt >= times.pull() && !(words.isPresent() && peers.harbor())) {
             askAt = now;
-            some(live.stream().filter(Member::purser).toList(), 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
+            peers.some(crew.live().stream().filter(Member::purser).toList(), words.isPresent() ? 1 : 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
         }
         if (now - rootAt >= times.root()) {
             rootAt = now;
-            final List<String> chain = view.chain().stream().map(b -> b.address()).toList();
-            final List<Member> roots = live.stream().filter(m -> !m.purser())
-                    .filter(m -> chain.isEmpty() || chain.contains(m.address())).toList();
-            some(roots, 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
+            roots(now).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
         }
         if (workers.values().removeIf(h -> h.age(now) > FORGET && h.asOf().isPresent())) {
             seen = Map.of();
@@ -180,22 +234,30 @@
         return list;
     }
 
-    private void push(final Msg.Push msg) {
-        some(crew.live(), FEW).forEach(m -> out.add(new Effect.Send(m.address(), msg)));
+    private List<Member> roots(final long now) {
+        final List<Member> roots = peers.roots(view, words.isPresent() && peers.harbor());
+        return words.isEmpty() ? peers.some(roots, 2) : peers.harbor() ? peers.turn(roots, 2)
+                : peers.some(age(now) > OLD || sure(now) > OLD ? roots : peers.near(roots), 1);
     }
 
-    private Msg.Ask ask(final long now) {
-        return new Msg.Ask(now, books.page(), workers.values().stream()
-                .map(h -> new Msg.Mark(h.worker().id(), h.worker().life(), h.worker().sequence())).toList(), digest());
+    private void spread(final long now) {
+        final List<Member> news = crew.news();
+        final List<Word> told = words.map(w -> w.fresh(now)).orElse(List.of());
+        words.ifPresent(w -> out.addAll(w.drain()));
+        if (!news.isEmpty() || !fresh.isEmpty() || !told.isEmpty()) {
+            push(new Msg.Push(news, List.copyOf(fresh), told, page()));
+            fresh.clear();
+        }
     }
 
-    private <T> List<T> some(final List<T> all, final int count) {
-        final List<T> list = new ArrayList<>(all);
-        final List<T> few = new ArrayList<>();
-        while (few.size() < count && !list.isEmpty()) {
-            few.add(list.remove(luck.nextInt(list.size())));
-        }
-        return few;
+    private void push(final Msg.Push msg) {
+        (words.isEmpty() ? peers.some(crew.live(), FEW) : peers.spread(FEW)).forEach(m -> out.add(new Effect.Send(m.address(), msg)));
+    }
+
+    private Msg.Ask ask(final long now) {
+        return new Msg.Ask(now, books.page(), view.number(), words.isPresent() ? List.of() : workers.values().stream()
+                .map(h -> new Msg.Mark(h.worker().id(), h.worker().life(), h.worker().sequence())).toList(),
+                words.isPresent() ? peers.ring().total() : digest(), words.map(w -> w.sums().total()).orElse(0L));
     }
 
     private long digest() {
@@ -204,6 +266,14 @@
     }
 
     private void tell(final Msg.Ask m, final String home, final long now) {
+        final long age = age(now);
+        out.add(new Effect.Send(home, new Msg.Tell(m.at(), books.page(), age == Long.MAX_VALUE ? -1 : Math.max(0, age), fleet,
+                m.page() < books.page() ? books.since(m.page()) : guards.stands(Guard.PAGE) ? List.of() : books.since(0),
+                m.view() < view.number() ? List.of(view) : List.of(),
+                pulls.<Msg.News>map(p -> p.brief(m, home, sure(now), now)).orElseGet(() -> whole(m, now)))));
+    }
+
+    private Msg.News.Whole whole(final Msg.Ask m, final long now) {
         final Map<String, Msg.Mark> marks = new HashMap<>();
         m.marks().forEach(k -> marks.put(k.id(), k));
         final List<Msg.Aged> ages = new ArrayList<>();
@@ -220,28 +290,21 @@
                 ages.add(new Msg.Aged(w.id(), w.life(), w.sequence(), h.asOf().map(t -> Math.max(0, now - t)).orElse(-1L)));
             }
         }
-        final long age = age(now);
-        out.add(new Effect.Send(home, new Msg.Tell(m.at(), ages, bodies, m.crew() == digest() ? List.of() : crew.all(),
-                books.page(), age == Long.MAX_VALUE ? -1 : Math.max(0, age), fleet,
-                m.page() < books.page() ? books.since(m.page()) : guards.stands(Guard.PAGE) ? List.of() : books.since(0), view)));
+        return new Msg.News.Whole(ages, bodies, m.crew() == digest() ? List.of() : crew.all());
     }
 
-    private void told(final Msg.Tell m, final long now) {
+    private void told(final Msg.Tell m, final String home, final long now) {
         if (m.at() > now || fleet != 0 && m.fleet() != 0 && m.fleet() != fleet) {
             return;
         }
         if (fleet == 0) {
             fleet = m.fleet();
         }
-        m.members().forEach(x -> crew.learn(x, now));
-        m.workers().forEach(w -> take(w, Optional.empty(), now));
-        for (final Msg.Aged a : m.ages()) {
-            Optional.ofNullable(workers.get(a.id())).filter(h -> a.age() >= 0 && h.worker().life() == a.life()
-                    && h.worker().sequence() == a.sequence()).ifPresent(h -> renew(h, m.at() - a.age()));
-        }
-        if (m.view().number() > view.number() && m.view().fleet() == fleet) {
-            view = m.view();
+        switch (m.news()) {
+            case Msg.News.Whole n -> told(n, m.at(), now);
+            case Msg.News.Brief b -> pulls.flatMap(p -> p.told(b, m.at(), home)).ifPresent(x -> out.add(new Effect.Send(home, x)));
         }
+        m.view().stream().filter(v -> v.number() > view.number() && v.fleet() == fleet).forEach(v -> view = v);
         if (m.page() > books.page()) {
             books.apply(m.page(), m.entries());
             announce();
@@ -254,6 +317,15 @@
         }
     }
 
+    private void told(final Msg.News.Whole n, final long at, final long now) {
+        n.members().forEach(x -> crew.learn(x, now));
+        n.workers().forEach(w -> take(w, Optional.empty(), now));
+        for (final Msg.Aged a : n.ages()) {
+            Optional.ofNullable(workers.get(a.id())).filter(h -> a.age() >= 0 && h.worker().life() == a.life()
+                    && h.worker().sequence() == a.sequence()).ifPresent(h -> renew(h, at - a.age()));
+        }
+    }
+
     private void announce() {
         page = Math.max(page, books.page());
         if (books.page() > told) {
--- /dev/null
+++ b/core/src/main/java/silverlatch/rumor/Way.java
@@ -0,0 +1,19 @@
+package silverlatch.rumor;
+
+/** How words of workers spread. */
+public sealed interface Way {
+    /** Workers announce to any daemon; pulls renew the age of each word everywhere. */
+    record Everywhere() implements Way {
+    }
+
+    /**
+     * Workers announce to harbors; only what changes travels.
+     *
+     * @param silent after so long without a word a worker is told as silent
+     * @param forget after so long a silent or gone worker is forgotten
+     */
+    record Harbors(long silent, long forget) implements Way {
+        /** The times that hold when nothing is said. */
+        public static final Harbors PLAIN = new Harbors(5_000_000L, 60_000_000L);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/rumor/Word.java
@@ -0,0 +1,50 @@
+package silverlatch.rumor;
+
+import java.util.List;
+import silverlatch.wire.Msg;
+
+/**
+ * A word on a worker as it travels between daemons; its spans are those of the moment at which it is sent.
+ *
+ * @param worker what it said of itself when it last changed
+ * @param silent whether no harbor has heard from it for long
+ * @param gone   whether this life of it is over
+ * @param age    how long it has been silent or gone, in microseconds
+ */
+public record Word(Worker worker, boolean silent, boolean gone, long age) {
+    /** A worker's own word; what it repeats with each call stays behind. */
+    public static Word of(final Worker w) {
+        return new Word(new Worker(w.id(), w.address(), w.zone(), w.region(), w.life(), w.sequence(), 0, 0, w.slots(), List.of(),
+                w.leaving(), w.up(), w.pool(), w.cold(), w.rest()), false, false, 0);
+    }
+
+    /** The worker's name. */
+    public String id() {
+        return worker.id();
+    }
+
+    /** The place of this word among those of one life: the end goes before all, silence before the word it follows. */
+    public long rank() {
+        return gone ? Long.MAX_VALUE : Math.min(worker.sequence(), Long.MAX_VALUE / 4) * 2 + (silent ? 1 : 0);
+    }
+
+    /** Whether this word goes before the other. */
+    public boolean after(final Word old) {
+        return worker.life() != old.worker.life() ? worker.life() > old.worker.life() : rank() > old.rank();
+    }
+
+    /** Whether this word goes before a mark. */
+    public boolean after(final Msg.Mark mark) {
+        return worker.life() != mark.life() ? worker.life() > mark.life() : rank() > mark.sequence();
+    }
+
+    /** What is held of it, in short. */
+    public Msg.Mark mark() {
+        return new Msg.Mark(id(), worker.life(), rank());
+    }
+
+    /** The same word so much later. */
+    public Word aged(final long span) {
+        return new Word(worker.aged(span), silent, gone, silent || gone ? age + span : 0);
+    }
+}
--- a/core/src/main/java/silverlatch/rumor/Worker.java
+++ b/core/src/main/java/silverlatch/rumor/Worker.java
@@ -44,4 +44,15 @@
     public Worker gone() {
         return new Worker(id, address, zone, region, life, sequence, running, queued, slots, kept, true, up, pool, cold, rest);
     }
+
+    /** The same word so much later: what it stays cold and what it rests grow shorter. */
+    public Worker aged(final long span) {
+        return span <= 0 || cold == 0 && rest == 0 ? this : new Worker(id, address, zone, region, life, sequence, running, queued, slots,
+                kept, leaving, up, pool, Math.max(0, cold - span), rest == 0 ? 0 : Math.max(1, rest - span));
+    }
+
+    /** The same word under another sequence. */
+    public Worker at(final long next) {
+        return new Worker(id, address, zone, region, life, next, running, queued, slots, kept, leaving, up, pool, cold, rest);
+    }
 }
--- a/core/src/main/java/silverlatch/wire/Codec.java
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -56,7 +56,8 @@
                         .filter(t -> t.getName().startsWith("silverlatch")).forEach(open::add);
                 if (type == Msg.Ask.class) {
                     open.addAll(List.of(Msg.Mark.class, Msg.Aged.class, Msg.Span.class, Wish.Cell.class, Leaf.Lot.class,
-                            silverlatch.tariff.Entry.class, silverlatch.rumor.Worker.class));
+                            silverlatch.tariff.Entry.class, silverlatch.rumor.Worker.class, silverlatch.rumor.Word.class,
+                            Msg.Ranges.class, Msg.Beats.class, silverlatch.quay.View.class));
                 }
             }
         }
--- a/core/src/main/java/silverlatch/wire/Msg.java
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -5,6 +5,7 @@
 import silverlatch.quay.Berth;
 import silverlatch.quay.Change;
 import silverlatch.quay.View;
+import silverlatch.rumor.Word;
 import silverlatch.rumor.Worker;
 import silverlatch.tariff.Entry;
 import silverlatch.tariff.Verdict;
@@ -30,16 +31,22 @@
     }
 
     /** News passed on at once: it can restrict, but renews nothing. */
-    record Push(List<Member> members, List<Worker> workers, long page) implements Msg {
+    record Push(List<Member> members, List<Worker> workers, List<Word> words, long page) implements Msg {
         /** Copies the lists. */
         public Push {
             members = List.copyOf(members);
             workers = List.copyOf(workers);
+            words = List.copyOf(words);
+        }
+
+        /** News without words from harbors. */
+        public Push(final List<Member> members, final List<Worker> workers, final long page) {
+            this(members, workers, List.of(), page);
         }
     }
 
-    /** A pull: what the asker holds, and when by its own monotonic clock it asked. */
-    record Ask(long at, long page, List<Mark> marks, long crew) implements Msg {
+    /** A pull: what the asker holds in short, and when by its own monotonic clock it asked. */
+    record Ask(long at, long page, long view, List<Mark> marks, long crew, long words) implements Msg {
         /** Copies the list. */
         public Ask {
             marks = List.copyOf(marks);
@@ -50,15 +57,62 @@
     record Mark(String id, long life, long sequence) {
     }
 
-    /** The reply to a pull: ages of what both hold, bodies of what the asker lacks. */
-    record Tell(long at, List<Aged> ages, List<Worker> workers, List<Member> members, long page, long age,
-                long fleet, List<Entry> entries, View view) implements Msg {
+    /** The reply to a pull: the page, what the asker lacks of it, the view if the asker's is older, and the news. */
+    record Tell(long at, long page, long age, long fleet, List<Entry> entries, List<View> view, News news) implements Msg {
         /** Copies the lists. */
         public Tell {
-            ages = List.copyOf(ages);
+            entries = List.copyOf(entries);
+            view = List.copyOf(view);
+        }
+    }
+
+    /** What a reply to a pull says of workers and members. */
+    sealed interface News {
+        /** Ages of what both hold, bodies of what the asker lacks. */
+        record Whole(List<Aged> ages, List<Worker> workers, List<Member> members) implements News {
+            /** Copies the lists. */
+            public Whole {
+                ages = List.copyOf(ages);
+                workers = List.copyOf(workers);
+                members = List.copyOf(members);
+            }
+        }
+
+        /** How long ago the words were surely the newest or -1, digests if they differ, and beats between harbors. */
+        record Brief(long age, List<Ranges> ranges, List<Beats> beats) implements News {
+            /** Copies the lists. */
+            public Brief {
+                ranges = List.copyOf(ranges);
+                beats = List.copyOf(beats);
+            }
+        }
+    }
+
+    /** Digests by range of names; empty where all are equal. */
+    record Ranges(long[] words, long[] crew) {
+    }
+
+    /** How long ago each worker of a roster was heard: four bits each, in the order of names. */
+    record Beats(long roster, long[] ages) {
+    }
+
+    /** All that the asker holds in the ranges that differ; the time is that of its pull. */
+    record Marks(long at, long words, long crew, List<Mark> workers, List<Mark> members) implements Msg {
+        /** Copies the lists. */
+        public Marks {
             workers = List.copyOf(workers);
             members = List.copyOf(members);
-            entries = List.copyOf(entries);
+        }
+    }
+
+    /** What the other lacks, and the names of what it has newer; the time is that of the pull it ends, or 0. */
+    record Bodies(long at, List<Word> words, List<Member> members, List<String> workers, List<String> daemons) implements Msg {
+        /** Copies the lists. */
+        public Bodies {
+            words = List.copyOf(words);
+            members = List.copyOf(members);
+            workers = List.copyOf(workers);
+            daemons = List.copyOf(daemons);
         }
     }
 
