--- a/core/src/main/java/silverlatch/crew/Crew.java
+++ b/core/src/main/java/silverlatch/crew/Crew.java
@@ -25,6 +25,8 @@
     private final List<Member> news = new ArrayList<>();
     private Member me;
     private List<Member> ring = List.of();
+    private Optional<List<Member>> watched = Optional.empty();
+    private Optional<List<Member>> suspects = Optional.empty();
     private long beatAt;
     private long hailAt;
     private List<Member> live = List.of();
@@ -36,6 +38,8 @@
     public record Times(long beat, long miss, long bury, long hail) {
         /** The times that hold when nothing is said. */
         public static final Times PLAIN = new Times(250_000L, 1_500_000L, 2_000_000L, 1_000_000L);
+        /** Times for a large fleet. */
+        public static final Times QUIET = new Times(500_000L, 2_000_000L, 2_000_000L, 1_000_000L);
     }
 
     /** A daemon that knows itself and its seeds. */
@@ -198,6 +202,20 @@
     }
 
     private List<Member> watched() {
+        if (watched.isEmpty()) {
+            watched = Optional.of(before());
+        }
+        return watched.get();
+    }
+
+    private List<Member> suspects() {
+        if (suspects.isEmpty()) {
+            suspects = Optional.of(members.values().stream().filter(m -> m.state().equals("suspect")).toList());
+        }
+        return suspects.get();
+    }
+
+    private List<Member> before() {
         final List<Member> ring = ring();
         final int at = spot(ring, me.id());
         final List<Member> list = new ArrayList<>();
@@ -211,6 +229,8 @@
         members.put(m.id(), m);
         ring = List.of();
         live = List.of();
+        watched = Optional.empty();
+        suspects = Optional.empty();
         version++;
     }
 
@@ -229,7 +249,7 @@
         if (!doubt) {
             missing.stream().filter(m -> m.state().equals("up")).forEach(m -> learn(m.in(chart.move(m.state(), "miss")), now));
         }
-        members.values().stream().filter(m -> m.state().equals("suspect") && now - since.getOrDefault(m.id(), now) > times.bury())
+        suspects().stream().filter(m -> now - since.getOrDefault(m.id(), now) > times.bury())
                 .toList().forEach(m -> learn(m.in(chart.move(m.state(), "bury")), now));
     }
 
