--- a/core/src/main/java/silverlatch/passage/Passage.java
+++ b/core/src/main/java/silverlatch/passage/Passage.java
@@ -100,9 +100,9 @@
         }
         facts = next;
         facts.workers().forEach((id, h) -> {
-            final Stand s = stands.computeIfAbsent(id, k -> new Stand(h.worker(), now));
-            if (!s.worker.equals(h.worker())) {
-                s.word(h.worker(), now);
+            final Stand s = stands.computeIfAbsent(id, k -> new Stand(h, now));
+            if (!s.worker.equals(h.worker()) || s.silent != h.silent()) {
+                s.word(h, now);
             }
         });
         stands.values().removeIf(s -> s.runs.isEmpty() && !facts.workers().containsKey(s.worker.id()));
--- a/core/src/main/java/silverlatch/passage/Stand.java
+++ b/core/src/main/java/silverlatch/passage/Stand.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import silverlatch.rumor.Rumor;
 import silverlatch.rumor.Worker;
 
 /** What this purser knows of one worker by its own runs there and the worker's replies. One duty owns it. */
@@ -23,13 +24,14 @@
     int waiting;
     int slots;
     int faults;
-    boolean probing;
+    boolean silent;
     double pace = 1;
 
-    Stand(final Worker worker, final long now) {
-        this.worker = worker;
-        this.slots = worker.slots();
-        this.coldUntil = now + worker.cold();
+    Stand(final Rumor.Heard heard, final long now) {
+        this.worker = heard.worker();
+        this.slots = heard.worker().slots();
+        this.coldUntil = now + heard.cold(now);
+        this.silent = heard.silent();
     }
 
     /** One run of this purser under way there. */
@@ -48,14 +50,15 @@
         }
     }
 
-    void word(final Worker next, final long now) {
-        if (next.sequence() != worker.sequence() || next.cold() != worker.cold()) {
-            coldUntil = next.cold() > 0 ? Math.max(now + next.cold(), next.life() == worker.life() ? coldUntil : 0) : Math.min(coldUntil, now);
-        }
-        if (next.cold() > 0 && worker.cold() == 0) {
+    void word(final Rumor.Heard next, final long now) {
+        final long cold = next.cold(now);
+        if (cold > 0 && !cold(now) || next.worker().life() != worker.life()) {
             parts.clear();
+            loadAt = Long.MIN_VALUE / 2;
         }
-        worker = next;
+        coldUntil = cold > 0 ? now + cold : Math.min(coldUntil, now);
+        worker = next.worker();
+        silent = next.silent();
     }
 
     boolean cold(final long now) {
@@ -63,7 +66,7 @@
     }
 
     boolean shunned(final long now) {
-        return now < shunUntil || faults > 0 && runs.size() > 0;
+        return silent || now < shunUntil || faults > 0 && runs.size() > 0;
     }
 
     /** Tokens of my own runs there that it has still to read. */
@@ -91,7 +94,6 @@
 
     void good(final Run run, final long now) {
         faults = 0;
-        probing = false;
         shunUntil = 0;
         final double ratio = Math.clamp((double) (now - run.begun) / Math.max(1, run.guess), 0.2, 6);
         pace = Math.clamp(pace + FRESH * (ratio - 1) * 0.5, 0.5, 4);
