--- a/desk/src/main/java/silverlatch/desk/back/Back.java
+++ b/desk/src/main/java/silverlatch/desk/back/Back.java
@@ -1,10 +1,6 @@
 package silverlatch.desk.back;
 
-import java.io.IOException;
-import java.net.StandardSocketOptions;
 import java.net.URI;
-import java.nio.channels.SelectableChannel;
-import java.nio.channels.SocketChannel;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +16,7 @@
 import silverlatch.carry.Line;
 import silverlatch.desk.duty.Duty;
 import silverlatch.sheet.Sheet;
+import silverlatch.desk.web.Abrupt;
 
 /** Asks workers to run, by Jetty's client. */
 public final class Back {
@@ -111,16 +108,6 @@
         java.util.Optional.ofNullable(jobs.remove(job)).ifPresent(r -> r.abort(new java.util.concurrent.CancellationException("cut")));
     }
 
-    private static final class Abrupt extends ClientConnector {
-        @Override
-        protected void configure(final SelectableChannel channel) throws IOException {
-            super.configure(channel);
-            if (channel instanceof SocketChannel socket) {
-                socket.setOption(StandardSocketOptions.SO_LINGER, 0);
-            }
-        }
-    }
-
     /** A fault of the client. */
     public static final class BackFault extends Exception {
         /** What caused it. */
--- a/desk/src/main/java/silverlatch/desk/gate/Lighter.java
+++ b/desk/src/main/java/silverlatch/desk/gate/Lighter.java
@@ -1,15 +1,12 @@
 package silverlatch.desk.gate;
 
-import java.io.IOException;
-import java.net.StandardSocketOptions;
 import java.net.URI;
-import java.nio.channels.SelectableChannel;
-import java.nio.channels.SocketChannel;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import silverlatch.desk.web.Abrupt;
 
 /** The client side of the gate: connections to workers by Jetty, kept for a short time only. */
 public final class Lighter {
@@ -66,16 +63,6 @@
         return http.newRequest(URI.create("http://" + address)).method(method).path(path);
     }
 
-    private static final class Abrupt extends ClientConnector {
-        @Override
-        protected void configure(final SelectableChannel channel) throws IOException {
-            super.configure(channel);
-            if (channel instanceof SocketChannel socket) {
-                socket.setOption(StandardSocketOptions.SO_LINGER, 0);
-            }
-        }
-    }
-
     /** A fault of the client. */
     public static final class LighterFault extends Exception {
         /** What caused it. */
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/web/Abrupt.java
@@ -0,0 +1,30 @@
+package silverlatch.desk.web;
+
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
+
+/** Plain connections that are reset when they are closed; what only TLS needs is not made ready. */
+public final class Abrupt extends ClientConnector {
+    @Override
+    protected void configure(final SelectableChannel channel) throws IOException {
+        super.configure(channel);
+        if (channel instanceof SocketChannel socket) {
+            socket.setOption(StandardSocketOptions.SO_LINGER, 0);
+        }
+    }
+
+    @Override
+    protected SslContextFactory.Client newSslContextFactory() {
+        return new None();
+    }
+
+    private static final class None extends SslContextFactory.Client {
+        @Override
+        protected void doStart() {
+        }
+    }
+}
