--- a/desk/src/main/java/silverlatch/desk/duty/Bridge.java
+++ b/desk/src/main/java/silverlatch/desk/duty/Bridge.java
@@ -12,7 +12,6 @@
 
 /** Runs a deck on its duty and does what it asks for. */
 public final class Bridge {
-    private static final long BEAT = 20_000L;
     private final Deck deck;
     private final Consumer<Ship> dock;
     private final Consumer<Effect.Keep> ledger;
@@ -21,13 +20,13 @@
     private final AtomicLong tokens = new AtomicLong();
     private final Map<Long, Consumer<Object>> asked = new ConcurrentHashMap<>();
 
-    /** A bridge; the last argument is called after each beat. */
-    public Bridge(final Deck deck, final Consumer<Ship> dock, final Consumer<Effect.Keep> ledger, final Consumer<Deck> after) {
+    /** A bridge that beats each so many microseconds; the last argument is called after each beat. */
+    public Bridge(final Deck deck, final long beat, final Consumer<Ship> dock, final Consumer<Effect.Keep> ledger, final Consumer<Deck> after) {
         this.deck = deck;
         this.dock = dock;
         this.ledger = ledger;
         this.after = after;
-        this.duty = new Duty("deck", 16_384, BEAT, this::beat);
+        this.duty = new Duty("deck", 16_384, beat, this::beat);
     }
 
     /** Starts the duty. */
--- a/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
@@ -64,7 +64,7 @@
                 tell(d -> d.broke(why, Duty.now()));
             }
         }));
-        this.bridge = new Bridge(deck, dock::ship, this::keep, this::look);
+        this.bridge = new Bridge(deck, settings.rates().deck(), dock::ship, this::keep, this::look);
         this.web = new Web(settings.door(), Math.max(settings.body(), 8 << 20), this::route);
     }
 
--- a/desk/src/main/java/silverlatch/desk/harbor/Main.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Main.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import silverlatch.crew.Crew;
 import silverlatch.crew.Member;
 import silverlatch.deck.Deck;
 import silverlatch.deck.Event;
@@ -23,7 +22,6 @@
 import silverlatch.ledger.Note;
 import silverlatch.quay.Berth;
 import silverlatch.quay.Quay;
-import silverlatch.rumor.Rumor;
 import silverlatch.tide.Anchor;
 
 /** The program harbor. */
@@ -98,7 +96,7 @@
             final long wall = Bridge.wall();
             final Member me = new Member(s.name(), "harbor", s.zone(), s.region(), s.address(), s.door(), wall / 1000, 0, "up", false);
             final List<Note> notes = opened.map(Ledger.Opened.Good::notes).orElse(List.of());
-            return new Deck(new Deck.Setup(me, s.seeds(), s.low(), s.skew(), Crew.Times.PLAIN, Rumor.Times.PLAIN),
+            return new Deck(new Deck.Setup(me, s.seeds(), s.low(), s.skew(), s.rates().crew(), s.rates().rumor()),
                     opened.map(o -> Quay.Setup.of(new Berth(o.identity(), s.address()), s.seeds())), notes,
                     new Anchor(wall, now, 0), new SplittableRandom(new SecureRandom().nextLong()), now);
         }
--- a/desk/src/main/java/silverlatch/desk/purser/Main.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Main.java
@@ -11,7 +11,6 @@
 import java.util.SplittableRandom;
 import silverlatch.carry.Carry;
 import silverlatch.carry.permit.Seals;
-import silverlatch.crew.Crew;
 import silverlatch.crew.Member;
 import silverlatch.deck.Deck;
 import silverlatch.deck.Event;
@@ -20,7 +19,6 @@
 import silverlatch.desk.duty.Logs;
 import silverlatch.desk.settings.Flags;
 import silverlatch.desk.settings.Settings;
-import silverlatch.rumor.Rumor;
 import silverlatch.tide.Anchor;
 
 /** The program purser. */
@@ -79,7 +77,7 @@
             final long now = Duty.now();
             final long wall = Bridge.wall();
             final Member me = new Member(s.name(), "purser", s.zone(), s.region(), s.address(), s.door(), wall / 1000, 0, "up", false);
-            return new Deck(new Deck.Setup(me, s.seeds(), s.low(), s.skew(), Crew.Times.PLAIN, Rumor.Times.PLAIN), Optional.empty(),
+            return new Deck(new Deck.Setup(me, s.seeds(), s.low(), s.skew(), s.rates().crew(), s.rates().rumor()), Optional.empty(),
                     List.of(), new Anchor(wall, now, 0), luck.split(), now);
         }
 
--- a/desk/src/main/java/silverlatch/desk/purser/Purser.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Purser.java
@@ -61,9 +61,9 @@
         this.settings = settings;
         this.deck = deck;
         this.carry = carry;
-        this.duty = new Duty("carry", 16_384, 20_000L, this::beat);
+        this.duty = new Duty("carry", 16_384, settings.rates().carry(), this::beat);
         this.dock = new Dock(settings.address(), this::frame);
-        this.bridge = new Bridge(deck, dock::ship, k -> {
+        this.bridge = new Bridge(deck, settings.rates().deck(), dock::ship, k -> {
         }, this::publish);
         this.web = new Web(settings.door(), settings.body(), this::route);
         this.back = new Back(settings.line(), settings.worker(), this);
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/settings/Rates.java
@@ -0,0 +1,44 @@
+package silverlatch.desk.settings;
+
+import java.util.List;
+import silverlatch.crew.Crew;
+import silverlatch.rumor.Rumor;
+import silverlatch.rumor.Way;
+import silverlatch.sheet.Sheet;
+
+/** How often the daemons speak to each other and their duties beat; times in microseconds. */
+public record Rates(Crew.Times crew, Rumor.Times rumor, long deck, long carry) {
+    /** What holds when nothing is said. */
+    public static final Rates PLAIN = new Rates(Crew.Times.PLAIN, Rumor.Times.PLAIN, 20_000L, 20_000L);
+    /** What suits a large fleet whose workers announce to harbors. */
+    public static final Rates QUIET = new Rates(Crew.Times.QUIET, Rumor.Times.QUIET, 50_000L, 50_000L);
+
+    /** Reads the rates; where workers announce to harbors, quiet ones hold when nothing is said. */
+    static Rates read(final Sheet s, final List<String> faults) {
+        final String way = s.text("announce", 16, "everywhere");
+        if (!way.equals("everywhere") && !way.equals("harbors")) {
+            faults.add("announce: 'everywhere' or 'harbors' is needed, not '" + way + "'");
+        }
+        final boolean harbors = way.equals("harbors");
+        final Rates plain = harbors ? QUIET : PLAIN;
+        final long silent = s.whole("silent", 2_000_000L, 600_000_000L, Way.Harbors.PLAIN.silent());
+        final long forget = s.whole("forget", 5_000_000L, 3_600_000_000L, Way.Harbors.PLAIN.forget());
+        final Rates made = new Rates(new Crew.Times(s.whole("heartbeat", 50_000L, 10_000_000L, plain.crew().beat()),
+                s.whole("miss", 200_000L, 60_000_000L, plain.crew().miss()), s.whole("bury", 200_000L, 600_000_000L, plain.crew().bury()),
+                s.whole("hail", 100_000L, 60_000_000L, plain.crew().hail())),
+                new Rumor.Times(s.whole("pullPurser", 50_000L, 10_000_000L, plain.rumor().pull()),
+                        s.whole("pullHarbor", 50_000L, 2_000_000L, plain.rumor().root()),
+                        harbors ? new Way.Harbors(silent, forget) : new Way.Everywhere()),
+                s.whole("deck", 1_000L, 200_000L, plain.deck()), s.whole("carry", 1_000L, 200_000L, plain.carry()));
+        if (made.crew().miss() < 2 * made.crew().beat()) {
+            faults.add("miss: at least two heartbeats are needed");
+        }
+        if (harbors && forget <= silent) {
+            faults.add("forget: it comes after silent");
+        }
+        if (harbors && silent < 8 * made.rumor().root()) {
+            faults.add("silent: at least eight times pullHarbor is needed");
+        }
+        return made;
+    }
+}
--- a/desk/src/main/java/silverlatch/desk/settings/Settings.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Settings.java
@@ -14,7 +14,7 @@
 /** A process's place and limits, read from one JSON file and flags and checked as a whole; times in microseconds. */
 public record Settings(String name, String zone, String region, String address, String door, List<String> seeds,
                        Optional<String> data, Optional<String> record, String key, String operator, String worker, int low, long skew, long grace, Carry.Setup carry,
-                       int body, int line) {
+                       int body, int line, Rates rates) {
     /** The largest settings file. */
     public static final int MOST = 64 << 10;
 
@@ -69,7 +69,8 @@
                         s.whole("patience", 0, 600_000_000L, plain.patience()),
                         s.whole("memory", 10_000_000L, 600_000_000L, plain.memory()),
                         s.whole("start", 100_000L, 60_000_000L, plain.start())),
-                (int) s.whole("body", 1_024, 16 << 20, 4 << 20), (int) s.whole("line", 1_024, 4 << 20, 256 << 10));
+                (int) s.whole("body", 1_024, 16 << 20, 4 << 20), (int) s.whole("line", 1_024, 4 << 20, 256 << 10),
+                Rates.read(s, faults));
         faults.addAll(s.end());
         faults.addAll(Tariff.word("name", made.name()));
         faults.addAll(Tariff.word("zone", made.zone()));
