--- a/desk/src/main/java/silverlatch/desk/dock/Dock.java
+++ b/desk/src/main/java/silverlatch/desk/dock/Dock.java
@@ -2,23 +2,18 @@
 
 import java.io.BufferedInputStream;
 import java.io.DataInputStream;
-import java.io.DataOutputStream;
-import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import silverlatch.deck.Event;
 import silverlatch.deck.Ship;
-import silverlatch.desk.duty.Duty;
 import silverlatch.desk.duty.Logs;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
@@ -26,20 +21,27 @@
 /** Frames over TCP: one lane out to each address, and whoever connects in. A bad frame ends its connection only. */
 public final class Dock {
     private static final int LANES = 1024;
-    private static final int QUEUE = 4096;
-    private static final int WAIT = 1_000;
+    private static final int SILENT = 30_000;
     private final String address;
     private final Consumer<Frame> sink;
+    private final Lane.Times times;
     private final Map<String, Lane> lanes = new ConcurrentHashMap<>();
     private final Semaphore places = new Semaphore(LANES);
     private final AtomicLong bad = new AtomicLong();
     private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong connects = new AtomicLong();
+    private volatile Optional<ServerSocket> server = Optional.empty();
     private volatile boolean over;
 
     /** A dock that hands what comes in to the sink. */
     public Dock(final String address, final Consumer<Frame> sink) {
+        this(address, sink, Lane.Times.PLAIN);
+    }
+
+    Dock(final String address, final Consumer<Frame> sink, final Lane.Times times) {
         this.address = address;
         this.sink = sink;
+        this.times = times;
     }
 
     /** Splits an address. */
@@ -53,6 +55,7 @@
         final ServerSocket server = new ServerSocket();
         server.setReuseAddress(true);
         server.bind(place(address), 256);
+        this.server = Optional.of(server);
         Thread.ofPlatform().daemon(true).name("dock").start(() -> listen(server));
     }
 
@@ -62,9 +65,7 @@
             dropped.incrementAndGet();
             return;
         }
-        if (!lanes.computeIfAbsent(ship.to(), Lane::new).queue.offer(ship.frame())) {
-            dropped.incrementAndGet();
-        }
+        lanes.computeIfAbsent(ship.to(), this::lane).offer(ship.frame());
     }
 
     /** How many frames could not be read. */
@@ -77,9 +78,28 @@
         return dropped.get();
     }
 
+    /** How often a connection to another was made. */
+    public long connects() {
+        return connects.get();
+    }
+
     /** Ends. */
     public void stop() {
         over = true;
+        lanes.values().forEach(Lane::stop);
+        server.ifPresent(s -> {
+            try {
+                s.close();
+            } catch (final IOException e) {
+                dropped.addAndGet(0);
+            }
+        });
+    }
+
+    private Lane lane(final String to) {
+        final Lane lane = new Lane(to, times, dropped, connects);
+        lane.start();
+        return lane;
     }
 
     private void listen(final ServerSocket server) {
@@ -101,6 +121,8 @@
         final Codec codec = new Codec();
         try (Socket s = socket; DataInputStream in = new DataInputStream(new BufferedInputStream(s.getInputStream(), 64 << 10))) {
             s.setTcpNoDelay(true);
+            s.setSoTimeout(SILENT);
+            Lane.probe(s);
             while (!over) {
                 final int size = in.readInt();
                 if (size <= 0 || size > Codec.MOST) {
@@ -112,7 +134,12 @@
                     return;
                 }
                 switch (codec.read(bytes, Frame.class)) {
-                    case Codec.Read.Good<Frame> good -> sink.accept(good.thing());
+                    case Codec.Read.Good<Frame> good -> {
+                        if (in.available() < Integer.BYTES) {
+                            s.getOutputStream().write(1);
+                        }
+                        sink.accept(good.thing());
+                    }
                     case Codec.Read.Bad<Frame> wrong -> {
                         bad(s, wrong.why());
                         return;
@@ -130,60 +157,4 @@
         bad.incrementAndGet();
         Logs.write(Event.BAD_FRAME, s.getRemoteSocketAddress() + " " + why);
     }
-
-    private final class Lane {
-        private final String to;
-        private final ArrayBlockingQueue<Frame> queue = new ArrayBlockingQueue<>(QUEUE);
-
-        Lane(final String to) {
-            this.to = to;
-            Thread.ofVirtual().start(this::run);
-        }
-
-        private void run() {
-            final Codec codec = new Codec();
-            while (!over) {
-                try (Socket s = new Socket()) {
-                    final Frame first = queue.take();
-                    final long at = Duty.now();
-                    s.setTcpNoDelay(true);
-                    s.connect(place(to), WAIT);
-                    final DataOutputStream out = new DataOutputStream(new BufferedOutputStream(s.getOutputStream(), 64 << 10));
-                    if (Duty.now() - at < WAIT * 1_000L) {
-                        write(out, codec, first);
-                    }
-                    while (!over) {
-                        final Optional<Frame> next = Optional.ofNullable(queue.poll(20, TimeUnit.SECONDS));
-                        if (next.isEmpty()) {
-                            break;
-                        }
-                        write(out, codec, next.get());
-                    }
-                } catch (final IOException | IllegalArgumentException e) {
-                    dropped.addAndGet(1 + queue.size());
-                    queue.clear();
-                    pause();
-                } catch (final InterruptedException e) {
-                    return;
-                }
-            }
-        }
-
-        private void write(final DataOutputStream out, final Codec codec, final Frame f) throws IOException {
-            final byte[] bytes = codec.write(f);
-            out.writeInt(bytes.length);
-            out.write(bytes);
-            if (queue.isEmpty()) {
-                out.flush();
-            }
-        }
-
-        private void pause() {
-            try {
-                TimeUnit.MILLISECONDS.sleep(50);
-            } catch (final InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-    }
 }
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/dock/Lane.java
@@ -0,0 +1,180 @@
+package silverlatch.desk.dock;
+
+import java.io.BufferedOutputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketOption;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import jdk.net.ExtendedSocketOptions;
+import silverlatch.desk.duty.Duty;
+import silverlatch.wire.Codec;
+import silverlatch.wire.Frame;
+
+/**
+ * Frames to one address. Nothing here is promised: what waited too long is dropped. The peer acknowledges what it read
+ * by a byte on the same connection; one that is not acknowledged in time is dropped, for behind a cut nothing tells
+ * that it hangs.
+ */
+final class Lane {
+    private static final long FIRST = 50_000L;
+    private static final long NEVER = Long.MAX_VALUE;
+    private final String to;
+    private final Times times;
+    private final AtomicLong dropped;
+    private final AtomicLong connects;
+    private final ArrayBlockingQueue<Waiting> queue;
+    private volatile Optional<Socket> open = Optional.empty();
+    private volatile long unheard = NEVER;
+    private volatile boolean over;
+    private long pause = FIRST;
+
+    /** How many frames may wait; all else in microseconds. */
+    record Times(int queue, long connect, long silent, long stale, long idle, long pause) {
+        /** The times that hold when nothing is said. */
+        static final Times PLAIN = new Times(256, 500_000L, 1_500_000L, 1_000_000L, 20_000_000L, 500_000L);
+    }
+
+    Lane(final String to, final Times times, final AtomicLong dropped, final AtomicLong connects) {
+        this.to = to;
+        this.times = times;
+        this.dropped = dropped;
+        this.connects = connects;
+        this.queue = new ArrayBlockingQueue<>(times.queue());
+    }
+
+    /** Starts to send. */
+    void start() {
+        Thread.ofVirtual().name("lane").start(this::run);
+    }
+
+    /** Queues a frame, or drops it when the queue is full. */
+    void offer(final Frame f) {
+        final long now = Duty.now();
+        if (now - times.silent() > unheard) {
+            open.filter(s -> !heard(s)).ifPresent(Lane::close);
+        }
+        if (!queue.offer(new Waiting(f, now))) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    /** Ends. */
+    void stop() {
+        over = true;
+        open.ifPresent(Lane::close);
+    }
+
+    private void run() {
+        final Codec codec = new Codec();
+        while (!over) {
+            try {
+                final Waiting first = queue.take();
+                if (stale(first)) {
+                    continue;
+                }
+                try (Socket s = new Socket()) {
+                    send(s, codec, first);
+                } finally {
+                    open = Optional.empty();
+                    unheard = NEVER;
+                }
+            } catch (final IOException | IllegalArgumentException e) {
+                dropped.incrementAndGet();
+                rest();
+            } catch (final InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void send(final Socket s, final Codec codec, final Waiting first) throws IOException, InterruptedException {
+        s.setTcpNoDelay(true);
+        probe(s);
+        s.connect(Dock.place(to), (int) (times.connect() / 1000));
+        connects.incrementAndGet();
+        open = Optional.of(s);
+        final DataOutputStream out = new DataOutputStream(new BufferedOutputStream(s.getOutputStream(), 16 << 10));
+        Optional<Waiting> next = Optional.of(first);
+        while (!over && next.isPresent()) {
+            if (!stale(next.get())) {
+                write(s, out, codec.write(next.get().frame()));
+            }
+            if (queue.isEmpty()) {
+                out.flush();
+            }
+            next = Optional.ofNullable(queue.poll(times.idle(), TimeUnit.MICROSECONDS));
+        }
+    }
+
+    private void write(final Socket s, final DataOutputStream out, final byte[] bytes) throws IOException {
+        heard(s);
+        if (unheard == NEVER) {
+            unheard = Duty.now();
+        }
+        out.writeInt(bytes.length);
+        out.write(bytes);
+    }
+
+    /** Reads what the peer acknowledged, without waiting; whether there was any. */
+    private synchronized boolean heard(final Socket s) {
+        try {
+            final InputStream in = s.getInputStream();
+            final int count = in.available();
+            if (count == 0) {
+                return false;
+            }
+            in.skipNBytes(count);
+            unheard = NEVER;
+            pause = FIRST;
+            return true;
+        } catch (final IOException e) {
+            return false;
+        }
+    }
+
+    private boolean stale(final Waiting w) {
+        final boolean old = Duty.now() - w.at() > times.stale();
+        if (old) {
+            dropped.incrementAndGet();
+        }
+        return old;
+    }
+
+    private void rest() {
+        try {
+            TimeUnit.MICROSECONDS.sleep(pause);
+        } catch (final InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        pause = Math.min(times.pause(), pause * 2);
+    }
+
+    /** Lets the system probe an idle connection each second and give it up after three. */
+    static void probe(final Socket s) throws IOException {
+        s.setKeepAlive(true);
+        final Map<SocketOption<Integer>, Integer> wanted = Map.of(ExtendedSocketOptions.TCP_KEEPIDLE, 1,
+                ExtendedSocketOptions.TCP_KEEPINTERVAL, 1, ExtendedSocketOptions.TCP_KEEPCOUNT, 2);
+        for (final Map.Entry<SocketOption<Integer>, Integer> e : wanted.entrySet()) {
+            if (s.supportedOptions().contains(e.getKey())) {
+                s.setOption(e.getKey(), e.getValue());
+            }
+        }
+    }
+
+    private static void close(final Socket s) {
+        try {
+            s.close();
+        } catch (final IOException e) {
+            Thread.yield();
+        }
+    }
+
+    private record Waiting(Frame frame, long at) {
+    }
+}
