--- a/core/src/main/java/silverlatch/rumor/Words.java
+++ b/core/src/main/java/silverlatch/rumor/Words.java
@@ -63,10 +63,10 @@
         return true;
     }
 
-    /** A worker's life is over; false when it isn't known. */
+    /** A worker's life is over; false when it isn't known, true also where that was known before. */
     boolean gone(final String id, final long now) {
-        final Optional<Item> old = Optional.ofNullable(items.get(id)).filter(i -> !i.word().gone());
-        old.ifPresent(i -> {
+        final Optional<Item> old = Optional.ofNullable(items.get(id));
+        old.filter(i -> !i.word().gone()).ifPresent(i -> {
             final Word word = new Word(i.now(now).worker(), false, true, 0);
             put(new Item(word, now, i.heard(), i.own(), i.top()));
             tell(old, word);
--- a/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
@@ -62,7 +62,7 @@
                 tell(d -> d.broke(why, Duty.now()));
             }
         }));
-        this.bridge = new Bridge(deck, dock::ship, this::keep, this::look);
+        this.bridge = new Bridge(deck, settings.rates().deck(), dock::ship, this::keep, this::look);
         this.web = new Web(settings.door(), Math.max(settings.body(), 8 << 20),
                 new Door(settings, bridge, dock, calendars, () -> unready)::route);
     }
@@ -112,28 +112,32 @@
 
     @Override
     public void word(final Worker worker, final Consumer<Boolean> then) {
-        word(worker.id(), d -> Optional.of(worker), then);
+        word(d -> {
+            final boolean left = leaving(d, worker.id());
+            d.announced(worker, 0, Duty.now());
+            return new Taken(d.rumor().workers().containsKey(worker.id()), !left && leaving(d, worker.id()));
+        }, then);
     }
 
     @Override
     public void gone(final String worker, final Consumer<Boolean> then) {
-        word(worker, d -> Optional.ofNullable(d.rumor().workers().get(worker)).map(h -> h.worker().gone()), then);
+        word(d -> {
+            final boolean known = d.gone(worker, Duty.now());
+            return new Taken(known, known);
+        }, then);
+    }
+
+    private record Taken(boolean good, boolean news) {
     }
 
     /** A leaving that is news goes out with the next beat at the latest, and its reply after that. */
-    private void word(final String id, final Function<Deck, Optional<Worker>> what, final Consumer<Boolean> then) {
-        final boolean[] news = {false};
-        final boolean[] taken = {false};
-        if (!bridge.with(d -> {
-            final boolean left = leaving(d, id);
-            what.apply(d).ifPresent(w -> d.announced(w, 0, Duty.now()));
-            news[0] = !left && leaving(d, id);
-            taken[0] = d.rumor().workers().containsKey(id);
-        }, () -> {
-            if (news[0]) {
-                owed.add(() -> then.accept(true));
+    private void word(final Function<Deck, Taken> what, final Consumer<Boolean> then) {
+        final Taken[] taken = {new Taken(false, false)};
+        if (!bridge.with(d -> taken[0] = what.apply(d), () -> {
+            if (taken[0].news()) {
+                owed.add(() -> then.accept(taken[0].good()));
             } else {
-                then.accept(taken[0]);
+                then.accept(taken[0].good());
             }
         })) {
             then.accept(false);
--- a/desk/src/main/java/silverlatch/desk/settings/Settings.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Settings.java
@@ -20,7 +20,7 @@
  */
 public record Settings(String name, String zone, String region, String address, String door, List<String> seeds,
                        Optional<String> data, Optional<String> record, String key, String operator, String worker, int low, long skew, long grace, Carry.Setup carry,
-                       int body, int line, boolean found, int copies, int voters) {
+                       int body, int line, boolean found, int copies, int voters, Rates rates) {
     /** The largest settings file. */
     public static final int MOST = 64 << 10;
 
@@ -76,7 +76,7 @@
                         s.whole("memory", 10_000_000L, 600_000_000L, plain.memory()),
                         s.whole("start", 100_000L, 60_000_000L, plain.start())),
                 (int) s.whole("body", 1_024, 16 << 20, 4 << 20), (int) s.whole("line", 1_024, 4 << 20, 256 << 10),
-                s.flag("found", true), (int) s.whole("copies", 1, 7, 2), (int) s.whole("voters", 1, 9, 3));
+                s.flag("found", true), (int) s.whole("copies", 1, 7, 2), (int) s.whole("voters", 1, 9, 3), Rates.read(s, faults));
         faults.addAll(s.end());
         faults.addAll(Tariff.word("name", made.name()));
         faults.addAll(Tariff.word("zone", made.zone()));
