--- a/core/src/main/java/silverlatch/crew/Crew.java
+++ b/core/src/main/java/silverlatch/crew/Crew.java
@@ -16,7 +16,7 @@
 public final class Crew {
     private static final int WATCHERS = 3;
     private final Times times;
-    private final List<String> seeds;
+    private List<String> seeds;
     private final Chart chart = Chart.load("member");
     private final Map<String, Member> members = new TreeMap<>();
     private final Map<String, Long> beats = new HashMap<>();
@@ -90,6 +90,14 @@
         }
     }
 
+    /** Takes the seeds that hold from now on, and hails them at the next clock event. */
+    public void seeds(final List<String> next) {
+        if (!seeds.equals(next)) {
+            seeds = List.copyOf(next);
+            again();
+        }
+    }
+
     /** Starts a new incarnation, as a rejoin does. */
     public void life(final long next) {
         mine(new Member(me.id(), me.role(), me.zone(), me.region(), me.address(), me.door(), next, 0, "up", me.ready()));
--- a/core/src/main/java/silverlatch/quay/Quay.java
+++ b/core/src/main/java/silverlatch/quay/Quay.java
@@ -57,6 +57,7 @@
     private final List<Late> late = new ArrayList<>();
     private final List<Early> early = new ArrayList<>();
     private final Set<String> agreed = new HashSet<>();
+    private List<String> seats;
     private String spot;
     private View view = View.NONE;
     private boolean level;
@@ -92,6 +93,7 @@
     public Quay(final Setup setup, final List<Note> notes, final Supplier<Stamp> stamps, final long now) {
         this.setup = setup;
         this.stamps = stamps;
+        this.seats = setup.seats();
         this.books = new Books(setup.guards());
         this.spot = chart.start();
         notes.forEach(this::recall);
@@ -232,6 +234,11 @@
         }
     }
 
+    /** Takes the addresses to ask for a view from now on; a founding keeps to those of the start. */
+    public void seats(final List<String> next) {
+        seats = List.copyOf(next);
+    }
+
     /** This machine is about to stop: the others are asked to take it out of the chain and to name another holder. */
     public void leave() {
         quit = true;
@@ -273,7 +280,7 @@
         } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled && !quit) {
             soughtAt = now;
             view.tail().ifPresent(t -> send(t.address(), compareOf()));
-            setup.seats().forEach(s -> send(s, new Msg.Lease(view.number(), now, setup.me(), false)));
+            seats.forEach(s -> send(s, new Msg.Lease(view.number(), now, setup.me(), false)));
         }
     }
 
@@ -335,7 +342,7 @@
         soughtAt = now;
         sought.values().removeIf(s -> now - s.at() > 2_000_000L);
         final Msg.Seek seek = new Msg.Seek(setup.me(), birth.isEmpty() && setup.found(), sought.values().stream().map(s -> s.seek().me()).toList());
-        setup.seats().forEach(s -> send(s, seek));
+        seats.forEach(s -> send(s, seek));
         birth.filter(v -> first(v).equals(setup.me())).ifPresent(v -> v.voters().forEach(b -> send(b.address(), new Msg.Found(v))));
     }
 
--- a/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import silverlatch.crew.Member;
 import silverlatch.deck.Deck;
 import silverlatch.deck.Effect;
 import silverlatch.deck.Event;
@@ -39,6 +40,7 @@
     private final Optional<Scribe> scribe;
     private final Deck deck;
     private volatile Optional<String> unready = Optional.of("starting");
+    private volatile List<Member> nears = List.of();
     private volatile boolean gone;
     private volatile boolean closing;
     private final Calendars calendars = new Calendars();
@@ -127,6 +129,20 @@
         }, then);
     }
 
+    /** Takes the seeds that hold from now on. */
+    public void seeds(final List<String> next) {
+        bridge.with(d -> {
+            d.crew().seeds(next);
+            d.quay().ifPresent(q -> q.seats(next));
+        });
+    }
+
+    /** A harbor of this region that a worker may call from now on, if it is not this one alone that stands there. */
+    public Optional<Member> near(final String zone, final String region) {
+        return nears.stream().filter(m -> m.zone().equals(zone)).findFirst()
+                .or(() -> nears.stream().filter(m -> m.region().equals(region)).findFirst());
+    }
+
     private record Taken(boolean good, boolean news) {
     }
 
@@ -173,6 +189,8 @@
         final List<Runnable> due = List.copyOf(owed);
         owed.clear();
         due.forEach(Runnable::run);
+        nears = java.util.stream.Stream.concat(java.util.stream.Stream.of(d.crew().me()), d.crew().live().stream())
+                .filter(m -> !m.purser() && m.state().equals("up")).toList();
         final Optional<String> why = closing ? Optional.of("stopping") : d.quay().map(q -> {
             final Quay.State s = q.state(now);
             gone = q.gone();
--- a/desk/src/main/java/silverlatch/desk/purser/Purser.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Purser.java
@@ -53,7 +53,8 @@
     private final Deck deck;
     private final Carry carry;
     private final Dock dock;
-    private final Web web;
+    private Optional<Web> web = Optional.empty();
+    private boolean backed;
     private final Back back;
     private final Bridge bridge;
     private final Optional<Recorder> book;
@@ -76,19 +77,23 @@
         this.dock = new Dock(settings.address(), this::frame);
         this.bridge = new Bridge(deck, settings.rates().deck(), dock::ship, k -> {
         }, this::publish);
-        this.web = new Web(settings.door(), settings.body(), this::route);
         this.back = new Back(settings.line(), settings.worker(), this);
         this.book = settings.record().map(Recorder::new);
     }
 
-    /** Opens the doors. */
-    public void start() throws IOException, Web.WebFault, Back.BackFault {
+    /** Starts the duties and opens the door for picks. */
+    public void start() throws IOException, Web.WebFault {
+        web = Optional.of(new Web(settings.door(), settings.body(), this::route));
+        begin();
+        web.get().start();
+    }
+
+    /** Starts the duties; whoever calls opens the doors. */
+    public void begin() throws IOException {
         book.ifPresent(Recorder::start);
-        back.start();
         dock.start();
         bridge.start();
         duty.start();
-        web.start();
         Logs.write(Event.STARTED, "purser " + settings.name() + " at " + settings.address() + " door " + settings.door());
     }
 
@@ -110,7 +115,9 @@
             bridge.with(d -> d.leave(Duty.now()));
             TimeUnit.MILLISECONDS.sleep(150);
             Logs.write(Event.STOPPED, "purser " + settings.name());
-            web.stop();
+            if (web.isPresent()) {
+                web.get().stop();
+            }
         } catch (final InterruptedException | Web.WebFault e) {
             Logs.write(Event.STOPPED, "purser " + settings.name() + " in haste");
         }
@@ -142,6 +149,11 @@
         return made;
     }
 
+    /** Takes the seeds that hold from now on. */
+    public void seeds(final List<String> next) {
+        bridge.with(d -> d.crew().seeds(next));
+    }
+
     /** Whether tickets are taken, or why not. */
     public Optional<String> unready() {
         return unready;
@@ -189,7 +201,7 @@
                 case Act.Pointed p -> call(p.token(), c -> c.reply(200, Map.of("outcome", "pointed", "doors", p.doors())));
                 case Act.Rejected r -> call(r.token(), c -> reject(c, r.code(), r.ticket(), r.why(), r.after(), r.stands()));
                 case Act.Flow f -> flow(f);
-                case Act.Run r -> back.run(r);
+                case Act.Run r -> run(r);
                 case Act.Cut c -> back.cut(c.job());
                 case Act.Claim c -> bridge.wish(c.wish(), c.span(), v -> post(() -> carry.verdict(c.job(), (Verdict) v, Duty.now())));
                 case Act.Judged j -> book.ifPresent(b -> b.write(Pages.write(j)));
@@ -199,6 +211,19 @@
         }
     }
 
+    private void run(final Act.Run r) {
+        try {
+            if (!backed) {
+                back.start();
+                backed = true;
+            }
+            back.run(r);
+        } catch (final Back.BackFault e) {
+            Logs.write(Event.FAULT, "no run can be sent", e);
+            post(() -> carry.failed(r.job(), false, "no client", Duty.now()));
+        }
+    }
+
     private void call(final long token, final java.util.function.Consumer<Call> job) {
         Optional.ofNullable(calls.remove(token)).ifPresent(job);
     }
@@ -221,7 +246,8 @@
         c.reply(code, map, after > 0 ? Map.of("Retry-After", "" + Math.max(1, (after + MILLION - 1) / MILLION)) : Map.of());
     }
 
-    private void route(final Call c) {
+    /** Replies to a call at this purser's own door, for one that opens doors itself. */
+    public void route(final Call c) {
         final String at = c.method() + " " + c.path();
         switch (at) {
             case "POST /v1/picks" -> pick(c);
