--- a/core/src/main/java/silverlatch/crew/Crew.java
+++ b/core/src/main/java/silverlatch/crew/Crew.java
@@ -33,13 +33,19 @@
     private boolean doubt;
     private boolean fresh = true;
     private long version;
+    private long count;
 
-    /** Times in microseconds. */
-    public record Times(long beat, long miss, long bury, long hail) {
+    /** Times in microseconds; every so many heartbeats one tells the whole of the daemon, the others only its life. */
+    public record Times(long beat, long miss, long bury, long hail, int whole) {
         /** The times that hold when nothing is said. */
         public static final Times PLAIN = new Times(250_000L, 1_500_000L, 2_000_000L, 1_000_000L);
         /** Times for a large fleet. */
-        public static final Times QUIET = new Times(500_000L, 2_000_000L, 2_000_000L, 1_000_000L);
+        public static final Times QUIET = new Times(500_000L, 2_000_000L, 2_000_000L, 1_000_000L, 4);
+
+        /** Times where each heartbeat tells the whole. */
+        public Times(final long beat, final long miss, final long bury, final long hail) {
+            this(beat, miss, bury, hail, 1);
+        }
     }
 
     /** A daemon that knows itself and its seeds. */
@@ -118,6 +124,7 @@
                 m.members().forEach(x -> learn(x, now));
             }
             case Msg.Beat m -> hear(m.me(), now);
+            case Msg.Pulse m -> get(m.id()).filter(x -> x.life() == m.life()).ifPresent(x -> beats.put(x.id(), now));
             default -> {
             }
         }
@@ -154,7 +161,8 @@
         }
         if (now - beatAt >= times.beat()) {
             beatAt = now;
-            watchers(me.id()).forEach(w -> out.add(new Effect.Send(w.address(), new Msg.Beat(me))));
+            final Msg beat = count++ % times.whole() == 0 ? new Msg.Beat(me) : new Msg.Pulse(me.id(), me.life());
+            watchers(me.id()).forEach(w -> out.add(new Effect.Send(w.address(), beat)));
         }
         look(now);
     }
--- a/core/src/main/java/silverlatch/deck/Deck.java
+++ b/core/src/main/java/silverlatch/deck/Deck.java
@@ -310,6 +310,7 @@
                 keeper.floor(m.floor(), phys);
                 crew.on(m, now, phys, keeper.last());
             }
+            case Msg.Pulse m -> crew.on(m, now, phys, keeper.last());
             case Msg.Beat m -> crew.on(m, now, phys, keeper.last());
             case Msg.Push m -> rumor.on(m, home, now);
             case Msg.Ask m -> {
--- a/core/src/main/java/silverlatch/rumor/Peers.java
+++ b/core/src/main/java/silverlatch/rumor/Peers.java
@@ -13,11 +13,13 @@
 
 /** Whom to ask and whom to tell, and the crew in short. */
 final class Peers {
+    private static final long SECOND = 1_000_000L;
     private final Crew crew;
     private final RandomGenerator luck;
     private Sums ring = new Sums();
     private List<Member> harbors = List.of();
     private long known = -1;
+    private long pursers;
     private int turn;
 
     Peers(final Crew crew, final RandomGenerator luck) {
@@ -66,9 +68,17 @@
         return next;
     }
 
-    /** So many to pass news on to: one from anywhere, the others from this region. */
-    List<Member> spread(final int count) {
+    /** How often to ask a harbor: less often where pursers are many. */
+    long root(final Rumor.Times times) {
+        refresh();
+        return times.way() instanceof Way.Harbors h && !harbor()
+                ? Math.max(times.root(), Math.min(SECOND, pursers * SECOND / Math.max(1, (long) harbors.size() * h.asks()))) : times.root();
+    }
+
+    /** Some to pass news on to, more in a large fleet: one from anywhere, the others from this region. */
+    List<Member> spread() {
         final List<Member> live = crew.live();
+        final int count = live.size() < 32 ? 3 : live.size() < 128 ? 5 : 7;
         final List<Member> few = some(near(live), count - 1);
         few.addAll(some(live.stream().filter(m -> !few.contains(m)).toList(), count - few.size()));
         return few;
@@ -118,6 +128,7 @@
             known = crew.version();
             final List<Member> all = crew.all();
             harbors = all.stream().filter(m -> !m.purser() && !m.state().equals("left") && !m.id().equals(crew.me().id())).toList();
+            pursers = all.stream().filter(m -> m.purser() && m.live()).count();
             ring = new Sums();
             all.forEach(m -> ring.add(mark(m)));
         }
--- a/core/src/main/java/silverlatch/rumor/Rumor.java
+++ b/core/src/main/java/silverlatch/rumor/Rumor.java
@@ -217,7 +217,7 @@
             askAt = now;
             peers.some(crew.live().stream().filter(Member::purser).toList(), words.isPresent() ? 1 : 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
         }
-        if (now - rootAt >= times.root()) {
+        if (now - rootAt >= peers.root(times)) {
             rootAt = now;
             roots(now).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
         }
@@ -235,8 +235,8 @@
     }
 
     private List<Member> roots(final long now) {
-        final List<Member> roots = peers.roots(view, words.isPresent() && peers.harbor());
-        return words.isEmpty() ? peers.some(roots, 2) : peers.harbor() ? peers.turn(roots, 2)
+        final List<Member> roots = peers.roots(view, words.isPresent());
+        return words.isEmpty() ? peers.some(roots, 2) : peers.harbor() ? peers.turn(roots, 3)
                 : peers.some(age(now) > OLD || sure(now) > OLD ? roots : peers.near(roots), 1);
     }
 
@@ -251,7 +251,7 @@
     }
 
     private void push(final Msg.Push msg) {
-        (words.isEmpty() ? peers.some(crew.live(), FEW) : peers.spread(FEW)).forEach(m -> out.add(new Effect.Send(m.address(), msg)));
+        (words.isEmpty() ? peers.some(crew.live(), FEW) : peers.spread()).forEach(m -> out.add(new Effect.Send(m.address(), msg)));
     }
 
     private Msg.Ask ask(final long now) {
--- a/core/src/main/java/silverlatch/rumor/Way.java
+++ b/core/src/main/java/silverlatch/rumor/Way.java
@@ -11,9 +11,10 @@
      *
      * @param silent after so long without a word a worker is told as silent
      * @param forget after so long a silent or gone worker is forgotten
+     * @param asks   how many pulls a second pursers leave to each harbor; beyond that each asks less often, to once a second
      */
-    record Harbors(long silent, long forget) implements Way {
+    record Harbors(long silent, long forget, int asks) implements Way {
         /** The times that hold when nothing is said. */
-        public static final Harbors PLAIN = new Harbors(5_000_000L, 60_000_000L);
+        public static final Harbors PLAIN = new Harbors(5_000_000L, 60_000_000L, 40);
     }
 }
--- a/core/src/main/java/silverlatch/wire/Msg.java
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -30,6 +30,10 @@
     record Beat(Member me) implements Msg {
     }
 
+    /** A heartbeat that tells no more than that a life goes on. */
+    record Pulse(String id, long life) implements Msg {
+    }
+
     /** News passed on at once: it can restrict, but renews nothing. */
     record Push(List<Member> members, List<Worker> workers, List<Word> words, long page) implements Msg {
         /** Copies the lists. */
--- a/core/src/test/java/silverlatch/wire/SizesTest.java
+++ b/core/src/test/java/silverlatch/wire/SizesTest.java
@@ -36,6 +36,7 @@
     @Test
     void aBeatAndAWordAreSmall() {
         assertThat(size(new Msg.Beat(ME)), lessThan(200));
+        assertThat(size(new Msg.Pulse(ME.id(), ME.life())), lessThan(100));
         assertThat(size(new Msg.Push(List.of(), List.of(), List.of(Word.of(new Worker("worker-1017", "10.131.112.114:9001", "attica-3", "attica",
                 1L << 50, 9, 0, 0, 16, List.of(), true, 77, "large", 0, 0))), 2_300)), lessThan(300));
     }
--- a/desk/src/main/java/silverlatch/desk/settings/Rates.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Rates.java
@@ -25,10 +25,10 @@
         final long forget = s.whole("forget", 5_000_000L, 3_600_000_000L, Way.Harbors.PLAIN.forget());
         final Rates made = new Rates(new Crew.Times(s.whole("heartbeat", 50_000L, 10_000_000L, plain.crew().beat()),
                 s.whole("miss", 200_000L, 60_000_000L, plain.crew().miss()), s.whole("bury", 200_000L, 600_000_000L, plain.crew().bury()),
-                s.whole("hail", 100_000L, 60_000_000L, plain.crew().hail())),
+                s.whole("hail", 100_000L, 60_000_000L, plain.crew().hail()), plain.crew().whole()),
                 new Rumor.Times(s.whole("pullPurser", 50_000L, 10_000_000L, plain.rumor().pull()),
                         s.whole("pullHarbor", 50_000L, 2_000_000L, plain.rumor().root()),
-                        harbors ? new Way.Harbors(silent, forget) : new Way.Everywhere()),
+                        harbors ? new Way.Harbors(silent, forget, (int) s.whole("asks", 1, 10_000, Way.Harbors.PLAIN.asks())) : new Way.Everywhere()),
                 s.whole("deck", 1_000L, 200_000L, plain.deck()), s.whole("carry", 1_000L, 200_000L, plain.carry()));
         if (made.crew().miss() < 2 * made.crew().beat()) {
             faults.add("miss: at least two heartbeats are needed");
