--- a/core/src/main/java/silverlatch/passage/Passage.java
+++ b/core/src/main/java/silverlatch/passage/Passage.java
@@ -42,6 +42,7 @@
     private final List<Move> out = new ArrayList<>();
     private final Budget budget;
     private final Habits habits = new Habits();
+    private final Map<String, Reach> reaches = new HashMap<>();
     private Charters charters = Charters.NONE;
     private Facts facts;
     private long job;
@@ -180,6 +181,7 @@
     /** The reply's head has come and is passed on. */
     public void headed(final long run, final Optional<Load> load, final long now) {
         find(run).ifPresent(o -> {
+            reach(stands.get(o.worker)).heard(now);
             o.begunReply = true;
             final Stand s = stands.get(o.worker);
             load.ifPresent(l -> s.load(l.running(), l.waiting(), l.slots(), now));
@@ -192,6 +194,7 @@
             final Stand s = stands.get(o.worker);
             final Stand.Run r = s.runs.get(run);
             r.heard = now;
+            reach(s).heard(now);
             if (!r.first) {
                 r.first = true;
                 s.good(r, now);
@@ -202,6 +205,7 @@
     /** A worker's whole reply that is no success is at hand; not passed on yet. */
     public void ill(final long run, final int status, final Optional<Load> load, final long now) {
         find(run).ifPresent(o -> {
+            reach(stands.get(o.worker)).heard(now);
             load.ifPresent(l -> stands.get(o.worker).load(l.running(), l.waiting(), l.slots(), now));
             if (status >= 500 && o.rule.again() && o.tries < o.rule.tries() && now < o.end && !place(o, now).isEmpty() && budget.take(now)) {
                 count("again_ill");
@@ -228,6 +232,11 @@
             count("broke_" + point.name().toLowerCase(java.util.Locale.ROOT));
             out.add(new Move.Log(Event.RUN_BROKE, o.worker + " " + point + " after " + (now - o.begun) / 1000 + " ms"));
             final Stand s = stands.get(o.worker);
+            if (point == Break.UNSENT) {
+                reach(s).missed(now);
+            } else if (point == Break.NOT_RUN || point == Break.STRANGER) {
+                reach(s).heard(now);
+            }
             drop(o, point != Break.NOT_RUN, now);
             o.failed.add(o.worker);
             if (point == Break.NOT_RUN) {
@@ -303,6 +312,10 @@
         }
     }
 
+    private Reach reach(final Stand s) {
+        return reaches.computeIfAbsent(s.worker.region(), Reach::new);
+    }
+
     private String lot(final Leaf.Rule rule) {
         final int sum = rule.lots().stream().mapToInt(Leaf.Lot::weight).sum();
         int at = sum <= 0 ? 0 : luck.nextInt(sum);
@@ -327,8 +340,11 @@
                 .filter(s -> !s.cold(now) || warm(s, o.pool, now)).toList();
         final Set<String> writers = habits.writers(stands.values().stream().filter(s -> s.worker.pool().equals(o.pool)).toList(), now);
         final Map<Long, String> homes = homes(o.fare, fit, writers);
+        final Map<String, Boolean> mute = new HashMap<>();
+        fit.forEach(s -> mute.computeIfAbsent(s.worker.region(), r -> reach(s).mute(stands.values(), now)));
         return fit.stream().map(s -> new Pick(s, Outlook.of(o.fare, o.rule, s, facts.me().zone(), facts.me().region(), homes, writers, now)))
-                .sorted(Comparator.comparingLong(p -> p.view().cost() + (p.stand().shunned(now) ? o.rule.aim() * 4 : 0))).toList();
+                .sorted(Comparator.comparingLong(p -> p.view().cost() + (mute.get(p.stand().worker.region()) ? o.rule.aim() * 2 : 0)
+                        + (p.stand().shunned(now) ? o.rule.aim() * 4 : 0))).toList();
     }
 
     private Optional<Pick> place(final Open o, final long now) {
@@ -338,6 +354,7 @@
         }
         final long best = all.getFirst().view().cost();
         final List<Pick> near = all.stream().filter(p -> p.stand().shunned(now) == all.getFirst().stand().shunned(now)
+                && p.stand().worker.region().equals(all.getFirst().stand().worker.region())
                 && p.view().cost() <= best + NEAR * o.rule.aim()).toList();
         final List<Pick> least = near.stream().sorted(Comparator.comparingInt(p -> p.stand().runs.size())).toList();
         return Outlook.worth(o.fare.parts()) ? Optional.of(all.getFirst())
--- a/core/src/test/java/silverlatch/passage/PassageTest.java
+++ b/core/src/test/java/silverlatch/passage/PassageTest.java
@@ -247,6 +247,28 @@
         assertThat(passage.open(), is(0));
     }
 
+    @Test
+    void aRegionThatIsMuteGetsNothingMoreUntilOneThereSpeaks() {
+        for (int i = 0; i < 3; i++) {
+            worker("e" + i, "east", 0, false, 1);
+        }
+        final Move.Send one = sent(arrive("/once/x", List.of()));
+        assertThat(one.worker().startsWith("e"), is(true));
+        worker("w", "west", 0, false, 1);
+        worker("v", "west", 0, false, 1);
+        now += 600 * MS;
+        for (int i = 0; i < 20; i++) {
+            final Move.Send s = sent(arrive("/once/x", List.of()));
+            assertThat(s.worker().startsWith("e"), is(false));
+            passage.headed(s.job(), Optional.empty(), now);
+            passage.heard(s.job(), now);
+        }
+        passage.headed(one.job(), Optional.empty(), now);
+        worker("w", "west", 0, true, 2);
+        worker("v", "west", 0, true, 2);
+        assertThat(sent(arrive("/once/x", List.of())).worker().startsWith("e"), is(true));
+    }
+
     @Test
     void withoutACharterNothingIsTaken() {
         final Passage bare = new Passage(Passage.Setup.PLAIN, new Facts(purser("me"), 0, Optional.empty(), Policy.NONE, Map.of(), List.of()),
