--- a/core/src/main/java/silverlatch/ledger/Ledger.java
+++ b/core/src/main/java/silverlatch/ledger/Ledger.java
@@ -24,6 +24,7 @@
 public final class Ledger {
     private static final long MAGIC = 0x5349_4C56_4C41_5443L;
     private static final int HEAD = Long.BYTES + 2 * Integer.BYTES;
+    private static final int LARGEST = 256 << 20;
     private static final String FOUNDER = "founder";
     private static final long SEGMENT = 8L << 20;
     private final Path folder;
@@ -104,7 +105,7 @@
             if (!rest.isEmpty()) {
                 batch(rest);
             }
-            put(folder.resolve(name("picture", number)), frame(codec.write(picture.get())));
+            put(folder.resolve(name("picture", number)), frame(codec.write(picture.get(), LARGEST)));
             clear();
         } else if (channel.position() > SEGMENT) {
             turn();
--- a/core/src/main/java/silverlatch/quay/Change.java
+++ b/core/src/main/java/silverlatch/quay/Change.java
@@ -1,6 +1,9 @@
 package silverlatch.quay;
 
+import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
+import java.util.stream.Stream;
 import silverlatch.tariff.Entry;
 import silverlatch.tide.Stamp;
 
@@ -10,4 +13,24 @@
     public Change {
         puts = List.copyOf(puts);
     }
+
+    /** About how many bytes the change takes in a frame. */
+    public long weight() {
+        return 64 + puts.stream().mapToLong(Entry::weight).sum();
+    }
+
+    /** As many changes as may go in one frame: the first, and what else is light enough. */
+    static List<Change> batch(final Stream<Change> all, final int most, final long heavy) {
+        final List<Change> list = new ArrayList<>();
+        long sum = 0;
+        for (final Iterator<Change> i = all.iterator(); i.hasNext() && list.size() < most;) {
+            final Change c = i.next();
+            sum += c.weight();
+            if (!list.isEmpty() && sum > heavy) {
+                return list;
+            }
+            list.add(c);
+        }
+        return list;
+    }
 }
--- a/core/src/main/java/silverlatch/quay/Quay.java
+++ b/core/src/main/java/silverlatch/quay/Quay.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import silverlatch.chart.Chart;
 import silverlatch.deck.Effect;
 import silverlatch.deck.Event;
@@ -33,9 +34,9 @@
  */
 public final class Quay {
     private static final int RANGES = 64;
-    private static final int SPAN = 20_000;
-    private static final int RECENT = 200_000;
+    private static final long RECENT = 32L << 20;
     private static final int BATCH = 512;
+    private static final long HEAVY = 4L << 20;
     private static final int PENDING = 4_096;
     private static final int EARLY = 64;
     private static final long RESEND = 300_000L;
@@ -73,7 +74,7 @@
     private long last;
     private long kept;
     private long token;
-    private long entries;
+    private long heavy;
     private long asked;
     private long sentAt;
     private long soughtAt;
@@ -628,7 +629,7 @@
             if (level) {
                 send(b.address(), new Msg.Level(view.number(), last));
             }
-            final List<Change> first = pend.stream().filter(c -> c.sequence() <= kept).limit(BATCH).toList();
+            final List<Change> first = Change.batch(pend.stream().filter(c -> c.sequence() <= kept), BATCH, HEAVY);
             if (!first.isEmpty()) {
                 send(b.address(), new Msg.Pass(view.number(), first));
             }
@@ -776,11 +777,8 @@
         if (m.view() != view.number() || !chained() || !level) {
             return;
         }
-        final List<Change> list = new ArrayList<>();
-        recent.stream().filter(c -> c.sequence() > m.sequence()).limit(BATCH).forEach(list::add);
-        if (list.size() < BATCH) {
-            pend.stream().filter(c -> c.sequence() > m.sequence() && c.sequence() <= kept).limit(BATCH - list.size()).forEach(list::add);
-        }
+        final List<Change> list = Change.batch(Stream.concat(recent.stream().filter(c -> c.sequence() > m.sequence()),
+                pend.stream().filter(c -> c.sequence() > m.sequence() && c.sequence() <= kept)), BATCH, HEAVY);
         send(home, new Msg.Level(view.number(), last));
         if (!list.isEmpty() && list.getFirst().sequence() == m.sequence() + 1) {
             send(home, new Msg.Pass(view.number(), list));
@@ -793,14 +791,14 @@
             books.apply(c.sequence(), c.puts());
             c.puts().forEach(e -> overlay.remove(e.key(), e));
             recent.add(c);
-            entries += c.puts().size();
+            heavy += c.weight();
             if (c.puts().stream().anyMatch(Entry::policy)) {
                 log(Event.CHANGED, "sequence " + c.sequence() + " view " + c.view() + " stamp " + c.stamp().bits());
             }
             Optional.ofNullable(waits.remove(c.sequence())).ifPresent(l -> l.forEach(w -> decided(w, c.sequence())));
-            if (entries > RECENT || recent.size() > 10_000) {
-                for (int i = 0; i < 2_000 && recent.size() > 1; i++) {
-                    entries -= recent.poll().puts().size();
+            if (heavy > RECENT || recent.size() > 10_000) {
+                while (recent.size() > 1 && (heavy > RECENT * 3 / 4 || recent.size() > 8_000)) {
+                    heavy -= recent.poll().weight();
                 }
                 picture(t -> {
                 });
@@ -839,16 +837,16 @@
         }
         final long[] mine = books.digests(RANGES);
         final List<Msg.Span> spans = new ArrayList<>();
-        int count = 0;
+        long sum = 0;
         boolean whole = true;
         for (int i = 0; i < RANGES; i++) {
             if (mine[i] != m.digests()[i]) {
-                if (count > SPAN) {
+                if (sum > HEAVY) {
                     whole = false;
                     break;
                 }
                 final Msg.Span span = new Msg.Span(i, books.range(i, RANGES));
-                count += span.entries().size();
+                sum += span.entries().stream().mapToLong(Entry::weight).sum();
                 spans.add(span);
             }
         }
@@ -859,6 +857,10 @@
         if (m.view() != view.number() || chained() && level || m.sequence() < books.sequence()) {
             return;
         }
+        if (joining && held.isEmpty() && m.whole() && m.spans().isEmpty() && m.sequence() == books.sequence() && !chained()) {
+            join();
+            return;
+        }
         m.spans().forEach(s -> books.mend(s.range(), RANGES, s.entries()));
         if (!m.whole()) {
             (chained() ? view.before(setup.me().id()) : view.tail()).ifPresent(t -> send(t.address(), compareOf()));
@@ -866,7 +868,7 @@
         }
         books.level(m.sequence());
         recent.clear();
-        entries = 0;
+        heavy = 0;
         pend.clear();
         overlay.clear();
         last = m.sequence();
@@ -878,11 +880,15 @@
         picture(t -> {
             if (number == view.number() && !chained()) {
                 log(Event.MENDED, "sequence " + m.sequence());
-                view.voters().forEach(b -> send(b.address(), new Msg.Join(number, setup.me(), m.sequence())));
+                join();
             }
         });
     }
 
+    private void join() {
+        view.voters().forEach(b -> send(b.address(), new Msg.Join(view.number(), setup.me(), books.sequence())));
+    }
+
     private void read(final Msg.Read m, final long now) {
         final boolean held = !enough() && pend.stream().anyMatch(c -> c.sequence() <= kept);
         final boolean ok = tail() && level && !held && (leased(now) || !setup.guards().stands(Guard.LEASE));
--- a/core/src/main/java/silverlatch/tariff/Charters.java
+++ b/core/src/main/java/silverlatch/tariff/Charters.java
@@ -1,5 +1,6 @@
 package silverlatch.tariff;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -21,7 +22,7 @@
     public static final int MOST = 20_000;
     /** How many pools a charter may have. */
     public static final int MOST_POOLS = 5_000;
-    /** How many characters a charter's paper may have. */
+    /** How many bytes a charter's paper may have. */
     public static final int LONGEST = 4 << 20;
     private static final int LOTS = 1_000;
     private static final int TOLD = 20;
@@ -54,8 +55,8 @@
         if (w.pools().size() > MOST_POOLS) {
             list.add("$.pools: at most " + MOST_POOLS + ", not " + w.pools().size());
         }
-        if (w.paper().length() > LONGEST) {
-            list.add("$: longer than " + LONGEST + " characters");
+        if (huge(w.paper())) {
+            list.add("$: longer than " + LONGEST + " bytes");
         }
         if (!list.isEmpty()) {
             return list;
@@ -89,6 +90,11 @@
         return puts;
     }
 
+    /** Whether a paper is longer than any that is taken. */
+    public static boolean huge(final String paper) {
+        return paper.length() > LONGEST || paper.getBytes(StandardCharsets.UTF_8).length > LONGEST;
+    }
+
     private static void pool(final List<String> list, final String at, final Leaf.Pool p, final Set<String> pools) {
         name(list, at + ".name", p.name(), NAME);
         if (!pools.add(p.name())) {
--- a/core/src/main/java/silverlatch/tariff/Entry.java
+++ b/core/src/main/java/silverlatch/tariff/Entry.java
@@ -17,6 +17,18 @@
         return leaf.isEmpty();
     }
 
+    /** About how many bytes the entry takes in a frame. */
+    public long weight() {
+        return 96 + key.length() + leaf.stream().mapToLong(l -> switch (l) {
+            case Leaf.Paper p -> 2L * p.text().length();
+            case Leaf.Rule r -> 128 + r.name().length() + r.host().length() + r.path().length() + 32L * r.homes().size() + 48L * r.lots().size();
+            case Leaf.Calendar k -> 96L * (1 + k.cells().size());
+            case Leaf.Deed d -> 32 + d.faults().stream().mapToLong(String::length).sum();
+            case Leaf.Tenant t -> 160 + 32L * t.homes().size();
+            default -> 160;
+        }).sum();
+    }
+
     /** Whether the entry is part of what the data plane follows. */
     public boolean policy() {
         return key.startsWith("t/") || key.startsWith("r/") || key.startsWith("z/")
--- a/core/src/main/java/silverlatch/wire/Codec.java
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -64,7 +64,12 @@
 
     /** The bytes of a frame or a note. */
     public byte[] write(final Object thing) {
-        final Output out = new Output(512, MOST);
+        return write(thing, MOST);
+    }
+
+    /** The bytes of a thing that may be larger than a frame. */
+    public byte[] write(final Object thing, final int most) {
+        final Output out = new Output(512, most);
         kryo.writeClassAndObject(out, thing);
         return out.toBytes();
     }
--- a/core/src/test/java/silverlatch/ledger/LedgerTest.java
+++ b/core/src/test/java/silverlatch/ledger/LedgerTest.java
@@ -12,6 +12,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import silverlatch.quay.View;
+import silverlatch.tariff.Books;
+import silverlatch.tariff.Entry;
+import silverlatch.tariff.Leaf;
 
 final class LedgerTest {
     @TempDir
@@ -45,6 +48,20 @@
         assertThat(((Ledger.Opened.Good) Ledger.open(wiped, false)).founder(), is(false));
     }
 
+    @Test
+    void aPictureOfAsManyClaimsAsThereMayBeIsReadBack() throws IOException {
+        final List<Entry> claims = new java.util.ArrayList<>();
+        for (int i = 0; i < Books.CLAIMS; i++) {
+            claims.add(new Entry("c/" + String.format("%064x", i), i, List.of(new Leaf.Claim("purser-1-hmi2nbkpu3-z2gfbs3q7i" + i, "10.0.0.1:7000",
+                    "running", i, 1))));
+        }
+        final Note.Picture picture = new Note.Picture(1, View.NONE, true, 0, 0, List.of(), 1, claims);
+        final Ledger.Opened.Good first = open(folder);
+        first.ledger().write(List.of(picture));
+        first.ledger().close();
+        assertThat(open(folder).notes().equals(List.of(picture)), is(true));
+    }
+
     @Test
     void aTornTailIsCutOffWhereverItTears() throws IOException {
         final Ledger.Opened.Good first = open(folder);
--- a/desk/src/main/java/silverlatch/desk/dock/Dock.java
+++ b/desk/src/main/java/silverlatch/desk/dock/Dock.java
@@ -159,7 +159,7 @@
                         }
                         write(out, codec, next.get());
                     }
-                } catch (final IOException | IllegalArgumentException e) {
+                } catch (final IOException | RuntimeException e) {
                     dropped.addAndGet(1 + queue.size());
                     queue.clear();
                     pause();
--- a/desk/src/main/java/silverlatch/desk/harbor/Door.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Door.java
@@ -158,6 +158,10 @@
             no(c, 400, "$: not UTF-8");
             return;
         }
+        if (Charters.huge(paper.get())) {
+            no(c, 413, "$: longer than " + Charters.LONGEST + " bytes");
+            return;
+        }
         sheet(c).ifPresent(s -> {
             final Wish.Lay w = Articles.read(s, paper.get(), id(c), -1);
             if (!faulty(c, s)) {
--- a/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
@@ -95,6 +95,10 @@
 
     @Override
     public void lay(final Wish.Lay wish, final Consumer<Verdict> then) {
+        if (Charters.huge(wish.paper())) {
+            then.accept(new Verdict.Rejected(413, List.of("$: longer than " + Charters.LONGEST + " bytes"), 0));
+            return;
+        }
         wish(wish, SOON, then);
     }
 
--- a/desk/src/main/java/silverlatch/desk/harbor/Scribe.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Scribe.java
@@ -12,6 +12,7 @@
 /** The duty that writes the ledger: all that waits goes in one batch with one sync. */
 public final class Scribe {
     private static final int MOST = 1_024;
+    private static final long HEAVY = 4L << 20;
     private final BlockingQueue<Effect.Keep> ring = new LinkedBlockingQueue<>(16_384);
     private final Ledger ledger;
     private final Told told;
@@ -43,13 +44,21 @@
         }
     }
 
+    private static long weight(final Effect.Keep keep) {
+        return keep.notes().stream().mapToLong(n -> n instanceof Note.Deed d ? d.change().weight() : 64).sum();
+    }
+
     private void run() {
         final List<Effect.Keep> batch = new ArrayList<>();
         while (true) {
             try {
                 batch.clear();
                 batch.add(ring.take());
-                ring.drainTo(batch, MOST);
+                long sum = weight(batch.getFirst());
+                while (batch.size() < MOST && !ring.isEmpty() && sum + weight(ring.peek()) <= HEAVY) {
+                    sum += weight(ring.peek());
+                    batch.add(ring.take());
+                }
                 final List<Note> notes = new ArrayList<>();
                 batch.forEach(k -> notes.addAll(k.notes()));
                 ledger.write(notes);
