--- a/core/src/main/java/silverlatch/rumor/Rumor.java
+++ b/core/src/main/java/silverlatch/rumor/Rumor.java
@@ -183,7 +183,11 @@
 
     /** A worker's life is over; false when it isn't known here. */
     public boolean gone(final String id, final long now) {
-        final boolean known = words.map(w -> w.gone(id, now)).orElse(false);
+        final boolean known = words.map(w -> w.gone(id, now)).orElseGet(() -> {
+            final Optional<Worker> last = Optional.ofNullable(workers.get(id)).map(h -> h.worker().gone());
+            last.filter(w -> !workers.get(id).worker().leaving()).ifPresent(w -> take(w.next(), Optional.empty(), now));
+            return last.isPresent();
+        });
         spread(now);
         return known;
     }
--- a/core/src/main/java/silverlatch/rumor/Worker.java
+++ b/core/src/main/java/silverlatch/rumor/Worker.java
@@ -55,4 +55,9 @@
     public Worker at(final long next) {
         return new Worker(id, address, zone, region, life, next, running, queued, slots, kept, leaving, up, pool, cold, rest);
     }
+
+    /** The same, said once more. */
+    public Worker next() {
+        return new Worker(id, address, zone, region, life, sequence + 1, running, queued, slots, kept, leaving, up, pool, cold, rest);
+    }
 }
--- a/desk/src/main/java/silverlatch/desk/dock/Lane.java
+++ b/desk/src/main/java/silverlatch/desk/dock/Lane.java
@@ -84,7 +84,7 @@
                     open = Optional.empty();
                     unheard = NEVER;
                 }
-            } catch (final IOException | IllegalArgumentException e) {
+            } catch (final IOException | RuntimeException e) {
                 dropped.incrementAndGet();
                 rest();
             } catch (final InterruptedException e) {
