--- a/core/src/test/java/silverlatch/rumor/HarborWordsTest.java
+++ b/core/src/test/java/silverlatch/rumor/HarborWordsTest.java
@@ -20,6 +20,10 @@
 import silverlatch.crew.Member;
 import silverlatch.deck.Effect;
 import silverlatch.guard.Guards;
+import silverlatch.quay.View;
+import silverlatch.tariff.Books;
+import silverlatch.tariff.Entry;
+import silverlatch.tariff.Tariff;
 import silverlatch.wire.Msg;
 
 /** Rumors on a fake clock whose workers announce to harbors h0, h1, h2, each in a zone and region of its own. */
@@ -284,4 +288,51 @@
         List.of("h0", "p3", "p6").forEach(id -> assertThat(id, rumors.get(id).sure(now), greaterThan(4 * SECOND)));
         List.of("h1", "h2", "p4", "p8").forEach(id -> assertThat(id, rumors.get(id).sure(now), lessThanOrEqualTo(2 * SECOND)));
     }
+
+    @Test
+    void aDeadHarborKeepsSilenceUntoldOfItsOwnZoneOnly() {
+        fleet(9);
+        say("h1", 1);
+        rumors.get("h1").announced(new Worker("v", "10.0.0.8:1", "z1", "r1", 1, 1, 0, 0, 8, List.of(), false, 0), 0, now);
+        ship("h1");
+        pass(SECOND);
+        dead.add("h0");
+        pass(9 * SECOND);
+        rumors.keySet().stream().filter(id -> !id.equals("h0")).forEach(id -> {
+            assertThat(id, rumors.get(id).workers().get("v").silent(), is(true));
+            assertThat(id, at(id).orElseThrow().silent(), is(false));
+        });
+    }
+
+    @Test
+    void aHarborThatFrozeAndWakesCallsNoOneSilent() {
+        fleet(6);
+        beat("h1", 1, 3);
+        dead.add("h0");
+        beat("h1", 4, 10);
+        dead.clear();
+        for (int i = 0; i < 8; i++) {
+            beat("h1", 20 + i, 1);
+            rumors.keySet().forEach(id -> assertThat(id, at(id).orElseThrow().silent(), is(false)));
+        }
+    }
+
+    @Test
+    void aNewPageReachesNinetySixDaemonsInASecondAndPullsConfirmIt() {
+        fleet(96);
+        final Books books = new Books();
+        books.apply(1, List.of(new Entry("r/*/chat", 1, List.of(Tariff.plain("*", "chat")))));
+        rumors.get("h0").own(books, View.NONE, true, now);
+        ship("h0");
+        final long start = now;
+        while (rumors.values().stream().anyMatch(r -> r.books().page() < 1) && now - start < 2 * SECOND) {
+            pass(50_000);
+        }
+        assertThat(now - start, lessThanOrEqualTo(700_000L));
+        for (int i = 0; i < 40; i++) {
+            rumors.get("h0").own(books, View.NONE, true, now);
+            pass(50_000);
+        }
+        rumors.forEach((id, r) -> assertThat(id, r.age(now), lessThanOrEqualTo(2 * SECOND)));
+    }
 }
