--- a/core/src/main/java/silverlatch/crew/Crew.java
+++ b/core/src/main/java/silverlatch/crew/Crew.java
@@ -35,7 +35,10 @@
     private long version;
     private long count;
 
-    /** Times in microseconds; every so many heartbeats one tells the whole of the daemon, the others only its life. */
+    /**
+     * Times in microseconds; every so many heartbeats one tells the whole of the daemon, the others only its life. Where
+     * that is more than one, a muster is not passed on either.
+     */
     public record Times(long beat, long miss, long bury, long hail, int whole) {
         /** The times that hold when nothing is said. */
         public static final Times PLAIN = new Times(250_000L, 1_500_000L, 2_000_000L, 1_000_000L);
@@ -121,7 +124,7 @@
             }
             case Msg.Muster m -> {
                 fresh = false;
-                m.members().forEach(x -> learn(x, now));
+                m.members().forEach(x -> learn(x, times.whole() == 1, now));
             }
             case Msg.Beat m -> hear(m.me(), now);
             case Msg.Pulse m -> get(m.id()).filter(x -> x.life() == m.life()).ifPresent(x -> beats.put(x.id(), now));
@@ -130,8 +133,17 @@
         }
     }
 
-    /** Takes word on a daemon, from anyone. */
+    /** Takes word on a daemon, from anyone, and passes it on. */
     public void learn(final Member word, final long now) {
+        learn(word, true, now);
+    }
+
+    /** Takes word on a daemon from one who tells all that it knows, and doesn't pass it on. */
+    public void hold(final Member word, final long now) {
+        learn(word, false, now);
+    }
+
+    private void learn(final Member word, final boolean pass, final long now) {
         if (word.id().equals(me.id())) {
             if (word.life() > me.life()) {
                 life(word.life() + 1);
@@ -144,7 +156,9 @@
         if (old.map(word::beats).orElse(true)) {
             put(word);
             since.put(word.id(), now);
-            news.add(word);
+            if (pass) {
+                news.add(word);
+            }
             if (old.map(o -> !o.state().equals(word.state())).orElse(true)) {
                 tell(word);
             }
--- a/core/src/main/java/silverlatch/rumor/Pulls.java
+++ b/core/src/main/java/silverlatch/rumor/Pulls.java
@@ -51,7 +51,7 @@
 
     /** Takes bodies, and gives those that the other lacks. */
     Optional<Msg.Bodies> take(final Msg.Bodies m, final String home, final long now) {
-        m.members().forEach(x -> crew.learn(x, now));
+        m.members().forEach(x -> crew.hold(x, now));
         m.words().forEach(x -> words.take(x, false, now));
         open.filter(p -> p.at() == m.at() && p.home().equals(home)).ifPresent(this::match);
         return m.workers().isEmpty() && m.daemons().isEmpty() ? Optional.empty() : Optional.of(new Msg.Bodies(0, words.words(m.workers(), now),
