Count streams that would pause against a long prompt's place; reading costs more the more stands before

The penalty for a writer was one flat sum, and the time to read a long prompt was foretold too short, as attention over what stands before was left out. Ruled out: put-backs (none), first events (p99 under the aim), the gate (passed on as they came).

--- a/core/src/main/java/silverlatch/passage/Outlook.java
+++ b/core/src/main/java/silverlatch/passage/Outlook.java
@@ -7,10 +7,15 @@
 
 /**
  * Foretells when a worker would send the first event of a ticket: the way there and back, what it still has to read of
- * others, what it has to read of this prompt, and how full it is. Microseconds.
+ * others, what it has to read of this prompt (each token costs the more the more stand before it), and how full it is.
+ * While a worker reads a long prompt the streams it writes pause, so each stream there is counted against it. Microseconds.
  */
 final class Outlook {
     static final double TOKEN = 27;
+    private static final double PAIR = 0.0012;
+    private static final double HARM = 60_000;
+    private static final double FULL = 8_000;
+    private static final int MOST = 16;
     private static final long BASE = 55_000;
     private static final long WAIT = 30_000;
     private static final long FAR = 72_000;
@@ -33,14 +38,16 @@
                    final Map<Long, String> homes, final Set<String> writers, final long now) {
         final boolean far = !s.worker.region().equals(region);
         final int unread = unread(fare, s, homes, now);
-        final double read = unread * TOKEN * s.pace + s.unread() * TOKEN * s.pace;
+        final double read = (unread * (TOKEN + PAIR * (fare.in() - unread / 2.0)) + s.unread() * TOKEN) * s.pace;
         final boolean told = now - s.loadAt < STALE;
         final double full = Math.max(told ? (double) s.running / s.slots : 0, (double) s.runs.size() / s.slots);
         final long queue = told ? s.waiting * WAIT : 0;
         final long way = far ? FAR : s.worker.zone().equals(zone) ? 0 : NEAR;
         final long first = Math.round(way + BASE * s.pace + read + queue + full * 60_000 + Math.max(0, full - 0.8) * 2_000_000);
         final boolean odd = !writers.isEmpty() && writers.contains(s.worker.id()) == Habits.lengthy(fare);
-        final long extra = (far ? LONG : 0) + (odd ? APART : 0) + Math.max(0, s.overdue(now)) * 2 + (s.cold(now) ? rule.aim() / 2 : 0);
+        final int streams = Math.max(told ? s.running : 0, s.runs.size());
+        final long harm = Habits.lengthy(fare) ? Math.min(MOST, streams) * Math.round(HARM * Math.min(1, unread / FULL)) : 0;
+        final long extra = (far ? LONG : 0) + (odd ? APART : 0) + harm + Math.max(0, s.overdue(now)) * 2 + (s.cold(now) ? rule.aim() / 2 : 0);
         return new View(first, first + extra, unread);
     }
 
--- a/core/src/test/java/silverlatch/passage/PassageTest.java
+++ b/core/src/test/java/silverlatch/passage/PassageTest.java
@@ -247,6 +247,30 @@
         assertThat(passage.open(), is(0));
     }
 
+    @Test
+    void aLongPromptKeepsAwayFromAWorkerThatWritesManyStreams() {
+        for (int i = 0; i < 4; i++) {
+            worker("w" + i, "west", 0, false, 1);
+        }
+        final Set<String> writers = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            final Move.Send s = sent(arrive("/once/x", List.of()));
+            writers.add(s.worker());
+            passage.headed(s.job(), Optional.of(new Passage.Load(10, 0, 128)), now);
+            passage.heard(s.job(), now);
+            passage.arrive(new Fare(++token, "a", "/once/x", "t" + token, 15 * S, List.of(new Fare.Part(i, 5_000), new Fare.Part(1_000 + i, 20_000)),
+                    25_000, 50), now);
+            final Move.Send l = sent(passage.drain());
+            assertThat(i < 4 || !writers.contains(l.worker()), is(true));
+            passage.headed(l.job(), Optional.empty(), now);
+            passage.heard(l.job(), now);
+            passage.ended(l.job(), true, now);
+            passage.drain();
+            now += 100 * MS;
+        }
+        assertThat(writers.size(), lessThanOrEqualTo(3));
+    }
+
     @Test
     void aRegionThatIsMuteGetsNothingMoreUntilOneThereSpeaks() {
         for (int i = 0; i < 3; i++) {
