--- a/core/src/main/java/silverlatch/crew/Crew.java
+++ b/core/src/main/java/silverlatch/crew/Crew.java
@@ -15,6 +15,7 @@
 /** Who is in the fleet and who lives: joining by seeds, heartbeats to watchers named by the ring, suspicion as news. */
 public final class Crew {
     private static final int WATCHERS = 3;
+    private static final long SOON = 200_000L;
     private final Times times;
     private List<String> seeds;
     private final Chart chart = Chart.load("member");
@@ -175,7 +176,7 @@
 
     /** A clock event. */
     public void tick(final long now) {
-        if (now - hailAt >= times.hail()) {
+        if (now - hailAt >= (fresh ? Math.min(SOON, times.hail()) : times.hail())) {
             hailAt = now;
             seeds.stream().filter(s -> !s.equals(me.address()))
                     .filter(s -> fresh || members.values().stream().noneMatch(m -> m.address().equals(s) && m.state().equals("up")))
--- a/core/src/main/java/silverlatch/deck/Event.java
+++ b/core/src/main/java/silverlatch/deck/Event.java
@@ -58,6 +58,8 @@
     DAMAGED(407, true),
     /** A picture was written. */
     PICTURE(408, false),
+    /** The list of workers beside the ledger can't be written. */
+    ROSTER(409, true),
     /** A change took effect. */
     CHANGED(500, false),
     /** A change was rejected. */
--- a/core/src/main/java/silverlatch/ledger/Ledger.java
+++ b/core/src/main/java/silverlatch/ledger/Ledger.java
@@ -240,7 +240,8 @@
         sync(folder);
     }
 
-    private static void put(final Path file, final byte[] bytes) throws IOException {
+    /** Writes a whole file in place of an older one, synced with its name. */
+    public static void put(final Path file, final byte[] bytes) throws IOException {
         final Path part = file.resolveSibling(file.getFileName() + ".part");
         try (FileChannel ch = FileChannel.open(part, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             final ByteBuffer all = ByteBuffer.wrap(bytes);
--- a/core/src/main/java/silverlatch/passage/Passage.java
+++ b/core/src/main/java/silverlatch/passage/Passage.java
@@ -157,7 +157,7 @@
     public void arrive(final Fare fare, final long now) {
         count("tickets");
         if (closing || charters.number() == 0) {
-            reject(fare.token(), 503, SECOND / 20, closing ? "stopping" : "no charter is known here yet");
+            reject(fare.token(), 503, closing ? SECOND / 20 : SECOND + luck.nextLong(SECOND / 2), closing ? "stopping" : "no charter is known here yet");
             return;
         }
         final Optional<Leaf.Rule> rule = charters.rule(fare.host(), fare.path());
@@ -417,7 +417,12 @@
         out.add(new Move.Send(o.fare.token(), job, w.id(), w.address(), o.end - now, o.rule.rank(), !o.rule.again(), o.rule.stream()));
     }
 
+    /** When to come back: soon where another worker may take it, later where none is known yet or the allowed ones are cold. */
     private long away(final Open o) {
+        final boolean known = stands.values().stream().anyMatch(s -> s.worker.pool().equals(o.pool) && !s.worker.leaving());
+        if (!known) {
+            return SECOND + luck.nextLong(SECOND / 2);
+        }
         return Math.max(SECOND / 20, o.rule.aim() / 4 + luck.nextLong(Math.max(1, o.rule.aim() / 4)));
     }
 
--- a/core/src/main/java/silverlatch/rumor/Rumor.java
+++ b/core/src/main/java/silverlatch/rumor/Rumor.java
@@ -181,6 +181,21 @@
         return token;
     }
 
+    /** A digest over the words of workers that announce to harbors; it changes when one of them does. */
+    public long roster() {
+        return words.map(w -> w.sums().total()).orElse(0L);
+    }
+
+    /** The words to be kept over a restart. */
+    public List<Word> standing(final long now) {
+        return words.map(w -> w.standing(now)).orElse(List.of());
+    }
+
+    /** Takes words kept over a restart; what is known already or comes later goes before them. */
+    public void recall(final List<Word> kept, final long now) {
+        words.ifPresent(w -> kept.forEach(k -> w.take(k, false, now)));
+    }
+
     /** A worker's life is over; false when it isn't known here. */
     public boolean gone(final String id, final long now) {
         final boolean known = words.map(w -> w.gone(id, now)).orElseGet(() -> {
--- a/core/src/main/java/silverlatch/rumor/Words.java
+++ b/core/src/main/java/silverlatch/rumor/Words.java
@@ -101,6 +101,11 @@
         return list;
     }
 
+    /** All words that are neither silent nor gone, as of now. */
+    List<Word> standing(final long now) {
+        return items.values().stream().filter(i -> !i.word().gone() && !i.word().silent()).map(i -> i.now(now)).toList();
+    }
+
     /** The words on some workers, as of now. */
     List<Word> words(final Collection<String> ids, final long now) {
         return ids.stream().flatMap(id -> Optional.ofNullable(items.get(id)).stream()).map(i -> i.now(now)).toList();
--- a/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
@@ -43,7 +43,9 @@
     private volatile List<Member> nears = List.of();
     private volatile boolean gone;
     private volatile boolean closing;
+    private final Optional<Roster> roster;
     private final Calendars calendars = new Calendars();
+    private long listed;
     private long calendarAt;
     private final List<Runnable> owed = new ArrayList<>();
 
@@ -64,6 +66,7 @@
                 tell(d -> d.broke(why, Duty.now()));
             }
         }));
+        this.roster = settings.data().map(d -> new Roster(java.nio.file.Path.of(d)));
         this.bridge = new Bridge(deck, settings.rates().deck(), dock::ship, this::keep, this::look);
         this.web = new Web(settings.door(), Math.max(settings.body(), 8 << 20),
                 new Door(settings, bridge, dock, calendars, () -> unready)::route);
@@ -72,6 +75,10 @@
     /** Opens the doors. */
     public void start() throws IOException, Web.WebFault {
         scribe.ifPresent(Scribe::start);
+        roster.ifPresent(r -> {
+            deck.rumor().recall(r.read(), Duty.now());
+            r.start();
+        });
         dock.start();
         bridge.start();
         web.start();
@@ -206,6 +213,11 @@
             d.ready(why.isEmpty());
         }
         unready = why;
+        roster.filter(r -> listed != d.rumor().roster()).ifPresent(r -> {
+            if (r.write(d.rumor().standing(now))) {
+                listed = d.rumor().roster();
+            }
+        });
         calendars(d, now);
     }
 
--- /dev/null
+++ b/desk/src/main/java/silverlatch/desk/harbor/Roster.java
@@ -0,0 +1,83 @@
+package silverlatch.desk.harbor;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.zip.CRC32C;
+import silverlatch.deck.Event;
+import silverlatch.desk.duty.Logs;
+import silverlatch.ledger.Ledger;
+import silverlatch.rumor.Word;
+import silverlatch.wire.Codec;
+import silverlatch.wire.Msg;
+
+/**
+ * The workers last heard of, beside the ledger: after all have lost their power at once, tickets need not wait until each
+ * worker has called again. It is no promise: what can't be written or read is left out, and a worker's next word goes first.
+ */
+final class Roster {
+    private static final int HEAD = Long.BYTES;
+    private static final int MOST = 4 << 20;
+    private final Path file;
+    private final ArrayBlockingQueue<List<Word>> ring = new ArrayBlockingQueue<>(1);
+
+    Roster(final Path folder) {
+        this.file = folder.resolve("workers");
+    }
+
+    /** What was written last, or nothing. */
+    List<Word> read() {
+        try {
+            if (!Files.exists(file) || Files.size(file) > MOST) {
+                return List.of();
+            }
+            final byte[] all = Files.readAllBytes(file);
+            if (all.length < HEAD || ByteBuffer.wrap(all).getLong() != sum(all, HEAD)) {
+                return List.of();
+            }
+            return new Codec().read(java.util.Arrays.copyOfRange(all, HEAD, all.length), Msg.Bodies.class) instanceof Codec.Read.Good<Msg.Bodies> good
+                    ? good.thing().words() : List.of();
+        } catch (final IOException e) {
+            return List.of();
+        }
+    }
+
+    /** Starts to write what is handed over. */
+    void start() {
+        Thread.ofPlatform().daemon(true).name("roster").start(this::run);
+    }
+
+    /** Takes the newest words; false when the last ones are still being written. */
+    boolean write(final List<Word> words) {
+        return ring.offer(words);
+    }
+
+    private void run() {
+        final Codec codec = new Codec();
+        boolean told = false;
+        while (true) {
+            try {
+                final byte[] body = codec.write(new Msg.Bodies(0, ring.take(), List.of(), List.of(), List.of()));
+                final byte[] all = ByteBuffer.allocate(HEAD + body.length).putLong(sum(body, 0)).put(body).array();
+                Ledger.put(file, all);
+                told = false;
+            } catch (final IOException e) {
+                if (!told) {
+                    Logs.write(Event.ROSTER, "" + e.getMessage());
+                }
+                told = true;
+            } catch (final InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private static long sum(final byte[] all, final int from) {
+        final CRC32C crc = new CRC32C();
+        crc.update(all, from, all.length - from);
+        return crc.getValue();
+    }
+}
--- /dev/null
+++ b/desk/src/test/java/silverlatch/desk/harbor/RosterTest.java
@@ -0,0 +1,39 @@
+package silverlatch.desk.harbor;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import silverlatch.rumor.Word;
+import silverlatch.rumor.Worker;
+
+final class RosterTest {
+    private static final Word WORD = Word.of(new Worker("w", "10.0.0.1:80", "z", "r", 1, 7, 0, 0, 8, List.of(), true, 0, "pool", 1_000, 0));
+    @TempDir
+    private Path folder;
+
+    @Test
+    void whatWasWrittenIsReadAgainAndWhatIsTornIsNothing() throws IOException {
+        final Roster one = new Roster(folder);
+        assertThat(one.read(), is(empty()));
+        one.start();
+        assertThat(one.write(List.of(WORD)), is(true));
+        final Path file = folder.resolve("workers");
+        while (!Files.exists(file)) {
+            Thread.onSpinWait();
+        }
+        assertThat(new Roster(folder).read(), is(List.of(WORD)));
+        final byte[] all = Files.readAllBytes(file);
+        all[all.length - 1]++;
+        Files.write(file, all);
+        assertThat(new Roster(folder).read(), is(empty()));
+        Files.write(file, new byte[3]);
+        assertThat(new Roster(folder).read(), is(empty()));
+    }
+}
