--- a/desk/src/main/java/silverlatch/desk/dock/Dock.java
+++ b/desk/src/main/java/silverlatch/desk/dock/Dock.java
@@ -1,8 +1,10 @@
 package silverlatch.desk.dock;
 
 import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -14,6 +16,7 @@
 import java.util.function.Consumer;
 import silverlatch.deck.Event;
 import silverlatch.deck.Ship;
+import silverlatch.desk.duty.Duty;
 import silverlatch.desk.duty.Logs;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
@@ -22,6 +25,8 @@
 public final class Dock {
     private static final int LANES = 1024;
     private static final int SILENT = 30_000;
+    static final int PART = 64 << 10;
+    private static final long TOLD = 200_000L;
     private final String address;
     private final Consumer<Frame> sink;
     private final Lane.Times times;
@@ -122,6 +127,7 @@
         try (Socket s = socket; DataInputStream in = new DataInputStream(new BufferedInputStream(s.getInputStream(), 64 << 10))) {
             s.setTcpNoDelay(true);
             s.setSoTimeout(SILENT);
+            long told = Duty.now();
             Lane.probe(s);
             while (!over) {
                 final int size = in.readInt();
@@ -129,13 +135,14 @@
                     bad(s, "a length of " + size);
                     return;
                 }
-                final byte[] bytes = in.readNBytes(size);
+                final byte[] bytes = whole(in, s.getOutputStream(), size);
                 if (bytes.length < size) {
                     return;
                 }
                 switch (codec.read(bytes, Frame.class)) {
                     case Codec.Read.Good<Frame> good -> {
-                        if (in.available() < Integer.BYTES) {
+                        if (in.available() < Integer.BYTES || Duty.now() - told > TOLD) {
+                            told = Duty.now();
                             s.getOutputStream().write(1);
                         }
                         sink.accept(good.thing());
@@ -153,6 +160,22 @@
         }
     }
 
+    /** Reads a frame and acknowledges each part of a large one, so that its sender sees that it gets on. */
+    private static byte[] whole(final DataInputStream in, final OutputStream back, final int size) throws IOException {
+        final ByteArrayOutputStream all = new ByteArrayOutputStream(Math.min(size, PART));
+        while (all.size() < size) {
+            final byte[] part = in.readNBytes(Math.min(PART, size - all.size()));
+            if (part.length == 0) {
+                break;
+            }
+            all.write(part);
+            if (size > PART) {
+                back.write(1);
+            }
+        }
+        return all.toByteArray();
+    }
+
     private void bad(final Socket s, final String why) {
         bad.incrementAndGet();
         Logs.write(Event.BAD_FRAME, s.getRemoteSocketAddress() + " " + why);
--- a/desk/src/main/java/silverlatch/desk/dock/Lane.java
+++ b/desk/src/main/java/silverlatch/desk/dock/Lane.java
@@ -17,9 +17,9 @@
 import silverlatch.wire.Frame;
 
 /**
- * Frames to one address. Nothing here is promised: what waited too long is dropped. The peer acknowledges what it read
+ * Frames to one address. Nothing here is promised: what waited too long for a connection is dropped. The peer acknowledges what it read
  * by a byte on the same connection; one that is not acknowledged in time is dropped, for behind a cut nothing tells
- * that it hangs.
+ * that it hangs. A large frame gets time for its reader: two seconds a megabyte.
  */
 final class Lane {
     private static final long FIRST = 50_000L;
@@ -31,7 +31,10 @@
     private final ArrayBlockingQueue<Waiting> queue;
     private volatile Optional<Socket> open = Optional.empty();
     private volatile long unheard = NEVER;
+    private volatile boolean writing;
+    private volatile long grace;
     private volatile boolean over;
+    private long made;
     private long pause = FIRST;
 
     /** How many frames may wait; all else in microseconds. */
@@ -56,7 +59,7 @@
     /** Queues a frame, or drops it when the queue is full. */
     void offer(final Frame f) {
         final long now = Duty.now();
-        if (now - times.silent() > unheard) {
+        if (now - times.silent() > unheard && now > grace) {
             open.filter(s -> !heard(s)).ifPresent(Lane::close);
         }
         if (!queue.offer(new Waiting(f, now))) {
@@ -75,6 +78,7 @@
         while (!over) {
             try {
                 final Waiting first = queue.take();
+                made = Duty.now();
                 if (stale(first)) {
                     continue;
                 }
@@ -82,6 +86,8 @@
                     send(s, codec, first);
                 } finally {
                     open = Optional.empty();
+                    writing = false;
+                    grace = 0;
                     unheard = NEVER;
                 }
             } catch (final IOException | IllegalArgumentException e) {
@@ -98,6 +104,7 @@
         probe(s);
         s.connect(Dock.place(to), (int) (times.connect() / 1000));
         connects.incrementAndGet();
+        made = Duty.now();
         open = Optional.of(s);
         final DataOutputStream out = new DataOutputStream(new BufferedOutputStream(s.getOutputStream(), 16 << 10));
         Optional<Waiting> next = Optional.of(first);
@@ -105,9 +112,6 @@
             if (!stale(next.get())) {
                 write(s, out, codec.write(next.get().frame()));
             }
-            if (queue.isEmpty()) {
-                out.flush();
-            }
             next = Optional.ofNullable(queue.poll(times.idle(), TimeUnit.MICROSECONDS));
         }
     }
@@ -117,8 +121,14 @@
         if (unheard == NEVER) {
             unheard = Duty.now();
         }
+        writing = true;
+        grace = bytes.length > Dock.PART ? Duty.now() + times.silent() + 2L * bytes.length : grace;
         out.writeInt(bytes.length);
         out.write(bytes);
+        if (queue.isEmpty()) {
+            out.flush();
+        }
+        writing = false;
     }
 
     /** Reads what the peer acknowledged, without waiting; whether there was any. */
@@ -130,7 +140,7 @@
                 return false;
             }
             in.skipNBytes(count);
-            unheard = NEVER;
+            unheard = writing ? Duty.now() : NEVER;
             pause = FIRST;
             return true;
         } catch (final IOException e) {
@@ -138,8 +148,9 @@
         }
     }
 
+    /** Whether a frame waited too long for a connection; behind a large frame on a connection that gets on, it may wait. */
     private boolean stale(final Waiting w) {
-        final boolean old = Duty.now() - w.at() > times.stale();
+        final boolean old = w.at() < made && Duty.now() - w.at() > times.stale();
         if (old) {
             dropped.incrementAndGet();
         }
--- a/desk/src/test/java/silverlatch/desk/dock/DockTest.java
+++ b/desk/src/test/java/silverlatch/desk/dock/DockTest.java
@@ -152,4 +152,28 @@
         assertThat(from.dropped(), greaterThan(0L));
         assertThat(from.dropped(), lessThanOrEqualTo(800L));
     }
+
+    @Test
+    void aLargeFrameThatGetsOnSlowlyKeepsItsConnectionAndThoseBehindIt() throws Exception {
+        final int port = free();
+        final BlockingQueue<Socket> taken = new LinkedBlockingQueue<>();
+        peer(port, taken).setReceiveBufferSize(32 << 10);
+        final Dock from = dock(free());
+        from.ship(ship(port, 1, "x".repeat(12 << 20)));
+        try (Socket s = taken.poll(2, TimeUnit.SECONDS)) {
+            final DataInputStream in = new DataInputStream(s.getInputStream());
+            final int size = in.readInt();
+            final long start = Duty.now();
+            for (int left = size; left > 0;) {
+                left -= in.readNBytes(Math.min(left, 256 << 10)).length;
+                s.getOutputStream().write(1);
+                from.ship(ship(port, 2, ""));
+                LockSupport.parkNanos(30_000_000L);
+            }
+            assertThat(Duty.now() - start, greaterThan(1_000_000L));
+            in.readNBytes(in.readInt());
+            assertThat(from.connects(), is(1L));
+            assertThat(from.dropped(), is(0L));
+        }
+    }
 }
