--- a/core/src/main/java/silverlatch/deck/Event.java
+++ b/core/src/main/java/silverlatch/deck/Event.java
@@ -60,6 +60,8 @@
     PICTURE(408, false),
     /** The list of workers beside the ledger can't be written. */
     ROSTER(409, true),
+    /** The disk can't be read or written; the machine waits for it. */
+    BARRED(410, true),
     /** A change took effect. */
     CHANGED(500, false),
     /** A change was rejected. */
--- a/core/src/main/java/silverlatch/ledger/Ledger.java
+++ b/core/src/main/java/silverlatch/ledger/Ledger.java
@@ -54,6 +54,10 @@
         /** It can't be trusted. */
         record Damaged(String why) implements Opened {
         }
+
+        /** The disk can't be read or written now; what it holds may be sound. */
+        record Barred(String why) implements Opened {
+        }
     }
 
     /** Opens a folder, and makes it when there is none; one made here may take part in a first founding. */
@@ -80,7 +84,7 @@
             }
             return read(folder, identity);
         } catch (final IOException e) {
-            return new Opened.Damaged(e.getClass().getSimpleName() + " " + e.getMessage());
+            return new Opened.Barred(e.getClass().getSimpleName() + " " + e.getMessage());
         }
     }
 
@@ -240,6 +244,25 @@
         sync(folder);
     }
 
+    /** Puts a damaged folder's files aside, in place of what was put there before; the folder is then a new machine's. */
+    public static void aside(final Path folder) throws IOException {
+        final Path to = folder.resolve("damaged");
+        Files.createDirectories(to);
+        for (final Path at : List.of(to, folder)) {
+            try (Stream<Path> files = Files.list(at)) {
+                for (final Path f : files.filter(Files::isRegularFile).toList()) {
+                    if (at.equals(to)) {
+                        Files.delete(f);
+                    } else {
+                        Files.move(f, to.resolve(f.getFileName()), StandardCopyOption.ATOMIC_MOVE);
+                    }
+                }
+            }
+        }
+        sync(to);
+        sync(folder);
+    }
+
     /** Writes a whole file in place of an older one, synced with its name. */
     public static void put(final Path file, final byte[] bytes) throws IOException {
         final Path part = file.resolveSibling(file.getFileName() + ".part");
--- a/core/src/test/java/silverlatch/ledger/LedgerTest.java
+++ b/core/src/test/java/silverlatch/ledger/LedgerTest.java
@@ -39,6 +39,25 @@
         assertThat(second.notes(), is(List.of(new Note.Vow(1, 0), new Note.Vow(2, 3), new Note.Vow(4, 0))));
     }
 
+    @Test
+    void aDamagedFolderIsPutAsideAndItsMachineIsANewOneThatDoesNotFound() throws IOException {
+        final String old = open(folder).identity();
+        Files.writeString(folder.resolve("identity"), "torn");
+        assertThat(Ledger.open(folder) instanceof Ledger.Opened.Damaged, is(true));
+        Ledger.aside(folder);
+        final Ledger.Opened.Good next = (Ledger.Opened.Good) Ledger.open(folder, false);
+        assertThat(next.identity().equals(old), is(false));
+        assertThat(next.founder(), is(false));
+        assertThat(Files.readString(folder.resolve("damaged/identity")), is("torn"));
+    }
+
+    @Test
+    void aDiskThatCantBeReadIsNotTakenForDamage() throws IOException {
+        final Path file = folder.resolve("plain");
+        Files.writeString(file, "no folder");
+        assertThat(Ledger.open(file) instanceof Ledger.Opened.Barred, is(true));
+    }
+
     @Test
     void aFolderKeepsWhetherItWasMadeToFound() {
         assertThat(open(folder).founder(), is(true));
--- a/desk/src/main/java/silverlatch/desk/harbor/Main.java
+++ b/desk/src/main/java/silverlatch/desk/harbor/Main.java
@@ -5,10 +5,12 @@
 import dagger.Module;
 import dagger.Provides;
 import jakarta.inject.Singleton;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.locks.LockSupport;
 import java.util.SplittableRandom;
 import silverlatch.crew.Member;
 import silverlatch.deck.Deck;
@@ -26,6 +28,8 @@
 
 /** The program harbor. */
 public final class Main {
+    private static final long PAUSE = 200_000_000L;
+
     private Main() {
     }
 
@@ -37,21 +41,49 @@
         }
     }
 
-    /** Opens the ledger in the data folder, if there is one; a damaged one ends the process. */
+    /** Opens the ledger in the data folder, if there is one, as soon as the disk lets it; a damaged one ends the process. */
     public static Optional<Ledger.Opened.Good> open(final Settings s) {
-        return s.data().flatMap(data -> switch (Ledger.open(Path.of(data), s.found())) {
-            case Ledger.Opened.Damaged d -> {
-                Logs.write(Event.DAMAGED, d.why());
-                System.exit(4);
-                yield Optional.empty();
-            }
-            case Ledger.Opened.Good g -> {
-                Logs.write(Event.RECOVERED, g.notes().size() + " notes, " + g.torn() + " bytes of a torn tail cut off");
-                yield Optional.of(g);
+        return open(s, false);
+    }
+
+    /** The same; where damaged ones are put aside, the machine starts as an empty one under a new identity. */
+    public static Optional<Ledger.Opened.Good> open(final Settings s, final boolean aside) {
+        return s.data().map(data -> {
+            boolean told = false;
+            while (true) {
+                switch (Ledger.open(Path.of(data), s.found())) {
+                    case Ledger.Opened.Barred b -> {
+                        if (!told) {
+                            Logs.write(Event.BARRED, b.why());
+                        }
+                        told = true;
+                        LockSupport.parkNanos(PAUSE);
+                    }
+                    case Ledger.Opened.Damaged d -> {
+                        Logs.write(Event.DAMAGED, d.why());
+                        if (!aside || !aside(Path.of(data))) {
+                            System.exit(4);
+                        }
+                    }
+                    case Ledger.Opened.Good g -> {
+                        Logs.write(Event.RECOVERED, g.notes().size() + " notes, " + g.torn() + " bytes of a torn tail cut off");
+                        return g;
+                    }
+                }
             }
         });
     }
 
+    private static boolean aside(final Path data) {
+        try {
+            Ledger.aside(data);
+            return true;
+        } catch (final IOException e) {
+            Logs.write(Event.BARRED, "" + e.getMessage());
+            return false;
+        }
+    }
+
     /** Builds a harbor from its settings and its ledger, if it has a data folder. */
     public static Harbor build(final Settings s, final Optional<Ledger.Opened.Good> opened) {
         return DaggerMain_Parts.factory().make(s, opened).harbor();
