Give the gate a setting, stories, figures and a page; end every stream by its last chunk

Cause: Jetty ends a reply of unknown length by closing the connection where the connection is to close anyway, so a stream that broke off at such a one looked complete. Seen by GateTest, which failed first. The gate now asks for chunks.

--- a/core/src/main/java/silverlatch/passage/Passage.java
+++ b/core/src/main/java/silverlatch/passage/Passage.java
@@ -12,10 +12,12 @@
 import java.util.random.RandomGenerator;
 import silverlatch.carry.Budget;
 import silverlatch.carry.Facts;
+import silverlatch.carry.Tales;
 import silverlatch.carry.slab.Slab;
 import silverlatch.deck.Event;
 import silverlatch.judge.Case;
 import silverlatch.judge.Court;
+import silverlatch.judge.Finding;
 import silverlatch.judge.Sight;
 import silverlatch.rumor.Worker;
 import silverlatch.tariff.Leaf;
@@ -29,6 +31,8 @@
 public final class Passage {
     private static final long SECOND = 1_000_000L;
     private static final double NEAR = 0.08;
+    private static final int TALES = 2_000;
+    private static final int SHOWN = 8;
     private final Setup setup;
     private final Supplier<Stamp> stamps;
     private final RandomGenerator luck;
@@ -43,6 +47,7 @@
     private final Budget budget;
     private final Habits habits = new Habits();
     private final Map<String, Reach> reaches = new HashMap<>();
+    private final Tales tales = new Tales(TALES);
     private Charters charters = Charters.NONE;
     private Facts facts;
     private long job;
@@ -146,6 +151,11 @@
         return Map.copyOf(tally);
     }
 
+    /** The stories of tickets. */
+    public Tales tales() {
+        return tales;
+    }
+
     /** What is to be done; it is handed over once. */
     public List<Move> drain() {
         final List<Move> list = List.copyOf(out);
@@ -207,7 +217,7 @@
         find(run).ifPresent(o -> {
             reach(stands.get(o.worker)).heard(now);
             load.ifPresent(l -> stands.get(o.worker).load(l.running(), l.waiting(), l.slots(), now));
-            if (status >= 500 && o.rule.again() && o.tries < o.rule.tries() && now < o.end && !place(o, now).isEmpty() && budget.take(now)) {
+            if (status >= 500 && o.rule.again() && o.tries < o.rule.tries() && now < o.end && !places(o, now).isEmpty() && budget.take(now)) {
                 count("again_ill");
                 drop(o, true, now);
                 send(o, now);
@@ -221,6 +231,7 @@
     public void ended(final long run, final boolean good, final long now) {
         find(run).ifPresent(o -> {
             count(good ? "done" : "passed");
+            tales.state(o.fare.ticket(), good ? "done" : "passed", "");
             drop(o, !good, now);
             close(o);
         });
@@ -230,6 +241,7 @@
     public void failed(final long run, final Break point, final long now) {
         find(run).ifPresent(o -> {
             count("broke_" + point.name().toLowerCase(java.util.Locale.ROOT));
+            tales.state(o.fare.ticket(), "broke", point + " at " + o.worker);
             out.add(new Move.Log(Event.RUN_BROKE, o.worker + " " + point + " after " + (now - o.begun) / 1000 + " ms"));
             final Stand s = stands.get(o.worker);
             if (point == Break.UNSENT) {
@@ -245,7 +257,7 @@
             final boolean free = point == Break.UNSENT || point == Break.NOT_RUN || point == Break.STRANGER;
             final boolean may = (free || o.rule.again() && (point != Break.BEGUN || o.rule.resume())) && now < o.end;
             final boolean left = point == Break.UNSENT && o.tries <= o.rule.tries() + 1 || o.tries < o.rule.tries();
-            if (may && left && !place(o, now).isEmpty() && (point == Break.UNSENT || budget.take(now))) {
+            if (may && left && !places(o, now).isEmpty() && (point == Break.UNSENT || budget.take(now))) {
                 o.tries -= point == Break.UNSENT ? 1 : 0;
                 count("again");
                 send(o, now);
@@ -289,6 +301,7 @@
     private void look(final Open o, final long now) {
         if (now >= o.end) {
             count("expired");
+            tales.state(o.fare.ticket(), "expired", "its time is up");
             cut(o, now);
             close(o);
             out.add(new Move.Fail(o.fare.token(), 504, "its time is up"));
@@ -347,8 +360,7 @@
                         + (p.stand().shunned(now) ? o.rule.aim() * 4 : 0))).toList();
     }
 
-    private Optional<Pick> place(final Open o, final long now) {
-        final List<Pick> all = places(o, now);
+    private Optional<Pick> pick(final Open o, final List<Pick> all, final long now) {
         if (all.isEmpty()) {
             return Optional.empty();
         }
@@ -392,7 +404,11 @@
     }
 
     private void send(final Open o, final long now) {
-        final Optional<Pick> pick = place(o, now);
+        final List<Pick> all = places(o, now);
+        final Optional<Pick> pick = pick(o, all, now);
+        tales.put(new Tales.Tale(o.fare.ticket(), "", o.rule.name(), pick.map(p -> p.stand().worker.id()).orElse(""), facts.page(), o.stamp.bits(),
+                pick.isEmpty() ? "nowhere" : "sent", "", o.tries, all.stream().limit(SHOWN).map(p -> new Court.Opinion(p.stand().worker.id(), "outlook",
+                new Finding.Score((double) o.rule.aim() / Math.max(1, o.rule.aim() + p.view().cost())), 1)).toList()));
         if (pick.isEmpty()) {
             count("nowhere");
             close(o);
--- a/desk/src/main/java/silverlatch/desk/gate/Voyage.java
+++ b/desk/src/main/java/silverlatch/desk/gate/Voyage.java
@@ -256,6 +256,9 @@
                     }
                     if (!headed) {
                         head(r.getStatus(), h);
+                        if (!response.getHeaders().contains(HttpHeader.CONTENT_LENGTH) && r.getStatus() != 204) {
+                            response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, "chunked");
+                        }
                     }
                 }
                 gate.tell(p -> p.headed(send.job(), load, Duty.now()));
--- a/desk/src/main/java/silverlatch/desk/purser/Purser.java
+++ b/desk/src/main/java/silverlatch/desk/purser/Purser.java
@@ -37,6 +37,7 @@
 import silverlatch.passage.Passage;
 import silverlatch.desk.settings.Settings;
 import silverlatch.desk.web.Call;
+import silverlatch.desk.web.Doors;
 import silverlatch.desk.web.Web;
 import silverlatch.desk.web.Words;
 import silverlatch.judge.Finding;
@@ -49,6 +50,9 @@
 public final class Purser implements Back.Sink {
     private static final long MILLION = 1_000_000L;
     private static final long LINGER = 2_500_000L;
+    private static final int THREADS = 16;
+    private static final int HEAD = 16 << 10;
+    private static final long IDLE = 60_000L;
     private final Settings settings;
     private final Deck deck;
     private final Carry carry;
@@ -82,10 +86,17 @@
     }
 
     /** Starts the duties and opens the door for picks. */
-    public void start() throws IOException, Web.WebFault {
+    public void start() throws IOException, Web.WebFault, Lighter.LighterFault {
         web = Optional.of(new Web(settings.door(), settings.body(), this::route));
         begin();
         web.get().start();
+        if (settings.gate().isPresent()) {
+            final Lighter lighter = new Lighter(Lighter.Setup.PLAIN);
+            lighter.start();
+            final Doors doors = new Doors(THREADS);
+            doors.add(settings.gate().get(), HEAD, IDLE, gate(Fields.PLAIN, lighter));
+            doors.start();
+        }
     }
 
     /** Starts the duties; whoever calls opens the doors. */
@@ -360,7 +371,7 @@
 
     private void explain(final Call c, final String ticket) {
         if (operator(c)) {
-            post(() -> carry.tales().get(ticket).ifPresentOrElse(t -> c.reply(200, tale(t)),
+            post(() -> carry.tales().get(ticket).or(() -> passage.tales().get(ticket)).ifPresentOrElse(t -> c.reply(200, tale(t)),
                     () -> c.reply(404, Map.of("outcome", "rejected", "faults", List.of("no such ticket here")))));
         }
     }
@@ -409,6 +420,9 @@
             final Map<String, Object> all = new TreeMap<>();
             carry.tally().forEach((k, v) -> all.put("carry_" + k, v));
             all.put("carry_open", carry.open());
+            passage.tally().forEach((k, v) -> all.put("passage_" + k, v));
+            all.put("passage_open", passage.open());
+            all.put("passage_charter", passage.charter());
             bridge.with(d -> {
                 final var n = d.keeper().counts();
                 all.put("tide_waits", n.waits());
--- a/desk/src/main/java/silverlatch/desk/settings/Flags.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Flags.java
@@ -34,6 +34,8 @@
     private String data = "";
     @Option(name = "--record", metaVar = "FOLDER", usage = "record the day's placements into a folder (pursers only)")
     private String record = "";
+    @Option(name = "--gate", metaVar = "IP:PORT", usage = "where it takes tickets by host and path (pursers only)")
+    private String gate = "";
     @Option(name = "--check", usage = "check the settings and end")
     private boolean check;
     @Option(name = "--help", help = true, usage = "show this text and end")
@@ -90,7 +92,7 @@
 
     private Map<String, Object> over() {
         final Map<String, Object> map = new HashMap<>();
-        final Map<String, String> texts = Map.of("name", name, "zone", zone, "region", region, "address", address, "door", door, "data", data, "record", record);
+        final Map<String, String> texts = Map.of("name", name, "zone", zone, "region", region, "address", address, "door", door, "data", data, "record", record, "gate", gate);
         texts.forEach((k, v) -> {
             if (!v.isEmpty()) {
                 map.put(k, v);
--- a/desk/src/main/java/silverlatch/desk/settings/Settings.java
+++ b/desk/src/main/java/silverlatch/desk/settings/Settings.java
@@ -16,11 +16,12 @@
  *
  * @param found  whether a data folder made at this start may take part in a first founding
  * @param copies how many synced copies there are before an acknowledgement
+ * @param gate   where a purser takes tickets by host and path
  * @param voters how many harbors with a data folder vote, where so many are there
  */
 public record Settings(String name, String zone, String region, String address, String door, List<String> seeds,
                        Optional<String> data, Optional<String> record, String key, String operator, String worker, int low, long skew, long grace, Carry.Setup carry,
-                       int body, int line, boolean found, int copies, int voters, Rates rates) {
+                       int body, int line, boolean found, int copies, int voters, Rates rates, Optional<String> gate) {
     /** The largest settings file. */
     public static final int MOST = 64 << 10;
 
@@ -76,13 +77,15 @@
                         s.whole("memory", 10_000_000L, 600_000_000L, plain.memory()),
                         s.whole("start", 100_000L, 60_000_000L, plain.start())),
                 (int) s.whole("body", 1_024, 16 << 20, 4 << 20), (int) s.whole("line", 1_024, 4 << 20, 256 << 10),
-                s.flag("found", true), (int) s.whole("copies", 1, 7, 2), (int) s.whole("voters", 1, 9, 3), Rates.read(s, faults));
+                s.flag("found", true), (int) s.whole("copies", 1, 7, 2), (int) s.whole("voters", 1, 9, 3), Rates.read(s, faults),
+                Optional.of(s.text("gate", 64, "")).filter(g -> !g.isEmpty()));
         faults.addAll(s.end());
         faults.addAll(Tariff.word("name", made.name()));
         faults.addAll(Tariff.word("zone", made.zone()));
         faults.addAll(Tariff.word("region", made.region()));
         place(faults, "address", made.address());
         place(faults, "door", made.door());
+        made.gate().ifPresent(g -> place(faults, "gate", g));
         made.seeds().forEach(x -> place(faults, "seeds", x));
         if (made.seeds().isEmpty() || made.seeds().stream().distinct().count() != made.seeds().size()) {
             faults.add("seeds: one to three different addresses are needed");
@@ -102,6 +105,9 @@
         if (!harbor && made.data().isPresent()) {
             faults.add("data: a purser keeps no data folder");
         }
+        if (harbor && made.gate().isPresent()) {
+            faults.add("gate: a harbor takes no tickets");
+        }
         if (harbor && made.record().isPresent()) {
             faults.add("record: a harbor has no day to record");
         }
--- /dev/null
+++ b/desk/src/test/java/silverlatch/desk/gate/GateTest.java
@@ -0,0 +1,304 @@
+package silverlatch.desk.gate;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import silverlatch.carry.Facts;
+import silverlatch.crew.Member;
+import silverlatch.desk.duty.Duty;
+import silverlatch.desk.web.Doors;
+import silverlatch.desk.web.Web;
+import silverlatch.passage.Passage;
+import silverlatch.rumor.Rumor;
+import silverlatch.rumor.Worker;
+import silverlatch.tariff.Entry;
+import silverlatch.tariff.Leaf;
+import silverlatch.tariff.Policy;
+import silverlatch.tide.Stamp;
+
+/** The gate between scripted consumers and scripted workers. */
+final class GateTest {
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n";
+    private final ExecutorService duty = Executors.newSingleThreadExecutor();
+    private final List<Peer> peers = new ArrayList<>();
+    private final AtomicReference<Gate> gate = new AtomicReference<>();
+    private Lighter lighter;
+    private Doors doors;
+    private Passage passage;
+    private int port;
+
+    /** A worker that replies by a script: bytes, and then it closes where the script ends with a bar. */
+    private final class Peer {
+        private final ServerSocket server;
+        private final List<String> asked = new CopyOnWriteArrayList<>();
+        private final Function<String, String> script;
+
+        Peer(final Function<String, String> script) throws IOException {
+            this.script = script;
+            this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            Thread.ofVirtual().start(this::run);
+        }
+
+        private void run() {
+            while (!server.isClosed()) {
+                try {
+                    final Socket s = server.accept();
+                    Thread.ofVirtual().start(() -> talk(s));
+                } catch (final IOException e) {
+                    return;
+                }
+            }
+        }
+
+        private void talk(final Socket socket) {
+            try (Socket s = socket) {
+                while (true) {
+                    final String request = read(s.getInputStream());
+                    asked.add(request);
+                    final String reply = script.apply(request);
+                    final boolean close = reply.endsWith("|");
+                    s.getOutputStream().write((close ? reply.substring(0, reply.length() - 1) : reply).getBytes(StandardCharsets.ISO_8859_1));
+                    s.getOutputStream().flush();
+                    if (close) {
+                        return;
+                    }
+                }
+            } catch (final IOException e) {
+                Thread.yield();
+            }
+        }
+    }
+
+    private static String read(final InputStream in) throws IOException {
+        final ByteArrayOutputStream all = new ByteArrayOutputStream();
+        while (!all.toString(StandardCharsets.ISO_8859_1).contains("\r\n\r\n")) {
+            final int b = in.read();
+            if (b < 0) {
+                throw new IOException("gone");
+            }
+            all.write(b);
+        }
+        final String head = all.toString(StandardCharsets.ISO_8859_1);
+        final Optional<Integer> size = head.lines().filter(l -> l.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:"))
+                .map(l -> Integer.parseInt(l.substring(15).strip())).findFirst();
+        return head + new String(in.readNBytes(size.orElse(0)), StandardCharsets.ISO_8859_1);
+    }
+
+    private static String header(final String request, final String name) {
+        return request.lines().filter(l -> l.toLowerCase(java.util.Locale.ROOT).startsWith(name.toLowerCase(java.util.Locale.ROOT) + ":"))
+                .map(l -> l.substring(name.length() + 1).strip()).findFirst().orElse("");
+    }
+
+    private static String good(final String request) {
+        return "HTTP/1.1 200 OK\r\nSilverlatch-Ticket: " + header(request, "Silverlatch-Ticket") + "\r\nSilverlatch-Seal: s\r\n";
+    }
+
+    private static String chunk(final String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static String event(final int id) {
+        return chunk("id: " + id + "\ndata: piece " + id + "\n\n");
+    }
+
+    @BeforeEach
+    void open() throws Exception {
+        lighter = new Lighter(Lighter.Setup.PLAIN);
+        lighter.start();
+        passage = new Passage(Passage.Setup.PLAIN, facts(1), () -> new Stamp(1), new SplittableRandom(5));
+        gate.set(new Gate(Fields.PLAIN, lighter, job -> duty.execute(() -> {
+            job.accept(passage);
+            passage.drain().forEach(gate.get()::move);
+        })));
+        gate.get().most(4_096);
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = s.getLocalPort();
+        }
+        doors = new Doors(8);
+        doors.add("127.0.0.1:" + port, 8_192, 5_000, gate.get());
+        doors.start();
+    }
+
+    @AfterEach
+    void shut() throws Web.WebFault, Lighter.LighterFault, IOException {
+        doors.stop();
+        lighter.stop();
+        duty.shutdownNow();
+        for (final Peer p : peers) {
+            p.server.close();
+        }
+    }
+
+    private Peer worker(final Function<String, String> script) throws IOException {
+        final Peer p = new Peer(script);
+        peers.add(p);
+        final Facts next = facts(peers.size() + 1);
+        duty.execute(() -> passage.facts(next, Duty.now()));
+        return p;
+    }
+
+    private Facts facts(final long page) {
+        final Map<String, Rumor.Heard> heard = new HashMap<>();
+        for (int i = 0; i < peers.size(); i++) {
+            heard.put("w" + i, new Rumor.Heard(new Worker("w" + i, "127.0.0.1:" + peers.get(i).server.getLocalPort(), "z", "r", 1, 1, 0, 0, 8,
+                    List.of(), false, 0, "pool", 0, 0), Optional.of(Duty.now())));
+        }
+        final List<Entry> all = List.of(new Entry("p/charter", 1, List.of(new Leaf.Charter(1, 8_192, 4_096, 1_000_000, 1_000_000))),
+                new Entry("b/pool", 1, List.of(new Leaf.Pool("pool", "/health", 10, 0, 9, 8, 1_000, 5))),
+                new Entry("u/a|/once/", 1, List.of(rule("/once/", false))), new Entry("u/a|/again/", 1, List.of(rule("/again/", true))));
+        return new Facts(new Member("me", "purser", "z", "r", "127.0.0.1:1", "127.0.0.1:2", 1, 0, "up", true), page, Optional.of(1L), Policy.of(all),
+                heard, List.of());
+    }
+
+    private static Leaf.Rule rule(final String path, final boolean again) {
+        return new Leaf.Rule(path, "a", path, true, true, again, true, 5_000_000, 600_000, 400_000, 0, 2, List.of(), List.of(new Leaf.Lot("pool", 1)));
+    }
+
+    private String ask(final String path, final String more, final String body) throws IOException {
+        return raw("POST " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nSilverlatch-Ticket: t-1\r\nSilverlatch-Expiry-Ms: 4000\r\n" + more
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    private String raw(final String request) throws IOException {
+        try (Socket s = new Socket()) {
+            s.connect(new InetSocketAddress("127.0.0.1", port), 1_000);
+            s.setSoTimeout(10_000);
+            final OutputStream out = s.getOutputStream();
+            out.write(request.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+            final ByteArrayOutputStream all = new ByteArrayOutputStream();
+            try {
+                s.getInputStream().transferTo(all);
+            } catch (final IOException e) {
+                all.writeBytes("RESET".getBytes(StandardCharsets.ISO_8859_1));
+            }
+            return all.toString(StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    @Test
+    void aTicketAndItsReplyPassUnchanged() throws IOException {
+        final Peer w = worker(r -> good(r) + CHUNKED + "X-Own: 1\r\n\r\n" + event(1) + event(2) + "0\r\n\r\n");
+        final String reply = ask("/once/a%20b?q=1&r=%2F", "X-Other: kept\r\nSilverlatch-Worker: forged\r\n", "the body");
+        assertThat(reply, startsWith("HTTP/1.1 200"));
+        assertThat(reply, containsString("Silverlatch-Seal: s"));
+        assertThat(reply, containsString("X-Own: 1"));
+        assertThat(reply, containsString("piece 2"));
+        assertThat(reply.endsWith("0\r\n\r\n"), is(true));
+        final String asked = w.asked.getFirst();
+        assertThat(asked, startsWith("POST /once/a%20b?q=1&r=%2F HTTP/1.1\r\n"));
+        assertThat(header(asked, "Host"), is("a"));
+        assertThat(header(asked, "X-Other"), is("kept"));
+        assertThat(header(asked, "Silverlatch-Worker"), is("w0"));
+        assertThat(header(asked, "Silverlatch-Rank"), is("0"));
+        assertThat(Integer.parseInt(header(asked, "Silverlatch-Expiry-Ms")) <= 4_000, is(true));
+        assertThat(asked.endsWith("\r\n\r\nthe body"), is(true));
+    }
+
+    @Test
+    void anotherTicketsReplyReachesNobody() throws IOException {
+        worker(r -> "HTTP/1.1 200 OK\r\nSilverlatch-Ticket: other\r\nSilverlatch-Seal: s\r\nContent-Length: 6\r\n\r\nsecret");
+        final String reply = ask("/once/x", "", "b");
+        assertThat(reply, startsWith("HTTP/1.1 502"));
+        assertThat(reply, not(containsString("secret")));
+    }
+
+    @Test
+    void aSuccessWithoutASealIsNone() throws IOException {
+        worker(r -> "HTTP/1.1 200 OK\r\nSilverlatch-Ticket: t-1\r\nContent-Length: 6\r\n\r\nforged");
+        assertThat(ask("/once/x", "", "b"), startsWith("HTTP/1.1 502"));
+    }
+
+    @Test
+    void aBrokenReplyNeverLooksComplete() throws IOException {
+        worker(r -> good(r) + CHUNKED + "\r\n" + event(1) + "|");
+        final String reply = ask("/once/x", "", "b");
+        assertThat(reply, startsWith("HTTP/1.1 200"));
+        assertThat(reply, not(containsString("\r\n0\r\n\r\n")));
+    }
+
+    @Test
+    void aResumableStreamGoesOnElsewhereAfterTheLastWholeEvent() throws IOException {
+        final Function<String, String> script = r -> header(r, "Last-Event-Id").isEmpty()
+                ? good(r).replace("Seal: s", "Seal: first") + CHUNKED + "\r\n" + event(1) + event(2) + chunk("id: 3\ndata: torn") + "|"
+                : good(r) + CHUNKED + "\r\n" + event(3) + event(4) + "0\r\n\r\n";
+        final Peer one = worker(script);
+        final Peer two = worker(script);
+        final String reply = ask("/again/x", "", "b");
+        assertThat(reply, containsString("Silverlatch-Seal: first"));
+        assertThat(reply.split("piece", -1).length - 1, is(4));
+        assertThat(reply, not(containsString("torn")));
+        assertThat(reply.endsWith("0\r\n\r\n"), is(true));
+        final List<String> all = new ArrayList<>(one.asked);
+        all.addAll(two.asked);
+        assertThat(all.stream().map(r -> header(r, "Last-Event-Id")).sorted().toList(), is(List.of("", "2")));
+    }
+
+    @Test
+    void whatAWorkerDidNotRunGoesToAnotherAndElseComesBackAsAPromise() throws IOException {
+        final Peer full = worker(r -> "HTTP/1.1 503 Full\r\nSilverlatch-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        final String no = ask("/once/x", "", "b");
+        assertThat(no, startsWith("HTTP/1.1 503"));
+        assertThat(header(no, "Retry-After").isEmpty(), is(false));
+        assertThat(full.asked.size(), is(1));
+        final Peer other = worker(r -> "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+        assertThat(ask("/once/x", "", "b"), startsWith("HTTP/1.1 503"));
+        assertThat(full.asked.size() + other.asked.size() <= 3, is(true));
+    }
+
+    @Test
+    void aWorkersOwnFailurePassesUnchanged() throws IOException {
+        worker(r -> "HTTP/1.1 500 Broken\r\nSilverlatch-Ticket: t-1\r\nX-Own: 7\r\nContent-Length: 4\r\n\r\nwhy?");
+        final String reply = ask("/once/x", "", "b");
+        assertThat(reply, startsWith("HTTP/1.1 500"));
+        assertThat(reply, containsString("X-Own: 7"));
+        assertThat(reply.endsWith("why?"), is(true));
+    }
+
+    @Test
+    void garbageOfAWorkerIsNotPassedOn() throws IOException {
+        worker(r -> "this is no HTTP\r\n\r\n|");
+        final String reply = ask("/once/x", "", "b");
+        assertThat(reply, startsWith("HTTP/1.1 502"));
+        assertThat(reply, not(containsString("no HTTP")));
+    }
+
+    @Test
+    void badRequestsEndTheirConnectionAndReachNoWorker() throws IOException {
+        final Peer w = worker(r -> good(r) + "Content-Length: 0\r\n\r\n");
+        assertThat(raw("POST /once/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"), startsWith("HTTP/1.1 400"));
+        assertThat(raw("POST /once/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), startsWith("HTTP/1.1 400"));
+        assertThat(raw("POST /once/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nZZ\r\n\r\n"), startsWith("HTTP/1.1 400"));
+        assertThat(raw("POST /once/x HTTP/1.1\r\nHost: a\r\nX-Bad: a\0b\r\nContent-Length: 0\r\n\r\n"), startsWith("HTTP/1.1 400"));
+        assertThat(raw("POST /once/x HTTP/1.1\r\nHost: a\r\nX-Long: " + "x".repeat(9_000) + "\r\n\r\n"), startsWith("HTTP/1.1 431"));
+        assertThat(ask("/once/x", "", "x".repeat(5_000)), startsWith("HTTP/1.1 413"));
+        assertThat(ask("/nowhere/x", "", "b"), startsWith("HTTP/1.1 404"));
+        assertThat(w.asked.size(), is(0));
+    }
+}
--- a/desk/src/test/java/silverlatch/desk/harbor/HarborTest.java
+++ b/desk/src/test/java/silverlatch/desk/harbor/HarborTest.java
@@ -52,7 +52,7 @@
                 "door", door, "seeds", seeds, "data", folder.resolve("data").toString(), "key", "a key of sixteen or more", "operator", "operator-key",
                 "worker", "worker-key"), true)).settings();
         final Settings alone = new Settings(s.name(), s.zone(), s.region(), s.address(), s.door(), s.seeds(), s.data(), s.record(), s.key(), s.operator(),
-                s.worker(), s.low(), s.skew(), s.grace(), s.carry(), s.body(), s.line(), s.found(), 1, s.voters(), silverlatch.desk.settings.Rates.PLAIN);
+                s.worker(), s.low(), s.skew(), s.grace(), s.carry(), s.body(), s.line(), s.found(), 1, s.voters(), silverlatch.desk.settings.Rates.PLAIN, Optional.empty());
         final Harbor h = DaggerMain_Parts.factory().make(alone, Optional.of((Ledger.Opened.Good) Ledger.open(Path.of(s.data().get())))).harbor();
         h.start();
         return h;
