Let a run that was left for another pass nothing more on

A ruling's first event came at the moment at which its silent worker was left for another: the reader had looked whether its run was still the one, then waited for the voyage's lock while the next run was started after nothing passed on, and wrote its event all the same. Ruled out: ids of events read wrongly, the worker's own repeat. The look is now made under the lock, for events, heads and the end alike. GateTest brings it about on every run; it failed first.

--- a/desk/src/main/java/silverlatch/desk/gate/Voyage.java
+++ b/desk/src/main/java/silverlatch/desk/gate/Voyage.java
@@ -194,7 +194,6 @@
         private org.eclipse.jetty.client.Response reply;
         private boolean good;
         private boolean wrong;
-        private boolean heard;
 
         Run(final Move.Send send) {
             this.send = send;
@@ -251,7 +250,7 @@
             final Optional<Passage.Load> load = Fields.load(Optional.ofNullable(h.get(w.load())));
             if (good) {
                 synchronized (Voyage.this) {
-                    if (over.get() || ended) {
+                    if (over.get() || !feeds()) {
                         return;
                     }
                     if (!headed) {
@@ -280,20 +279,29 @@
                 return;
             }
             final byte[] ready = send.stream() && !send.once() ? events.take(bytes) : bytes;
-            if (!heard && ready.length > 0) {
-                heard = true;
+            if (ready.length == 0) {
+                more.run();
+                return;
             }
-            if (ready.length > 0) {
-                gate.tell(p -> p.heard(send.job(), Duty.now()));
-                synchronized (Voyage.this) {
+            gate.tell(p -> p.heard(send.job(), Duty.now()));
+            final boolean mine;
+            synchronized (Voyage.this) {
+                mine = feeds();
+                if (mine) {
                     seen = events.last().isEmpty() ? seen : events.last();
                     write(ready, false, more);
                 }
-            } else {
+            }
+            if (!mine) {
                 more.run();
             }
         }
 
+        /** Whether this run still feeds the reply: it may have been left for another while its bytes were on the way here. */
+        private boolean feeds() {
+            return !ended && run.filter(r -> r == this).isPresent();
+        }
+
         private void complete(final boolean whole) {
             if (!over.compareAndSet(false, true)) {
                 return;
@@ -301,6 +309,9 @@
             final long job = send.job();
             if (whole && good) {
                 synchronized (Voyage.this) {
+                    if (!feeds()) {
+                        return;
+                    }
                     write(events.rest(), true, () -> {
                         gate.done(token);
                         gate.tell(p -> p.ended(job, true, Duty.now()));
--- a/desk/src/test/java/silverlatch/desk/gate/GateTest.java
+++ b/desk/src/test/java/silverlatch/desk/gate/GateTest.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
@@ -34,6 +35,7 @@
 import silverlatch.desk.duty.Duty;
 import silverlatch.desk.web.Doors;
 import silverlatch.desk.web.Web;
+import silverlatch.passage.Move;
 import silverlatch.passage.Passage;
 import silverlatch.rumor.Rumor;
 import silverlatch.rumor.Worker;
@@ -47,6 +49,9 @@
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n";
     private final ExecutorService duty = Executors.newSingleThreadExecutor();
     private final List<Peer> peers = new ArrayList<>();
+    private final AtomicInteger told = new AtomicInteger();
+    private final AtomicReference<Runnable> third = new AtomicReference<>(() -> {
+    });
     private final AtomicReference<Gate> gate = new AtomicReference<>();
     private Lighter lighter;
     private Doors doors;
@@ -132,10 +137,15 @@
         lighter = new Lighter(Lighter.Setup.PLAIN);
         lighter.start();
         passage = new Passage(Passage.Setup.PLAIN, facts(1), () -> new Stamp(1), new SplittableRandom(5));
-        gate.set(new Gate(Fields.PLAIN, lighter, job -> duty.execute(() -> {
-            job.accept(passage);
-            passage.drain().forEach(gate.get()::move);
-        })));
+        gate.set(new Gate(Fields.PLAIN, lighter, job -> {
+            if (told.incrementAndGet() == 3) {
+                third.get().run();
+            }
+            duty.execute(() -> {
+                job.accept(passage);
+                passage.drain().forEach(gate.get()::move);
+            });
+        }));
         gate.get().most(4_096);
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             port = s.getLocalPort();
@@ -260,6 +270,21 @@
         assertThat(all.stream().map(r -> header(r, "Last-Event-Id")).sorted().toList(), is(List.of("", "2")));
     }
 
+    @Test
+    void aRunThatWasLeftPassesNothingMoreOn() throws IOException {
+        final Peer one = worker(r -> good(r) + CHUNKED + "\r\n" + event(1) + event(2) + "0\r\n\r\n");
+        final Peer other = new Peer(r -> good(r) + CHUNKED + "\r\n" + event(1) + event(2) + event(3) + "0\r\n\r\n");
+        peers.add(other);
+        third.set(() -> gate.get().move(new Move.Send(1, 99, "w1", "127.0.0.1:" + other.server.getLocalPort(), 3_000_000, 0, false, true)));
+        final String reply = ask("/again/x", "", "b");
+        assertThat(one.asked.size(), is(1));
+        assertThat(header(other.asked.getFirst(), "Last-Event-Id"), is(""));
+        assertThat(reply.split("piece 1\n", -1).length - 1, is(1));
+        assertThat(reply.split("piece 2\n", -1).length - 1, is(1));
+        assertThat(reply.split("piece 3\n", -1).length - 1, is(1));
+        assertThat(reply.endsWith("0\r\n\r\n"), is(true));
+    }
+
     @Test
     void whatAWorkerDidNotRunGoesToAnotherAndElseComesBackAsAPromise() throws IOException {
         final Peer full = worker(r -> "HTTP/1.1 503 Full\r\nSilverlatch-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
