--- a/core/src/main/java/silverlatch/tide/Ntp.java
+++ b/core/src/main/java/silverlatch/clock/Ntp.java
@@ -1,4 +1,4 @@
-package silverlatch.tide;
+package silverlatch.clock;
 
 /** Turns whole microseconds into the NTP-like fixed point format and back. */
 public final class Ntp {
--- a/core/src/main/java/silverlatch/tide/Anchor.java
+++ b/core/src/main/java/silverlatch/clock/PhysicalClock.java
@@ -1,4 +1,4 @@
-package silverlatch.tide;
+package silverlatch.clock;
 
 /**
  * The physical clock under the stamps: the wall clock read once and carried on by the monotonic clock.
@@ -8,25 +8,25 @@
  * @param mono  monotonic microseconds at the anchor
  * @param jumps how often the wall clock was found beyond the bound
  */
-public record Anchor(long unix, long mono, long jumps) {
+public record PhysicalClock(long unix, long mono, long jumps) {
     /** Physical time in fixed point units at a monotonic time. */
     public long phys(final long now) {
         return Ntp.ofUnixNanos(unix + (now - mono) * 1000);
     }
 
     /** Moves by at most 500 parts in a million towards a wall clock within the bound; counts one beyond it. */
-    public Anchor slew(final long wall, final long now, final long bound) {
+    public PhysicalClock slew(final long wall, final long now, final long bound) {
         final long mine = unix + (now - mono) * 1000;
         final long gap = wall - mine;
         if (Math.abs(gap) > bound * 1000) {
-            return new Anchor(mine, now, jumps + 1);
+            return new PhysicalClock(mine, now, jumps + 1);
         }
         final long most = (now - mono) / 2;
-        return new Anchor(mine + Math.clamp(gap, -most, most), now, jumps);
+        return new PhysicalClock(mine + Math.clamp(gap, -most, most), now, jumps);
     }
 
     /** The anchor moved by an offset in microseconds, as a rejoin does that takes the median of its seeds. */
-    public Anchor moved(final long micros) {
-        return new Anchor(unix + micros * 1000, mono, jumps);
+    public PhysicalClock moved(final long micros) {
+        return new PhysicalClock(unix + micros * 1000, mono, jumps);
     }
 }
--- a/core/src/main/java/silverlatch/tide/Keeper.java
+++ b/core/src/main/java/silverlatch/clock/ProcessClock.java
@@ -1,17 +1,17 @@
-package silverlatch.tide;
+package silverlatch.clock;
 
 import java.util.Optional;
-import silverlatch.guard.Guard;
-import silverlatch.guard.Guards;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
 
 /** Owns the clock of one daemon: every stamp of the process is made here, one event at a time. */
-public final class Keeper {
+public final class ProcessClock {
     /** The longest wait for an overflow, in microseconds. */
     public static final long BOUND = 5_000L;
     private static final long WINDOW = 10_000_000L;
     private static final int STORM = 64;
-    private final Guards guards;
-    private Tide tide;
+    private final Safeguards guards;
+    private PwcClock tide;
     private long waits;
     private long carries;
     private long fars;
@@ -21,12 +21,12 @@
     private long heard;
 
     /** Starts a clock above a floor. */
-    public Keeper(final Tide tide) {
-        this(tide, Guards.ALL);
+    public ProcessClock(final PwcClock tide) {
+        this(tide, Safeguards.ALL);
     }
 
     /** Starts a clock above a floor, under the guards that stand. */
-    public Keeper(final Tide tide, final Guards guards) {
+    public ProcessClock(final PwcClock tide, final Safeguards guards) {
         this.guards = guards;
         this.tide = tide;
         this.heard = tide.last();
@@ -37,20 +37,20 @@
         if (tide.brim(phys)) {
             carries++;
         }
-        final Step.Made made = tide.carry(phys);
+        final ClockReading.Made made = tide.carry(phys);
         tide = made.tide();
         return made.stamp();
     }
 
     /** The stamp of a send event, or how long to wait for it. */
-    public synchronized Step send(final long phys) {
+    public synchronized ClockReading send(final long phys) {
         return settle(tide.send(phys));
     }
 
     /** The stamp of a receive event, or how long to wait, or that the message is from too far ahead. */
-    public synchronized Step take(final Stamp mark, final long phys) {
-        final Step step = settle(taken(mark, phys));
-        if (step instanceof Step.Made) {
+    public synchronized ClockReading take(final Stamp mark, final long phys) {
+        final ClockReading step = settle(taken(mark, phys));
+        if (step instanceof ClockReading.Made) {
             heard = Math.max(heard, mark.bits());
         }
         return step;
@@ -73,7 +73,7 @@
 
     /** Starts again at the masked clock, but above all that was learned from peers in bounds. */
     public synchronized void reset(final long phys) {
-        tide = Tide.start(phys, tide.low(), tide.skew(), Math.min(heard, tide.top(phys)));
+        tide = PwcClock.start(phys, tide.low(), tide.skew(), Math.min(heard, tide.top(phys)));
         storm = 0;
     }
 
@@ -83,7 +83,7 @@
             return Optional.empty();
         }
         heard = Math.max(heard, mark.bits());
-        tide = new Tide(Math.max(tide.last(), mark.bits() + 1), tide.low(), tide.skew());
+        tide = new PwcClock(Math.max(tide.last(), mark.bits() + 1), tide.low(), tide.skew());
         return Optional.of(new Stamp(tide.last()));
     }
 
@@ -97,20 +97,20 @@
         return new Counts(waits, carries, fars, dropped);
     }
 
-    private Step taken(final Stamp mark, final long phys) {
-        if (!guards.stands(Guard.ABOVE)) {
+    private ClockReading taken(final Stamp mark, final long phys) {
+        if (!guards.stands(Safeguard.ABOVE)) {
             return tide.send(phys);
         }
-        final Step step = tide.take(mark, phys);
-        return step instanceof Step.Far && !guards.stands(Guard.FAR)
-                ? new Tide(Math.max(tide.last(), mark.bits()), tide.low(), tide.skew()).send(phys) : step;
+        final ClockReading step = tide.take(mark, phys);
+        return step instanceof ClockReading.Far && !guards.stands(Safeguard.FAR)
+                ? new PwcClock(Math.max(tide.last(), mark.bits()), tide.low(), tide.skew()).send(phys) : step;
     }
 
-    private Step settle(final Step step) {
+    private ClockReading settle(final ClockReading step) {
         switch (step) {
-            case Step.Made made -> tide = made.tide();
-            case Step.Wait wait -> waits++;
-            case Step.Far far -> fars++;
+            case ClockReading.Made made -> tide = made.tide();
+            case ClockReading.Wait wait -> waits++;
+            case ClockReading.Far far -> fars++;
         }
         return step;
     }
--- a/core/src/main/java/silverlatch/tide/Tide.java
+++ b/core/src/main/java/silverlatch/clock/PwcClock.java
@@ -1,4 +1,4 @@
-package silverlatch.tide;
+package silverlatch.clock;
 
 /**
  * The PWC clock of one daemon as a value: algorithms 1 and 2 of "Achieving Causality with Physical Clocks".
@@ -8,18 +8,18 @@
  * @param low  how many low bits (u) count events
  * @param skew the bound on skew, in fixed point units
  */
-public record Tide(long last, int low, long skew) {
+public record PwcClock(long last, int low, long skew) {
     /** Rejects a setting under which the clock makes no sense. */
-    public Tide {
+    public PwcClock {
         if (low < 1 || low > 30 || skew < 0) {
             throw new IllegalArgumentException("low bits 1..30 and a skew of at least 0 are needed");
         }
     }
 
     /** A clock that starts at its masked physical clock, but above the given floor. */
-    public static Tide start(final long phys, final int low, final long skew, final long floor) {
+    public static PwcClock start(final long phys, final int low, final long skew, final long floor) {
         final long mask = (1L << low) - 1;
-        return new Tide(Math.max(phys & ~mask, floor + 1), low, skew);
+        return new PwcClock(Math.max(phys & ~mask, floor + 1), low, skew);
     }
 
     /** The physical clock with its low bits masked to zero. */
@@ -28,24 +28,24 @@
     }
 
     /** Algorithm 2 for a local or send event. */
-    public Step send(final long phys) {
+    public ClockReading send(final long phys) {
         return next(last, phys);
     }
 
     /** Algorithm 2 for the receipt of a message, with the bound on stamps from afar. */
-    public Step take(final Stamp mark, final long phys) {
+    public ClockReading take(final Stamp mark, final long phys) {
         final long over = mark.bits() - top(phys);
-        return over > 0 ? new Step.Far(over) : next(Math.max(last, mark.bits()), phys);
+        return over > 0 ? new ClockReading.Far(over) : next(Math.max(last, mark.bits()), phys);
     }
 
     /** Algorithm 1 for a local event: it never waits; the carry it may make keeps causality and is counted by the keeper. */
-    public Step.Made carry(final long phys) {
+    public ClockReading.Made carry(final long phys) {
         return made(Math.max(last + 1, masked(phys)));
     }
 
     /** Whether the next event would carry into the high bits. */
     public boolean brim(final long phys) {
-        return next(last, phys) instanceof Step.Wait;
+        return next(last, phys) instanceof ClockReading.Wait;
     }
 
     /** Whether the clock stands above what the skew allows. */
@@ -58,16 +58,16 @@
         return masked(phys) + skew + (1L << low);
     }
 
-    private Step next(final long base, final long phys) {
+    private ClockReading next(final long base, final long phys) {
         final long mask = (1L << low) - 1;
         final long clip = masked(phys);
         if ((base + 1 & mask) == 0 && base >= clip) {
-            return new Step.Wait(Math.max(1, Ntp.micros(base + 1 - phys)));
+            return new ClockReading.Wait(Math.max(1, Ntp.micros(base + 1 - phys)));
         }
         return made(Math.max(base + 1, clip));
     }
 
-    private Step.Made made(final long bits) {
-        return new Step.Made(new Tide(bits, low, skew), new Stamp(bits));
+    private ClockReading.Made made(final long bits) {
+        return new ClockReading.Made(new PwcClock(bits, low, skew), new Stamp(bits));
     }
 }
--- a/core/src/main/java/silverlatch/tide/Stamp.java
+++ b/core/src/main/java/silverlatch/clock/Stamp.java
@@ -1,4 +1,4 @@
-package silverlatch.tide;
+package silverlatch.clock;
 
 /** A PWC value: 32 bits of seconds since 2020-01-01 UTC and 32 bits of fraction, compared as a plain integer. */
 public record Stamp(long bits) implements Comparable<Stamp> {
--- a/core/src/main/java/silverlatch/carry/Act.java
+++ b/core/src/main/java/silverlatch/dispatch/Act.java
@@ -1,10 +1,10 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 import java.util.List;
-import silverlatch.deck.Event;
-import silverlatch.judge.Case;
-import silverlatch.judge.Sight;
-import silverlatch.tariff.Wish;
+import silverlatch.node.Event;
+import silverlatch.placement.Case;
+import silverlatch.placement.PlacementInput;
+import silverlatch.state.Command;
 
 /** What carrying wants done in the world outside. */
 public sealed interface Act {
@@ -12,7 +12,7 @@
     record Picked(long token, String ticket, String carrier, String permit, String worker, long page, long stamp) implements Act {
     }
 
-    /** Another purser is to be asked. */
+    /** Another gateway is to be asked. */
     record Pointed(long token, List<String> doors) implements Act {
         /** Copies the doors. */
         public Pointed {
@@ -46,11 +46,11 @@
     }
 
     /** Ask the chain; the verdict comes back under the job. */
-    record Claim(long job, Wish wish, long span) implements Act {
+    record Claim(long job, Command wish, long span) implements Act {
     }
 
     /** A placement as it was judged, for a recorded day: all that is needed to judge it again. */
-    record Judged(Case plea, List<Sight> sights, long seed, long page, long stamp, String worker) implements Act {
+    record Judged(Case plea, List<PlacementInput> sights, long seed, long page, long stamp, String worker) implements Act {
         /** Copies the sights. */
         public Judged {
             sights = List.copyOf(sights);
--- a/core/src/main/java/silverlatch/carry/Budget.java
+++ b/core/src/main/java/silverlatch/dispatch/Budget.java
@@ -1,4 +1,4 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 /**
  * The budget for extra tries: each first run adds a part of one, each extra try takes a whole one. What is saved up
--- a/core/src/main/java/silverlatch/carry/Carry.java
+++ b/core/src/main/java/silverlatch/dispatch/Dispatcher.java
@@ -1,4 +1,4 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 import java.security.MessageDigest;
 import java.util.ArrayDeque;
@@ -15,38 +15,38 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import silverlatch.carry.permit.Permit;
-import silverlatch.carry.permit.Seals;
-import silverlatch.carry.slab.Slab;
-import silverlatch.chart.Chart;
-import silverlatch.crew.Member;
-import silverlatch.deck.Event;
-import silverlatch.guard.Guard;
-import silverlatch.guard.Guards;
-import silverlatch.judge.Case;
-import silverlatch.judge.Court;
-import silverlatch.judge.Sight;
-import silverlatch.rumor.Rumor;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
-import silverlatch.tide.Stamp;
+import silverlatch.dispatch.permit.Permit;
+import silverlatch.dispatch.permit.Seals;
+import silverlatch.dispatch.buffer.Slab;
+import silverlatch.statemachine.TransitionTable;
+import silverlatch.membership.Member;
+import silverlatch.node.Event;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
+import silverlatch.placement.Case;
+import silverlatch.placement.WeightedScorers;
+import silverlatch.placement.PlacementInput;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
+import silverlatch.state.Value;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
+import silverlatch.clock.Stamp;
 
 /**
- * Picks and carries the tickets of one purser. It does no input or output: events go in, acts come out.
+ * Picks and carries the tickets of one gateway. It does no input or output: events go in, acts come out.
  * One duty owns it.
  */
-public final class Carry {
+public final class Dispatcher {
     private static final long SECOND = 1_000_000L;
     private static final int LINES = 256;
     private final Setup setup;
     private final Seals seals;
     private final Supplier<Stamp> stamps;
     private final RandomGenerator luck;
-    private final Court court;
-    private final Court last;
-    private final Chart chart = Chart.load("ticket");
+    private final WeightedScorers court;
+    private final WeightedScorers last;
+    private final TransitionTable chart = TransitionTable.load("ticket");
     private final Slab<Ticket> slab;
     private final Map<String, Long> open = new HashMap<>();
     private final Map<Long, Long> jobs = new HashMap<>();
@@ -57,7 +57,7 @@
     private final LinkedHashMap<String, Long> spent = new LinkedHashMap<>();
     private final Deque<Ended> ended = new ArrayDeque<>();
     private final Map<Long, Long> readers = new HashMap<>();
-    private final Tales tales = new Tales(20_000);
+    private final TraceLog tales = new TraceLog(20_000);
     private final Budget budget;
     private final Map<String, Long> tally = new TreeMap<>();
     private final List<Act> out = new ArrayList<>();
@@ -72,37 +72,37 @@
 
     /** Settings; times in microseconds. */
     public record Setup(int slab, int queue, long permit, long word, long sure, long claim, long keep, int buffer,
-                        double tries, long shun, long patience, long memory, long start, Guards guards) {
+                        double tries, long shun, long patience, long memory, long start, Safeguards guards) {
         /** What holds when nothing is said. */
         public static final Setup PLAIN = new Setup(4_096, 2_048, 2 * SECOND, 2 * SECOND, 2 * SECOND, SECOND, 20 * SECOND,
-                4 << 20, 0.1, SECOND, 5 * SECOND, 30 * SECOND, SECOND, Guards.ALL);
+                4 << 20, 0.1, SECOND, 5 * SECOND, 30 * SECOND, SECOND, Safeguards.ALL);
 
         /** Settings as operators give them: all guards stand. */
         public Setup(final int slab, final int queue, final long permit, final long word, final long sure, final long claim, final long keep,
                      final int buffer, final double tries, final long shun, final long patience, final long memory, final long start) {
-            this(slab, queue, permit, word, sure, claim, keep, buffer, tries, shun, patience, memory, start, Guards.ALL);
+            this(slab, queue, permit, word, sure, claim, keep, buffer, tries, shun, patience, memory, start, Safeguards.ALL);
         }
 
         /** The same under the guards that stand. */
-        public Setup under(final Guards standing) {
+        public Setup under(final Safeguards standing) {
             return new Setup(slab, queue, permit, word, sure, claim, keep, buffer, tries, shun, patience, memory, start, standing);
         }
     }
 
-    /** A purser that carries nothing yet. */
-    public Carry(final Setup setup, final Seals seals, final Facts facts, final Supplier<Stamp> stamps, final RandomGenerator luck) {
+    /** A gateway that carries nothing yet. */
+    public Dispatcher(final Setup setup, final Seals seals, final Facts facts, final Supplier<Stamp> stamps, final RandomGenerator luck) {
         this.setup = setup;
         this.seals = seals;
         this.facts = facts;
         this.stamps = stamps;
         this.luck = luck;
-        this.court = Court.full(setup.word(), setup.guards());
-        this.last = Court.last(setup.word(), setup.guards());
+        this.court = WeightedScorers.full(setup.word(), setup.guards());
+        this.last = WeightedScorers.last(setup.word(), setup.guards());
         this.slab = new Slab<>(setup.slab());
         this.budget = new Budget(setup.tries(), 1);
     }
 
-    /** Takes what the purser knows now. */
+    /** Takes what the gateway knows now. */
     public void facts(final Facts next, final long now) {
         if (next.me().life() != facts.me().life()) {
             flows.values().forEach(f -> List.copyOf(f.queue).forEach(t -> reject(t, 503, "the carrier joined anew", SECOND)));
@@ -113,7 +113,7 @@
         hands.keySet().removeIf(id -> !next.workers().containsKey(id) && hands.get(id).mine == 0);
         final boolean turned = next.page() != facts.page();
         facts = next;
-        if (turned && up(Guard.KEPT)) {
+        if (turned && up(Safeguard.KEPT)) {
             follow(now);
         }
         pump(now);
@@ -123,7 +123,7 @@
     private void follow(final long now) {
         for (final long place : List.copyOf(open.values())) {
             slab.get(place).ifPresent(t -> {
-                final Optional<Leaf.Tenant> who = same(t);
+                final Optional<Value.Tenant> who = same(t);
                 final boolean mine = who.map(this::home).orElse(false);
                 final boolean yours = mine && (t.worker.isEmpty() || !t.held || Optional.ofNullable(facts.workers().get(t.worker))
                         .map(h -> who.get().homes().isEmpty() || who.get().homes().contains(h.worker().region())).orElse(true));
@@ -140,7 +140,7 @@
         });
     }
 
-    private Optional<Leaf.Tenant> same(final Ticket t) {
+    private Optional<Value.Tenant> same(final Ticket t) {
         return facts.tenant(t.permit.tenant()).filter(w -> w.hash().equals(t.tenant.hash()));
     }
 
@@ -185,7 +185,7 @@
     }
 
     /** The stories of tickets. */
-    public Tales tales() {
+    public TraceLog tales() {
         return tales;
     }
 
@@ -199,7 +199,7 @@
     /** A consumer asks where to go. */
     public void pick(final Order o, final long token, final long now) {
         count("picks");
-        final Optional<Leaf.Tenant> who = facts.tenant(o.tenant());
+        final Optional<Value.Tenant> who = facts.tenant(o.tenant());
         if (who.isEmpty() || !Seals.same(Seals.hash(o.secret()), who.get().hash())) {
             final Optional<String> why = unready(now);
             no(token, why.isPresent() ? 503 : 401, "", why.orElse("the tenant or its key is not known"), why.isPresent() ? SECOND : 0, "");
@@ -212,7 +212,7 @@
             point(token, homes, empty, home, now);
             return;
         }
-        final Optional<Leaf.Row> row = facts.row(o.tenant(), o.kind());
+        final Optional<Value.Row> row = facts.row(o.tenant(), o.kind());
         if (row.isEmpty()) {
             no(token, 422, "", "$.kind: no kind " + o.kind(), 0, "");
             return;
@@ -227,7 +227,7 @@
             no(token, 429, "", "over the rate of " + row.get().rate() + " a second", SECOND, "");
             return;
         }
-        if (o.tries() > 0 && !budget.take(now) && up(Guard.TRIES)) {
+        if (o.tries() > 0 && !budget.take(now) && up(Safeguard.TRIES)) {
             no(token, 429, "", "too many tickets are tried again", 2 * SECOND, "");
             return;
         }
@@ -235,18 +235,18 @@
                 + Long.toString(luck.nextLong() >>> 20, 36);
         final Case plea = plea(ticket, who.get(), row.get(), salted(who.get(), o.prefix()));
         final long stampOf = stamps.get().bits();
-        final Court.Ruling ruling = judged(plea, sights(now), stampOf);
-        if (ruling instanceof Court.Ruling.Barred) {
-            tales.put(new Tales.Tale(ticket, o.tenant(), o.kind(), "", facts.page(), stampOf, "rejected",
+        final WeightedScorers.Ruling ruling = judged(plea, sights(now), stampOf);
+        if (ruling instanceof WeightedScorers.Ruling.Barred) {
+            tales.put(new TraceLog.Tale(ticket, o.tenant(), o.kind(), "", facts.page(), stampOf, "rejected",
                     "no worker is allowed", 0, ruling.opinions()));
             no(token, 503, ticket, "no worker is allowed", SECOND, "");
             return;
         }
-        final String worker = ruling instanceof Court.Ruling.Picked p ? p.worker().worker().id() : "";
+        final String worker = ruling instanceof WeightedScorers.Ruling.Picked p ? p.worker().worker().id() : "";
         final Stamp stamp = new Stamp(stampOf);
         final Permit permit = new Permit(ticket, o.tenant(), o.kind(), worker, facts.me().id(), facts.me().life(), facts.page(),
                 stamp, now + setup.permit(), o.key());
-        tales.put(new Tales.Tale(ticket, o.tenant(), o.kind(), worker, facts.page(), stamp.bits(), "picked", "", 0, ruling.opinions()));
+        tales.put(new TraceLog.Tale(ticket, o.tenant(), o.kind(), worker, facts.page(), stamp.bits(), "picked", "", 0, ruling.opinions()));
         out.add(new Act.Picked(token, ticket, facts.me().door(), seals.write(permit), worker, facts.page(), stamp.bits()));
     }
 
@@ -259,20 +259,20 @@
             return;
         }
         final Permit p = read.get();
-        final Optional<Leaf.Tenant> who = facts.tenant(p.tenant());
+        final Optional<Value.Tenant> who = facts.tenant(p.tenant());
         if (who.map(w -> !Seals.same(w.hash(), Seals.hash(l.secret()))).orElse(true)) {
             no(token, 401, "", "the tenant or its key is not known", 0, "");
             return;
         }
-        if (spent.containsKey(p.ticket()) && up(Guard.SPENT)) {
+        if (spent.containsKey(p.ticket()) && up(Safeguard.SPENT)) {
             no(token, 409, p.ticket(), "the ticket was handed over before", 0, "");
             return;
         }
-        if (!p.carrier().equals(facts.me().id()) || up(Guard.LIFE) && (p.life() != facts.me().life() || now - p.expiry() > setup.memory())) {
+        if (!p.carrier().equals(facts.me().id()) || up(Safeguard.LIFE) && (p.life() != facts.me().life() || now - p.expiry() > setup.memory())) {
             no(token, 410, p.ticket(), "the permit is of another time; whether its ticket ran is not known here", 0, "");
             return;
         }
-        if (now >= p.expiry() && up(Guard.LIFE)) {
+        if (now >= p.expiry() && up(Safeguard.LIFE)) {
             no(token, 503, p.ticket(), "the permit is stale", SECOND / 2, "");
             return;
         }
@@ -282,7 +282,7 @@
             over(token, p.ticket(), 503, why.get());
             return;
         }
-        final Optional<Leaf.Row> row = facts.row(p.tenant(), p.kind());
+        final Optional<Value.Row> row = facts.row(p.tenant(), p.kind());
         if (row.isEmpty()) {
             over(token, p.ticket(), 422, "no kind " + p.kind() + " any more");
             return;
@@ -327,12 +327,12 @@
         final Optional<Ticket> found = Optional.ofNullable(open.get(ticket)).flatMap(slab::get)
                 .or(() -> ended.stream().map(Ended::ticket).filter(t -> t.permit.ticket().equals(ticket)).findFirst())
                 .filter(t -> Seals.same(t.tenant.hash(), Seals.hash(secret)))
-                .filter(t -> same(t).map(this::home).orElse(false) || !up(Guard.KEPT));
+                .filter(t -> same(t).map(this::home).orElse(false) || !up(Safeguard.KEPT));
         if (found.isEmpty() || from < 0 || from > found.get().lines.size()) {
             no(token, 404, "", "no such ticket or piece", 0, "");
             return;
         }
-        if (!sure(now) && up(Guard.KEPT)) {
+        if (!sure(now) && up(Safeguard.KEPT)) {
             no(token, 425, ticket, "the table held here is not confirmed; read again a little later", SECOND, "");
             return;
         }
@@ -373,14 +373,14 @@
     }
 
     /** A verdict of the chain on a job's wish. */
-    public void verdict(final long id, final Verdict v, final long now) {
+    public void verdict(final long id, final CommandResult v, final long now) {
         job(id).filter(t -> t.state.equals("claiming")).ifPresent(t -> {
             switch (v) {
-                case Verdict.Kept k -> {
+                case CommandResult.Applied k -> {
                     t.claimed = true;
                     ask(t, now);
                 }
-                case Verdict.Stands s -> {
+                case CommandResult.AlreadyClaimed s -> {
                     release(t);
                     if (s.claim().state().equals("rejected")) {
                         reject(t, 503, "the key was claimed by a ticket that was rejected", SECOND / 2);
@@ -390,11 +390,11 @@
                     finish(t, "reject");
                     no(t, 409, "the key is taken", 0, s.claim().state() + " at " + s.claim().carrier() + " as " + s.claim().ticket());
                 }
-                case Verdict.Rejected r -> {
+                case CommandResult.Rejected r -> {
                     release(t);
                     reject(t, r.code() == 507 ? 507 : 503, String.join("; ", r.faults()), SECOND);
                 }
-                case Verdict.Unknown u -> {
+                case CommandResult.Unknown u -> {
                     t.claimed = true;
                     release(t);
                     reject(t, 503, "the claim could not be confirmed in time", SECOND);
@@ -445,7 +445,7 @@
     /** The exchange with the worker ended without a seal; started is false only where it provably did not begin. */
     public void failed(final long id, final boolean started, final String why, final long now) {
         job(id).ifPresent(t -> {
-            if ((started || t.state.equals("running")) && up(Guard.BEGUN)) {
+            if ((started || t.state.equals("running")) && up(Safeguard.BEGUN)) {
                 lose(t, why, now);
                 return;
             }
@@ -454,7 +454,7 @@
             }
             shun(t.worker, now);
             release(t);
-            if (now < t.hold && t.tries < 2 && (budget.take(now) || !up(Guard.TRIES))) {
+            if (now < t.hold && t.tries < 2 && (budget.take(now) || !up(Safeguard.TRIES))) {
                 count("again");
                 move(t, "again");
                 t.want = Optional.empty();
@@ -526,7 +526,7 @@
                 .filter(m -> m.state().equals("up") && !empty.contains(m.zone()))
                 .filter(m -> homes.isEmpty() || homes.contains(m.region())).map(Member::door).toList());
         if (doors.isEmpty()) {
-            no(token, 503, "", unready(now).orElse(home ? "this zone is being emptied" : "no purser in the homes is ready"), SECOND, "");
+            no(token, 503, "", unready(now).orElse(home ? "this zone is being emptied" : "no gateway in the homes is ready"), SECOND, "");
             return;
         }
         java.util.Collections.shuffle(doors, new java.util.Random(luck.nextLong()));
@@ -534,25 +534,25 @@
         out.add(new Act.Pointed(token, doors.subList(0, Math.min(3, doors.size()))));
     }
 
-    private boolean up(final Guard guard) {
+    private boolean up(final Safeguard guard) {
         return setup.guards().stands(guard);
     }
 
     private boolean sure(final long now) {
-        return facts.fresh(now, setup.sure()) || !up(Guard.SURE);
+        return facts.fresh(now, setup.sure()) || !up(Safeguard.SURE);
     }
 
-    /** Whether this purser may take the tenant's tickets, as far as homes go. */
-    private boolean home(final Leaf.Tenant who) {
-        return who.homes().isEmpty() || who.homes().contains(facts.me().region()) || !up(Guard.SENT);
+    /** Whether this gateway may take the tenant's tickets, as far as homes go. */
+    private boolean home(final Value.Tenant who) {
+        return who.homes().isEmpty() || who.homes().contains(facts.me().region()) || !up(Safeguard.SENT);
     }
 
-    private static boolean keyless(final Leaf.Row row, final Permit p) {
+    private static boolean keyless(final Value.Row row, final Permit p) {
         return row.once() && p.key().isEmpty();
     }
 
     private boolean emptied() {
-        return facts.empty().contains(facts.me().zone()) && up(Guard.ZONE);
+        return facts.empty().contains(facts.me().zone()) && up(Safeguard.ZONE);
     }
 
     private void pump(final long now) {
@@ -569,13 +569,13 @@
             }
             final Flow f = next.get();
             final Ticket t = f.queue.peek();
-            final Leaf.Row row = facts.row(t.permit.tenant(), t.permit.kind()).orElse(t.row);
+            final Value.Row row = facts.row(t.permit.tenant(), t.permit.kind()).orElse(t.row);
             if (f.running >= Math.max(1, (row.running() + peers(t.tenant) - 1) / peers(t.tenant))) {
                 stuck.add(f);
                 continue;
             }
             switch (place(t, row, now)) {
-                case Court.Ruling.Picked p -> {
+                case WeightedScorers.Ruling.Picked p -> {
                     quit(f, t);
                     final Share share = share(f);
                     clock = Math.max(clock, share.tag);
@@ -591,39 +591,39 @@
                         ask(t, now);
                     }
                 }
-                case Court.Ruling.Full full -> stuck.add(f);
-                case Court.Ruling.Barred barred -> reject(t, 503, "no worker is allowed", SECOND);
+                case WeightedScorers.Ruling.Full full -> stuck.add(f);
+                case WeightedScorers.Ruling.Barred barred -> reject(t, 503, "no worker is allowed", SECOND);
             }
         }
     }
 
-    private Court.Ruling place(final Ticket t, final Leaf.Row row, final long now) {
-        final Optional<Leaf.Tenant> who = facts.tenant(t.permit.tenant());
+    private WeightedScorers.Ruling place(final Ticket t, final Value.Row row, final long now) {
+        final Optional<Value.Tenant> who = facts.tenant(t.permit.tenant());
         if (who.isEmpty() || !home(who.get())) {
-            return new Court.Ruling.Barred(List.of());
+            return new WeightedScorers.Ruling.Barred(List.of());
         }
         final Case plea = plea(t.permit.ticket(), who.get(), row, t.prefix);
-        final List<Sight> all = sights(now);
-        final Optional<Sight> wanted = t.want.flatMap(w -> all.stream().filter(s -> s.worker().id().equals(w)).findFirst())
+        final List<PlacementInput> all = sights(now);
+        final Optional<PlacementInput> wanted = t.want.flatMap(w -> all.stream().filter(s -> s.worker().id().equals(w)).findFirst())
                 .filter(s -> court.stands(plea, s));
         if (wanted.isPresent() && t.permit.page() == facts.page()) {
-            return new Court.Ruling.Picked(wanted.get(), List.of());
+            return new WeightedScorers.Ruling.Picked(wanted.get(), List.of());
         }
         final long stamp = stamps.get().bits();
-        final Court.Ruling ruling = judged(plea, all, stamp);
-        if (ruling instanceof Court.Ruling.Picked p) {
-            tales.put(new Tales.Tale(t.permit.ticket(), t.permit.tenant(), t.permit.kind(), p.worker().worker().id(), facts.page(),
+        final WeightedScorers.Ruling ruling = judged(plea, all, stamp);
+        if (ruling instanceof WeightedScorers.Ruling.Picked p) {
+            tales.put(new TraceLog.Tale(t.permit.ticket(), t.permit.tenant(), t.permit.kind(), p.worker().worker().id(), facts.page(),
                     stamp, t.state, "", t.tries, ruling.opinions()));
         }
         return ruling;
     }
 
-    private Court.Ruling judged(final Case plea, final List<Sight> all, final long stamp) {
+    private WeightedScorers.Ruling judged(final Case plea, final List<PlacementInput> all, final long stamp) {
         final long seed = luck.nextLong() >>> 12;
-        final Court.Ruling ruling = court.pick(plea, all, new java.util.SplittableRandom(seed));
-        if (!(ruling instanceof Court.Ruling.Full)) {
+        final WeightedScorers.Ruling ruling = court.pick(plea, all, new java.util.SplittableRandom(seed));
+        if (!(ruling instanceof WeightedScorers.Ruling.Full)) {
             out.add(new Act.Judged(plea, all, seed, facts.page(), stamp,
-                    ruling instanceof Court.Ruling.Picked p ? p.worker().worker().id() : ""));
+                    ruling instanceof WeightedScorers.Ruling.Picked p ? p.worker().worker().id() : ""));
         }
         return ruling;
     }
@@ -632,14 +632,14 @@
         move(t, "claim");
         job(t);
         t.at = stamps.get().bits();
-        out.add(new Act.Claim(t.job, new Wish.Hold(t.permit.ticket(), t.key(), t.permit.ticket(), facts.me().id(), t.at),
+        out.add(new Act.Claim(t.job, new Command.Claim(t.permit.ticket(), t.key(), t.permit.ticket(), facts.me().id(), t.at),
                 setup.claim()));
     }
 
     private void ask(final Ticket t, final long now) {
-        final Optional<Rumor.Heard> w = Optional.ofNullable(facts.workers().get(t.worker));
-        final Optional<Leaf.Row> row = facts.row(t.permit.tenant(), t.permit.kind());
-        final Optional<Leaf.Tenant> who = facts.tenant(t.permit.tenant());
+        final Optional<Gossip.Heard> w = Optional.ofNullable(facts.workers().get(t.worker));
+        final Optional<Value.Row> row = facts.row(t.permit.tenant(), t.permit.kind());
+        final Optional<Value.Tenant> who = facts.tenant(t.permit.tenant());
         final boolean stands = w.isPresent() && row.isPresent() && who.isPresent() && sure(now)
                 && now < t.expiry && !keyless(row.get(), t.permit) && allowed(t, who.get(), row.get(), w.get(), now);
         if (!stands) {
@@ -662,9 +662,9 @@
         out.add(new Act.Run(t.job, now + setup.start(), x.id(), x.address(), t.permit.ticket(), t.run, t.permit.tenant(), t.permit.kind(), t.prefix, t.prompt));
     }
 
-    private boolean allowed(final Ticket t, final Leaf.Tenant who, final Leaf.Row row, final Rumor.Heard h, final long now) {
+    private boolean allowed(final Ticket t, final Value.Tenant who, final Value.Row row, final Gossip.Heard h, final long now) {
         final Case plea = plea(t.permit.ticket(), who, row, t.prefix);
-        final Sight s = new Sight(h.worker(), h.age(now), 0, 0, Long.MAX_VALUE, false, 1);
+        final PlacementInput s = new PlacementInput(h.worker(), h.age(now), 0, 0, Long.MAX_VALUE, false, 1);
         return last.stands(plea, s);
     }
 
@@ -676,11 +676,11 @@
 
     private Optional<String> fault(final Ticket t, final Line line) {
         return switch (line) {
-            case Line.Piece p -> up(Guard.LINE) && !p.ticket().equals(t.permit.ticket()) ? Optional.of("a piece of another ticket")
-                    : up(Guard.LINE) && !p.run().equals(t.run) ? Optional.of("a piece of another run")
-                    : up(Guard.PIECE) && p.number() != t.lines.size() ? Optional.of("piece " + p.number() + " where " + t.lines.size() + " was due")
+            case Line.Piece p -> up(Safeguard.LINE) && !p.ticket().equals(t.permit.ticket()) ? Optional.of("a piece of another ticket")
+                    : up(Safeguard.LINE) && !p.run().equals(t.run) ? Optional.of("a piece of another run")
+                    : up(Safeguard.PIECE) && p.number() != t.lines.size() ? Optional.of("piece " + p.number() + " where " + t.lines.size() + " was due")
                     : Optional.empty();
-            case Line.Seal s -> !up(Guard.SEAL) ? Optional.empty() : !s.ticket().equals(t.permit.ticket()) || !s.run().equals(t.run) || !s.worker().equals(t.worker)
+            case Line.Seal s -> !up(Safeguard.SEAL) ? Optional.empty() : !s.ticket().equals(t.permit.ticket()) || !s.run().equals(t.run) || !s.worker().equals(t.worker)
                     ? Optional.of("a seal of another ticket, run or worker")
                     : s.count() != t.lines.size() ? Optional.of("a seal over " + s.count() + " pieces where " + t.lines.size() + " came")
                     : !s.sha().equals(HexFormat.of().formatHex(copy(t.sum))) ? Optional.of("a seal that does not fit") : Optional.empty();
@@ -747,7 +747,7 @@
         jobs.remove(t.job);
         open.remove(t.permit.ticket());
         if (t.claimed) {
-            out.add(new Act.Claim(0, new Wish.End(t.run + "/" + t.state, t.key(), t.permit.ticket(), facts.me().id(), t.state, t.at), 30 * SECOND));
+            out.add(new Act.Claim(0, new Command.CompleteClaim(t.run + "/" + t.state, t.key(), t.permit.ticket(), facts.me().id(), t.state, t.at), 30 * SECOND));
         }
         ended.add(new Ended(t, time));
         t.prompt = "";
@@ -793,7 +793,7 @@
         Optional.ofNullable(hands.get(worker)).ifPresent(h -> h.shun = now + setup.shun());
     }
 
-    private boolean room(final Leaf.Row row) {
+    private boolean room(final Value.Row row) {
         if (queued < setup.queue() && slab.used() < slab.size()) {
             return true;
         }
@@ -810,7 +810,7 @@
         return false;
     }
 
-    private List<Sight> sights(final long now) {
+    private List<PlacementInput> sights(final long now) {
         final int peers = peers();
         return facts.workers().values().stream().sorted(Comparator.comparing(h -> h.worker().id()))
                 .map(h -> hands.computeIfAbsent(h.worker().id(), k -> new Hand(h.worker().life())).sight(h, now, peers)).toList();
@@ -820,18 +820,18 @@
         return 1 + (int) facts.crew().stream().filter(Member::ready).count();
     }
 
-    /** How many pursers share a cell of the tenant: those that may carry for it. */
-    private int peers(final Leaf.Tenant who) {
+    /** How many gateways share a cell of the tenant: those that may carry for it. */
+    private int peers(final Value.Tenant who) {
         final Set<String> empty = facts.empty();
         return 1 + (int) facts.crew().stream().filter(m -> m.ready() && !empty.contains(m.zone())
                 && (who.homes().isEmpty() || who.homes().contains(m.region()))).count();
     }
 
-    private Case plea(final String ticket, final Leaf.Tenant who, final Leaf.Row row, final List<Long> prefix) {
+    private Case plea(final String ticket, final Value.Tenant who, final Value.Row row, final List<Long> prefix) {
         return new Case(ticket, who, row, prefix, facts.me().zone(), facts.me().region(), facts.empty());
     }
 
-    private static List<Long> salted(final Leaf.Tenant who, final List<String> prefix) {
+    private static List<Long> salted(final Value.Tenant who, final List<String> prefix) {
         return prefix.stream().map(d -> Seals.salted(who.salt(), d)).toList();
     }
 
--- a/core/src/main/java/silverlatch/carry/Facts.java
+++ b/core/src/main/java/silverlatch/dispatch/Facts.java
@@ -1,28 +1,28 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import silverlatch.crew.Member;
-import silverlatch.rumor.Rumor;
-import silverlatch.tariff.Books;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Policy;
-import silverlatch.tide.Stamp;
+import silverlatch.membership.Member;
+import silverlatch.gossip.Gossip;
+import silverlatch.state.StateMachine;
+import silverlatch.state.Value;
+import silverlatch.state.Policy;
+import silverlatch.clock.Stamp;
 
 /**
- * What a purser knows at one moment, copied for the duty that carries tickets.
+ * What a gateway knows at one moment, copied for the duty that carries tickets.
  *
- * @param me      this purser
+ * @param me      this gateway
  * @param page    the page held
  * @param sure    when the page was surely the newest, by the monotonic clock
  * @param policy  tenants, rows and orders on zones
  * @param workers the workers heard of
- * @param crew    the live pursers, without this one
+ * @param crew    the live gateways, without this one
  */
 public record Facts(Member me, long page, Optional<Long> sure, Policy policy,
-                    Map<String, Rumor.Heard> workers, List<Member> crew) {
+                    Map<String, Gossip.Heard> workers, List<Member> crew) {
     /** Copies the collections. */
     public Facts {
         workers = Map.copyOf(workers);
@@ -35,13 +35,13 @@
     }
 
     /** A tenant by name. */
-    public Optional<Leaf.Tenant> tenant(final String name) {
-        return policy.leaf("t/" + name).map(l -> (Leaf.Tenant) l);
+    public Optional<Value.Tenant> tenant(final String name) {
+        return policy.leaf("t/" + name).map(l -> (Value.Tenant) l);
     }
 
     /** The row for a tenant and kind: its own, or the one for all. */
-    public Optional<Leaf.Row> row(final String tenant, final String kind) {
-        return policy.leaf(Books.row(tenant, kind)).or(() -> policy.leaf(Books.row("*", kind))).map(l -> (Leaf.Row) l);
+    public Optional<Value.Row> row(final String tenant, final String kind) {
+        return policy.leaf(StateMachine.row(tenant, kind)).or(() -> policy.leaf(StateMachine.row("*", kind))).map(l -> (Value.Row) l);
     }
 
     /** The zones that are being emptied. */
--- a/core/src/main/java/silverlatch/carry/Hand.java
+++ b/core/src/main/java/silverlatch/dispatch/Hand.java
@@ -1,11 +1,11 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import silverlatch.judge.Sight;
-import silverlatch.rumor.Rumor;
+import silverlatch.placement.PlacementInput;
+import silverlatch.gossip.Gossip;
 
-/** What this purser knows of its own runs at a worker. One duty owns it. */
+/** What this gateway knows of its own runs at a worker. One duty owns it. */
 final class Hand {
     private static final long SECOND = 1_000_000L;
     final Deque<Long> sent = new ArrayDeque<>();
@@ -20,7 +20,7 @@
         this.life = life;
     }
 
-    void see(final Rumor.Heard h, final long now) {
+    void see(final Gossip.Heard h, final long now) {
         if (h.worker().life() != life) {
             life = h.worker().life();
             back = now;
@@ -49,7 +49,7 @@
         done++;
     }
 
-    Sight sight(final Rumor.Heard h, final long now, final int peers) {
-        return new Sight(h.worker(), h.age(now), Math.max(0, sent.size() - done), mine, now - back, now < shun, peers);
+    PlacementInput sight(final Gossip.Heard h, final long now, final int peers) {
+        return new PlacementInput(h.worker(), h.age(now), Math.max(0, sent.size() - done), mine, now - back, now < shun, peers);
     }
 }
--- a/core/src/main/java/silverlatch/carry/Line.java
+++ b/core/src/main/java/silverlatch/dispatch/Line.java
@@ -1,4 +1,4 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 /** One record of a stream. */
 public sealed interface Line {
--- a/core/src/main/java/silverlatch/carry/Load.java
+++ b/core/src/main/java/silverlatch/dispatch/Load.java
@@ -1,4 +1,4 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 import java.util.List;
 
--- a/core/src/main/java/silverlatch/carry/Share.java
+++ b/core/src/main/java/silverlatch/dispatch/Share.java
@@ -1,4 +1,4 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 /** A tenant's place in the weighted fair order. One duty owns it. */
 final class Share {
--- a/core/src/main/java/silverlatch/carry/Ticket.java
+++ b/core/src/main/java/silverlatch/dispatch/Ticket.java
@@ -1,18 +1,18 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import silverlatch.carry.permit.Permit;
-import silverlatch.carry.permit.Seals;
-import silverlatch.tariff.Leaf;
+import silverlatch.dispatch.permit.Permit;
+import silverlatch.dispatch.permit.Seals;
+import silverlatch.state.Value;
 
 /** A ticket under way, or ended and kept to be read again. One duty owns it. */
 final class Ticket {
     final Permit permit;
-    final Leaf.Tenant tenant;
-    final Leaf.Row row;
+    final Value.Tenant tenant;
+    final Value.Row row;
     final List<Long> prefix;
     final long expiry;
     final long hold;
@@ -38,7 +38,7 @@
     long bytes;
     long at;
 
-    Ticket(final Permit permit, final Leaf.Tenant tenant, final Leaf.Row row, final List<Long> prefix, final String prompt,
+    Ticket(final Permit permit, final Value.Tenant tenant, final Value.Row row, final List<Long> prefix, final String prompt,
            final long expiry, final long hold, final long reader, final String state) {
         this.permit = permit;
         this.tenant = tenant;
--- a/core/src/main/java/silverlatch/carry/Tales.java
+++ b/core/src/main/java/silverlatch/dispatch/TraceLog.java
@@ -1,24 +1,24 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import silverlatch.judge.Court;
+import silverlatch.placement.WeightedScorers;
 
 /** What is remembered of tickets so that a placement can be explained; bounded. */
-public final class Tales {
+public final class TraceLog {
     private final int most;
     private final LinkedHashMap<String, Tale> tales = new LinkedHashMap<>();
 
     /** Remembers so many tickets. */
-    public Tales(final int most) {
+    public TraceLog(final int most) {
         this.most = most;
     }
 
     /** A ticket's story: whose, what was said, who was picked under which page and stamp, and how it stands. */
     public record Tale(String ticket, String tenant, String kind, String worker, long page, long stamp, String state,
-                       String why, int tries, List<Court.Opinion> opinions) {
+                       String why, int tries, List<WeightedScorers.Opinion> opinions) {
         /** Copies the opinions. */
         public Tale {
             opinions = List.copyOf(opinions);
--- a/core/src/main/java/silverlatch/carry/slab/Slab.java
+++ b/core/src/main/java/silverlatch/dispatch/buffer/Slab.java
@@ -1,4 +1,4 @@
-package silverlatch.carry.slab;
+package silverlatch.dispatch.buffer;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/core/src/main/java/silverlatch/carry/permit/Permit.java
+++ b/core/src/main/java/silverlatch/dispatch/permit/Permit.java
@@ -1,6 +1,6 @@
-package silverlatch.carry.permit;
+package silverlatch.dispatch.permit;
 
-import silverlatch.tide.Stamp;
+import silverlatch.clock.Stamp;
 
 /**
  * What a pick hands out: it binds one ticket to one incarnation of one carrier for a short time.
@@ -9,8 +9,8 @@
  * @param tenant  whose it is
  * @param kind    its kind
  * @param worker  the worker picked
- * @param carrier the purser that may run it
- * @param life    that purser's incarnation
+ * @param carrier the gateway that may run it
+ * @param life    that gateway's incarnation
  * @param page    the sequence of the table and drains it was picked under
  * @param stamp   the pick's stamp
  * @param expiry  until when it can be used, by the carrier's monotonic clock
--- a/core/src/main/java/silverlatch/carry/permit/Seals.java
+++ b/core/src/main/java/silverlatch/dispatch/permit/Seals.java
@@ -1,4 +1,4 @@
-package silverlatch.carry.permit;
+package silverlatch.dispatch.permit;
 
 import java.nio.charset.StandardCharsets;
 import java.security.GeneralSecurityException;
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
-import silverlatch.tide.Stamp;
+import silverlatch.clock.Stamp;
 
 /** Seals permits with the cluster's key, and makes the hashes the product uses. */
 public final class Seals {
--- a/core/src/main/java/silverlatch/rumor/Rumor.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -1,4 +1,4 @@
-package silverlatch.rumor;
+package silverlatch.gossip;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -7,31 +7,31 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
-import silverlatch.crew.Crew;
-import silverlatch.crew.Member;
-import silverlatch.deck.Effect;
-import silverlatch.deck.Event;
-import silverlatch.guard.Guard;
-import silverlatch.guard.Guards;
-import silverlatch.quay.View;
-import silverlatch.tariff.Books;
+import silverlatch.membership.Membership;
+import silverlatch.membership.Member;
+import silverlatch.node.Effect;
+import silverlatch.node.Event;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
+import silverlatch.replication.View;
+import silverlatch.state.StateMachine;
 import silverlatch.wire.Msg;
 
 /**
  * News of one daemon. Restrictions travel by push and hold at once; freshness is renewed only by pull and is aged
  * from the moment the asker sent its question.
  */
-public final class Rumor {
+public final class Gossip {
     private static final int FEW = 3;
     private static final int MOST = 4_096;
     private static final long FORGET = 60_000_000L;
     private static final long OLD = 1_000_000L;
     private final Times times;
-    private final Crew crew;
-    private final Guards guards;
+    private final Membership crew;
+    private final Safeguards guards;
     private final RandomGenerator luck;
     private final Peers peers;
-    private final Books books = new Books();
+    private final StateMachine books = new StateMachine();
     private final Map<String, Heard> workers = new TreeMap<>();
     private final Map<String, Echo> echoes = new HashMap<>();
     private final List<Effect> out = new ArrayList<>();
@@ -44,15 +44,15 @@
     private View view = View.NONE;
     private long askAt;
     private long rootAt;
-    private final Optional<Words> words;
+    private final Optional<WorkerReports> words;
     private final Optional<Pulls> pulls;
 
-    /** How often to pull from pursers and from harbors, in microseconds, and how words of workers spread. */
+    /** How often to pull from gateways and from controllers, in microseconds, and how words of workers spread. */
     public record Times(long pull, long root, Way way) {
         /** The times that hold when nothing is said. */
         public static final Times PLAIN = new Times(250_000L, 400_000L);
-        /** Times for a large fleet whose workers announce to harbors. */
-        public static final Times QUIET = new Times(1_000_000L, 400_000L, Way.Harbors.PLAIN);
+        /** Times for a large fleet whose workers announce to controllers. */
+        public static final Times QUIET = new Times(1_000_000L, 400_000L, Way.Controllers.PLAIN);
 
         /** Times where words spread everywhere. */
         public Times(final long pull, final long root) {
@@ -65,7 +65,7 @@
      *
      * @param worker what it said of itself
      * @param asOf   the moment up to which it is surely true
-     * @param silent whether no harbor has heard from it for long
+     * @param silent whether no controller has heard from it for long
      * @param at     the moment from which the spans it told run
      */
     public record Heard(Worker worker, Optional<Long> asOf, boolean silent, long at) {
@@ -91,18 +91,18 @@
     }
 
     /** News for a daemon of the crew. */
-    public Rumor(final Crew crew, final RandomGenerator luck, final Times times, final Guards guards) {
+    public Gossip(final Membership crew, final RandomGenerator luck, final Times times, final Safeguards guards) {
         this.crew = crew;
         this.luck = luck;
         this.peers = new Peers(crew, luck);
         this.times = times;
         this.guards = guards;
-        this.words = times.way() instanceof Way.Harbors h ? Optional.of(new Words(h)) : Optional.empty();
+        this.words = times.way() instanceof Way.Controllers h ? Optional.of(new WorkerReports(h)) : Optional.empty();
         this.pulls = words.map(w -> new Pulls(w, peers, crew));
     }
 
     /** The copy of the books held here; the caller does not change it. */
-    public Books books() {
+    public StateMachine books() {
         return books;
     }
 
@@ -129,7 +129,7 @@
     /** The workers heard of. */
     public Map<String, Heard> workers() {
         if (words.isPresent()) {
-            return words.get().workers(peers.harbor());
+            return words.get().workers(peers.controller());
         }
         if (seen.size() != workers.size()) {
             seen = Map.copyOf(workers);
@@ -139,20 +139,20 @@
 
     /** How long ago the words on workers here were surely the newest. */
     public long sure(final long now) {
-        return words.flatMap(w -> w.sure(peers.harbor(), peers.harbors().size() + 1, now)).map(t -> Math.max(0, now - t)).orElse(Long.MAX_VALUE);
+        return words.flatMap(w -> w.sure(peers.controller(), peers.controllers().size() + 1, now)).map(t -> Math.max(0, now - t)).orElse(Long.MAX_VALUE);
     }
 
     /** Forgets what makes this daemon sure, as a rejoin does. */
     public void doubt() {
-        words.ifPresent(Words::doubt);
+        words.ifPresent(WorkerReports::doubt);
         pulls.ifPresent(Pulls::doubt);
         sure = Optional.empty();
         workers.replaceAll((k, h) -> new Heard(h.worker(), Optional.empty()));
         seen = Map.of();
     }
 
-    /** What a harbor knows for itself. */
-    public void own(final Books mine, final View now, final boolean certain, final long at) {
+    /** What a controller knows for itself. */
+    public void own(final StateMachine mine, final View now, final boolean certain, final long at) {
         if (now.number() > view.number()) {
             view = now;
             fleet = now.fleet();
@@ -181,18 +181,18 @@
         return token;
     }
 
-    /** A digest over the words of workers that announce to harbors; it changes when one of them does. */
+    /** A digest over the words of workers that announce to controllers; it changes when one of them does. */
     public long roster() {
         return words.map(w -> w.sums().total()).orElse(0L);
     }
 
     /** The words to be kept over a restart. */
-    public List<Word> standing(final long now) {
+    public List<WorkerReport> standing(final long now) {
         return words.map(w -> w.standing(now)).orElse(List.of());
     }
 
     /** Takes words kept over a restart; what is known already or comes later goes before them. */
-    public void recall(final List<Word> kept, final long now) {
+    public void recall(final List<WorkerReport> kept, final long now) {
         words.ifPresent(w -> kept.forEach(k -> w.take(k, false, now)));
     }
 
@@ -230,11 +230,11 @@
 
     /** A clock event. */
     public void tick(final long now) {
-        words.ifPresent(w -> w.tick(peers.harbor(), peers.harbors(), now));
+        words.ifPresent(w -> w.tick(peers.controller(), peers.controllers(), now));
         spread(now);
-        if (now - askAt >= times.pull() && !(words.isPresent() && peers.harbor())) {
+        if (now - askAt >= times.pull() && !(words.isPresent() && peers.controller())) {
             askAt = now;
-            peers.some(crew.live().stream().filter(Member::purser).toList(), words.isPresent() ? 1 : 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
+            peers.some(crew.live().stream().filter(Member::gateway).toList(), words.isPresent() ? 1 : 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
         }
         if (now - rootAt >= peers.root(times)) {
             rootAt = now;
@@ -255,13 +255,13 @@
 
     private List<Member> roots(final long now) {
         final List<Member> roots = peers.roots(view, words.isPresent());
-        return words.isEmpty() ? peers.some(roots, 2) : peers.harbor() ? peers.turn(roots, 3)
+        return words.isEmpty() ? peers.some(roots, 2) : peers.controller() ? peers.turn(roots, 3)
                 : peers.some(age(now) > OLD || sure(now) > OLD ? roots : peers.near(roots), 1);
     }
 
     private void spread(final long now) {
         final List<Member> news = crew.news();
-        final List<Word> told = words.map(w -> w.fresh(now)).orElse(List.of());
+        final List<WorkerReport> told = words.map(w -> w.fresh(now)).orElse(List.of());
         words.ifPresent(w -> out.addAll(w.drain()));
         if (!news.isEmpty() || !fresh.isEmpty() || !told.isEmpty()) {
             push(new Msg.Push(news, List.copyOf(fresh), told, page()));
@@ -287,7 +287,7 @@
     private void tell(final Msg.Ask m, final String home, final long now) {
         final long age = age(now);
         out.add(new Effect.Send(home, new Msg.Tell(m.at(), books.page(), age == Long.MAX_VALUE ? -1 : Math.max(0, age), fleet,
-                m.page() < books.page() ? books.since(m.page()) : guards.stands(Guard.PAGE) ? List.of() : books.since(0),
+                m.page() < books.page() ? books.since(m.page()) : guards.stands(Safeguard.PAGE) ? List.of() : books.since(0),
                 m.view() < view.number() ? List.of(view) : List.of(),
                 pulls.<Msg.News>map(p -> p.brief(m, home, sure(now), now)).orElseGet(() -> whole(m, now)))));
     }
@@ -327,7 +327,7 @@
         if (m.page() > books.page()) {
             books.apply(m.page(), m.entries());
             announce();
-        } else if (m.page() > 0 && m.page() < books.page() && !guards.stands(Guard.PAGE)) {
+        } else if (m.page() > 0 && m.page() < books.page() && !guards.stands(Safeguard.PAGE)) {
             books.reset(m.page(), m.entries());
             page = m.page();
         }
--- a/core/src/main/java/silverlatch/rumor/Peers.java
+++ b/core/src/main/java/silverlatch/gossip/Peers.java
@@ -1,4 +1,4 @@
-package silverlatch.rumor;
+package silverlatch.gossip;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -6,41 +6,41 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import silverlatch.crew.Crew;
-import silverlatch.crew.Member;
-import silverlatch.quay.View;
+import silverlatch.membership.Membership;
+import silverlatch.membership.Member;
+import silverlatch.replication.View;
 import silverlatch.wire.Msg;
 
 /** Whom to ask and whom to tell, and the crew in short. */
 final class Peers {
     private static final long SECOND = 1_000_000L;
-    private final Crew crew;
+    private final Membership crew;
     private final RandomGenerator luck;
     private Sums ring = new Sums();
-    private List<Member> harbors = List.of();
+    private List<Member> controllers = List.of();
     private long known = -1;
-    private long pursers;
+    private long gateways;
     private int turn;
 
-    Peers(final Crew crew, final RandomGenerator luck) {
+    Peers(final Membership crew, final RandomGenerator luck) {
         this.crew = crew;
         this.luck = luck;
     }
 
-    /** Whether this daemon is a harbor. */
-    boolean harbor() {
-        return !crew.me().purser();
+    /** Whether this daemon is a controller. */
+    boolean controller() {
+        return !crew.me().gateway();
     }
 
-    /** The other harbors, also those thought dead; not those that left. */
-    List<Member> harbors() {
+    /** The other controllers, also those thought dead; not those that left. */
+    List<Member> controllers() {
         refresh();
-        return harbors;
+        return controllers;
     }
 
-    /** Whether another harbor takes frames at this address. */
-    boolean harbor(final String home) {
-        return harbors().stream().anyMatch(m -> m.address().equals(home));
+    /** Whether another controller takes frames at this address. */
+    boolean controller(final String home) {
+        return controllers().stream().anyMatch(m -> m.address().equals(home));
     }
 
     /** Digests over the crew. */
@@ -68,11 +68,11 @@
         return next;
     }
 
-    /** How often to ask a harbor: less often where pursers are many. */
-    long root(final Rumor.Times times) {
+    /** How often to ask a controller: less often where gateways are many. */
+    long root(final Gossip.Times times) {
         refresh();
-        return times.way() instanceof Way.Harbors h && !harbor()
-                ? Math.max(times.root(), Math.min(SECOND, pursers * SECOND / Math.max(1, (long) harbors.size() * h.asks()))) : times.root();
+        return times.way() instanceof Way.Controllers h && !controller()
+                ? Math.max(times.root(), Math.min(SECOND, gateways * SECOND / Math.max(1, (long) controllers.size() * h.asks()))) : times.root();
     }
 
     /** Some to pass news on to, more in a large fleet: one from anywhere, the others from this region. */
@@ -84,10 +84,10 @@
         return few;
     }
 
-    /** Live harbors to ask: those of the chain, or all. */
+    /** Live controllers to ask: those of the chain, or all. */
     List<Member> roots(final View view, final boolean all) {
         final List<String> chain = view.chain().stream().map(b -> b.address()).toList();
-        return crew.live().stream().filter(m -> !m.purser())
+        return crew.live().stream().filter(m -> !m.gateway())
                 .filter(m -> all || chain.isEmpty() || chain.contains(m.address())).toList();
     }
 
@@ -127,8 +127,8 @@
         if (known != crew.version()) {
             known = crew.version();
             final List<Member> all = crew.all();
-            harbors = all.stream().filter(m -> !m.purser() && !m.state().equals("left") && !m.id().equals(crew.me().id())).toList();
-            pursers = all.stream().filter(m -> m.purser() && m.live()).count();
+            controllers = all.stream().filter(m -> !m.gateway() && !m.state().equals("left") && !m.id().equals(crew.me().id())).toList();
+            gateways = all.stream().filter(m -> m.gateway() && m.live()).count();
             ring = new Sums();
             all.forEach(m -> ring.add(mark(m)));
         }
--- a/core/src/main/java/silverlatch/rumor/Pulls.java
+++ b/core/src/main/java/silverlatch/gossip/Pulls.java
@@ -1,18 +1,18 @@
-package silverlatch.rumor;
+package silverlatch.gossip;
 
 import java.util.List;
 import java.util.Optional;
-import silverlatch.crew.Crew;
+import silverlatch.membership.Membership;
 import silverlatch.wire.Msg;
 
-/** What is said in a pull where workers announce to harbors: digests first, then marks, then bodies that differ. */
+/** What is said in a pull where workers announce to controllers: digests first, then marks, then bodies that differ. */
 final class Pulls {
-    private final Words words;
+    private final WorkerReports words;
     private final Peers peers;
-    private final Crew crew;
+    private final Membership crew;
     private Optional<Pull> open = Optional.empty();
 
-    Pulls(final Words words, final Peers peers, final Crew crew) {
+    Pulls(final WorkerReports words, final Peers peers, final Membership crew) {
         this.words = words;
         this.peers = peers;
         this.crew = crew;
@@ -24,12 +24,12 @@
         final boolean who = m.crew() != peers.ring().total();
         final Msg.Ranges ranges = new Msg.Ranges(word ? words.sums().ranges() : new long[0], who ? peers.ring().ranges() : new long[0]);
         return new Msg.News.Brief(age == Long.MAX_VALUE ? -1 : age, word || who ? List.of(ranges) : List.of(),
-                peers.harbor() && peers.harbor(home) ? List.of(words.beats(now)) : List.of());
+                peers.controller() && peers.controller(home) ? List.of(words.beats(now)) : List.of());
     }
 
     /** What the asker says to that: nothing where all is equal. */
     Optional<Msg.Marks> told(final Msg.News.Brief b, final long at, final String home) {
-        if (peers.harbor()) {
+        if (peers.controller()) {
             b.beats().forEach(x -> words.beats(x, home, at));
         }
         final Pull pull = new Pull(home, at, b.age());
@@ -65,7 +65,7 @@
 
     private void match(final Pull p) {
         open = Optional.empty();
-        if (peers.harbor(p.home())) {
+        if (peers.controller(p.home())) {
             words.match(p.home(), p.at());
         }
         if (p.age() >= 0) {
--- a/core/src/main/java/silverlatch/rumor/Sums.java
+++ b/core/src/main/java/silverlatch/gossip/Sums.java
@@ -1,4 +1,4 @@
-package silverlatch.rumor;
+package silverlatch.gossip;
 
 import silverlatch.wire.Msg;
 
--- a/core/src/main/java/silverlatch/rumor/Word.java
+++ b/core/src/main/java/silverlatch/gossip/WorkerReport.java
@@ -1,4 +1,4 @@
-package silverlatch.rumor;
+package silverlatch.gossip;
 
 import java.util.List;
 import silverlatch.wire.Msg;
@@ -7,14 +7,14 @@
  * A word on a worker as it travels between daemons; its spans are those of the moment at which it is sent.
  *
  * @param worker what it said of itself when it last changed
- * @param silent whether no harbor has heard from it for long
+ * @param silent whether no controller has heard from it for long
  * @param gone   whether this life of it is over
  * @param age    how long it has been silent or gone, in microseconds
  */
-public record Word(Worker worker, boolean silent, boolean gone, long age) {
+public record WorkerReport(Worker worker, boolean silent, boolean gone, long age) {
     /** A worker's own word; what it repeats with each call stays behind. */
-    public static Word of(final Worker w) {
-        return new Word(new Worker(w.id(), w.address(), w.zone(), w.region(), w.life(), w.sequence(), 0, 0, w.slots(), List.of(),
+    public static WorkerReport of(final Worker w) {
+        return new WorkerReport(new Worker(w.id(), w.address(), w.zone(), w.region(), w.life(), w.sequence(), 0, 0, w.slots(), List.of(),
                 w.leaving(), w.up(), w.pool(), w.cold(), w.rest()), false, false, 0);
     }
 
@@ -29,7 +29,7 @@
     }
 
     /** Whether this word goes before the other. */
-    public boolean after(final Word old) {
+    public boolean after(final WorkerReport old) {
         return worker.life() != old.worker.life() ? worker.life() > old.worker.life() : rank() > old.rank();
     }
 
@@ -44,7 +44,7 @@
     }
 
     /** The same word so much later. */
-    public Word aged(final long span) {
-        return new Word(worker.aged(span), silent, gone, silent || gone ? age + span : 0);
+    public WorkerReport aged(final long span) {
+        return new WorkerReport(worker.aged(span), silent, gone, silent || gone ? age + span : 0);
     }
 }
--- a/core/src/main/java/silverlatch/rumor/Words.java
+++ b/core/src/main/java/silverlatch/gossip/WorkerReports.java
@@ -1,4 +1,4 @@
-package silverlatch.rumor;
+package silverlatch.gossip;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -9,13 +9,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import silverlatch.crew.Member;
-import silverlatch.deck.Effect;
-import silverlatch.deck.Event;
+import silverlatch.membership.Member;
+import silverlatch.node.Effect;
+import silverlatch.node.Event;
 import silverlatch.wire.Msg;
 
-/** Words on workers that announce to harbors. What a worker repeats renews its age here; what it changes travels. */
-final class Words {
+/** Words on workers that announce to controllers. What a worker repeats renews its age here; what it changes travels. */
+final class WorkerReports {
     private static final int MOST = 4_096;
     private static final long SLACK = 500_000L;
     private static final long LOOK = 250_000L;
@@ -23,7 +23,7 @@
     private static final int STEPS = 12;
     private static final int NONE = 15;
     private static final int PACK = 16;
-    private final Way.Harbors way;
+    private final Way.Controllers way;
     private final Map<String, Item> items = new TreeMap<>();
     private final Map<String, Long> contacts = new HashMap<>();
     private final Map<String, Long> matched = new HashMap<>();
@@ -32,12 +32,12 @@
     private final Sums sums = new Sums();
     private final Sums roster = new Sums();
     private Optional<Long> sure = Optional.empty();
-    private Map<String, Rumor.Heard> seen = Map.of();
+    private Map<String, Gossip.Heard> seen = Map.of();
     private boolean dirty;
     private long looked = Long.MIN_VALUE / 2;
     private long awake = Long.MIN_VALUE / 2;
 
-    Words(final Way.Harbors way) {
+    WorkerReports(final Way.Controllers way) {
         this.way = way;
     }
 
@@ -51,7 +51,7 @@
         if (old.isEmpty() && items.size() >= MOST || old.filter(i -> i.late(said)).isPresent()) {
             return false;
         }
-        final Word word = Word.of(said);
+        final WorkerReport word = WorkerReport.of(said);
         if (old.filter(i -> !i.changed(said, now)).isPresent()) {
             items.put(said.id(), old.get().beat(said.sequence(), now));
             dirty = true;
@@ -67,7 +67,7 @@
     boolean gone(final String id, final long now) {
         final Optional<Item> old = Optional.ofNullable(items.get(id));
         old.filter(i -> !i.word().gone()).ifPresent(i -> {
-            final Word word = new Word(i.now(now).worker(), false, true, 0);
+            final WorkerReport word = new WorkerReport(i.now(now).worker(), false, true, 0);
             put(new Item(word, now, i.heard(), i.own(), i.top()));
             tell(old, word);
             fresh.add(id);
@@ -76,7 +76,7 @@
     }
 
     /** Takes a word from another daemon; one that came by push is passed on. */
-    void take(final Word word, final boolean pass, final long now) {
+    void take(final WorkerReport word, final boolean pass, final long now) {
         final Optional<Item> old = Optional.ofNullable(items.get(word.id()));
         if (old.isEmpty() && items.size() >= MOST || (word.silent() || word.gone()) && word.age() > way.forget()
                 || !old.map(i -> word.after(i.word())).orElse(true)) {
@@ -84,7 +84,7 @@
         }
         final Optional<Item> same = old.filter(i -> i.word().worker().life() == word.worker().life());
         final boolean beats = word.silent() && same.map(i -> now - i.own() < way.silent() && i.top() > word.worker().sequence()).orElse(false);
-        final Word kept = beats ? new Word(word.worker().at(same.get().top()), false, false, 0) : word;
+        final WorkerReport kept = beats ? new WorkerReport(word.worker().at(same.get().top()), false, false, 0) : word;
         final long heard = word.silent() || word.gone() ? same.map(Item::heard).orElse(now) : now;
         put(new Item(kept, now, heard, same.map(Item::own).orElse(Long.MIN_VALUE / 2),
                 Math.max(same.map(Item::top).orElse(0L), kept.worker().sequence())));
@@ -95,19 +95,19 @@
     }
 
     /** Words to be passed on; handed over once. */
-    List<Word> fresh(final long now) {
-        final List<Word> list = words(fresh, now);
+    List<WorkerReport> fresh(final long now) {
+        final List<WorkerReport> list = words(fresh, now);
         fresh.clear();
         return list;
     }
 
     /** All words that are neither silent nor gone, as of now. */
-    List<Word> standing(final long now) {
+    List<WorkerReport> standing(final long now) {
         return items.values().stream().filter(i -> !i.word().gone() && !i.word().silent()).map(i -> i.now(now)).toList();
     }
 
     /** The words on some workers, as of now. */
-    List<Word> words(final Collection<String> ids, final long now) {
+    List<WorkerReport> words(final Collection<String> ids, final long now) {
         return ids.stream().flatMap(id -> Optional.ofNullable(items.get(id)).stream()).map(i -> i.now(now)).toList();
     }
 
@@ -117,7 +117,7 @@
     }
 
     /** What is newer here than these marks, which are all that another holds in these ranges. */
-    List<Word> newer(final long bits, final List<Msg.Mark> marks, final long now) {
+    List<WorkerReport> newer(final long bits, final List<Msg.Mark> marks, final long now) {
         final Map<String, Msg.Mark> map = new HashMap<>();
         marks.forEach(m -> map.put(m.id(), m));
         return items.values().stream().filter(i -> Sums.in(bits, i.word().id()))
@@ -138,20 +138,20 @@
         }
     }
 
-    /** All that a harbor knew at a moment is held here. */
+    /** All that a controller knew at a moment is held here. */
     void match(final String home, final long at) {
         matched.merge(home, at, Math::max);
     }
 
-    /** When the words here were surely the newest: at a harbor, when most harbors knew no other. */
-    Optional<Long> sure(final boolean harbor, final int harbors, final long now) {
-        if (!harbor) {
+    /** When the words here were surely the newest: at a controller, when most controllers knew no other. */
+    Optional<Long> sure(final boolean controller, final int controllers, final long now) {
+        if (!controller) {
             return sure;
         }
         final List<Long> times = new ArrayList<>(matched.values());
         times.add(now);
         times.sort((a, b) -> Long.compare(b, a));
-        final int most = harbors / 2 + 1;
+        final int most = controllers / 2 + 1;
         return times.size() < most ? Optional.empty() : Optional.of(times.get(most - 1));
     }
 
@@ -166,7 +166,7 @@
         return new Msg.Beats(roster.total(), ages);
     }
 
-    /** Takes how long ago another harbor heard each worker, dated from when it was asked. */
+    /** Takes how long ago another controller heard each worker, dated from when it was asked. */
     void beats(final Msg.Beats b, final String home, final long at) {
         final List<Item> list = list();
         if (b.roster() != roster.total() || b.ages().length != (list.size() + PACK - 1) / PACK) {
@@ -183,8 +183,8 @@
         }
     }
 
-    /** A clock event; the harbors are all that are known, without this daemon, if it is one itself. */
-    void tick(final boolean harbor, final List<Member> harbors, final long now) {
+    /** A clock event; the controllers are all that are known, without this daemon, if it is one itself. */
+    void tick(final boolean controller, final List<Member> controllers, final long now) {
         if (now - looked < LOOK) {
             return;
         }
@@ -195,10 +195,10 @@
         final List<Item> old = items.values().stream().filter(i -> (i.word().silent() || i.word().gone())
                 && i.word().age() + now - i.at() > way.forget()).toList();
         old.forEach(i -> drop(i.word()));
-        if (harbor && now - awake >= way.silent()) {
+        if (controller && now - awake >= way.silent()) {
             items.values().stream().filter(i -> !i.word().silent() && !i.word().gone() && now - i.heard() > way.silent())
-                    .filter(i -> contact(i.word().worker(), harbors, now)).toList().forEach(i -> {
-                        final Word word = new Word(i.now(now).worker(), true, false, now - i.heard());
+                    .filter(i -> contact(i.word().worker(), controllers, now)).toList().forEach(i -> {
+                        final WorkerReport word = new WorkerReport(i.now(now).worker(), true, false, now - i.heard());
                         put(new Item(word, now, i.heard(), i.own(), i.top()));
                         tell(Optional.of(i), word);
                         fresh.add(word.id());
@@ -216,11 +216,11 @@
         dirty = true;
     }
 
-    /** The workers that are not gone; at a harbor as of when they were heard, at a purser as of when it was sure. */
-    Map<String, Rumor.Heard> workers(final boolean harbor) {
+    /** The workers that are not gone; at a controller as of when they were heard, at a gateway as of when it was sure. */
+    Map<String, Gossip.Heard> workers(final boolean controller) {
         if (dirty) {
-            final Map<String, Rumor.Heard> map = new HashMap<>();
-            list().forEach(i -> map.put(i.word().id(), new Rumor.Heard(i.word().worker(), harbor ? Optional.of(i.heard()) : sure,
+            final Map<String, Gossip.Heard> map = new HashMap<>();
+            list().forEach(i -> map.put(i.word().id(), new Gossip.Heard(i.word().worker(), controller ? Optional.of(i.heard()) : sure,
                     i.word().silent(), i.at())));
             seen = Map.copyOf(map);
             dirty = false;
@@ -243,11 +243,11 @@
         return items.values().stream().filter(i -> !i.word().gone()).toList();
     }
 
-    /** Whether this harbor knows what the harbors near a worker hear: those of its zone, else its region, else all. */
-    private boolean contact(final Worker w, final List<Member> harbors, final long now) {
-        final List<Member> zone = harbors.stream().filter(m -> m.zone().equals(w.zone())).toList();
-        final List<Member> near = zone.isEmpty() ? harbors.stream().filter(m -> m.region().equals(w.region())).toList() : zone;
-        return (near.isEmpty() ? harbors : near).stream()
+    /** Whether this controller knows what the controllers near a worker hear: those of its zone, else its region, else all. */
+    private boolean contact(final Worker w, final List<Member> controllers, final long now) {
+        final List<Member> zone = controllers.stream().filter(m -> m.zone().equals(w.zone())).toList();
+        final List<Member> near = zone.isEmpty() ? controllers.stream().filter(m -> m.region().equals(w.region())).toList() : zone;
+        return (near.isEmpty() ? controllers : near).stream()
                 .allMatch(m -> Optional.ofNullable(contacts.get(m.address())).map(t -> now - t <= way.silent() / 2).orElse(false));
     }
 
@@ -261,7 +261,7 @@
         dirty = true;
     }
 
-    private void drop(final Word word) {
+    private void drop(final WorkerReport word) {
         items.remove(word.id());
         sums.remove(word.mark());
         if (!word.gone()) {
@@ -270,19 +270,19 @@
         dirty = true;
     }
 
-    private static Msg.Mark life(final Word word) {
+    private static Msg.Mark life(final WorkerReport word) {
         return new Msg.Mark(word.id(), word.worker().life(), 0);
     }
 
-    private void tell(final Optional<Item> before, final Word word) {
-        final Optional<Word> old = before.map(Item::word).filter(o -> o.worker().life() == word.worker().life());
+    private void tell(final Optional<Item> before, final WorkerReport word) {
+        final Optional<WorkerReport> old = before.map(Item::word).filter(o -> o.worker().life() == word.worker().life());
         final Worker w = word.worker();
         if (before.isEmpty() && !word.gone()) {
             logs.add(new Effect.Log(Event.WORKER_KNOWN, w.id() + " " + w.address() + " zone " + w.zone()));
         }
         if (word.gone() && before.isPresent()) {
             logs.add(new Effect.Log(Event.WORKER_GONE, w.id() + " life " + w.life()));
-        } else if (word.silent() && !old.map(Word::silent).orElse(false)) {
+        } else if (word.silent() && !old.map(WorkerReport::silent).orElse(false)) {
             logs.add(new Effect.Log(Event.WORKER_SILENT, w.id() + " for " + word.age() / 1000 + " ms"));
         } else if (w.leaving() && !old.map(o -> o.worker().leaving()).orElse(false)) {
             logs.add(new Effect.Log(Event.WORKER_LEAVING, w.id()));
@@ -294,11 +294,11 @@
      *
      * @param word  the word, its spans those of a moment
      * @param at    that moment
-     * @param heard when a harbor last heard the worker, as far as is known here
+     * @param heard when a controller last heard the worker, as far as is known here
      * @param own   when it last announced itself here
      * @param top   the highest sequence of this life
      */
-    private record Item(Word word, long at, long heard, long own, long top) {
+    private record Item(WorkerReport word, long at, long heard, long own, long top) {
         boolean late(final Worker said) {
             final long life = word.worker().life();
             return said.life() < life || said.life() == life && (word.gone() || said.sequence() <= top);
@@ -322,7 +322,7 @@
             return new Item(word, at, time, own, top);
         }
 
-        Word now(final long now) {
+        WorkerReport now(final long now) {
             return word.aged(now - at);
         }
     }
--- a/core/src/main/java/silverlatch/sheet/Sheet.java
+++ b/core/src/main/java/silverlatch/json/JsonDocument.java
@@ -1,4 +1,4 @@
-package silverlatch.sheet;
+package silverlatch.json;
 
 import io.avaje.jsonb.Jsonb;
 import java.nio.ByteBuffer;
@@ -12,7 +12,7 @@
 import java.util.Set;
 
 /** A JSON object being read and checked: each fault is noted with its path, and reading goes on to find the rest. */
-public final class Sheet {
+public final class JsonDocument {
     private static final Jsonb JSON = Jsonb.builder().build();
     private static final int DEEP = 12;
     private final String path;
@@ -20,7 +20,7 @@
     private final List<String> faults;
     private final Set<String> asked = new HashSet<>();
 
-    private Sheet(final String path, final Map<?, ?> fields, final List<String> faults) {
+    private JsonDocument(final String path, final Map<?, ?> fields, final List<String> faults) {
         this.path = path;
         this.fields = fields;
         this.faults = faults;
@@ -29,7 +29,7 @@
     /** What parsing gave. */
     public sealed interface Parsed {
         /** An object to read. */
-        record Good(Sheet sheet) implements Parsed {
+        record Good(JsonDocument sheet) implements Parsed {
         }
 
         /** Not one: the HTTP-like code and why. */
@@ -42,7 +42,7 @@
         if (body.length > most) {
             return new Parsed.Bad(413, "$: larger than " + most + " bytes");
         }
-        switch (Shape.of(body, DEEP)) {
+        switch (JsonSchema.of(body, DEEP)) {
             case DEEP -> {
                 return new Parsed.Bad(422, "$: deeper than " + DEEP + " levels");
             }
@@ -54,7 +54,7 @@
         }
         try {
             final Object root = JSON.type(Object.class).fromJson(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString());
-            return root instanceof Map<?, ?> map ? new Parsed.Good(new Sheet("$", map, new ArrayList<>()))
+            return root instanceof Map<?, ?> map ? new Parsed.Good(new JsonDocument("$", map, new ArrayList<>()))
                     : new Parsed.Bad(400, "$: an object is needed");
         } catch (final CharacterCodingException e) {
             return new Parsed.Bad(400, "$: not UTF-8");
@@ -69,15 +69,15 @@
     }
 
     /** The same sheet with some fields put in place of its own. */
-    public Sheet with(final Map<String, Object> more) {
+    public JsonDocument with(final Map<String, Object> more) {
         final Map<Object, Object> all = new java.util.LinkedHashMap<>(fields);
         all.putAll(more);
-        return new Sheet(path, all, faults);
+        return new JsonDocument(path, all, faults);
     }
 
     /** A sheet without any field. */
-    public static Sheet empty() {
-        return new Sheet("$", Map.of(), new ArrayList<>());
+    public static JsonDocument empty() {
+        return new JsonDocument("$", Map.of(), new ArrayList<>());
     }
 
     /** The fields as they stand. */
@@ -179,13 +179,13 @@
     }
 
     /** A list of objects; empty when there is none. */
-    public List<Sheet> sheets(final String key, final int count) {
-        final List<Sheet> list = new ArrayList<>();
+    public List<JsonDocument> sheets(final String key, final int count) {
+        final List<JsonDocument> list = new ArrayList<>();
         final List<?> raw = raw(key, count);
         for (int i = 0; i < raw.size(); i++) {
             final String at = path + "." + key + "[" + i + "]";
             if (raw.get(i) instanceof Map<?, ?> map) {
-                list.add(new Sheet(at, map, faults));
+                list.add(new JsonDocument(at, map, faults));
             } else {
                 faults.add(at + ": an object is needed");
             }
@@ -194,11 +194,11 @@
     }
 
     /** An object within this one; an empty one when there is none. */
-    public Sheet sheet(final String key) {
-        return value(key).filter(v -> v instanceof Map<?, ?>).map(v -> new Sheet(path + "." + key, (Map<?, ?>) v, faults))
+    public JsonDocument sheet(final String key) {
+        return value(key).filter(v -> v instanceof Map<?, ?>).map(v -> new JsonDocument(path + "." + key, (Map<?, ?>) v, faults))
                 .orElseGet(() -> {
                     faults.add(path + "." + key + ": an object is needed");
-                    return new Sheet(path + "." + key, Map.of(), faults);
+                    return new JsonDocument(path + "." + key, Map.of(), faults);
                 });
     }
 
--- a/core/src/main/java/silverlatch/sheet/Shape.java
+++ b/core/src/main/java/silverlatch/json/JsonSchema.java
@@ -1,7 +1,7 @@
-package silverlatch.sheet;
+package silverlatch.json;
 
 /** Whether bytes are one whole JSON value (RFC 8259) that isn't too deep; what their texts hold is not looked at. */
-final class Shape {
+final class JsonSchema {
     /** What was found. */
     enum Found { WHOLE, DEEP, BROKEN }
 
@@ -10,14 +10,14 @@
     private int at;
     private boolean deep;
 
-    private Shape(final byte[] body, final int most) {
+    private JsonSchema(final byte[] body, final int most) {
         this.body = body;
         this.most = most;
     }
 
     /** Looks at bytes; so many levels are not too deep. */
     static Found of(final byte[] body, final int most) {
-        final Shape s = new Shape(body, most);
+        final JsonSchema s = new JsonSchema(body, most);
         final boolean good = s.value(0) && s.peek() < 0;
         return s.deep ? Found.DEEP : good ? Found.WHOLE : Found.BROKEN;
     }
--- /dev/null
+++ b/core/src/main/java/silverlatch/log/LogRecord.java
@@ -0,0 +1,47 @@
+package silverlatch.log;
+
+import java.util.List;
+import silverlatch.replication.LogEntry;
+import silverlatch.replication.View;
+import silverlatch.state.Entry;
+
+/** What is written to the ledger. */
+public sealed interface LogRecord {
+    /** A change in the chain. */
+    record Appended(LogEntry change) implements LogRecord {
+    }
+
+    /** A decided view. */
+    record ViewInstalled(View view, boolean level) implements LogRecord {
+    }
+
+    /** A promise of the view register. */
+    record Promised(long number, long ballot) implements LogRecord {
+    }
+
+    /** An accepted proposal of the view register. */
+    record Accepted(long number, long ballot, View view) implements LogRecord {
+    }
+
+    /** A founding this machine agreed to. */
+    record Founding(View view) implements LogRecord {
+    }
+
+    /** Notes written and synced together. */
+    record Batch(List<LogRecord> notes) implements LogRecord {
+        /** Copies the notes. */
+        public Batch {
+            notes = List.copyOf(notes);
+        }
+    }
+
+    /** Everything up to a sequence; the roof is the newest stamp of a change. */
+    record Snapshot(long sequence, View view, boolean level, long ballot, long nodded, List<View> nod, long roof,
+                   List<Entry> entries) implements LogRecord {
+        /** Copies the lists. */
+        public Snapshot {
+            nod = List.copyOf(nod);
+            entries = List.copyOf(entries);
+        }
+    }
+}
--- a/core/src/main/java/silverlatch/ledger/Ledger.java
+++ b/core/src/main/java/silverlatch/log/WriteAheadLog.java
@@ -1,4 +1,4 @@
-package silverlatch.ledger;
+package silverlatch.log;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -21,7 +21,7 @@
  * with one checksum, and the next batch is written only after the last was synced; so a torn batch can only be the
  * last one, and a bad batch before a good one is damage.
  */
-public final class Ledger {
+public final class WriteAheadLog {
     private static final long MAGIC = 0x5349_4C56_4C41_5443L;
     private static final int HEAD = Long.BYTES + 2 * Integer.BYTES;
     private static final int LARGEST = 256 << 20;
@@ -32,7 +32,7 @@
     private FileChannel channel;
     private long number;
 
-    private Ledger(final Path folder, final FileChannel channel, final long number) {
+    private WriteAheadLog(final Path folder, final FileChannel channel, final long number) {
         this.folder = folder;
         this.channel = channel;
         this.number = number;
@@ -44,7 +44,7 @@
          * The ledger, its machine's identity, all that it held, how many bytes of a torn tail were cut off, and whether
          * the folder was made to take part in a first founding.
          */
-        record Good(Ledger ledger, String identity, List<Note> notes, long torn, boolean founder) implements Opened {
+        record Good(WriteAheadLog ledger, String identity, List<LogRecord> notes, long torn, boolean founder) implements Opened {
             /** Copies the notes. */
             public Good {
                 notes = List.copyOf(notes);
@@ -89,12 +89,12 @@
     }
 
     /** Writes notes as one batch and syncs them; a picture among them starts a new segment and frees the old ones. */
-    public void write(final List<Note> notes) throws IOException {
-        final List<Note> run = new ArrayList<>();
-        final List<Note> rest = new ArrayList<>();
-        Optional<Note.Picture> picture = Optional.empty();
-        for (final Note n : notes) {
-            if (n instanceof Note.Picture p) {
+    public void write(final List<LogRecord> notes) throws IOException {
+        final List<LogRecord> run = new ArrayList<>();
+        final List<LogRecord> rest = new ArrayList<>();
+        Optional<LogRecord.Snapshot> picture = Optional.empty();
+        for (final LogRecord n : notes) {
+            if (n instanceof LogRecord.Snapshot p) {
                 picture = Optional.of(p);
                 rest.clear();
             } else {
@@ -125,13 +125,13 @@
         final Codec codec = new Codec();
         final List<Long> pictures = numbers(folder, "picture");
         final List<Long> segments = new ArrayList<>(numbers(folder, "segment"));
-        final List<Note> notes = new ArrayList<>();
+        final List<LogRecord> notes = new ArrayList<>();
         final long first = pictures.isEmpty() ? 0 : pictures.getLast();
         if (!pictures.isEmpty()) {
             final List<byte[]> frames = new ArrayList<>();
             final byte[] all = Files.readAllBytes(folder.resolve(name("picture", first)));
             if (scan(all, frames) != all.length || frames.size() != 1
-                    || !(codec.read(frames.getFirst(), Note.class) instanceof Codec.Read.Good<Note> good)) {
+                    || !(codec.read(frames.getFirst(), LogRecord.class) instanceof Codec.Read.Good<LogRecord> good)) {
                 return new Opened.Damaged("picture " + first + " is damaged");
             }
             notes.add(good.thing());
@@ -155,7 +155,7 @@
                 return new Opened.Damaged("segment " + segments.get(i) + " is damaged at byte " + end);
             }
             for (final byte[] f : frames) {
-                if (!(codec.read(f, Note.Batch.class) instanceof Codec.Read.Good<Note.Batch> good)) {
+                if (!(codec.read(f, LogRecord.Batch.class) instanceof Codec.Read.Good<LogRecord.Batch> good)) {
                     return new Opened.Damaged("segment " + segments.get(i) + " holds a batch that can't be read");
                 }
                 notes.addAll(good.thing().notes());
@@ -173,7 +173,7 @@
                 StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         ch.position(ch.size());
         sync(folder);
-        return new Opened.Good(new Ledger(folder, ch, last), identity, notes, torn, Files.exists(folder.resolve(FOUNDER)));
+        return new Opened.Good(new WriteAheadLog(folder, ch, last), identity, notes, torn, Files.exists(folder.resolve(FOUNDER)));
     }
 
     private static int scan(final byte[] all, final List<byte[]> frames) {
@@ -218,8 +218,8 @@
                 .putInt(sum(body, 0, body.length)).put(body).array();
     }
 
-    private void batch(final List<Note> notes) throws IOException {
-        final ByteBuffer bytes = ByteBuffer.wrap(frame(codec.write(new Note.Batch(notes))));
+    private void batch(final List<LogRecord> notes) throws IOException {
+        final ByteBuffer bytes = ByteBuffer.wrap(frame(codec.write(new LogRecord.Batch(notes))));
         while (bytes.hasRemaining()) {
             channel.write(bytes);
         }
--- a/core/src/main/java/silverlatch/crew/Member.java
+++ b/core/src/main/java/silverlatch/membership/Member.java
@@ -1,4 +1,4 @@
-package silverlatch.crew;
+package silverlatch.membership;
 
 import java.util.Optional;
 
@@ -6,7 +6,7 @@
  * A daemon of the fleet as the others know it.
  *
  * @param id      its name
- * @param role    purser or harbor
+ * @param role    gateway or controller
  * @param zone    its zone
  * @param region  its region
  * @param address where it takes frames
@@ -49,9 +49,9 @@
         return state.equals("up") || state.equals("suspect");
     }
 
-    /** Whether it is a purser. */
-    public boolean purser() {
-        return role.equals("purser");
+    /** Whether it is a gateway. */
+    public boolean gateway() {
+        return role.equals("gateway");
     }
 
     private static int grave(final String state) {
--- a/core/src/main/java/silverlatch/crew/Crew.java
+++ b/core/src/main/java/silverlatch/membership/Membership.java
@@ -1,4 +1,4 @@
-package silverlatch.crew;
+package silverlatch.membership;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -7,18 +7,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import silverlatch.chart.Chart;
-import silverlatch.deck.Effect;
-import silverlatch.deck.Event;
+import silverlatch.statemachine.TransitionTable;
+import silverlatch.node.Effect;
+import silverlatch.node.Event;
 import silverlatch.wire.Msg;
 
 /** Who is in the fleet and who lives: joining by seeds, heartbeats to watchers named by the ring, suspicion as news. */
-public final class Crew {
+public final class Membership {
     private static final int WATCHERS = 3;
     private static final long SOON = 200_000L;
     private final Times times;
     private List<String> seeds;
-    private final Chart chart = Chart.load("member");
+    private final TransitionTable chart = TransitionTable.load("member");
     private final Map<String, Member> members = new TreeMap<>();
     private final Map<String, Long> beats = new HashMap<>();
     private final Map<String, Long> since = new HashMap<>();
@@ -53,7 +53,7 @@
     }
 
     /** A daemon that knows itself and its seeds. */
-    public Crew(final Member me, final List<String> seeds, final Times times) {
+    public Membership(final Member me, final List<String> seeds, final Times times) {
         this.me = me;
         this.seeds = List.copyOf(seeds);
         this.times = times;
@@ -125,7 +125,7 @@
     }
 
     /** Takes a message. */
-    public void on(final Msg msg, final long now, final long phys, final silverlatch.tide.Stamp floor) {
+    public void on(final Msg msg, final long now, final long phys, final silverlatch.clock.Stamp floor) {
         switch (msg) {
             case Msg.Hail m -> {
                 hear(m.me(), now);
--- a/core/src/main/java/silverlatch/deck/Effect.java
+++ b/core/src/main/java/silverlatch/node/Effect.java
@@ -1,7 +1,7 @@
-package silverlatch.deck;
+package silverlatch.node;
 
 import java.util.List;
-import silverlatch.ledger.Note;
+import silverlatch.log.LogRecord;
 import silverlatch.wire.Msg;
 
 /** What a core wants done in the world outside. */
@@ -11,7 +11,7 @@
     }
 
     /** Write to the ledger and sync, then report the token. */
-    record Keep(long token, List<Note> notes) implements Effect {
+    record Keep(long token, List<LogRecord> notes) implements Effect {
     }
 
     /** An asked-for outcome is known. */
--- a/core/src/main/java/silverlatch/deck/Event.java
+++ b/core/src/main/java/silverlatch/node/Event.java
@@ -1,4 +1,4 @@
-package silverlatch.deck;
+package silverlatch.node;
 
 /** The numbered events of the log; docs/log-events.md is their catalogue. */
 public enum Event {
@@ -78,7 +78,7 @@
     WORKER_LEAVING(603, false),
     /** A worker broke the rules of the stream. */
     WORKER_BROKE(604, true),
-    /** No harbor has heard from a worker for long. */
+    /** No controller has heard from a worker for long. */
     WORKER_SILENT(605, true),
     /** A worker's life is over. */
     WORKER_GONE(606, false),
--- a/core/src/main/java/silverlatch/deck/Deck.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -1,4 +1,4 @@
-package silverlatch.deck;
+package silverlatch.node;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -8,24 +8,24 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import silverlatch.carry.Facts;
-import silverlatch.crew.Crew;
-import silverlatch.crew.Member;
-import silverlatch.guard.Guards;
-import silverlatch.ledger.Note;
-import silverlatch.quay.Clerk;
-import silverlatch.quay.Quay;
-import silverlatch.quay.View;
-import silverlatch.rumor.Rumor;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Policy;
-import silverlatch.tariff.Wish;
-import silverlatch.tide.Anchor;
-import silverlatch.tide.Keeper;
-import silverlatch.tide.Ntp;
-import silverlatch.tide.Stamp;
-import silverlatch.tide.Step;
-import silverlatch.tide.Tide;
+import silverlatch.dispatch.Facts;
+import silverlatch.membership.Membership;
+import silverlatch.membership.Member;
+import silverlatch.safeguard.Safeguards;
+import silverlatch.log.LogRecord;
+import silverlatch.replication.ChainClient;
+import silverlatch.replication.ChainReplica;
+import silverlatch.replication.View;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
+import silverlatch.state.Policy;
+import silverlatch.state.Command;
+import silverlatch.clock.PhysicalClock;
+import silverlatch.clock.ProcessClock;
+import silverlatch.clock.Ntp;
+import silverlatch.clock.Stamp;
+import silverlatch.clock.ClockReading;
+import silverlatch.clock.PwcClock;
 import silverlatch.wire.Frame;
 import silverlatch.wire.Msg;
 
@@ -33,15 +33,15 @@
  * What every daemon runs: clock, crew, news, and the chain where there is a data folder. It does no input or output.
  * One duty owns it; only the clock's keeper is shared.
  */
-public final class Deck {
+public final class Node {
     private static final long SAMPLE = 4_000_000L;
     private static final int LOOPS = 10_000;
     private final Setup setup;
-    private final Crew crew;
-    private final Rumor rumor;
-    private final Clerk clerk;
-    private final Optional<Quay> quay;
-    private final Keeper keeper;
+    private final Membership crew;
+    private final Gossip rumor;
+    private final ChainClient clerk;
+    private final Optional<ChainReplica> quay;
+    private final ProcessClock keeper;
     private final Map<String, Sample> samples = new HashMap<>();
     private final Deque<Parked<Ship>> going = new ArrayDeque<>();
     private final Deque<Parked<Frame>> coming = new ArrayDeque<>();
@@ -49,7 +49,7 @@
     private final List<Ship> ships = new ArrayList<>();
     private final List<Effect> out = new ArrayList<>();
     private final Map<String, Long> tally = new HashMap<>();
-    private volatile Anchor anchor;
+    private volatile PhysicalClock anchor;
     private long begun;
     private long judged;
     private long slewed;
@@ -59,39 +59,39 @@
     private long policyPage;
 
     /** A daemon's place and settings; skew in microseconds. */
-    public record Setup(Member me, List<String> seeds, int low, long skew, Crew.Times crew, Rumor.Times rumor, Guards guards) {
+    public record Setup(Member me, List<String> seeds, int low, long skew, Membership.Times crew, Gossip.Times rumor, Safeguards guards) {
         /** Copies the seeds. */
         public Setup {
             seeds = List.copyOf(seeds);
         }
 
         /** A place and settings with all guards standing. */
-        public Setup(final Member me, final List<String> seeds, final int low, final long skew, final Crew.Times crew, final Rumor.Times rumor) {
-            this(me, seeds, low, skew, crew, rumor, Guards.ALL);
+        public Setup(final Member me, final List<String> seeds, final int low, final long skew, final Membership.Times crew, final Gossip.Times rumor) {
+            this(me, seeds, low, skew, crew, rumor, Safeguards.ALL);
         }
     }
 
-    /** A daemon as it starts: its anchor, and for a harbor with a data folder its chain setup and what the ledger held. */
-    public Deck(final Setup setup, final Optional<Quay.Setup> chain, final List<Note> notes, final Anchor anchor,
+    /** A daemon as it starts: its anchor, and for a controller with a data folder its chain setup and what the ledger held. */
+    public Node(final Setup setup, final Optional<ChainReplica.Setup> chain, final List<LogRecord> notes, final PhysicalClock anchor,
                 final RandomGenerator luck, final long now) {
         this.setup = setup;
         this.anchor = anchor;
         this.begun = now;
         final long phys = anchor.phys(now);
-        final Tide tide = Tide.start(phys, setup.low(), Ntp.span(setup.skew()), 0);
-        this.keeper = new Keeper(tide, setup.guards());
+        final PwcClock tide = PwcClock.start(phys, setup.low(), Ntp.span(setup.skew()), 0);
+        this.keeper = new ProcessClock(tide, setup.guards());
         this.floor = floor(notes);
-        this.crew = new Crew(setup.me(), setup.seeds(), setup.crew());
-        this.rumor = new Rumor(crew, luck, setup.rumor(), setup.guards());
-        this.quay = chain.map(c -> new Quay(c.under(setup.guards()), notes, this::local, now));
-        this.clerk = new Clerk(setup.me().address(), this::view, luck.nextLong() >>> 8);
+        this.crew = new Membership(setup.me(), setup.seeds(), setup.crew());
+        this.rumor = new Gossip(crew, luck, setup.rumor(), setup.guards());
+        this.quay = chain.map(c -> new ChainReplica(c.under(setup.guards()), notes, this::local, now));
+        this.clerk = new ChainClient(setup.me().address(), this::view, luck.nextLong() >>> 8);
         this.quay.ifPresent(q -> rumor.own(q.books(), q.view(), false, now));
     }
 
-    private static Optional<Stamp> floor(final List<Note> notes) {
+    private static Optional<Stamp> floor(final List<LogRecord> notes) {
         return notes.stream().flatMap(n -> switch (n) {
-            case Note.Deed d -> java.util.stream.Stream.of(d.change().stamp());
-            case Note.Picture p -> java.util.stream.Stream.of(new Stamp(p.roof()));
+            case LogRecord.Appended d -> java.util.stream.Stream.of(d.change().stamp());
+            case LogRecord.Snapshot p -> java.util.stream.Stream.of(new Stamp(p.roof()));
             default -> java.util.stream.Stream.<Stamp>empty();
         }).max(Stamp::compareTo);
     }
@@ -102,27 +102,27 @@
     }
 
     /** The clock's keeper, shared by the duties of the process. */
-    public Keeper keeper() {
+    public ProcessClock keeper() {
         return keeper;
     }
 
     /** The physical clock. */
-    public Anchor anchor() {
+    public PhysicalClock anchor() {
         return anchor;
     }
 
     /** Who is there. */
-    public Crew crew() {
+    public Membership crew() {
         return crew;
     }
 
     /** The news. */
-    public Rumor rumor() {
+    public Gossip rumor() {
         return rumor;
     }
 
-    /** The chain, at a harbor with a data folder. */
-    public Optional<Quay> quay() {
+    /** The chain, at a controller with a data folder. */
+    public Optional<ChainReplica> quay() {
         return quay;
     }
 
@@ -134,7 +134,7 @@
     /** The newest view known here. */
     public View view() {
         final View heard = rumor.view();
-        return quay.map(Quay::view).filter(v -> v.number() >= heard.number()).orElse(heard);
+        return quay.map(ChainReplica::view).filter(v -> v.number() >= heard.number()).orElse(heard);
     }
 
     /** Whether a frame waits for the clock. */
@@ -152,7 +152,7 @@
         final long now = begun;
         final Optional<Long> sure = rumor.age(now) == Long.MAX_VALUE ? Optional.empty() : Optional.of(now - rumor.age(now));
         return new Facts(crew.me(), rumor.books().page(), sure.filter(s -> mustered), policy, rumor.workers(),
-                crew.live().stream().filter(Member::purser).toList());
+                crew.live().stream().filter(Member::gateway).toList());
     }
 
     /** A frame came in. */
@@ -182,7 +182,7 @@
     }
 
     /** Someone here wishes for a change. */
-    public void wish(final Wish wish, final long token, final long now, final long expiry) {
+    public void wish(final Command wish, final long token, final long now, final long expiry) {
         step(now);
         clerk.wish(wish, token, now, expiry);
         settle(now);
@@ -218,7 +218,7 @@
     public void leave(final long now) {
         step(now);
         crew.leave();
-        quay.ifPresent(Quay::leave);
+        quay.ifPresent(ChainReplica::leave);
         settle(now);
     }
 
@@ -272,14 +272,14 @@
         final long phys = anchor.phys(now);
         final Sample sample = new Sample(f.stamp().bits() - phys, now);
         switch (keeper.take(f.stamp(), phys)) {
-            case Step.Made made -> {
+            case ClockReading.Made made -> {
                 samples.put(f.home(), new Sample(0, now));
                 deliver(f, now, phys);
             }
-            case Step.Wait wait -> {
+            case ClockReading.Wait wait -> {
                 return false;
             }
-            case Step.Far far -> {
+            case ClockReading.Far far -> {
                 count("far");
                 samples.put(f.home(), sample);
                 out.add(new Effect.Log(Event.FAR_STAMP, f.from() + " is ahead by " + Ntp.micros(far.units()) + " us too many"));
@@ -320,8 +320,8 @@
             case Msg.Tell m -> rumor.on(m, home, now);
             case Msg.Marks m -> rumor.on(m, home, now);
             case Msg.Bodies m -> rumor.on(m, home, now);
-            case Msg.Wrote m -> clerk.on(m);
-            case Msg.Seen m -> clerk.on(m);
+            case Msg.WriteReply m -> clerk.on(m);
+            case Msg.ReadReply m -> clerk.on(m);
             case Msg.Astray m -> {
                 out.add(new Effect.Log(Event.ASTRAY, home + " says by " + Ntp.micros(m.units()) + " us too many"));
                 samples.put(home, new Sample(m.phys() - phys, now));
@@ -376,7 +376,7 @@
     }
 
     private void late(final Deque<? extends Parked<?>> list, final long now) {
-        while (!list.isEmpty() && now - list.peek().at() > Keeper.BOUND) {
+        while (!list.isEmpty() && now - list.peek().at() > ProcessClock.BOUND) {
             list.poll();
             keeper.drop(now);
             count("overflow");
@@ -385,7 +385,7 @@
     }
 
     private boolean stamp(final Ship s, final long now) {
-        if (keeper.send(anchor.phys(now)) instanceof Step.Made made) {
+        if (keeper.send(anchor.phys(now)) instanceof ClockReading.Made made) {
             ships.add(new Ship(s.to(), new Frame(made.stamp(), rumor.fleet(), setup.me().id(), setup.me().address(),
                     crew.me().life(), s.frame().body())));
             return true;
--- a/core/src/main/java/silverlatch/deck/Ship.java
+++ b/core/src/main/java/silverlatch/node/Ship.java
@@ -1,4 +1,4 @@
-package silverlatch.deck;
+package silverlatch.node;
 
 import silverlatch.wire.Frame;
 
--- a/core/src/main/java/silverlatch/judge/Case.java
+++ b/core/src/main/java/silverlatch/placement/Case.java
@@ -1,8 +1,8 @@
-package silverlatch.judge;
+package silverlatch.placement;
 
 import java.util.List;
 import java.util.Set;
-import silverlatch.tariff.Leaf;
+import silverlatch.state.Value;
 
 /**
  * A ticket as the judges see it.
@@ -15,7 +15,7 @@
  * @param region the carrier's region
  * @param empty  the zones that are being emptied
  */
-public record Case(String ticket, Leaf.Tenant tenant, Leaf.Row row, List<Long> prefix, String zone, String region, Set<String> empty) {
+public record Case(String ticket, Value.Tenant tenant, Value.Row row, List<Long> prefix, String zone, String region, Set<String> empty) {
     /** Copies the collections. */
     public Case {
         prefix = List.copyOf(prefix);
--- a/core/src/main/java/silverlatch/judge/Sight.java
+++ b/core/src/main/java/silverlatch/placement/PlacementInput.java
@@ -1,19 +1,19 @@
-package silverlatch.judge;
+package silverlatch.placement;
 
-import silverlatch.rumor.Worker;
+import silverlatch.gossip.Worker;
 
 /**
- * A worker as one purser sees it at the moment of a pick.
+ * A worker as one gateway sees it at the moment of a pick.
  *
  * @param worker  its newest word
  * @param age     how old that word can be, in microseconds
- * @param since   runs this purser sent there that the word can't count yet
- * @param mine    runs of this purser under way there
+ * @param since   runs this gateway sent there that the word can't count yet
+ * @param mine    runs of this gateway under way there
  * @param back    microseconds since it came back after a silence
  * @param shunned whether a try there failed just now
- * @param peers   how many pursers share it
+ * @param peers   how many gateways share it
  */
-public record Sight(Worker worker, long age, int since, int mine, long back, boolean shunned, int peers) {
+public record PlacementInput(Worker worker, long age, int since, int mine, long back, boolean shunned, int peers) {
     private static final long RAMP = 6_000_000L;
     private static final double LOW = 0.1;
 
@@ -33,7 +33,7 @@
         return Math.max(1, (int) Math.floor(worker.slots() * warmth()));
     }
 
-    /** How many runs this purser alone may have there while it warms up. */
+    /** How many runs this gateway alone may have there while it warms up. */
     public int part() {
         return warmth() >= 1 ? worker.slots() : Math.max(1, (int) Math.ceil(2.0 * cap() / Math.max(1, peers)));
     }
--- a/core/src/main/java/silverlatch/judge/Judge.java
+++ b/core/src/main/java/silverlatch/placement/Scorer.java
@@ -1,7 +1,7 @@
-package silverlatch.judge;
+package silverlatch.placement;
 
 /** One small view on a placement. */
-public interface Judge {
+public interface Scorer {
     /** The name under which its findings are told. */
     String name();
 
@@ -9,5 +9,5 @@
     double weight(Case ticket);
 
     /** What it finds. */
-    Finding weigh(Case ticket, Sight worker);
+    ScorerResult weigh(Case ticket, PlacementInput worker);
 }
--- a/core/src/main/java/silverlatch/judge/Court.java
+++ b/core/src/main/java/silverlatch/placement/WeightedScorers.java
@@ -1,64 +1,64 @@
-package silverlatch.judge;
+package silverlatch.placement;
 
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import silverlatch.guard.Guard;
-import silverlatch.guard.Guards;
-import silverlatch.judge.bench.Cold;
-import silverlatch.judge.bench.Cross;
-import silverlatch.judge.bench.Home;
-import silverlatch.judge.bench.Lease;
-import silverlatch.judge.bench.Load;
-import silverlatch.judge.bench.Prefix;
-import silverlatch.judge.bench.Zone;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
+import silverlatch.placement.scorer.Cold;
+import silverlatch.placement.scorer.Cross;
+import silverlatch.placement.scorer.Home;
+import silverlatch.placement.scorer.Lease;
+import silverlatch.placement.scorer.Load;
+import silverlatch.placement.scorer.Prefix;
+import silverlatch.placement.scorer.Zone;
 
 /** Hears all judges on all workers and picks. */
-public final class Court {
+public final class WeightedScorers {
     private static final double NEAR = 0.08;
-    private final List<Judge> judges;
+    private final List<Scorer> judges;
 
     /** A court of the given judges. */
-    public Court(final List<Judge> judges) {
+    public WeightedScorers(final List<Scorer> judges) {
         this.judges = List.copyOf(judges);
     }
 
     /** The judges of the product; a word on a worker counts up to the given age. */
-    public static Court full(final long oldest) {
-        return full(oldest, Guards.ALL);
+    public static WeightedScorers full(final long oldest) {
+        return full(oldest, Safeguards.ALL);
     }
 
     /** The same, without the judges whose guard is down. */
-    public static Court full(final long oldest, final Guards guards) {
-        final List<Judge> all = new ArrayList<>(List.of(new Prefix(), new Load(), new Cross()));
+    public static WeightedScorers full(final long oldest, final Safeguards guards) {
+        final List<Scorer> all = new ArrayList<>(List.of(new Prefix(), new Load(), new Cross()));
         all.addAll(sworn(oldest, guards));
-        if (guards.stands(Guard.RAMP)) {
-            all.add(new Cold(guards.stands(Guard.WARM)));
+        if (guards.stands(Safeguard.RAMP)) {
+            all.add(new Cold(guards.stands(Safeguard.WARM)));
         }
-        return new Court(all);
+        return new WeightedScorers(all);
     }
 
     /** The judges that are heard once more at the instant of dispatch. */
-    public static Court last(final long oldest, final Guards guards) {
-        return new Court(sworn(oldest, guards));
+    public static WeightedScorers last(final long oldest, final Safeguards guards) {
+        return new WeightedScorers(sworn(oldest, guards));
     }
 
-    private static List<Judge> sworn(final long oldest, final Guards guards) {
-        final List<Judge> all = new ArrayList<>();
-        if (guards.stands(Guard.SERVED)) {
+    private static List<Scorer> sworn(final long oldest, final Safeguards guards) {
+        final List<Scorer> all = new ArrayList<>();
+        if (guards.stands(Safeguard.SERVED)) {
             all.add(new Home());
         }
-        if (guards.stands(Guard.ZONE)) {
+        if (guards.stands(Safeguard.ZONE)) {
             all.add(new Zone());
         }
-        all.add(new Lease(guards.stands(Guard.WORD) ? oldest : Long.MAX_VALUE));
+        all.add(new Lease(guards.stands(Safeguard.WORD) ? oldest : Long.MAX_VALUE));
         return all;
     }
 
     /** One judge's finding on one worker, with the weight it had. */
-    public record Opinion(String worker, String judge, Finding finding, double weight) {
+    public record Opinion(String worker, String judge, ScorerResult finding, double weight) {
     }
 
     /** What the court decides. */
@@ -67,7 +67,7 @@
         List<Opinion> opinions();
 
         /** This worker. */
-        record Picked(Sight worker, List<Opinion> opinions) implements Ruling {
+        record Picked(PlacementInput worker, List<Opinion> opinions) implements Ruling {
         }
 
         /** None now, but one may have room in a moment. */
@@ -80,23 +80,23 @@
     }
 
     /** Picks a worker for a ticket. */
-    public Ruling pick(final Case ticket, final List<Sight> workers, final RandomGenerator luck) {
+    public Ruling pick(final Case ticket, final List<PlacementInput> workers, final RandomGenerator luck) {
         final List<Opinion> all = new ArrayList<>();
         final List<Rated> rated = new ArrayList<>();
         boolean later = false;
-        for (final Sight w : workers) {
+        for (final PlacementInput w : workers) {
             double sum = 0;
             double most = 0;
             boolean veto = false;
             boolean wait = false;
-            for (final Judge j : judges) {
+            for (final Scorer j : judges) {
                 final double weight = j.weight(ticket);
-                final Finding f = j.weigh(ticket, w);
+                final ScorerResult f = j.weigh(ticket, w);
                 all.add(new Opinion(w.worker().id(), j.name(), f, weight));
                 switch (f) {
-                    case Finding.Score s -> sum += weight * s.value();
-                    case Finding.Veto v -> veto = true;
-                    case Finding.Later l -> wait = true;
+                    case ScorerResult.Score s -> sum += weight * s.value();
+                    case ScorerResult.Veto v -> veto = true;
+                    case ScorerResult.Later l -> wait = true;
                 }
                 most += weight;
             }
@@ -118,8 +118,8 @@
     }
 
     /** Whether any judge still stands against the worker, at the instant of dispatch. */
-    public boolean stands(final Case ticket, final Sight worker) {
-        return judges.stream().allMatch(j -> j.weigh(ticket, worker) instanceof Finding.Score);
+    public boolean stands(final Case ticket, final PlacementInput worker) {
+        return judges.stream().allMatch(j -> j.weigh(ticket, worker) instanceof ScorerResult.Score);
     }
 
     private static double free(final Rated r) {
@@ -135,6 +135,6 @@
         return sum ^ sum >>> 31;
     }
 
-    private record Rated(Sight worker, double total) {
+    private record Rated(PlacementInput worker, double total) {
     }
 }
--- a/core/src/main/java/silverlatch/judge/bench/Cold.java
+++ b/core/src/main/java/silverlatch/placement/scorer/Cold.java
@@ -1,12 +1,12 @@
-package silverlatch.judge.bench;
+package silverlatch.placement.scorer;
 
-import silverlatch.judge.Case;
-import silverlatch.judge.Finding;
-import silverlatch.judge.Judge;
-import silverlatch.judge.Sight;
+import silverlatch.placement.Case;
+import silverlatch.placement.ScorerResult;
+import silverlatch.placement.Scorer;
+import silverlatch.placement.PlacementInput;
 
 /** Spares a worker that just came, and lets it take more step by step. */
-public final class Cold implements Judge {
+public final class Cold implements Scorer {
     private static final long EVER = 1_000_000_000_000L;
     private final boolean grows;
 
@@ -26,14 +26,14 @@
     }
 
     @Override
-    public Finding weigh(final Case ticket, final Sight worker) {
+    public ScorerResult weigh(final Case ticket, final PlacementInput worker) {
         final double warmth = worker.warmth();
         if (!grows && worker.back() < EVER) {
-            return new Finding.Later("it is never warm");
+            return new ScorerResult.Later("it is never warm");
         }
         if (warmth < 1 && (worker.busy() >= worker.cap() || worker.mine() >= worker.part())) {
-            return new Finding.Later("it warms up, " + worker.cap() + " at once for now");
+            return new ScorerResult.Later("it warms up, " + worker.cap() + " at once for now");
         }
-        return new Finding.Score(warmth);
+        return new ScorerResult.Score(warmth);
     }
 }
--- /dev/null
+++ b/core/src/main/java/silverlatch/placement/scorer/Load.java
@@ -0,0 +1,28 @@
+package silverlatch.placement.scorer;
+
+import silverlatch.placement.Case;
+import silverlatch.placement.ScorerResult;
+import silverlatch.placement.Scorer;
+import silverlatch.placement.PlacementInput;
+
+/** Favours a worker with free slots, and waits for a full one. */
+public final class Load implements Scorer {
+    @Override
+    public String name() {
+        return "load";
+    }
+
+    @Override
+    public double weight(final Case ticket) {
+        return ticket.row().load();
+    }
+
+    @Override
+    public ScorerResult weigh(final Case ticket, final PlacementInput worker) {
+        final int slots = Math.max(1, worker.worker().slots());
+        if (worker.busy() >= slots || worker.mine() >= slots) {
+            return new ScorerResult.Later("all " + slots + " slots are taken");
+        }
+        return new ScorerResult.Score(1 - (double) worker.busy() / slots);
+    }
+}
--- a/core/src/main/java/silverlatch/judge/bench/Prefix.java
+++ b/core/src/main/java/silverlatch/placement/scorer/Prefix.java
@@ -1,13 +1,13 @@
-package silverlatch.judge.bench;
+package silverlatch.placement.scorer;
 
 import java.util.List;
-import silverlatch.judge.Case;
-import silverlatch.judge.Finding;
-import silverlatch.judge.Judge;
-import silverlatch.judge.Sight;
+import silverlatch.placement.Case;
+import silverlatch.placement.ScorerResult;
+import silverlatch.placement.Scorer;
+import silverlatch.placement.PlacementInput;
 
 /** Favours a worker that keeps the longest part of the prefix. */
-public final class Prefix implements Judge {
+public final class Prefix implements Scorer {
     @Override
     public String name() {
         return "prefix";
@@ -19,12 +19,12 @@
     }
 
     @Override
-    public Finding weigh(final Case ticket, final Sight worker) {
+    public ScorerResult weigh(final Case ticket, final PlacementInput worker) {
         final List<Long> want = ticket.prefix();
         int held = 0;
         while (held < want.size() && worker.worker().kept().contains(want.get(held))) {
             held++;
         }
-        return new Finding.Score(want.isEmpty() ? 0 : (double) held / want.size());
+        return new ScorerResult.Score(want.isEmpty() ? 0 : (double) held / want.size());
     }
 }
--- a/core/src/main/java/silverlatch/quay/Clerk.java
+++ b/core/src/main/java/silverlatch/replication/ChainClient.java
@@ -1,17 +1,17 @@
-package silverlatch.quay;
+package silverlatch.replication;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
-import silverlatch.deck.Effect;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
+import silverlatch.node.Effect;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
 import silverlatch.wire.Msg;
 
 /** Carries wishes to the head and questions to the tail for one daemon, until they are decided or their time is up. */
-public final class Clerk {
+public final class ChainClient {
     private static final long AGAIN = 250_000L;
     private final String home;
     private final Supplier<View> views;
@@ -21,14 +21,14 @@
     private long number;
 
     /** A clerk of the daemon that listens at the address. */
-    public Clerk(final String home, final Supplier<View> views, final long first) {
+    public ChainClient(final String home, final Supplier<View> views, final long first) {
         this.home = home;
         this.views = views;
         this.ask = first;
     }
 
     /** The tail's reply to a question; ok is false when none came in time. */
-    public record Page(boolean ok, long sequence, List<silverlatch.tariff.Entry> entries) {
+    public record Page(boolean ok, long sequence, List<silverlatch.state.Entry> entries) {
         /** Copies the entries. */
         public Page {
             entries = List.copyOf(entries);
@@ -36,26 +36,26 @@
     }
 
     /** Sends a wish; the outcome comes as an answer under the token, a verdict. */
-    public void wish(final Wish wish, final long token, final long now, final long expiry) {
+    public void wish(final Command wish, final long token, final long now, final long expiry) {
         ask++;
-        open(ask, new Open(new Msg.Write(ask, home, wish), true, token, now, expiry), now);
+        open(ask, new Open(new Msg.WriteRequest(ask, home, wish), true, token, now, expiry), now);
     }
 
     /** Asks the tail; the outcome comes as an answer under the token, a page. */
     public void read(final String start, final long token, final long now, final long expiry) {
         ask++;
-        open(ask, new Open(new Msg.Read(ask, home, start), false, token, now, expiry), now);
+        open(ask, new Open(new Msg.ReadRequest(ask, home, start), false, token, now, expiry), now);
     }
 
     /** Takes a reply of the chain. */
     public void on(final Msg msg) {
         switch (msg) {
-            case Msg.Wrote m -> {
-                if (open.containsKey(m.ask()) && !(m.verdict() instanceof Verdict.Unknown)) {
+            case Msg.WriteReply m -> {
+                if (open.containsKey(m.ask()) && !(m.verdict() instanceof CommandResult.Unknown)) {
                     out.add(new Effect.Answer(open.remove(m.ask()).token(), m.verdict()));
                 }
             }
-            case Msg.Seen m -> {
+            case Msg.ReadReply m -> {
                 if (m.ok() && open.containsKey(m.ask())) {
                     out.add(new Effect.Answer(open.remove(m.ask()).token(), new Page(true, m.sequence(), m.entries())));
                 }
@@ -73,8 +73,8 @@
             final Open o = e.getValue();
             if (now >= o.expiry()) {
                 open.remove(e.getKey());
-                out.add(new Effect.Answer(o.token(), o.msg() instanceof Msg.Write w
-                        ? new Verdict.Unknown(w.wish().id()) : new Page(false, 0, List.of())));
+                out.add(new Effect.Answer(o.token(), o.msg() instanceof Msg.WriteRequest w
+                        ? new CommandResult.Unknown(w.wish().id()) : new Page(false, 0, List.of())));
             } else if (other || now - o.sent() >= AGAIN) {
                 open(e.getKey(), o, now);
             }
--- a/core/src/main/java/silverlatch/quay/Quay.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -1,4 +1,4 @@
-package silverlatch.quay;
+package silverlatch.replication;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -14,25 +14,25 @@
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
-import silverlatch.chart.Chart;
-import silverlatch.deck.Effect;
-import silverlatch.deck.Event;
-import silverlatch.guard.Guard;
-import silverlatch.guard.Guards;
-import silverlatch.ledger.Note;
-import silverlatch.tariff.Books;
-import silverlatch.tariff.Entry;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
-import silverlatch.tide.Stamp;
+import silverlatch.statemachine.TransitionTable;
+import silverlatch.node.Effect;
+import silverlatch.node.Event;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
+import silverlatch.log.LogRecord;
+import silverlatch.state.StateMachine;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
+import silverlatch.clock.Stamp;
 import silverlatch.wire.Msg;
 
 /**
  * The chain and the view as one machine with a data folder runs them. It does no input or output: events go in,
  * effects come out, and a write to the ledger comes back as a kept token.
  */
-public final class Quay {
+public final class ChainReplica {
     private static final int RANGES = 64;
     private static final long RECENT = 32L << 20;
     private static final int BATCH = 512;
@@ -43,18 +43,18 @@
     private static final long SWEEP = 600_000_000L;
     private final Setup setup;
     private final Supplier<Stamp> stamps;
-    private final Chart chart = Chart.load("harbor");
-    private final Books books;
+    private final TransitionTable chart = TransitionTable.load("controller");
+    private final StateMachine books;
     private final List<Effect> out = new ArrayList<>();
-    private final Deque<Change> pend = new ArrayDeque<>();
-    private final Deque<Change> recent = new ArrayDeque<>();
+    private final Deque<LogEntry> pend = new ArrayDeque<>();
+    private final Deque<LogEntry> recent = new ArrayDeque<>();
     private final Map<String, Entry> overlay = new HashMap<>();
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final Map<String, Long> granted = new HashMap<>();
     private final Map<String, Long> heard = new HashMap<>();
     private final Map<String, Sought> sought = new TreeMap<>();
-    private final Map<String, Msg.Join> joins = new TreeMap<>();
-    private final Map<Long, List<Msg.Write>> waits = new HashMap<>();
+    private final Map<String, Msg.JoinRequest> joins = new TreeMap<>();
+    private final Map<Long, List<Msg.WriteRequest>> waits = new HashMap<>();
     private final List<Late> late = new ArrayList<>();
     private final List<Early> early = new ArrayList<>();
     private final Set<String> agreed = new HashSet<>();
@@ -91,11 +91,11 @@
     private boolean joining;
 
     /** A machine as its ledger left it. */
-    public Quay(final Setup setup, final List<Note> notes, final Supplier<Stamp> stamps, final long now) {
+    public ChainReplica(final Setup setup, final List<LogRecord> notes, final Supplier<Stamp> stamps, final long now) {
         this.setup = setup;
         this.stamps = stamps;
         this.seats = setup.seats();
-        this.books = new Books(setup.guards());
+        this.books = new StateMachine(setup.guards());
         this.spot = chart.start();
         notes.forEach(this::recall);
         floor = now + setup.lease();
@@ -122,20 +122,20 @@
      * @param most   how many machines vote where so many are there
      * @param found  whether this machine may take part in a first founding
      */
-    public record Setup(Berth me, List<String> seats, long lease, long ask, long suspect, long swap, long stall, int copies, int most,
-                        boolean found, Guards guards) {
+    public record Setup(Replica me, List<String> seats, long lease, long ask, long suspect, long swap, long stall, int copies, int most,
+                        boolean found, Safeguards guards) {
         /** Copies the seats. */
         public Setup {
             seats = List.copyOf(seats);
         }
 
         /** The times that hold when nothing is said. */
-        public static Setup of(final Berth me, final List<String> seats) {
-            return new Setup(me, seats, 600_000L, 120_000L, 800_000L, 5_000_000L, 1_000_000L, 2, 3, true, Guards.ALL);
+        public static Setup of(final Replica me, final List<String> seats) {
+            return new Setup(me, seats, 600_000L, 120_000L, 800_000L, 5_000_000L, 1_000_000L, 2, 3, true, Safeguards.ALL);
         }
 
         /** The same under the guards that stand. */
-        public Setup under(final Guards standing) {
+        public Setup under(final Safeguards standing) {
             return new Setup(me, seats, lease, ask, suspect, swap, stall, copies, most, found, standing);
         }
 
@@ -162,7 +162,7 @@
     }
 
     /** The committed books; the caller does not change them. */
-    public Books books() {
+    public StateMachine books() {
         return books;
     }
 
@@ -193,26 +193,26 @@
             return;
         }
         switch (msg) {
-            case Msg.Seek m -> seek(m, now);
-            case Msg.Found m -> found(m, home);
-            case Msg.Agreed m -> agreed(m, now);
-            case Msg.Lease m -> lease(m, now);
-            case Msg.Grant m -> grant(m, now);
-            case Msg.Decided m -> adopt(m.view(), now);
+            case Msg.Discover m -> seek(m, now);
+            case Msg.Bootstrap m -> found(m, home);
+            case Msg.BootstrapAgreed m -> agreed(m, now);
+            case Msg.LeaseRequest m -> lease(m, now);
+            case Msg.LeaseGrant m -> grant(m, now);
+            case Msg.ViewDecided m -> adopt(m.view(), now);
             case Msg.Prepare m -> prepare(m, home);
             case Msg.Promise m -> promise(m, now);
             case Msg.Accept m -> accept(m, home);
             case Msg.Accepted m -> accepted(m, now);
-            case Msg.Outbid m -> outbid(m);
-            case Msg.Pass m -> pass(m, now);
-            case Msg.Acked m -> acked(m);
-            case Msg.Level m -> level(m);
-            case Msg.Reach m -> reach(m, home);
-            case Msg.Compare m -> compare(m);
-            case Msg.Mend m -> mend(m);
-            case Msg.Join m -> joins.put(m.me().id(), m);
-            case Msg.Write m -> write(m);
-            case Msg.Read m -> read(m, now);
+            case Msg.Preempted m -> outbid(m);
+            case Msg.Replicate m -> pass(m, now);
+            case Msg.CommitNotice m -> acked(m);
+            case Msg.CatchUpTarget m -> level(m);
+            case Msg.FetchEntries m -> reach(m, home);
+            case Msg.CompareDigests m -> compare(m);
+            case Msg.RepairRanges m -> mend(m);
+            case Msg.JoinRequest m -> joins.put(m.me().id(), m);
+            case Msg.WriteRequest m -> write(m);
+            case Msg.ReadRequest m -> read(m, now);
             default -> {
             }
         }
@@ -230,7 +230,7 @@
             spot = chart.move(spot, "break");
             log(Event.DISK_BROKEN, why);
             held.clear();
-            waits.values().forEach(l -> l.forEach(w -> send(w.home(), new Msg.Wrote(w.ask(), new Verdict.Unknown(w.wish().id())))));
+            waits.values().forEach(l -> l.forEach(w -> send(w.home(), new Msg.WriteReply(w.ask(), new CommandResult.Unknown(w.wish().id())))));
             waits.clear();
         }
     }
@@ -281,18 +281,18 @@
         } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled && !quit) {
             soughtAt = now;
             view.tail().ifPresent(t -> send(t.address(), compareOf()));
-            seats.forEach(s -> send(s, new Msg.Lease(view.number(), now, setup.me(), false)));
+            seats.forEach(s -> send(s, new Msg.LeaseRequest(view.number(), now, setup.me(), false)));
         }
     }
 
     private void ask(final long now) {
         asked = now;
-        view.voters().forEach(b -> send(b.address(), new Msg.Lease(view.number(), now, setup.me(), chained() && level)));
+        view.voters().forEach(b -> send(b.address(), new Msg.LeaseRequest(view.number(), now, setup.me(), chained() && level)));
     }
 
-    private void recall(final Note note) {
+    private void recall(final LogRecord note) {
         switch (note) {
-            case Note.Picture p -> {
+            case LogRecord.Snapshot p -> {
                 books.reset(p.sequence(), p.entries());
                 books.level(p.sequence());
                 view = p.view();
@@ -306,12 +306,12 @@
                 last = p.sequence();
                 roof = Math.max(roof, p.roof());
             }
-            case Note.Deed d -> {
+            case LogRecord.Appended d -> {
                 if (d.change().sequence() == last + 1) {
                     enter(d.change());
                 }
             }
-            case Note.Seen s -> {
+            case LogRecord.ViewInstalled s -> {
                 if (s.view().number() > view.number()) {
                     promised = 0;
                     nodded = 0;
@@ -322,8 +322,8 @@
                 level = s.level();
                 birth = Optional.empty();
             }
-            case Note.Vow v -> promised = v.number() == view.number() + 1 ? v.ballot() : promised;
-            case Note.Nod n -> {
+            case LogRecord.Promised v -> promised = v.number() == view.number() + 1 ? v.ballot() : promised;
+            case LogRecord.Accepted n -> {
                 if (n.number() == view.number() + 1) {
                     promised = n.ballot();
                     nodded = n.ballot();
@@ -331,8 +331,8 @@
                     shut = true;
                 }
             }
-            case Note.Birth b -> birth = Optional.of(b.view());
-            case Note.Batch b -> b.notes().forEach(this::recall);
+            case LogRecord.Founding b -> birth = Optional.of(b.view());
+            case LogRecord.Batch b -> b.notes().forEach(this::recall);
         }
     }
 
@@ -342,18 +342,18 @@
         }
         soughtAt = now;
         sought.values().removeIf(s -> now - s.at() > 2_000_000L);
-        final Msg.Seek seek = new Msg.Seek(setup.me(), birth.isEmpty() && setup.found(), sought.values().stream().map(s -> s.seek().me()).toList());
+        final Msg.Discover seek = new Msg.Discover(setup.me(), birth.isEmpty() && setup.found(), sought.values().stream().map(s -> s.seek().me()).toList());
         seats.forEach(s -> send(s, seek));
-        birth.filter(v -> first(v).equals(setup.me())).ifPresent(v -> v.voters().forEach(b -> send(b.address(), new Msg.Found(v))));
+        birth.filter(v -> first(v).equals(setup.me())).ifPresent(v -> v.voters().forEach(b -> send(b.address(), new Msg.Bootstrap(v))));
     }
 
-    private static Berth first(final View v) {
-        return v.voters().stream().min(java.util.Comparator.comparing(Berth::id)).orElseThrow();
+    private static Replica first(final View v) {
+        return v.voters().stream().min(java.util.Comparator.comparing(Replica::id)).orElseThrow();
     }
 
-    private void seek(final Msg.Seek m, final long now) {
+    private void seek(final Msg.Discover m, final long now) {
         if (view.number() > 0) {
-            send(m.me().address(), new Msg.Decided(view));
+            send(m.me().address(), new Msg.ViewDecided(view));
             return;
         }
         if (!m.empty() || birth.isPresent() || !setup.found() || !setup.seats().contains(setup.me().address())
@@ -361,37 +361,37 @@
             return;
         }
         sought.put(m.me().id(), new Sought(m, now));
-        final List<Berth> all = sought.values().stream().map(s -> s.seek().me()).toList();
-        final Set<Berth> same = Set.copyOf(all);
+        final List<Replica> all = sought.values().stream().map(s -> s.seek().me()).toList();
+        final Set<Replica> same = Set.copyOf(all);
         final boolean whole = all.size() == setup.seats().size()
-                && all.stream().map(Berth::address).collect(java.util.stream.Collectors.toSet()).equals(Set.copyOf(setup.seats()))
+                && all.stream().map(Replica::address).collect(java.util.stream.Collectors.toSet()).equals(Set.copyOf(setup.seats()))
                 && sought.values().stream().allMatch(s -> Set.copyOf(s.seek().heard()).equals(same));
         if (whole && all.getFirst().id().equals(setup.me().id())) {
-            final List<Berth> order = all.stream().sorted(java.util.Comparator.comparingInt(b -> setup.seats().indexOf(b.address()))).toList();
+            final List<Replica> order = all.stream().sorted(java.util.Comparator.comparingInt(b -> setup.seats().indexOf(b.address()))).toList();
             final long fleet = Math.max(1, order.hashCode() * 0x9E3779B97F4A7C15L & Long.MAX_VALUE);
             final View v = new View(1, fleet, order, order, order.getFirst().id());
-            order.forEach(b -> send(b.address(), new Msg.Found(v)));
+            order.forEach(b -> send(b.address(), new Msg.Bootstrap(v)));
         }
     }
 
-    private void found(final Msg.Found m, final String home) {
+    private void found(final Msg.Bootstrap m, final String home) {
         final boolean same = birth.map(b -> b.equals(m.view())).orElse(false);
         final boolean fits = birth.isEmpty() && view.number() == 0 && m.view().votes(setup.me().id())
                 && m.view().voters().stream().allMatch(b -> sought.containsKey(b.id()));
         if (same) {
-            send(home, new Msg.Agreed(m.view().fleet(), setup.me()));
+            send(home, new Msg.BootstrapAgreed(m.view().fleet(), setup.me()));
         } else if (fits) {
             birth = Optional.of(m.view());
-            keep(List.of(new Note.Birth(m.view())), t -> send(home, new Msg.Agreed(m.view().fleet(), setup.me())));
+            keep(List.of(new LogRecord.Founding(m.view())), t -> send(home, new Msg.BootstrapAgreed(m.view().fleet(), setup.me())));
         }
     }
 
-    private void agreed(final Msg.Agreed m, final long now) {
+    private void agreed(final Msg.BootstrapAgreed m, final long now) {
         birth.filter(b -> b.fleet() == m.fleet()).ifPresent(b -> {
             agreed.add(m.me().id());
             if (b.voters().stream().allMatch(v -> agreed.contains(v.id()))) {
                 log(Event.FOUNDED, "fleet " + Long.toHexString(b.fleet()));
-                b.voters().forEach(v -> send(v.address(), new Msg.Decided(b)));
+                b.voters().forEach(v -> send(v.address(), new Msg.ViewDecided(b)));
                 adopt(b, now);
             }
         });
@@ -423,7 +423,7 @@
         joining = false;
         low = now;
         levels.clear();
-        heard.keySet().retainAll(view.voters().stream().map(Berth::id).toList());
+        heard.keySet().retainAll(view.voters().stream().map(Replica::id).toList());
         view.voters().forEach(b -> {
             if (was) {
                 heard.putIfAbsent(b.id(), now);
@@ -432,9 +432,9 @@
             }
         });
         spot = chart.move(spot, in ? "chain" : "learn");
-        keep(List.of(new Note.Seen(view, level)), t -> {
+        keep(List.of(new LogRecord.ViewInstalled(view, level)), t -> {
         });
-        log(Event.VIEW, "view " + view.number() + " chain " + view.chain().stream().map(Berth::address).toList());
+        log(Event.VIEW, "view " + view.number() + " chain " + view.chain().stream().map(Replica::address).toList());
         ask(now);
         if (!in) {
             forget();
@@ -446,7 +446,7 @@
     }
 
     private void forget() {
-        waits.values().forEach(l -> l.forEach(w -> send(w.home(), new Msg.Wrote(w.ask(), new Verdict.Unknown(w.wish().id())))));
+        waits.values().forEach(l -> l.forEach(w -> send(w.home(), new Msg.WriteReply(w.ask(), new CommandResult.Unknown(w.wish().id())))));
         waits.clear();
         pend.clear();
         overlay.clear();
@@ -455,12 +455,12 @@
         epoch++;
     }
 
-    private void lease(final Msg.Lease m, final long now) {
+    private void lease(final Msg.LeaseRequest m, final long now) {
         if (view.number() == 0) {
             return;
         }
         if (m.view() < view.number()) {
-            send(m.me().address(), new Msg.Decided(view));
+            send(m.me().address(), new Msg.ViewDecided(view));
         } else if (m.view() == view.number() && view.votes(setup.me().id())) {
             if (view.votes(m.me().id())) {
                 heard.put(m.me().id(), now);
@@ -472,12 +472,12 @@
             }
             if (!shut && view.place(m.me().id()) >= 0) {
                 given.put(m.me().id(), now + setup.lease());
-                send(m.me().address(), new Msg.Grant(view.number(), m.at(), setup.me().id()));
+                send(m.me().address(), new Msg.LeaseGrant(view.number(), m.at(), setup.me().id()));
             }
         }
     }
 
-    private void grant(final Msg.Grant m, final long now) {
+    private void grant(final Msg.LeaseGrant m, final long now) {
         if (m.view() == view.number() && view.votes(m.voter())) {
             granted.merge(m.voter(), m.at(), Math::max);
             if (!early.isEmpty() && leased(now)) {
@@ -495,15 +495,15 @@
 
     private void prepare(final Msg.Prepare m, final String home) {
         if (m.number() <= view.number()) {
-            send(home, new Msg.Decided(view));
+            send(home, new Msg.ViewDecided(view));
         } else if (m.number() == view.number() + 1 && view.votes(setup.me().id())) {
             if (m.ballot() > promised) {
                 hush = home.equals(setup.me().address()) ? hush : clock;
                 promised = m.ballot();
                 final Msg.Promise reply = new Msg.Promise(m.number(), m.ballot(), setup.me().id(), nodded, nod.stream().toList());
-                keep(List.of(new Note.Vow(m.number(), m.ballot())), t -> send(home, reply));
+                keep(List.of(new LogRecord.Promised(m.number(), m.ballot())), t -> send(home, reply));
             } else if (m.ballot() < promised) {
-                send(home, new Msg.Outbid(m.number(), promised));
+                send(home, new Msg.Preempted(m.number(), promised));
             }
         }
     }
@@ -513,7 +513,7 @@
             return;
         }
         if (m.ballot() < promised) {
-            send(home, new Msg.Outbid(m.number(), promised));
+            send(home, new Msg.Preempted(m.number(), promised));
             return;
         }
         promised = m.ballot();
@@ -521,7 +521,7 @@
         nod = Optional.of(m.view());
         shut = true;
         final Msg.Accepted reply = new Msg.Accepted(m.number(), m.ballot(), setup.me().id());
-        keep(List.of(new Note.Nod(m.number(), m.ballot(), m.view())), t -> {
+        keep(List.of(new LogRecord.Accepted(m.number(), m.ballot(), m.view())), t -> {
             final long due = due(m.view());
             if (t >= due) {
                 send(home, reply);
@@ -536,7 +536,7 @@
      * the old view alone: what the new one acknowledges has passed them.
      */
     private long due(final View next) {
-        return Succession.grown(view, next) ? 0 : view.chain().stream().filter(b -> next.place(b.id()) < 0)
+        return ViewPlanner.grown(view, next) ? 0 : view.chain().stream().filter(b -> next.place(b.id()) < 0)
                 .mapToLong(b -> given.getOrDefault(b.id(), 0L)).reduce(floor, Math::max);
     }
 
@@ -556,17 +556,17 @@
         bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && b.asking()).ifPresent(b -> {
             b.yes().add(m.voter());
             if (view.majority(b.yes().size())) {
-                final Set<Berth> all = new HashSet<>(view.voters());
+                final Set<Replica> all = new HashSet<>(view.voters());
                 all.addAll(b.view().voters());
                 all.addAll(b.view().chain());
-                all.stream().filter(t -> !t.equals(setup.me())).sorted(java.util.Comparator.comparing(Berth::id))
-                        .forEach(t -> send(t.address(), new Msg.Decided(b.view())));
+                all.stream().filter(t -> !t.equals(setup.me())).sorted(java.util.Comparator.comparing(Replica::id))
+                        .forEach(t -> send(t.address(), new Msg.ViewDecided(b.view())));
                 adopt(b.view(), now);
             }
         });
     }
 
-    private void outbid(final Msg.Outbid m) {
+    private void outbid(final Msg.Preempted m) {
         round = Math.max(round, m.ballot() >> 8);
         hush = clock;
         bid = bid.filter(b -> b.number() != m.number());
@@ -577,13 +577,13 @@
             return;
         }
         bid = Optional.empty();
-        if (!view.votes(setup.me().id()) || !setup.guards().stands(Guard.MEND)) {
+        if (!view.votes(setup.me().id()) || !setup.guards().stands(Safeguard.MEND)) {
             return;
         }
         if (level) {
             levels.add(setup.me().id());
         }
-        final Succession after = new Succession(setup, view, id -> silent(id, now), levels);
+        final ViewPlanner after = new ViewPlanner(setup, view, id -> silent(id, now), levels);
         final Optional<View> next = after.next(quit, joins.values());
         if (next.isEmpty() && nod.isEmpty()) {
             doubt = 0;
@@ -593,17 +593,17 @@
             doubt = now;
             after.missed().forEach(b -> log(Event.CHAIN_SUSPECT, b.address()));
         }
-        final List<Berth> able = after.able();
-        final int rank = Math.max(0, able.stream().map(Berth::id).filter(i -> view.place(i) >= 0).toList().indexOf(setup.me().id()));
+        final List<Replica> able = after.able();
+        final int rank = Math.max(0, able.stream().map(Replica::id).filter(i -> view.place(i) >= 0).toList().indexOf(setup.me().id()));
         final boolean others = hush > 0 && now - hush < setup.suspect() + rank * setup.suspect() / 2;
         if (others || now - doubt < rank * setup.suspect() || !view.majority(able.size())) {
             return;
         }
         round++;
-        final int seat = view.voters().stream().map(Berth::id).toList().indexOf(setup.me().id());
+        final int seat = view.voters().stream().map(Replica::id).toList().indexOf(setup.me().id());
         final Bid mine = new Bid(view.number() + 1, round << 8 | seat, next.or(() -> nod).orElse(view), 0, false, new HashSet<>(), now);
         bid = Optional.of(mine);
-        log(Event.PROPOSED, "view " + mine.number() + " chain " + mine.view().chain().stream().map(Berth::address).toList());
+        log(Event.PROPOSED, "view " + mine.number() + " chain " + mine.view().chain().stream().map(Replica::address).toList());
         view.voters().forEach(b -> send(b.address(), new Msg.Prepare(mine.number(), mine.ballot())));
     }
 
@@ -613,8 +613,8 @@
         } else if (now - swept >= SWEEP) {
             swept = now;
             final long turn = books.turn() + 1;
-            view.head().ifPresent(h -> send(h.address(), new Msg.Write(0, setup.me().address(),
-                    new Wish.Sweep("sweep-" + turn, turn, view.number()))));
+            view.head().ifPresent(h -> send(h.address(), new Msg.WriteRequest(0, setup.me().address(),
+                    new Command.AdvanceEpoch("sweep-" + turn, turn, view.number()))));
         }
     }
 
@@ -634,16 +634,16 @@
         sentAt = now;
         view.after(setup.me().id()).ifPresent(b -> {
             if (level) {
-                send(b.address(), new Msg.Level(view.number(), last));
+                send(b.address(), new Msg.CatchUpTarget(view.number(), last));
             }
-            final List<Change> first = Change.batch(pend.stream().filter(c -> c.sequence() <= kept), BATCH, HEAVY);
+            final List<LogEntry> first = LogEntry.batch(pend.stream().filter(c -> c.sequence() <= kept), BATCH, HEAVY);
             if (!first.isEmpty()) {
-                send(b.address(), new Msg.Pass(view.number(), first));
+                send(b.address(), new Msg.Replicate(view.number(), first));
             }
         });
         if (!level) {
             view.before(setup.me().id()).ifPresent(b -> send(b.address(),
-                    now - low > 4 * RESEND ? compareOf() : new Msg.Reach(view.number(), setup.me().id(), last)));
+                    now - low > 4 * RESEND ? compareOf() : new Msg.FetchEntries(view.number(), setup.me().id(), last)));
         }
         if (tail() && level) {
             settle(now);
@@ -657,7 +657,7 @@
 
     private void tell() {
         view.chain().stream().filter(b -> !b.id().equals(setup.me().id()))
-                .forEach(b -> send(b.address(), new Msg.Acked(view.number(), books.sequence())));
+                .forEach(b -> send(b.address(), new Msg.CommitNotice(view.number(), books.sequence())));
     }
 
     private void settle(final long now) {
@@ -670,7 +670,7 @@
         }
     }
 
-    private void write(final Msg.Write m) {
+    private void write(final Msg.WriteRequest m) {
         if (!chained() || !level || view.place(setup.me().id()) != 0) {
             return;
         }
@@ -684,70 +684,70 @@
         if (!enough() || pend.size() >= PENDING || stamp.bits() <= roof) {
             return;
         }
-        if (m.wish() instanceof Wish.Sweep s && s.fence() != view.number()
-                || m.wish() instanceof Wish.Timed t && t.fence() != view.number()) {
+        if (m.wish() instanceof Command.AdvanceEpoch s && s.fence() != view.number()
+                || m.wish() instanceof Command.Scheduled t && t.fence() != view.number()) {
             reject(m, 409, "the duty has another holder");
             return;
         }
         switch (books.judge(m.wish(), overlay, last + 1, stamp)) {
-            case Books.Judged.Over over -> {
+            case StateMachine.Judged.Over over -> {
                 final Optional<Entry> early = Optional.ofNullable(overlay.get("o/" + m.wish().id()));
                 if (early.isPresent()) {
                     waits.computeIfAbsent(early.get().sequence(), s -> new ArrayList<>()).add(m);
-                } else if (over.verdict() instanceof Verdict.Kept k && k.sequence() > books.sequence()) {
+                } else if (over.verdict() instanceof CommandResult.Applied k && k.sequence() > books.sequence()) {
                     waits.computeIfAbsent(k.sequence(), s -> new ArrayList<>()).add(m);
                 } else {
-                    if (over.verdict() instanceof Verdict.Rejected r) {
+                    if (over.verdict() instanceof CommandResult.Rejected r) {
                         log(Event.CHANGE_REJECTED, m.wish().id() + " " + r.code());
                     }
-                    send(m.home(), new Msg.Wrote(m.ask(), over.verdict()));
+                    send(m.home(), new Msg.WriteReply(m.ask(), over.verdict()));
                 }
             }
-            case Books.Judged.Let let -> {
-                final Change c = new Change(last + 1, view.number(), stamp, let.puts());
+            case StateMachine.Judged.Let let -> {
+                final LogEntry c = new LogEntry(last + 1, view.number(), stamp, let.puts());
                 waits.computeIfAbsent(c.sequence(), s -> new ArrayList<>()).add(m);
                 append(List.of(c));
             }
         }
     }
 
-    private void reject(final Msg.Write m, final int code, final String why) {
-        send(m.home(), new Msg.Wrote(m.ask(), new Verdict.Rejected(code, List.of(why), books.sequence())));
+    private void reject(final Msg.WriteRequest m, final int code, final String why) {
+        send(m.home(), new Msg.WriteReply(m.ask(), new CommandResult.Rejected(code, List.of(why), books.sequence())));
     }
 
-    private void enter(final Change c) {
+    private void enter(final LogEntry c) {
         last = c.sequence();
         roof = Math.max(roof, c.stamp().bits());
         pend.add(c);
         c.puts().forEach(e -> overlay.put(e.key(), e));
     }
 
-    private void append(final List<Change> list) {
+    private void append(final List<LogEntry> list) {
         list.forEach(this::enter);
         final long end = last;
         final long mine = epoch;
-        keep(list.stream().map(c -> (Note) new Note.Deed(c)).toList(), t -> {
+        keep(list.stream().map(c -> (LogRecord) new LogRecord.Appended(c)).toList(), t -> {
             if (mine == epoch && chained()) {
                 kept = Math.max(kept, end);
-                view.after(setup.me().id()).ifPresent(b -> send(b.address(), new Msg.Pass(view.number(), list)));
+                view.after(setup.me().id()).ifPresent(b -> send(b.address(), new Msg.Replicate(view.number(), list)));
                 rise(t);
                 settle(t);
             }
         });
     }
 
-    private void pass(final Msg.Pass m, final long now) {
+    private void pass(final Msg.Replicate m, final long now) {
         if (m.view() != view.number() || !chained() || view.place(setup.me().id()) == 0) {
             return;
         }
-        final List<Change> fresh = new ArrayList<>();
+        final List<LogEntry> fresh = new ArrayList<>();
         long at = last;
-        for (final Change c : m.changes()) {
+        for (final LogEntry c : m.changes()) {
             if (c.sequence() == at + 1) {
                 fresh.add(c);
                 at++;
             } else if (c.sequence() > at + 1) {
-                view.before(setup.me().id()).ifPresent(b -> send(b.address(), new Msg.Reach(view.number(), setup.me().id(), last)));
+                view.before(setup.me().id()).ifPresent(b -> send(b.address(), new Msg.FetchEntries(view.number(), setup.me().id(), last)));
                 break;
             }
         }
@@ -758,13 +758,13 @@
         }
     }
 
-    private void acked(final Msg.Acked m) {
+    private void acked(final Msg.CommitNotice m) {
         if (m.view() == view.number() && chained()) {
             commit(Math.min(m.sequence(), kept));
         }
     }
 
-    private void level(final Msg.Level m) {
+    private void level(final Msg.CatchUpTarget m) {
         if (m.view() == view.number() && chained() && !level) {
             want = Optional.of(m.sequence());
             rise(clock);
@@ -775,26 +775,26 @@
     private void rise(final long now) {
         if (!level && want.map(w -> kept >= w).orElse(false)) {
             level = true;
-            keep(List.of(new Note.Seen(view, true)), t -> {
+            keep(List.of(new LogRecord.ViewInstalled(view, true)), t -> {
             });
         }
     }
 
-    private void reach(final Msg.Reach m, final String home) {
+    private void reach(final Msg.FetchEntries m, final String home) {
         if (m.view() != view.number() || !chained() || !level) {
             return;
         }
-        final List<Change> list = Change.batch(Stream.concat(recent.stream().filter(c -> c.sequence() > m.sequence()),
+        final List<LogEntry> list = LogEntry.batch(Stream.concat(recent.stream().filter(c -> c.sequence() > m.sequence()),
                 pend.stream().filter(c -> c.sequence() > m.sequence() && c.sequence() <= kept)), BATCH, HEAVY);
-        send(home, new Msg.Level(view.number(), last));
+        send(home, new Msg.CatchUpTarget(view.number(), last));
         if (!list.isEmpty() && list.getFirst().sequence() == m.sequence() + 1) {
-            send(home, new Msg.Pass(view.number(), list));
+            send(home, new Msg.Replicate(view.number(), list));
         }
     }
 
     private void commit(final long upto) {
         while (!pend.isEmpty() && pend.peek().sequence() <= upto) {
-            final Change c = pend.poll();
+            final LogEntry c = pend.poll();
             books.apply(c.sequence(), c.puts());
             c.puts().forEach(e -> overlay.remove(e.key(), e));
             recent.add(c);
@@ -813,20 +813,20 @@
         }
     }
 
-    private void decided(final Msg.Write w, final long sequence) {
-        final Optional<Leaf.Deed> deed = books.get("o/" + w.wish().id()).map(e -> (Leaf.Deed) e.leaf().getFirst());
-        final Verdict verdict = deed.filter(d -> d.code() != 0)
-                .map(d -> (Verdict) new Verdict.Rejected(d.code(), d.faults(), d.sequence())).orElse(new Verdict.Kept(sequence));
-        if (verdict instanceof Verdict.Rejected r) {
+    private void decided(final Msg.WriteRequest w, final long sequence) {
+        final Optional<Value.CommandOutcome> deed = books.get("o/" + w.wish().id()).map(e -> (Value.CommandOutcome) e.leaf().getFirst());
+        final CommandResult verdict = deed.filter(d -> d.code() != 0)
+                .map(d -> (CommandResult) new CommandResult.Rejected(d.code(), d.faults(), d.sequence())).orElse(new CommandResult.Applied(sequence));
+        if (verdict instanceof CommandResult.Rejected r) {
             log(Event.CHANGE_REJECTED, w.wish().id() + " " + r.code());
         }
-        send(w.home(), new Msg.Wrote(w.ask(), verdict));
+        send(w.home(), new Msg.WriteReply(w.ask(), verdict));
     }
 
     private void picture(final LongConsumer then) {
-        final List<Note> notes = new ArrayList<>();
-        notes.add(new Note.Picture(books.sequence(), view, level, promised, nodded, nod.stream().toList(), roof, books.all()));
-        pend.forEach(c -> notes.add(new Note.Deed(c)));
+        final List<LogRecord> notes = new ArrayList<>();
+        notes.add(new LogRecord.Snapshot(books.sequence(), view, level, promised, nodded, nod.stream().toList(), roof, books.all()));
+        pend.forEach(c -> notes.add(new LogRecord.Appended(c)));
         final long sequence = books.sequence();
         keep(notes, t -> {
             log(Event.PICTURE, "sequence " + sequence);
@@ -834,11 +834,11 @@
         });
     }
 
-    private Msg.Compare compareOf() {
-        return new Msg.Compare(view.number(), setup.me(), books.sequence(), books.digests(RANGES));
+    private Msg.CompareDigests compareOf() {
+        return new Msg.CompareDigests(view.number(), setup.me(), books.sequence(), books.digests(RANGES));
     }
 
-    private void compare(final Msg.Compare m) {
+    private void compare(final Msg.CompareDigests m) {
         if (m.view() != view.number() || !chained() || !level || m.digests().length != RANGES) {
             return;
         }
@@ -846,7 +846,7 @@
             commit(Math.min(m.sequence(), kept));
         }
         final long[] mine = books.digests(RANGES);
-        final List<Msg.Span> spans = new ArrayList<>();
+        final List<Msg.RangeEntries> spans = new ArrayList<>();
         long sum = 0;
         boolean whole = true;
         for (int i = 0; i < RANGES; i++) {
@@ -855,15 +855,15 @@
                     whole = false;
                     break;
                 }
-                final Msg.Span span = new Msg.Span(i, books.range(i, RANGES));
+                final Msg.RangeEntries span = new Msg.RangeEntries(i, books.range(i, RANGES));
                 sum += span.entries().stream().mapToLong(Entry::weight).sum();
                 spans.add(span);
             }
         }
-        send(m.me().address(), new Msg.Mend(view.number(), books.sequence(), spans, whole));
+        send(m.me().address(), new Msg.RepairRanges(view.number(), books.sequence(), spans, whole));
     }
 
-    private void mend(final Msg.Mend m) {
+    private void mend(final Msg.RepairRanges m) {
         if (m.view() != view.number() || chained() && level || m.sequence() < books.sequence()) {
             return;
         }
@@ -896,13 +896,13 @@
     }
 
     private void join() {
-        view.voters().forEach(b -> send(b.address(), new Msg.Join(view.number(), setup.me(), books.sequence())));
+        view.voters().forEach(b -> send(b.address(), new Msg.JoinRequest(view.number(), setup.me(), books.sequence())));
     }
 
-    private void read(final Msg.Read m, final long now) {
+    private void read(final Msg.ReadRequest m, final long now) {
         final boolean held = !enough() && pend.stream().anyMatch(c -> c.sequence() <= kept);
-        final boolean ok = tail() && level && !held && (leased(now) || !setup.guards().stands(Guard.LEASE));
-        send(m.home(), new Msg.Seen(m.ask(), ok, books.sequence(),
+        final boolean ok = tail() && level && !held && (leased(now) || !setup.guards().stands(Safeguard.LEASE));
+        send(m.home(), new Msg.ReadReply(m.ask(), ok, books.sequence(),
                 ok ? List.copyOf(books.part(m.start()).values()) : List.of()));
     }
 
@@ -914,7 +914,7 @@
         return spot.equals("broken");
     }
 
-    private void keep(final List<Note> notes, final LongConsumer then) {
+    private void keep(final List<LogRecord> notes, final LongConsumer then) {
         token++;
         held.put(token, new Held(clock, then));
         out.add(new Effect.Keep(token, notes));
@@ -931,13 +931,13 @@
     private record Held(long at, LongConsumer then) {
     }
 
-    private record Early(long at, Msg.Write msg) {
+    private record Early(long at, Msg.WriteRequest msg) {
     }
 
     private record Late(long due, long number, String to, Msg msg) {
     }
 
-    private record Sought(Msg.Seek seek, long at) {
+    private record Sought(Msg.Discover seek, long at) {
     }
 
     private record Bid(long number, long ballot, View view, long best, boolean asking, Set<String> yes, long at) {
--- a/core/src/main/java/silverlatch/quay/Change.java
+++ b/core/src/main/java/silverlatch/replication/LogEntry.java
@@ -1,16 +1,16 @@
-package silverlatch.quay;
+package silverlatch.replication;
 
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
 import java.util.stream.Stream;
-import silverlatch.tariff.Entry;
-import silverlatch.tide.Stamp;
+import silverlatch.state.Entry;
+import silverlatch.clock.Stamp;
 
 /** One change in the chain's order: its sequence, the view that let it in, its stamp, and what it writes. */
-public record Change(long sequence, long view, Stamp stamp, List<Entry> puts) {
+public record LogEntry(long sequence, long view, Stamp stamp, List<Entry> puts) {
     /** Copies the entries. */
-    public Change {
+    public LogEntry {
         puts = List.copyOf(puts);
     }
 
@@ -20,11 +20,11 @@
     }
 
     /** As many changes as may go in one frame: the first, and what else is light enough. */
-    static List<Change> batch(final Stream<Change> all, final int most, final long heavy) {
-        final List<Change> list = new ArrayList<>();
+    static List<LogEntry> batch(final Stream<LogEntry> all, final int most, final long heavy) {
+        final List<LogEntry> list = new ArrayList<>();
         long sum = 0;
-        for (final Iterator<Change> i = all.iterator(); i.hasNext() && list.size() < most;) {
-            final Change c = i.next();
+        for (final Iterator<LogEntry> i = all.iterator(); i.hasNext() && list.size() < most;) {
+            final LogEntry c = i.next();
             sum += c.weight();
             if (!list.isEmpty() && sum > heavy) {
                 return list;
--- a/core/src/main/java/silverlatch/quay/Berth.java
+++ b/core/src/main/java/silverlatch/replication/Replica.java
@@ -1,5 +1,5 @@
-package silverlatch.quay;
+package silverlatch.replication;
 
 /** A disk machine of the chain: the identity made with its data folder, and where it listens. */
-public record Berth(String id, String address) {
+public record Replica(String id, String address) {
 }
--- a/core/src/main/java/silverlatch/quay/View.java
+++ b/core/src/main/java/silverlatch/replication/View.java
@@ -1,10 +1,10 @@
-package silverlatch.quay;
+package silverlatch.replication;
 
 import java.util.List;
 import java.util.Optional;
 
 /** The agreed view: its number (also the fencing number), the fleet, the voters, the chain's order, the duty holder. */
-public record View(long number, long fleet, List<Berth> voters, List<Berth> chain, String holder) {
+public record View(long number, long fleet, List<Replica> voters, List<Replica> chain, String holder) {
     /** The view before any founding. */
     public static final View NONE = new View(0, 0, List.of(), List.of(), "");
 
@@ -35,24 +35,24 @@
     }
 
     /** Who follows in the chain. */
-    public Optional<Berth> after(final String id) {
+    public Optional<Replica> after(final String id) {
         final int i = place(id);
         return i < 0 || i + 1 >= chain.size() ? Optional.empty() : Optional.of(chain.get(i + 1));
     }
 
     /** Who stands before in the chain. */
-    public Optional<Berth> before(final String id) {
+    public Optional<Replica> before(final String id) {
         final int i = place(id);
         return i <= 0 ? Optional.empty() : Optional.of(chain.get(i - 1));
     }
 
     /** The head, where writes enter. */
-    public Optional<Berth> head() {
+    public Optional<Replica> head() {
         return chain.stream().findFirst();
     }
 
     /** The tail, which answers. */
-    public Optional<Berth> tail() {
+    public Optional<Replica> tail() {
         return chain.isEmpty() ? Optional.empty() : Optional.of(chain.getLast());
     }
 }
--- a/core/src/main/java/silverlatch/quay/Succession.java
+++ b/core/src/main/java/silverlatch/replication/ViewPlanner.java
@@ -1,4 +1,4 @@
-package silverlatch.quay;
+package silverlatch.replication;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -10,14 +10,14 @@
 import silverlatch.wire.Msg;
 
 /** Which view should come after the one that stands, as one machine sees it. */
-final class Succession {
-    private final Quay.Setup setup;
+final class ViewPlanner {
+    private final ChainReplica.Setup setup;
     private final View view;
     private final ToLongFunction<String> silent;
     private final Set<String> level;
 
     /** How long each voter was silent, in microseconds, and which members of the chain hold all that it has. */
-    Succession(final Quay.Setup setup, final View view, final ToLongFunction<String> silent, final Set<String> level) {
+    ViewPlanner(final ChainReplica.Setup setup, final View view, final ToLongFunction<String> silent, final Set<String> level) {
         this.setup = setup;
         this.view = view;
         this.silent = silent;
@@ -25,17 +25,17 @@
     }
 
     /** The voters that are heard. */
-    List<Berth> able() {
+    List<Replica> able() {
         return view.voters().stream().filter(b -> !missed(b)).toList();
     }
 
     /** The members of the chain that are not heard. */
-    List<Berth> missed() {
+    List<Replica> missed() {
         return view.chain().stream().filter(this::missed).toList();
     }
 
     /** The next view, if there should be one: without the silent, else with one that came. */
-    Optional<View> next(final boolean quit, final Collection<Msg.Join> joins) {
+    Optional<View> next(final boolean quit, final Collection<Msg.JoinRequest> joins) {
         return without(quit).or(() -> joins.stream().filter(j -> j.view() == view.number() && view.place(j.me().id()) < 0)
                 .map(j -> with(j.me())).flatMap(Optional::stream).findFirst()).or(this::fewer);
     }
@@ -52,10 +52,10 @@
     private Optional<View> without(final boolean quit) {
         final boolean late = view.chain().stream().anyMatch(this::missed);
         final long bound = Math.max(setup.suspect() / 2, setup.suspect() - 2 * setup.ask());
-        final List<Berth> heard = view.chain().stream().filter(b -> !late || silent.applyAsLong(b.id()) <= bound).toList();
-        final List<Berth> rest = quit && heard.size() > setup.copies()
+        final List<Replica> heard = view.chain().stream().filter(b -> !late || silent.applyAsLong(b.id()) <= bound).toList();
+        final List<Replica> rest = quit && heard.size() > setup.copies()
                 ? heard.stream().filter(b -> !b.id().equals(setup.me().id())).toList() : heard;
-        final List<Berth> chain = rest.stream().anyMatch(b -> level.contains(b.id())) ? rest : heard;
+        final List<Replica> chain = rest.stream().anyMatch(b -> level.contains(b.id())) ? rest : heard;
         if (chain.size() == view.chain().size() || chain.stream().noneMatch(b -> level.contains(b.id()))) {
             return Optional.empty();
         }
@@ -64,11 +64,11 @@
     }
 
     /** One more at the end of the chain: with its own vote, that of one that is lost, or a new one while there are few. */
-    private Optional<View> with(final Berth who) {
-        final Optional<Berth> old = Stream.of(view.voters().stream().filter(v -> v.id().equals(who.id())),
+    private Optional<View> with(final Replica who) {
+        final Optional<Replica> old = Stream.of(view.voters().stream().filter(v -> v.id().equals(who.id())),
                 out().filter(v -> v.address().equals(who.address())), out().filter(v -> silent.applyAsLong(v.id()) > setup.swap()))
                 .flatMap(s -> s).findFirst();
-        final List<Berth> voters = new ArrayList<>(view.voters());
+        final List<Replica> voters = new ArrayList<>(view.voters());
         if (old.isPresent()) {
             voters.set(voters.indexOf(old.get()), who);
         } else if (voters.size() < setup.most()) {
@@ -76,7 +76,7 @@
         } else {
             return Optional.empty();
         }
-        final List<Berth> chain = new ArrayList<>(view.chain());
+        final List<Replica> chain = new ArrayList<>(view.chain());
         chain.add(who);
         return Optional.of(new View(view.number() + 1, view.fleet(), voters, chain, view.holder()));
     }
@@ -88,11 +88,11 @@
                         view.chain(), view.holder()));
     }
 
-    private Stream<Berth> out() {
+    private Stream<Replica> out() {
         return view.voters().stream().filter(v -> view.place(v.id()) < 0);
     }
 
-    private boolean missed(final Berth b) {
+    private boolean missed(final Replica b) {
         return silent.applyAsLong(b.id()) > setup.suspect();
     }
 }
--- a/core/src/main/java/silverlatch/passage/Break.java
+++ b/core/src/main/java/silverlatch/routing/FailurePoint.java
@@ -1,7 +1,7 @@
-package silverlatch.passage;
+package silverlatch.routing;
 
 /** How far a run had come when it broke. */
-public enum Break {
+public enum FailurePoint {
     /** No byte of it left. */
     UNSENT,
     /** The worker said that it did not run and never will. */
--- a/core/src/main/java/silverlatch/passage/Reach.java
+++ b/core/src/main/java/silverlatch/routing/Reachability.java
@@ -1,4 +1,4 @@
-package silverlatch.passage;
+package silverlatch.routing;
 
 import java.util.Collection;
 
@@ -6,7 +6,7 @@
  * Whether a region's workers are heard from here. Where tickets wait there past what was foretold and none of its
  * workers has said a word since, or where a connection there fails, the region counts as mute until one speaks.
  */
-final class Reach {
+final class Reachability {
     private static final long SLACK = 200_000L;
     private static final long FIRST = 500_000L;
     private static final long MOST = 4_000_000L;
@@ -15,7 +15,7 @@
     private long until = Long.MIN_VALUE / 2;
     private int misses;
 
-    Reach(final String region) {
+    Reachability(final String region) {
         this.region = region;
     }
 
@@ -33,7 +33,7 @@
         }
     }
 
-    boolean mute(final Collection<Stand> all, final long now) {
+    boolean mute(final Collection<WorkerState> all, final long now) {
         return now < until || all.stream().filter(s -> s.worker.region().equals(region)).flatMap(s -> s.runs.values().stream())
                 .anyMatch(r -> !r.first && r.begun > heard && now - r.begun > r.guess + r.guess / 2 + SLACK);
     }
--- a/core/src/main/java/silverlatch/passage/Fare.java
+++ b/core/src/main/java/silverlatch/routing/RoutedRequest.java
@@ -1,4 +1,4 @@
-package silverlatch.passage;
+package silverlatch.routing;
 
 import java.util.List;
 
@@ -14,9 +14,9 @@
  * @param in     tokens of the prompt
  * @param out    the most tokens of the reply
  */
-public record Fare(long token, String host, String path, String ticket, long left, List<Part> parts, int in, int out) {
+public record RoutedRequest(long token, String host, String path, String ticket, long left, List<Part> parts, int in, int out) {
     /** Copies the parts. */
-    public Fare {
+    public RoutedRequest {
         parts = List.copyOf(parts);
     }
 
--- a/core/src/main/java/silverlatch/passage/Passage.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -1,4 +1,4 @@
-package silverlatch.passage;
+package silverlatch.routing;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -10,25 +10,25 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
-import silverlatch.carry.Budget;
-import silverlatch.carry.Facts;
-import silverlatch.carry.Tales;
-import silverlatch.carry.slab.Slab;
-import silverlatch.deck.Event;
-import silverlatch.judge.Case;
-import silverlatch.judge.Court;
-import silverlatch.judge.Finding;
-import silverlatch.judge.Sight;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Tariff;
-import silverlatch.tide.Stamp;
+import silverlatch.dispatch.Budget;
+import silverlatch.dispatch.Facts;
+import silverlatch.dispatch.TraceLog;
+import silverlatch.dispatch.buffer.Slab;
+import silverlatch.node.Event;
+import silverlatch.placement.Case;
+import silverlatch.placement.WeightedScorers;
+import silverlatch.placement.ScorerResult;
+import silverlatch.placement.PlacementInput;
+import silverlatch.gossip.Worker;
+import silverlatch.state.Value;
+import silverlatch.state.TableRules;
+import silverlatch.clock.Stamp;
 
 /**
  * Places the tickets that come by host and path, and decides what follows when a run breaks. It does no input or
  * output: events go in, moves come out. One duty owns it.
  */
-public final class Passage {
+public final class Router {
     private static final long SECOND = 1_000_000L;
     private static final double NEAR = 0.08;
     private static final int TALES = 2_000;
@@ -36,19 +36,19 @@
     private final Setup setup;
     private final Supplier<Stamp> stamps;
     private final RandomGenerator luck;
-    private final Court last;
+    private final WeightedScorers last;
     private final Slab<Open> slab;
     private final Map<Long, Long> places = new HashMap<>();
     private final Map<Long, Long> jobs = new HashMap<>();
-    private final Map<String, Stand> stands = new TreeMap<>();
-    private final Map<String, Leaf.Tenant> tenants = new HashMap<>();
+    private final Map<String, WorkerState> stands = new TreeMap<>();
+    private final Map<String, Value.Tenant> tenants = new HashMap<>();
     private final Map<String, Long> tally = new TreeMap<>();
-    private final List<Move> out = new ArrayList<>();
+    private final List<RoutingEffect> out = new ArrayList<>();
     private final Budget budget;
-    private final Habits habits = new Habits();
-    private final Map<String, Reach> reaches = new HashMap<>();
-    private final Tales tales = new Tales(TALES);
-    private Charters charters = Charters.NONE;
+    private final TrafficStatistics habits = new TrafficStatistics();
+    private final Map<String, Reachability> reaches = new HashMap<>();
+    private final TraceLog tales = new TraceLog(TALES);
+    private RoutingTable charters = RoutingTable.NONE;
     private Facts facts;
     private long job;
     private int most = 1;
@@ -64,8 +64,8 @@
     }
 
     private static final class Open {
-        final Fare fare;
-        final Leaf.Rule rule;
+        final RoutedRequest fare;
+        final Value.Route rule;
         final String pool;
         final long begun;
         final long end;
@@ -77,7 +77,7 @@
         boolean begunReply;
         final List<String> failed = new ArrayList<>();
 
-        Open(final Fare fare, final Leaf.Rule rule, final String pool, final long begun, final Stamp stamp) {
+        Open(final RoutedRequest fare, final Value.Route rule, final String pool, final long begun, final Stamp stamp) {
             this.fare = fare;
             this.rule = rule;
             this.pool = pool;
@@ -87,26 +87,26 @@
         }
     }
 
-    /** A purser that carries nothing yet. */
-    public Passage(final Setup setup, final Facts facts, final Supplier<Stamp> stamps, final RandomGenerator luck) {
+    /** A gateway that carries nothing yet. */
+    public Router(final Setup setup, final Facts facts, final Supplier<Stamp> stamps, final RandomGenerator luck) {
         this.setup = setup;
         this.facts = facts;
         this.stamps = stamps;
         this.luck = luck;
-        this.last = Court.last(setup.word(), silverlatch.guard.Guards.ALL);
+        this.last = WeightedScorers.last(setup.word(), silverlatch.safeguard.Safeguards.ALL);
         this.slab = new Slab<>(setup.slab());
         this.budget = new Budget(setup.tries(), 2);
     }
 
-    /** Takes what the purser knows now. */
+    /** Takes what the gateway knows now. */
     public void facts(final Facts next, final long now) {
-        if (next.page() != facts.page() || charters == Charters.NONE) {
-            charters = new Charters(next.policy());
+        if (next.page() != facts.page() || charters == RoutingTable.NONE) {
+            charters = new RoutingTable(next.policy());
             tenants.clear();
         }
         facts = next;
         facts.workers().forEach((id, h) -> {
-            final Stand s = stands.computeIfAbsent(id, k -> new Stand(h, now));
+            final WorkerState s = stands.computeIfAbsent(id, k -> new WorkerState(h, now));
             if (!s.worker.equals(h.worker()) || s.silent != h.silent()) {
                 s.word(h, now);
             }
@@ -131,7 +131,7 @@
         return leaving || closing ? Optional.of("stopping") : charters.number() == 0 ? Optional.of("no charter is known here yet") : Optional.empty();
     }
 
-    /** This purser is about to stop: it is no longer ready, but still takes what comes. */
+    /** This gateway is about to stop: it is no longer ready, but still takes what comes. */
     public void leave() {
         leaving = true;
     }
@@ -152,25 +152,25 @@
     }
 
     /** The stories of tickets. */
-    public Tales tales() {
+    public TraceLog tales() {
         return tales;
     }
 
     /** What is to be done; it is handed over once. */
-    public List<Move> drain() {
-        final List<Move> list = List.copyOf(out);
+    public List<RoutingEffect> drain() {
+        final List<RoutingEffect> list = List.copyOf(out);
         out.clear();
         return list;
     }
 
     /** A ticket came in whole. */
-    public void arrive(final Fare fare, final long now) {
+    public void arrive(final RoutedRequest fare, final long now) {
         count("tickets");
         if (closing || charters.number() == 0) {
             reject(fare.token(), 503, closing ? SECOND / 20 : SECOND + luck.nextLong(SECOND / 2), closing ? "stopping" : "no charter is known here yet");
             return;
         }
-        final Optional<Leaf.Rule> rule = charters.rule(fare.host(), fare.path());
+        final Optional<Value.Route> rule = charters.rule(fare.host(), fare.path());
         if (rule.isEmpty()) {
             reject(fare.token(), 404, 0, "no rule for " + fare.host() + fare.path());
             return;
@@ -193,7 +193,7 @@
         find(run).ifPresent(o -> {
             reach(stands.get(o.worker)).heard(now);
             o.begunReply = true;
-            final Stand s = stands.get(o.worker);
+            final WorkerState s = stands.get(o.worker);
             load.ifPresent(l -> s.load(l.running(), l.waiting(), l.slots(), now));
         });
     }
@@ -201,8 +201,8 @@
     /** An event was passed on. */
     public void heard(final long run, final long now) {
         find(run).ifPresent(o -> {
-            final Stand s = stands.get(o.worker);
-            final Stand.Run r = s.runs.get(run);
+            final WorkerState s = stands.get(o.worker);
+            final WorkerState.Run r = s.runs.get(run);
             r.heard = now;
             reach(s).heard(now);
             if (!r.first) {
@@ -222,7 +222,7 @@
                 drop(o, true, now);
                 send(o, now);
             } else {
-                out.add(new Move.Pass(o.fare.token(), run));
+                out.add(new RoutingEffect.Pass(o.fare.token(), run));
             }
         });
     }
@@ -238,27 +238,27 @@
     }
 
     /** A run broke. */
-    public void failed(final long run, final Break point, final long now) {
+    public void failed(final long run, final FailurePoint point, final long now) {
         find(run).ifPresent(o -> {
             count("broke_" + point.name().toLowerCase(java.util.Locale.ROOT));
             tales.state(o.fare.ticket(), "broke", point + " at " + o.worker);
-            out.add(new Move.Log(Event.RUN_BROKE, o.worker + " " + point + " after " + (now - o.begun) / 1000 + " ms"));
-            final Stand s = stands.get(o.worker);
-            if (point == Break.UNSENT) {
+            out.add(new RoutingEffect.Log(Event.RUN_BROKE, o.worker + " " + point + " after " + (now - o.begun) / 1000 + " ms"));
+            final WorkerState s = stands.get(o.worker);
+            if (point == FailurePoint.UNSENT) {
                 reach(s).missed(now);
-            } else if (point == Break.NOT_RUN || point == Break.STRANGER) {
+            } else if (point == FailurePoint.NOT_RUN || point == FailurePoint.STRANGER) {
                 reach(s).heard(now);
             }
-            drop(o, point != Break.NOT_RUN, now);
+            drop(o, point != FailurePoint.NOT_RUN, now);
             o.failed.add(o.worker);
-            if (point == Break.NOT_RUN) {
+            if (point == FailurePoint.NOT_RUN) {
                 s.shunUntil = Math.max(s.shunUntil, now + 150_000);
             }
-            final boolean free = point == Break.UNSENT || point == Break.NOT_RUN || point == Break.STRANGER;
-            final boolean may = (free || o.rule.again() && (point != Break.BEGUN || o.rule.resume())) && now < o.end;
-            final boolean left = point == Break.UNSENT && o.tries <= o.rule.tries() + 1 || o.tries < o.rule.tries();
-            if (may && left && !places(o, now).isEmpty() && (point == Break.UNSENT || budget.take(now))) {
-                o.tries -= point == Break.UNSENT ? 1 : 0;
+            final boolean free = point == FailurePoint.UNSENT || point == FailurePoint.NOT_RUN || point == FailurePoint.STRANGER;
+            final boolean may = (free || o.rule.again() && (point != FailurePoint.BEGUN || o.rule.resume())) && now < o.end;
+            final boolean left = point == FailurePoint.UNSENT && o.tries <= o.rule.tries() + 1 || o.tries < o.rule.tries();
+            if (may && left && !places(o, now).isEmpty() && (point == FailurePoint.UNSENT || budget.take(now))) {
+                o.tries -= point == FailurePoint.UNSENT ? 1 : 0;
                 count("again");
                 send(o, now);
             } else if (free && !o.begunReply) {
@@ -266,7 +266,7 @@
                 reject(o.fare.token(), 503, away(o), "no worker ran it");
             } else {
                 close(o);
-                out.add(new Move.Fail(o.fare.token(), 502, "the worker broke off"));
+                out.add(new RoutingEffect.Fail(o.fare.token(), 502, "the worker broke off"));
             }
         });
     }
@@ -293,7 +293,7 @@
             slab.get(place).ifPresent(o -> {
                 cut(o, now);
                 close(o);
-                out.add(new Move.Fail(o.fare.token(), 502, "stopping"));
+                out.add(new RoutingEffect.Fail(o.fare.token(), 502, "stopping"));
             });
         }
     }
@@ -304,20 +304,20 @@
             tales.state(o.fare.ticket(), "expired", "its time is up");
             cut(o, now);
             close(o);
-            out.add(new Move.Fail(o.fare.token(), 504, "its time is up"));
+            out.add(new RoutingEffect.Fail(o.fare.token(), 504, "its time is up"));
             return;
         }
-        final Stand s = stands.get(o.worker);
-        final Stand.Run r = s.runs.get(o.run);
+        final WorkerState s = stands.get(o.worker);
+        final WorkerState.Run r = s.runs.get(o.run);
         final long patience = r.first ? Math.max(SECOND, 2 * o.rule.gap()) : Math.max(o.rule.aim() * 3 / 4, 3 * r.guess);
         if (o.rule.again() && (!o.begunReply || o.rule.resume()) && o.tries < o.rule.tries() && now - r.heard > patience
                 && !o.failed.contains(o.worker)) {
-            out.add(new Move.Log(Event.RUN_BROKE, o.worker + " silent for " + (now - r.heard) / 1000 + " ms"));
+            out.add(new RoutingEffect.Log(Event.RUN_BROKE, o.worker + " silent for " + (now - r.heard) / 1000 + " ms"));
             final List<Pick> others = places(o, now).stream().filter(p -> !p.stand().worker.id().equals(o.worker)).toList();
             if (!others.isEmpty() && budget.take(now)) {
                 count("moved");
                 o.failed.add(o.worker);
-                out.add(new Move.Cut(o.run));
+                out.add(new RoutingEffect.Cut(o.run));
                 s.bad(now);
                 drop(o, false, now);
                 send(o, now);
@@ -325,14 +325,14 @@
         }
     }
 
-    private Reach reach(final Stand s) {
-        return reaches.computeIfAbsent(s.worker.region(), Reach::new);
+    private Reachability reach(final WorkerState s) {
+        return reaches.computeIfAbsent(s.worker.region(), Reachability::new);
     }
 
-    private String lot(final Leaf.Rule rule) {
-        final int sum = rule.lots().stream().mapToInt(Leaf.Lot::weight).sum();
+    private String lot(final Value.Route rule) {
+        final int sum = rule.lots().stream().mapToInt(Value.WeightedBackend::weight).sum();
         int at = sum <= 0 ? 0 : luck.nextInt(sum);
-        for (final Leaf.Lot l : rule.lots()) {
+        for (final Value.WeightedBackend l : rule.lots()) {
             at -= l.weight();
             if (at < 0) {
                 return l.pool();
@@ -341,21 +341,21 @@
         return rule.lots().isEmpty() ? "" : rule.lots().getFirst().pool();
     }
 
-    private record Pick(Stand stand, Outlook.View view) {
+    private record Pick(WorkerState stand, LatencyPredictor.View view) {
     }
 
     private List<Pick> places(final Open o, final long now) {
-        final Leaf.Tenant who = tenants.computeIfAbsent(o.rule.name(), n -> new Leaf.Tenant(n, o.rule.homes(), 1, "", ""));
-        final Case plea = new Case(o.fare.ticket(), who, Tariff.plain("*", o.rule.name()), List.of(), facts.me().zone(), facts.me().region(), facts.empty());
-        final List<Stand> fit = stands.values().stream().filter(s -> s.worker.pool().equals(o.pool) && facts.workers().containsKey(s.worker.id()))
-                .filter(s -> last.stands(plea, new Sight(s.worker, facts.workers().get(s.worker.id()).age(now), 0, 0, 0, false, 1)))
+        final Value.Tenant who = tenants.computeIfAbsent(o.rule.name(), n -> new Value.Tenant(n, o.rule.homes(), 1, "", ""));
+        final Case plea = new Case(o.fare.ticket(), who, TableRules.plain("*", o.rule.name()), List.of(), facts.me().zone(), facts.me().region(), facts.empty());
+        final List<WorkerState> fit = stands.values().stream().filter(s -> s.worker.pool().equals(o.pool) && facts.workers().containsKey(s.worker.id()))
+                .filter(s -> last.stands(plea, new PlacementInput(s.worker, facts.workers().get(s.worker.id()).age(now), 0, 0, 0, false, 1)))
                 .filter(s -> !o.failed.contains(s.worker.id()))
                 .filter(s -> !s.cold(now) || warm(s, o.pool, now)).toList();
         final Set<String> writers = habits.writers(stands.values().stream().filter(s -> s.worker.pool().equals(o.pool)).toList(), now);
         final Map<Long, String> homes = homes(o.fare, fit, writers);
         final Map<String, Boolean> mute = new HashMap<>();
         fit.forEach(s -> mute.computeIfAbsent(s.worker.region(), r -> reach(s).mute(stands.values(), now)));
-        return fit.stream().map(s -> new Pick(s, Outlook.of(o.fare, o.rule, s, facts.me().zone(), facts.me().region(), homes, writers, now)))
+        return fit.stream().map(s -> new Pick(s, LatencyPredictor.of(o.fare, o.rule, s, facts.me().zone(), facts.me().region(), homes, writers, now)))
                 .sorted(Comparator.comparingLong(p -> p.view().cost() + (mute.get(p.stand().worker.region()) ? o.rule.aim() * 2 : 0)
                         + (p.stand().shunned(now) ? o.rule.aim() * 4 : 0))).toList();
     }
@@ -369,7 +369,7 @@
                 && p.stand().worker.region().equals(all.getFirst().stand().worker.region())
                 && p.view().cost() <= best + NEAR * o.rule.aim()).toList();
         final List<Pick> least = near.stream().sorted(Comparator.comparingInt(p -> p.stand().runs.size())).toList();
-        return Outlook.worth(o.fare.parts()) ? Optional.of(all.getFirst())
+        return LatencyPredictor.worth(o.fare.parts()) ? Optional.of(all.getFirst())
                 : Optional.of(least.get(luck.nextInt(Math.min(2, least.size()))));
     }
 
@@ -377,28 +377,28 @@
      * For each shared part of a prompt the worker that keeps it by common rule: one of this region where such parts come up
      * often, else one of all regions, so that it is read once only.
      */
-    private Map<Long, String> homes(final Fare fare, final List<Stand> fit, final Set<String> writers) {
+    private Map<Long, String> homes(final RoutedRequest fare, final List<WorkerState> fit, final Set<String> writers) {
         final Map<Long, String> homes = new HashMap<>();
-        if (!Outlook.worth(fare.parts())) {
+        if (!LatencyPredictor.worth(fare.parts())) {
             return homes;
         }
         final String here = facts.me().region();
-        final List<Stand> readers = fit.stream().filter(s -> !writers.contains(s.worker.id())).toList();
-        final int pursers = 1 + (int) facts.crew().stream().filter(m -> m.region().equals(here)).count();
-        final boolean near = readers.stream().anyMatch(s -> s.worker.region().equals(here)) && habits.often(pursers);
-        final long key = Outlook.key(fare);
+        final List<WorkerState> readers = fit.stream().filter(s -> !writers.contains(s.worker.id())).toList();
+        final int gateways = 1 + (int) facts.crew().stream().filter(m -> m.region().equals(here)).count();
+        final boolean near = readers.stream().anyMatch(s -> s.worker.region().equals(here)) && habits.often(gateways);
+        final long key = LatencyPredictor.key(fare);
         readers.stream().filter(s -> !near || s.worker.region().equals(here))
-                .max(Comparator.comparingLong(s -> Outlook.draw(key, s.worker.id())))
+                .max(Comparator.comparingLong(s -> LatencyPredictor.draw(key, s.worker.id())))
                 .ifPresent(s -> fare.parts().subList(0, fare.parts().size() - 1).forEach(p -> homes.put(p.name(), s.worker.id())));
         return homes;
     }
 
-    /** Whether this purser may send to a cold worker now: a few pursers named by hashing share what it bears. */
-    private boolean warm(final Stand s, final String pool, final long now) {
-        final double rate = charters.pool(pool).map(Leaf.Pool::rate).filter(r -> r > 0).orElse(1.0);
+    /** Whether this gateway may send to a cold worker now: a few gateways named by hashing share what it bears. */
+    private boolean warm(final WorkerState s, final String pool, final long now) {
+        final double rate = charters.pool(pool).map(Value.BackendPool::rate).filter(r -> r > 0).orElse(1.0);
         final int share = Math.max(1, Math.min(most, (int) Math.floor(rate)));
-        final long mine = Outlook.draw(7, s.worker.id() + facts.me().id());
-        final long before = facts.crew().stream().filter(m -> Outlook.draw(7, s.worker.id() + m.id()) > mine).count();
+        final long mine = LatencyPredictor.draw(7, s.worker.id() + facts.me().id());
+        final long before = facts.crew().stream().filter(m -> LatencyPredictor.draw(7, s.worker.id() + m.id()) > mine).count();
         final long gap = Math.max(SECOND, Math.round(share * SECOND / rate));
         return before < share && now - s.lastSent >= gap;
     }
@@ -406,31 +406,31 @@
     private void send(final Open o, final long now) {
         final List<Pick> all = places(o, now);
         final Optional<Pick> pick = pick(o, all, now);
-        tales.put(new Tales.Tale(o.fare.ticket(), "", o.rule.name(), pick.map(p -> p.stand().worker.id()).orElse(""), facts.page(), o.stamp.bits(),
-                pick.isEmpty() ? "nowhere" : "sent", "", o.tries, all.stream().limit(SHOWN).map(p -> new Court.Opinion(p.stand().worker.id(), "outlook",
-                new Finding.Score((double) o.rule.aim() / Math.max(1, o.rule.aim() + p.view().cost())), 1)).toList()));
+        tales.put(new TraceLog.Tale(o.fare.ticket(), "", o.rule.name(), pick.map(p -> p.stand().worker.id()).orElse(""), facts.page(), o.stamp.bits(),
+                pick.isEmpty() ? "nowhere" : "sent", "", o.tries, all.stream().limit(SHOWN).map(p -> new WeightedScorers.Opinion(p.stand().worker.id(), "outlook",
+                new ScorerResult.Score((double) o.rule.aim() / Math.max(1, o.rule.aim() + p.view().cost())), 1)).toList()));
         if (pick.isEmpty()) {
             count("nowhere");
             close(o);
             if (o.begunReply) {
-                out.add(new Move.Fail(o.fare.token(), 502, "no worker is allowed"));
+                out.add(new RoutingEffect.Fail(o.fare.token(), 502, "no worker is allowed"));
             } else {
                 reject(o.fare.token(), 503, away(o), "no worker is allowed");
             }
             return;
         }
-        final Stand s = pick.get().stand();
+        final WorkerState s = pick.get().stand();
         final Worker w = s.worker;
         job++;
         o.tries++;
         o.run = job;
         o.worker = w.id();
-        s.runs.put(job, new Stand.Run(now, pick.get().view().unread(), pick.get().view().first()));
+        s.runs.put(job, new WorkerState.Run(now, pick.get().view().unread(), pick.get().view().first()));
         s.lastSent = now;
         o.fare.parts().forEach(p -> s.keep(p.name(), now));
         jobs.put(job, o.place);
         count("sends");
-        out.add(new Move.Send(o.fare.token(), job, w.id(), w.address(), o.end - now, o.rule.rank(), !o.rule.again(), o.rule.stream()));
+        out.add(new RoutingEffect.Send(o.fare.token(), job, w.id(), w.address(), o.end - now, o.rule.rank(), !o.rule.again(), o.rule.stream()));
     }
 
     /** When to come back: soon where another worker may take it, later where none is known yet or the allowed ones are cold. */
@@ -457,7 +457,7 @@
     }
 
     private void cut(final Open o, final long now) {
-        out.add(new Move.Cut(o.run));
+        out.add(new RoutingEffect.Cut(o.run));
         drop(o, false, now);
     }
 
@@ -468,7 +468,7 @@
 
     private void reject(final long token, final int code, final long after, final String why) {
         count("rejected_" + code);
-        out.add(new Move.Reject(token, code, after, why));
+        out.add(new RoutingEffect.Reject(token, code, after, why));
     }
 
     private void count(final String name) {
