--- a/core/src/main/java/silverlatch/passage/Habits.java
+++ b/core/src/main/java/silverlatch/routing/TrafficStatistics.java
@@ -1,4 +1,4 @@
-package silverlatch.passage;
+package silverlatch.routing;
 
 import java.util.ArrayDeque;
 import java.util.Comparator;
@@ -8,14 +8,14 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
-import silverlatch.tariff.Leaf;
+import silverlatch.state.Value;
 
 /**
- * What this purser has seen come by lately, from which all pursers draw the same rules of thumb: which workers of a
+ * What this gateway has seen come by lately, from which all gateways draw the same rules of thumb: which workers of a
  * region read long prompts and which write long replies, and whether a prompt's parts come up often enough to be kept in
  * every region. While a worker reads a long prompt, its streams pause; so the two are kept apart.
  */
-final class Habits {
+final class TrafficStatistics {
     /** A prompt of so many tokens is long: reading it takes a worker more than one piece. */
     static final int LONG = 2_048;
     private static final long WINDOW = 45_000_000L;
@@ -36,15 +36,15 @@
         }
     }
 
-    static boolean lengthy(final Fare fare) {
+    static boolean lengthy(final RoutedRequest fare) {
         return fare.in() >= LONG;
     }
 
-    void note(final Fare fare, final Leaf.Rule rule, final long now) {
+    void note(final RoutedRequest fare, final Value.Route rule, final long now) {
         final Kind old = kinds.getOrDefault(rule.name(), new Kind(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2, rule.homes()));
         kinds.put(rule.name(), new Kind(lengthy(fare) ? now : old.longAt(), lengthy(fare) ? old.shortAt() : now, rule.homes()));
-        if (Outlook.worth(fare.parts())) {
-            final long key = Outlook.key(fare);
+        if (LatencyPredictor.worth(fare.parts())) {
+            final long key = LatencyPredictor.key(fare);
             seen.add(new Seen(key, now));
             keys.merge(key, 1, Integer::sum);
         }
@@ -57,17 +57,17 @@
     }
 
     /** Whether the shared parts that come by are used often enough in this region to be kept here too. */
-    boolean often(final int pursers) {
+    boolean often(final int gateways) {
         final double all = seen.size();
         final double kinds = all * all / (2 * Math.max(1, all - keys.size()));
-        return all * pursers / Math.max(1, kinds) >= OFTEN;
+        return all * gateways / Math.max(1, kinds) >= OFTEN;
     }
 
     /** The workers of each region that write long replies where both kinds of work come by; the others read. */
-    Set<String> writers(final List<Stand> pool, final long now) {
-        final Map<String, List<Stand>> regions = pool.stream().filter(s -> !s.worker.leaving()).collect(Collectors.groupingBy(s -> s.worker.region()));
+    Set<String> writers(final List<WorkerState> pool, final long now) {
+        final Map<String, List<WorkerState>> regions = pool.stream().filter(s -> !s.worker.leaving()).collect(Collectors.groupingBy(s -> s.worker.region()));
         return regions.entrySet().stream().filter(e -> e.getValue().size() > 1 && both(e.getKey(), now))
-                .flatMap(e -> e.getValue().stream().sorted(Comparator.comparingLong((Stand s) -> Outlook.draw(11, s.worker.id())))
+                .flatMap(e -> e.getValue().stream().sorted(Comparator.comparingLong((WorkerState s) -> LatencyPredictor.draw(11, s.worker.id())))
                         .limit(Math.clamp(Math.round(e.getValue().size() * WRITERS), 1, e.getValue().size() - 1)))
                 .map(s -> s.worker.id()).collect(Collectors.toSet());
     }
--- a/core/src/main/java/silverlatch/passage/Stand.java
+++ b/core/src/main/java/silverlatch/routing/WorkerState.java
@@ -1,13 +1,13 @@
-package silverlatch.passage;
+package silverlatch.routing;
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import silverlatch.rumor.Rumor;
-import silverlatch.rumor.Worker;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
 
-/** What this purser knows of one worker by its own runs there and the worker's replies. One duty owns it. */
-final class Stand {
+/** What this gateway knows of one worker by its own runs there and the worker's replies. One duty owns it. */
+final class WorkerState {
     private static final int PARTS = 512;
     private static final long KEPT = 45_000_000L;
     private static final long FIRST = 500_000L;
@@ -27,14 +27,14 @@
     boolean silent;
     double pace = 1;
 
-    Stand(final Rumor.Heard heard, final long now) {
+    WorkerState(final Gossip.Heard heard, final long now) {
         this.worker = heard.worker();
         this.slots = heard.worker().slots();
         this.coldUntil = now + heard.cold(now);
         this.silent = heard.silent();
     }
 
-    /** One run of this purser under way there. */
+    /** One run of this gateway under way there. */
     static final class Run {
         final long begun;
         final int unread;
@@ -50,7 +50,7 @@
         }
     }
 
-    void word(final Rumor.Heard next, final long now) {
+    void word(final Gossip.Heard next, final long now) {
         final long cold = next.cold(now);
         if (cold > 0 && !cold(now) || next.worker().life() != worker.life()) {
             parts.clear();
--- a/core/src/main/java/silverlatch/guard/Guard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -1,7 +1,7 @@
-package silverlatch.guard;
+package silverlatch.safeguard;
 
 /** A rule of this project that keeps something from happening. A drill lets one down to see that its observer notices. */
-public enum Guard {
+public enum Safeguard {
     /** A word on a worker counts for a set age only. */
     WORD,
     /** A table that is not confirmed is not acted on. */
@@ -10,7 +10,7 @@
     ZONE,
     /** A worker outside the tenant's homes gets no work. */
     SERVED,
-    /** A purser outside the tenant's homes takes no ticket. */
+    /** A gateway outside the tenant's homes takes no ticket. */
     SENT,
     /** What is kept of a tenant goes when its homes, its key or itself do. */
     KEPT,
--- a/core/src/main/java/silverlatch/guard/Guards.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguards.java
@@ -1,19 +1,19 @@
-package silverlatch.guard;
+package silverlatch.safeguard;
 
 import java.util.Set;
 
 /** Which guards stand. The programs know {@link #ALL} only; a test holds them to that. */
-public record Guards(Set<Guard> down) {
+public record Safeguards(Set<Safeguard> down) {
     /** All guards stand. */
-    public static final Guards ALL = new Guards(Set.of());
+    public static final Safeguards ALL = new Safeguards(Set.of());
 
     /** Copies the set. */
-    public Guards {
+    public Safeguards {
         down = Set.copyOf(down);
     }
 
     /** Whether a guard stands. */
-    public boolean stands(final Guard guard) {
+    public boolean stands(final Safeguard guard) {
         return down.isEmpty() || !down.contains(guard);
     }
 }
--- a/core/src/main/java/silverlatch/tariff/Wish.java
+++ b/core/src/main/java/silverlatch/state/Command.java
@@ -1,71 +1,71 @@
-package silverlatch.tariff;
+package silverlatch.state;
 
 import java.util.List;
 
 /** A change someone asks for. A match of -1 asks for no comparison. */
-public sealed interface Wish {
+public sealed interface Command {
     /** The name by which the outcome can be asked for later. */
     String id();
 
     /** Some cells of the table: row key, field, new value. */
-    record Cells(String id, List<Cell> cells, long match) implements Wish {
+    record PatchTable(String id, List<Cell> cells, long match) implements Command {
         /** Copies the cells. */
-        public Cells {
+        public PatchTable {
             cells = List.copyOf(cells);
         }
     }
 
     /** A whole new table. */
-    record Table(String id, List<Leaf.Row> rows, long match) implements Wish {
+    record PutTable(String id, List<Value.Row> rows, long match) implements Command {
         /** Copies the rows. */
-        public Table {
+        public PutTable {
             rows = List.copyOf(rows);
         }
     }
 
     /** A tenant, new or changed. */
-    record Person(String id, Leaf.Tenant tenant, long match) implements Wish {
+    record PutTenant(String id, Value.Tenant tenant, long match) implements Command {
     }
 
     /** A tenant to be taken away. */
-    record Drop(String id, String tenant, long match) implements Wish {
+    record RemoveTenant(String id, String tenant, long match) implements Command {
     }
 
     /** A zone to be emptied or given back. */
-    record Zone(String id, String zone, boolean on, long match) implements Wish {
+    record SetEvacuation(String id, String zone, boolean on, long match) implements Command {
     }
 
     /** A key to be bound to a ticket. */
-    record Hold(String id, String key, String ticket, String carrier, long at) implements Wish {
+    record Claim(String id, String key, String ticket, String carrier, long at) implements Command {
     }
 
     /** How a claimed ticket ended. */
-    record End(String id, String key, String ticket, String carrier, String state, long at) implements Wish {
+    record CompleteClaim(String id, String key, String ticket, String carrier, String state, long at) implements Command {
     }
 
     /** Another turn of the glass: claims that have seen enough turns are let go; a duty, fenced by the view's number. */
-    record Sweep(String id, long turn, long fence) implements Wish {
+    record AdvanceEpoch(String id, long turn, long fence) implements Command {
     }
 
     /** A calendar, new or changed. */
-    record Diary(String id, Leaf.Calendar calendar, long match) implements Wish {
+    record PutSchedule(String id, Value.Schedule calendar, long match) implements Command {
     }
 
     /** A calendar to be taken away. */
-    record Undiary(String id, String name, long match) implements Wish {
+    record RemoveSchedule(String id, String name, long match) implements Command {
     }
 
     /** What a calendar asks for; a duty, fenced by the view's number. */
-    record Timed(String id, long fence, Wish wish) implements Wish {
+    record Scheduled(String id, long fence, Command wish) implements Command {
     }
 
     /**
      * A whole new charter: rules, pools and bounds, and the operator's own paper. The match is the number of the charter
      * it builds on, 0 where there is none; a lost race is told with the number in force in place of a sequence.
      */
-    record Lay(String id, Leaf.Charter charter, List<Leaf.Rule> rules, List<Leaf.Pool> pools, String paper, long match) implements Wish {
+    record PutConfiguration(String id, Value.RoutingConfiguration charter, List<Value.Route> rules, List<Value.BackendPool> pools, String paper, long match) implements Command {
         /** Copies the lists. */
-        public Lay {
+        public PutConfiguration {
             rules = List.copyOf(rules);
             pools = List.copyOf(pools);
         }
--- a/core/src/main/java/silverlatch/tariff/Verdict.java
+++ b/core/src/main/java/silverlatch/state/CommandResult.java
@@ -1,15 +1,15 @@
-package silverlatch.tariff;
+package silverlatch.state;
 
 import java.util.List;
 
 /** What came of a wish. */
-public sealed interface Verdict {
+public sealed interface CommandResult {
     /** It took effect at this sequence. */
-    record Kept(long sequence) implements Verdict {
+    record Applied(long sequence) implements CommandResult {
     }
 
     /** It never takes effect: the HTTP-like code, the faults, and the present sequence. */
-    record Rejected(int code, List<String> faults, long sequence) implements Verdict {
+    record Rejected(int code, List<String> faults, long sequence) implements CommandResult {
         /** Copies the faults. */
         public Rejected {
             faults = List.copyOf(faults);
@@ -17,10 +17,10 @@
     }
 
     /** Another ticket holds the key; this is how it stands. */
-    record Stands(Leaf.Claim claim) implements Verdict {
+    record AlreadyClaimed(Value.Claim claim) implements CommandResult {
     }
 
     /** Not known yet whether it takes effect. */
-    record Unknown(String id) implements Verdict {
+    record Unknown(String id) implements CommandResult {
     }
 }
--- a/core/src/main/java/silverlatch/tariff/Charters.java
+++ b/core/src/main/java/silverlatch/state/ConfigurationValidator.java
@@ -1,4 +1,4 @@
-package silverlatch.tariff;
+package silverlatch.state;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -9,7 +9,7 @@
 import java.util.Set;
 
 /** Charters: what is wrong with one, each fault with its place, and what one changes. */
-public final class Charters {
+public final class ConfigurationValidator {
     /** The key of the charter in force. */
     public static final String CHARTER = "p/charter";
     /** The key of the charter as the operator wrote it; it stays with the control plane. */
@@ -29,7 +29,7 @@
     private static final int NAME = 256;
     private static final int PATH = 1_024;
 
-    private Charters() {
+    private ConfigurationValidator() {
     }
 
     /** The key of a rule. */
@@ -43,9 +43,9 @@
     }
 
     /** What is wrong with a charter that comes after the number in force; at most a few faults are told. */
-    static List<String> faults(final Wish.Lay w, final long now) {
+    static List<String> faults(final Command.PutConfiguration w, final long now) {
         final List<String> list = new ArrayList<>();
-        final Leaf.Charter c = w.charter();
+        final Value.RoutingConfiguration c = w.charter();
         if (c.number() <= now) {
             list.add("$.number: " + c.number() + " is not higher than " + now + ", which is in force");
         }
@@ -77,8 +77,8 @@
     }
 
     /** What a charter writes over the rules and pools that stand: only what differs, and always itself. */
-    static List<Entry> puts(final Wish.Lay w, final Map<String, Entry> old, final long seq) {
-        final Map<String, Leaf> next = new HashMap<>();
+    static List<Entry> puts(final Command.PutConfiguration w, final Map<String, Entry> old, final long seq) {
+        final Map<String, Value> next = new HashMap<>();
         w.rules().forEach(r -> next.put(rule(r.host(), r.path()), r));
         w.pools().forEach(p -> next.put(pool(p.name()), p));
         final List<Entry> puts = new ArrayList<>();
@@ -86,7 +86,7 @@
         next.entrySet().stream().filter(e -> !old.containsKey(e.getKey()) || !old.get(e.getKey()).leaf().getFirst().equals(e.getValue()))
                 .sorted(Map.Entry.comparingByKey()).forEach(e -> puts.add(new Entry(e.getKey(), seq, List.of(e.getValue()))));
         puts.add(new Entry(CHARTER, seq, List.of(w.charter())));
-        puts.add(new Entry(PAPER, seq, List.of(new Leaf.Paper(w.charter().number(), w.paper()))));
+        puts.add(new Entry(PAPER, seq, List.of(new Value.ConfigurationDocument(w.charter().number(), w.paper()))));
         return puts;
     }
 
@@ -95,7 +95,7 @@
         return paper.length() > LONGEST || paper.getBytes(StandardCharsets.UTF_8).length > LONGEST;
     }
 
-    private static void pool(final List<String> list, final String at, final Leaf.Pool p, final Set<String> pools) {
+    private static void pool(final List<String> list, final String at, final Value.BackendPool p, final Set<String> pools) {
         name(list, at + ".name", p.name(), NAME);
         if (!pools.add(p.name())) {
             list.add(at + ".name: a second pool " + cut(p.name()));
@@ -108,7 +108,7 @@
         low(list, at + ".stride", p.stride(), 0);
     }
 
-    private static void rule(final List<String> list, final String at, final Leaf.Rule r, final Set<String> pools, final Set<String> keys) {
+    private static void rule(final List<String> list, final String at, final Value.Route r, final Set<String> pools, final Set<String> keys) {
         name(list, at + ".name", r.name(), NAME);
         name(list, at + ".host", r.host(), NAME);
         if (r.host().indexOf('/') >= 0 || r.host().indexOf('|') >= 0) {
@@ -132,7 +132,7 @@
         lots(list, at + ".lots", r.lots(), pools);
     }
 
-    private static void lots(final List<String> list, final String at, final List<Leaf.Lot> lots, final Set<String> pools) {
+    private static void lots(final List<String> list, final String at, final List<Value.WeightedBackend> lots, final Set<String> pools) {
         if (lots.isEmpty() || lots.size() > LOTS) {
             list.add(at + ": 1 to " + LOTS + " are needed, not " + lots.size());
             return;
@@ -143,7 +143,7 @@
             }
             low(list, at + "[" + i + "].weight", lots.get(i).weight(), 0);
         }
-        if (lots.stream().mapToLong(Leaf.Lot::weight).sum() <= 0) {
+        if (lots.stream().mapToLong(Value.WeightedBackend::weight).sum() <= 0) {
             list.add(at + ": the weights add up to nothing");
         }
     }
--- a/core/src/main/java/silverlatch/tariff/Entry.java
+++ b/core/src/main/java/silverlatch/state/Entry.java
@@ -1,9 +1,9 @@
-package silverlatch.tariff;
+package silverlatch.state;
 
 import java.util.List;
 
 /** One entry of the books: its key, the sequence that last wrote it, and what it holds; nothing when it is gone. */
-public record Entry(String key, long sequence, List<Leaf> leaf) {
+public record Entry(String key, long sequence, List<Value> leaf) {
     /** At most one leaf. */
     public Entry {
         leaf = List.copyOf(leaf);
@@ -20,11 +20,11 @@
     /** About how many bytes the entry takes in a frame. */
     public long weight() {
         return 96 + key.length() + leaf.stream().mapToLong(l -> switch (l) {
-            case Leaf.Paper p -> 2L * p.text().length();
-            case Leaf.Rule r -> 128 + r.name().length() + r.host().length() + r.path().length() + 32L * r.homes().size() + 48L * r.lots().size();
-            case Leaf.Calendar k -> 96L * (1 + k.cells().size());
-            case Leaf.Deed d -> 32 + d.faults().stream().mapToLong(String::length).sum();
-            case Leaf.Tenant t -> 160 + 32L * t.homes().size();
+            case Value.ConfigurationDocument p -> 2L * p.text().length();
+            case Value.Route r -> 128 + r.name().length() + r.host().length() + r.path().length() + 32L * r.homes().size() + 48L * r.lots().size();
+            case Value.Schedule k -> 96L * (1 + k.cells().size());
+            case Value.CommandOutcome d -> 32 + d.faults().stream().mapToLong(String::length).sum();
+            case Value.Tenant t -> 160 + 32L * t.homes().size();
             default -> 160;
         }).sum();
     }
--- a/core/src/main/java/silverlatch/tariff/Policy.java
+++ b/core/src/main/java/silverlatch/state/Policy.java
@@ -1,4 +1,4 @@
-package silverlatch.tariff;
+package silverlatch.state;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -20,14 +20,14 @@
     private static final int FEW = 256;
     private final Map<String, Entry> base;
     private final Map<String, Entry> over;
-    private final List<Leaf.Drain> drains;
+    private final List<Value.Evacuation> drains;
     private final Set<String> empty;
 
-    private Policy(final Map<String, Entry> base, final Map<String, Entry> over, final List<Leaf.Drain> drains) {
+    private Policy(final Map<String, Entry> base, final Map<String, Entry> over, final List<Value.Evacuation> drains) {
         this.base = base;
         this.over = over;
         this.drains = drains;
-        this.empty = drains.stream().filter(Leaf.Drain::on).map(Leaf.Drain::zone).collect(Collectors.toUnmodifiableSet());
+        this.empty = drains.stream().filter(Value.Evacuation::on).map(Value.Evacuation::zone).collect(Collectors.toUnmodifiableSet());
     }
 
     /** A policy of these entries. */
@@ -46,21 +46,21 @@
         if (many) {
             next.values().removeIf(Entry::gone);
         }
-        final List<Leaf.Drain> zones = new ArrayList<>(drains);
+        final List<Value.Evacuation> zones = new ArrayList<>(drains);
         news.stream().filter(e -> e.key().startsWith("z/")).forEach(e -> {
             zones.removeIf(d -> d.zone().equals(e.key().substring(2)));
-            e.leaf().forEach(l -> zones.add((Leaf.Drain) l));
+            e.leaf().forEach(l -> zones.add((Value.Evacuation) l));
         });
         return many ? new Policy(next, Map.of(), List.copyOf(zones)) : new Policy(base, next, List.copyOf(zones));
     }
 
     /** What a key holds. */
-    public Optional<Leaf> leaf(final String key) {
+    public Optional<Value> leaf(final String key) {
         return Optional.ofNullable(over.get(key)).or(() -> Optional.ofNullable(base.get(key))).flatMap(e -> e.leaf().stream().findFirst());
     }
 
     /** Orders on zones. */
-    public List<Leaf.Drain> drains() {
+    public List<Value.Evacuation> drains() {
         return drains;
     }
 
@@ -70,7 +70,7 @@
     }
 
     /** All that is held. */
-    public Stream<Leaf> leaves() {
+    public Stream<Value> leaves() {
         return Stream.concat(over.values().stream(), base.values().stream().filter(e -> !over.containsKey(e.key()))).flatMap(e -> e.leaf().stream());
     }
 }
--- a/core/src/main/java/silverlatch/tariff/Books.java
+++ b/core/src/main/java/silverlatch/state/StateMachine.java
@@ -1,4 +1,4 @@
-package silverlatch.tariff;
+package silverlatch.state;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -12,12 +12,12 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import silverlatch.guard.Guard;
-import silverlatch.guard.Guards;
-import silverlatch.tide.Stamp;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
+import silverlatch.clock.Stamp;
 
 /** The shared books of the control plane: what they hold, and the one function that judges a wish against them. */
-public final class Books {
+public final class StateMachine {
     /** How many rows a table may have. */
     public static final int ROWS = 20_000;
     /** How many claims are kept at once. */
@@ -31,19 +31,19 @@
     private static final int DEEDS = 1_000;
     private final TreeMap<String, Entry> entries = new TreeMap<>();
     private final TreeSet<Entry> newest = new TreeSet<>(Comparator.comparingLong(Entry::sequence).thenComparing(Entry::key));
-    private final Guards guards;
+    private final Safeguards guards;
     private long sequence;
     private long page;
     private long table;
     private int claims;
 
     /** Empty books. */
-    public Books() {
-        this(Guards.ALL);
+    public StateMachine() {
+        this(Safeguards.ALL);
     }
 
     /** Empty books under the guards that stand. */
-    public Books(final Guards guards) {
+    public StateMachine(final Safeguards guards) {
         this.guards = guards;
     }
 
@@ -165,67 +165,67 @@
      * otherwise later is written too, so that a copy of the wish that comes late finds it.
      * The overlay holds what was let in but is not applied yet.
      */
-    public Judged judge(final Wish wish, final Map<String, Entry> overlay, final long seq, final Stamp stamp) {
+    public Judged judge(final Command wish, final Map<String, Entry> overlay, final long seq, final Stamp stamp) {
         final Map<String, Entry> seen = new HashMap<>(overlay);
         final Look look = new Look(seen);
         final Optional<Entry> done = look.at("o/" + wish.id());
-        if (done.isPresent() && done.get().leaf().getFirst() instanceof Leaf.Deed d) {
-            return new Judged.Over(d.code() == 0 ? new Verdict.Kept(done.get().sequence())
-                    : new Verdict.Rejected(d.code(), d.faults(), d.sequence()));
+        if (done.isPresent() && done.get().leaf().getFirst() instanceof Value.CommandOutcome d) {
+            return new Judged.Over(d.code() == 0 ? new CommandResult.Applied(done.get().sequence())
+                    : new CommandResult.Rejected(d.code(), d.faults(), d.sequence()));
         }
         final Judged judged = judged(wish, look, seq, stamp);
-        final boolean lasting = wish instanceof Wish.Hold || wish instanceof Wish.End || wish instanceof Wish.Sweep;
-        return judged instanceof Judged.Over over && over.verdict() instanceof Verdict.Rejected r && r.code() != 409 && !lasting
-                ? let(look, List.of(), wish.id(), seq, new Leaf.Deed(r.sequence(), r.code(), r.faults())) : judged;
+        final boolean lasting = wish instanceof Command.Claim || wish instanceof Command.CompleteClaim || wish instanceof Command.AdvanceEpoch;
+        return judged instanceof Judged.Over over && over.verdict() instanceof CommandResult.Rejected r && r.code() != 409 && !lasting
+                ? let(look, List.of(), wish.id(), seq, new Value.CommandOutcome(r.sequence(), r.code(), r.faults())) : judged;
     }
 
-    private Judged judged(final Wish wish, final Look look, final long seq, final Stamp stamp) {
+    private Judged judged(final Command wish, final Look look, final long seq, final Stamp stamp) {
         return switch (wish) {
-            case Wish.Cells w -> cells(w, look, seq);
-            case Wish.Table w -> table(w, look, seq);
-            case Wish.Person w -> matched(look, "t/" + w.tenant().name(), w.match(),
-                    () -> Tariff.faults(w.tenant()), w.id(), seq, w.tenant());
-            case Wish.Drop w -> look.at("t/" + w.tenant()).isEmpty()
+            case Command.PatchTable w -> cells(w, look, seq);
+            case Command.PutTable w -> table(w, look, seq);
+            case Command.PutTenant w -> matched(look, "t/" + w.tenant().name(), w.match(),
+                    () -> TableRules.faults(w.tenant()), w.id(), seq, w.tenant());
+            case Command.RemoveTenant w -> look.at("t/" + w.tenant()).isEmpty()
                     ? rejected(404, "no tenant " + w.tenant(), 0)
                     : matched(look, "t/" + w.tenant(), w.match(), List::of, w.id(), seq);
-            case Wish.Zone w -> matched(look, "z/" + w.zone(), w.match(), () -> Tariff.word("zone", w.zone()),
-                    w.id(), seq, new Leaf.Drain(w.zone(), w.on(), stamp));
-            case Wish.Hold w -> hold(w, look, seq);
-            case Wish.End w -> end(w, look, seq);
-            case Wish.Diary w -> matched(look, "k/" + w.calendar().name(), w.match(), () -> Tariff.word("name", w.calendar().name()),
+            case Command.SetEvacuation w -> matched(look, "z/" + w.zone(), w.match(), () -> TableRules.word("zone", w.zone()),
+                    w.id(), seq, new Value.Evacuation(w.zone(), w.on(), stamp));
+            case Command.Claim w -> hold(w, look, seq);
+            case Command.CompleteClaim w -> end(w, look, seq);
+            case Command.PutSchedule w -> matched(look, "k/" + w.calendar().name(), w.match(), () -> TableRules.word("name", w.calendar().name()),
                     w.id(), seq, w.calendar());
-            case Wish.Undiary w -> look.at("k/" + w.name()).isEmpty() ? rejected(404, "no calendar " + w.name(), 0)
+            case Command.RemoveSchedule w -> look.at("k/" + w.name()).isEmpty() ? rejected(404, "no calendar " + w.name(), 0)
                     : matched(look, "k/" + w.name(), w.match(), List::of, w.id(), seq);
-            case Wish.Timed w -> judged(w.wish(), look, seq, stamp);
-            case Wish.Sweep w -> sweep(w, look, seq);
-            case Wish.Lay w -> lay(w, look, seq);
+            case Command.Scheduled w -> judged(w.wish(), look, seq, stamp);
+            case Command.AdvanceEpoch w -> sweep(w, look, seq);
+            case Command.PutConfiguration w -> lay(w, look, seq);
         };
     }
 
-    private Judged cells(final Wish.Cells w, final Look look, final long seq) {
+    private Judged cells(final Command.PatchTable w, final Look look, final long seq) {
         final long now = look.table();
         if (lost(w.match(), now)) {
             return rejected(409, "the table is at sequence " + now, now);
         }
         final List<String> faults = new ArrayList<>();
-        final Map<String, Leaf.Row> rows = new HashMap<>();
+        final Map<String, Value.Row> rows = new HashMap<>();
         for (int i = 0; i < w.cells().size(); i++) {
-            final Wish.Cell c = w.cells().get(i);
+            final Command.Cell c = w.cells().get(i);
             final String key = row(c.tenant(), c.kind());
-            final Leaf.Row old = rows.computeIfAbsent(key, k -> look.at(k).map(e -> (Leaf.Row) e.leaf().getFirst())
-                    .orElseGet(() -> look.at(row("*", c.kind())).map(e -> (Leaf.Row) e.leaf().getFirst())
-                            .map(r -> Tariff.renamed(r, c.tenant())).orElse(Tariff.plain(c.tenant(), c.kind()))));
-            switch (Tariff.set(old, c.field(), c.value())) {
-                case Tariff.Cut.Good good -> rows.put(key, good.row());
-                case Tariff.Cut.Bad bad -> faults.add("$.cells[" + i + "]: " + bad.fault());
+            final Value.Row old = rows.computeIfAbsent(key, k -> look.at(k).map(e -> (Value.Row) e.leaf().getFirst())
+                    .orElseGet(() -> look.at(row("*", c.kind())).map(e -> (Value.Row) e.leaf().getFirst())
+                            .map(r -> TableRules.renamed(r, c.tenant())).orElse(TableRules.plain(c.tenant(), c.kind()))));
+            switch (TableRules.set(old, c.field(), c.value())) {
+                case TableRules.Cut.Good good -> rows.put(key, good.row());
+                case TableRules.Cut.Bad bad -> faults.add("$.cells[" + i + "]: " + bad.fault());
             }
         }
         rows.values().forEach(r -> {
-            faults.addAll(Tariff.faults(r));
+            faults.addAll(TableRules.faults(r));
             faults.addAll(look.person(r));
         });
         if (!faults.isEmpty() || rows.isEmpty()) {
-            return new Judged.Over(new Verdict.Rejected(422, rows.isEmpty() ? List.of("$.cells: none given") : faults, now));
+            return new Judged.Over(new CommandResult.Rejected(422, rows.isEmpty() ? List.of("$.cells: none given") : faults, now));
         }
         final long more = rows.keySet().stream().filter(k -> look.at(k).isEmpty()).count();
         if (more > 0 && look.rows().size() + more > ROWS) {
@@ -236,7 +236,7 @@
         return let(look, puts, w.id(), seq);
     }
 
-    private Judged table(final Wish.Table w, final Look look, final long seq) {
+    private Judged table(final Command.PutTable w, final Look look, final long seq) {
         final long now = look.table();
         if (lost(w.match(), now)) {
             return rejected(409, "the table is at sequence " + now, now);
@@ -248,9 +248,9 @@
         final Set<String> keys = new HashSet<>();
         final List<Entry> puts = new ArrayList<>();
         for (int i = 0; i < w.rows().size(); i++) {
-            final Leaf.Row r = w.rows().get(i);
+            final Value.Row r = w.rows().get(i);
             final String at = "$.rows[" + i + "]";
-            Tariff.faults(r).forEach(f -> faults.add(at + "." + f));
+            TableRules.faults(r).forEach(f -> faults.add(at + "." + f));
             look.person(r).forEach(f -> faults.add(at + "." + f));
             if (!keys.add(row(r.tenant(), r.kind()))) {
                 faults.add(at + ": a second row for " + r.tenant() + " and " + r.kind());
@@ -261,72 +261,72 @@
             faults.add("$.rows: a table needs a row");
         }
         if (!faults.isEmpty()) {
-            return new Judged.Over(new Verdict.Rejected(422, faults.subList(0, Math.min(50, faults.size())), now));
+            return new Judged.Over(new CommandResult.Rejected(422, faults.subList(0, Math.min(50, faults.size())), now));
         }
         look.rows().stream().filter(k -> !keys.contains(k)).forEach(k -> puts.add(new Entry(k, seq, List.of())));
         return let(look, puts, w.id(), seq);
     }
 
     private Judged matched(final Look look, final String key, final long match,
-                           final java.util.function.Supplier<List<String>> check, final String id, final long seq, final Leaf... leaf) {
+                           final java.util.function.Supplier<List<String>> check, final String id, final long seq, final Value... leaf) {
         final long now = look.sequence(key);
         if (lost(match, now)) {
             return rejected(409, key.substring(2) + " is at sequence " + now, now);
         }
         final List<String> faults = check.get();
         if (!faults.isEmpty()) {
-            return new Judged.Over(new Verdict.Rejected(422, faults, now));
+            return new Judged.Over(new CommandResult.Rejected(422, faults, now));
         }
         return let(look, List.of(new Entry(key, seq, List.of(leaf))), id, seq);
     }
 
     private boolean lost(final long match, final long now) {
-        return match >= 0 && match != now && guards.stands(Guard.MATCH);
+        return match >= 0 && match != now && guards.stands(Safeguard.MATCH);
     }
 
-    private Judged hold(final Wish.Hold w, final Look look, final long seq) {
-        final Optional<Leaf.Claim> old = look.at("c/" + w.key()).map(e -> (Leaf.Claim) e.leaf().getFirst())
-                .filter(c -> guards.stands(Guard.CLAIM));
+    private Judged hold(final Command.Claim w, final Look look, final long seq) {
+        final Optional<Value.Claim> old = look.at("c/" + w.key()).map(e -> (Value.Claim) e.leaf().getFirst())
+                .filter(c -> guards.stands(Safeguard.CLAIM));
         if (old.map(c -> c.ticket().equals(w.ticket()) && c.state().equals(RUNNING)).orElse(false)) {
-            return new Judged.Over(new Verdict.Kept(look.sequence("c/" + w.key())));
+            return new Judged.Over(new CommandResult.Applied(look.sequence("c/" + w.key())));
         }
         if (old.isPresent() && !taken(old.get(), w)) {
-            return new Judged.Over(new Verdict.Stands(old.get()));
+            return new Judged.Over(new CommandResult.AlreadyClaimed(old.get()));
         }
         if (old.isEmpty() && claims + look.fresh("c/") >= CLAIMS) {
             return rejected(507, "the space for claims is full", sequence);
         }
-        return claimed(w.key(), seq, new Leaf.Claim(w.ticket(), w.carrier(), RUNNING, w.at(), look.turn()));
+        return claimed(w.key(), seq, new Value.Claim(w.ticket(), w.carrier(), RUNNING, w.at(), look.turn()));
     }
 
     /** A claim that ended as rejected never ran: a ticket that was claimed later may have its key, and none other. */
-    private static boolean taken(final Leaf.Claim old, final Wish.Hold w) {
+    private static boolean taken(final Value.Claim old, final Command.Claim w) {
         return old.state().equals(REJECTED) && !old.ticket().equals(w.ticket()) && w.at() > old.at();
     }
 
-    private Judged end(final Wish.End w, final Look look, final long seq) {
-        final Optional<Leaf.Claim> old = look.at("c/" + w.key()).map(e -> (Leaf.Claim) e.leaf().getFirst());
+    private Judged end(final Command.CompleteClaim w, final Look look, final long seq) {
+        final Optional<Value.Claim> old = look.at("c/" + w.key()).map(e -> (Value.Claim) e.leaf().getFirst());
         if (old.isEmpty() && w.state().equals(REJECTED)) {
-            return claimed(w.key(), seq, new Leaf.Claim(w.ticket(), w.carrier(), w.state(), w.at(), look.turn()));
+            return claimed(w.key(), seq, new Value.Claim(w.ticket(), w.carrier(), w.state(), w.at(), look.turn()));
         }
         if (old.isEmpty() || !old.get().ticket().equals(w.ticket())) {
             return rejected(409, "the claim is not this ticket's", sequence);
         }
         if (!old.get().state().equals(RUNNING)) {
-            return new Judged.Over(new Verdict.Kept(look.sequence("c/" + w.key())));
+            return new Judged.Over(new CommandResult.Applied(look.sequence("c/" + w.key())));
         }
-        return claimed(w.key(), seq, new Leaf.Claim(old.get().ticket(), old.get().carrier(), w.state(), old.get().at(), old.get().turn()));
+        return claimed(w.key(), seq, new Value.Claim(old.get().ticket(), old.get().carrier(), w.state(), old.get().at(), old.get().turn()));
     }
 
-    private static Judged claimed(final String key, final long seq, final Leaf.Claim claim) {
+    private static Judged claimed(final String key, final long seq, final Value.Claim claim) {
         return new Judged.Let(List.of(new Entry("c/" + key, seq, List.of(claim))));
     }
 
     private Judged let(final Look look, final List<Entry> puts, final String id, final long seq) {
-        return let(look, puts, id, seq, new Leaf.Deed(seq, 0, List.of()));
+        return let(look, puts, id, seq, new Value.CommandOutcome(seq, 0, List.of()));
     }
 
-    private Judged let(final Look look, final List<Entry> puts, final String id, final long seq, final Leaf.Deed deed) {
+    private Judged let(final Look look, final List<Entry> puts, final String id, final long seq, final Value.CommandOutcome deed) {
         final List<Entry> all = new ArrayList<>(puts);
         all.add(new Entry("o/" + id, seq, List.of(deed)));
         final SortedMap<String, Entry> deeds = part("o/");
@@ -337,43 +337,43 @@
         return new Judged.Let(all);
     }
 
-    private Judged lay(final Wish.Lay w, final Look look, final long seq) {
-        final Optional<Entry> held = look.at(Charters.CHARTER);
-        final long now = held.map(e -> ((Leaf.Charter) e.leaf().getFirst()).number()).orElse(0L);
+    private Judged lay(final Command.PutConfiguration w, final Look look, final long seq) {
+        final Optional<Entry> held = look.at(ConfigurationValidator.CHARTER);
+        final long now = held.map(e -> ((Value.RoutingConfiguration) e.leaf().getFirst()).number()).orElse(0L);
         final boolean same = now == w.charter().number()
-                && look.at(Charters.PAPER).map(e -> ((Leaf.Paper) e.leaf().getFirst()).text().equals(w.paper())).orElse(false);
+                && look.at(ConfigurationValidator.PAPER).map(e -> ((Value.ConfigurationDocument) e.leaf().getFirst()).text().equals(w.paper())).orElse(false);
         if (same) {
-            return new Judged.Over(new Verdict.Kept(look.sequence(Charters.CHARTER)));
+            return new Judged.Over(new CommandResult.Applied(look.sequence(ConfigurationValidator.CHARTER)));
         }
         if (lost(w.match(), now)) {
             return rejected(409, "the charter in force is number " + now, now);
         }
-        final List<String> faults = Charters.faults(w, now);
+        final List<String> faults = ConfigurationValidator.faults(w, now);
         if (!faults.isEmpty()) {
-            return new Judged.Over(new Verdict.Rejected(422, faults, now));
+            return new Judged.Over(new CommandResult.Rejected(422, faults, now));
         }
-        final Map<String, Entry> old = look.under(Charters.RULES);
-        old.putAll(look.under(Charters.POOLS));
-        return let(look, Charters.puts(w, old, seq), w.id(), seq);
+        final Map<String, Entry> old = look.under(ConfigurationValidator.RULES);
+        old.putAll(look.under(ConfigurationValidator.POOLS));
+        return let(look, ConfigurationValidator.puts(w, old, seq), w.id(), seq);
     }
 
     private static Judged rejected(final int code, final String why, final long now) {
-        return new Judged.Over(new Verdict.Rejected(code, List.of(why), now));
+        return new Judged.Over(new CommandResult.Rejected(code, List.of(why), now));
     }
 
     /** How often the glass was turned. */
     public long turn() {
-        return get(GLASS).map(e -> ((Leaf.Glass) e.leaf().getFirst()).turn()).orElse(0L);
+        return get(GLASS).map(e -> ((Value.Epoch) e.leaf().getFirst()).turn()).orElse(0L);
     }
 
-    private Judged sweep(final Wish.Sweep w, final Look look, final long seq) {
+    private Judged sweep(final Command.AdvanceEpoch w, final Look look, final long seq) {
         final long now = look.turn();
         if (w.turn() != now + 1) {
-            return w.turn() <= now ? new Judged.Over(new Verdict.Kept(look.sequence(GLASS))) : rejected(409, "the glass was turned " + now + " times", now);
+            return w.turn() <= now ? new Judged.Over(new CommandResult.Applied(look.sequence(GLASS))) : rejected(409, "the glass was turned " + now + " times", now);
         }
-        final List<Entry> puts = new ArrayList<>(List.of(new Entry(GLASS, seq, List.of(new Leaf.Glass(w.turn())))));
+        final List<Entry> puts = new ArrayList<>(List.of(new Entry(GLASS, seq, List.of(new Value.Epoch(w.turn())))));
         part("c/").values().stream().map(e -> look.at(e.key())).flatMap(Optional::stream)
-                .filter(e -> e.leaf().getFirst() instanceof Leaf.Claim c && c.turn() + TURNS < w.turn())
+                .filter(e -> e.leaf().getFirst() instanceof Value.Claim c && c.turn() + TURNS < w.turn())
                 .limit(SWEPT).forEach(e -> puts.add(new Entry(e.key(), seq, List.of())));
         return new Judged.Let(puts);
     }
@@ -403,7 +403,7 @@
         }
 
         /** It is decided without a write. */
-        record Over(Verdict verdict) implements Judged {
+        record Over(CommandResult verdict) implements Judged {
         }
     }
 
@@ -431,7 +431,7 @@
         }
 
         long turn() {
-            return at(GLASS).map(e -> ((Leaf.Glass) e.leaf().getFirst()).turn()).orElse(0L);
+            return at(GLASS).map(e -> ((Value.Epoch) e.leaf().getFirst()).turn()).orElse(0L);
         }
 
         Set<String> rows() {
@@ -449,7 +449,7 @@
             return seen.keySet().stream().filter(k -> k.startsWith(start)).count();
         }
 
-        List<String> person(final Leaf.Row r) {
+        List<String> person(final Value.Row r) {
             return r.tenant().equals("*") || at("t/" + r.tenant()).isPresent()
                     ? List.of() : List.of("tenant: there is no tenant " + r.tenant());
         }
--- a/core/src/main/java/silverlatch/tariff/Tariff.java
+++ b/core/src/main/java/silverlatch/state/TableRules.java
@@ -1,32 +1,32 @@
-package silverlatch.tariff;
+package silverlatch.state;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Pattern;
 
 /** The rules for tenants and rows of the table, cell by cell. */
-public final class Tariff {
+public final class TableRules {
     /** The fields of a row that hold a weight or a limit, in the order of the sheet. */
     public static final List<String> FIELDS = List.of("prefix", "load", "cold", "cross", "rate", "burst",
             "running", "queue", "hold", "once", "rank");
     private static final Pattern WORD = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
 
-    private Tariff() {
+    private TableRules() {
     }
 
     /** A row with the weights and limits that hold when nothing is said. */
-    public static Leaf.Row plain(final String tenant, final String kind) {
-        return new Leaf.Row(tenant, kind, 1, 1, 0.5, 0.5, 50, 100, 32, 64, 2_000_000, false, 1);
+    public static Value.Row plain(final String tenant, final String kind) {
+        return new Value.Row(tenant, kind, 1, 1, 0.5, 0.5, 50, 100, 32, 64, 2_000_000, false, 1);
     }
 
     /** The same row under another tenant. */
-    public static Leaf.Row renamed(final Leaf.Row r, final String tenant) {
-        return new Leaf.Row(tenant, r.kind(), r.prefix(), r.load(), r.cold(), r.cross(), r.rate(), r.burst(),
+    public static Value.Row renamed(final Value.Row r, final String tenant) {
+        return new Value.Row(tenant, r.kind(), r.prefix(), r.load(), r.cold(), r.cross(), r.rate(), r.burst(),
                 r.running(), r.queue(), r.hold(), r.once(), r.rank());
     }
 
     /** The row with one cell changed. */
-    public static Cut set(final Leaf.Row r, final String field, final String value) {
+    public static Cut set(final Value.Row r, final String field, final String value) {
         try {
             return switch (field) {
                 case "prefix" -> good(with(r, Double.parseDouble(value), r.load(), r.cold(), r.cross(), r.rate(), r.burst()));
@@ -50,7 +50,7 @@
     }
 
     /** The value of one cell as text. */
-    public static String get(final Leaf.Row r, final String field) {
+    public static String get(final Value.Row r, final String field) {
         return switch (field) {
             case "prefix" -> "" + r.prefix();
             case "load" -> "" + r.load();
@@ -67,7 +67,7 @@
     }
 
     /** What is wrong with a row. */
-    public static List<String> faults(final Leaf.Row r) {
+    public static List<String> faults(final Value.Row r) {
         final List<String> list = new ArrayList<>();
         if (!r.tenant().equals("*")) {
             list.addAll(word("tenant", r.tenant()));
@@ -87,7 +87,7 @@
     }
 
     /** What is wrong with a tenant. */
-    public static List<String> faults(final Leaf.Tenant t) {
+    public static List<String> faults(final Value.Tenant t) {
         final List<String> list = new ArrayList<>(word("name", t.name()));
         if (t.homes().size() > 64) {
             list.add("homes: at most 64");
@@ -112,26 +112,26 @@
         }
     }
 
-    private static Cut good(final Leaf.Row row) {
+    private static Cut good(final Value.Row row) {
         return new Cut.Good(row);
     }
 
-    private static Leaf.Row with(final Leaf.Row r, final double prefix, final double load, final double cold,
+    private static Value.Row with(final Value.Row r, final double prefix, final double load, final double cold,
                                  final double cross, final double rate, final double burst) {
-        return new Leaf.Row(r.tenant(), r.kind(), prefix, load, cold, cross, rate, burst,
+        return new Value.Row(r.tenant(), r.kind(), prefix, load, cold, cross, rate, burst,
                 r.running(), r.queue(), r.hold(), r.once(), r.rank());
     }
 
-    private static Leaf.Row with(final Leaf.Row r, final int running, final int queue, final long hold,
+    private static Value.Row with(final Value.Row r, final int running, final int queue, final long hold,
                                  final boolean once, final int rank) {
-        return new Leaf.Row(r.tenant(), r.kind(), r.prefix(), r.load(), r.cold(), r.cross(), r.rate(), r.burst(),
+        return new Value.Row(r.tenant(), r.kind(), r.prefix(), r.load(), r.cold(), r.cross(), r.rate(), r.burst(),
                 running, queue, hold, once, rank);
     }
 
     /** A row with a cell set, or why not. */
     public sealed interface Cut {
         /** The new row. */
-        record Good(Leaf.Row row) implements Cut {
+        record Good(Value.Row row) implements Cut {
         }
 
         /** Why the cell can't hold the value. */
--- a/core/src/main/java/silverlatch/tariff/Leaf.java
+++ b/core/src/main/java/silverlatch/state/Value.java
@@ -1,12 +1,12 @@
-package silverlatch.tariff;
+package silverlatch.state;
 
 import java.util.List;
-import silverlatch.tide.Stamp;
+import silverlatch.clock.Stamp;
 
 /** What an entry of the shared books can hold. */
-public sealed interface Leaf {
+public sealed interface Value {
     /** A tenant: its homes (regions; none means all), its share of the fleet, and the hash of its key. */
-    record Tenant(String name, List<String> homes, double share, String hash, String salt) implements Leaf {
+    record Tenant(String name, List<String> homes, double share, String hash, String salt) implements Value {
         /** Copies the homes. */
         public Tenant {
             homes = List.copyOf(homes);
@@ -15,27 +15,27 @@
 
     /** One row of the table: weights of the judges and limits, for a tenant (or *) and a kind. */
     record Row(String tenant, String kind, double prefix, double load, double cold, double cross,
-               double rate, double burst, int running, int queue, long hold, boolean once, int rank) implements Leaf {
+               double rate, double burst, int running, int queue, long hold, boolean once, int rank) implements Value {
     }
 
     /** An order to empty a zone, or to take that back. */
-    record Drain(String zone, boolean on, Stamp at) implements Leaf {
+    record Evacuation(String zone, boolean on, Stamp at) implements Value {
     }
 
     /** A calendar: at the times of a cron line it sets cells, or empties a zone or gives it back; no zone is an empty text. */
-    record Calendar(String name, String cron, List<Wish.Cell> cells, String zone, boolean empty) implements Leaf {
+    record Schedule(String name, String cron, List<Command.Cell> cells, String zone, boolean empty) implements Value {
         /** Copies the cells. */
-        public Calendar {
+        public Schedule {
             cells = List.copyOf(cells);
         }
     }
 
     /** A consumer's key, bound to the one ticket that may run under it; the stamp it came with, and the turn of the glass then. */
-    record Claim(String ticket, String carrier, String state, long at, long turn) implements Leaf {
+    record Claim(String ticket, String carrier, String state, long at, long turn) implements Value {
     }
 
     /** How often the glass was turned: the fleet's own count of time, by monotonic clocks only. */
-    record Glass(long turn) implements Leaf {
+    record Epoch(long turn) implements Value {
     }
 
     /**
@@ -56,10 +56,10 @@
      * @param homes  the regions it may run in; none means all
      * @param lots   the pools it goes to, by weight
      */
-    record Rule(String name, String host, String path, boolean once, boolean stream, boolean resume, boolean kept,
-                long hold, long aim, long gap, int rank, int tries, List<String> homes, List<Lot> lots) implements Leaf {
+    record Route(String name, String host, String path, boolean once, boolean stream, boolean resume, boolean kept,
+                long hold, long aim, long gap, int rank, int tries, List<String> homes, List<WeightedBackend> lots) implements Value {
         /** Copies the lists. */
-        public Rule {
+        public Route {
             homes = List.copyOf(homes);
             lots = List.copyOf(lots);
         }
@@ -71,7 +71,7 @@
     }
 
     /** A pool's part in a rule. */
-    record Lot(String pool, int weight) {
+    record WeightedBackend(String pool, int weight) {
     }
 
     /**
@@ -86,21 +86,21 @@
      * @param memory how many tokens a worker holds
      * @param stride how many tokens an event holds
      */
-    record Pool(String name, String health, int lines, long cold, double rate, int slots, int memory, int stride) implements Leaf {
+    record BackendPool(String name, String health, int lines, long cold, double rate, int slots, int memory, int stride) implements Value {
     }
 
     /** The charter in force: the operators' own number, and what a consumer may send (bytes, microseconds). */
-    record Charter(long number, int head, int body, long slow, long idle) implements Leaf {
+    record RoutingConfiguration(long number, int head, int body, long slow, long idle) implements Value {
     }
 
     /** The charter as the operator wrote it, to the letter. */
-    record Paper(long number, String text) implements Leaf {
+    record ConfigurationDocument(long number, String text) implements Value {
     }
 
     /** How a change was decided, by its id: kept when the code is 0, else rejected with its faults. */
-    record Deed(long sequence, int code, List<String> faults) implements Leaf {
+    record CommandOutcome(long sequence, int code, List<String> faults) implements Value {
         /** Copies the faults. */
-        public Deed {
+        public CommandOutcome {
             faults = List.copyOf(faults);
         }
     }
--- a/core/src/main/java/silverlatch/chart/Chart.java
+++ b/core/src/main/java/silverlatch/statemachine/TransitionTable.java
@@ -1,4 +1,4 @@
-package silverlatch.chart;
+package silverlatch.statemachine;
 
 import io.avaje.jsonb.Jsonb;
 import java.io.IOException;
@@ -16,13 +16,13 @@
  * A state chart read from a file and interpreted: states, the events each takes, and where they lead.
  * The file is the only place where a move is allowed.
  */
-public final class Chart {
+public final class TransitionTable {
     private final String name;
     private final String start;
     private final Map<String, Map<String, String>> moves;
     private final Set<String> ends;
 
-    private Chart(final String name, final String start, final Map<String, Map<String, String>> moves, final Set<String> ends) {
+    private TransitionTable(final String name, final String start, final Map<String, Map<String, String>> moves, final Set<String> ends) {
         this.name = name;
         this.start = start;
         this.moves = moves;
@@ -30,8 +30,8 @@
     }
 
     /** Reads the chart of the given name from the charts folder of the program. */
-    public static Chart load(final String name) {
-        try (InputStream in = Optional.ofNullable(Chart.class.getResourceAsStream("/charts/" + name + ".json"))
+    public static TransitionTable load(final String name) {
+        try (InputStream in = Optional.ofNullable(TransitionTable.class.getResourceAsStream("/statemachines/" + name + ".json"))
                 .orElseThrow(() -> new IllegalArgumentException("no chart " + name))) {
             return parse(new String(in.readAllBytes(), StandardCharsets.UTF_8));
         } catch (final IOException e) {
@@ -40,7 +40,7 @@
     }
 
     /** Reads a chart and checks that each state is reachable and each that takes no event is named as an end. */
-    public static Chart parse(final String text) {
+    public static TransitionTable parse(final String text) {
         final Map<?, ?> root = (Map<?, ?>) Jsonb.builder().build().type(Object.class).fromJson(text);
         final String first = (String) root.get("start");
         final Map<String, Map<String, String>> moves = new HashMap<>();
@@ -71,7 +71,7 @@
                 throw new IllegalArgumentException("state " + spot + " must either move or be an end");
             }
         }
-        return new Chart((String) root.get("name"), first, moves, ends);
+        return new TransitionTable((String) root.get("name"), first, moves, ends);
     }
 
     /** The state in which things begin. */
--- a/core/src/main/java/silverlatch/wire/Codec.java
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -13,12 +13,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import silverlatch.ledger.Note;
-import silverlatch.quay.Berth;
-import silverlatch.quay.Change;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
+import silverlatch.log.LogRecord;
+import silverlatch.replication.Replica;
+import silverlatch.replication.LogEntry;
+import silverlatch.state.Value;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
 
 /** Turns frames and notes into bytes and back: registered classes only, every size bounded by the bytes at hand. */
 public final class Codec {
@@ -41,8 +41,8 @@
         kryo.register(ArrayList.class, lists);
         kryo.register(List.class, lists);
         final Set<Class<?>> seen = new HashSet<>();
-        final Deque<Class<?>> open = new ArrayDeque<>(List.of(Frame.class, Msg.class, Note.class, Leaf.class,
-                Wish.class, Verdict.class, Change.class, Berth.class));
+        final Deque<Class<?>> open = new ArrayDeque<>(List.of(Frame.class, Msg.class, LogRecord.class, Value.class,
+                Command.class, CommandResult.class, LogEntry.class, Replica.class));
         while (!open.isEmpty()) {
             final Class<?> type = open.poll();
             if (!seen.add(type)) {
@@ -55,9 +55,9 @@
                 Arrays.stream(type.getRecordComponents()).map(c -> c.getType())
                         .filter(t -> t.getName().startsWith("silverlatch")).forEach(open::add);
                 if (type == Msg.Ask.class) {
-                    open.addAll(List.of(Msg.Mark.class, Msg.Aged.class, Msg.Span.class, Wish.Cell.class, Leaf.Lot.class,
-                            silverlatch.tariff.Entry.class, silverlatch.rumor.Worker.class, silverlatch.rumor.Word.class,
-                            Msg.Ranges.class, Msg.Beats.class, silverlatch.quay.View.class));
+                    open.addAll(List.of(Msg.Mark.class, Msg.Aged.class, Msg.RangeEntries.class, Command.Cell.class, Value.WeightedBackend.class,
+                            silverlatch.state.Entry.class, silverlatch.gossip.Worker.class, silverlatch.gossip.WorkerReport.class,
+                            Msg.Ranges.class, Msg.Beats.class, silverlatch.replication.View.class));
                 }
             }
         }
--- a/core/src/main/java/silverlatch/wire/Frame.java
+++ b/core/src/main/java/silverlatch/wire/Frame.java
@@ -1,7 +1,7 @@
 package silverlatch.wire;
 
 import java.util.Objects;
-import silverlatch.tide.Stamp;
+import silverlatch.clock.Stamp;
 
 /**
  * What travels between daemons. A frame can't be made without a stamp.
--- a/core/src/main/java/silverlatch/wire/Msg.java
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -1,16 +1,16 @@
 package silverlatch.wire;
 
 import java.util.List;
-import silverlatch.crew.Member;
-import silverlatch.quay.Berth;
-import silverlatch.quay.Change;
-import silverlatch.quay.View;
-import silverlatch.rumor.Word;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Entry;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
-import silverlatch.tide.Stamp;
+import silverlatch.membership.Member;
+import silverlatch.replication.Replica;
+import silverlatch.replication.LogEntry;
+import silverlatch.replication.View;
+import silverlatch.gossip.WorkerReport;
+import silverlatch.gossip.Worker;
+import silverlatch.state.Entry;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
+import silverlatch.clock.Stamp;
 
 /** What daemons say to each other. */
 public sealed interface Msg {
@@ -35,7 +35,7 @@
     }
 
     /** News passed on at once: it can restrict, but renews nothing. */
-    record Push(List<Member> members, List<Worker> workers, List<Word> words, long page) implements Msg {
+    record Push(List<Member> members, List<Worker> workers, List<WorkerReport> words, long page) implements Msg {
         /** Copies the lists. */
         public Push {
             members = List.copyOf(members);
@@ -43,7 +43,7 @@
             words = List.copyOf(words);
         }
 
-        /** News without words from harbors. */
+        /** News without words from controllers. */
         public Push(final List<Member> members, final List<Worker> workers, final long page) {
             this(members, workers, List.of(), page);
         }
@@ -82,7 +82,7 @@
             }
         }
 
-        /** How long ago the words were surely the newest or -1, digests if they differ, and beats between harbors. */
+        /** How long ago the words were surely the newest or -1, digests if they differ, and beats between controllers. */
         record Brief(long age, List<Ranges> ranges, List<Beats> beats) implements News {
             /** Copies the lists. */
             public Brief {
@@ -110,7 +110,7 @@
     }
 
     /** What the other lacks, and the names of what it has newer; the time is that of the pull it ends, or 0. */
-    record Bodies(long at, List<Word> words, List<Member> members, List<String> workers, List<String> daemons) implements Msg {
+    record Bodies(long at, List<WorkerReport> words, List<Member> members, List<String> workers, List<String> daemons) implements Msg {
         /** Copies the lists. */
         public Bodies {
             words = List.copyOf(words);
@@ -124,32 +124,32 @@
     record Aged(String id, long life, long sequence, long age) {
     }
 
-    /** A harbor with a data folder looks for the others. */
-    record Seek(Berth me, boolean empty, List<Berth> heard) implements Msg {
+    /** A controller with a data folder looks for the others. */
+    record Discover(Replica me, boolean empty, List<Replica> heard) implements Msg {
         /** Copies the list. */
-        public Seek {
+        public Discover {
             heard = List.copyOf(heard);
         }
     }
 
     /** A founding proposed to all seeds. */
-    record Found(View view) implements Msg {
+    record Bootstrap(View view) implements Msg {
     }
 
     /** A founding agreed to and synced. */
-    record Agreed(long fleet, Berth me) implements Msg {
+    record BootstrapAgreed(long fleet, Replica me) implements Msg {
     }
 
     /** A member asks a voter that its view still holds, and says whether it has all that its chain has. */
-    record Lease(long view, long at, Berth me, boolean level) implements Msg {
+    record LeaseRequest(long view, long at, Replica me, boolean level) implements Msg {
     }
 
     /** A voter says that the view holds. */
-    record Grant(long view, long at, String voter) implements Msg {
+    record LeaseGrant(long view, long at, String voter) implements Msg {
     }
 
     /** A decided view. */
-    record Decided(View view) implements Msg {
+    record ViewDecided(View view) implements Msg {
     }
 
     /** The view register: ask for a promise. */
@@ -173,69 +173,69 @@
     }
 
     /** The view register: a higher ballot was promised. */
-    record Outbid(long number, long ballot) implements Msg {
+    record Preempted(long number, long ballot) implements Msg {
     }
 
     /** Changes go down the chain. */
-    record Pass(long view, List<Change> changes) implements Msg {
+    record Replicate(long view, List<LogEntry> changes) implements Msg {
         /** Copies the list. */
-        public Pass {
+        public Replicate {
             changes = List.copyOf(changes);
         }
     }
 
     /** Acks come up the chain. */
-    record Acked(long view, long sequence) implements Msg {
+    record CommitNotice(long view, long sequence) implements Msg {
     }
 
     /** A predecessor says how far its own log goes as this view begins. */
-    record Level(long view, long sequence) implements Msg {
+    record CatchUpTarget(long view, long sequence) implements Msg {
     }
 
     /** A follower says how far it has come. */
-    record Reach(long view, String id, long sequence) implements Msg {
+    record FetchEntries(long view, String id, long sequence) implements Msg {
     }
 
     /** A member to be mended sends its digests. */
-    record Compare(long view, Berth me, long sequence, long[] digests) implements Msg {
+    record CompareDigests(long view, Replica me, long sequence, long[] digests) implements Msg {
     }
 
     /** The ranges that differ, at a sequence; whole tells that no other range differs. */
-    record Mend(long view, long sequence, List<Span> spans, boolean whole) implements Msg {
+    record RepairRanges(long view, long sequence, List<RangeEntries> spans, boolean whole) implements Msg {
         /** Copies the list. */
-        public Mend {
+        public RepairRanges {
             spans = List.copyOf(spans);
         }
     }
 
     /** One range of entries. */
-    record Span(int range, List<Entry> entries) {
+    record RangeEntries(int range, List<Entry> entries) {
         /** Copies the list. */
-        public Span {
+        public RangeEntries {
             entries = List.copyOf(entries);
         }
     }
 
     /** A mended member asks to be put at the end of the chain. */
-    record Join(long view, Berth me, long sequence) implements Msg {
+    record JoinRequest(long view, Replica me, long sequence) implements Msg {
     }
 
     /** A wish is sent to the head. */
-    record Write(long ask, String home, Wish wish) implements Msg {
+    record WriteRequest(long ask, String home, Command wish) implements Msg {
     }
 
     /** What came of the wish. */
-    record Wrote(long ask, Verdict verdict) implements Msg {
+    record WriteReply(long ask, CommandResult verdict) implements Msg {
     }
 
     /** A question for the tail: the entries whose keys start so. */
-    record Read(long ask, String home, String start) implements Msg {
+    record ReadRequest(long ask, String home, String start) implements Msg {
     }
 
     /** The tail's reply, at a sequence; ok is false where the asked one can't answer. */
-    record Seen(long ask, boolean ok, long sequence, List<Entry> entries) implements Msg {
+    record ReadReply(long ask, boolean ok, long sequence, List<Entry> entries) implements Msg {
         /** Copies the list. */
-        public Seen {
+        public ReadReply {
             entries = List.copyOf(entries);
         }
     }
--- a/core/src/test/java/silverlatch/tide/TideTest.java
+++ b/core/src/test/java/silverlatch/clock/PwcClockTest.java
@@ -1,4 +1,4 @@
-package silverlatch.tide;
+package silverlatch.clock;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
@@ -13,7 +13,7 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-final class TideTest {
+final class PwcClockTest {
     private static final int LOW = 7;
     private static final long MASK = (1L << LOW) - 1;
     private static final long MICRO = Ntp.span(1);
@@ -28,10 +28,10 @@
             final long skew = Ntp.span(10_000);
             final int nodes = 8;
             final long[] off = new long[nodes];
-            final Tide[] tides = new Tide[nodes];
+            final PwcClock[] tides = new PwcClock[nodes];
             for (int i = 0; i < nodes; i++) {
                 off[i] = luck.nextLong(skew + 1);
-                tides[i] = Tide.start(Ntp.span(1_000_000) + off[i], LOW, skew, 0);
+                tides[i] = PwcClock.start(Ntp.span(1_000_000) + off[i], LOW, skew, 0);
             }
             final PriorityQueue<Mail> mail = new PriorityQueue<>(Comparator.comparingLong(Mail::due));
             int made = 0;
@@ -40,8 +40,8 @@
                 final long real = Ntp.span(1_000_000 + at);
                 final int j = luck.nextInt(nodes);
                 if (luck.nextInt(4) == 0) {
-                    final Step step = tides[j].send(real + off[j]);
-                    if (step instanceof Step.Made m) {
+                    final ClockReading step = tides[j].send(real + off[j]);
+                    if (step instanceof ClockReading.Made m) {
                         assertThat("seed " + seed, m.stamp().bits(), greaterThan(tides[j].last()));
                         unseen(tides[j].last(), m.stamp().bits(), real + off[j], seed);
                         tides[j] = m.tide();
@@ -53,14 +53,14 @@
                 }
                 while (!mail.isEmpty() && mail.peek().due() <= at) {
                     final Mail x = mail.poll();
-                    final Step step = tides[x.to()].take(x.stamp(), real + off[x.to()]);
-                    if (step instanceof Step.Made m) {
+                    final ClockReading step = tides[x.to()].take(x.stamp(), real + off[x.to()]);
+                    if (step instanceof ClockReading.Made m) {
                         assertThat("seed " + seed, x.stamp().before(m.stamp()), is(true));
                         assertThat("seed " + seed, m.stamp().bits(), greaterThan(tides[x.to()].last()));
                         unseen(Math.max(x.stamp().bits(), tides[x.to()].last()), m.stamp().bits(), real + off[x.to()], seed);
                         tides[x.to()] = m.tide();
                     } else {
-                        assertThat("seed " + seed, step, instanceOf(Step.Wait.class));
+                        assertThat("seed " + seed, step, instanceOf(ClockReading.Wait.class));
                         mail.add(new Mail(at + 200, x.to(), x.stamp(), x.root()));
                         waited++;
                     }
@@ -85,28 +85,28 @@
     @Test
     void anOverflowWaitsUntilTheMaskedClockPasses() {
         final long phys = Ntp.span(5_000_000) & ~MASK;
-        Tide tide = new Tide(phys + Ntp.span(2_000) | MASK, LOW, Ntp.span(10_000));
-        final Step step = tide.send(phys);
-        assertThat(step, instanceOf(Step.Wait.class));
-        final long wait = ((Step.Wait) step).micros();
-        assertThat(tide.send(phys + Ntp.span(wait - 2)), instanceOf(Step.Wait.class));
-        assertThat(tide.send(phys + Ntp.span(wait + 1)), instanceOf(Step.Made.class));
+        PwcClock tide = new PwcClock(phys + Ntp.span(2_000) | MASK, LOW, Ntp.span(10_000));
+        final ClockReading step = tide.send(phys);
+        assertThat(step, instanceOf(ClockReading.Wait.class));
+        final long wait = ((ClockReading.Wait) step).micros();
+        assertThat(tide.send(phys + Ntp.span(wait - 2)), instanceOf(ClockReading.Wait.class));
+        assertThat(tide.send(phys + Ntp.span(wait + 1)), instanceOf(ClockReading.Made.class));
     }
 
     @Test
     void aStampFromTooFarAheadIsRejectedAndNotMerged() {
         final long phys = Ntp.span(5_000_000);
-        final Keeper keeper = new Keeper(Tide.start(phys, LOW, Ntp.span(10_000), 0));
+        final ProcessClock keeper = new ProcessClock(PwcClock.start(phys, LOW, Ntp.span(10_000), 0));
         final Stamp before = keeper.last();
-        assertThat(keeper.take(new Stamp(phys + Ntp.span(11_000)), phys), instanceOf(Step.Far.class));
+        assertThat(keeper.take(new Stamp(phys + Ntp.span(11_000)), phys), instanceOf(ClockReading.Far.class));
         assertThat(keeper.last(), is(before));
-        assertThat(keeper.take(new Stamp(phys + Ntp.span(9_000)), phys), instanceOf(Step.Made.class));
+        assertThat(keeper.take(new Stamp(phys + Ntp.span(9_000)), phys), instanceOf(ClockReading.Made.class));
     }
 
     @Test
     void aRestartWithAClockBehindStartsAboveTheFloorAndAResetNeverLowers() {
         final long phys = Ntp.span(5_000_000);
-        final Keeper keeper = new Keeper(Tide.start(phys, LOW, Ntp.span(10_000), 0));
+        final ProcessClock keeper = new ProcessClock(PwcClock.start(phys, LOW, Ntp.span(10_000), 0));
         final Stamp told = new Stamp(phys + Ntp.span(8_000));
         assertThat(keeper.floor(told, phys).isPresent(), is(true));
         assertThat(told.before(keeper.local(phys)), is(true));
@@ -116,20 +116,20 @@
 
     @Test
     void aWallClockThatJumpsIsNotFollowedAndOneThatWandersIsFollowedSlowly() {
-        final Anchor start = new Anchor(1_700_000_000_000_000_000L, 1_000_000, 0);
-        final Anchor jumped = start.slew(1_700_000_100_000_000_000L, 2_000_000, 50_000);
+        final PhysicalClock start = new PhysicalClock(1_700_000_000_000_000_000L, 1_000_000, 0);
+        final PhysicalClock jumped = start.slew(1_700_000_100_000_000_000L, 2_000_000, 50_000);
         assertThat(jumped.jumps(), is(1L));
         assertThat(jumped.phys(2_000_000), is(start.phys(2_000_000)));
-        final Anchor back = start.slew(1_699_999_000_000_000_000L, 2_000_000, 50_000);
+        final PhysicalClock back = start.slew(1_699_999_000_000_000_000L, 2_000_000, 50_000);
         assertThat(back.phys(2_000_000), is(start.phys(2_000_000)));
-        final Anchor slow = start.slew(1_700_000_001_020_000_000L, 2_000_000, 50_000);
+        final PhysicalClock slow = start.slew(1_700_000_001_020_000_000L, 2_000_000, 50_000);
         assertThat(slow.unix() - start.unix(), is(1_000_000_000L + 500_000L));
     }
 
     @Test
     void repeatedOverflowsMakeARejoinDue() {
         final long phys = Ntp.span(5_000_000);
-        final Keeper keeper = new Keeper(Tide.start(phys, LOW, Ntp.span(10_000), 0));
+        final ProcessClock keeper = new ProcessClock(PwcClock.start(phys, LOW, Ntp.span(10_000), 0));
         final List<Boolean> due = new ArrayList<>();
         for (int i = 0; i < 64; i++) {
             due.add(keeper.due(phys));
--- a/core/src/test/java/silverlatch/carry/CarryTest.java
+++ b/core/src/test/java/silverlatch/dispatch/DispatcherTest.java
@@ -1,4 +1,4 @@
-package silverlatch.carry;
+package silverlatch.dispatch;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -14,57 +14,57 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import silverlatch.carry.permit.Permit;
-import silverlatch.carry.permit.Seals;
-import silverlatch.crew.Member;
-import silverlatch.rumor.Rumor;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Books;
-import silverlatch.tariff.Entry;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Tariff;
-import silverlatch.tariff.Verdict;
-import silverlatch.tide.Stamp;
+import silverlatch.dispatch.permit.Permit;
+import silverlatch.dispatch.permit.Seals;
+import silverlatch.membership.Member;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
+import silverlatch.state.StateMachine;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+import silverlatch.state.TableRules;
+import silverlatch.state.CommandResult;
+import silverlatch.clock.Stamp;
 
-/** One purser with scripted consumers, workers and chain, on a fake clock. */
-final class CarryTest {
+/** One gateway with scripted consumers, workers and chain, on a fake clock. */
+final class DispatcherTest {
     private static final Seals SEALS = new Seals("a-cluster-key-for-tests");
-    private static final Member ME = new Member("p1", "purser", "z1", "r1", "a", "d", 7, 0, "up", true);
+    private static final Member ME = new Member("p1", "gateway", "z1", "r1", "a", "d", 7, 0, "up", true);
     private final Map<String, Entry> policy = new HashMap<>();
-    private final Map<String, Rumor.Heard> workers = new HashMap<>();
+    private final Map<String, Gossip.Heard> workers = new HashMap<>();
     private final List<Act> acts = new ArrayList<>();
     private long now = 100_000_000;
     private long page = 1;
     private long stamp = 1_000;
     private long token;
-    private Carry carry = made(ME);
+    private Dispatcher carry = made(ME);
 
-    private Carry made(final Member me) {
+    private Dispatcher made(final Member me) {
         tenant("one", List.of(), 1);
         tenant("two", List.of(), 1);
-        row(Tariff.plain("*", "ask"));
+        row(TableRules.plain("*", "ask"));
         worker("w1", "z1", "r1", 4);
-        return new Carry(Carry.Setup.PLAIN, SEALS, facts(me), () -> new Stamp(++stamp), new SplittableRandom(3));
+        return new Dispatcher(Dispatcher.Setup.PLAIN, SEALS, facts(me), () -> new Stamp(++stamp), new SplittableRandom(3));
     }
 
     private Facts facts(final Member me) {
-        return new Facts(me, page, Optional.of(now), silverlatch.tariff.Policy.of(policy.values()), workers, List.of());
+        return new Facts(me, page, Optional.of(now), silverlatch.state.Policy.of(policy.values()), workers, List.of());
     }
 
     private void tenant(final String name, final List<String> homes, final double share) {
-        policy.put("t/" + name, new Entry("t/" + name, page, List.of(new Leaf.Tenant(name, homes, share, Seals.hash("key-" + name), "salt"))));
+        policy.put("t/" + name, new Entry("t/" + name, page, List.of(new Value.Tenant(name, homes, share, Seals.hash("key-" + name), "salt"))));
     }
 
-    private void row(final Leaf.Row r) {
-        policy.put(Books.row(r.tenant(), r.kind()), new Entry(Books.row(r.tenant(), r.kind()), page, List.of(r)));
+    private void row(final Value.Row r) {
+        policy.put(StateMachine.row(r.tenant(), r.kind()), new Entry(StateMachine.row(r.tenant(), r.kind()), page, List.of(r)));
     }
 
     private void worker(final String id, final String zone, final String region, final int slots) {
-        workers.put(id, new Rumor.Heard(new Worker(id, id, zone, region, 1, now, 0, 0, slots, List.of(), false, 60_000_000), Optional.of(now)));
+        workers.put(id, new Gossip.Heard(new Worker(id, id, zone, region, 1, now, 0, 0, slots, List.of(), false, 60_000_000), Optional.of(now)));
     }
 
     private void learn() {
-        workers.replaceAll((k, h) -> new Rumor.Heard(h.worker(), Optional.of(now)));
+        workers.replaceAll((k, h) -> new Gossip.Heard(h.worker(), Optional.of(now)));
         carry.facts(facts(ME), now);
         gather();
     }
@@ -156,9 +156,9 @@
         final Act.Picked p = pick("one", "ask", "");
         final String zone = p.worker().equals("w1") ? "z1" : "z2";
         final String other = p.worker().equals("w1") ? "w2" : "w1";
-        policy.put("z/" + zone, new Entry("z/" + zone, ++page, List.of(new Leaf.Drain(zone, true, new Stamp(++stamp)))));
+        policy.put("z/" + zone, new Entry("z/" + zone, ++page, List.of(new Value.Evacuation(zone, true, new Stamp(++stamp)))));
         if (zone.equals("z1")) {
-            carry.facts(new Facts(ME, page, Optional.of(now), silverlatch.tariff.Policy.of(policy.values()), workers, List.of()), now);
+            carry.facts(new Facts(ME, page, Optional.of(now), silverlatch.state.Policy.of(policy.values()), workers, List.of()), now);
             assertThat(rejected(hand("one", p.permit())).why(), containsString("being emptied"));
         } else {
             learn();
@@ -182,25 +182,25 @@
 
     @Test
     void aKeyIsClaimedBeforeTheWorkerIsAskedAndATakenOneNeverRuns() {
-        row(new Leaf.Row("*", "rule", 1, 1, 1, 1, 50, 100, 32, 64, 2_000_000, true, 9));
+        row(new Value.Row("*", "rule", 1, 1, 1, 1, 50, 100, 32, 64, 2_000_000, true, 9));
         learn();
         hand("one", pick("one", "rule", "k").permit());
         assertThat(all(Act.Run.class).isEmpty(), is(true));
         final long first = all(Act.Claim.class).getLast().job();
-        carry.verdict(first, new Verdict.Kept(5), now);
+        carry.verdict(first, new CommandResult.Applied(5), now);
         gather();
         assertThat(all(Act.Run.class).size(), is(1));
         final long t = hand("one", pick("one", "rule", "k").permit());
-        carry.verdict(all(Act.Claim.class).getLast().job(), new Verdict.Stands(new Leaf.Claim("x", "p1", "running", 0, 0)), now);
+        carry.verdict(all(Act.Claim.class).getLast().job(), new CommandResult.AlreadyClaimed(new Value.Claim("x", "p1", "running", 0, 0)), now);
         gather();
         assertThat(rejected(t).code(), is(409));
         assertThat(rejected(t).stands(), containsString("running"));
         final long u = hand("one", pick("one", "rule", "k2").permit());
-        carry.verdict(all(Act.Claim.class).getLast().job(), new Verdict.Unknown("id"), now);
+        carry.verdict(all(Act.Claim.class).getLast().job(), new CommandResult.Unknown("id"), now);
         gather();
         assertThat(rejected(u).code(), is(503));
         final long f = hand("one", pick("one", "rule", "k3").permit());
-        carry.verdict(all(Act.Claim.class).getLast().job(), new Verdict.Rejected(507, List.of("full"), 5), now);
+        carry.verdict(all(Act.Claim.class).getLast().job(), new CommandResult.Rejected(507, List.of("full"), 5), now);
         gather();
         assertThat(rejected(f).code(), is(507));
         assertThat(all(Act.Run.class).size(), is(1));
@@ -232,7 +232,7 @@
 
     @Test
     void overTheRateIsToldAtOnceAndTheRateComesBack() {
-        row(new Leaf.Row("one", "ask", 1, 1, 1, 1, 2, 3, 32, 64, 2_000_000, false, 1));
+        row(new Value.Row("one", "ask", 1, 1, 1, 1, 2, 3, 32, 64, 2_000_000, false, 1));
         learn();
         for (int i = 0; i < 4; i++) {
             carry.pick(new Order("key-one", "one", "ask", List.of(), 1, "", 0), ++token, now);
@@ -250,7 +250,7 @@
 
     @Test
     void aGreedyTenantDoesNotStarveAnother() {
-        row(new Leaf.Row("*", "ask", 1, 1, 1, 1, 10_000, 10_000, 1_000, 1_000, 60_000_000, false, 1));
+        row(new Value.Row("*", "ask", 1, 1, 1, 1, 10_000, 10_000, 1_000, 1_000, 60_000_000, false, 1));
         learn();
         for (int i = 0; i < 100; i++) {
             hand("one", pick("one", "ask", "").permit());
--- a/core/src/test/java/silverlatch/rumor/HarborWordsTest.java
+++ b/core/src/test/java/silverlatch/gossip/ControllerReportsTest.java
@@ -1,4 +1,4 @@
-package silverlatch.rumor;
+package silverlatch.gossip;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -16,20 +16,20 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import silverlatch.crew.Crew;
-import silverlatch.crew.Member;
-import silverlatch.deck.Effect;
-import silverlatch.guard.Guards;
-import silverlatch.quay.View;
-import silverlatch.tariff.Books;
-import silverlatch.tariff.Entry;
-import silverlatch.tariff.Tariff;
+import silverlatch.membership.Membership;
+import silverlatch.membership.Member;
+import silverlatch.node.Effect;
+import silverlatch.safeguard.Safeguards;
+import silverlatch.replication.View;
+import silverlatch.state.StateMachine;
+import silverlatch.state.Entry;
+import silverlatch.state.TableRules;
 import silverlatch.wire.Msg;
 
-/** Rumors on a fake clock whose workers announce to harbors h0, h1, h2, each in a zone and region of its own. */
-final class HarborWordsTest {
+/** Rumors on a fake clock whose workers announce to controllers h0, h1, h2, each in a zone and region of its own. */
+final class ControllerReportsTest {
     private static final long SECOND = 1_000_000;
-    private final Map<String, Rumor> rumors = new LinkedHashMap<>();
+    private final Map<String, Gossip> rumors = new LinkedHashMap<>();
     private final Set<String> cut = new HashSet<>();
     private final Set<String> dead = new HashSet<>();
     private final PriorityQueue<Letter> letters = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
@@ -46,14 +46,14 @@
         final List<Member> all = new ArrayList<>();
         for (int i = 0; i < size; i++) {
             final String id = (i < 3 ? "h" : "p") + i;
-            all.add(new Member(id, i < 3 ? "harbor" : "purser", "z" + i % 3, "r" + i % 3, id, id, 1, 0, "up", true));
+            all.add(new Member(id, i < 3 ? "controller" : "gateway", "z" + i % 3, "r" + i % 3, id, id, 1, 0, "up", true));
         }
         all.forEach(m -> {
-            final Crew crew = new Crew(m, List.of("h0", "h1", "h2"), Crew.Times.PLAIN);
+            final Membership crew = new Membership(m, List.of("h0", "h1", "h2"), Membership.Times.PLAIN);
             all.forEach(x -> crew.learn(x, now));
             crew.news();
             crew.drain();
-            rumors.put(m.id(), new Rumor(crew, luck.split(), Rumor.Times.QUIET, Guards.ALL));
+            rumors.put(m.id(), new Gossip(crew, luck.split(), Gossip.Times.QUIET, Safeguards.ALL));
         });
         pass(6 * SECOND);
     }
@@ -107,7 +107,7 @@
         }
     }
 
-    private Optional<Rumor.Heard> at(final String id) {
+    private Optional<Gossip.Heard> at(final String id) {
         return Optional.ofNullable(rumors.get(id).workers().get("w"));
     }
 
@@ -216,7 +216,7 @@
     void aWrongWordOfSilenceIsRefutedByTheHarborThatHearsTheWorker() {
         fleet(5);
         beat("h0", 1, 3);
-        final Word lie = new Word(Word.of(worker(1, 1, false, 0)).worker(), true, false, 5 * SECOND);
+        final WorkerReport lie = new WorkerReport(WorkerReport.of(worker(1, 1, false, 0)).worker(), true, false, 5 * SECOND);
         rumors.get("p4").on(new Msg.Push(List.of(), List.of(), List.of(lie), 0), "h1", now);
         pass(SECOND);
         rumors.keySet().forEach(id -> assertThat(id, at(id).orElseThrow().silent(), is(false)));
@@ -321,8 +321,8 @@
     @Test
     void aNewPageReachesNinetySixDaemonsInASecondAndPullsConfirmIt() {
         fleet(96);
-        final Books books = new Books();
-        books.apply(1, List.of(new Entry("r/*/chat", 1, List.of(Tariff.plain("*", "chat")))));
+        final StateMachine books = new StateMachine();
+        books.apply(1, List.of(new Entry("r/*/chat", 1, List.of(TableRules.plain("*", "chat")))));
         rumors.get("h0").own(books, View.NONE, true, now);
         ship("h0");
         final long start = now;
--- a/core/src/test/java/silverlatch/crew/CrewTest.java
+++ b/core/src/test/java/silverlatch/membership/MembershipTest.java
@@ -1,4 +1,4 @@
-package silverlatch.crew;
+package silverlatch.membership;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -11,20 +11,20 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import silverlatch.deck.Effect;
-import silverlatch.deck.Event;
-import silverlatch.tide.Stamp;
+import silverlatch.node.Effect;
+import silverlatch.node.Event;
+import silverlatch.clock.Stamp;
 import silverlatch.wire.Msg;
 
 /** A crew on a fake clock; frames arrive at once unless the script holds them back, news is passed to all. */
-final class CrewTest {
-    private final Map<String, Crew> crews = new LinkedHashMap<>();
+final class MembershipTest {
+    private final Map<String, Membership> crews = new LinkedHashMap<>();
     private final Set<String> mute = new HashSet<>();
     private final Map<String, List<Event>> logs = new HashMap<>();
     private long now = 1_000_000;
 
     private void start(final String id, final long life) {
-        crews.put(id, new Crew(new Member(id, "purser", "z", "r", id, id, life, 0, "up", true), List.of("n0", "n1", "n2"), Crew.Times.PLAIN));
+        crews.put(id, new Membership(new Member(id, "gateway", "z", "r", id, id, life, 0, "up", true), List.of("n0", "n1", "n2"), Membership.Times.PLAIN));
         logs.computeIfAbsent(id, k -> new ArrayList<>());
     }
 
--- a/core/src/test/java/silverlatch/crew/PulseTest.java
+++ b/core/src/test/java/silverlatch/membership/PulseTest.java
@@ -1,4 +1,4 @@
-package silverlatch.crew;
+package silverlatch.membership;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -11,20 +11,20 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import silverlatch.deck.Effect;
-import silverlatch.tide.Stamp;
+import silverlatch.node.Effect;
+import silverlatch.clock.Stamp;
 import silverlatch.wire.Msg;
 
 /** A crew at quiet rates, where three heartbeats in four tell only that a life goes on. */
 final class PulseTest {
     private static final long SECOND = 1_000_000;
-    private final Map<String, Crew> crews = new LinkedHashMap<>();
+    private final Map<String, Membership> crews = new LinkedHashMap<>();
     private final Set<String> mute = new HashSet<>();
     private final List<Msg> sent = new ArrayList<>();
     private long now = SECOND;
 
     private void start(final String id, final long life) {
-        crews.put(id, new Crew(new Member(id, "purser", "z", "r", id, id, life, 0, "up", true), List.of("n0", "n1", "n2"), Crew.Times.QUIET));
+        crews.put(id, new Membership(new Member(id, "gateway", "z", "r", id, id, life, 0, "up", true), List.of("n0", "n1", "n2"), Membership.Times.QUIET));
     }
 
     private void pass(final long span) {
--- a/core/src/test/java/silverlatch/deck/EventTest.java
+++ b/core/src/test/java/silverlatch/node/EventTest.java
@@ -1,4 +1,4 @@
-package silverlatch.deck;
+package silverlatch.node;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -35,7 +35,7 @@
     @Test
     void everyEventIsWrittenSomewhere() throws IOException {
         final StringBuilder all = new StringBuilder();
-        for (final String module : new String[] {"core", "desk"}) {
+        for (final String module : new String[] {"core", "server"}) {
             try (Stream<Path> files = Files.walk(ROOT.resolve(module + "/src/main/java"))) {
                 for (final Path f : files.filter(p -> p.toString().endsWith(".java") && !p.endsWith("Event.java")).toList()) {
                     all.append(Files.readString(f));
--- a/core/src/test/java/silverlatch/quay/QuayTest.java
+++ b/core/src/test/java/silverlatch/replication/ChainReplicaTest.java
@@ -1,4 +1,4 @@
-package silverlatch.quay;
+package silverlatch.replication;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.instanceOf;
@@ -13,19 +13,19 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
-import silverlatch.deck.Effect;
-import silverlatch.ledger.Note;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
-import silverlatch.tide.Stamp;
+import silverlatch.node.Effect;
+import silverlatch.log.LogRecord;
+import silverlatch.state.Value;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
+import silverlatch.clock.Stamp;
 import silverlatch.wire.Msg;
 
 /** Three machines, a scripted operator, and a fake clock; messages go only where the script lets them. */
-final class QuayTest {
+final class ChainReplicaTest {
     private static final List<String> SEATS = List.of("a", "b", "c");
-    private final Map<String, Quay> quays = new LinkedHashMap<>();
-    private final Map<String, List<Note>> disks = new LinkedHashMap<>();
+    private final Map<String, ChainReplica> quays = new LinkedHashMap<>();
+    private final Map<String, List<LogRecord>> disks = new LinkedHashMap<>();
     private final Map<String, List<Effect.Keep>> unsynced = new LinkedHashMap<>();
     private final Set<String> down = new TreeSet<>();
     private final Set<String> stuck = new TreeSet<>();
@@ -37,7 +37,7 @@
     private void start(final String seat, final String id) {
         disks.putIfAbsent(seat, new ArrayList<>());
         unsynced.put(seat, new ArrayList<>());
-        quays.put(seat, new Quay(Quay.Setup.of(new Berth(id, seat), SEATS), List.copyOf(disks.get(seat)), () -> new Stamp(++stamp), now));
+        quays.put(seat, new ChainReplica(ChainReplica.Setup.of(new Replica(id, seat), SEATS), List.copyOf(disks.get(seat)), () -> new Stamp(++stamp), now));
         down.remove(seat);
     }
 
@@ -75,7 +75,7 @@
         }
     }
 
-    private void effect(final String seat, final Quay q, final Effect e) {
+    private void effect(final String seat, final ChainReplica q, final Effect e) {
         switch (e) {
             case Effect.Send s when s.to().equals("operator") -> told.add(s.body());
             case Effect.Send s -> mail.add(() -> {
@@ -95,10 +95,10 @@
         }
     }
 
-    private void sync(final String seat, final Quay q, final Effect.Keep k) {
+    private void sync(final String seat, final ChainReplica q, final Effect.Keep k) {
         if (quays.get(seat) == q && !down.contains(seat)) {
             k.notes().forEach(n -> {
-                if (n instanceof Note.Picture) {
+                if (n instanceof LogRecord.Snapshot) {
                     disks.get(seat).clear();
                 }
                 disks.get(seat).add(n);
@@ -108,7 +108,7 @@
     }
 
     private void put(final String at, final String id, final long match) {
-        quays.get(at).on(new Msg.Write(1, "operator", new Wish.Table(id, List.of(silverlatch.tariff.Tariff.plain("*", id)), match)), "operator", now);
+        quays.get(at).on(new Msg.WriteRequest(1, "operator", new Command.PutTable(id, List.of(silverlatch.state.TableRules.plain("*", id)), match)), "operator", now);
         pump();
     }
 
@@ -118,17 +118,17 @@
 
     private Set<String> kinds(final String at) {
         final Set<String> set = new TreeSet<>();
-        quays.get(at).books().part("r/").values().stream().filter(e -> !e.gone()).forEach(e -> set.add(((Leaf.Row) e.leaf().getFirst()).kind()));
+        quays.get(at).books().part("r/").values().stream().filter(e -> !e.gone()).forEach(e -> set.add(((Value.Row) e.leaf().getFirst()).kind()));
         return set;
     }
 
     @Test
     void threeEmptyMachinesFoundOneChainAndAWriteIsOnAllOfThemBeforeItsAck() {
         found();
-        assertThat(quays.get("a").view().chain().stream().map(Berth::address).toList(), is(SEATS));
+        assertThat(quays.get("a").view().chain().stream().map(Replica::address).toList(), is(SEATS));
         put("a", "one", -1);
-        assertThat(((Msg.Wrote) last()).verdict(), instanceOf(Verdict.Kept.class));
-        SEATS.forEach(s -> assertThat(disks.get(s).stream().anyMatch(n -> n instanceof Note.Deed), is(true)));
+        assertThat(((Msg.WriteReply) last()).verdict(), instanceOf(CommandResult.Applied.class));
+        SEATS.forEach(s -> assertThat(disks.get(s).stream().anyMatch(n -> n instanceof LogRecord.Appended), is(true)));
     }
 
     @Test
@@ -151,7 +151,7 @@
         pass(4_000_000);
         stuck.clear();
         put("b", "next", -1);
-        assertThat(((Msg.Wrote) last()).verdict(), instanceOf(Verdict.Kept.class));
+        assertThat(((Msg.WriteReply) last()).verdict(), instanceOf(CommandResult.Applied.class));
         start("a", "id-a2");
         pass(12_000_000);
         assertThat(quays.get("a").view().chain().size(), is(3));
@@ -163,7 +163,7 @@
     void aHeadThatDiesBetweenSyncAndReplyLeavesItsChangeToTheNextHead() {
         found();
         put("a", "one", -1);
-        quays.get("a").on(new Msg.Write(2, "operator", new Wish.Table("two", List.of(silverlatch.tariff.Tariff.plain("*", "two")), -1)), "operator", now);
+        quays.get("a").on(new Msg.WriteRequest(2, "operator", new Command.PutTable("two", List.of(silverlatch.state.TableRules.plain("*", "two")), -1)), "operator", now);
         quays.get("a").drain().forEach(e -> effect("a", quays.get("a"), e));
         for (int i = mail.size(); i > 0; i--) {
             mail.poll().run();
@@ -180,11 +180,11 @@
     void ofTwoRacingChangesTheLoserIsToldTheWinnersSequence() {
         found();
         put("a", "base", -1);
-        final long match = ((Verdict.Kept) ((Msg.Wrote) last()).verdict()).sequence();
+        final long match = ((CommandResult.Applied) ((Msg.WriteReply) last()).verdict()).sequence();
         put("a", "win", match);
-        final long won = ((Verdict.Kept) ((Msg.Wrote) last()).verdict()).sequence();
+        final long won = ((CommandResult.Applied) ((Msg.WriteReply) last()).verdict()).sequence();
         put("a", "lose", match);
-        final Verdict.Rejected lost = (Verdict.Rejected) ((Msg.Wrote) last()).verdict();
+        final CommandResult.Rejected lost = (CommandResult.Rejected) ((Msg.WriteReply) last()).verdict();
         assertThat(lost.code(), is(409));
         assertThat(lost.sequence(), is(won));
         assertThat(kinds("c"), is(Set.of("win")));
@@ -224,7 +224,7 @@
         start("b", "id-b");
         quays.get("b").on(new Msg.Prepare(2, 8 << 8), "operator", now);
         pump();
-        assertThat(last(), is(new Msg.Outbid(2, 9 << 8)));
+        assertThat(last(), is(new Msg.Preempted(2, 9 << 8)));
     }
 
     @Test
@@ -241,25 +241,25 @@
     @Test
     void aRejectedChangeStaysRejectedWhenACopyOfItComesLate() {
         found();
-        final Msg.Write copy = new Msg.Write(7, "operator", new Wish.Table("late", List.of(silverlatch.tariff.Tariff.plain("someone", "late")), -1));
+        final Msg.WriteRequest copy = new Msg.WriteRequest(7, "operator", new Command.PutTable("late", List.of(silverlatch.state.TableRules.plain("someone", "late")), -1));
         quays.get("a").on(copy, "operator", now);
         pump();
-        assertThat(((Verdict.Rejected) ((Msg.Wrote) last()).verdict()).code(), is(422));
-        quays.get("a").on(new Msg.Write(8, "operator", new Wish.Person("who", new Leaf.Tenant("someone", List.of(), 1, "0".repeat(64), "s"), -1)), "operator", now);
+        assertThat(((CommandResult.Rejected) ((Msg.WriteReply) last()).verdict()).code(), is(422));
+        quays.get("a").on(new Msg.WriteRequest(8, "operator", new Command.PutTenant("who", new Value.Tenant("someone", List.of(), 1, "0".repeat(64), "s"), -1)), "operator", now);
         pump();
-        assertThat(((Msg.Wrote) last()).verdict(), instanceOf(Verdict.Kept.class));
+        assertThat(((Msg.WriteReply) last()).verdict(), instanceOf(CommandResult.Applied.class));
         quays.get("a").on(copy, "operator", now);
         pump();
-        assertThat(((Verdict.Rejected) ((Msg.Wrote) last()).verdict()).code(), is(422));
+        assertThat(((CommandResult.Rejected) ((Msg.WriteReply) last()).verdict()).code(), is(422));
         assertThat(kinds("c"), is(Set.of()));
     }
 
     @Test
     void aDutyOfAnOldHolderIsRejected() {
         found();
-        quays.get("a").on(new Msg.Write(3, "operator", new Wish.Sweep("sweep-0", Long.MAX_VALUE, 0)), "operator", now);
+        quays.get("a").on(new Msg.WriteRequest(3, "operator", new Command.AdvanceEpoch("sweep-0", Long.MAX_VALUE, 0)), "operator", now);
         pump();
-        assertThat(((Verdict.Rejected) ((Msg.Wrote) last()).verdict()).code(), is(409));
+        assertThat(((CommandResult.Rejected) ((Msg.WriteReply) last()).verdict()).code(), is(409));
     }
 
     @Test
@@ -309,20 +309,20 @@
     @Test
     void aHolderWhoseClockIsFarAheadForgetsNoClaimAndLetsNoChangeIn() {
         found();
-        mail.add(() -> quays.get("a").on(new Msg.Write(71, "operator", new Wish.Hold("h", "key", "one", "p", 5)), "operator", now));
+        mail.add(() -> quays.get("a").on(new Msg.WriteRequest(71, "operator", new Command.Claim("h", "key", "one", "p", 5)), "operator", now));
         pass(1_000_000);
         final long right = stamp;
-        stamp = right + silverlatch.tide.Ntp.span(30L * 86_400 * 1_000_000);
+        stamp = right + silverlatch.clock.Ntp.span(30L * 86_400 * 1_000_000);
         start("a", "id-a");
         down.addAll(List.of("b", "c"));
-        mail.add(() -> quays.get("a").on(new Msg.Write(72, "operator", new Wish.Zone("z", "syros", true, -1)), "operator", now));
+        mail.add(() -> quays.get("a").on(new Msg.WriteRequest(72, "operator", new Command.SetEvacuation("z", "syros", true, -1)), "operator", now));
         pass(500_000);
         stamp = right + 1_000_000;
         down.clear();
         pass(20_000_000);
         assertThat(quays.get("c").books().get("c/key").isPresent(), is(true));
         assertThat(quays.get("c").books().get("z/syros").isPresent(), is(false));
-        mail.add(() -> quays.get("a").on(new Msg.Write(73, "operator", new Wish.Zone("y", "rhodes", true, -1)), "operator", now));
+        mail.add(() -> quays.get("a").on(new Msg.WriteRequest(73, "operator", new Command.SetEvacuation("y", "rhodes", true, -1)), "operator", now));
         pass(1_000_000);
         assertThat(quays.get("c").books().get("z/rhodes").isPresent(), is(true));
     }
--- a/core/src/test/java/silverlatch/quay/Bay.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -1,4 +1,4 @@
-package silverlatch.quay;
+package silverlatch.replication;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -12,24 +12,24 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.UnaryOperator;
-import silverlatch.deck.Effect;
-import silverlatch.ledger.Note;
-import silverlatch.tariff.Charters;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
-import silverlatch.tide.Stamp;
+import silverlatch.node.Effect;
+import silverlatch.log.LogRecord;
+import silverlatch.state.ConfigurationValidator;
+import silverlatch.state.Value;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
+import silverlatch.clock.Stamp;
 import silverlatch.wire.Msg;
 
 /** Machines with ledgers and clerks on a fake clock: frames take a time, syncs take a time, and a power cut loses what wasn't synced. */
-final class Bay {
+final class ReplicaCluster {
     static final long BEAT = 20_000;
     private final List<String> seats;
     private final long hop;
-    private final UnaryOperator<Quay.Setup> setup;
-    private final Map<String, Quay> quays = new TreeMap<>();
-    private final Map<String, Clerk> clerks = new HashMap<>();
-    private final Map<String, List<Note>> disks = new TreeMap<>();
+    private final UnaryOperator<ChainReplica.Setup> setup;
+    private final Map<String, ChainReplica> quays = new TreeMap<>();
+    private final Map<String, ChainClient> clerks = new HashMap<>();
+    private final Map<String, List<LogRecord>> disks = new TreeMap<>();
     private final Map<String, String> names = new HashMap<>();
     private final Set<Set<String>> cuts = new HashSet<>();
     private final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::turn));
@@ -39,7 +39,7 @@
     private long stamp = 1_000;
     private long token;
 
-    Bay(final List<String> seats, final long hop, final UnaryOperator<Quay.Setup> setup) {
+    ReplicaCluster(final List<String> seats, final long hop, final UnaryOperator<ChainReplica.Setup> setup) {
         this.seats = seats;
         this.hop = hop;
         this.setup = setup;
@@ -56,7 +56,7 @@
         }
 
         boolean kept() {
-            return reply.filter(r -> r instanceof Verdict.Kept).isPresent();
+            return reply.filter(r -> r instanceof CommandResult.Applied).isPresent();
         }
 
         long span() {
@@ -76,10 +76,10 @@
     @Override
     public String toString() {
         return quays.entrySet().stream().map(e -> {
-            final Quay.State s = e.getValue().state(now);
+            final ChainReplica.State s = e.getValue().state(now);
             return "\n" + e.getKey() + " " + s.spot() + (s.level() ? " level" : "") + (s.leased() ? " leased" : "") + " sequence " + s.sequence()
                     + " pending " + s.pending() + " view " + s.view().number() + " voters " + s.view().voters() + " chain "
-                    + s.view().chain().stream().map(Berth::address).toList();
+                    + s.view().chain().stream().map(Replica::address).toList();
         }).collect(java.util.stream.Collectors.joining());
     }
 
@@ -87,7 +87,7 @@
         return now;
     }
 
-    Quay quay(final String seat) {
+    ChainReplica quay(final String seat) {
         return quays.get(seat);
     }
 
@@ -97,12 +97,12 @@
 
     /** Starts a machine: from its disk, or empty under a new identity. */
     void start(final String seat, final boolean found) {
-        final List<Note> disk = disks.computeIfAbsent(seat, s -> new ArrayList<>());
+        final List<LogRecord> disk = disks.computeIfAbsent(seat, s -> new ArrayList<>());
         final String name = names.computeIfAbsent(seat, s -> "id-" + s + "-" + ++turn);
-        final Quay q = new Quay(setup.apply(Quay.Setup.of(new Berth(name, seat), seats)).founds(found), List.copyOf(disk),
+        final ChainReplica q = new ChainReplica(setup.apply(ChainReplica.Setup.of(new Replica(name, seat), seats)).founds(found), List.copyOf(disk),
                 () -> new Stamp(++stamp), now);
         quays.put(seat, q);
-        clerks.put(seat, new Clerk(seat, q::view, turn++ * 1_000_000));
+        clerks.put(seat, new ChainClient(seat, q::view, turn++ * 1_000_000));
         beat(seat, q);
     }
 
@@ -155,11 +155,11 @@
         return now - from;
     }
 
-    static Wish.Lay charter(final long number, final long match) {
-        final Leaf.Pool pool = new Leaf.Pool("pool", "/", 1, 0, 1, 1, 0, 1);
-        final Leaf.Rule rule = new Leaf.Rule("rule", "host" + number, "/", false, false, false, false, 1, 0, 0, 0, 1, List.of(),
-                List.of(new Leaf.Lot("pool", 1)));
-        return new Wish.Lay("lay-" + number + "-" + match, new Leaf.Charter(number, 1, 1, 1, 1), List.of(rule), List.of(pool), "paper " + number, match);
+    static Command.PutConfiguration charter(final long number, final long match) {
+        final Value.BackendPool pool = new Value.BackendPool("pool", "/", 1, 0, 1, 1, 0, 1);
+        final Value.Route rule = new Value.Route("rule", "host" + number, "/", false, false, false, false, 1, 0, 0, 0, 1, List.of(),
+                List.of(new Value.WeightedBackend("pool", 1)));
+        return new Command.PutConfiguration("lay-" + number + "-" + match, new Value.RoutingConfiguration(number, 1, 1, 1, 1), List.of(rule), List.of(pool), "paper " + number, match);
     }
 
     Asked lay(final String at, final long number, final long match, final long span) {
@@ -173,34 +173,34 @@
     Asked read(final String at, final long span) {
         final Asked a = new Asked(now);
         asked.put(++token, a);
-        clerks.get(at).read(Charters.PAPER, token, now, now + span);
+        clerks.get(at).read(ConfigurationValidator.PAPER, token, now, now + span);
         flush(at, quays.get(at));
         return a;
     }
 
     /** The number of the charter that a machine holds as acknowledged. */
     long held(final String seat) {
-        return quays.get(seat).books().get(Charters.CHARTER).map(e -> ((Leaf.Charter) e.leaf().getFirst()).number()).orElse(0L);
+        return quays.get(seat).books().get(ConfigurationValidator.CHARTER).map(e -> ((Value.RoutingConfiguration) e.leaf().getFirst()).number()).orElse(0L);
     }
 
     /** On how many of the disks a charter is synced, as a change or within a picture. */
     long synced(final long number) {
         return disks.values().stream().filter(d -> d.stream().anyMatch(n -> switch (n) {
-            case Note.Deed x -> x.change().puts().stream().anyMatch(e -> e.key().equals(Charters.CHARTER) && at(e, number));
-            case Note.Picture p -> p.entries().stream().anyMatch(e -> e.key().equals(Charters.CHARTER) && at(e, number));
+            case LogRecord.Appended x -> x.change().puts().stream().anyMatch(e -> e.key().equals(ConfigurationValidator.CHARTER) && at(e, number));
+            case LogRecord.Snapshot p -> p.entries().stream().anyMatch(e -> e.key().equals(ConfigurationValidator.CHARTER) && at(e, number));
             default -> false;
         })).count();
     }
 
-    private static boolean at(final silverlatch.tariff.Entry e, final long number) {
-        return ((Leaf.Charter) e.leaf().getFirst()).number() >= number;
+    private static boolean at(final silverlatch.state.Entry e, final long number) {
+        return ((Value.RoutingConfiguration) e.leaf().getFirst()).number() >= number;
     }
 
     private void at(final long when, final Runnable job) {
         queue.add(new Due(when, turn++, job));
     }
 
-    private void beat(final String seat, final Quay q) {
+    private void beat(final String seat, final ChainReplica q) {
         at(now + BEAT, () -> {
             if (quays.get(seat) == q) {
                 q.tick(now);
@@ -211,7 +211,7 @@
         });
     }
 
-    private void flush(final String seat, final Quay q) {
+    private void flush(final String seat, final ChainReplica q) {
         boolean more = true;
         while (more) {
             final List<Effect> all = new ArrayList<>(q.drain());
@@ -221,7 +221,7 @@
         }
     }
 
-    private void effect(final String seat, final Quay q, final Effect e) {
+    private void effect(final String seat, final ChainReplica q, final Effect e) {
         switch (e) {
             case Effect.Send s when s.to().equals(seat) -> hand(seat, q, s.body(), seat);
             case Effect.Send s -> {
@@ -237,7 +237,7 @@
             case Effect.Keep k -> at(now + 2_000, () -> {
                 if (quays.get(seat) == q) {
                     k.notes().forEach(n -> {
-                        if (n instanceof Note.Picture) {
+                        if (n instanceof LogRecord.Snapshot) {
                             disks.get(seat).clear();
                         }
                         disks.get(seat).add(n);
@@ -255,10 +255,10 @@
         }
     }
 
-    private void hand(final String seat, final Quay q, final Msg msg, final String home) {
+    private void hand(final String seat, final ChainReplica q, final Msg msg, final String home) {
         switch (msg) {
-            case Msg.Wrote m -> clerks.get(seat).on(m);
-            case Msg.Seen m -> clerks.get(seat).on(m);
+            case Msg.WriteReply m -> clerks.get(seat).on(m);
+            case Msg.ReadReply m -> clerks.get(seat).on(m);
             default -> q.on(msg, home, now);
         }
     }
--- a/core/src/test/java/silverlatch/quay/StormTest.java
+++ b/core/src/test/java/silverlatch/replication/StormTest.java
@@ -1,4 +1,4 @@
-package silverlatch.quay;
+package silverlatch.replication;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
@@ -10,7 +10,7 @@
 import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import silverlatch.tariff.Leaf;
+import silverlatch.state.Value;
 
 /** Drawn storms over six machines: deaths, power cuts of all, lost disks fewer than the copies, and cut links. */
 final class StormTest {
@@ -20,7 +20,7 @@
 
     private static final class Storm {
         private final Random luck;
-        private final Bay bay;
+        private final ReplicaCluster bay;
         private final int copies;
         private final List<Seen> reads = new ArrayList<>();
         private final List<Wrote> writes = new ArrayList<>();
@@ -31,13 +31,13 @@
         Storm(final long seed, final int copies) {
             this.copies = copies;
             luck = new Random(seed);
-            bay = new Bay(SEATS, 1_000 + luck.nextInt(60_000), s -> s.counts(copies, 6));
+            bay = new ReplicaCluster(SEATS, 1_000 + luck.nextInt(60_000), s -> s.counts(copies, 6));
         }
 
-        private record Seen(Bay.Asked asked, long least) {
+        private record Seen(ReplicaCluster.Asked asked, long least) {
         }
 
-        private record Wrote(Bay.Asked asked, long number) {
+        private record Wrote(ReplicaCluster.Asked asked, long number) {
         }
 
         void run() {
@@ -55,7 +55,7 @@
             judge();
             final long most = acked();
             SIX.forEach(s -> assertThat(s + " has the newest in the end" + bay, bay.held(s), greaterThanOrEqualTo(most)));
-            final Bay.Asked last = bay.lay("d", ++number, -1, 5 * SECOND);
+            final ReplicaCluster.Asked last = bay.lay("d", ++number, -1, 5 * SECOND);
             bay.pass(6 * SECOND);
             assertThat("writes go on" + bay, last.kept(), is(true));
         }
@@ -66,7 +66,7 @@
 
         private boolean whole() {
             return bay.up().size() == 6 && SIX.stream().allMatch(s -> {
-                final Quay.State q = bay.quay(s).state(bay.now());
+                final ChainReplica.State q = bay.quay(s).state(bay.now());
                 return q.level() && q.view().chain().size() == 6;
             });
         }
@@ -118,10 +118,10 @@
         private void judge() {
             reads.removeIf(r -> {
                 final Optional<Object> reply = r.asked().answer();
-                reply.filter(x -> x instanceof Clerk.Page p && p.ok()).ifPresent(x -> {
+                reply.filter(x -> x instanceof ChainClient.Page p && p.ok()).ifPresent(x -> {
                     answered++;
-                    final long told = ((Clerk.Page) x).entries().stream().filter(e -> !e.gone())
-                            .mapToLong(e -> ((Leaf.Paper) e.leaf().getFirst()).number()).max().orElse(0);
+                    final long told = ((ChainClient.Page) x).entries().stream().filter(e -> !e.gone())
+                            .mapToLong(e -> ((Value.ConfigurationDocument) e.leaf().getFirst()).number()).max().orElse(0);
                     assertThat("a read after an ack", told, greaterThanOrEqualTo(r.least()));
                 });
                 return reply.isPresent();
--- a/core/src/test/java/silverlatch/quay/VotersTest.java
+++ b/core/src/test/java/silverlatch/replication/VotersTest.java
@@ -1,4 +1,4 @@
-package silverlatch.quay;
+package silverlatch.replication;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
@@ -14,9 +14,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import silverlatch.tariff.Entry;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Verdict;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+import silverlatch.state.CommandResult;
 
 /** Fleets of which more, or fewer, than three machines vote. */
 final class VotersTest {
@@ -25,49 +25,49 @@
     private static final long HOP = 35_000;
     private static final long SECOND = 1_000_000;
 
-    private static Bay six(final int copies) {
-        final Bay bay = new Bay(SEATS, HOP, s -> s.counts(copies, 6));
+    private static ReplicaCluster six(final int copies) {
+        final ReplicaCluster bay = new ReplicaCluster(SEATS, HOP, s -> s.counts(copies, 6));
         SIX.forEach(s -> bay.start(s, true));
         assertThat("all six vote", bay.until(30 * SECOND, () -> voters(bay).equals(Set.copyOf(SIX))) >= 0, is(true));
         bay.pass(2 * SECOND);
         return bay;
     }
 
-    private static View view(final Bay bay) {
+    private static View view(final ReplicaCluster bay) {
         return bay.up().stream().map(s -> bay.quay(s).view()).max(java.util.Comparator.comparingLong(View::number)).orElseThrow();
     }
 
-    private static Set<String> voters(final Bay bay) {
-        return view(bay).voters().stream().map(Berth::address).collect(Collectors.toSet());
+    private static Set<String> voters(final ReplicaCluster bay) {
+        return view(bay).voters().stream().map(Replica::address).collect(Collectors.toSet());
     }
 
-    private static Set<String> chain(final Bay bay) {
-        return view(bay).chain().stream().map(Berth::address).collect(Collectors.toSet());
+    private static Set<String> chain(final ReplicaCluster bay) {
+        return view(bay).chain().stream().map(Replica::address).collect(Collectors.toSet());
     }
 
-    private static void keep(final Bay bay, final String at, final long number, final long match) {
-        final Bay.Asked a = bay.lay(at, number, match, 6 * SECOND);
+    private static void keep(final ReplicaCluster bay, final String at, final long number, final long match) {
+        final ReplicaCluster.Asked a = bay.lay(at, number, match, 6 * SECOND);
         bay.until(7 * SECOND, () -> a.span() > 0);
         assertThat(number + " by " + at + ": " + a.reply(), a.kept(), is(true));
     }
 
-    private static void newest(final Bay bay, final long number) {
+    private static void newest(final ReplicaCluster bay, final long number) {
         bay.up().forEach(s -> {
-            final Bay.Asked a = bay.read(s, 3 * SECOND);
+            final ReplicaCluster.Asked a = bay.read(s, 3 * SECOND);
             bay.until(4 * SECOND, () -> a.span() > 0);
-            final Clerk.Page p = (Clerk.Page) a.reply();
+            final ChainClient.Page p = (ChainClient.Page) a.reply();
             assertThat(s + " tells it" + bay, p.ok(), is(true));
             assertThat(s, p.entries().stream().filter(e -> !e.gone()).map(VotersTest::paper).toList(), is(List.of("paper " + number)));
         });
     }
 
     private static String paper(final Entry e) {
-        return ((Leaf.Paper) e.leaf().getFirst()).text();
+        return ((Value.ConfigurationDocument) e.leaf().getFirst()).text();
     }
 
     @Test
     void sixMachinesWithThreeSeatsComeToVoteAndBearTwoDeathsAtOnce() {
-        final Bay bay = six(2);
+        final ReplicaCluster bay = six(2);
         keep(bay, "f", 1, 0);
         assertThat("an ack is on every disk of the chain", bay.synced(1), is(6L));
         bay.kill("a");
@@ -82,7 +82,7 @@
     void everyTwoOfSixMayDieAtOnce() {
         for (int i = 0; i < 6; i++) {
             for (int j = i + 1; j < 6; j++) {
-                final Bay bay = six(3);
+                final ReplicaCluster bay = six(3);
                 bay.pass(i * 17_300L + j * 5_700L);
                 bay.kill(SIX.get(i));
                 bay.kill(SIX.get(j));
@@ -96,7 +96,7 @@
 
     @Test
     void aSilentVoterOfAnEvenNumberLosesItsVoteAndHasItAgainWhenItIsBack() {
-        final Bay bay = six(2);
+        final ReplicaCluster bay = six(2);
         bay.kill("e");
         bay.pass(20 * SECOND);
         assertThat(voters(bay), is(Set.of("a", "b", "c", "d", "f")));
@@ -114,7 +114,7 @@
 
     @Test
     void aWipedMachineAtItsOldAddressTakesItsOldPlaceUnderANewIdentity() {
-        final Bay bay = new Bay(SEATS, HOP, s -> s);
+        final ReplicaCluster bay = new ReplicaCluster(SEATS, HOP, s -> s);
         SEATS.forEach(s -> bay.start(s, true));
         bay.pass(3 * SECOND);
         keep(bay, "a", 1, 0);
@@ -132,7 +132,7 @@
 
     @Test
     void anEmptyMachineAtANewAddressTakesALostOnesPlace() {
-        final Bay bay = six(2);
+        final ReplicaCluster bay = six(2);
         keep(bay, "a", 1, 0);
         bay.kill("c");
         bay.start("g", false);
@@ -151,7 +151,7 @@
 
     @Test
     void anEmptyMachineThatMayNotFoundWaitsForItsFleet() {
-        final Bay bay = new Bay(SEATS, HOP, s -> s);
+        final ReplicaCluster bay = new ReplicaCluster(SEATS, HOP, s -> s);
         bay.start("a", true);
         bay.start("b", true);
         bay.start("c", false);
@@ -172,7 +172,7 @@
     @ParameterizedTest
     @CsvSource({"1,1", "2,1", "2,2", "3,3"})
     void oneTwoOrThreeSeatsFoundAFleet(final int seats, final int copies) {
-        final Bay bay = new Bay(SEATS.subList(0, seats), HOP, s -> s.counts(copies, 3));
+        final ReplicaCluster bay = new ReplicaCluster(SEATS.subList(0, seats), HOP, s -> s.counts(copies, 3));
         SEATS.subList(0, seats).forEach(s -> bay.start(s, true));
         bay.pass(5 * SECOND);
         keep(bay, "a", 1, 0);
@@ -186,7 +186,7 @@
 
     @Test
     void machinesThatAllRestartAtOnceHaveTheNewestCharter() {
-        final Bay bay = six(2);
+        final ReplicaCluster bay = six(2);
         for (long i = 1; i <= 5; i++) {
             keep(bay, SIX.get((int) i), i, i - 1);
         }
@@ -202,7 +202,7 @@
     @ValueSource(ints = {2, 3})
     void anAckedCharterOutlivesDisksFewerThanItsCopiesAndAPowerCutOfTheRest(final int copies) {
         for (int turn = 0; turn < 12; turn++) {
-            final Bay bay = six(copies);
+            final ReplicaCluster bay = six(copies);
             for (int i = 0; i < turn % 3; i++) {
                 bay.kill(SIX.get((turn + 2 * i) % 6));
             }
@@ -221,24 +221,24 @@
 
     @Test
     void nothingIsAckedWhileTheChainIsShorterThanTheCopies() {
-        final Bay bay = new Bay(SEATS, HOP, s -> s.counts(3, 3));
+        final ReplicaCluster bay = new ReplicaCluster(SEATS, HOP, s -> s.counts(3, 3));
         SEATS.forEach(s -> bay.start(s, true));
         bay.pass(3 * SECOND);
         keep(bay, "a", 1, 0);
-        final Bay.Asked cut = bay.lay("a", 2, 1, 2 * SECOND);
+        final ReplicaCluster.Asked cut = bay.lay("a", 2, 1, 2 * SECOND);
         bay.pass(60_000);
         bay.kill("c");
         bay.pass(5 * SECOND);
-        assertThat(cut.reply(), instanceOf(Verdict.Unknown.class));
-        assertThat("nor told by a read", ((Clerk.Page) read(bay, "a")).entries().stream().map(VotersTest::paper).toList(), not(is(List.of("paper 2"))));
+        assertThat(cut.reply(), instanceOf(CommandResult.Unknown.class));
+        assertThat("nor told by a read", ((ChainClient.Page) read(bay, "a")).entries().stream().map(VotersTest::paper).toList(), not(is(List.of("paper 2"))));
         bay.start("c", false);
         bay.pass(8 * SECOND);
         keep(bay, "b", 3, 2);
         newest(bay, 3);
     }
 
-    private static Object read(final Bay bay, final String at) {
-        final Bay.Asked a = bay.read(at, SECOND);
+    private static Object read(final ReplicaCluster bay, final String at) {
+        final ReplicaCluster.Asked a = bay.read(at, SECOND);
         bay.until(2 * SECOND, () -> a.span() > 0);
         return a.reply();
     }
@@ -246,7 +246,7 @@
     @Test
     void membersThatHoldNotAllYetAreNotLeftAlone() {
         for (int i = 0; i < 40; i++) {
-            final Bay bay = six(2);
+            final ReplicaCluster bay = six(2);
             final List<String> rest = List.of("c", "d", "e", "f");
             for (final String s : rest) {
                 bay.quay(s).leave();
@@ -271,14 +271,14 @@
     @Test
     void aTailThatOnlyOneVoterHearsStopsReadingBeforeTheOthersGoOnWithoutIt() {
         for (int i = 0; i < 20; i++) {
-            final Bay bay = new Bay(SEATS, HOP, s -> s);
+            final ReplicaCluster bay = new ReplicaCluster(SEATS, HOP, s -> s);
             SEATS.forEach(s -> bay.start(s, true));
             bay.pass(3 * SECOND + i * 6_100L);
             bay.cut("a", "c", true);
             final long old = view(bay).number();
             final long took = bay.until(5 * SECOND, () -> {
                 final boolean moved = view(bay).number() > old;
-                final Quay.State tail = bay.quay("c").state(bay.now());
+                final ChainReplica.State tail = bay.quay("c").state(bay.now());
                 assertThat("both answer", moved && tail.view().number() == old && tail.leased(), is(false));
                 return moved && tail.view().number() > old;
             });
--- a/core/src/test/java/silverlatch/passage/PassageTest.java
+++ b/core/src/test/java/silverlatch/routing/RouterTest.java
@@ -1,4 +1,4 @@
-package silverlatch.passage;
+package silverlatch.routing;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -16,16 +16,16 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import silverlatch.carry.Facts;
-import silverlatch.crew.Member;
-import silverlatch.rumor.Rumor;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Entry;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Policy;
-import silverlatch.tide.Stamp;
+import silverlatch.dispatch.Facts;
+import silverlatch.membership.Member;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+import silverlatch.state.Policy;
+import silverlatch.clock.Stamp;
 
-final class PassageTest {
+final class RouterTest {
     private static final long MS = 1_000;
     private static final long S = 1_000_000;
     private final Map<String, Worker> workers = new HashMap<>();
@@ -34,29 +34,29 @@
     private long page = 1;
     private long now = 100 * S;
     private long token;
-    private final Passage passage = new Passage(Passage.Setup.PLAIN, facts(), () -> new Stamp(1), new SplittableRandom(7));
+    private final Router passage = new Router(Router.Setup.PLAIN, facts(), () -> new Stamp(1), new SplittableRandom(7));
 
-    PassageTest() {
-        entries.add(new Entry("p/charter", 1, List.of(new Leaf.Charter(1, 16_384, 1 << 20, 3 * S, 15 * S))));
-        entries.add(new Entry("b/pool", 1, List.of(new Leaf.Pool("pool", "/health", 100, 3 * S, 9, 128, 100_000, 5))));
+    RouterTest() {
+        entries.add(new Entry("p/charter", 1, List.of(new Value.RoutingConfiguration(1, 16_384, 1 << 20, 3 * S, 15 * S))));
+        entries.add(new Entry("b/pool", 1, List.of(new Value.BackendPool("pool", "/health", 100, 3 * S, 9, 128, 100_000, 5))));
         entries.add(new Entry("u/a|/once/", 1, List.of(rule("once", "/once/", true, false, 2, List.of()))));
         entries.add(new Entry("u/a|/again/", 1, List.of(rule("again", "/again/", true, true, 2, List.of("west")))));
         entries.add(new Entry("u/a|/", 1, List.of(rule("all", "/", true, false, 1, List.of()))));
     }
 
-    private static Leaf.Rule rule(final String name, final String path, final boolean once, final boolean resume, final int tries,
+    private static Value.Route rule(final String name, final String path, final boolean once, final boolean resume, final int tries,
                                   final List<String> homes) {
-        return new Leaf.Rule(name, "a", path, once, true, resume, true, 15 * S, 600 * MS, 400 * MS, 0, tries, homes, List.of(new Leaf.Lot("pool", 1)));
+        return new Value.Route(name, "a", path, once, true, resume, true, 15 * S, 600 * MS, 400 * MS, 0, tries, homes, List.of(new Value.WeightedBackend("pool", 1)));
     }
 
-    private static Member purser(final String id) {
-        return new Member(id, "purser", "w1", "west", "10.0.0.1:1", "10.0.0.1:2", 1, 0, "up", true);
+    private static Member gateway(final String id) {
+        return new Member(id, "gateway", "w1", "west", "10.0.0.1:1", "10.0.0.1:2", 1, 0, "up", true);
     }
 
     private Facts facts() {
-        final Map<String, Rumor.Heard> heard = new HashMap<>();
-        workers.forEach((k, w) -> heard.put(k, new Rumor.Heard(w, Optional.of(now))));
-        return new Facts(purser("me"), page, Optional.of(now), Policy.of(entries), heard, crew);
+        final Map<String, Gossip.Heard> heard = new HashMap<>();
+        workers.forEach((k, w) -> heard.put(k, new Gossip.Heard(w, Optional.of(now))));
+        return new Facts(gateway("me"), page, Optional.of(now), Policy.of(entries), heard, crew);
     }
 
     private void worker(final String id, final String region, final long cold, final boolean leaving, final long sequence) {
@@ -69,17 +69,17 @@
         passage.facts(facts(), now);
     }
 
-    private List<Move> arrive(final String path, final List<Fare.Part> parts) {
-        passage.arrive(new Fare(++token, "A:80", path, "t" + token, 15 * S, parts, 100, 100), now);
+    private List<RoutingEffect> arrive(final String path, final List<RoutedRequest.Part> parts) {
+        passage.arrive(new RoutedRequest(++token, "A:80", path, "t" + token, 15 * S, parts, 100, 100), now);
         return passage.drain();
     }
 
-    private Move.Send sent(final List<Move> moves) {
-        return moves.stream().filter(Move.Send.class::isInstance).map(Move.Send.class::cast).findFirst().orElseThrow();
+    private RoutingEffect.Send sent(final List<RoutingEffect> moves) {
+        return moves.stream().filter(RoutingEffect.Send.class::isInstance).map(RoutingEffect.Send.class::cast).findFirst().orElseThrow();
     }
 
-    private static Move.Reject rejected(final List<Move> moves) {
-        return moves.stream().filter(Move.Reject.class::isInstance).map(Move.Reject.class::cast).findFirst().orElseThrow();
+    private static RoutingEffect.Reject rejected(final List<RoutingEffect> moves) {
+        return moves.stream().filter(RoutingEffect.Reject.class::isInstance).map(RoutingEffect.Reject.class::cast).findFirst().orElseThrow();
     }
 
     @Test
@@ -87,7 +87,7 @@
         worker("w", "west", 0, false, 1);
         assertThat(sent(arrive("/once/x", List.of())).once(), is(true));
         assertThat(sent(arrive("/again/x", List.of())).once(), is(false));
-        passage.arrive(new Fare(99, "b", "/once/x", "t", S, List.of(), 1, 1), now);
+        passage.arrive(new RoutedRequest(99, "b", "/once/x", "t", S, List.of(), 1, 1), now);
         assertThat(rejected(passage.drain()).code(), is(404));
     }
 
@@ -100,7 +100,7 @@
         worker("w", "west", 0, true, 2);
         assertThat(rejected(arrive("/again/x", List.of())).code(), is(503));
         assertThat(sent(arrive("/once/x", List.of())).worker(), is("e"));
-        entries.add(new Entry("z/east1", 2, List.of(new Leaf.Drain("east1", true, new Stamp(1)))));
+        entries.add(new Entry("z/east1", 2, List.of(new Value.Evacuation("east1", true, new Stamp(1)))));
         learn();
         assertThat(rejected(arrive("/once/x", List.of())).code(), is(503));
     }
@@ -109,12 +109,12 @@
     void whatMayHaveRunIsNeverSentTwiceNorPromised() {
         worker("w", "west", 0, false, 1);
         worker("v", "west", 0, false, 1);
-        final Move.Send one = sent(arrive("/once/x", List.of()));
-        passage.failed(one.job(), Break.SENT, now);
-        final List<Move> moves = passage.drain();
-        assertThat(moves.stream().filter(Move.Send.class::isInstance).toList(), is(empty()));
-        assertThat(moves.stream().filter(Move.Fail.class::isInstance).map(m -> ((Move.Fail) m).code()).toList(), is(List.of(502)));
-        passage.failed(one.job(), Break.NOT_RUN, now);
+        final RoutingEffect.Send one = sent(arrive("/once/x", List.of()));
+        passage.failed(one.job(), FailurePoint.SENT, now);
+        final List<RoutingEffect> moves = passage.drain();
+        assertThat(moves.stream().filter(RoutingEffect.Send.class::isInstance).toList(), is(empty()));
+        assertThat(moves.stream().filter(RoutingEffect.Fail.class::isInstance).map(m -> ((RoutingEffect.Fail) m).code()).toList(), is(List.of(502)));
+        passage.failed(one.job(), FailurePoint.NOT_RUN, now);
         assertThat(passage.drain(), is(empty()));
     }
 
@@ -122,12 +122,12 @@
     void whatSurelyDidNotRunGoesToAnotherWorkerOrIsPromised() {
         worker("w", "west", 0, false, 1);
         worker("v", "west", 0, false, 1);
-        final Move.Send one = sent(arrive("/once/x", List.of()));
-        passage.failed(one.job(), Break.NOT_RUN, now);
-        final Move.Send two = sent(passage.drain());
+        final RoutingEffect.Send one = sent(arrive("/once/x", List.of()));
+        passage.failed(one.job(), FailurePoint.NOT_RUN, now);
+        final RoutingEffect.Send two = sent(passage.drain());
         assertThat(two.worker().equals(one.worker()), is(false));
-        passage.failed(two.job(), Break.STRANGER, now);
-        final Move.Reject no = rejected(passage.drain());
+        passage.failed(two.job(), FailurePoint.STRANGER, now);
+        final RoutingEffect.Reject no = rejected(passage.drain());
         assertThat(no.code(), is(503));
         assertThat(no.after(), greaterThan(0L));
     }
@@ -136,28 +136,28 @@
     void aBrokenStreamGoesOnElsewhereWhereTheRuleSaysSo() {
         worker("w", "west", 0, false, 1);
         worker("v", "west", 0, false, 1);
-        final Move.Send one = sent(arrive("/again/x", List.of()));
+        final RoutingEffect.Send one = sent(arrive("/again/x", List.of()));
         passage.headed(one.job(), Optional.empty(), now);
         passage.heard(one.job(), now);
-        passage.failed(one.job(), Break.BEGUN, now);
-        final Move.Send two = sent(passage.drain());
+        passage.failed(one.job(), FailurePoint.BEGUN, now);
+        final RoutingEffect.Send two = sent(passage.drain());
         assertThat(two.worker().equals(one.worker()), is(false));
-        passage.failed(two.job(), Break.SENT, now);
-        assertThat(passage.drain().stream().anyMatch(Move.Fail.class::isInstance), is(true));
+        passage.failed(two.job(), FailurePoint.SENT, now);
+        assertThat(passage.drain().stream().anyMatch(RoutingEffect.Fail.class::isInstance), is(true));
     }
 
     @Test
     void aSilentWorkerIsLeftWhereTheTicketMayRunAgain() {
         worker("w", "west", 0, false, 1);
         worker("v", "west", 0, false, 1);
-        final Move.Send one = sent(arrive("/again/x", List.of()));
-        final Move.Send still = sent(arrive("/once/x", List.of()));
+        final RoutingEffect.Send one = sent(arrive("/again/x", List.of()));
+        final RoutingEffect.Send still = sent(arrive("/once/x", List.of()));
         now += S;
         passage.tick(now);
-        final List<Move> moves = passage.drain();
-        assertThat(moves.contains(new Move.Cut(one.job())), is(true));
+        final List<RoutingEffect> moves = passage.drain();
+        assertThat(moves.contains(new RoutingEffect.Cut(one.job())), is(true));
         assertThat(sent(moves).worker().equals(one.worker()), is(false));
-        assertThat(moves.contains(new Move.Cut(still.job())), is(false));
+        assertThat(moves.contains(new RoutingEffect.Cut(still.job())), is(false));
     }
 
     @Test
@@ -169,10 +169,10 @@
         final int all = 300;
         for (int i = 0; i < all; i++) {
             now += 20 * MS;
-            final Move.Send one = sent(arrive("/once/x", List.of()));
-            passage.failed(one.job(), Break.NOT_RUN, now);
-            final List<Move> next = passage.drain();
-            final Optional<Move.Send> two = next.stream().filter(Move.Send.class::isInstance).map(Move.Send.class::cast).findFirst();
+            final RoutingEffect.Send one = sent(arrive("/once/x", List.of()));
+            passage.failed(one.job(), FailurePoint.NOT_RUN, now);
+            final List<RoutingEffect> next = passage.drain();
+            final Optional<RoutingEffect.Send> two = next.stream().filter(RoutingEffect.Send.class::isInstance).map(RoutingEffect.Send.class::cast).findFirst();
             if (two.isPresent()) {
                 again++;
                 passage.heard(two.get().job(), now);
@@ -187,13 +187,13 @@
     @Test
     void allPursersTogetherKeepToWhatAColdWorkerBears() {
         for (int i = 0; i < 19; i++) {
-            crew.add(purser("p" + i));
+            crew.add(gateway("p" + i));
         }
         final Map<Long, Integer> seconds = new HashMap<>();
-        final List<Passage> all = new ArrayList<>();
+        final List<Router> all = new ArrayList<>();
         final Set<String> names = new HashSet<>();
         for (int i = 0; i < 20; i++) {
-            final Passage p = new Passage(Passage.Setup.PLAIN, facts(), () -> new Stamp(1), new SplittableRandom(i));
+            final Router p = new Router(Router.Setup.PLAIN, facts(), () -> new Stamp(1), new SplittableRandom(i));
             all.add(p);
             names.add(i == 19 ? "me" : "p" + i);
         }
@@ -203,13 +203,13 @@
             for (int i = 0; i < all.size(); i++) {
                 final String id = i == 19 ? "me" : "p" + i;
                 final Facts f = facts();
-                final List<Member> others = new ArrayList<>(names.stream().filter(n -> !n.equals(id)).map(PassageTest::purser).toList());
+                final List<Member> others = new ArrayList<>(names.stream().filter(n -> !n.equals(id)).map(RouterTest::gateway).toList());
                 if (ms == 0) {
-                    all.get(i).facts(new Facts(purser(id), f.page(), f.sure(), f.policy(), f.workers(), others), now);
+                    all.get(i).facts(new Facts(gateway(id), f.page(), f.sure(), f.policy(), f.workers(), others), now);
                 }
                 if ((ms / 10 + i) % 5 == 0) {
-                    all.get(i).arrive(new Fare(ms * 100L + i, "a", "/once/x", "t", S, List.of(), 1, 1), now);
-                    final int sends = (int) all.get(i).drain().stream().filter(Move.Send.class::isInstance).count();
+                    all.get(i).arrive(new RoutedRequest(ms * 100L + i, "a", "/once/x", "t", S, List.of(), 1, 1), now);
+                    final int sends = (int) all.get(i).drain().stream().filter(RoutingEffect.Send.class::isInstance).count();
                     seconds.merge(now / S, sends, Integer::sum);
                 }
             }
@@ -219,14 +219,14 @@
     }
 
     @Test
-    void pursersComeToTheSameWorkerForALargePrefix() {
+    void gatewaysComeToTheSameWorkerForALargePrefix() {
         for (int i = 0; i < 6; i++) {
             worker("w" + i, "west", 0, false, 1);
         }
         final Set<String> used = new HashSet<>();
         for (int i = 0; i < 20; i++) {
             now += S;
-            final Move.Send s = sent(arrive("/once/x", List.of(new Fare.Part(5, 2_500), new Fare.Part(6, 3_700), new Fare.Part(100 + i, 800))));
+            final RoutingEffect.Send s = sent(arrive("/once/x", List.of(new RoutedRequest.Part(5, 2_500), new RoutedRequest.Part(6, 3_700), new RoutedRequest.Part(100 + i, 800))));
             used.add(s.worker());
             passage.heard(s.job(), now);
             passage.ended(s.job(), true, now);
@@ -238,12 +238,12 @@
     @Test
     void whatIsPastItsTimeIsToldAtOnce() {
         worker("w", "west", 0, false, 1);
-        final Move.Send one = sent(arrive("/once/x", List.of()));
+        final RoutingEffect.Send one = sent(arrive("/once/x", List.of()));
         now += 16 * S;
         passage.tick(now);
-        final List<Move> moves = passage.drain();
-        assertThat(moves.contains(new Move.Cut(one.job())), is(true));
-        assertThat(moves.stream().filter(Move.Fail.class::isInstance).map(m -> ((Move.Fail) m).code()).toList(), is(List.of(504)));
+        final List<RoutingEffect> moves = passage.drain();
+        assertThat(moves.contains(new RoutingEffect.Cut(one.job())), is(true));
+        assertThat(moves.stream().filter(RoutingEffect.Fail.class::isInstance).map(m -> ((RoutingEffect.Fail) m).code()).toList(), is(List.of(504)));
         assertThat(passage.open(), is(0));
     }
 
@@ -254,13 +254,13 @@
         }
         final Set<String> writers = new HashSet<>();
         for (int i = 0; i < 40; i++) {
-            final Move.Send s = sent(arrive("/once/x", List.of()));
+            final RoutingEffect.Send s = sent(arrive("/once/x", List.of()));
             writers.add(s.worker());
-            passage.headed(s.job(), Optional.of(new Passage.Load(10, 0, 128)), now);
+            passage.headed(s.job(), Optional.of(new Router.Load(10, 0, 128)), now);
             passage.heard(s.job(), now);
-            passage.arrive(new Fare(++token, "a", "/once/x", "t" + token, 15 * S, List.of(new Fare.Part(i, 5_000), new Fare.Part(1_000 + i, 20_000)),
+            passage.arrive(new RoutedRequest(++token, "a", "/once/x", "t" + token, 15 * S, List.of(new RoutedRequest.Part(i, 5_000), new RoutedRequest.Part(1_000 + i, 20_000)),
                     25_000, 50), now);
-            final Move.Send l = sent(passage.drain());
+            final RoutingEffect.Send l = sent(passage.drain());
             assertThat(i < 4 || !writers.contains(l.worker()), is(true));
             passage.headed(l.job(), Optional.empty(), now);
             passage.heard(l.job(), now);
@@ -276,13 +276,13 @@
         for (int i = 0; i < 3; i++) {
             worker("e" + i, "east", 0, false, 1);
         }
-        final Move.Send one = sent(arrive("/once/x", List.of()));
+        final RoutingEffect.Send one = sent(arrive("/once/x", List.of()));
         assertThat(one.worker().startsWith("e"), is(true));
         worker("w", "west", 0, false, 1);
         worker("v", "west", 0, false, 1);
         now += 600 * MS;
         for (int i = 0; i < 20; i++) {
-            final Move.Send s = sent(arrive("/once/x", List.of()));
+            final RoutingEffect.Send s = sent(arrive("/once/x", List.of()));
             assertThat(s.worker().startsWith("e"), is(false));
             passage.headed(s.job(), Optional.empty(), now);
             passage.heard(s.job(), now);
@@ -295,9 +295,9 @@
 
     @Test
     void withoutACharterNothingIsTaken() {
-        final Passage bare = new Passage(Passage.Setup.PLAIN, new Facts(purser("me"), 0, Optional.empty(), Policy.NONE, Map.of(), List.of()),
+        final Router bare = new Router(Router.Setup.PLAIN, new Facts(gateway("me"), 0, Optional.empty(), Policy.NONE, Map.of(), List.of()),
                 () -> new Stamp(1), new SplittableRandom(1));
-        bare.arrive(new Fare(1, "a", "/once/x", "t", S, List.of(), 1, 1), now);
+        bare.arrive(new RoutedRequest(1, "a", "/once/x", "t", S, List.of(), 1, 1), now);
         assertThat(rejected(bare.drain()).code(), is(503));
         assertThat(bare.unready().isPresent(), is(true));
     }
--- a/core/src/test/java/silverlatch/chart/ChartTest.java
+++ b/core/src/test/java/silverlatch/statemachine/TransitionTableTest.java
@@ -1,4 +1,4 @@
-package silverlatch.chart;
+package silverlatch.statemachine;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -6,13 +6,13 @@
 
 import org.junit.jupiter.api.Test;
 
-final class ChartTest {
+final class TransitionTableTest {
     @Test
     void everyChartOfTheProductIsSoundAndTheFileDecides() {
-        for (final String name : new String[] {"ticket", "harbor", "member"}) {
-            Chart.load(name);
+        for (final String name : new String[] {"ticket", "controller", "member"}) {
+            TransitionTable.load(name);
         }
-        final Chart ticket = Chart.load("ticket");
+        final TransitionTable ticket = TransitionTable.load("ticket");
         assertThat(ticket.move("asking", "start"), is("running"));
         assertThat(ticket.ended("rejected"), is(true));
         assertThrows(IllegalStateException.class, () -> ticket.move("rejected", "start"));
@@ -21,11 +21,11 @@
 
     @Test
     void aChartWithAFaultIsNotTaken() {
-        assertThrows(IllegalArgumentException.class, () -> Chart.parse(
+        assertThrows(IllegalArgumentException.class, () -> TransitionTable.parse(
                 "{\"name\":\"x\",\"start\":\"a\",\"ends\":[\"b\"],\"moves\":[[\"a\",\"go\",\"b\"],[\"a\",\"go\",\"a\"]]}"));
-        assertThrows(IllegalArgumentException.class, () -> Chart.parse(
+        assertThrows(IllegalArgumentException.class, () -> TransitionTable.parse(
                 "{\"name\":\"x\",\"start\":\"a\",\"ends\":[\"b\",\"c\"],\"moves\":[[\"a\",\"go\",\"b\"]]}"));
-        assertThrows(IllegalArgumentException.class, () -> Chart.parse(
+        assertThrows(IllegalArgumentException.class, () -> TransitionTable.parse(
                 "{\"name\":\"x\",\"start\":\"a\",\"ends\":[],\"moves\":[[\"a\",\"go\",\"b\"]]}"));
     }
 }
--- a/core/src/test/java/silverlatch/wire/SizesTest.java
+++ b/core/src/test/java/silverlatch/wire/SizesTest.java
@@ -5,19 +5,19 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import silverlatch.crew.Member;
-import silverlatch.rumor.Word;
-import silverlatch.rumor.Worker;
-import silverlatch.tide.Stamp;
+import silverlatch.membership.Member;
+import silverlatch.gossip.WorkerReport;
+import silverlatch.gossip.Worker;
+import silverlatch.clock.Stamp;
 
 /** The bytes of what is said again and again, with names and addresses as long as a large fleet has them. */
 final class SizesTest {
     private static final String HOME = "10.131.112.113:7001";
-    private static final Member ME = new Member("purser-117", "purser", "attica-3", "attica", HOME, "10.131.112.113:8001", 1L << 50, 4, "up", true);
+    private static final Member ME = new Member("gateway-117", "gateway", "attica-3", "attica", HOME, "10.131.112.113:8001", 1L << 50, 4, "up", true);
     private final Codec codec = new Codec();
 
     private int size(final Msg body) {
-        return codec.write(new Frame(new Stamp(1L << 60), 1L << 60, "purser-117", HOME, 1L << 50, body)).length;
+        return codec.write(new Frame(new Stamp(1L << 60), 1L << 60, "gateway-117", HOME, 1L << 50, body)).length;
     }
 
     @Test
@@ -37,7 +37,7 @@
     void aBeatAndAWordAreSmall() {
         assertThat(size(new Msg.Beat(ME)), lessThan(200));
         assertThat(size(new Msg.Pulse(ME.id(), ME.life())), lessThan(100));
-        assertThat(size(new Msg.Push(List.of(), List.of(), List.of(Word.of(new Worker("worker-1017", "10.131.112.114:9001", "attica-3", "attica",
+        assertThat(size(new Msg.Push(List.of(), List.of(), List.of(WorkerReport.of(new Worker("worker-1017", "10.131.112.114:9001", "attica-3", "attica",
                 1L << 50, 9, 0, 0, 16, List.of(), true, 77, "large", 0, 0))), 2_300)), lessThan(300));
     }
 }
--- a/desk/src/main/java/silverlatch/desk/harbor/Articles.java
+++ b/server/src/main/java/silverlatch/server/controller/ConfigurationJson.java
@@ -1,33 +1,33 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import silverlatch.sheet.Sheet;
-import silverlatch.tariff.Charters;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Wish;
+import silverlatch.json.JsonDocument;
+import silverlatch.state.ConfigurationValidator;
+import silverlatch.state.Value;
+import silverlatch.state.Command;
 
 /** Charters, their rules and their pools as JSON, both ways. */
-public final class Articles {
+public final class ConfigurationJson {
     private static final long LONG = Long.MAX_VALUE;
     private static final int INT = Integer.MAX_VALUE;
 
-    private Articles() {
+    private ConfigurationJson() {
     }
 
     /** Reads a charter; what is wrong with it is noted in the sheet. */
-    public static Wish.Lay read(final Sheet s, final String paper, final String id, final long match) {
+    public static Command.PutConfiguration read(final JsonDocument s, final String paper, final String id, final long match) {
         final long number = s.whole("number", 1, LONG);
-        final List<Leaf.Rule> rules = s.sheets("rules", Charters.MOST + 1).stream().map(Articles::rule).toList();
-        final List<Leaf.Pool> pools = s.sheets("pools", Charters.MOST_POOLS + 1).stream().map(Articles::pool).toList();
-        final Sheet b = s.sheet("bounds");
-        final Leaf.Charter charter = new Leaf.Charter(number, (int) b.whole("head", 0, INT), (int) b.whole("body", 0, INT),
+        final List<Value.Route> rules = s.sheets("rules", ConfigurationValidator.MOST + 1).stream().map(ConfigurationJson::rule).toList();
+        final List<Value.BackendPool> pools = s.sheets("pools", ConfigurationValidator.MOST_POOLS + 1).stream().map(ConfigurationJson::pool).toList();
+        final JsonDocument b = s.sheet("bounds");
+        final Value.RoutingConfiguration charter = new Value.RoutingConfiguration(number, (int) b.whole("head", 0, INT), (int) b.whole("body", 0, INT),
                 b.whole("slow", 0, LONG), b.whole("idle", 0, LONG));
         b.end();
-        return new Wish.Lay(id, charter, rules, pools, paper, match);
+        return new Command.PutConfiguration(id, charter, rules, pools, paper, match);
     }
 
     /** A body as text, if it can be given back to the byte. */
@@ -37,7 +37,7 @@
     }
 
     /** A rule as JSON. */
-    public static Map<String, Object> write(final Leaf.Rule r) {
+    public static Map<String, Object> write(final Value.Route r) {
         final Map<String, Object> map = new LinkedHashMap<>();
         map.put("name", r.name());
         map.put("host", r.host());
@@ -57,7 +57,7 @@
     }
 
     /** A pool as JSON. */
-    public static Map<String, Object> write(final Leaf.Pool p) {
+    public static Map<String, Object> write(final Value.BackendPool p) {
         final Map<String, Object> map = new LinkedHashMap<>();
         map.put("name", p.name());
         map.put("health", p.health());
@@ -70,23 +70,23 @@
         return map;
     }
 
-    private static Leaf.Rule rule(final Sheet s) {
-        final Leaf.Rule r = new Leaf.Rule(s.text("name", 256), s.text("host", 256), s.text("path", 1_024), s.flag("once", false),
+    private static Value.Route rule(final JsonDocument s) {
+        final Value.Route r = new Value.Route(s.text("name", 256), s.text("host", 256), s.text("path", 1_024), s.flag("once", false),
                 s.flag("stream", false), s.flag("resume", false), s.flag("kept", false), s.whole("hold", 0, LONG), s.whole("aim", 0, LONG, 0),
                 s.whole("gap", 0, LONG, 0), (int) s.whole("rank", 0, INT, 0), (int) s.whole("tries", 0, INT, 1), s.texts("homes", 64, 64),
-                s.sheets("lots", 1_000).stream().map(Articles::lot).toList());
+                s.sheets("lots", 1_000).stream().map(ConfigurationJson::lot).toList());
         s.end();
         return r;
     }
 
-    private static Leaf.Lot lot(final Sheet s) {
-        final Leaf.Lot l = new Leaf.Lot(s.text("pool", 256), (int) s.whole("weight", 0, INT));
+    private static Value.WeightedBackend lot(final JsonDocument s) {
+        final Value.WeightedBackend l = new Value.WeightedBackend(s.text("pool", 256), (int) s.whole("weight", 0, INT));
         s.end();
         return l;
     }
 
-    private static Leaf.Pool pool(final Sheet s) {
-        final Leaf.Pool p = new Leaf.Pool(s.text("name", 256), s.text("health", 1_024, ""), (int) s.whole("lines", 0, INT, 0),
+    private static Value.BackendPool pool(final JsonDocument s) {
+        final Value.BackendPool p = new Value.BackendPool(s.text("name", 256), s.text("health", 1_024, ""), (int) s.whole("lines", 0, INT, 0),
                 s.whole("cold", 0, LONG, 0), s.number("rate", 0), (int) s.whole("slots", 0, INT), (int) s.whole("memory", 0, INT, 0),
                 (int) s.whole("stride", 0, INT, 0));
         s.end();
--- a/desk/src/main/java/silverlatch/desk/harbor/Counter.java
+++ b/server/src/main/java/silverlatch/server/controller/ControlService.java
@@ -1,25 +1,25 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import java.util.function.Consumer;
-import silverlatch.quay.Clerk;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
+import silverlatch.replication.ChainClient;
+import silverlatch.gossip.Worker;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
 
 /**
- * What a harbor does for operators and workers, whatever door they came by. Replies come on the harbor's own duty, those
+ * What a controller does for operators and workers, whatever door they came by. Replies come on the controller's own duty, those
  * that wait for the chain at the latest 900 ms after the call; where the duty can take no more, a rejection comes at once
  * on the caller's own thread.
  */
-public interface Counter {
+public interface ControlService {
     /** Lays down a charter; what is not decided in time is told as unknown. */
-    void lay(Wish.Lay wish, Consumer<Verdict> then);
+    void lay(Command.PutConfiguration wish, Consumer<CommandResult> then);
 
     /** Asks for the newest acknowledged charter's paper; no entry where there is none, not ok where none can tell it now. */
-    void paper(Consumer<Clerk.Page> then);
+    void paper(Consumer<ChainClient.Page> then);
 
     /** Empties a zone, or gives it back; what is not decided in time is told as unknown. */
-    void zone(String zone, boolean on, Consumer<Verdict> then);
+    void zone(String zone, boolean on, Consumer<CommandResult> then);
 
     /** Takes a worker's word on itself; true when it is taken and on its way to the others. */
     void word(Worker worker, Consumer<Boolean> then);
--- a/desk/src/main/java/silverlatch/desk/harbor/Harbor.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
@@ -10,116 +10,116 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import silverlatch.crew.Member;
-import silverlatch.deck.Deck;
-import silverlatch.deck.Effect;
-import silverlatch.deck.Event;
-import silverlatch.desk.dock.Dock;
-import silverlatch.desk.duty.Bridge;
-import silverlatch.desk.duty.Duty;
-import silverlatch.desk.duty.Logs;
-import silverlatch.desk.settings.Settings;
-import silverlatch.desk.web.Web;
-import silverlatch.ledger.Ledger;
-import silverlatch.quay.Clerk;
-import silverlatch.quay.Quay;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Charters;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
+import silverlatch.membership.Member;
+import silverlatch.node.Node;
+import silverlatch.node.Effect;
+import silverlatch.node.Event;
+import silverlatch.server.transport.Transport;
+import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.eventloop.Logs;
+import silverlatch.server.settings.Settings;
+import silverlatch.server.web.Web;
+import silverlatch.log.WriteAheadLog;
+import silverlatch.replication.ChainClient;
+import silverlatch.replication.ChainReplica;
+import silverlatch.gossip.Worker;
+import silverlatch.state.ConfigurationValidator;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
 
 /** The control plane's process: chain, view, and the operators' door. */
 @Singleton
-public final class Harbor implements Counter {
+public final class Controller implements ControlService {
     private static final long SPAN = 4_000_000L;
     private static final long SOON = 880_000L;
     private final Settings settings;
-    private final Bridge bridge;
-    private final Dock dock;
+    private final EventLoopHandle bridge;
+    private final Transport dock;
     private final Web web;
-    private final Optional<Scribe> scribe;
-    private final Deck deck;
+    private final Optional<LogWriter> scribe;
+    private final Node deck;
     private volatile Optional<String> unready = Optional.of("starting");
     private volatile List<Member> nears = List.of();
     private volatile boolean gone;
     private volatile boolean closing;
-    private final Optional<Roster> roster;
-    private final Calendars calendars = new Calendars();
+    private final Optional<WorkerRoster> roster;
+    private final Schedules calendars = new Schedules();
     private long listed;
     private long calendarAt;
     private final List<Runnable> owed = new ArrayList<>();
 
     /** Joins the parts. */
     @Inject
-    public Harbor(final Settings settings, final Deck deck, final Optional<Ledger> ledger) {
+    public Controller(final Settings settings, final Node deck, final Optional<WriteAheadLog> ledger) {
         this.settings = settings;
         this.deck = deck;
-        this.dock = new Dock(settings.address(), this::frame);
-        this.scribe = ledger.map(l -> new Scribe(l, new Scribe.Told() {
+        this.dock = new Transport(settings.address(), this::frame);
+        this.scribe = ledger.map(l -> new LogWriter(l, new LogWriter.Told() {
             @Override
             public void kept(final List<Long> tokens) {
-                tell(d -> tokens.forEach(t -> d.kept(t, Duty.now())));
+                tell(d -> tokens.forEach(t -> d.kept(t, EventLoop.now())));
             }
 
             @Override
             public void broke(final String why) {
-                tell(d -> d.broke(why, Duty.now()));
+                tell(d -> d.broke(why, EventLoop.now()));
             }
         }));
-        this.roster = settings.data().map(d -> new Roster(java.nio.file.Path.of(d)));
-        this.bridge = new Bridge(deck, settings.rates().deck(), dock::ship, this::keep, this::look);
+        this.roster = settings.data().map(d -> new WorkerRoster(java.nio.file.Path.of(d)));
+        this.bridge = new EventLoopHandle(deck, settings.rates().deck(), dock::ship, this::keep, this::look);
         this.web = new Web(settings.door(), Math.max(settings.body(), 8 << 20),
                 new Door(settings, bridge, dock, calendars, () -> unready)::route);
     }
 
     /** Opens the doors. */
     public void start() throws IOException, Web.WebFault {
-        scribe.ifPresent(Scribe::start);
+        scribe.ifPresent(LogWriter::start);
         roster.ifPresent(r -> {
-            deck.rumor().recall(r.read(), Duty.now());
+            deck.rumor().recall(r.read(), EventLoop.now());
             r.start();
         });
         dock.start();
         bridge.start();
         web.start();
-        Logs.write(Event.STARTED, "harbor " + settings.name() + " at " + settings.address() + " door " + settings.door());
+        Logs.write(Event.STARTED, "controller " + settings.name() + " at " + settings.address() + " door " + settings.door());
     }
 
     /** Stops in good order: the chain goes on without this machine, its duties have a successor. */
     public void stop() {
         try {
             closing = true;
-            bridge.with(d -> d.leave(Duty.now()));
-            final long end = Duty.now() + settings.grace();
-            while (Duty.now() < end && scribe.isPresent() && !gone) {
+            bridge.with(d -> d.leave(EventLoop.now()));
+            final long end = EventLoop.now() + settings.grace();
+            while (EventLoop.now() < end && scribe.isPresent() && !gone) {
                 TimeUnit.MILLISECONDS.sleep(20);
             }
             TimeUnit.MILLISECONDS.sleep(100);
-            Logs.write(Event.STOPPED, "harbor " + settings.name());
+            Logs.write(Event.STOPPED, "controller " + settings.name());
             web.stop();
         } catch (final InterruptedException | Web.WebFault e) {
-            Logs.write(Event.STOPPED, "harbor " + settings.name() + " in haste");
+            Logs.write(Event.STOPPED, "controller " + settings.name() + " in haste");
         }
     }
 
     @Override
-    public void lay(final Wish.Lay wish, final Consumer<Verdict> then) {
-        if (Charters.huge(wish.paper())) {
-            then.accept(new Verdict.Rejected(413, List.of("$: longer than " + Charters.LONGEST + " bytes"), 0));
+    public void lay(final Command.PutConfiguration wish, final Consumer<CommandResult> then) {
+        if (ConfigurationValidator.huge(wish.paper())) {
+            then.accept(new CommandResult.Rejected(413, List.of("$: longer than " + ConfigurationValidator.LONGEST + " bytes"), 0));
             return;
         }
         wish(wish, SOON, then);
     }
 
     @Override
-    public void zone(final String zone, final boolean on, final Consumer<Verdict> then) {
-        wish(new Wish.Zone(UUID.randomUUID().toString(), zone, on, -1), SOON, then);
+    public void zone(final String zone, final boolean on, final Consumer<CommandResult> then) {
+        wish(new Command.SetEvacuation(UUID.randomUUID().toString(), zone, on, -1), SOON, then);
     }
 
     @Override
-    public void paper(final Consumer<Clerk.Page> then) {
-        if (!bridge.read(Charters.PAPER, SOON, r -> then.accept((Clerk.Page) r))) {
-            then.accept(new Clerk.Page(false, 0, List.of()));
+    public void paper(final Consumer<ChainClient.Page> then) {
+        if (!bridge.read(ConfigurationValidator.PAPER, SOON, r -> then.accept((ChainClient.Page) r))) {
+            then.accept(new ChainClient.Page(false, 0, List.of()));
         }
     }
 
@@ -127,7 +127,7 @@
     public void word(final Worker worker, final Consumer<Boolean> then) {
         word(d -> {
             final boolean left = leaving(d, worker.id());
-            d.announced(worker, 0, Duty.now());
+            d.announced(worker, 0, EventLoop.now());
             return new Taken(d.rumor().workers().containsKey(worker.id()), !left && leaving(d, worker.id()));
         }, then);
     }
@@ -135,7 +135,7 @@
     @Override
     public void gone(final String worker, final Consumer<Boolean> then) {
         word(d -> {
-            final boolean known = d.gone(worker, Duty.now());
+            final boolean known = d.gone(worker, EventLoop.now());
             return new Taken(known, known);
         }, then);
     }
@@ -148,7 +148,7 @@
         });
     }
 
-    /** A harbor of this region that a worker may call from now on, if it is not this one alone that stands there. */
+    /** A controller of this region that a worker may call from now on, if it is not this one alone that stands there. */
     public Optional<Member> near(final String zone, final String region) {
         return nears.stream().filter(m -> m.zone().equals(zone)).findFirst()
                 .or(() -> nears.stream().filter(m -> m.region().equals(region)).findFirst());
@@ -158,7 +158,7 @@
     }
 
     /** A leaving that is news goes out with the next beat at the latest, and its reply after that. */
-    private void word(final Function<Deck, Taken> what, final Consumer<Boolean> then) {
+    private void word(final Function<Node, Taken> what, final Consumer<Boolean> then) {
         final Taken[] taken = {new Taken(false, false)};
         if (!bridge.with(d -> taken[0] = what.apply(d), () -> {
             if (taken[0].news()) {
@@ -171,39 +171,39 @@
         }
     }
 
-    private static boolean leaving(final Deck d, final String id) {
+    private static boolean leaving(final Node d, final String id) {
         return Optional.ofNullable(d.rumor().workers().get(id)).map(h -> h.worker().leaving()).orElse(false);
     }
 
-    private void wish(final Wish w, final long span, final Consumer<Verdict> then) {
-        if (!bridge.wish(w, span, r -> then.accept((Verdict) r))) {
-            then.accept(new Verdict.Rejected(503, List.of("the ring is full"), 0));
+    private void wish(final Command w, final long span, final Consumer<CommandResult> then) {
+        if (!bridge.wish(w, span, r -> then.accept((CommandResult) r))) {
+            then.accept(new CommandResult.Rejected(503, List.of("the ring is full"), 0));
         }
     }
 
     private void frame(final silverlatch.wire.Frame f) {
-        bridge.with(d -> d.frame(f, Duty.now()));
+        bridge.with(d -> d.frame(f, EventLoop.now()));
     }
 
     private void keep(final Effect.Keep k) {
         scribe.ifPresent(s -> s.write(k));
     }
 
-    private void tell(final Consumer<Deck> job) {
+    private void tell(final Consumer<Node> job) {
         while (!bridge.with(job)) {
             Thread.onSpinWait();
         }
     }
 
-    private void look(final Deck d) {
-        final long now = Duty.now();
+    private void look(final Node d) {
+        final long now = EventLoop.now();
         final List<Runnable> due = List.copyOf(owed);
         owed.clear();
         due.forEach(Runnable::run);
         nears = java.util.stream.Stream.concat(java.util.stream.Stream.of(d.crew().me()), d.crew().live().stream())
-                .filter(m -> !m.purser() && m.state().equals("up")).toList();
+                .filter(m -> !m.gateway() && m.state().equals("up")).toList();
         final Optional<String> why = closing ? Optional.of("stopping") : d.quay().map(q -> {
-            final Quay.State s = q.state(now);
+            final ChainReplica.State s = q.state(now);
             gone = q.gone();
             return s.spot().equals("chained") && s.level() && s.leased() ? Optional.<String>empty()
                     : Optional.of("the chain: " + s.spot() + (s.leased() ? "" : ", no lease"));
@@ -221,7 +221,7 @@
         calendars(d, now);
     }
 
-    private void calendars(final Deck d, final long now) {
+    private void calendars(final Node d, final long now) {
         if (now - calendarAt < 1_000_000L) {
             return;
         }
@@ -230,7 +230,7 @@
                 .forEach(w -> {
                     Logs.write(Event.CALENDAR, w.id());
                     bridge.wish(w, SPAN, v -> {
-                        if (v instanceof Verdict.Unknown) {
+                        if (v instanceof CommandResult.Unknown) {
                             calendars.forget(w.id());
                         }
                     });
--- a/desk/src/main/java/silverlatch/desk/harbor/Door.java
+++ b/server/src/main/java/silverlatch/server/controller/Door.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -9,33 +9,33 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import silverlatch.carry.permit.Seals;
-import silverlatch.desk.dock.Dock;
-import silverlatch.desk.duty.Bridge;
-import silverlatch.desk.duty.Duty;
-import silverlatch.desk.settings.Settings;
-import silverlatch.desk.web.Call;
-import silverlatch.desk.web.Words;
-import silverlatch.quay.Clerk;
-import silverlatch.quay.Quay;
-import silverlatch.rumor.Worker;
-import silverlatch.sheet.Sheet;
-import silverlatch.tariff.Books;
-import silverlatch.tariff.Charters;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
+import silverlatch.dispatch.permit.Seals;
+import silverlatch.server.transport.Transport;
+import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.settings.Settings;
+import silverlatch.server.web.Call;
+import silverlatch.server.web.Words;
+import silverlatch.replication.ChainClient;
+import silverlatch.replication.ChainReplica;
+import silverlatch.gossip.Worker;
+import silverlatch.json.JsonDocument;
+import silverlatch.state.StateMachine;
+import silverlatch.state.ConfigurationValidator;
+import silverlatch.state.Value;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
 
-/** The HTTP door of a harbor: operators' orders, workers' words, and how the harbor stands. */
+/** The HTTP door of a controller: operators' orders, workers' words, and how the controller stands. */
 final class Door {
     private static final long SPAN = 4_000_000L;
     private final Settings settings;
-    private final Bridge bridge;
-    private final Dock dock;
-    private final Calendars calendars;
+    private final EventLoopHandle bridge;
+    private final Transport dock;
+    private final Schedules calendars;
     private final Supplier<Optional<String>> unready;
 
-    Door(final Settings settings, final Bridge bridge, final Dock dock, final Calendars calendars, final Supplier<Optional<String>> unready) {
+    Door(final Settings settings, final EventLoopHandle bridge, final Transport dock, final Schedules calendars, final Supplier<Optional<String>> unready) {
         this.settings = settings;
         this.bridge = bridge;
         this.dock = dock;
@@ -73,20 +73,20 @@
             case "GET /v1/tenants" -> page(c, "t/", "tenants");
             case "GET /v1/calendars" -> page(c, "k/", "calendars");
             case "GET /v1/zones" -> page(c, "z/", "zones");
-            case "GET /v1/rules" -> page(c, Charters.RULES, "rules");
+            case "GET /v1/rules" -> page(c, ConfigurationValidator.RULES, "rules");
             case "GET /v1/charter" -> paper(c);
             case "PUT /v1/charter" -> charter(c);
             default -> {
                 if (part.length == 4 && at.startsWith("PUT /v1/tenants/")) {
                     tenant(c, part[3]);
                 } else if (part.length == 4 && at.startsWith("DELETE /v1/tenants/")) {
-                    match(c).ifPresent(m -> wish(c, new Wish.Drop(id(c), part[3], m)));
+                    match(c).ifPresent(m -> wish(c, new Command.RemoveTenant(id(c), part[3], m)));
                 } else if (part.length == 4 && at.startsWith("PUT /v1/zones/")) {
                     zone(c, part[3]);
                 } else if (part.length == 4 && at.startsWith("PUT /v1/calendars/")) {
                     calendar(c, part[3]);
                 } else if (part.length == 4 && at.startsWith("DELETE /v1/calendars/")) {
-                    match(c).ifPresent(m -> wish(c, new Wish.Undiary(id(c), part[3], m)));
+                    match(c).ifPresent(m -> wish(c, new Command.RemoveSchedule(id(c), part[3], m)));
                 } else if (part.length == 4 && at.startsWith("GET /v1/claims/") && part[3].matches("[0-9a-f]{2}")) {
                     page(c, "c/" + part[3], "claims");
                 } else if (part.length == 4 && at.startsWith("GET /v1/changes/")) {
@@ -107,17 +107,17 @@
 
     private void change(final Call c, final String id) {
         read(c, "o/" + id, p -> {
-            final Optional<silverlatch.tariff.Entry> e = p.entries().stream().filter(x -> x.key().equals("o/" + id)).findFirst();
-            final Optional<Leaf.Deed> deed = e.map(x -> (Leaf.Deed) x.leaf().getFirst());
+            final Optional<silverlatch.state.Entry> e = p.entries().stream().filter(x -> x.key().equals("o/" + id)).findFirst();
+            final Optional<Value.CommandOutcome> deed = e.map(x -> (Value.CommandOutcome) x.leaf().getFirst());
             c.reply(deed.isPresent() ? 200 : 404, deed.isEmpty() ? Map.of("outcome", "absent", "faults", List.of("no such change took effect"))
                     : deed.get().code() == 0 ? Map.of("outcome", "kept", "sequence", deed.get().sequence())
                     : Map.of("outcome", "rejected", "code", deed.get().code(), "faults", deed.get().faults()));
         });
     }
 
-    private void read(final Call c, final String start, final Consumer<Clerk.Page> then) {
+    private void read(final Call c, final String start, final Consumer<ChainClient.Page> then) {
         final boolean sent = bridge.read(start, SPAN, r -> {
-            final Clerk.Page p = (Clerk.Page) r;
+            final ChainClient.Page p = (ChainClient.Page) r;
             if (p.ok()) {
                 then.accept(p);
             } else {
@@ -138,7 +138,7 @@
             final Worker w = Words.read(s);
             final long echo = Words.echo(s);
             if (!faulty(c, s) && !bridge.with(d -> {
-                final long next = d.announced(w, echo, Duty.now());
+                final long next = d.announced(w, echo, EventLoop.now());
                 c.reply(200, Map.of("echo", next, "table", d.rumor().books().page()));
             })) {
                 no(c, 503, "the ring is full");
@@ -147,80 +147,80 @@
     }
 
     private void paper(final Call c) {
-        read(c, Charters.PAPER, p -> p.entries().stream().filter(e -> !e.gone()).map(e -> (Leaf.Paper) e.leaf().getFirst()).findFirst()
+        read(c, ConfigurationValidator.PAPER, p -> p.entries().stream().filter(e -> !e.gone()).map(e -> (Value.ConfigurationDocument) e.leaf().getFirst()).findFirst()
                 .ifPresentOrElse(x -> c.text("application/json", x.text(), Map.of("ETag", "\"" + x.number() + "\"")),
                         () -> no(c, 404, "there is no charter yet")));
     }
 
     private void charter(final Call c) {
-        final Optional<String> paper = Articles.paper(c.body());
+        final Optional<String> paper = ConfigurationJson.paper(c.body());
         if (paper.isEmpty()) {
             no(c, 400, "$: not UTF-8");
             return;
         }
-        if (Charters.huge(paper.get())) {
-            no(c, 413, "$: longer than " + Charters.LONGEST + " bytes");
+        if (ConfigurationValidator.huge(paper.get())) {
+            no(c, 413, "$: longer than " + ConfigurationValidator.LONGEST + " bytes");
             return;
         }
         sheet(c).ifPresent(s -> {
-            final Wish.Lay w = Articles.read(s, paper.get(), id(c), -1);
+            final Command.PutConfiguration w = ConfigurationJson.read(s, paper.get(), id(c), -1);
             if (!faulty(c, s)) {
-                match(c).ifPresent(m -> wish(c, new Wish.Lay(w.id(), w.charter(), w.rules(), w.pools(), w.paper(), m)));
+                match(c).ifPresent(m -> wish(c, new Command.PutConfiguration(w.id(), w.charter(), w.rules(), w.pools(), w.paper(), m)));
             }
         });
     }
 
     private void table(final Call c) {
         sheet(c).ifPresent(s -> {
-            final List<Leaf.Row> rows = new ArrayList<>();
+            final List<Value.Row> rows = new ArrayList<>();
             s.whole("sequence", 0, Long.MAX_VALUE, 0);
-            s.sheets("rows", Books.ROWS + 1).forEach(x -> {
+            s.sheets("rows", StateMachine.ROWS + 1).forEach(x -> {
                 rows.add(Rows.read(x));
                 x.end();
             });
             if (!faulty(c, s)) {
-                match(c).ifPresent(m -> wish(c, new Wish.Table(id(c), rows, m)));
+                match(c).ifPresent(m -> wish(c, new Command.PutTable(id(c), rows, m)));
             }
         });
     }
 
     private void cells(final Call c) {
         sheet(c).ifPresent(s -> {
-            final List<Wish.Cell> cells = cellsOf(s);
+            final List<Command.Cell> cells = cellsOf(s);
             if (!faulty(c, s)) {
-                match(c).ifPresent(m -> wish(c, new Wish.Cells(id(c), cells, m)));
+                match(c).ifPresent(m -> wish(c, new Command.PatchTable(id(c), cells, m)));
             }
         });
     }
 
     private void tenant(final Call c, final String name) {
         sheet(c).ifPresent(s -> {
-            final Leaf.Tenant t = new Leaf.Tenant(name, s.texts("homes", 64, 64), s.number("share", 1), Seals.hash(s.text("key", 256)),
+            final Value.Tenant t = new Value.Tenant(name, s.texts("homes", 64, 64), s.number("share", 1), Seals.hash(s.text("key", 256)),
                     Seals.hash(settings.key() + "|" + name).substring(0, 16));
             if (!faulty(c, s)) {
-                match(c).ifPresent(m -> wish(c, new Wish.Person(id(c), t, m)));
+                match(c).ifPresent(m -> wish(c, new Command.PutTenant(id(c), t, m)));
             }
         });
     }
 
     private void calendar(final Call c, final String name) {
         sheet(c).ifPresent(s -> {
-            final List<Wish.Cell> cells = cellsOf(s);
-            final Leaf.Calendar k = new Leaf.Calendar(name, s.text("cron", 128), cells, s.text("zone", 64, ""), s.flag("empty", false));
+            final List<Command.Cell> cells = cellsOf(s);
+            final Value.Schedule k = new Value.Schedule(name, s.text("cron", 128), cells, s.text("zone", 64, ""), s.flag("empty", false));
             final List<String> faults = new ArrayList<>(s.end());
             faults.addAll(calendars.faults(k));
             if (!faults.isEmpty()) {
                 c.reply(422, Map.of("outcome", "rejected", "faults", faults));
                 return;
             }
-            match(c).ifPresent(m -> wish(c, new Wish.Diary(id(c), k, m)));
+            match(c).ifPresent(m -> wish(c, new Command.PutSchedule(id(c), k, m)));
         });
     }
 
-    private static List<Wish.Cell> cellsOf(final Sheet s) {
-        final List<Wish.Cell> cells = new ArrayList<>();
+    private static List<Command.Cell> cellsOf(final JsonDocument s) {
+        final List<Command.Cell> cells = new ArrayList<>();
         s.sheets("cells", 10_000).forEach(x -> {
-            cells.add(new Wish.Cell(x.text("tenant", 64), x.text("kind", 64), x.text("field", 64), x.cell("value")));
+            cells.add(new Command.Cell(x.text("tenant", 64), x.text("kind", 64), x.text("field", 64), x.cell("value")));
             x.end();
         });
         return cells;
@@ -233,20 +233,20 @@
             }
             final boolean on = s.flag("empty", false);
             if (!faulty(c, s)) {
-                match(c).ifPresent(m -> wish(c, new Wish.Zone(id(c), zone, on, m)));
+                match(c).ifPresent(m -> wish(c, new Command.SetEvacuation(id(c), zone, on, m)));
             }
         });
     }
 
-    private void wish(final Call c, final Wish w) {
+    private void wish(final Call c, final Command w) {
         final boolean sent = bridge.wish(w, SPAN, r -> {
-            switch ((Verdict) r) {
-                case Verdict.Kept k -> c.reply(200, Map.of("outcome", "kept", "sequence", k.sequence(), "change", w.id()),
+            switch ((CommandResult) r) {
+                case CommandResult.Applied k -> c.reply(200, Map.of("outcome", "kept", "sequence", k.sequence(), "change", w.id()),
                         Map.of("ETag", "\"" + k.sequence() + "\""));
-                case Verdict.Rejected x -> c.reply(x.code(), Map.of("outcome", "rejected", "faults", x.faults(), "sequence", x.sequence(),
+                case CommandResult.Rejected x -> c.reply(x.code(), Map.of("outcome", "rejected", "faults", x.faults(), "sequence", x.sequence(),
                         "change", w.id()), x.code() == 503 ? Map.of("Retry-After", "1") : Map.of());
-                case Verdict.Stands s -> c.reply(409, Map.of("outcome", "rejected", "change", w.id()));
-                case Verdict.Unknown u -> c.reply(504, Map.of("outcome", "unknown", "change", w.id(),
+                case CommandResult.AlreadyClaimed s -> c.reply(409, Map.of("outcome", "rejected", "change", w.id()));
+                case CommandResult.Unknown u -> c.reply(504, Map.of("outcome", "unknown", "change", w.id(),
                         "faults", List.of("not decided in time; ask for the change by its id")));
             }
         });
@@ -271,17 +271,17 @@
         return Optional.of(Long.parseLong(text));
     }
 
-    private Optional<Sheet> sheet(final Call c) {
-        return switch (Sheet.parse(c.body(), Math.max(settings.body(), 8 << 20))) {
-            case Sheet.Parsed.Bad bad -> {
+    private Optional<JsonDocument> sheet(final Call c) {
+        return switch (JsonDocument.parse(c.body(), Math.max(settings.body(), 8 << 20))) {
+            case JsonDocument.Parsed.Bad bad -> {
                 no(c, bad.code(), bad.why());
                 yield Optional.empty();
             }
-            case Sheet.Parsed.Good good -> Optional.of(good.sheet());
+            case JsonDocument.Parsed.Good good -> Optional.of(good.sheet());
         };
     }
 
-    private static boolean faulty(final Call c, final Sheet s) {
+    private static boolean faulty(final Call c, final JsonDocument s) {
         final List<String> faults = s.end();
         if (!faults.isEmpty()) {
             c.reply(422, Map.of("outcome", "rejected", "faults", faults.subList(0, Math.min(100, faults.size()))));
@@ -295,7 +295,7 @@
 
     private void status(final Call c) {
         bridge.with(d -> {
-            final long now = Duty.now();
+            final long now = EventLoop.now();
             final Map<String, Object> map = new TreeMap<>();
             map.put("name", settings.name());
             map.put("ready", unready.get().isEmpty());
@@ -306,7 +306,7 @@
             map.put("voters", d.view().voters().stream().map(b -> b.id() + " " + b.address()).toList());
             map.put("chain", d.view().chain().stream().map(b -> b.address()).toList());
             d.quay().ifPresent(q -> {
-                final Quay.State s = q.state(now);
+                final ChainReplica.State s = q.state(now);
                 map.put("state", s.spot());
                 map.put("level", s.level());
                 map.put("leased", s.leased());
--- a/desk/src/main/java/silverlatch/desk/harbor/Scribe.java
+++ b/server/src/main/java/silverlatch/server/controller/LogWriter.java
@@ -1,20 +1,20 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
-import silverlatch.deck.Effect;
-import silverlatch.ledger.Ledger;
-import silverlatch.ledger.Note;
+import silverlatch.node.Effect;
+import silverlatch.log.WriteAheadLog;
+import silverlatch.log.LogRecord;
 
 /** The duty that writes the ledger: all that waits goes in one batch with one sync. */
-public final class Scribe {
+public final class LogWriter {
     private static final int MOST = 1_024;
     private static final long HEAVY = 4L << 20;
     private final BlockingQueue<Effect.Keep> ring = new LinkedBlockingQueue<>(16_384);
-    private final Ledger ledger;
+    private final WriteAheadLog ledger;
     private final Told told;
 
     /** Who is told. */
@@ -27,7 +27,7 @@
     }
 
     /** A scribe for a ledger. */
-    public Scribe(final Ledger ledger, final Told told) {
+    public LogWriter(final WriteAheadLog ledger, final Told told) {
         this.ledger = ledger;
         this.told = told;
     }
@@ -45,7 +45,7 @@
     }
 
     private static long weight(final Effect.Keep keep) {
-        return keep.notes().stream().mapToLong(n -> n instanceof Note.Deed d ? d.change().weight() : 64).sum();
+        return keep.notes().stream().mapToLong(n -> n instanceof LogRecord.Appended d ? d.change().weight() : 64).sum();
     }
 
     private void run() {
@@ -59,7 +59,7 @@
                     sum += weight(ring.peek());
                     batch.add(ring.take());
                 }
-                final List<Note> notes = new ArrayList<>();
+                final List<LogRecord> notes = new ArrayList<>();
                 batch.forEach(k -> notes.addAll(k.notes()));
                 ledger.write(notes);
                 told.kept(batch.stream().map(Effect.Keep::token).toList());
--- a/desk/src/main/java/silverlatch/desk/harbor/Main.java
+++ b/server/src/main/java/silverlatch/server/controller/Main.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import dagger.BindsInstance;
 import dagger.Component;
@@ -12,60 +12,60 @@
 import java.util.Optional;
 import java.util.concurrent.locks.LockSupport;
 import java.util.SplittableRandom;
-import silverlatch.crew.Member;
-import silverlatch.deck.Deck;
-import silverlatch.deck.Event;
-import silverlatch.desk.duty.Bridge;
-import silverlatch.desk.duty.Duty;
-import silverlatch.desk.duty.Logs;
-import silverlatch.desk.settings.Flags;
-import silverlatch.desk.settings.Settings;
-import silverlatch.ledger.Ledger;
-import silverlatch.ledger.Note;
-import silverlatch.quay.Berth;
-import silverlatch.quay.Quay;
-import silverlatch.tide.Anchor;
+import silverlatch.membership.Member;
+import silverlatch.node.Node;
+import silverlatch.node.Event;
+import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.eventloop.Logs;
+import silverlatch.server.settings.Flags;
+import silverlatch.server.settings.Settings;
+import silverlatch.log.WriteAheadLog;
+import silverlatch.log.LogRecord;
+import silverlatch.replication.Replica;
+import silverlatch.replication.ChainReplica;
+import silverlatch.clock.PhysicalClock;
 
-/** The program harbor. */
+/** The program controller. */
 public final class Main {
     private static final long PAUSE = 200_000_000L;
 
     private Main() {
     }
 
-    /** Runs a harbor until it is told to stop. */
+    /** Runs a controller until it is told to stop. */
     public static void main(final String[] args) {
-        switch (Flags.parse("harbor", args, true, System.out, System.err)) {
+        switch (Flags.parse("controller", args, true, System.out, System.err)) {
             case Flags.Parsed.End end -> System.exit(end.code());
             case Flags.Parsed.Run run -> start(run.settings());
         }
     }
 
     /** Opens the ledger in the data folder, if there is one, as soon as the disk lets it; a damaged one ends the process. */
-    public static Optional<Ledger.Opened.Good> open(final Settings s) {
+    public static Optional<WriteAheadLog.Opened.Good> open(final Settings s) {
         return open(s, false);
     }
 
     /** The same; where damaged ones are put aside, the machine starts as an empty one under a new identity. */
-    public static Optional<Ledger.Opened.Good> open(final Settings s, final boolean aside) {
+    public static Optional<WriteAheadLog.Opened.Good> open(final Settings s, final boolean aside) {
         return s.data().map(data -> {
             boolean told = false;
             while (true) {
-                switch (Ledger.open(Path.of(data), s.found())) {
-                    case Ledger.Opened.Barred b -> {
+                switch (WriteAheadLog.open(Path.of(data), s.found())) {
+                    case WriteAheadLog.Opened.Barred b -> {
                         if (!told) {
                             Logs.write(Event.BARRED, b.why());
                         }
                         told = true;
                         LockSupport.parkNanos(PAUSE);
                     }
-                    case Ledger.Opened.Damaged d -> {
+                    case WriteAheadLog.Opened.Damaged d -> {
                         Logs.write(Event.DAMAGED, d.why());
                         if (!aside || !aside(Path.of(data))) {
                             System.exit(4);
                         }
                     }
-                    case Ledger.Opened.Good g -> {
+                    case WriteAheadLog.Opened.Good g -> {
                         Logs.write(Event.RECOVERED, g.notes().size() + " notes, " + g.torn() + " bytes of a torn tail cut off");
                         return g;
                     }
@@ -76,7 +76,7 @@
 
     private static boolean aside(final Path data) {
         try {
-            Ledger.aside(data);
+            WriteAheadLog.aside(data);
             return true;
         } catch (final IOException e) {
             Logs.write(Event.BARRED, "" + e.getMessage());
@@ -84,35 +84,35 @@
         }
     }
 
-    /** Builds a harbor from its settings and its ledger, if it has a data folder. */
-    public static Harbor build(final Settings s, final Optional<Ledger.Opened.Good> opened) {
-        return DaggerMain_Parts.factory().make(s, opened).harbor();
+    /** Builds a controller from its settings and its ledger, if it has a data folder. */
+    public static Controller build(final Settings s, final Optional<WriteAheadLog.Opened.Good> opened) {
+        return DaggerMain_Parts.factory().make(s, opened).controller();
     }
 
     private static void start(final Settings s) {
         try {
-            final Harbor harbor = build(s, open(s));
-            Runtime.getRuntime().addShutdownHook(new Thread(harbor::stop, "stop"));
-            harbor.start();
+            final Controller controller = build(s, open(s));
+            Runtime.getRuntime().addShutdownHook(new Thread(controller::stop, "stop"));
+            controller.start();
             Thread.currentThread().join();
         } catch (final Exception e) {
-            Logs.write(Event.FAULT, "harbor can't start", e);
+            Logs.write(Event.FAULT, "controller can't start", e);
             Runtime.getRuntime().halt(3);
         }
     }
 
-    /** The parts of a harbor. */
+    /** The parts of a controller. */
     @Singleton
     @Component(modules = Shed.class)
     interface Parts {
-        /** The harbor. */
-        Harbor harbor();
+        /** The controller. */
+        Controller controller();
 
         /** Makes the parts. */
         @Component.Factory
         interface Maker {
             /** From its settings and its ledger, if it has a data folder. */
-            Parts make(@BindsInstance Settings settings, @BindsInstance Optional<Ledger.Opened.Good> opened);
+            Parts make(@BindsInstance Settings settings, @BindsInstance Optional<WriteAheadLog.Opened.Good> opened);
         }
     }
 
@@ -124,21 +124,21 @@
 
         @Provides
         @Singleton
-        static Optional<Ledger> ledger(final Optional<Ledger.Opened.Good> opened) {
-            return opened.map(Ledger.Opened.Good::ledger);
+        static Optional<WriteAheadLog> ledger(final Optional<WriteAheadLog.Opened.Good> opened) {
+            return opened.map(WriteAheadLog.Opened.Good::ledger);
         }
 
         @Provides
         @Singleton
-        static Deck deck(final Settings s, final Optional<Ledger.Opened.Good> opened) {
-            final long now = Duty.now();
-            final long wall = Bridge.wall();
-            final Member me = new Member(s.name(), "harbor", s.zone(), s.region(), s.address(), s.door(), wall / 1000, 0, "up", false);
-            final List<Note> notes = opened.map(Ledger.Opened.Good::notes).orElse(List.of());
-            return new Deck(new Deck.Setup(me, s.seeds(), s.low(), s.skew(), s.rates().crew(), s.rates().rumor()),
-                    opened.map(o -> Quay.Setup.of(new Berth(o.identity(), s.address()), s.seeds()).counts(s.copies(), s.voters())
+        static Node deck(final Settings s, final Optional<WriteAheadLog.Opened.Good> opened) {
+            final long now = EventLoop.now();
+            final long wall = EventLoopHandle.wall();
+            final Member me = new Member(s.name(), "controller", s.zone(), s.region(), s.address(), s.door(), wall / 1000, 0, "up", false);
+            final List<LogRecord> notes = opened.map(WriteAheadLog.Opened.Good::notes).orElse(List.of());
+            return new Node(new Node.Setup(me, s.seeds(), s.low(), s.skew(), s.rates().crew(), s.rates().rumor()),
+                    opened.map(o -> ChainReplica.Setup.of(new Replica(o.identity(), s.address()), s.seeds()).counts(s.copies(), s.voters())
                             .founds(s.found() || o.founder())), notes,
-                    new Anchor(wall, now, 0), new SplittableRandom(new SecureRandom().nextLong()), now);
+                    new PhysicalClock(wall, now, 0), new SplittableRandom(new SecureRandom().nextLong()), now);
         }
     }
 }
--- a/desk/src/main/java/silverlatch/desk/harbor/Calendars.java
+++ b/server/src/main/java/silverlatch/server/controller/Schedules.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import com.cronutils.model.Cron;
 import com.cronutils.model.CronType;
@@ -13,23 +13,23 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import silverlatch.tariff.Books;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Tariff;
-import silverlatch.tariff.Wish;
+import silverlatch.state.StateMachine;
+import silverlatch.state.Value;
+import silverlatch.state.TableRules;
+import silverlatch.state.Command;
 
 /**
  * When calendars are due. A change bears the calendar's name and minute as its id, so that a holder of the duty that
  * comes after another asks for the same change again and it takes effect once.
  */
-public final class Calendars {
+public final class Schedules {
     private static final long WINDOW = 90;
     private final CronParser parser = new CronParser(CronDefinitionBuilder.instanceDefinitionFor(CronType.UNIX));
     private final Map<String, Long> asked = new LinkedHashMap<>();
 
     /** What is wrong with a calendar; one whose time never comes is wrong. */
-    public List<String> faults(final Leaf.Calendar k) {
-        final List<String> list = new ArrayList<>(Tariff.word("name", k.name()));
+    public List<String> faults(final Value.Schedule k) {
+        final List<String> list = new ArrayList<>(TableRules.word("name", k.name()));
         final Optional<Cron> cron = parse(k.cron());
         if (cron.isEmpty()) {
             list.add("$.cron: five fields are needed: minute, hour, day, month, weekday; not '" + k.cron() + "'");
@@ -40,8 +40,8 @@
             list.add("$: either cells or a zone is needed");
         }
         for (int i = 0; i < k.cells().size(); i++) {
-            final Wish.Cell c = k.cells().get(i);
-            if (Tariff.set(Tariff.plain("*", "any"), c.field(), c.value()) instanceof Tariff.Cut.Bad bad) {
+            final Command.Cell c = k.cells().get(i);
+            if (TableRules.set(TableRules.plain("*", "any"), c.field(), c.value()) instanceof TableRules.Cut.Bad bad) {
                 list.add("$.cells[" + i + "]: " + bad.fault());
             }
         }
@@ -49,18 +49,18 @@
     }
 
     /** The changes that are due now and were not asked for yet. */
-    public List<Wish> due(final Books books, final long nanos, final long fence) {
+    public List<Command> due(final StateMachine books, final long nanos, final long fence) {
         final long now = nanos / 1_000_000_000L;
-        final List<Wish> list = new ArrayList<>();
+        final List<Command> list = new ArrayList<>();
         books.part("k/").values().stream().filter(e -> !e.gone()).forEach(e -> {
-            final Leaf.Calendar k = (Leaf.Calendar) e.leaf().getFirst();
+            final Value.Schedule k = (Value.Schedule) e.leaf().getFirst();
             parse(k.cron()).flatMap(c -> ExecutionTime.forCron(c).lastExecution(at(now + 1))).map(ZonedDateTime::toEpochSecond)
                     .filter(t -> now - t <= WINDOW).ifPresent(t -> {
                         final String id = "cal-" + k.name() + "-" + t;
                         if (!asked.containsKey(id)) {
                             asked.put(id, t);
-                            final Wish inner = k.zone().isEmpty() ? new Wish.Cells(id, k.cells(), -1) : new Wish.Zone(id, k.zone(), k.empty(), -1);
-                            list.add(new Wish.Timed(id, fence, inner));
+                            final Command inner = k.zone().isEmpty() ? new Command.PatchTable(id, k.cells(), -1) : new Command.SetEvacuation(id, k.zone(), k.empty(), -1);
+                            list.add(new Command.Scheduled(id, fence, inner));
                         }
                     });
         });
--- a/desk/src/main/java/silverlatch/desk/harbor/Roster.java
+++ b/server/src/main/java/silverlatch/server/controller/WorkerRoster.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -7,10 +7,10 @@
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.zip.CRC32C;
-import silverlatch.deck.Event;
-import silverlatch.desk.duty.Logs;
-import silverlatch.ledger.Ledger;
-import silverlatch.rumor.Word;
+import silverlatch.node.Event;
+import silverlatch.server.eventloop.Logs;
+import silverlatch.log.WriteAheadLog;
+import silverlatch.gossip.WorkerReport;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Msg;
 
@@ -18,18 +18,18 @@
  * The workers last heard of, beside the ledger: after all have lost their power at once, tickets need not wait until each
  * worker has called again. It is no promise: what can't be written or read is left out, and a worker's next word goes first.
  */
-final class Roster {
+final class WorkerRoster {
     private static final int HEAD = Long.BYTES;
     private static final int MOST = 4 << 20;
     private final Path file;
-    private final ArrayBlockingQueue<List<Word>> ring = new ArrayBlockingQueue<>(1);
+    private final ArrayBlockingQueue<List<WorkerReport>> ring = new ArrayBlockingQueue<>(1);
 
-    Roster(final Path folder) {
+    WorkerRoster(final Path folder) {
         this.file = folder.resolve("workers");
     }
 
     /** What was written last, or nothing. */
-    List<Word> read() {
+    List<WorkerReport> read() {
         try {
             if (!Files.exists(file) || Files.size(file) > MOST) {
                 return List.of();
@@ -51,7 +51,7 @@
     }
 
     /** Takes the newest words; false when the last ones are still being written. */
-    boolean write(final List<Word> words) {
+    boolean write(final List<WorkerReport> words) {
         return ring.offer(words);
     }
 
@@ -62,7 +62,7 @@
             try {
                 final byte[] body = codec.write(new Msg.Bodies(0, ring.take(), List.of(), List.of(), List.of()));
                 final byte[] all = ByteBuffer.allocate(HEAD + body.length).putLong(sum(body, 0)).put(body).array();
-                Ledger.put(file, all);
+                WriteAheadLog.put(file, all);
                 told = false;
             } catch (final IOException e) {
                 if (!told) {
--- a/desk/src/main/java/silverlatch/desk/duty/Duty.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoop.java
@@ -1,13 +1,13 @@
-package silverlatch.desk.duty;
+package silverlatch.server.eventloop;
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
-import silverlatch.deck.Event;
+import silverlatch.node.Event;
 
 /** One thread with one duty: it takes continuations from a bounded ring, and beats at a steady period. */
-public final class Duty {
+public final class EventLoop {
     private final MpscBlockingConsumerArrayQueue<Runnable> ring;
     private final Thread thread;
     private final long period;
@@ -15,7 +15,7 @@
     private volatile boolean over;
 
     /** A duty with a ring of so many places and a beat each so many microseconds. */
-    public Duty(final String name, final int size, final long period, final Runnable beat) {
+    public EventLoop(final String name, final int size, final long period, final Runnable beat) {
         this.ring = new MpscBlockingConsumerArrayQueue<>(size);
         this.period = period;
         this.thread = Thread.ofPlatform().name(name).daemon(true).unstarted(() -> run(beat));
