--- a/desk/src/main/java/silverlatch/desk/duty/Bridge.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
@@ -1,32 +1,32 @@
-package silverlatch.desk.duty;
+package silverlatch.server.eventloop;
 
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import silverlatch.deck.Deck;
-import silverlatch.deck.Effect;
-import silverlatch.deck.Ship;
-import silverlatch.tariff.Wish;
+import silverlatch.node.Node;
+import silverlatch.node.Effect;
+import silverlatch.node.Ship;
+import silverlatch.state.Command;
 
 /** Runs a deck on its duty and does what it asks for. */
-public final class Bridge {
-    private final Deck deck;
+public final class EventLoopHandle {
+    private final Node deck;
     private final Consumer<Ship> dock;
     private final Consumer<Effect.Keep> ledger;
-    private final Consumer<Deck> after;
-    private final Duty duty;
+    private final Consumer<Node> after;
+    private final EventLoop duty;
     private final AtomicLong tokens = new AtomicLong();
     private final Map<Long, Consumer<Object>> asked = new ConcurrentHashMap<>();
 
     /** A bridge that beats each so many microseconds; the last argument is called after each beat. */
-    public Bridge(final Deck deck, final long beat, final Consumer<Ship> dock, final Consumer<Effect.Keep> ledger, final Consumer<Deck> after) {
+    public EventLoopHandle(final Node deck, final long beat, final Consumer<Ship> dock, final Consumer<Effect.Keep> ledger, final Consumer<Node> after) {
         this.deck = deck;
         this.dock = dock;
         this.ledger = ledger;
         this.after = after;
-        this.duty = new Duty("deck", 16_384, beat, this::beat);
+        this.duty = new EventLoop("deck", 16_384, beat, this::beat);
     }
 
     /** Starts the duty. */
@@ -35,12 +35,12 @@
     }
 
     /** The duty. */
-    public Duty duty() {
+    public EventLoop duty() {
         return duty;
     }
 
     /** Does something with the deck on its duty; false when the ring is full. */
-    public boolean with(final Consumer<Deck> job) {
+    public boolean with(final Consumer<Node> job) {
         return duty.post(() -> {
             job.accept(deck);
             flush();
@@ -48,7 +48,7 @@
     }
 
     /** Does something with the deck on its duty, and something else when all that came of it is on its way. */
-    public boolean with(final Consumer<Deck> job, final Runnable then) {
+    public boolean with(final Consumer<Node> job, final Runnable then) {
         return duty.post(() -> {
             job.accept(deck);
             flush();
@@ -57,22 +57,22 @@
     }
 
     /** Sends a wish; the verdict comes back on the deck's duty before the span is over. False when the ring is full. */
-    public boolean wish(final Wish wish, final long span, final Consumer<Object> then) {
+    public boolean wish(final Command wish, final long span, final Consumer<Object> then) {
         final long token = tokens.incrementAndGet();
-        final long end = Duty.now() + span;
+        final long end = EventLoop.now() + span;
         return with(d -> {
             asked.put(token, then);
-            d.wish(wish, token, Duty.now(), end);
+            d.wish(wish, token, EventLoop.now(), end);
         });
     }
 
     /** Asks the tail; the page comes back on the deck's duty before the span is over. False when the ring is full. */
     public boolean read(final String start, final long span, final Consumer<Object> then) {
         final long token = tokens.incrementAndGet();
-        final long end = Duty.now() + span;
+        final long end = EventLoop.now() + span;
         return with(d -> {
             asked.put(token, then);
-            d.read(start, token, Duty.now(), end);
+            d.read(start, token, EventLoop.now(), end);
         });
     }
 
@@ -83,7 +83,7 @@
     }
 
     private void beat() {
-        deck.tick(Duty.now(), wall());
+        deck.tick(EventLoop.now(), wall());
         flush();
         after.accept(deck);
     }
@@ -102,7 +102,7 @@
         if (deck.parked()) {
             duty.post(() -> {
                 java.util.concurrent.locks.LockSupport.parkNanos(200_000L);
-                deck.tick(Duty.now(), wall());
+                deck.tick(EventLoop.now(), wall());
                 flush();
             });
         }
--- a/desk/src/main/java/silverlatch/desk/duty/Logs.java
+++ b/server/src/main/java/silverlatch/server/eventloop/Logs.java
@@ -1,8 +1,8 @@
-package silverlatch.desk.duty;
+package silverlatch.server.eventloop;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import silverlatch.deck.Event;
+import silverlatch.node.Event;
 
 /** Writes numbered events. */
 public final class Logs {
--- a/desk/src/main/java/silverlatch/desk/purser/Purser.java
+++ b/server/src/main/java/silverlatch/server/gateway/Gateway.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.purser;
+package silverlatch.server.gateway;
 
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
@@ -12,86 +12,86 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
-import silverlatch.carry.Act;
-import silverlatch.carry.Carry;
-import silverlatch.carry.Facts;
-import silverlatch.carry.Line;
-import silverlatch.carry.Load;
-import silverlatch.carry.Order;
-import silverlatch.carry.Tales;
-import silverlatch.carry.permit.Seals;
-import silverlatch.deck.Deck;
-import silverlatch.deck.Event;
-import silverlatch.desk.back.Back;
-import silverlatch.desk.back.Lines;
-import silverlatch.desk.dock.Dock;
-import silverlatch.desk.duty.Bridge;
-import silverlatch.desk.duty.Duty;
-import silverlatch.desk.duty.Logs;
-import silverlatch.desk.logbook.Pages;
-import silverlatch.desk.logbook.Recorder;
-import silverlatch.crew.Member;
-import silverlatch.desk.gate.Gate;
-import silverlatch.desk.gate.Lighter;
-import silverlatch.desk.gate.Fields;
-import silverlatch.passage.Passage;
-import silverlatch.desk.settings.Settings;
-import silverlatch.desk.web.Call;
-import silverlatch.desk.web.Doors;
-import silverlatch.desk.web.Web;
-import silverlatch.desk.web.Words;
-import silverlatch.judge.Finding;
-import silverlatch.rumor.Worker;
-import silverlatch.sheet.Sheet;
-import silverlatch.tariff.Verdict;
+import silverlatch.dispatch.Act;
+import silverlatch.dispatch.Dispatcher;
+import silverlatch.dispatch.Facts;
+import silverlatch.dispatch.Line;
+import silverlatch.dispatch.Load;
+import silverlatch.dispatch.Order;
+import silverlatch.dispatch.TraceLog;
+import silverlatch.dispatch.permit.Seals;
+import silverlatch.node.Node;
+import silverlatch.node.Event;
+import silverlatch.server.workerclient.Back;
+import silverlatch.server.workerclient.Lines;
+import silverlatch.server.transport.Transport;
+import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.eventloop.Logs;
+import silverlatch.server.replay.Pages;
+import silverlatch.server.replay.Recorder;
+import silverlatch.membership.Member;
+import silverlatch.server.proxy.ProxyServer;
+import silverlatch.server.proxy.WorkerHttpClient;
+import silverlatch.server.proxy.Fields;
+import silverlatch.routing.Router;
+import silverlatch.server.settings.Settings;
+import silverlatch.server.web.Call;
+import silverlatch.server.web.Doors;
+import silverlatch.server.web.Web;
+import silverlatch.server.web.Words;
+import silverlatch.placement.ScorerResult;
+import silverlatch.gossip.Worker;
+import silverlatch.json.JsonDocument;
+import silverlatch.state.CommandResult;
 
 /** The data plane's process: picks, carries and gossips. */
 @Singleton
-public final class Purser implements Back.Sink {
+public final class Gateway implements Back.Sink {
     private static final long MILLION = 1_000_000L;
     private static final long LINGER = 2_500_000L;
     private static final int THREADS = 16;
     private static final int HEAD = 16 << 10;
     private static final long IDLE = 60_000L;
     private final Settings settings;
-    private final Deck deck;
-    private final Carry carry;
-    private final Dock dock;
+    private final Node deck;
+    private final Dispatcher carry;
+    private final Transport dock;
     private Optional<Web> web = Optional.empty();
     private boolean backed;
     private final Back back;
-    private final Bridge bridge;
+    private final EventLoopHandle bridge;
     private final Optional<Recorder> book;
-    private final Duty duty;
+    private final EventLoop duty;
     private final Map<Long, Call> calls = new ConcurrentHashMap<>();
     private final AtomicLong tokens = new AtomicLong();
-    private final Passage passage;
-    private volatile Optional<Gate> gate = Optional.empty();
+    private final Router passage;
+    private volatile Optional<ProxyServer> gate = Optional.empty();
     private volatile Optional<String> unready = Optional.of("starting");
-    private volatile List<Member> pursers = List.of();
+    private volatile List<Member> gateways = List.of();
 
     /** Joins the parts. */
     @Inject
-    public Purser(final Settings settings, final Deck deck, final Carry carry, final Passage passage) {
+    public Gateway(final Settings settings, final Node deck, final Dispatcher carry, final Router passage) {
         this.settings = settings;
         this.deck = deck;
         this.carry = carry;
         this.passage = passage;
-        this.duty = new Duty("carry", 16_384, settings.rates().carry(), this::beat);
-        this.dock = new Dock(settings.address(), this::frame);
-        this.bridge = new Bridge(deck, settings.rates().deck(), dock::ship, k -> {
+        this.duty = new EventLoop("carry", 16_384, settings.rates().carry(), this::beat);
+        this.dock = new Transport(settings.address(), this::frame);
+        this.bridge = new EventLoopHandle(deck, settings.rates().deck(), dock::ship, k -> {
         }, this::publish);
         this.back = new Back(settings.line(), settings.worker(), this);
         this.book = settings.record().map(Recorder::new);
     }
 
     /** Starts the duties and opens the door for picks. */
-    public void start() throws IOException, Web.WebFault, Lighter.LighterFault {
+    public void start() throws IOException, Web.WebFault, WorkerHttpClient.WorkerHttpClientFault {
         web = Optional.of(new Web(settings.door(), settings.body(), this::route));
         begin();
         web.get().start();
         if (settings.gate().isPresent()) {
-            final Lighter lighter = new Lighter(Lighter.Setup.PLAIN);
+            final WorkerHttpClient lighter = new WorkerHttpClient(WorkerHttpClient.Setup.PLAIN);
             lighter.start();
             final Doors doors = new Doors(THREADS);
             doors.add(settings.gate().get(), HEAD, IDLE, gate(Fields.PLAIN, lighter));
@@ -105,7 +105,7 @@
         dock.start();
         bridge.start();
         duty.start();
-        Logs.write(Event.STARTED, "purser " + settings.name() + " at " + settings.address() + " door " + settings.door());
+        Logs.write(Event.STARTED, "gateway " + settings.name() + " at " + settings.address() + " door " + settings.door());
     }
 
     /** Stops in good order: unready at once, streams go on within the grace, what is left is told to be lost. */
@@ -113,24 +113,24 @@
         try {
             duty.post(carry::close);
             duty.post(passage::leave);
-            gate.ifPresent(Gate::close);
+            gate.ifPresent(ProxyServer::close);
             bridge.with(d -> d.ready(false));
-            final long end = Duty.now() + settings.grace();
+            final long end = EventLoop.now() + settings.grace();
             TimeUnit.MICROSECONDS.sleep(gate.isEmpty() ? 200_000L : Math.min(LINGER, settings.grace() / 3));
             duty.post(passage::close);
-            while (Duty.now() < end && carry.open() + gate.map(Gate::open).orElse(0) > 0) {
+            while (EventLoop.now() < end && carry.open() + gate.map(ProxyServer::open).orElse(0) > 0) {
                 TimeUnit.MILLISECONDS.sleep(20);
             }
-            post(() -> carry.end(Duty.now()));
-            post(() -> passage.end(Duty.now()));
-            bridge.with(d -> d.leave(Duty.now()));
+            post(() -> carry.end(EventLoop.now()));
+            post(() -> passage.end(EventLoop.now()));
+            bridge.with(d -> d.leave(EventLoop.now()));
             TimeUnit.MILLISECONDS.sleep(150);
-            Logs.write(Event.STOPPED, "purser " + settings.name());
+            Logs.write(Event.STOPPED, "gateway " + settings.name());
             if (web.isPresent()) {
                 web.get().stop();
             }
         } catch (final InterruptedException | Web.WebFault e) {
-            Logs.write(Event.STOPPED, "purser " + settings.name() + " in haste");
+            Logs.write(Event.STOPPED, "gateway " + settings.name() + " in haste");
         }
     }
 
@@ -141,21 +141,21 @@
 
     @Override
     public void line(final long job, final Line line) {
-        post(() -> carry.line(job, line, Duty.now()));
+        post(() -> carry.line(job, line, EventLoop.now()));
     }
 
     @Override
     public void failed(final long job, final boolean started, final String why) {
-        post(() -> carry.failed(job, started, why, Duty.now()));
+        post(() -> carry.failed(job, started, why, EventLoop.now()));
     }
 
     private void frame(final silverlatch.wire.Frame f) {
-        bridge.with(d -> d.frame(f, Duty.now()));
+        bridge.with(d -> d.frame(f, EventLoop.now()));
     }
 
-    /** Makes the gate for tickets that come by host and path; where there is one it decides when this purser is ready. */
-    public Gate gate(final Fields words, final Lighter lighter) {
-        final Gate made = new Gate(words, lighter, job -> post(() -> job.accept(passage)));
+    /** Makes the gate for tickets that come by host and path; where there is one it decides when this gateway is ready. */
+    public ProxyServer gate(final Fields words, final WorkerHttpClient lighter) {
+        final ProxyServer made = new ProxyServer(words, lighter, job -> post(() -> job.accept(passage)));
         gate = Optional.of(made);
         return made;
     }
@@ -170,17 +170,17 @@
         return unready;
     }
 
-    /** The pursers that take tickets as far as is known here, this one among them. */
-    public List<Member> pursers() {
-        return pursers;
+    /** The gateways that take tickets as far as is known here, this one among them. */
+    public List<Member> gateways() {
+        return gateways;
     }
 
-    private void publish(final Deck d) {
+    private void publish(final Node d) {
         final Facts facts = d.facts();
-        pursers = java.util.stream.Stream.concat(java.util.stream.Stream.of(facts.me()), facts.crew().stream()).filter(Member::ready).toList();
+        gateways = java.util.stream.Stream.concat(java.util.stream.Stream.of(facts.me()), facts.crew().stream()).filter(Member::ready).toList();
         post(() -> {
-            carry.facts(facts, Duty.now());
-            passage.facts(facts, Duty.now());
+            carry.facts(facts, EventLoop.now());
+            passage.facts(facts, EventLoop.now());
         });
     }
 
@@ -192,10 +192,10 @@
     }
 
     private void beat() {
-        carry.tick(Duty.now());
-        passage.tick(Duty.now());
+        carry.tick(EventLoop.now());
+        passage.tick(EventLoop.now());
         act();
-        final Optional<String> why = gate.isEmpty() ? carry.unready(Duty.now()) : passage.unready();
+        final Optional<String> why = gate.isEmpty() ? carry.unready(EventLoop.now()) : passage.unready();
         if (why.isPresent() != unready.isPresent()) {
             Logs.write(why.isPresent() ? Event.UNREADY : Event.READY, settings.name() + why.map(w -> ": " + w).orElse(""));
             bridge.with(d -> d.ready(why.isEmpty()));
@@ -214,7 +214,7 @@
                 case Act.Flow f -> flow(f);
                 case Act.Run r -> run(r);
                 case Act.Cut c -> back.cut(c.job());
-                case Act.Claim c -> bridge.wish(c.wish(), c.span(), v -> post(() -> carry.verdict(c.job(), (Verdict) v, Duty.now())));
+                case Act.Claim c -> bridge.wish(c.wish(), c.span(), v -> post(() -> carry.verdict(c.job(), (CommandResult) v, EventLoop.now())));
                 case Act.Judged j -> book.ifPresent(b -> b.write(Pages.write(j)));
                 case Act.Ended e -> book.ifPresent(b -> b.write(Pages.write(e)));
                 case Act.Log l -> Logs.write(l.event(), l.text());
@@ -231,7 +231,7 @@
             back.run(r);
         } catch (final Back.BackFault e) {
             Logs.write(Event.FAULT, "no run can be sent", e);
-            post(() -> carry.failed(r.job(), false, "no client", Duty.now()));
+            post(() -> carry.failed(r.job(), false, "no client", EventLoop.now()));
         }
     }
 
@@ -244,7 +244,7 @@
         call.ifPresent(c -> c.stream(f.lines().stream().map(Lines::write).collect(Collectors.joining()), f.last(),
                 () -> post(() -> carry.hungry(f.token())), () -> {
                     calls.remove(f.token());
-                    post(() -> carry.left(f.token(), Duty.now()));
+                    post(() -> carry.left(f.token(), EventLoop.now()));
                 }));
     }
 
@@ -257,7 +257,7 @@
         c.reply(code, map, after > 0 ? Map.of("Retry-After", "" + Math.max(1, (after + MILLION - 1) / MILLION)) : Map.of());
     }
 
-    /** Replies to a call at this purser's own door, for one that opens doors itself. */
+    /** Replies to a call at this gateway's own door, for one that opens doors itself. */
     public void route(final Call c) {
         final String at = c.method() + " " + c.path();
         switch (at) {
@@ -280,17 +280,17 @@
         }
     }
 
-    private Optional<Sheet> sheet(final Call c) {
-        return switch (Sheet.parse(c.body(), settings.body())) {
-            case Sheet.Parsed.Bad bad -> {
+    private Optional<JsonDocument> sheet(final Call c) {
+        return switch (JsonDocument.parse(c.body(), settings.body())) {
+            case JsonDocument.Parsed.Bad bad -> {
                 c.reply(bad.code(), Map.of("outcome", "rejected", "faults", List.of(bad.why())));
                 yield Optional.empty();
             }
-            case Sheet.Parsed.Good good -> Optional.of(good.sheet());
+            case JsonDocument.Parsed.Good good -> Optional.of(good.sheet());
         };
     }
 
-    private static boolean faulty(final Call c, final Sheet s) {
+    private static boolean faulty(final Call c, final JsonDocument s) {
         final List<String> faults = s.end();
         if (!faults.isEmpty()) {
             c.reply(422, Map.of("outcome", "rejected", "faults", faults));
@@ -302,7 +302,7 @@
         final long token = tokens.incrementAndGet();
         calls.put(token, c);
         c.gone(() -> {
-            Optional.ofNullable(calls.remove(token)).ifPresent(gone -> post(() -> carry.left(token, Duty.now())));
+            Optional.ofNullable(calls.remove(token)).ifPresent(gone -> post(() -> carry.left(token, EventLoop.now())));
         });
         if (!post(() -> job.accept(token))) {
             calls.remove(token);
@@ -315,7 +315,7 @@
             final Order o = new Order(c.secret(), s.text("tenant", 64), s.text("kind", 64), s.texts("prefix", 64, 128),
                     s.whole("size", 0, Integer.MAX_VALUE, 0), s.text("key", 128, ""), (int) s.whole("tries", 0, 1_000, 0));
             if (!faulty(c, s)) {
-                begin(c, token -> carry.pick(o, token, Duty.now()));
+                begin(c, token -> carry.pick(o, token, EventLoop.now()));
             }
         });
     }
@@ -325,7 +325,7 @@
             final Load l = new Load(c.secret(), s.text("permit", 4096), s.texts("prefix", 64, 128), s.text("prompt", settings.body()),
                     s.whole("expiryMs", 1, 3_600_000, 30_000) * 1000);
             if (!faulty(c, s)) {
-                begin(c, token -> carry.ticket(l, token, Duty.now()));
+                begin(c, token -> carry.ticket(l, token, EventLoop.now()));
             }
         });
     }
@@ -337,7 +337,7 @@
             return;
         }
         final String secret = c.secret();
-        begin(c, token -> carry.attach(ticket, secret, Long.parseLong(from), token, Duty.now()));
+        begin(c, token -> carry.attach(ticket, secret, Long.parseLong(from), token, EventLoop.now()));
     }
 
     private void announce(final Call c) {
@@ -352,7 +352,7 @@
                 return;
             }
             if (!bridge.with(d -> {
-                final long next = d.announced(w, echo, Duty.now());
+                final long next = d.announced(w, echo, EventLoop.now());
                 c.reply(200, Map.of("echo", next, "table", d.rumor().books().page()));
                 publish(d);
             })) {
@@ -376,13 +376,13 @@
         }
     }
 
-    private static Map<String, Object> tale(final Tales.Tale t) {
+    private static Map<String, Object> tale(final TraceLog.Tale t) {
         final List<Map<String, Object>> said = new ArrayList<>();
         t.opinions().forEach(o -> said.add(Map.of("worker", o.worker(), "judge", o.judge(), "weight", o.weight(), "finding",
                 switch (o.finding()) {
-                    case Finding.Score s -> "score " + Math.round(s.value() * 1000) / 1000.0;
-                    case Finding.Veto v -> "veto: " + v.why();
-                    case Finding.Later l -> "later: " + l.why();
+                    case ScorerResult.Score s -> "score " + Math.round(s.value() * 1000) / 1000.0;
+                    case ScorerResult.Veto v -> "veto: " + v.why();
+                    case ScorerResult.Later l -> "later: " + l.why();
                 })));
         final Map<String, Object> map = new TreeMap<>(Map.of("ticket", t.ticket(), "tenant", t.tenant(), "kind", t.kind(), "worker",
                 t.worker(), "table", t.page(), "stamp", "" + t.stamp(), "state", t.state(), "why", t.why(), "tries", t.tries()));
@@ -395,7 +395,7 @@
             return;
         }
         bridge.with(d -> {
-            final long now = Duty.now();
+            final long now = EventLoop.now();
             final Map<String, Object> map = new TreeMap<>();
             map.put("name", settings.name());
             map.put("ready", unready.isEmpty());
--- a/desk/src/main/java/silverlatch/desk/gate/Events.java
+++ b/server/src/main/java/silverlatch/server/proxy/Events.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.gate;
+package silverlatch.server.proxy;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
--- a/desk/src/main/java/silverlatch/desk/gate/Fields.java
+++ b/server/src/main/java/silverlatch/server/proxy/Fields.java
@@ -1,11 +1,11 @@
-package silverlatch.desk.gate;
+package silverlatch.server.proxy;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import silverlatch.passage.Fare;
-import silverlatch.passage.Passage;
+import silverlatch.routing.RoutedRequest;
+import silverlatch.routing.Router;
 
 /**
  * The names of the header fields at the gate, towards consumers and towards workers.
@@ -34,27 +34,27 @@
     }
 
     /** Reads the parts of a prompt; what can't be read is left out. */
-    static List<Fare.Part> parts(final Optional<String> text) {
-        final List<Fare.Part> list = new java.util.ArrayList<>();
+    static List<RoutedRequest.Part> parts(final Optional<String> text) {
+        final List<RoutedRequest.Part> list = new java.util.ArrayList<>();
         for (final String one : text.orElse("").split(",")) {
             final int colon = one.indexOf(':');
             if (colon > 0 && list.size() < MOST) {
                 final String name = one.substring(0, colon).strip();
                 final Optional<Long> tokens = whole(one.substring(colon + 1));
-                tokens.filter(t -> t <= Integer.MAX_VALUE).ifPresent(t -> list.add(new Fare.Part(name(name), t.intValue())));
+                tokens.filter(t -> t <= Integer.MAX_VALUE).ifPresent(t -> list.add(new RoutedRequest.Part(name(name), t.intValue())));
             }
         }
         return list;
     }
 
     /** Reads a load. */
-    static Optional<Passage.Load> load(final Optional<String> text) {
+    static Optional<Router.Load> load(final Optional<String> text) {
         final String[] part = text.orElse("").split(",");
         if (part.length != 3) {
             return Optional.empty();
         }
         final List<Long> all = java.util.Arrays.stream(part).map(Fields::whole).flatMap(Optional::stream).filter(n -> n < 1_000_000).toList();
-        return all.size() == 3 ? Optional.of(new Passage.Load(all.get(0).intValue(), all.get(1).intValue(), all.get(2).intValue())) : Optional.empty();
+        return all.size() == 3 ? Optional.of(new Router.Load(all.get(0).intValue(), all.get(1).intValue(), all.get(2).intValue())) : Optional.empty();
     }
 
     /** A whole number that is not negative. */
--- a/desk/src/main/java/silverlatch/desk/gate/Voyage.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.gate;
+package silverlatch.server.proxy;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -20,19 +20,19 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import silverlatch.desk.duty.Duty;
-import silverlatch.passage.Break;
-import silverlatch.passage.Fare;
-import silverlatch.passage.Move;
-import silverlatch.passage.Passage;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.routing.FailurePoint;
+import silverlatch.routing.RoutedRequest;
+import silverlatch.routing.RoutingEffect;
+import silverlatch.routing.Router;
 
 /** One ticket at the gate: the consumer's side, and the run at a worker that feeds it now. */
-final class Voyage {
+final class ProxiedRequest {
     private static final Set<String> HOP = hop();
     private static final int ILL = 256 << 10;
-    private final Gate gate;
+    private final ProxyServer gate;
     private final long token;
-    private final Fare fare;
+    private final RoutedRequest fare;
     private final Request request;
     private final Response response;
     private final Callback callback;
@@ -44,7 +44,7 @@
     private boolean ended;
     private String seen = "";
 
-    Voyage(final Gate gate, final long token, final Fare fare, final Request request, final Response response, final Callback callback,
+    ProxiedRequest(final ProxyServer gate, final long token, final RoutedRequest fare, final Request request, final Response response, final Callback callback,
            final byte[] body) {
         this.gate = gate;
         this.token = token;
@@ -66,9 +66,9 @@
     }
 
     /** Starts a run at a worker. */
-    synchronized void send(final Move.Send s) {
+    synchronized void send(final RoutingEffect.Send s) {
         if (ended) {
-            gate.tell(p -> p.left(token, Duty.now()));
+            gate.tell(p -> p.left(token, EventLoop.now()));
             return;
         }
         run.ifPresent(Run::drop);
@@ -84,7 +84,7 @@
         });
     }
 
-    synchronized void reject(final Move.Reject r) {
+    synchronized void reject(final RoutingEffect.Reject r) {
         if (!ended && !headed) {
             ended = true;
             response.setStatus(r.code());
@@ -95,7 +95,7 @@
         }
     }
 
-    synchronized void fail(final Move.Fail f) {
+    synchronized void fail(final RoutingEffect.Fail f) {
         if (ended) {
             return;
         }
@@ -115,7 +115,7 @@
             ended = true;
             head(r.reply.getStatus(), r.reply.getHeaders());
             response.write(true, ByteBuffer.wrap(r.ill.toByteArray()), callback);
-            gate.tell(p -> p.ended(job, false, Duty.now()));
+            gate.tell(p -> p.ended(job, false, EventLoop.now()));
         });
     }
 
@@ -185,7 +185,7 @@
 
     /** One run of the ticket at one worker. */
     private final class Run {
-        private final Move.Send send;
+        private final RoutingEffect.Send send;
         private final AtomicBoolean begun = new AtomicBoolean();
         private final AtomicBoolean over = new AtomicBoolean();
         private final ByteArrayOutputStream ill = new ByteArrayOutputStream();
@@ -195,7 +195,7 @@
         private boolean good;
         private boolean wrong;
 
-        Run(final Move.Send send) {
+        Run(final RoutingEffect.Send send) {
             this.send = send;
         }
 
@@ -247,9 +247,9 @@
                 r.abort(new CancellationException("not this ticket's reply"));
                 return;
             }
-            final Optional<Passage.Load> load = Fields.load(Optional.ofNullable(h.get(w.load())));
+            final Optional<Router.Load> load = Fields.load(Optional.ofNullable(h.get(w.load())));
             if (good) {
-                synchronized (Voyage.this) {
+                synchronized (ProxiedRequest.this) {
                     if (over.get() || !feeds()) {
                         return;
                     }
@@ -260,7 +260,7 @@
                         }
                     }
                 }
-                gate.tell(p -> p.headed(send.job(), load, Duty.now()));
+                gate.tell(p -> p.headed(send.job(), load, EventLoop.now()));
             }
         }
 
@@ -283,9 +283,9 @@
                 more.run();
                 return;
             }
-            gate.tell(p -> p.heard(send.job(), Duty.now()));
+            gate.tell(p -> p.heard(send.job(), EventLoop.now()));
             final boolean mine;
-            synchronized (Voyage.this) {
+            synchronized (ProxiedRequest.this) {
                 mine = feeds();
                 if (mine) {
                     seen = events.last().isEmpty() ? seen : events.last();
@@ -308,28 +308,28 @@
             }
             final long job = send.job();
             if (whole && good) {
-                synchronized (Voyage.this) {
+                synchronized (ProxiedRequest.this) {
                     if (!feeds()) {
                         return;
                     }
                     write(events.rest(), true, () -> {
                         gate.done(token);
-                        gate.tell(p -> p.ended(job, true, Duty.now()));
+                        gate.tell(p -> p.ended(job, true, EventLoop.now()));
                     });
                 }
             } else if (whole && !wrong) {
                 final boolean none = reply.getHeaders().contains(gate.words().none());
-                final Optional<Passage.Load> load = Fields.load(Optional.ofNullable(reply.getHeaders().get(gate.words().load())));
+                final Optional<Router.Load> load = Fields.load(Optional.ofNullable(reply.getHeaders().get(gate.words().load())));
                 if (reply.getStatus() == 421 || none && reply.getStatus() != 400) {
-                    gate.tell(p -> p.failed(job, reply.getStatus() == 421 ? Break.STRANGER : Break.NOT_RUN, Duty.now()));
+                    gate.tell(p -> p.failed(job, reply.getStatus() == 421 ? FailurePoint.STRANGER : FailurePoint.NOT_RUN, EventLoop.now()));
                 } else if (headed) {
-                    gate.tell(p -> p.failed(job, Break.BEGUN, Duty.now()));
+                    gate.tell(p -> p.failed(job, FailurePoint.BEGUN, EventLoop.now()));
                 } else {
-                    gate.tell(p -> p.ill(job, reply.getStatus(), load, Duty.now()));
+                    gate.tell(p -> p.ill(job, reply.getStatus(), load, EventLoop.now()));
                 }
             } else {
-                final Break point = !begun.get() ? Break.UNSENT : good ? Break.BEGUN : Break.SENT;
-                gate.tell(p -> p.failed(job, point, Duty.now()));
+                final FailurePoint point = !begun.get() ? FailurePoint.UNSENT : good ? FailurePoint.BEGUN : FailurePoint.SENT;
+                gate.tell(p -> p.failed(job, point, EventLoop.now()));
             }
         }
     }
--- a/desk/src/main/java/silverlatch/desk/gate/Gate.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxyServer.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.gate;
+package silverlatch.server.proxy;
 
 import java.util.Map;
 import java.util.Optional;
@@ -11,23 +11,23 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import silverlatch.desk.duty.Duty;
-import silverlatch.passage.Fare;
-import silverlatch.passage.Move;
-import silverlatch.passage.Passage;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.routing.RoutedRequest;
+import silverlatch.routing.RoutingEffect;
+import silverlatch.routing.Router;
 
 /** Where tickets come in by host and path: it takes them in whole, and does what passage decides. */
-public final class Gate extends Handler.Abstract.NonBlocking {
+public final class ProxyServer extends Handler.Abstract.NonBlocking {
     private final Fields words;
-    private final Lighter lighter;
-    private final Consumer<Consumer<Passage>> duty;
-    private final Map<Long, Voyage> voyages = new ConcurrentHashMap<>();
+    private final WorkerHttpClient lighter;
+    private final Consumer<Consumer<Router>> duty;
+    private final Map<Long, ProxiedRequest> voyages = new ConcurrentHashMap<>();
     private final AtomicLong tokens = new AtomicLong();
     private volatile int most = 4 << 20;
     private volatile boolean closing;
 
     /** A gate under these names; the duty runs what passage is to be told. */
-    public Gate(final Fields words, final Lighter lighter, final Consumer<Consumer<Passage>> duty) {
+    public ProxyServer(final Fields words, final WorkerHttpClient lighter, final Consumer<Consumer<Router>> duty) {
         this.words = words;
         this.lighter = lighter;
         this.duty = duty;
@@ -67,14 +67,14 @@
     }
 
     /** Does what passage decided. */
-    public void move(final Move move) {
+    public void move(final RoutingEffect move) {
         switch (move) {
-            case Move.Send s -> find(s.token()).ifPresent(v -> v.send(s));
-            case Move.Reject r -> take(r.token()).ifPresent(v -> v.reject(r));
-            case Move.Fail f -> take(f.token()).ifPresent(v -> v.fail(f));
-            case Move.Pass p -> take(p.token()).ifPresent(v -> v.pass(p.job()));
-            case Move.Cut c -> voyages.values().forEach(v -> v.cut(c.job()));
-            case Move.Log l -> silverlatch.desk.duty.Logs.write(l.event(), l.text());
+            case RoutingEffect.Send s -> find(s.token()).ifPresent(v -> v.send(s));
+            case RoutingEffect.Reject r -> take(r.token()).ifPresent(v -> v.reject(r));
+            case RoutingEffect.Fail f -> take(f.token()).ifPresent(v -> v.fail(f));
+            case RoutingEffect.Pass p -> take(p.token()).ifPresent(v -> v.pass(p.job()));
+            case RoutingEffect.Cut c -> voyages.values().forEach(v -> v.cut(c.job()));
+            case RoutingEffect.Log l -> silverlatch.server.eventloop.Logs.write(l.event(), l.text());
         }
     }
 
@@ -84,14 +84,14 @@
     }
 
     void gone(final long token) {
-        take(token).ifPresent(v -> duty.accept(p -> p.left(token, Duty.now())));
+        take(token).ifPresent(v -> duty.accept(p -> p.left(token, EventLoop.now())));
     }
 
     void done(final long token) {
         voyages.remove(token);
     }
 
-    void tell(final Consumer<Passage> word) {
+    void tell(final Consumer<Router> word) {
         duty.accept(word);
     }
 
@@ -103,15 +103,15 @@
         return words;
     }
 
-    Lighter lighter() {
+    WorkerHttpClient lighter() {
         return lighter;
     }
 
-    private Optional<Voyage> find(final long token) {
+    private Optional<ProxiedRequest> find(final long token) {
         return Optional.ofNullable(voyages.get(token));
     }
 
-    private Optional<Voyage> take(final long token) {
+    private Optional<ProxiedRequest> take(final long token) {
         return Optional.ofNullable(voyages.remove(token));
     }
 
@@ -120,12 +120,12 @@
         final Optional<String> host = Optional.ofNullable(request.getHeaders().get(HttpHeader.HOST));
         final String path = Request.getPathInContext(request);
         final String[] tokensOf = text(request, words.tokens()).orElse("0,0").split(",");
-        final Fare fare = new Fare(token, host.orElse(""), path, text(request, words.ticket()).orElse(""),
+        final RoutedRequest fare = new RoutedRequest(token, host.orElse(""), path, text(request, words.ticket()).orElse(""),
                 text(request, words.expiry()).flatMap(Fields::whole).orElse(60_000L) * 1000, Fields.parts(text(request, words.parts())),
                 count(tokensOf, 0), count(tokensOf, 1));
-        voyages.put(token, new Voyage(this, token, fare, request, response, callback, body));
+        voyages.put(token, new ProxiedRequest(this, token, fare, request, response, callback, body));
         request.addFailureListener(f -> gone(token));
-        duty.accept(p -> p.arrive(fare, Duty.now()));
+        duty.accept(p -> p.arrive(fare, EventLoop.now()));
     }
 
     private static int count(final String[] list, final int at) {
--- a/desk/src/main/java/silverlatch/desk/gate/Lighter.java
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerHttpClient.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.gate;
+package silverlatch.server.proxy;
 
 import java.net.URI;
 import org.eclipse.jetty.client.HttpClient;
@@ -6,10 +6,10 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import silverlatch.desk.web.Abrupt;
+import silverlatch.server.web.Abrupt;
 
 /** The client side of the gate: connections to workers by Jetty, kept for a short time only. */
-public final class Lighter {
+public final class WorkerHttpClient {
     private final HttpClient http;
 
     /** How the client is made; times in milliseconds. */
@@ -19,7 +19,7 @@
     }
 
     /** A client for workers. */
-    public Lighter(final Setup setup) {
+    public WorkerHttpClient(final Setup setup) {
         final QueuedThreadPool pool = new QueuedThreadPool(setup.threads(), 2);
         pool.setName("lighter");
         pool.setDaemon(true);
@@ -40,22 +40,22 @@
     }
 
     /** Starts the client. */
-    public void start() throws LighterFault {
+    public void start() throws WorkerHttpClientFault {
         try {
             http.start();
             http.getContentDecoderFactories().clear();
             http.getProtocolHandlers().clear();
         } catch (final Exception e) {
-            throw new LighterFault(e);
+            throw new WorkerHttpClientFault(e);
         }
     }
 
     /** Ends the client. */
-    public void stop() throws LighterFault {
+    public void stop() throws WorkerHttpClientFault {
         try {
             http.stop();
         } catch (final Exception e) {
-            throw new LighterFault(e);
+            throw new WorkerHttpClientFault(e);
         }
     }
 
@@ -64,9 +64,9 @@
     }
 
     /** A fault of the client. */
-    public static final class LighterFault extends Exception {
+    public static final class WorkerHttpClientFault extends Exception {
         /** What caused it. */
-        public LighterFault(final Throwable cause) {
+        public WorkerHttpClientFault(final Throwable cause) {
             super("the client for workers: " + cause.getMessage(), cause);
         }
     }
--- a/desk/src/main/java/silverlatch/desk/logbook/Main.java
+++ b/server/src/main/java/silverlatch/server/replay/Main.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.logbook;
+package silverlatch.server.replay;
 
 import java.io.PrintStream;
 import java.nio.file.Path;
@@ -14,14 +14,14 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.ParserProperties;
-import silverlatch.carry.Act;
-import silverlatch.desk.settings.Flags;
-import silverlatch.judge.Case;
-import silverlatch.judge.Court;
-import silverlatch.judge.Finding;
-import silverlatch.tariff.Leaf;
+import silverlatch.dispatch.Act;
+import silverlatch.server.settings.Flags;
+import silverlatch.placement.Case;
+import silverlatch.placement.WeightedScorers;
+import silverlatch.placement.ScorerResult;
+import silverlatch.state.Value;
 
-/** The tool logbook: judges a recorded day again, under its own table or another one, and shows which picks change and why. */
+/** The tool replay: judges a recorded day again, under its own table or another one, and shows which picks change and why. */
 public final class Main {
     @Option(name = "--table", metaVar = "FILE", usage = "the table to judge by (as 'silverlatch --json table get' gives it); without it the day's own")
     private String table = "";
@@ -49,50 +49,50 @@
         try {
             parser.parseArgument(args);
         } catch (final CmdLineException e) {
-            err.println("logbook: " + e.getMessage());
+            err.println("replay: " + e.getMessage());
             return 2;
         }
         if (help || version) {
-            out.println(version ? "logbook " + Flags.VERSION : "logbook [flags] RECORDING ...");
+            out.println(version ? "replay " + Flags.VERSION : "replay [flags] RECORDING ...");
             if (help) {
                 parser.printUsage(out);
             }
             return 0;
         }
         if (files.isEmpty()) {
-            err.println("logbook: a recording is needed; try logbook --help");
+            err.println("replay: a recording is needed; try replay --help");
             return 2;
         }
         final List<String> faults = new ArrayList<>();
-        final Optional<Map<String, Leaf.Row>> rows = table.isEmpty() ? Optional.empty() : Optional.of(Pages.table(Path.of(table), faults));
+        final Optional<Map<String, Value.Row>> rows = table.isEmpty() ? Optional.empty() : Optional.of(Pages.table(Path.of(table), faults));
         final Pages.Read read = Pages.read(files.stream().map(Path::of).toList());
         if (read instanceof Pages.Read.Bad bad) {
             faults.addAll(bad.faults());
         }
         if (!faults.isEmpty()) {
-            faults.forEach(f -> err.println("logbook: " + f));
+            faults.forEach(f -> err.println("replay: " + f));
             return 2;
         }
         replay(((Pages.Read.Good) read).day(), rows, out);
         return 0;
     }
 
-    private void replay(final Pages.Day day, final Optional<Map<String, Leaf.Row>> rows, final PrintStream out) {
-        final Court court = Court.full(word);
+    private void replay(final Pages.Day day, final Optional<Map<String, Value.Row>> rows, final PrintStream out) {
+        final WeightedScorers court = WeightedScorers.full(word);
         final Map<String, Integer> tally = new TreeMap<>();
         int same = 0;
         int shown = 0;
         for (final Act.Judged j : day.judged()) {
             final Case old = j.plea();
-            final Optional<Leaf.Row> row = rows.map(r -> Optional.ofNullable(r.get(old.tenant().name() + "/" + old.row().kind()))
+            final Optional<Value.Row> row = rows.map(r -> Optional.ofNullable(r.get(old.tenant().name() + "/" + old.row().kind()))
                     .or(() -> Optional.ofNullable(r.get("*/" + old.row().kind())))).orElse(Optional.of(old.row()));
             if (row.isEmpty()) {
                 tally.merge("kind " + old.row().kind() + " is not in the table", 1, Integer::sum);
                 continue;
             }
             final Case plea = new Case(old.ticket(), old.tenant(), row.get(), old.prefix(), old.zone(), old.region(), old.empty());
-            final Court.Ruling ruling = court.pick(plea, j.sights(), new SplittableRandom(j.seed()));
-            final String now = ruling instanceof Court.Ruling.Picked p ? p.worker().worker().id() : "";
+            final WeightedScorers.Ruling ruling = court.pick(plea, j.sights(), new SplittableRandom(j.seed()));
+            final String now = ruling instanceof WeightedScorers.Ruling.Picked p ? p.worker().worker().id() : "";
             if (now.equals(j.worker())) {
                 same++;
                 continue;
@@ -106,15 +106,15 @@
         tally.forEach((k, v) -> out.println("  " + k + ": " + v));
     }
 
-    private static void show(final Act.Judged j, final Court.Ruling ruling, final String now, final String end, final PrintStream out) {
+    private static void show(final Act.Judged j, final WeightedScorers.Ruling ruling, final String now, final String end, final PrintStream out) {
         out.println("ticket " + j.plea().ticket() + " " + j.plea().tenant().name() + " " + j.plea().row().kind() + ": "
                 + name(j.worker()) + " -> " + name(now) + " (page " + j.page() + ", stamp " + j.stamp() + ", it ended " + end + ")");
         final Map<String, String> why = new LinkedHashMap<>();
         ruling.opinions().stream().filter(o -> o.worker().equals(now) || o.worker().equals(j.worker())).forEach(o -> why.merge(o.judge(),
                 o.worker() + " " + switch (o.finding()) {
-                    case Finding.Score s -> String.format("%.2f x %s", s.value(), o.weight());
-                    case Finding.Veto v -> "veto: " + v.why();
-                    case Finding.Later l -> "later: " + l.why();
+                    case ScorerResult.Score s -> String.format("%.2f x %s", s.value(), o.weight());
+                    case ScorerResult.Veto v -> "veto: " + v.why();
+                    case ScorerResult.Later l -> "later: " + l.why();
                 }, (a, b) -> a + ", " + b));
         why.forEach((k, v) -> out.println("    " + k + ": " + v));
     }
--- a/desk/src/main/java/silverlatch/desk/logbook/Pages.java
+++ b/server/src/main/java/silverlatch/server/replay/Pages.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.logbook;
+package silverlatch.server.replay;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -10,14 +10,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import silverlatch.carry.Act;
-import silverlatch.desk.harbor.Rows;
-import silverlatch.judge.Case;
-import silverlatch.judge.Sight;
-import silverlatch.rumor.Worker;
-import silverlatch.sheet.Sheet;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Tariff;
+import silverlatch.dispatch.Act;
+import silverlatch.server.controller.Rows;
+import silverlatch.placement.Case;
+import silverlatch.placement.PlacementInput;
+import silverlatch.gossip.Worker;
+import silverlatch.json.JsonDocument;
+import silverlatch.state.Value;
+import silverlatch.state.TableRules;
 
 /** The lines of a recorded day, both ways; no prompt is among them. */
 public final class Pages {
@@ -91,12 +91,12 @@
         map.put("seed", j.seed());
         map.put("picked", j.worker());
         map.put("sights", sights);
-        return Sheet.write(Map.of("pick", map));
+        return JsonDocument.write(Map.of("pick", map));
     }
 
     /** An end as a line. */
     public static String write(final Act.Ended e) {
-        return Sheet.write(Map.of("end", Map.of("ticket", e.ticket(), "state", e.state(), "why", e.why())));
+        return JsonDocument.write(Map.of("end", Map.of("ticket", e.ticket(), "state", e.state(), "why", e.why())));
     }
 
     /** Reads recordings whole, or names the place of each fault. */
@@ -123,17 +123,17 @@
 
     private static void line(final String at, final String text, final List<Act.Judged> judged, final Map<String, String> ends,
                              final List<String> faults) {
-        switch (Sheet.parse(text.getBytes(StandardCharsets.UTF_8), LINE)) {
-            case Sheet.Parsed.Bad bad -> faults.add(at + bad.why());
-            case Sheet.Parsed.Good good -> {
-                final Sheet s = good.sheet();
+        switch (JsonDocument.parse(text.getBytes(StandardCharsets.UTF_8), LINE)) {
+            case JsonDocument.Parsed.Bad bad -> faults.add(at + bad.why());
+            case JsonDocument.Parsed.Good good -> {
+                final JsonDocument s = good.sheet();
                 if (s.has("end")) {
-                    final Sheet e = s.sheet("end");
+                    final JsonDocument e = s.sheet("end");
                     ends.put(e.text("ticket", 256), e.text("state", 32));
                     e.text("why", 4096, "");
                     e.end();
                 } else {
-                    final Sheet p = s.sheet("pick");
+                    final JsonDocument p = s.sheet("pick");
                     if (s.faults().isEmpty()) {
                         judged.add(judged(p));
                     }
@@ -143,20 +143,20 @@
         }
     }
 
-    private static Act.Judged judged(final Sheet s) {
-        final Sheet r = s.sheet("row");
-        final Leaf.Row row = Rows.read(r);
+    private static Act.Judged judged(final JsonDocument s) {
+        final JsonDocument r = s.sheet("row");
+        final Value.Row row = Rows.read(r);
         r.end();
-        final List<Sight> sights = new ArrayList<>();
+        final List<PlacementInput> sights = new ArrayList<>();
         s.sheets("sights", 10_000).forEach(x -> {
             final Worker w = new Worker(x.text("worker", 64), "", x.text("zone", 64), x.text("region", 64), 0, 0, (int) x.whole("running", 0, Integer.MAX_VALUE),
                     (int) x.whole("queued", 0, Integer.MAX_VALUE), (int) x.whole("slots", 1, Integer.MAX_VALUE), x.wholes("kept", 4_096),
                     x.flag("leaving", false), x.whole("up", 0, FAR));
-            sights.add(new Sight(w, x.whole("age", 0, FAR), (int) x.whole("since", 0, Integer.MAX_VALUE), (int) x.whole("mine", 0, Integer.MAX_VALUE),
+            sights.add(new PlacementInput(w, x.whole("age", 0, FAR), (int) x.whole("since", 0, Integer.MAX_VALUE), (int) x.whole("mine", 0, Integer.MAX_VALUE),
                     x.whole("back", 0, FAR), x.flag("shunned", false), (int) x.whole("peers", 1, Integer.MAX_VALUE)));
             x.end();
         });
-        final Leaf.Tenant who = new Leaf.Tenant(s.text("tenant", 64), s.texts("homes", 64, 64), 1, "", "");
+        final Value.Tenant who = new Value.Tenant(s.text("tenant", 64), s.texts("homes", 64, 64), 1, "", "");
         final Case plea = new Case(s.text("ticket", 256), who, row, s.wholes("prefix", 64), s.text("zone", 64), s.text("region", 64),
                 Set.copyOf(s.texts("empty", 64, 64)));
         final String stamp = s.text("stamp", 20);
@@ -167,20 +167,20 @@
     }
 
     /** The rows of a table file by tenant and kind, or its faults. */
-    public static Map<String, Leaf.Row> table(final Path file, final List<String> faults) {
-        final Map<String, Leaf.Row> rows = new HashMap<>();
+    public static Map<String, Value.Row> table(final Path file, final List<String> faults) {
+        final Map<String, Value.Row> rows = new HashMap<>();
         try {
-            switch (Sheet.parse(Files.readAllBytes(file), 64 << 20)) {
-                case Sheet.Parsed.Bad bad -> faults.add(file + ": " + bad.why());
-                case Sheet.Parsed.Good good -> {
-                    final Sheet s = good.sheet();
+            switch (JsonDocument.parse(Files.readAllBytes(file), 64 << 20)) {
+                case JsonDocument.Parsed.Bad bad -> faults.add(file + ": " + bad.why());
+                case JsonDocument.Parsed.Good good -> {
+                    final JsonDocument s = good.sheet();
                     s.whole("sequence", 0, Long.MAX_VALUE, 0);
-                    final List<Sheet> list = s.sheets("rows", 20_000);
+                    final List<JsonDocument> list = s.sheets("rows", 20_000);
                     for (int i = 0; i < list.size(); i++) {
-                        final Leaf.Row row = Rows.read(list.get(i));
+                        final Value.Row row = Rows.read(list.get(i));
                         list.get(i).end();
                         final String at = file + ": $.rows[" + i + "].";
-                        Tariff.faults(row).forEach(f -> faults.add(at + f));
+                        TableRules.faults(row).forEach(f -> faults.add(at + f));
                         rows.put(row.tenant() + "/" + row.kind(), row);
                     }
                     s.end().forEach(f -> faults.add(file + ": " + f));
--- a/desk/src/main/java/silverlatch/desk/logbook/Recorder.java
+++ b/server/src/main/java/silverlatch/server/replay/Recorder.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.logbook;
+package silverlatch.server.replay;
 
 import java.io.BufferedWriter;
 import java.io.IOException;
@@ -9,10 +9,10 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
-import silverlatch.deck.Event;
-import silverlatch.desk.duty.Logs;
+import silverlatch.node.Event;
+import silverlatch.server.eventloop.Logs;
 
-/** The duty that records a purser's day: a few files of bounded size, the oldest given up first. */
+/** The duty that records a gateway's day: a few files of bounded size, the oldest given up first. */
 public final class Recorder {
     private static final long MOST = 16L << 20;
     private static final int FILES = 4;
--- a/desk/src/main/java/silverlatch/desk/settings/Flags.java
+++ b/server/src/main/java/silverlatch/server/settings/Flags.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.settings;
+package silverlatch.server.settings;
 
 import java.io.PrintStream;
 import java.util.HashMap;
@@ -9,10 +9,10 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.ParserProperties;
-import silverlatch.deck.Event;
-import silverlatch.desk.duty.Logs;
+import silverlatch.node.Event;
+import silverlatch.server.eventloop.Logs;
 
-/** The flags of purser and harbor. */
+/** The flags of gateway and controller. */
 public final class Flags {
     /** The product's version. */
     public static final String VERSION = "0.1.0";
@@ -28,13 +28,13 @@
     private String address = "";
     @Option(name = "--door", metaVar = "IP:PORT", usage = "where it takes HTTP")
     private String door = "";
-    @Option(name = "--seeds", metaVar = "A,B,C", usage = "one to three addresses of harbors")
+    @Option(name = "--seeds", metaVar = "A,B,C", usage = "one to three addresses of controllers")
     private String seeds = "";
-    @Option(name = "--data", metaVar = "FOLDER", usage = "the data folder (harbors only)")
+    @Option(name = "--data", metaVar = "FOLDER", usage = "the data folder (controllers only)")
     private String data = "";
-    @Option(name = "--record", metaVar = "FOLDER", usage = "record the day's placements into a folder (pursers only)")
+    @Option(name = "--record", metaVar = "FOLDER", usage = "record the day's placements into a folder (gateways only)")
     private String record = "";
-    @Option(name = "--gate", metaVar = "IP:PORT", usage = "where it takes tickets by host and path (pursers only)")
+    @Option(name = "--gate", metaVar = "IP:PORT", usage = "where it takes tickets by host and path (gateways only)")
     private String gate = "";
     @Option(name = "--check", usage = "check the settings and end")
     private boolean check;
@@ -55,7 +55,7 @@
     }
 
     /** Reads a command line and the settings it names. */
-    public static Parsed parse(final String program, final String[] args, final boolean harbor, final PrintStream out, final PrintStream err) {
+    public static Parsed parse(final String program, final String[] args, final boolean controller, final PrintStream out, final PrintStream err) {
         final Flags flags = new Flags();
         final CmdLineParser parser = new CmdLineParser(flags, ParserProperties.defaults().withUsageWidth(100));
         try {
@@ -74,7 +74,7 @@
             out.println(program + " " + VERSION);
             return new Parsed.End(0);
         }
-        return switch (Settings.read(Optional.of(flags.settings).filter(s -> !s.isEmpty()), flags.over(), harbor)) {
+        return switch (Settings.read(Optional.of(flags.settings).filter(s -> !s.isEmpty()), flags.over(), controller)) {
             case Settings.Read.Bad bad -> {
                 Logs.write(Event.SETTINGS, bad.faults().size() + " faults");
                 bad.faults().forEach(f -> err.println(program + ": " + f));
--- a/desk/src/main/java/silverlatch/desk/settings/Settings.java
+++ b/server/src/main/java/silverlatch/server/settings/Settings.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.settings;
+package silverlatch.server.settings;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -7,20 +7,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import silverlatch.carry.Carry;
-import silverlatch.sheet.Sheet;
-import silverlatch.tariff.Tariff;
+import silverlatch.dispatch.Dispatcher;
+import silverlatch.json.JsonDocument;
+import silverlatch.state.TableRules;
 
 /**
  * A process's place and limits, read from one JSON file and flags and checked as a whole; times in microseconds.
  *
  * @param found  whether a data folder made at this start may take part in a first founding
  * @param copies how many synced copies there are before an acknowledgement
- * @param gate   where a purser takes tickets by host and path
- * @param voters how many harbors with a data folder vote, where so many are there
+ * @param gate   where a gateway takes tickets by host and path
+ * @param voters how many controllers with a data folder vote, where so many are there
  */
 public record Settings(String name, String zone, String region, String address, String door, List<String> seeds,
-                       Optional<String> data, Optional<String> record, String key, String operator, String worker, int low, long skew, long grace, Carry.Setup carry,
+                       Optional<String> data, Optional<String> record, String key, String operator, String worker, int low, long skew, long grace, Dispatcher.Setup carry,
                        int body, int line, boolean found, int copies, int voters, Rates rates, Optional<String> gate) {
     /** The largest settings file. */
     public static final int MOST = 64 << 10;
@@ -46,29 +46,29 @@
     }
 
     /** Reads a file, lets flags go before it, and checks the whole. */
-    public static Read read(final Optional<String> file, final Map<String, Object> flags, final boolean harbor) {
+    public static Read read(final Optional<String> file, final Map<String, Object> flags, final boolean controller) {
         final byte[] body;
         try {
             body = file.isPresent() ? Files.readAllBytes(Path.of(file.get())) : "{}".getBytes(java.nio.charset.StandardCharsets.UTF_8);
         } catch (final IOException e) {
             return new Read.Bad(List.of("the settings file can't be read: " + e.getMessage()));
         }
-        return switch (Sheet.parse(body, MOST)) {
-            case Sheet.Parsed.Bad bad -> new Read.Bad(List.of(bad.why()));
-            case Sheet.Parsed.Good good -> check(good.sheet().with(flags), harbor);
+        return switch (JsonDocument.parse(body, MOST)) {
+            case JsonDocument.Parsed.Bad bad -> new Read.Bad(List.of(bad.why()));
+            case JsonDocument.Parsed.Good good -> check(good.sheet().with(flags), controller);
         };
     }
 
-    private static Read check(final Sheet s, final boolean harbor) {
+    private static Read check(final JsonDocument s, final boolean controller) {
         final List<String> faults = new ArrayList<>();
-        final Carry.Setup plain = Carry.Setup.PLAIN;
+        final Dispatcher.Setup plain = Dispatcher.Setup.PLAIN;
         final String data = s.text("data", 4096, "");
         final Settings made = new Settings(s.text("name", 64), s.text("zone", 64), s.text("region", 64), s.text("address", 64),
                 s.text("door", 64), s.texts("seeds", 3, 64), data.isEmpty() ? Optional.empty() : Optional.of(data),
                 Optional.of(s.text("record", 4096, "")).filter(r -> !r.isEmpty()), s.text("key", 256),
                 s.text("operator", 256), s.text("worker", 256), (int) s.whole("low", 1, 30, 7), s.whole("skew", 0, 10_000_000L, 50_000L),
                 s.whole("grace", 0, 600_000_000L, 5_000_000L),
-                new Carry.Setup((int) s.whole("slab", 1, 1_000_000, plain.slab()), (int) s.whole("queue", 1, 1_000_000, plain.queue()),
+                new Dispatcher.Setup((int) s.whole("slab", 1, 1_000_000, plain.slab()), (int) s.whole("queue", 1, 1_000_000, plain.queue()),
                         s.whole("permit", 100_000, 10_000_000, plain.permit()), s.whole("word", 500_000, 2_500_000, plain.word()),
                         s.whole("sure", 500_000, 2_500_000, plain.sure()), s.whole("claim", 100_000, 10_000_000, plain.claim()),
                         s.whole("keep", 0, 600_000_000L, plain.keep()), (int) s.whole("buffer", 1_024, 64 << 20, plain.buffer()),
@@ -80,9 +80,9 @@
                 s.flag("found", true), (int) s.whole("copies", 1, 7, 2), (int) s.whole("voters", 1, 9, 3), Rates.read(s, faults),
                 Optional.of(s.text("gate", 64, "")).filter(g -> !g.isEmpty()));
         faults.addAll(s.end());
-        faults.addAll(Tariff.word("name", made.name()));
-        faults.addAll(Tariff.word("zone", made.zone()));
-        faults.addAll(Tariff.word("region", made.region()));
+        faults.addAll(TableRules.word("name", made.name()));
+        faults.addAll(TableRules.word("zone", made.zone()));
+        faults.addAll(TableRules.word("region", made.region()));
         place(faults, "address", made.address());
         place(faults, "door", made.door());
         made.gate().ifPresent(g -> place(faults, "gate", g));
@@ -102,14 +102,14 @@
         if (made.worker().length() < 8) {
             faults.add("worker: at least 8 characters are needed");
         }
-        if (!harbor && made.data().isPresent()) {
-            faults.add("data: a purser keeps no data folder");
+        if (!controller && made.data().isPresent()) {
+            faults.add("data: a gateway keeps no data folder");
         }
-        if (harbor && made.gate().isPresent()) {
-            faults.add("gate: a harbor takes no tickets");
+        if (controller && made.gate().isPresent()) {
+            faults.add("gate: a controller takes no tickets");
         }
-        if (harbor && made.record().isPresent()) {
-            faults.add("record: a harbor has no day to record");
+        if (controller && made.record().isPresent()) {
+            faults.add("record: a controller has no day to record");
         }
         if (!(made.carry().tries() >= 0 && made.carry().tries() <= 0.2)) {
             faults.add("tries: not within 0 and 0.2");
--- a/desk/src/main/java/silverlatch/desk/tool/Difference.java
+++ b/server/src/main/java/silverlatch/server/tool/Difference.java
@@ -1,14 +1,14 @@
-package silverlatch.desk.tool;
+package silverlatch.server.tool;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import silverlatch.desk.harbor.Rows;
-import silverlatch.sheet.Sheet;
-import silverlatch.tariff.Books;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Tariff;
+import silverlatch.server.controller.Rows;
+import silverlatch.json.JsonDocument;
+import silverlatch.state.StateMachine;
+import silverlatch.state.Value;
+import silverlatch.state.TableRules;
 
 /** What a file would change in a table, cell by cell. */
 sealed interface Difference {
@@ -29,19 +29,19 @@
     }
 
     /** Compares the table as it was read with a file of rows. */
-    static Difference between(final Sheet now, final byte[] file) {
-        if (!(Sheet.parse(file, 64 << 20) instanceof Sheet.Parsed.Good read)) {
+    static Difference between(final JsonDocument now, final byte[] file) {
+        if (!(JsonDocument.parse(file, 64 << 20) instanceof JsonDocument.Parsed.Good read)) {
             return new Bad(List.of("$: not JSON"));
         }
-        final Sheet s = read.sheet();
+        final JsonDocument s = read.sheet();
         s.whole("sequence", 0, Long.MAX_VALUE, 0);
         final List<String> faults = new ArrayList<>();
-        final Map<String, Leaf.Row> next = rows(s, faults);
+        final Map<String, Value.Row> next = rows(s, faults);
         faults.addAll(s.end());
         if (!faults.isEmpty()) {
             return new Bad(faults);
         }
-        final Map<String, Leaf.Row> old = rows(now, new ArrayList<>());
+        final Map<String, Value.Row> old = rows(now, new ArrayList<>());
         final List<String> lines = new ArrayList<>();
         old.forEach((k, r) -> {
             if (!next.containsKey(k)) {
@@ -53,24 +53,24 @@
                 lines.add("+ " + r.tenant() + " " + r.kind());
                 return;
             }
-            Tariff.FIELDS.stream().filter(f -> !Tariff.get(old.get(k), f).equals(Tariff.get(r, f))).forEach(f ->
-                    lines.add("  " + r.tenant() + " " + r.kind() + " " + f + ": " + Tariff.get(old.get(k), f) + " -> " + Tariff.get(r, f)));
+            TableRules.FIELDS.stream().filter(f -> !TableRules.get(old.get(k), f).equals(TableRules.get(r, f))).forEach(f ->
+                    lines.add("  " + r.tenant() + " " + r.kind() + " " + f + ": " + TableRules.get(old.get(k), f) + " -> " + TableRules.get(r, f)));
         });
         return new Good(lines, now.whole("sequence", 0, Long.MAX_VALUE));
     }
 
-    private static Map<String, Leaf.Row> rows(final Sheet s, final List<String> faults) {
-        final Map<String, Leaf.Row> rows = new TreeMap<>();
-        final List<Sheet> all = s.sheets("rows", Books.ROWS + 1);
+    private static Map<String, Value.Row> rows(final JsonDocument s, final List<String> faults) {
+        final Map<String, Value.Row> rows = new TreeMap<>();
+        final List<JsonDocument> all = s.sheets("rows", StateMachine.ROWS + 1);
         for (int i = 0; i < all.size(); i++) {
-            final Leaf.Row r = Rows.read(all.get(i));
+            final Value.Row r = Rows.read(all.get(i));
             all.get(i).end();
             final String at = "$.rows[" + i + "].";
-            Tariff.faults(r).forEach(f -> faults.add(at + f));
-            if (rows.containsKey(Books.row(r.tenant(), r.kind()))) {
+            TableRules.faults(r).forEach(f -> faults.add(at + f));
+            if (rows.containsKey(StateMachine.row(r.tenant(), r.kind()))) {
                 faults.add(at + "kind: a second row for " + r.tenant() + " and " + r.kind());
             }
-            rows.put(Books.row(r.tenant(), r.kind()), r);
+            rows.put(StateMachine.row(r.tenant(), r.kind()), r);
         }
         return rows;
     }
--- a/desk/src/main/java/silverlatch/desk/tool/Main.java
+++ b/server/src/main/java/silverlatch/server/tool/Main.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.tool;
+package silverlatch.server.tool;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -26,8 +26,8 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.ParserProperties;
-import silverlatch.desk.settings.Flags;
-import silverlatch.sheet.Sheet;
+import silverlatch.server.settings.Flags;
+import silverlatch.json.JsonDocument;
 
 /** The operators' command. Exit codes: 0 done, 1 rejected, 2 wrong use, 3 not reached, 4 not known. */
 public final class Main {
@@ -167,7 +167,7 @@
     }
 
     private static Optional<byte[]> body(final Map<String, ?> map) {
-        return Optional.of(Sheet.write(map).getBytes(StandardCharsets.UTF_8));
+        return Optional.of(JsonDocument.write(map).getBytes(StandardCharsets.UTF_8));
     }
 
     private int send(final Ask ask, final PrintStream out, final PrintStream err) {
@@ -207,13 +207,13 @@
     }
 
     /** Asks quietly; the reply's sheet, or nothing when it was said already why there is none. */
-    private Optional<Sheet> quiet(final String path, final PrintStream err, final int[] code) {
+    private Optional<JsonDocument> quiet(final String path, final PrintStream err, final int[] code) {
         final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         final boolean was = json;
         json = true;
         code[0] = send(new Ask("GET", path, Optional.empty()), new PrintStream(bytes, true, StandardCharsets.UTF_8), err);
         json = was;
-        if (code[0] == 0 && Sheet.parse(bytes.toByteArray(), 64 << 20) instanceof Sheet.Parsed.Good good) {
+        if (code[0] == 0 && JsonDocument.parse(bytes.toByteArray(), 64 << 20) instanceof JsonDocument.Parsed.Good good) {
             return Optional.of(good.sheet());
         }
         err.print(bytes.toString(StandardCharsets.UTF_8));
@@ -222,7 +222,7 @@
 
     private int diff(final byte[] file, final PrintStream out, final PrintStream err) {
         final int[] code = {0};
-        final Optional<Sheet> now = quiet("/v1/table", err, code);
+        final Optional<JsonDocument> now = quiet("/v1/table", err, code);
         if (now.isEmpty()) {
             return code[0];
         }
@@ -247,11 +247,11 @@
         final int[] code = {0};
         int found = 0;
         for (int i = 0; i < 256; i++) {
-            final Optional<Sheet> page = quiet(String.format("/v1/claims/%02x", i), err, code);
+            final Optional<JsonDocument> page = quiet(String.format("/v1/claims/%02x", i), err, code);
             if (page.isEmpty()) {
                 return code[0];
             }
-            final List<Sheet> all = page.get().sheets("claims", Integer.MAX_VALUE).stream().filter(s -> s.text("state", 16).equals(state)).toList();
+            final List<JsonDocument> all = page.get().sheets("claims", Integer.MAX_VALUE).stream().filter(s -> s.text("state", 16).equals(state)).toList();
             all.forEach(s -> out.println("ticket=" + s.text("ticket", 256) + "  carrier=" + s.text("carrier", 64) + "  since=" + s.text("since", 64)));
             found += all.size();
         }
@@ -266,9 +266,9 @@
             out.println(text);
             return code;
         }
-        switch (Sheet.parse(text.getBytes(StandardCharsets.UTF_8), 64 << 20)) {
-            case Sheet.Parsed.Bad bad -> err.println("silverlatch: " + reply.getStatus() + " " + text);
-            case Sheet.Parsed.Good good -> {
+        switch (JsonDocument.parse(text.getBytes(StandardCharsets.UTF_8), 64 << 20)) {
+            case JsonDocument.Parsed.Bad bad -> err.println("silverlatch: " + reply.getStatus() + " " + text);
+            case JsonDocument.Parsed.Good good -> {
                 final Map<String, Object> map = new LinkedHashMap<>(good.sheet().map());
                 if (code == 0) {
                     print("", map, out);
--- a/desk/src/main/java/silverlatch/desk/dock/Lane.java
+++ b/server/src/main/java/silverlatch/server/transport/PeerConnection.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.dock;
+package silverlatch.server.transport;
 
 import java.io.BufferedOutputStream;
 import java.io.DataOutputStream;
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import jdk.net.ExtendedSocketOptions;
-import silverlatch.desk.duty.Duty;
+import silverlatch.server.eventloop.EventLoop;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
 
@@ -21,7 +21,7 @@
  * by a byte on the same connection; one that is not acknowledged in time is dropped, for behind a cut nothing tells
  * that it hangs. A large frame gets time for its reader: two seconds a megabyte.
  */
-final class Lane {
+final class PeerConnection {
     private static final long FIRST = 50_000L;
     private static final long NEVER = Long.MAX_VALUE;
     private final String to;
@@ -43,7 +43,7 @@
         static final Times PLAIN = new Times(256, 500_000L, 1_500_000L, 1_000_000L, 20_000_000L, 500_000L);
     }
 
-    Lane(final String to, final Times times, final AtomicLong dropped, final AtomicLong connects) {
+    PeerConnection(final String to, final Times times, final AtomicLong dropped, final AtomicLong connects) {
         this.to = to;
         this.times = times;
         this.dropped = dropped;
@@ -58,9 +58,9 @@
 
     /** Queues a frame, or drops it when the queue is full. */
     void offer(final Frame f) {
-        final long now = Duty.now();
+        final long now = EventLoop.now();
         if (now - times.silent() > unheard && now > grace) {
-            open.filter(s -> !heard(s)).ifPresent(Lane::close);
+            open.filter(s -> !heard(s)).ifPresent(PeerConnection::close);
         }
         if (!queue.offer(new Waiting(f, now))) {
             dropped.incrementAndGet();
@@ -70,7 +70,7 @@
     /** Ends. */
     void stop() {
         over = true;
-        open.ifPresent(Lane::close);
+        open.ifPresent(PeerConnection::close);
     }
 
     private void run() {
@@ -78,7 +78,7 @@
         while (!over) {
             try {
                 final Waiting first = queue.take();
-                made = Duty.now();
+                made = EventLoop.now();
                 if (stale(first)) {
                     continue;
                 }
@@ -102,9 +102,9 @@
     private void send(final Socket s, final Codec codec, final Waiting first) throws IOException, InterruptedException {
         s.setTcpNoDelay(true);
         probe(s);
-        s.connect(Dock.place(to), (int) (times.connect() / 1000));
+        s.connect(Transport.place(to), (int) (times.connect() / 1000));
         connects.incrementAndGet();
-        made = Duty.now();
+        made = EventLoop.now();
         open = Optional.of(s);
         final DataOutputStream out = new DataOutputStream(new BufferedOutputStream(s.getOutputStream(), 16 << 10));
         Optional<Waiting> next = Optional.of(first);
@@ -119,10 +119,10 @@
     private void write(final Socket s, final DataOutputStream out, final byte[] bytes) throws IOException {
         heard(s);
         if (unheard == NEVER) {
-            unheard = Duty.now();
+            unheard = EventLoop.now();
         }
         writing = true;
-        grace = bytes.length > Dock.PART ? Duty.now() + times.silent() + 2L * bytes.length : grace;
+        grace = bytes.length > Transport.PART ? EventLoop.now() + times.silent() + 2L * bytes.length : grace;
         out.writeInt(bytes.length);
         out.write(bytes);
         if (queue.isEmpty()) {
@@ -140,7 +140,7 @@
                 return false;
             }
             in.skipNBytes(count);
-            unheard = writing ? Duty.now() : NEVER;
+            unheard = writing ? EventLoop.now() : NEVER;
             pause = FIRST;
             return true;
         } catch (final IOException e) {
@@ -150,7 +150,7 @@
 
     /** Whether a frame waited too long for a connection; behind a large frame on a connection that gets on, it may wait. */
     private boolean stale(final Waiting w) {
-        final boolean old = w.at() < made && Duty.now() - w.at() > times.stale();
+        final boolean old = w.at() < made && EventLoop.now() - w.at() > times.stale();
         if (old) {
             dropped.incrementAndGet();
         }
--- a/desk/src/main/java/silverlatch/desk/dock/Dock.java
+++ b/server/src/main/java/silverlatch/server/transport/Transport.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.dock;
+package silverlatch.server.transport;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -14,23 +14,23 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import silverlatch.deck.Event;
-import silverlatch.deck.Ship;
-import silverlatch.desk.duty.Duty;
-import silverlatch.desk.duty.Logs;
+import silverlatch.node.Event;
+import silverlatch.node.Ship;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.eventloop.Logs;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
 
 /** Frames over TCP: one lane out to each address, and whoever connects in. A bad frame ends its connection only. */
-public final class Dock {
+public final class Transport {
     private static final int LANES = 1024;
     private static final int SILENT = 30_000;
     static final int PART = 64 << 10;
     private static final long TOLD = 200_000L;
     private final String address;
     private final Consumer<Frame> sink;
-    private final Lane.Times times;
-    private final Map<String, Lane> lanes = new ConcurrentHashMap<>();
+    private final PeerConnection.Times times;
+    private final Map<String, PeerConnection> lanes = new ConcurrentHashMap<>();
     private final Semaphore places = new Semaphore(LANES);
     private final AtomicLong bad = new AtomicLong();
     private final AtomicLong dropped = new AtomicLong();
@@ -39,11 +39,11 @@
     private volatile boolean over;
 
     /** A dock that hands what comes in to the sink. */
-    public Dock(final String address, final Consumer<Frame> sink) {
-        this(address, sink, Lane.Times.PLAIN);
+    public Transport(final String address, final Consumer<Frame> sink) {
+        this(address, sink, PeerConnection.Times.PLAIN);
     }
 
-    Dock(final String address, final Consumer<Frame> sink, final Lane.Times times) {
+    Transport(final String address, final Consumer<Frame> sink, final PeerConnection.Times times) {
         this.address = address;
         this.sink = sink;
         this.times = times;
@@ -91,7 +91,7 @@
     /** Ends. */
     public void stop() {
         over = true;
-        lanes.values().forEach(Lane::stop);
+        lanes.values().forEach(PeerConnection::stop);
         server.ifPresent(s -> {
             try {
                 s.close();
@@ -101,8 +101,8 @@
         });
     }
 
-    private Lane lane(final String to) {
-        final Lane lane = new Lane(to, times, dropped, connects);
+    private PeerConnection lane(final String to) {
+        final PeerConnection lane = new PeerConnection(to, times, dropped, connects);
         lane.start();
         return lane;
     }
@@ -127,8 +127,8 @@
         try (Socket s = socket; DataInputStream in = new DataInputStream(new BufferedInputStream(s.getInputStream(), 64 << 10))) {
             s.setTcpNoDelay(true);
             s.setSoTimeout(SILENT);
-            long told = Duty.now();
-            Lane.probe(s);
+            long told = EventLoop.now();
+            PeerConnection.probe(s);
             while (!over) {
                 final int size = in.readInt();
                 if (size <= 0 || size > Codec.MOST) {
@@ -141,8 +141,8 @@
                 }
                 switch (codec.read(bytes, Frame.class)) {
                     case Codec.Read.Good<Frame> good -> {
-                        if (in.available() < Integer.BYTES || Duty.now() - told > TOLD) {
-                            told = Duty.now();
+                        if (in.available() < Integer.BYTES || EventLoop.now() - told > TOLD) {
+                            told = EventLoop.now();
                             s.getOutputStream().write(1);
                         }
                         sink.accept(good.thing());
--- a/desk/src/main/java/silverlatch/desk/web/Abrupt.java
+++ b/server/src/main/java/silverlatch/server/web/Abrupt.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.web;
+package silverlatch.server.web;
 
 import java.io.IOException;
 import java.net.StandardSocketOptions;
--- a/desk/src/main/java/silverlatch/desk/web/Call.java
+++ b/server/src/main/java/silverlatch/server/web/Call.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.web;
+package silverlatch.server.web;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -11,7 +11,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
-import silverlatch.sheet.Sheet;
+import silverlatch.json.JsonDocument;
 
 /** One HTTP exchange: what was asked, and the one reply to it. */
 public final class Call {
@@ -67,7 +67,7 @@
 
     /** Replies with JSON. */
     public void reply(final int code, final Map<String, ?> value, final Map<String, String> headers) {
-        json(code, Sheet.write(value), headers);
+        json(code, JsonDocument.write(value), headers);
     }
 
     /** Replies with JSON that stands written already, to the letter. */
--- a/desk/src/main/java/silverlatch/desk/web/Doors.java
+++ b/server/src/main/java/silverlatch/server/web/Doors.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.web;
+package silverlatch.server.web;
 
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -15,7 +15,7 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import silverlatch.desk.dock.Dock;
+import silverlatch.server.transport.Transport;
 
 /** Several doors of one process over one small pool of threads; each has a handler of its own. */
 public final class Doors {
@@ -53,7 +53,7 @@
         config.setSendDateHeader(false);
         config.setIdleTimeout(idle);
         final ServerConnector connector = new ServerConnector(server, 0, 1, new HttpConnectionFactory(config));
-        final InetSocketAddress place = Dock.place(address);
+        final InetSocketAddress place = Transport.place(address);
         connector.setHost(place.getHostString());
         connector.setPort(place.getPort());
         connector.setIdleTimeout(idle);
--- a/desk/src/main/java/silverlatch/desk/web/Web.java
+++ b/server/src/main/java/silverlatch/server/web/Web.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.web;
+package silverlatch.server.web;
 
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -15,7 +15,7 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import silverlatch.desk.dock.Dock;
+import silverlatch.server.transport.Transport;
 
 /** The HTTP side of a process, by Jetty; bodies, headers and threads are bounded. */
 public final class Web {
@@ -32,7 +32,7 @@
         config.setSendServerVersion(false);
         config.setIdleTimeout(60_000);
         final ServerConnector connector = new ServerConnector(server, 1, 2, new HttpConnectionFactory(config));
-        final InetSocketAddress place = Dock.place(door);
+        final InetSocketAddress place = Transport.place(door);
         connector.setHost(place.getHostString());
         connector.setPort(place.getPort());
         connector.setIdleTimeout(60_000);
--- a/desk/src/main/java/silverlatch/desk/web/Words.java
+++ b/server/src/main/java/silverlatch/server/web/Words.java
@@ -1,7 +1,7 @@
-package silverlatch.desk.web;
+package silverlatch.server.web;
 
-import silverlatch.rumor.Worker;
-import silverlatch.sheet.Sheet;
+import silverlatch.gossip.Worker;
+import silverlatch.json.JsonDocument;
 
 /** What workers say of themselves, read from JSON. */
 public final class Words {
@@ -9,7 +9,7 @@
     }
 
     /** A worker's word; what is wrong with it is noted in the sheet. */
-    public static Worker read(final Sheet s) {
+    public static Worker read(final JsonDocument s) {
         return new Worker(s.text("worker", 64), s.text("address", 64), s.text("zone", 64), s.text("region", 64),
                 s.whole("life", 0, Long.MAX_VALUE), s.whole("sequence", 0, Long.MAX_VALUE), (int) s.whole("running", 0, 1_000_000, 0),
                 (int) s.whole("queued", 0, 1_000_000, 0), (int) s.whole("slots", 1, 100_000), s.wholes("kept", 4_096),
@@ -18,7 +18,7 @@
     }
 
     /** The token of the last reply that the word brings back. */
-    public static long echo(final Sheet s) {
+    public static long echo(final JsonDocument s) {
         return s.whole("echo", 0, Long.MAX_VALUE, 0);
     }
 }
--- a/desk/src/main/java/silverlatch/desk/back/Back.java
+++ b/server/src/main/java/silverlatch/server/workerclient/Back.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.back;
+package silverlatch.server.workerclient;
 
 import java.net.URI;
 import java.util.Map;
@@ -12,11 +12,11 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import silverlatch.carry.Act;
-import silverlatch.carry.Line;
-import silverlatch.desk.duty.Duty;
-import silverlatch.sheet.Sheet;
-import silverlatch.desk.web.Abrupt;
+import silverlatch.dispatch.Act;
+import silverlatch.dispatch.Line;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.json.JsonDocument;
+import silverlatch.server.web.Abrupt;
 
 /** Asks workers to run, by Jetty's client. */
 public final class Back {
@@ -70,13 +70,13 @@
     public void run(final Act.Run r) {
         final AtomicBoolean begun = new AtomicBoolean();
         final Lines lines = new Lines(line, l -> sink.line(r.job(), l));
-        final String body = Sheet.write(Map.of("ticket", r.ticket(), "run", r.run(), "tenant", r.tenant(), "kind", r.kind(),
+        final String body = JsonDocument.write(Map.of("ticket", r.ticket(), "run", r.run(), "tenant", r.tenant(), "kind", r.kind(),
                 "prefix", r.prefix(), "prompt", r.prompt()));
         final Request request = http.newRequest(URI.create("http://" + r.address() + "/v1/runs")).method("POST")
                 .headers(h -> h.put("Authorization", "Bearer " + key))
                 .body(new StringRequestContent("application/json", body))
                 .onRequestBegin(q -> {
-                    if (Duty.now() > r.due()) {
+                    if (EventLoop.now() > r.due()) {
                         q.abort(new TimeoutException("it would leave too late"));
                     } else {
                         begun.set(true);
--- a/desk/src/main/java/silverlatch/desk/back/Lines.java
+++ b/server/src/main/java/silverlatch/server/workerclient/Lines.java
@@ -1,11 +1,11 @@
-package silverlatch.desk.back;
+package silverlatch.server.workerclient;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.function.Consumer;
-import silverlatch.carry.Line;
-import silverlatch.sheet.Sheet;
+import silverlatch.dispatch.Line;
+import silverlatch.json.JsonDocument;
 
 /** Cuts a worker's bytes into lines and reads each as a record of the stream; and writes records for consumers. */
 public final class Lines {
@@ -37,7 +37,7 @@
 
     /** A record as a line of JSON. */
     public static String write(final Line line) {
-        return Sheet.write(switch (line) {
+        return JsonDocument.write(switch (line) {
             case Line.Piece p -> Map.of("ticket", p.ticket(), "run", p.run(), "number", p.number(), "text", p.text());
             case Line.Seal s -> Map.of("seal", Map.of("worker", s.worker(), "ticket", s.ticket(), "run", s.run(),
                     "count", s.count(), "sha256", s.sha()));
@@ -46,12 +46,12 @@
     }
 
     private void line(final byte[] bytes) {
-        switch (Sheet.parse(bytes, most)) {
-            case Sheet.Parsed.Bad bad -> wrong("a line that is no JSON object");
-            case Sheet.Parsed.Good good -> {
-                final Sheet s = good.sheet();
+        switch (JsonDocument.parse(bytes, most)) {
+            case JsonDocument.Parsed.Bad bad -> wrong("a line that is no JSON object");
+            case JsonDocument.Parsed.Good good -> {
+                final JsonDocument s = good.sheet();
                 if (s.has("seal")) {
-                    final Sheet x = s.sheet("seal");
+                    final JsonDocument x = s.sheet("seal");
                     final Line.Seal seal = new Line.Seal(x.text("worker", 256), x.text("ticket", 256), x.text("run", 256),
                             x.whole("count", 0, Integer.MAX_VALUE), x.text("sha256", 64));
                     give(s, seal);
@@ -63,7 +63,7 @@
         }
     }
 
-    private void give(final Sheet s, final Line line) {
+    private void give(final JsonDocument s, final Line line) {
         if (s.faults().isEmpty()) {
             sink.accept(line);
         } else {
--- a/desk/src/test/java/silverlatch/desk/harbor/HarborTest.java
+++ b/server/src/test/java/silverlatch/server/controller/ControllerTest.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.instanceOf;
@@ -20,16 +20,16 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import silverlatch.desk.settings.Settings;
-import silverlatch.ledger.Ledger;
-import silverlatch.quay.Clerk;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
+import silverlatch.server.settings.Settings;
+import silverlatch.log.WriteAheadLog;
+import silverlatch.replication.ChainClient;
+import silverlatch.gossip.Worker;
+import silverlatch.state.Value;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
 
-/** Harbors in this process, with doors on loopback and data folders of their own. */
-final class HarborTest {
+/** Controllers in this process, with doors on loopback and data folders of their own. */
+final class ControllerTest {
     private static final String PAPER = "{\"number\":%d,\n  \"rules\":[{\"name\":\"r\",\"host\":\"h.example\",\"path\":\"/\",\"hold\":1000,"
             + "\"lots\":[{\"pool\":\"p\",\"weight\":1}]}],\"pools\":[{\"name\":\"p\",\"slots\":4}],\"bounds\":{\"head\":1,\"body\":1,\"slow\":1,\"idle\":1}}";
     @TempDir
@@ -43,7 +43,7 @@
         }
     }
 
-    private Harbor harbor(final List<String> others) throws Exception {
+    private Controller controller(final List<String> others) throws Exception {
         final String address = place();
         door = place();
         final List<String> seeds = new java.util.ArrayList<>(List.of(address));
@@ -52,8 +52,8 @@
                 "door", door, "seeds", seeds, "data", folder.resolve("data").toString(), "key", "a key of sixteen or more", "operator", "operator-key",
                 "worker", "worker-key"), true)).settings();
         final Settings alone = new Settings(s.name(), s.zone(), s.region(), s.address(), s.door(), s.seeds(), s.data(), s.record(), s.key(), s.operator(),
-                s.worker(), s.low(), s.skew(), s.grace(), s.carry(), s.body(), s.line(), s.found(), 1, s.voters(), silverlatch.desk.settings.Rates.PLAIN, Optional.empty());
-        final Harbor h = DaggerMain_Parts.factory().make(alone, Optional.of((Ledger.Opened.Good) Ledger.open(Path.of(s.data().get())))).harbor();
+                s.worker(), s.low(), s.skew(), s.grace(), s.carry(), s.body(), s.line(), s.found(), 1, s.voters(), silverlatch.server.settings.Rates.PLAIN, Optional.empty());
+        final Controller h = DaggerMain_Parts.factory().make(alone, Optional.of((WriteAheadLog.Opened.Good) WriteAheadLog.open(Path.of(s.data().get())))).controller();
         h.start();
         return h;
     }
@@ -75,13 +75,13 @@
         }
     }
 
-    private static Wish.Lay lay(final long number, final long match) {
-        return new Wish.Lay("wish-" + number + "-" + match, new Leaf.Charter(number, 1, 1, 1, 1), List.of(), List.of(), "paper " + number, match);
+    private static Command.PutConfiguration lay(final long number, final long match) {
+        return new Command.PutConfiguration("wish-" + number + "-" + match, new Value.RoutingConfiguration(number, 1, 1, 1, 1), List.of(), List.of(), "paper " + number, match);
     }
 
     @Test
     void aCharterIsPutAndReadBackToTheByteByDoorAndCounterAlike() throws Exception {
-        final Harbor h = harbor(List.of());
+        final Controller h = controller(List.of());
         ready();
         assertThat(call("GET", "/v1/charter", "", "operator-key", "*").statusCode(), is(404));
         final String paper = String.format(PAPER, 3);
@@ -96,23 +96,23 @@
         assertThat(got.body(), is(paper));
         assertThat(got.headers().firstValue("ETag").orElse(""), is("\"3\""));
         assertThat(call("GET", "/v1/rules", "", "operator-key", "*").body().contains("\"host\":\"h.example\""), is(true));
-        assertThat(HarborTest.<Verdict>get(t -> h.lay(lay(9, 3), t)), instanceOf(Verdict.Kept.class));
-        final Clerk.Page page = get(h::paper);
-        assertThat(page.entries().getFirst().leaf(), is(List.of(new Leaf.Paper(9, "paper 9"))));
-        assertThat(HarborTest.<Verdict>get(t -> h.zone("z", true, t)), instanceOf(Verdict.Kept.class));
+        assertThat(ControllerTest.<CommandResult>get(t -> h.lay(lay(9, 3), t)), instanceOf(CommandResult.Applied.class));
+        final ChainClient.Page page = get(h::paper);
+        assertThat(page.entries().getFirst().leaf(), is(List.of(new Value.ConfigurationDocument(9, "paper 9"))));
+        assertThat(ControllerTest.<CommandResult>get(t -> h.zone("z", true, t)), instanceOf(CommandResult.Applied.class));
         assertThat(call("GET", "/v1/charter", "", "operator-key", "*").body(), is("paper 9"));
         h.stop();
     }
 
     @Test
     void aWorkersWordIsTakenAndItsLeavingIsKnown() throws Exception {
-        final Harbor h = harbor(List.of());
+        final Controller h = controller(List.of());
         ready();
         final Worker w = new Worker("w", "10.0.0.1:1", "z", "r", 1, 1, 0, 0, 4, List.of(), false, 0);
-        assertThat(HarborTest.<Boolean>get(t -> h.gone("w", t)), is(false));
-        assertThat(HarborTest.<Boolean>get(t -> h.word(w, t)), is(true));
+        assertThat(ControllerTest.<Boolean>get(t -> h.gone("w", t)), is(false));
+        assertThat(ControllerTest.<Boolean>get(t -> h.word(w, t)), is(true));
         assertThat(call("GET", "/status", "", "operator-key", "*").body().contains("w z running 0/4\""), is(true));
-        assertThat(HarborTest.<Boolean>get(t -> h.gone("w", t)), is(true));
+        assertThat(ControllerTest.<Boolean>get(t -> h.gone("w", t)), is(true));
         assertThat(call("GET", "/status", "", "operator-key", "*").body().contains("w z running 0/4 leaving\""), is(true));
         final String word = "{\"worker\":\"v\",\"address\":\"10.0.0.2:1\",\"zone\":\"z\",\"region\":\"r\",\"life\":1,\"sequence\":1,\"slots\":2,"
                 + "\"pool\":\"p\",\"coldMs\":50,\"restMs\":90}";
@@ -125,15 +125,15 @@
 
     @Test
     void whatCannotBeDecidedIsToldAsUnknownWithinASecond() throws Exception {
-        final Harbor h = harbor(List.of(place(), place()));
+        final Controller h = controller(List.of(place(), place()));
         long least = Long.MAX_VALUE;
         for (int i = 0; i < 4; i++) {
             final long at = System.nanoTime();
-            assertThat(HarborTest.<Verdict>get(t -> h.lay(lay(1, 0), t)), instanceOf(Verdict.Unknown.class));
+            assertThat(ControllerTest.<CommandResult>get(t -> h.lay(lay(1, 0), t)), instanceOf(CommandResult.Unknown.class));
             least = Math.min(least, (System.nanoTime() - at) / 1_000_000);
         }
         assertThat("by a duty that has time", least, lessThan(950L));
-        assertThat(HarborTest.<Clerk.Page>get(h::paper).ok(), is(false));
+        assertThat(ControllerTest.<ChainClient.Page>get(h::paper).ok(), is(false));
         h.stop();
     }
 }
--- a/desk/src/test/java/silverlatch/desk/harbor/CalendarsTest.java
+++ b/server/src/test/java/silverlatch/server/controller/SchedulesTest.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -7,28 +7,28 @@
 import java.time.Instant;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import silverlatch.tariff.Books;
-import silverlatch.tariff.Entry;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Wish;
+import silverlatch.state.StateMachine;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+import silverlatch.state.Command;
 
-final class CalendarsTest {
+final class SchedulesTest {
     private static long at(final String time) {
         return Instant.parse(time).getEpochSecond() * 1_000_000_000L;
     }
 
-    private static Leaf.Calendar night(final String cron) {
-        return new Leaf.Calendar("night", cron, List.of(), "syros", true);
+    private static Value.Schedule night(final String cron) {
+        return new Value.Schedule("night", cron, List.of(), "syros", true);
     }
 
     @Test
     void aChangeIsDueOnceAtItsMinuteWhoeverHoldsTheDuty() {
-        final Books books = new Books();
+        final StateMachine books = new StateMachine();
         books.apply(1, List.of(new Entry("k/night", 1, List.of(night("30 2 * * *")))));
-        final Calendars one = new Calendars();
-        final Calendars two = new Calendars();
+        final Schedules one = new Schedules();
+        final Schedules two = new Schedules();
         assertThat(one.due(books, at("2026-12-02T02:29:59Z"), 4), is(List.of()));
-        final List<Wish> first = one.due(books, at("2026-12-02T02:30:00Z"), 4);
+        final List<Command> first = one.due(books, at("2026-12-02T02:30:00Z"), 4);
         assertThat(first.size(), is(1));
         assertThat(one.due(books, at("2026-12-02T02:30:01Z"), 4), is(List.of()));
         assertThat(two.due(books, at("2026-12-02T02:30:20Z"), 5).getFirst().id(), is(first.getFirst().id()));
@@ -39,11 +39,11 @@
 
     @Test
     void anImpossibleCalendarIsRejectedWithThePlaceOfEachFault() {
-        final Calendars all = new Calendars();
+        final Schedules all = new Schedules();
         assertThat(all.faults(night("30 2 * * *")), is(List.of()));
         assertThat(all.faults(night("0 0 31 2 *")).getFirst(), containsString("never comes"));
         assertThat(all.faults(night("61 2 * * *")).getFirst(), containsString("$.cron"));
-        final List<String> two = all.faults(new Leaf.Calendar("x", "nonsense", List.of(new Wish.Cell("*", "fare", "colour", "1")), "syros", true));
+        final List<String> two = all.faults(new Value.Schedule("x", "nonsense", List.of(new Command.Cell("*", "fare", "colour", "1")), "syros", true));
         assertThat(two.size(), is(3));
     }
 }
--- a/desk/src/test/java/silverlatch/desk/harbor/RosterTest.java
+++ b/server/src/test/java/silverlatch/server/controller/WorkerRosterTest.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.harbor;
+package silverlatch.server.controller;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -10,17 +10,17 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import silverlatch.rumor.Word;
-import silverlatch.rumor.Worker;
+import silverlatch.gossip.WorkerReport;
+import silverlatch.gossip.Worker;
 
-final class RosterTest {
-    private static final Word WORD = Word.of(new Worker("w", "10.0.0.1:80", "z", "r", 1, 7, 0, 0, 8, List.of(), true, 0, "pool", 1_000, 0));
+final class WorkerRosterTest {
+    private static final WorkerReport WORD = WorkerReport.of(new Worker("w", "10.0.0.1:80", "z", "r", 1, 7, 0, 0, 8, List.of(), true, 0, "pool", 1_000, 0));
     @TempDir
     private Path folder;
 
     @Test
     void whatWasWrittenIsReadAgainAndWhatIsTornIsNothing() throws IOException {
-        final Roster one = new Roster(folder);
+        final WorkerRoster one = new WorkerRoster(folder);
         assertThat(one.read(), is(empty()));
         one.start();
         assertThat(one.write(List.of(WORD)), is(true));
@@ -28,12 +28,12 @@
         while (!Files.exists(file)) {
             Thread.onSpinWait();
         }
-        assertThat(new Roster(folder).read(), is(List.of(WORD)));
+        assertThat(new WorkerRoster(folder).read(), is(List.of(WORD)));
         final byte[] all = Files.readAllBytes(file);
         all[all.length - 1]++;
         Files.write(file, all);
-        assertThat(new Roster(folder).read(), is(empty()));
+        assertThat(new WorkerRoster(folder).read(), is(empty()));
         Files.write(file, new byte[3]);
-        assertThat(new Roster(folder).read(), is(empty()));
+        assertThat(new WorkerRoster(folder).read(), is(empty()));
     }
 }
--- a/desk/src/test/java/silverlatch/desk/gate/GateTest.java
+++ b/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.gate;
+package silverlatch.server.proxy;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -30,32 +30,32 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import silverlatch.carry.Facts;
-import silverlatch.crew.Member;
-import silverlatch.desk.duty.Duty;
-import silverlatch.desk.web.Doors;
-import silverlatch.desk.web.Web;
-import silverlatch.passage.Move;
-import silverlatch.passage.Passage;
-import silverlatch.rumor.Rumor;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Entry;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Policy;
-import silverlatch.tide.Stamp;
+import silverlatch.dispatch.Facts;
+import silverlatch.membership.Member;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.web.Doors;
+import silverlatch.server.web.Web;
+import silverlatch.routing.RoutingEffect;
+import silverlatch.routing.Router;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+import silverlatch.state.Policy;
+import silverlatch.clock.Stamp;
 
 /** The gate between scripted consumers and scripted workers. */
-final class GateTest {
+final class ProxyServerTest {
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n";
     private final ExecutorService duty = Executors.newSingleThreadExecutor();
     private final List<Peer> peers = new ArrayList<>();
     private final AtomicInteger told = new AtomicInteger();
     private final AtomicReference<Runnable> third = new AtomicReference<>(() -> {
     });
-    private final AtomicReference<Gate> gate = new AtomicReference<>();
-    private Lighter lighter;
+    private final AtomicReference<ProxyServer> gate = new AtomicReference<>();
+    private WorkerHttpClient lighter;
     private Doors doors;
-    private Passage passage;
+    private Router passage;
     private int port;
 
     /** A worker that replies by a script: bytes, and then it closes where the script ends with a bar. */
@@ -134,10 +134,10 @@
 
     @BeforeEach
     void open() throws Exception {
-        lighter = new Lighter(Lighter.Setup.PLAIN);
+        lighter = new WorkerHttpClient(WorkerHttpClient.Setup.PLAIN);
         lighter.start();
-        passage = new Passage(Passage.Setup.PLAIN, facts(1), () -> new Stamp(1), new SplittableRandom(5));
-        gate.set(new Gate(Fields.PLAIN, lighter, job -> {
+        passage = new Router(Router.Setup.PLAIN, facts(1), () -> new Stamp(1), new SplittableRandom(5));
+        gate.set(new ProxyServer(Fields.PLAIN, lighter, job -> {
             if (told.incrementAndGet() == 3) {
                 third.get().run();
             }
@@ -156,7 +156,7 @@
     }
 
     @AfterEach
-    void shut() throws Web.WebFault, Lighter.LighterFault, IOException {
+    void shut() throws Web.WebFault, WorkerHttpClient.WorkerHttpClientFault, IOException {
         doors.stop();
         lighter.stop();
         duty.shutdownNow();
@@ -169,25 +169,25 @@
         final Peer p = new Peer(script);
         peers.add(p);
         final Facts next = facts(peers.size() + 1);
-        duty.execute(() -> passage.facts(next, Duty.now()));
+        duty.execute(() -> passage.facts(next, EventLoop.now()));
         return p;
     }
 
     private Facts facts(final long page) {
-        final Map<String, Rumor.Heard> heard = new HashMap<>();
+        final Map<String, Gossip.Heard> heard = new HashMap<>();
         for (int i = 0; i < peers.size(); i++) {
-            heard.put("w" + i, new Rumor.Heard(new Worker("w" + i, "127.0.0.1:" + peers.get(i).server.getLocalPort(), "z", "r", 1, 1, 0, 0, 8,
-                    List.of(), false, 0, "pool", 0, 0), Optional.of(Duty.now())));
+            heard.put("w" + i, new Gossip.Heard(new Worker("w" + i, "127.0.0.1:" + peers.get(i).server.getLocalPort(), "z", "r", 1, 1, 0, 0, 8,
+                    List.of(), false, 0, "pool", 0, 0), Optional.of(EventLoop.now())));
         }
-        final List<Entry> all = List.of(new Entry("p/charter", 1, List.of(new Leaf.Charter(1, 8_192, 4_096, 1_000_000, 1_000_000))),
-                new Entry("b/pool", 1, List.of(new Leaf.Pool("pool", "/health", 10, 0, 9, 8, 1_000, 5))),
+        final List<Entry> all = List.of(new Entry("p/charter", 1, List.of(new Value.RoutingConfiguration(1, 8_192, 4_096, 1_000_000, 1_000_000))),
+                new Entry("b/pool", 1, List.of(new Value.BackendPool("pool", "/health", 10, 0, 9, 8, 1_000, 5))),
                 new Entry("u/a|/once/", 1, List.of(rule("/once/", false))), new Entry("u/a|/again/", 1, List.of(rule("/again/", true))));
-        return new Facts(new Member("me", "purser", "z", "r", "127.0.0.1:1", "127.0.0.1:2", 1, 0, "up", true), page, Optional.of(1L), Policy.of(all),
+        return new Facts(new Member("me", "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", 1, 0, "up", true), page, Optional.of(1L), Policy.of(all),
                 heard, List.of());
     }
 
-    private static Leaf.Rule rule(final String path, final boolean again) {
-        return new Leaf.Rule(path, "a", path, true, true, again, true, 5_000_000, 600_000, 400_000, 0, 2, List.of(), List.of(new Leaf.Lot("pool", 1)));
+    private static Value.Route rule(final String path, final boolean again) {
+        return new Value.Route(path, "a", path, true, true, again, true, 5_000_000, 600_000, 400_000, 0, 2, List.of(), List.of(new Value.WeightedBackend("pool", 1)));
     }
 
     private String ask(final String path, final String more, final String body) throws IOException {
@@ -275,7 +275,7 @@
         final Peer one = worker(r -> good(r) + CHUNKED + "\r\n" + event(1) + event(2) + "0\r\n\r\n");
         final Peer other = new Peer(r -> good(r) + CHUNKED + "\r\n" + event(1) + event(2) + event(3) + "0\r\n\r\n");
         peers.add(other);
-        third.set(() -> gate.get().move(new Move.Send(1, 99, "w1", "127.0.0.1:" + other.server.getLocalPort(), 3_000_000, 0, false, true)));
+        third.set(() -> gate.get().move(new RoutingEffect.Send(1, 99, "w1", "127.0.0.1:" + other.server.getLocalPort(), 3_000_000, 0, false, true)));
         final String reply = ask("/again/x", "", "b");
         assertThat(one.asked.size(), is(1));
         assertThat(header(other.asked.getFirst(), "Last-Event-Id"), is(""));
--- a/desk/src/test/java/silverlatch/desk/settings/SettingsTest.java
+++ b/server/src/test/java/silverlatch/server/settings/SettingsTest.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.settings;
+package silverlatch.server.settings;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsInAnyOrder;
@@ -58,8 +58,8 @@
     void ratesAreQuietWhereWorkersAnnounceToHarborsAndFaultyOnesAreNamed() {
         final Optional<String> ferry = Optional.of("../examples/ferry/settings.json");
         assertThat(((Settings.Read.Good) Settings.read(ferry, Map.of(), false)).settings().rates(), is(Rates.PLAIN));
-        assertThat(((Settings.Read.Good) Settings.read(ferry, Map.of("announce", "harbors"), false)).settings().rates(), is(Rates.QUIET));
-        final Settings.Read.Bad bad = (Settings.Read.Bad) Settings.read(ferry, Map.of("announce", "harbors", "heartbeat", 5_000_000, "miss", 2_000_000,
+        assertThat(((Settings.Read.Good) Settings.read(ferry, Map.of("announce", "controllers"), false)).settings().rates(), is(Rates.QUIET));
+        final Settings.Read.Bad bad = (Settings.Read.Bad) Settings.read(ferry, Map.of("announce", "controllers", "heartbeat", 5_000_000, "miss", 2_000_000,
                 "silent", 3_000_000, "forget", 5_000_000, "pullHarbor", 2_000_000, "deck", 1), false);
         assertThat(bad.faults().stream().map(f -> f.substring(0, f.indexOf(':'))).toList(), containsInAnyOrder("$.deck", "miss", "silent"));
         final Settings.Read.Bad way = (Settings.Read.Bad) Settings.read(ferry, Map.of("announce", "nowhere"), false);
--- a/desk/src/test/java/silverlatch/desk/dock/DockTest.java
+++ b/server/src/test/java/silverlatch/server/transport/TransportTest.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.dock;
+package silverlatch.server.transport;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
@@ -20,16 +20,16 @@
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import silverlatch.crew.Member;
-import silverlatch.deck.Ship;
-import silverlatch.desk.duty.Duty;
-import silverlatch.tide.Stamp;
+import silverlatch.membership.Member;
+import silverlatch.node.Ship;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.clock.Stamp;
 import silverlatch.wire.Frame;
 import silverlatch.wire.Msg;
 
 /** Docks on loopback before scripted peers, on shorter times than those in use. */
-final class DockTest {
-    private static final Lane.Times QUICK = new Lane.Times(256, 200_000L, 300_000L, 200_000L, 400_000L, 100_000L);
+final class TransportTest {
+    private static final PeerConnection.Times QUICK = new PeerConnection.Times(256, 200_000L, 300_000L, 200_000L, 400_000L, 100_000L);
     private final List<AutoCloseable> open = new ArrayList<>();
     private final BlockingQueue<Frame> came = new LinkedBlockingQueue<>();
 
@@ -40,8 +40,8 @@
         }
     }
 
-    private Dock dock(final int port) throws IOException {
-        final Dock dock = new Dock("127.0.0.1:" + port, came::add, QUICK);
+    private Transport dock(final int port) throws IOException {
+        final Transport dock = new Transport("127.0.0.1:" + port, came::add, QUICK);
         dock.start();
         open.add(dock::stop);
         return dock;
@@ -54,7 +54,7 @@
     }
 
     private static Ship ship(final int port, final long number, final String pad) {
-        final Member me = new Member("p" + pad, "purser", "z", "r", "127.0.0.1:1", "127.0.0.1:2", number, 4, "up", true);
+        final Member me = new Member("p" + pad, "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", number, 4, "up", true);
         return new Ship("127.0.0.1:" + port, new Frame(new Stamp(number), 5, "p", "127.0.0.1:1", 3, new Msg.Beat(me)));
     }
 
@@ -77,7 +77,7 @@
     void framesThatGoOneWayOnlyKeepOneConnection() throws Exception {
         final int port = free();
         dock(port);
-        final Dock from = dock(free());
+        final Transport from = dock(free());
         for (int i = 1; i <= 12; i++) {
             from.ship(ship(port, i, ""));
             assertThat(came.poll(2, TimeUnit.SECONDS).stamp().bits(), is((long) i));
@@ -92,35 +92,35 @@
         final int port = free();
         final BlockingQueue<Socket> taken = new LinkedBlockingQueue<>();
         peer(port, taken);
-        final Dock from = dock(free());
-        final long start = Duty.now();
+        final Transport from = dock(free());
+        final long start = EventLoop.now();
         final String pad = "x".repeat(60_000);
-        while (taken.size() < 3 && Duty.now() - start < 5_000_000L) {
+        while (taken.size() < 3 && EventLoop.now() - start < 5_000_000L) {
             from.ship(ship(port, 1, pad));
             LockSupport.parkNanos(5_000_000L);
         }
         assertThat(taken.size(), greaterThanOrEqualTo(3));
-        assertThat(Duty.now() - start, greaterThan(600_000L));
+        assertThat(EventLoop.now() - start, greaterThan(600_000L));
         assertThat(from.dropped(), greaterThan(0L));
     }
 
     @Test
     void afterAPeerComesBackOnlyYoungFramesArrive() throws Exception {
         final int port = free();
-        final Dock from = dock(free());
+        final Transport from = dock(free());
         for (int i = 1; i <= 20; i++) {
             from.ship(ship(port, i, ""));
             LockSupport.parkNanos(20_000_000L);
         }
         dock(port);
-        final long back = Duty.now();
+        final long back = EventLoop.now();
         long number = 20;
-        while (came.isEmpty() && Duty.now() - back < 3_000_000L) {
+        while (came.isEmpty() && EventLoop.now() - back < 3_000_000L) {
             from.ship(ship(port, ++number, ""));
             LockSupport.parkNanos(20_000_000L);
         }
         final Frame first = came.poll(1, TimeUnit.SECONDS);
-        assertThat(Duty.now() - back, lessThan(1_000_000L));
+        assertThat(EventLoop.now() - back, lessThan(1_000_000L));
         assertThat(first.stamp().bits(), greaterThan(8L));
     }
 
@@ -129,7 +129,7 @@
         final int port = free();
         final BlockingQueue<Socket> taken = new LinkedBlockingQueue<>();
         peer(port, taken);
-        final Dock from = dock(free());
+        final Transport from = dock(free());
         from.ship(ship(port, 1, ""));
         try (Socket s = taken.poll(2, TimeUnit.SECONDS)) {
             s.setSoTimeout(3_000);
@@ -144,7 +144,7 @@
     void aFullQueueDropsAndCounts() throws Exception {
         final int port = free();
         peer(port, new LinkedBlockingQueue<>());
-        final Dock from = dock(free());
+        final Transport from = dock(free());
         final String pad = "x".repeat(60_000);
         for (int i = 0; i < 800; i++) {
             from.ship(ship(port, 1, pad));
@@ -158,19 +158,19 @@
         final int port = free();
         final BlockingQueue<Socket> taken = new LinkedBlockingQueue<>();
         peer(port, taken).setReceiveBufferSize(32 << 10);
-        final Dock from = dock(free());
+        final Transport from = dock(free());
         from.ship(ship(port, 1, "x".repeat(12 << 20)));
         try (Socket s = taken.poll(2, TimeUnit.SECONDS)) {
             final DataInputStream in = new DataInputStream(s.getInputStream());
             final int size = in.readInt();
-            final long start = Duty.now();
+            final long start = EventLoop.now();
             for (int left = size; left > 0;) {
                 left -= in.readNBytes(Math.min(left, 256 << 10)).length;
                 s.getOutputStream().write(1);
                 from.ship(ship(port, 2, ""));
                 LockSupport.parkNanos(30_000_000L);
             }
-            assertThat(Duty.now() - start, greaterThan(1_000_000L));
+            assertThat(EventLoop.now() - start, greaterThan(1_000_000L));
             in.readNBytes(in.readInt());
             assertThat(from.connects(), is(1L));
             assertThat(from.dropped(), is(0L));
--- a/desk/src/test/java/silverlatch/desk/back/BackTest.java
+++ b/server/src/test/java/silverlatch/server/workerclient/BackTest.java
@@ -1,4 +1,4 @@
-package silverlatch.desk.back;
+package silverlatch.server.workerclient;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -13,11 +13,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import silverlatch.carry.Act;
-import silverlatch.carry.Line;
-import silverlatch.desk.duty.Duty;
-import silverlatch.desk.web.Call;
-import silverlatch.desk.web.Web;
+import silverlatch.dispatch.Act;
+import silverlatch.dispatch.Line;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.web.Call;
+import silverlatch.server.web.Web;
 
 /** The client for workers against a scripted worker on a free port. */
 final class BackTest {
@@ -89,7 +89,7 @@
 
     @Test
     void aRunIsTakenStreamedAndEnds() throws InterruptedException {
-        run("hello", door, Duty.now() + 60_000_000);
+        run("hello", door, EventLoop.now() + 60_000_000);
         assertThat(next(), is("begun"));
         assertThat(next(), is(new Line.Piece("t", "t.1", 0, "hi").toString()));
         assertThat(next(), is("failed true"));
@@ -97,26 +97,26 @@
 
     @Test
     void onlyADenialOrNoConnectionCountsAsNotStarted() throws InterruptedException {
-        run("deny", door, Duty.now() + 60_000_000);
+        run("deny", door, EventLoop.now() + 60_000_000);
         assertThat(next(), is("failed false"));
-        run("trouble", door, Duty.now() + 60_000_000);
+        run("trouble", door, EventLoop.now() + 60_000_000);
         assertThat(next(), is("failed true"));
-        run("hello", "127.0.0.1:1", Duty.now() + 60_000_000);
+        run("hello", "127.0.0.1:1", EventLoop.now() + 60_000_000);
         assertThat(next(), is("failed false"));
     }
 
     @Test
     void aRunThatWouldLeaveTooLateNeverLeaves() throws InterruptedException {
-        run("hello", door, Duty.now() - 1);
+        run("hello", door, EventLoop.now() - 1);
         assertThat(next(), is("failed false"));
-        run("deny", door, Duty.now() + 60_000_000);
+        run("deny", door, EventLoop.now() + 60_000_000);
         assertThat(next(), is("failed false"));
         assertThat(calls.get(), is(1));
     }
 
     @Test
     void aLineBeyondTheBoundIsAFaultOfTheWorker() throws InterruptedException {
-        run("long", door, Duty.now() + 60_000_000);
+        run("long", door, EventLoop.now() + 60_000_000);
         assertThat(next(), is("begun"));
         assertThat(next(), is(new Line.Lost("", "a line longer than 1024 bytes").toString()));
     }
--- a/drill/src/main/java/silverlatch/drill/check/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/check/Main.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.check;
+package silverlatch.simulation.check;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import silverlatch.sheet.Sheet;
+import silverlatch.json.JsonDocument;
 
 /** Holds the consumers' receipts against the workers' own records of what they ran; trusts nothing the daemons say. */
 public final class Main {
@@ -51,11 +51,11 @@
     /** Checks receipts against records. */
     public static Found check(final Path receipts, final Map<String, List<String>> homes, final List<Path> records) throws IOException {
         final List<String> wrong = new ArrayList<>();
-        final Map<String, List<Sheet>> starts = new HashMap<>();
+        final Map<String, List<JsonDocument>> starts = new HashMap<>();
         int runs = 0;
         for (final Path p : records) {
             long left = Long.MAX_VALUE;
-            for (final Sheet s : lines(p)) {
+            for (final JsonDocument s : lines(p)) {
                 final String event = s.text("event", 16);
                 if (event.equals("leave")) {
                     left = s.whole("at", 0, Long.MAX_VALUE);
@@ -76,10 +76,10 @@
         }
         final Map<String, String> keys = new HashMap<>();
         int count = 0;
-        for (final Sheet r : lines(receipts)) {
+        for (final JsonDocument r : lines(receipts)) {
             count++;
             final String ticket = r.text("ticket", 256);
-            final List<Sheet> ran = starts.getOrDefault(ticket, List.of());
+            final List<JsonDocument> ran = starts.getOrDefault(ticket, List.of());
             final String outcome = r.text("outcome", 256);
             if (outcome.startsWith("rejected") && !ran.isEmpty()) {
                 wrong.add("ticket " + ticket + " was rejected and ran");
@@ -102,10 +102,10 @@
         return new Found(count, runs, wrong);
     }
 
-    private static List<Sheet> lines(final Path p) throws IOException {
-        final List<Sheet> list = new ArrayList<>();
+    private static List<JsonDocument> lines(final Path p) throws IOException {
+        final List<JsonDocument> list = new ArrayList<>();
         for (final String line : Files.readAllLines(p)) {
-            if (Sheet.parse(line.getBytes(StandardCharsets.UTF_8), 1 << 20) instanceof Sheet.Parsed.Good g) {
+            if (JsonDocument.parse(line.getBytes(StandardCharsets.UTF_8), 1 << 20) instanceof JsonDocument.Parsed.Good g) {
                 list.add(g.sheet());
             }
         }
--- a/drill/src/main/java/silverlatch/drill/consumer/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/consumer/Main.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.consumer;
+package silverlatch.simulation.consumer;
 
 import java.io.PrintWriter;
 import java.net.URI;
@@ -22,12 +22,12 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
-import silverlatch.carry.Line;
-import silverlatch.carry.permit.Seals;
-import silverlatch.desk.back.Lines;
-import silverlatch.desk.duty.Duty;
-import silverlatch.drill.worker.Speech;
-import silverlatch.sheet.Sheet;
+import silverlatch.dispatch.Line;
+import silverlatch.dispatch.permit.Seals;
+import silverlatch.server.workerclient.Lines;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.simulation.worker.Speech;
+import silverlatch.json.JsonDocument;
 
 /** A stand-in for all consumers: an open load of mixed kinds, each reply verified and put down in a file of receipts. */
 public final class Main {
@@ -84,12 +84,12 @@
                 sorts.add(f);
             }
         }
-        final long begin = Duty.now();
+        final long begin = EventLoop.now();
         double due = 0;
         for (long n = 0; due < seconds * 1e6; n++) {
             final boolean middle = due > seconds * 1e6 / 3 && due < seconds * 2e6 / 3;
             due += 1e6 / rate / (middle ? crowd : 1);
-            final long wait = begin + (long) due - Duty.now();
+            final long wait = begin + (long) due - EventLoop.now();
             if (wait > 0) {
                 TimeUnit.MICROSECONDS.sleep(wait);
             }
@@ -104,8 +104,8 @@
                 new Trip(who[0], who[1], f[0], key, trip.prompt, trip.prefix, luck.nextLong()).go();
             }
         }
-        final long end = Duty.now() + 20_000_000;
-        while (open.get() > 0 && Duty.now() < end) {
+        final long end = EventLoop.now() + 20_000_000;
+        while (open.get() > 0 && EventLoop.now() < end) {
             TimeUnit.MILLISECONDS.sleep(20);
         }
         synchronized (this) {
@@ -143,7 +143,7 @@
         private final List<String> prefix;
         private final SplittableRandom luck;
         private final MessageDigest sum = Seals.digest();
-        private final long begin = Duty.now();
+        private final long begin = EventLoop.now();
         private String ticket = "";
         private String worker = "";
         private long table;
@@ -201,7 +201,7 @@
             final java.io.ByteArrayOutputStream other = new java.io.ByteArrayOutputStream();
             http.newRequest(URI.create("http://" + door + "/v1/tickets")).method("POST")
                     .headers(h -> h.put("Authorization", "Bearer " + secret))
-                    .body(new StringRequestContent("application/json", Sheet.write(Map.of("permit", permit, "prefix", prefix,
+                    .body(new StringRequestContent("application/json", JsonDocument.write(Map.of("permit", permit, "prefix", prefix,
                             "prompt", prompt, "expiryMs", 15_000))))
                     .timeout(18, TimeUnit.SECONDS)
                     .onResponseContent((r, b) -> {
@@ -221,7 +221,7 @@
                 case Line.Piece p -> {
                     if (next == 0 && fault.isEmpty()) {
                         synchronized (Main.this) {
-                            firsts.add(Duty.now() - begin);
+                            firsts.add(EventLoop.now() - begin);
                         }
                         run = p.run();
                     }
@@ -253,20 +253,20 @@
         private void over(final Result result, final byte[] other) {
             final int code = result.getResponse().getStatus();
             if (!fault.isEmpty()) {
-                end("BAD " + fault, Sheet.empty());
+                end("BAD " + fault, JsonDocument.empty());
             } else if (last.filter(l -> l instanceof Line.Seal).isPresent()) {
-                end("done", Sheet.empty());
+                end("done", JsonDocument.empty());
             } else if (last.isPresent()) {
-                end("lost", Sheet.empty());
+                end("lost", JsonDocument.empty());
             } else if (code >= 400 && result.isSucceeded()) {
-                final Sheet s = Sheet.parse(other, 1 << 20) instanceof Sheet.Parsed.Good g ? g.sheet() : Sheet.empty();
+                final JsonDocument s = JsonDocument.parse(other, 1 << 20) instanceof JsonDocument.Parsed.Good g ? g.sheet() : JsonDocument.empty();
                 end("rejected-" + code, s);
             } else {
-                end(code == 200 || next > 0 ? "cut" : "broken", Sheet.empty());
+                end(code == 200 || next > 0 ? "cut" : "broken", JsonDocument.empty());
             }
         }
 
-        private void end(final String outcome, final Sheet s) {
+        private void end(final String outcome, final JsonDocument s) {
             count(kind + " " + outcome);
             if (outcome.startsWith("BAD")) {
                 count("BAD");
@@ -277,21 +277,21 @@
             map.put("picked", picked);
             map.put("why", s.has("faults") ? String.join("; ", s.texts("faults", 10, 500)) : "");
             synchronized (Main.this) {
-                book.println(Sheet.write(map));
+                book.println(JsonDocument.write(map));
             }
             open.decrementAndGet();
         }
 
         private void post(final String door, final String path, final Map<String, Object> body,
-                          final java.util.function.BiConsumer<Integer, Sheet> then) {
+                          final java.util.function.BiConsumer<Integer, JsonDocument> then) {
             http.newRequest(URI.create("http://" + door + path)).method("POST")
                     .headers(h -> h.put("Authorization", "Bearer " + secret))
-                    .body(new StringRequestContent("application/json", Sheet.write(body))).timeout(5, TimeUnit.SECONDS)
+                    .body(new StringRequestContent("application/json", JsonDocument.write(body))).timeout(5, TimeUnit.SECONDS)
                     .send(new BufferingResponseListener() {
                         @Override
                         public void onComplete(final Result result) {
-                            final Sheet s = result.isSucceeded() && Sheet.parse(getContent(), 1 << 20) instanceof Sheet.Parsed.Good g
-                                    ? g.sheet() : Sheet.empty();
+                            final JsonDocument s = result.isSucceeded() && JsonDocument.parse(getContent(), 1 << 20) instanceof JsonDocument.Parsed.Good g
+                                    ? g.sheet() : JsonDocument.empty();
                             then.accept(result.isSucceeded() ? result.getResponse().getStatus() : 0, s);
                         }
                     });
--- a/drill/src/main/java/silverlatch/drill/fleet/Fleet.java
+++ b/simulation/src/main/java/silverlatch/simulation/fleet/Fleet.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.fleet;
+package silverlatch.simulation.fleet;
 
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -15,13 +15,13 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
-import silverlatch.sheet.Sheet;
+import silverlatch.json.JsonDocument;
 
 /** A whole fleet of processes on this machine, for drills and tests; it ends what it started. */
 public final class Fleet implements AutoCloseable {
     /** The operator's key of a drill. */
-    public static final String OPERATOR = "drill-operator-key";
-    private static final String WORKERS = "drill-workers-key";
+    public static final String OPERATOR = "simulation-operator-key";
+    private static final String WORKERS = "simulation-workers-key";
     private final Path folder;
     private final Plan plan;
     private final String classes;
@@ -49,26 +49,26 @@
         int n = 0;
         for (final Plan.Region r : plan.regions()) {
             n++;
-            daemon("harbor-" + n, "silverlatch.desk.harbor.Main", r, seeds.get(n - 1), folder.resolve("data-" + n));
+            daemon("controller-" + n, "silverlatch.server.controller.Main", r, seeds.get(n - 1), folder.resolve("data-" + n));
         }
         n = 0;
         for (final Plan.Region r : plan.regions()) {
-            for (int i = 0; i < r.pursers(); i++) {
-                daemon("purser-" + ++n, "silverlatch.desk.purser.Main", r, free(), Path.of(""));
+            for (int i = 0; i < r.gateways(); i++) {
+                daemon("gateway-" + ++n, "silverlatch.server.gateway.Main", r, free(), Path.of(""));
             }
         }
         n = 0;
         int at = 0;
         for (final Plan.Region r : plan.regions()) {
             final List<String> near = new ArrayList<>();
-            for (int i = 0; i < r.pursers(); i++) {
-                near.add(door("purser-" + ++at));
+            for (int i = 0; i < r.gateways(); i++) {
+                near.add(door("gateway-" + ++at));
             }
             for (int i = 0; i < r.workers(); i++) {
                 final String door = free();
                 final String name = "worker-" + ++n;
-                parts.put(name, new Part(name, "silverlatch.drill.worker.Main", List.of("--name", name, "--zone", r.zone(), "--region", r.region(),
-                        "--door", door, "--pursers", String.join(",", near), "--key", WORKERS, "--record", folder.resolve(name + ".runs").toString()),
+                parts.put(name, new Part(name, "silverlatch.simulation.worker.Main", List.of("--name", name, "--zone", r.zone(), "--region", r.region(),
+                        "--door", door, "--gateways", String.join(",", near), "--key", WORKERS, "--record", folder.resolve(name + ".runs").toString()),
                         "", door, new ArrayList<>()));
             }
         }
@@ -76,15 +76,15 @@
 
     /** Writes the settings that all daemons read at their next start. */
     public void settings(final Map<String, Object> more) throws IOException {
-        final Map<String, Object> all = new LinkedHashMap<>(Map.of("seeds", seeds, "key", "drill-cluster-key-of-this-fleet",
+        final Map<String, Object> all = new LinkedHashMap<>(Map.of("seeds", seeds, "key", "simulation-cluster-key-of-this-fleet",
                 "operator", OPERATOR, "worker", WORKERS));
         all.putAll(more);
-        Files.writeString(folder.resolve("settings.json"), Sheet.write(all));
+        Files.writeString(folder.resolve("settings.json"), JsonDocument.write(all));
     }
 
-    /** Adds a harbor at a new address, with an empty data folder or with none. */
-    public void harbor(final String name, final Plan.Region region, final boolean disk) throws IOException {
-        daemon(name, "silverlatch.desk.harbor.Main", region, free(), disk ? folder.resolve("data-" + name) : Path.of(""));
+    /** Adds a controller at a new address, with an empty data folder or with none. */
+    public void controller(final String name, final Plan.Region region, final boolean disk) throws IOException {
+        daemon(name, "silverlatch.server.controller.Main", region, free(), disk ? folder.resolve("data-" + name) : Path.of(""));
     }
 
     /** The processes that stand in a region. */
@@ -166,9 +166,9 @@
         new ProcessBuilder("kill", on ? "-STOP" : "-CONT", "" + id).start().waitFor();
     }
 
-    /** Takes a harbor's data folder away. */
-    public void wipe(final String harbor) throws IOException {
-        final Path data = folder.resolve("data-" + harbor.substring(harbor.indexOf('-') + 1));
+    /** Takes a controller's data folder away. */
+    public void wipe(final String controller) throws IOException {
+        final Path data = folder.resolve("data-" + controller.substring(controller.indexOf('-') + 1));
         if (Files.exists(data)) {
             try (Stream<Path> files = Files.walk(data)) {
                 for (final Path f : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
@@ -254,9 +254,9 @@
     public List<Integer> load() throws IOException, InterruptedException {
         final List<Integer> codes = new ArrayList<>();
         for (final Plan.Tenant t : plan.tenants()) {
-            codes.add(ask("harbor-1", "PUT", "/v1/tenants/" + t.name(), Sheet.write(Map.of("key", t.key(), "share", t.share(), "homes", t.homes()))).statusCode());
+            codes.add(ask("controller-1", "PUT", "/v1/tenants/" + t.name(), JsonDocument.write(Map.of("key", t.key(), "share", t.share(), "homes", t.homes()))).statusCode());
         }
-        codes.add(ask("harbor-1", "PUT", "/v1/table", Files.readString(plan.table())).statusCode());
+        codes.add(ask("controller-1", "PUT", "/v1/table", Files.readString(plan.table())).statusCode());
         return codes;
     }
 
@@ -283,7 +283,7 @@
                 "--zone", r.zone(), "--region", r.region(), "--address", address, "--door", door));
         if (!data.toString().isEmpty()) {
             args.addAll(List.of("--data", data.toString()));
-        } else if (name.startsWith("purser")) {
+        } else if (name.startsWith("gateway")) {
             args.addAll(List.of("--record", folder.resolve(name + ".day").toString()));
         }
         parts.put(name, new Part(name, main, args, address, door, new ArrayList<>()));
--- a/drill/src/main/java/silverlatch/drill/fleet/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/fleet/Main.java
@@ -1,10 +1,10 @@
-package silverlatch.drill.fleet;
+package silverlatch.simulation.fleet;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import silverlatch.sheet.Sheet;
+import silverlatch.json.JsonDocument;
 
 /** Stands up a deployment, serves a mixed load for some seconds, changes a cell, and checks every reply. */
 public final class Main {
@@ -25,13 +25,13 @@
     }
 
     private static boolean obeyed(final Path receipts, final String changed, final long acked) throws Exception {
-        final long sequence = Sheet.parse(changed.getBytes(java.nio.charset.StandardCharsets.UTF_8), 4096) instanceof Sheet.Parsed.Good g
+        final long sequence = JsonDocument.parse(changed.getBytes(java.nio.charset.StandardCharsets.UTF_8), 4096) instanceof JsonDocument.Parsed.Good g
                 ? g.sheet().whole("sequence", 1, Long.MAX_VALUE) : Long.MAX_VALUE;
         long under = 0;
         long late = 0;
         long first = Long.MAX_VALUE;
         for (final String line : Files.readAllLines(receipts)) {
-            if (Sheet.parse(line.getBytes(java.nio.charset.StandardCharsets.UTF_8), 1 << 20) instanceof Sheet.Parsed.Good r
+            if (JsonDocument.parse(line.getBytes(java.nio.charset.StandardCharsets.UTF_8), 1 << 20) instanceof JsonDocument.Parsed.Good r
                     && r.sheet().whole("picked", 0, Long.MAX_VALUE) > 0) {
                 final long at = r.sheet().whole("picked", 0, Long.MAX_VALUE);
                 final boolean fresh = r.sheet().whole("table", 0, Long.MAX_VALUE) >= sequence;
@@ -45,20 +45,20 @@
     }
 
     private static int drive(final Fleet fleet, final int seconds, final String rate) throws Exception {
-        fleet.all("harbor");
-        fleet.all("purser");
+        fleet.all("controller");
+        fleet.all("gateway");
         fleet.all("worker");
-        System.out.println("harbors ready: " + fleet.ready("harbor", 40));
+        System.out.println("controllers ready: " + fleet.ready("controller", 40));
         System.out.println("tenants and table: " + fleet.load());
-        System.out.println("pursers ready: " + fleet.ready("purser", 40));
+        System.out.println("gateways ready: " + fleet.ready("gateway", 40));
         Thread.sleep(2_000);
         final Path receipts = fleet.folder().resolve("receipts");
         final Path out = fleet.folder().resolve("consumer.out");
-        final Process load = fleet.begin("silverlatch.drill.consumer.Main", out, List.of("--doors", fleet.doors("purser"), "--seconds", "" + seconds,
+        final Process load = fleet.begin("silverlatch.simulation.consumer.Main", out, List.of("--doors", fleet.doors("gateway"), "--seconds", "" + seconds,
                 "--rate", rate, "--tenants", fleet.plan().people(), "--kinds", fleet.plan().sorts(), "--receipts", receipts.toString()));
         Thread.sleep(seconds * 500L);
         final String kind = fleet.plan().kinds().getFirst().kind();
-        final String changed = fleet.ask("harbor-2", "PATCH", "/v1/table", "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"" + kind
+        final String changed = fleet.ask("controller-2", "PATCH", "/v1/table", "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"" + kind
                 + "\",\"field\":\"cross\",\"value\":2}]}").body();
         final long acked = System.currentTimeMillis();
         System.out.println("cell changed: " + changed);
@@ -67,7 +67,7 @@
         final List<String> words = new ArrayList<>(List.of(receipts.toString(), fleet.plan().homes()));
         fleet.names("worker").forEach(w -> words.add(fleet.folder().resolve(w + ".runs").toString()));
         final Path checked = fleet.folder().resolve("check.out");
-        final int right = fleet.run("silverlatch.drill.check.Main", checked, words);
+        final int right = fleet.run("silverlatch.simulation.check.Main", checked, words);
         System.out.print(Files.readString(checked));
         final boolean obeyed = obeyed(receipts, changed, acked);
         return served == 0 && right == 0 && obeyed ? 0 : 1;
--- a/drill/src/main/java/silverlatch/drill/fleet/Plan.java
+++ b/simulation/src/main/java/silverlatch/simulation/fleet/Plan.java
@@ -1,11 +1,11 @@
-package silverlatch.drill.fleet;
+package silverlatch.simulation.fleet;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import silverlatch.sheet.Sheet;
+import silverlatch.json.JsonDocument;
 
 /** A deployment to be stood up on one machine. */
 public record Plan(String name, List<Region> regions, List<Kind> kinds, List<Tenant> tenants, Path table) {
@@ -16,8 +16,8 @@
         tenants = List.copyOf(tenants);
     }
 
-    /** A region with one zone, and what stands there beside one harbor. */
-    public record Region(String region, String zone, int pursers, int workers) {
+    /** A region with one zone, and what stands there beside one controller. */
+    public record Region(String region, String zone, int gateways, int workers) {
     }
 
     /** A kind of ticket, and how often and how long it comes. */
@@ -34,13 +34,13 @@
 
     /** Reads the plan of a folder under examples. */
     public static Plan read(final Path folder) throws IOException {
-        if (!(Sheet.parse(Files.readAllBytes(folder.resolve("plan.json")), 1 << 20) instanceof Sheet.Parsed.Good good)) {
+        if (!(JsonDocument.parse(Files.readAllBytes(folder.resolve("plan.json")), 1 << 20) instanceof JsonDocument.Parsed.Good good)) {
             throw new IOException("the plan is not JSON");
         }
-        final Sheet s = good.sheet();
+        final JsonDocument s = good.sheet();
         final List<Region> regions = new ArrayList<>();
         s.sheets("regions", 16).forEach(r -> regions.add(new Region(r.text("region", 64), r.text("zone", 64),
-                (int) r.whole("pursers", 0, 64), (int) r.whole("workers", 0, 64))));
+                (int) r.whole("gateways", 0, 64), (int) r.whole("workers", 0, 64))));
         final List<Kind> kinds = new ArrayList<>();
         s.sheets("kinds", 16).forEach(k -> kinds.add(new Kind(k.text("kind", 64), (int) k.whole("weight", 0, 100),
                 (int) k.whole("pieces", 1, 1000), (int) k.whole("prefix", 0, 64), k.flag("once", false))));
--- a/drill/src/main/java/silverlatch/drill/hollow/Hollow.java
+++ b/simulation/src/main/java/silverlatch/simulation/hollow/Hollow.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.hollow;
+package silverlatch.simulation.hollow;
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
@@ -13,16 +13,16 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import silverlatch.crew.Crew;
-import silverlatch.crew.Member;
-import silverlatch.deck.Deck;
-import silverlatch.deck.Effect;
-import silverlatch.quay.Berth;
-import silverlatch.quay.Quay;
-import silverlatch.rumor.Rumor;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Wish;
-import silverlatch.tide.Anchor;
+import silverlatch.membership.Membership;
+import silverlatch.membership.Member;
+import silverlatch.node.Node;
+import silverlatch.node.Effect;
+import silverlatch.replication.Replica;
+import silverlatch.replication.ChainReplica;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
+import silverlatch.state.Command;
+import silverlatch.clock.PhysicalClock;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
 
@@ -35,8 +35,8 @@
     private static final long NEAR = 1_000L;
     private static final long FAR = 35_000L;
     private static final int CHAIN = 3;
-    private final List<Node> nodes = new ArrayList<>();
-    private final Map<String, Node> byAddress = new HashMap<>();
+    private final List<HollowDaemon> nodes = new ArrayList<>();
+    private final Map<String, HollowDaemon> byAddress = new HashMap<>();
     private final List<Hand> hands = new ArrayList<>();
     private final PriorityQueue<Job> jobs = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
             : Long.compare(a.turn(), b.turn()));
@@ -54,27 +54,27 @@
     }
 
     /** When the first and the last daemon knew. */
-    record Spread(Predicate<Deck> known, Set<Node> waiting, long[] last) {
+    record Spread(Predicate<Node> known, Set<HollowDaemon> waiting, long[] last) {
     }
 
     private record Job(long at, long turn, Runnable work) {
     }
 
     /** One deck and what it did since the counts were last cleared. */
-    static final class Node {
+    static final class HollowDaemon {
         private final Member me;
-        private final Deck deck;
+        private final Node deck;
         private long frames;
         private long bytes;
         private long nanos;
 
-        Node(final Member me, final Deck deck) {
+        HollowDaemon(final Member me, final Node deck) {
             this.me = me;
             this.deck = deck;
         }
     }
 
-    /** A worker: which harbor it likes, and what it says. */
+    /** A worker: which controller it likes, and what it says. */
     private static final class Hand {
         private final int home;
         private Worker word;
@@ -90,13 +90,13 @@
         final int regions = Math.clamp(daemons / 12, 1, 14);
         final List<String> seeds = List.of(address(0), address(1), address(2));
         for (int i = 0; i < daemons; i++) {
-            final boolean harbor = i < HARBORS;
+            final boolean controller = i < HARBORS;
             final String region = "region-" + i % regions;
-            final Member me = new Member((harbor ? "harbor-" : "purser-") + i, harbor ? "harbor" : "purser", region + "-" + i / regions % 3, region,
+            final Member me = new Member((controller ? "controller-" : "gateway-") + i, controller ? "controller" : "gateway", region + "-" + i / regions % 3, region,
                     address(i), address(i) + "0", wall() / 1000 + i, 0, "up", true);
-            final Optional<Quay.Setup> chain = i < CHAIN ? Optional.of(Quay.Setup.of(new Berth("disk-" + i, address(i)), seeds)) : Optional.empty();
-            final Node node = new Node(me, new Deck(new Deck.Setup(me, seeds, 7, 50_000, Crew.Times.QUIET, Rumor.Times.QUIET), chain, List.of(),
-                    new Anchor(wall(), now, 0), luck.split(), now));
+            final Optional<ChainReplica.Setup> chain = i < CHAIN ? Optional.of(ChainReplica.Setup.of(new Replica("disk-" + i, address(i)), seeds)) : Optional.empty();
+            final HollowDaemon node = new HollowDaemon(me, new Node(new Node.Setup(me, seeds, 7, 50_000, Membership.Times.QUIET, Gossip.Times.QUIET), chain, List.of(),
+                    new PhysicalClock(wall(), now, 0), luck.split(), now));
             nodes.add(node);
             byAddress.put(me.address(), node);
             in(luck.nextLong(BEAT), () -> beat(node));
@@ -146,8 +146,8 @@
     }
 
     /** What the daemons of one role did. */
-    Tally tally(final boolean harbor) {
-        final List<Node> list = nodes.stream().filter(n -> n.me.purser() != harbor).toList();
+    Tally tally(final boolean controller) {
+        final List<HollowDaemon> list = nodes.stream().filter(n -> n.me.gateway() != controller).toList();
         return new Tally(list.size(), list.stream().mapToLong(n -> n.frames).sum(), list.stream().mapToLong(n -> n.bytes).sum(),
                 list.stream().mapToLong(n -> n.nanos).sum());
     }
@@ -175,16 +175,16 @@
     }
 
     /** One cell of the table changes; gives how long from the wish until all follow it, or -1 after the span. */
-    long rule(final Wish wish, final long span) {
-        final Node node = nodes.get(luck.nextInt(CHAIN));
+    long rule(final Command wish, final long span) {
+        final HollowDaemon node = nodes.get(luck.nextInt(CHAIN));
         final long token = ++turn;
         final long[] page = {Long.MAX_VALUE};
-        asked.put(token, v -> page[0] = v instanceof silverlatch.tariff.Verdict.Kept k ? k.sequence() : Long.MAX_VALUE);
+        asked.put(token, v -> page[0] = v instanceof silverlatch.state.CommandResult.Applied k ? k.sequence() : Long.MAX_VALUE);
         work(node, () -> node.deck.wish(wish, token, now, now + 5 * SECOND));
         return until(d -> d.rumor().books().page() >= page[0], span);
     }
 
-    private long until(final Predicate<Deck> known, final long span) {
+    private long until(final Predicate<Node> known, final long span) {
         final long start = now;
         spread = Optional.of(new Spread(known, new HashSet<>(nodes), new long[] {now}));
         while (now - start < span && !spread.get().waiting().isEmpty()) {
@@ -198,7 +198,7 @@
         return s.waiting().isEmpty() ? s.last()[0] - start : -1;
     }
 
-    private void check(final Node n) {
+    private void check(final HollowDaemon n) {
         spread.filter(s -> s.waiting().contains(n) && s.known().test(n.deck)).ifPresent(s -> {
             s.waiting().remove(n);
             s.last()[0] = now;
@@ -213,7 +213,7 @@
         return 1_700_000_000_000_000_000L + now * 1000;
     }
 
-    private void beat(final Node n) {
+    private void beat(final HollowDaemon n) {
         work(n, () -> n.deck.tick(now, wall()));
         in(BEAT, () -> beat(n));
     }
@@ -229,11 +229,11 @@
     }
 
     private void say(final Hand hand) {
-        final Node n = nodes.get(hand.home);
+        final HollowDaemon n = nodes.get(hand.home);
         work(n, () -> n.deck.announced(hand.word, 0, now));
     }
 
-    private void work(final Node n, final Runnable job) {
+    private void work(final HollowDaemon n, final Runnable job) {
         final long start = threads.getCurrentThreadCpuTime();
         job.run();
         final List<Letter> letters = new ArrayList<>();
@@ -245,7 +245,7 @@
         check(n);
     }
 
-    private void effect(final Node n, final Effect e) {
+    private void effect(final HollowDaemon n, final Effect e) {
         switch (e) {
             case Effect.Keep k -> in(NEAR, () -> work(n, () -> n.deck.kept(k.token(), now)));
             case Effect.Answer a -> Optional.ofNullable(asked.remove(a.token())).ifPresent(c -> c.accept(a.reply()));
@@ -254,7 +254,7 @@
         }
     }
 
-    private void ship(final Node from, final Letter l) {
+    private void ship(final HollowDaemon from, final Letter l) {
         from.frames++;
         from.bytes += l.bytes().length + Integer.BYTES;
         Optional.ofNullable(byAddress.get(l.to())).ifPresent(to -> in(from.me.region().equals(to.me.region()) ? NEAR : FAR, () -> work(to, () -> {
--- a/drill/src/main/java/silverlatch/drill/hollow/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/hollow/Main.java
@@ -1,11 +1,11 @@
-package silverlatch.drill.hollow;
+package silverlatch.simulation.hollow;
 
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import silverlatch.tariff.Tariff;
-import silverlatch.tariff.Wish;
+import silverlatch.state.TableRules;
+import silverlatch.state.Command;
 
 /** Takes the figures of docs/CAPACITY.md with daemons that share a process. */
 public final class Main {
@@ -52,7 +52,7 @@
         final Hollow fleet = new Hollow(ask.daemons(), ask.workers(), ask.seed());
         System.out.println("hollow " + ask.daemons() + " daemons, " + ask.workers() + " workers, seed " + ask.seed());
         fleet.pass(8 * Hollow.SECOND);
-        fleet.rule(new Wish.Table("table", List.of(Tariff.plain("*", "chat")), -1), 5 * Hollow.SECOND);
+        fleet.rule(new Command.PutTable("table", List.of(TableRules.plain("*", "chat")), -1), 5 * Hollow.SECOND);
         fleet.pass(12 * Hollow.SECOND);
         show("start", fleet);
         System.out.println("settled after 20 s: " + fleet.settled());
@@ -68,7 +68,7 @@
         final List<Long> rules = new ArrayList<>();
         for (int i = 0; i < TRIALS; i++) {
             words.add(second(fleet, fleet.change(Hollow.SECOND)));
-            rules.add(second(fleet, fleet.rule(new Wish.Cells("rule-" + i, List.of(new Wish.Cell("*", "chat", "rate", "" + (500 + i))), -1),
+            rules.add(second(fleet, fleet.rule(new Command.PatchTable("rule-" + i, List.of(new Command.Cell("*", "chat", "rate", "" + (500 + i))), -1),
                     Hollow.SECOND)));
         }
         show("under change, a worker's and a rule's in turn, some 0.8 a second", fleet);
@@ -84,10 +84,10 @@
     }
 
     private static void show(final String phase, final Hollow fleet) {
-        for (final boolean harbor : new boolean[] {false, true}) {
-            final Hollow.Tally t = fleet.tally(harbor);
+        for (final boolean controller : new boolean[] {false, true}) {
+            final Hollow.Tally t = fleet.tally(controller);
             final double each = (double) t.daemons() * fleet.counted() / Hollow.SECOND;
-            System.out.printf("%s: each %s sends %.1f frames/s, %.0f bytes/s, works %.2f ms/s%n", phase, harbor ? "harbor" : "purser",
+            System.out.printf("%s: each %s sends %.1f frames/s, %.0f bytes/s, works %.2f ms/s%n", phase, controller ? "controller" : "gateway",
                     t.frames() / each, t.bytes() / each, t.nanos() / 1e6 / each);
         }
     }
--- a/drill/src/main/java/silverlatch/drill/measure/Bits.java
+++ b/simulation/src/main/java/silverlatch/simulation/measure/Bits.java
@@ -1,12 +1,12 @@
-package silverlatch.drill.measure;
+package silverlatch.simulation.measure;
 
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import silverlatch.tide.Ntp;
-import silverlatch.tide.Stamp;
-import silverlatch.tide.Step;
-import silverlatch.tide.Tide;
+import silverlatch.clock.Ntp;
+import silverlatch.clock.Stamp;
+import silverlatch.clock.ClockReading;
+import silverlatch.clock.PwcClock;
 
 /** How many low bits stamps need, by rate and skew: algorithm 1 on random graphs, as in section 5.1 of the source. */
 final class Bits {
@@ -35,10 +35,10 @@
         final SplittableRandom luck = new SplittableRandom(seed);
         final long bound = Ntp.span((long) (skew * 1000));
         final long[] off = new long[NODES];
-        final Tide[] tides = new Tide[NODES];
+        final PwcClock[] tides = new PwcClock[NODES];
         for (int i = 0; i < NODES; i++) {
             off[i] = leader ? i == 0 ? bound : 0 : luck.nextLong(bound + 1);
-            tides[i] = Tide.start(Ntp.span(1_000_000) + off[i], WIDE, bound * 4, 0);
+            tides[i] = PwcClock.start(Ntp.span(1_000_000) + off[i], WIDE, bound * 4, 0);
         }
         final PriorityQueue<Mail> mail = new PriorityQueue<>(Comparator.comparingLong(Mail::due).thenComparingLong(Mail::number));
         final long[] count = new long[WIDE + 2];
@@ -51,7 +51,7 @@
             at = take ? mail.peek().due() : next;
             final long real = Ntp.span(1_000_000 + (long) at);
             final int node;
-            final Step step;
+            final ClockReading step;
             if (take) {
                 final Mail m = mail.poll();
                 node = m.to();
@@ -61,7 +61,7 @@
                 step = tides[node].send(real + off[node]);
                 next += gap * (0.5 + luck.nextDouble());
             }
-            if (step instanceof Step.Made made) {
+            if (step instanceof ClockReading.Made made) {
                 tides[node] = made.tide();
                 final int need = 64 - Long.numberOfLeadingZeros(made.stamp().bits() & (1L << WIDE) - 1);
                 count[need]++;
--- a/drill/src/main/java/silverlatch/drill/measure/Disks.java
+++ b/simulation/src/main/java/silverlatch/simulation/measure/Disks.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.measure;
+package silverlatch.simulation.measure;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -6,13 +6,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import silverlatch.desk.duty.Duty;
-import silverlatch.ledger.Ledger;
-import silverlatch.ledger.Note;
-import silverlatch.quay.Change;
-import silverlatch.tariff.Entry;
-import silverlatch.tariff.Leaf;
-import silverlatch.tide.Stamp;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.log.WriteAheadLog;
+import silverlatch.log.LogRecord;
+import silverlatch.replication.LogEntry;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+import silverlatch.clock.Stamp;
 
 /** How long the ledger takes on this machine's disk: to write and sync batches, and to be read again. */
 final class Disks {
@@ -24,13 +24,13 @@
         System.out.println("| --- | --- |");
         for (final int batch : new int[] {1, 16, 256}) {
             final Path folder = Files.createTempDirectory("silverlatch-disk");
-            final Ledger.Opened.Good open = (Ledger.Opened.Good) Ledger.open(folder);
+            final WriteAheadLog.Opened.Good open = (WriteAheadLog.Opened.Good) WriteAheadLog.open(folder);
             final long[] spans = new long[50];
             for (int i = 0; i < spans.length; i++) {
-                final List<Note> notes = notes(i * batch, batch);
-                final long at = Duty.now();
+                final List<LogRecord> notes = notes(i * batch, batch);
+                final long at = EventLoop.now();
                 open.ledger().write(notes);
-                spans[i] = Duty.now() - at;
+                spans[i] = EventLoop.now() - at;
             }
             Arrays.sort(spans);
             System.out.println("| " + batch + " | " + spans[0] + "/" + spans[25] + "/" + spans[49] + " |");
@@ -40,16 +40,16 @@
         System.out.println("| --- | --- |");
         for (final int count : new int[] {1_000, 10_000, 100_000}) {
             final Path folder = Files.createTempDirectory("silverlatch-disk");
-            final Ledger.Opened.Good open = (Ledger.Opened.Good) Ledger.open(folder);
+            final WriteAheadLog.Opened.Good open = (WriteAheadLog.Opened.Good) WriteAheadLog.open(folder);
             for (int i = 0; i < count; i += 500) {
                 open.ledger().write(notes(i, 500));
             }
             open.ledger().close();
             final long[] spans = new long[5];
             for (int i = 0; i < spans.length; i++) {
-                final long at = Duty.now();
-                final Ledger.Opened.Good again = (Ledger.Opened.Good) Ledger.open(folder);
-                spans[i] = (Duty.now() - at) / 1000;
+                final long at = EventLoop.now();
+                final WriteAheadLog.Opened.Good again = (WriteAheadLog.Opened.Good) WriteAheadLog.open(folder);
+                spans[i] = (EventLoop.now() - at) / 1000;
                 again.ledger().close();
             }
             Arrays.sort(spans);
@@ -57,11 +57,11 @@
         }
     }
 
-    private static List<Note> notes(final int first, final int count) {
-        final List<Note> list = new ArrayList<>();
+    private static List<LogRecord> notes(final int first, final int count) {
+        final List<LogRecord> list = new ArrayList<>();
         for (int i = first; i < first + count; i++) {
-            list.add(new Note.Deed(new Change(i + 1, 1, new Stamp(i + 1), List.of(new Entry("c/" + "0123456789abcdef".repeat(4) + i, i + 1,
-                    List.of(new Leaf.Claim("purser-1-ticket-" + i, "purser-1", "running", i, 0)))))));
+            list.add(new LogRecord.Appended(new LogEntry(i + 1, 1, new Stamp(i + 1), List.of(new Entry("c/" + "0123456789abcdef".repeat(4) + i, i + 1,
+                    List.of(new Value.Claim("gateway-1-ticket-" + i, "gateway-1", "running", i, 0)))))));
         }
         return list;
     }
--- a/drill/src/main/java/silverlatch/drill/measure/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/measure/Main.java
@@ -1,8 +1,8 @@
-package silverlatch.drill.measure;
+package silverlatch.simulation.measure;
 
 import java.nio.file.Path;
-import silverlatch.drill.fleet.Plan;
-import silverlatch.drill.sim.Measure;
+import silverlatch.simulation.fleet.Plan;
+import silverlatch.simulation.sim.Measure;
 
 /** Takes the figures of docs/measure.md: bits, spread, mend, crowd or disk. */
 public final class Main {
--- a/drill/src/main/java/silverlatch/drill/sim/Aims.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Aims.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.List;
 
--- a/drill/src/main/java/silverlatch/drill/sim/Day.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Day.java
@@ -1,11 +1,11 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import silverlatch.drill.fleet.Plan;
-import silverlatch.guard.Guards;
+import silverlatch.simulation.fleet.Plan;
+import silverlatch.safeguard.Safeguards;
 
 /** A day in the simulator: it opens, faults come one after another, it heals, it is judged, and some end with one last fault. */
 public final class Day {
@@ -44,9 +44,9 @@
     }
 
     /** Runs a day; its faults last as long and overlap as the seed will. */
-    public static Came run(final Plan plan, final Script script, final Guards guards, final boolean loud) {
+    public static Came run(final Plan plan, final Script script, final Safeguards guards, final boolean loud) {
         final World w = new World(plan, script.seed(), script.rate(), guards, loud);
-        w.harbors().forEach(n -> n.disk().ifPresent(d -> d.lies(script.lying())));
+        w.controllers().forEach(n -> n.disk().ifPresent(d -> d.lies(script.lying())));
         w.open();
         final long begin = w.engine().now();
         w.engine().run(begin + 5 * SECOND);
@@ -61,8 +61,8 @@
             usual.pass(rest);
         }
         usual.pass(35 * SECOND);
-        w.harbors().forEach(Node::start);
-        w.pursers().forEach(Node::start);
+        w.controllers().forEach(SimulatedNode::start);
+        w.gateways().forEach(SimulatedNode::start);
         w.mills().forEach(Mill::start);
         usual.pass(10 * SECOND);
         final long end = w.engine().now();
@@ -82,7 +82,7 @@
         if (usual.all() == 0 || w.watch().tally().getOrDefault("runs", 0L) < 20) {
             w.watch().fault(Mark.IDLE, "nothing was exercised");
         }
-        w.harbors().forEach(n -> n.disk().ifPresent(d -> w.watch().most("torn", d.torn())));
+        w.controllers().forEach(n -> n.disk().ifPresent(d -> w.watch().most("torn", d.torn())));
         return new Came(script, w.watch().wrong(), w.watch().tally(), w.story());
     }
 
--- a/drill/src/main/java/silverlatch/drill/sim/Disk.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Disk.java
@@ -1,15 +1,15 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import silverlatch.deck.Effect;
-import silverlatch.ledger.Note;
+import silverlatch.node.Effect;
+import silverlatch.log.LogRecord;
 
 /** A small disk: what is synced stays, what is not may be gone; it can stall, fill up, limp, or be taken away. */
 public final class Disk {
     private final Engine engine;
-    private final List<Note> notes = new ArrayList<>();
+    private final List<LogRecord> notes = new ArrayList<>();
     private final java.util.Deque<Effect.Keep> afloat = new java.util.ArrayDeque<>();
     private final List<Runnable> waiting = new ArrayList<>();
     private String identity;
@@ -34,7 +34,7 @@
     }
 
     /** All that was synced. */
-    public List<Note> notes() {
+    public List<LogRecord> notes() {
         return List.copyOf(notes);
     }
 
@@ -139,9 +139,9 @@
         full = false;
     }
 
-    private void store(final List<Note> list) {
-        for (final Note n : list) {
-            if (n instanceof Note.Picture) {
+    private void store(final List<LogRecord> list) {
+        for (final LogRecord n : list) {
+            if (n instanceof LogRecord.Snapshot) {
                 notes.clear();
             }
             notes.add(n);
--- a/drill/src/main/java/silverlatch/drill/sim/Fault.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Fault.java
@@ -1,15 +1,15 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 /** Everything of the brief's "what fails", each as something that can be done to a world and is healed after a time. */
 public enum Fault {
-    /** A purser is killed and comes back. */
-    PURSER_KILLED(Blows::purserKilled),
-    /** Half of the pursers are killed at once. */
-    PURSERS_KILLED(Blows::pursersKilled),
-    /** A purser freezes and wakes. */
-    PURSER_FROZEN(Blows::purserFrozen),
-    /** A purser is asked to stop, and comes back. */
-    PURSER_STOPPED(Blows::purserStopped),
+    /** A gateway is killed and comes back. */
+    PURSER_KILLED(Blows::gatewayKilled),
+    /** Half of the gateways are killed at once. */
+    PURSERS_KILLED(Blows::gatewaysKilled),
+    /** A gateway freezes and wakes. */
+    PURSER_FROZEN(Blows::gatewayFrozen),
+    /** A gateway is asked to stop, and comes back. */
+    PURSER_STOPPED(Blows::gatewayStopped),
     /** A worker crashes and comes back cold. */
     WORKER_CRASHED(Loads::workerCrashed),
     /** A worker goes dark: it takes connections and says nothing; its announcements don't come through. */
@@ -24,37 +24,37 @@
     CONSUMERS_MOVE(Loads::consumersMove),
     /** A crowd arrives, and the mix swings. */
     CROWD(Loads::crowd),
-    /** A harbor loses its power, perhaps just after it said yes. */
-    HARBOR_KILLED(Blows::harborKilled),
-    /** A harbor is asked to stop, and comes back. */
-    HARBOR_STOPPED(Blows::harborStopped),
+    /** A controller loses its power, perhaps just after it said yes. */
+    HARBOR_KILLED(Blows::controllerKilled),
+    /** A controller is asked to stop, and comes back. */
+    HARBOR_STOPPED(Blows::controllerStopped),
     /** Everything is asked to stop, one after another, and comes back. */
     ALL_STOPPED(Blows::allStopped),
-    /** A harbor loses its power and its disk, and starts with an empty one. */
-    HARBOR_WIPED(Blows::harborWiped),
-    /** A harbor freezes and wakes. */
-    HARBOR_FROZEN(Blows::harborFrozen),
-    /** A harbor's disk stalls. */
+    /** A controller loses its power and its disk, and starts with an empty one. */
+    HARBOR_WIPED(Blows::controllerWiped),
+    /** A controller freezes and wakes. */
+    HARBOR_FROZEN(Blows::controllerFrozen),
+    /** A controller's disk stalls. */
     DISK_STALLED(Blows::diskStalled),
-    /** A harbor's disk is full; the machine is restarted when there is space again. */
+    /** A controller's disk is full; the machine is restarted when there is space again. */
     DISK_FULL(Blows::diskFull),
-    /** A harbor's disk limps. */
+    /** A controller's disk limps. */
     DISK_LIMPS(Blows::diskLimps),
-    /** A harbor is replaced by an empty machine at a new address. */
-    HARBOR_SWAPPED(Blows::harborSwapped),
-    /** All harbors are swapped for others, one after another, each when the chain is whole again. */
-    HARBORS_SWAPPED(Blows::harborsSwapped),
-    /** One harbor is cut off from the others. */
+    /** A controller is replaced by an empty machine at a new address. */
+    HARBOR_SWAPPED(Blows::controllerSwapped),
+    /** All controllers are swapped for others, one after another, each when the chain is whole again. */
+    HARBORS_SWAPPED(Blows::controllersSwapped),
+    /** One controller is cut off from the others. */
     CORE_SPLIT(Ways::coreSplit),
-    /** All harbors are cut off from the pursers. */
+    /** All controllers are cut off from the gateways. */
     CORE_CUT(Ways::coreCut),
     /** A region is cut off. */
     REGION_CUT(Ways::regionCut),
-    /** The region of the chain's last harbor is cut off for long, while operators on both sides read and write. */
+    /** The region of the chain's last controller is cut off for long, while operators on both sides read and write. */
     TAIL_CUT(Ways::tailCut),
     /** A region is lost and comes back cold. */
     REGION_LOST(Blows::regionLost),
-    /** All workers of a region are lost and come back cold, while its pursers stay. */
+    /** All workers of a region are lost and come back cold, while its gateways stay. */
     REGION_COLD(Loads::regionCold),
     /** Everything is killed at once and started again. */
     ALL_KILLED(Blows::allKilled),
@@ -66,7 +66,7 @@
     NET_ROUGH(Ways::netRough),
     /** A zone is emptied and given back. */
     ZONE_DRAINED(Orders::zoneDrained),
-    /** One purser is cut off from all other daemons while workers and consumers still reach it; a worker leaves meanwhile. */
+    /** One gateway is cut off from all other daemons while workers and consumers still reach it; a worker leaves meanwhile. */
     NEWS_CUT(Ways::newsCut),
     /** Most workers deny for a while, and each ticket would be tried again. */
     WORKERS_DENY(Loads::workersDeny),
@@ -88,23 +88,23 @@
     TENANTS_MOVE(Orders::tenantsMove),
     /** The table grows by thousands of rows. */
     TABLE_GROWS(Orders::tableGrows),
-    /** A purser freezes between a pick and the hand-over of its ticket. */
+    /** A gateway freezes between a pick and the hand-over of its ticket. */
     FROZEN_AT_PICK(Aims::frozenAtPick),
-    /** A purser freezes as it claims a key. */
+    /** A gateway freezes as it claims a key. */
     FROZEN_AT_CLAIM(Aims::frozenAtClaim),
-    /** A purser freezes between its last look and the first byte to the worker; the zone is drained and the worker leaves meanwhile. */
+    /** A gateway freezes between its last look and the first byte to the worker; the zone is drained and the worker leaves meanwhile. */
     FROZEN_AT_ASK(Aims::frozenAtAsk),
-    /** A purser freezes in the middle of a stream. */
+    /** A gateway freezes in the middle of a stream. */
     FROZEN_AT_PIECE(Aims::frozenAtPiece),
     /** The head freezes between its sync and passing on. */
     FROZEN_AT_HEAD(Aims::frozenAtHead),
     /** The tail freezes between its sync and the acknowledgement. */
     FROZEN_AT_TAIL(Aims::frozenAtTail),
-    /** Pursers are killed at each step of a ticket. */
+    /** Gateways are killed at each step of a ticket. */
     KILLED_AT_STEPS(Aims::killedAtSteps),
     /** The head and then the tail lose their power just after a sync. */
     KILLED_AT_SYNC(Aims::killedAtSync),
-    /** Two of the three harbors lose their disks while the third is cut off, and try to found anew. */
+    /** Two of the three controllers lose their disks while the third is cut off, and try to found anew. */
     REFOUNDING(Blows::refounding);
 
     private final Hit hit;
--- a/drill/src/main/java/silverlatch/drill/sim/Loads.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Loads.java
@@ -1,9 +1,9 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import silverlatch.drill.worker.Faults;
+import silverlatch.simulation.worker.Faults;
 
 /** What workers and consumers do: crashes, limping, broken streams, crowds, swings. */
 final class Loads {
--- a/drill/src/main/java/silverlatch/drill/sim/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Main.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -18,9 +18,9 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
-import silverlatch.drill.fleet.Plan;
-import silverlatch.guard.Guard;
-import silverlatch.guard.Guards;
+import silverlatch.simulation.fleet.Plan;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
 
 /** Runs many days. Ends with 0 when all are right, 1 when a day is wrong or a check was put to no test, 2 on wrong use. */
 public final class Main {
@@ -72,7 +72,7 @@
         final long days = whole("COUNT", count, 1, 100_000);
         final long load = whole("--rate", rate, 1, 5_000);
         final List<Fault> named = faults.equals("drawn") || faults.equals("each") ? List.of() : named("FAULTS", faults, Fault.class);
-        final Guards guards = new Guards(Set.copyOf(down.isEmpty() ? List.of() : named("--down", down, Guard.class)));
+        final Safeguards guards = new Safeguards(Set.copyOf(down.isEmpty() ? List.of() : named("--down", down, Safeguard.class)));
         final List<Plan> read = new ArrayList<>();
         try {
             if (Files.isRegularFile(Path.of(plan, "plan.json"))) {
@@ -99,7 +99,7 @@
         return sweep(read.getFirst(), scripts, guards);
     }
 
-    private int sweep(final Plan what, final List<Day.Script> scripts, final Guards guards) throws Exception {
+    private int sweep(final Plan what, final List<Day.Script> scripts, final Safeguards guards) throws Exception {
         final ExecutorService pool = Executors.newFixedThreadPool(loud ? 1 : Runtime.getRuntime().availableProcessors(),
                 r -> {
                     final Thread t = new Thread(r, "days");
@@ -134,7 +134,7 @@
     }
 
     /** The day without each fault that is not needed for the mark it shows. */
-    static Day.Script fewest(final Plan what, final Day.Came came, final Guards guards) {
+    static Day.Script fewest(final Plan what, final Day.Came came, final Safeguards guards) {
         final String mark = came.wrong().getFirst().split(" ")[0];
         Day.Script best = came.script();
         for (int i = best.faults().size() - 1; i >= 0; i--) {
--- a/drill/src/main/java/silverlatch/drill/sim/Mark.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Mark.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 /** What the observer holds a day against: one mark for each harm, so that one check can't stand in for another. */
 public enum Mark {
@@ -16,15 +16,15 @@
     JOIN,
     /** A worker outside the tenant's homes serves. */
     SERVED,
-    /** A purser outside the tenant's homes picks or carries. */
+    /** A gateway outside the tenant's homes picks or carries. */
     SENT,
-    /** A purser outside the tenant's homes keeps a reply and tells it. */
+    /** A gateway outside the tenant's homes keeps a reply and tells it. */
     KEPT,
     /** A worker gets a run more than 3 s after it said that it leaves. */
     LEAVE,
     /** An acknowledged table is ignored for more than 3 s. */
     TABLE,
-    /** A purser goes by an older table again after a quarter of a second. */
+    /** A gateway goes by an older table again after a quarter of a second. */
     BACK,
     /** A refused or losing change takes effect. */
     LOSER,
--- a/drill/src/main/java/silverlatch/drill/sim/Measure.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Measure.java
@@ -1,12 +1,12 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayList;
 import java.util.List;
-import silverlatch.drill.fleet.Plan;
-import silverlatch.guard.Guards;
-import silverlatch.rumor.Rumor;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
+import silverlatch.simulation.fleet.Plan;
+import silverlatch.safeguard.Safeguards;
+import silverlatch.gossip.Gossip;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
 
 /** Figures taken in simulated time: how fast a table spreads by the fleet's size, and how fast the chain is mended. */
 public final class Measure {
@@ -17,14 +17,14 @@
 
     /** Spread of a change and ages of words, for fleets of so many daemons. */
     public static void spread(final Plan plan, final long seed) {
-        System.out.println("| daemons | change at the last purser, ms min/median/max of 20 | word age ms median/max | words over 2 s | frames a daemon a second |");
+        System.out.println("| daemons | change at the last gateway, ms min/median/max of 20 | word age ms median/max | words over 2 s | frames a daemon a second |");
         System.out.println("| --- | --- | --- | --- | --- |");
         for (final int size : new int[] {10, 50, 200}) {
             final List<Plan.Region> regions = new ArrayList<>();
             for (int i = 0; i < 3; i++) {
                 regions.add(new Plan.Region(plan.regions().get(i).region(), plan.regions().get(i).zone(), (size - 3 + i) / 3, 4));
             }
-            final World w = new World(new Plan("size", regions, plan.kinds(), plan.tenants(), plan.table()), seed, 5, Guards.ALL, false);
+            final World w = new World(new Plan("size", regions, plan.kinds(), plan.tenants(), plan.table()), seed, 5, Safeguards.ALL, false);
             w.open();
             w.hush();
             w.engine().run(w.engine().now() + 5 * SECOND);
@@ -35,22 +35,22 @@
             long old = 0;
             for (int i = 0; i < 20; i++) {
                 final long[] got = {0, 0};
-                w.harbors().getFirst().wish(new Wish.Cells("m" + i, List.of(new Wish.Cell("*", plan.kinds().getFirst().kind(), "rate",
+                w.controllers().getFirst().wish(new Command.PatchTable("m" + i, List.of(new Command.Cell("*", plan.kinds().getFirst().kind(), "rate",
                         "" + (2_000 + i))), -1), 3 * SECOND, r -> {
-                    if (r instanceof Verdict.Kept k) {
+                    if (r instanceof CommandResult.Applied k) {
                         got[0] = k.sequence();
                         got[1] = w.engine().now();
                     }
                 });
                 for (int t = 0; t < 2_000; t++) {
                     w.engine().run(w.engine().now() + 5_000);
-                    if (got[0] > 0 && w.pursers().stream().allMatch(n -> n.facts().map(f -> f.page() >= got[0]).orElse(false))) {
+                    if (got[0] > 0 && w.gateways().stream().allMatch(n -> n.facts().map(f -> f.page() >= got[0]).orElse(false))) {
                         break;
                     }
                 }
                 spans.add((w.engine().now() - got[1]) / 1000);
-                for (final Node n : w.pursers()) {
-                    for (final Rumor.Heard h : n.facts().orElseThrow().workers().values()) {
+                for (final SimulatedNode n : w.gateways()) {
+                    for (final Gossip.Heard h : n.facts().orElseThrow().workers().values()) {
                         final long age = h.age(n.now());
                         ages.add(Math.min(age, 60 * SECOND) / 1000);
                         old += age > 2 * SECOND ? 1 : 0;
@@ -60,9 +60,9 @@
             }
             spans.sort(Long::compare);
             ages.sort(Long::compare);
-            System.out.printf("| %d | %d/%d/%d | %d/%d | %.3f %% | %.0f |%n", w.pursers().size() + 3, spans.getFirst(), spans.get(10), spans.getLast(),
+            System.out.printf("| %d | %d/%d/%d | %d/%d | %.3f %% | %.0f |%n", w.gateways().size() + 3, spans.getFirst(), spans.get(10), spans.getLast(),
                     ages.get(ages.size() / 2), ages.getLast(), 100.0 * old / ages.size(),
-                    (w.net().counts()[0] - sent) / (double) (w.pursers().size() + 3) / ((w.engine().now() - began) / (double) SECOND));
+                    (w.net().counts()[0] - sent) / (double) (w.gateways().size() + 3) / ((w.engine().now() - began) / (double) SECOND));
         }
     }
 
@@ -71,7 +71,7 @@
         System.out.println("| tickets a second | kind | sent | done | key taken | first piece ms median/p95 | prefix kept | crossings |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- |");
         for (final long rate : new long[] {60, 400, 800, 1600}) {
-            final World w = new World(plan, seed, rate, Guards.ALL, false);
+            final World w = new World(plan, seed, rate, Safeguards.ALL, false);
             w.open();
             w.engine().run(w.engine().now() + 15 * SECOND);
             w.hush();
@@ -88,7 +88,7 @@
         }
         System.out.println("| tenant, the first sending ten times as much at 800 a second | sent | done |");
         System.out.println("| --- | --- | --- |");
-        final World w = new World(plan, seed, 800, Guards.ALL, false);
+        final World w = new World(plan, seed, 800, Safeguards.ALL, false);
         w.open();
         w.greedy(10);
         w.engine().run(w.engine().now() + 15 * SECOND);
@@ -108,14 +108,14 @@
         for (int place = 0; place < 3; place++) {
             final List<Long> spans = new ArrayList<>();
             for (int i = 0; i < 12; i++) {
-                final World w = new World(plan, seed + i, 20, Guards.ALL, false);
+                final World w = new World(plan, seed + i, 20, Safeguards.ALL, false);
                 w.open();
                 w.engine().run(w.engine().now() + SECOND + w.engine().luck().nextLong(SECOND));
-                w.harbors().get(place).kill();
+                w.controllers().get(place).kill();
                 final long at = w.engine().now();
                 final long[] got = {0};
-                final Node asker = w.harbors().get((place + 1) % 3);
-                asker.wish(new Wish.Cells("m" + i, List.of(new Wish.Cell("*", plan.kinds().getFirst().kind(), "rate", "2000")), -1), 20 * SECOND,
+                final SimulatedNode asker = w.controllers().get((place + 1) % 3);
+                asker.wish(new Command.PatchTable("m" + i, List.of(new Command.Cell("*", plan.kinds().getFirst().kind(), "rate", "2000")), -1), 20 * SECOND,
                         r -> got[0] = w.engine().now());
                 w.engine().run(at + 10 * SECOND);
                 spans.add((got[0] - at) / 1000);
@@ -126,7 +126,7 @@
         System.out.println("| region lost | done a second before, 5 s after the loss, 12 s after the return |");
         System.out.println("| --- | --- |");
         for (final Plan.Region r : plan.regions()) {
-            final World w = new World(plan, seed, 60, Guards.ALL, false);
+            final World w = new World(plan, seed, 60, Safeguards.ALL, false);
             w.open();
             final long at = w.engine().now() + 5 * SECOND;
             w.engine().run(at);
--- a/drill/src/main/java/silverlatch/drill/sim/Mill.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Mill.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -8,11 +8,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
-import silverlatch.carry.Act;
-import silverlatch.carry.Line;
-import silverlatch.drill.worker.Faults;
-import silverlatch.drill.worker.Speech;
-import silverlatch.rumor.Worker;
+import silverlatch.dispatch.Act;
+import silverlatch.dispatch.Line;
+import silverlatch.simulation.worker.Faults;
+import silverlatch.simulation.worker.Speech;
+import silverlatch.gossip.Worker;
 
 /** A worker in the simulator. */
 final class Mill {
@@ -21,7 +21,7 @@
     private final String name;
     private final String zone;
     private final String region;
-    private final List<Node> near;
+    private final List<SimulatedNode> near;
     private final int slots;
     private final LinkedHashMap<Long, Boolean> kept = new LinkedHashMap<>(16, 0.75f, true);
     private final Map<String, Long> echoes = new HashMap<>();
@@ -38,7 +38,7 @@
     private Faults fault = Faults.NONE;
     private long serial;
 
-    Mill(final World world, final String name, final String zone, final String region, final List<Node> near, final int slots) {
+    Mill(final World world, final String name, final String zone, final String region, final List<SimulatedNode> near, final int slots) {
         this.world = world;
         this.name = name;
         this.zone = zone;
@@ -139,7 +139,7 @@
         } else {
             line.add(job);
         }
-        world.watch().load(name, running + line.size(), slots, world.pursers().size(), world.engine().now());
+        world.watch().load(name, running + line.size(), slots, world.gateways().size(), world.engine().now());
         return exchange;
     }
 
@@ -216,7 +216,7 @@
 
     private void announce() {
         sequence++;
-        for (final Node n : near) {
+        for (final SimulatedNode n : near) {
             final Worker w = new Worker(name, name, zone, region, life, sequence, running, line.size(), slots, new ArrayList<>(kept.keySet()),
                     leaving, world.engine().now() - began);
             final long echo = echoes.getOrDefault(n.name(), 0L);
