--- a/drill/src/main/java/silverlatch/drill/sim/Office.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Office.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -11,13 +11,13 @@
 import java.util.Set;
 import java.util.function.LongConsumer;
 import java.util.function.LongFunction;
-import silverlatch.carry.permit.Seals;
-import silverlatch.quay.Clerk;
-import silverlatch.tariff.Entry;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Tariff;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
+import silverlatch.dispatch.permit.Seals;
+import silverlatch.replication.ChainClient;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+import silverlatch.state.TableRules;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
 
 /** The operators of a simulated day: two at once at times, who read, change, race, and are told what came of it. */
 final class Office {
@@ -50,17 +50,17 @@
 
     /** Gives the fleet its tenants and its first table. */
     void load() {
-        final Node h = world.harbors().getFirst();
+        final SimulatedNode h = world.controllers().getFirst();
         int i = 0;
         for (final World.Person p : world.people()) {
             i++;
             final Runnable ack = watch.rules().home(p.name(), Set.copyOf(p.homes()), false, world.engine().now());
-            h.wish(new Wish.Person("load-" + p.name(), leaf(p, p.homes()), -1), 4 * SECOND, v -> ack.run());
+            h.wish(new Command.PutTenant("load-" + p.name(), leaf(p, p.homes()), -1), 4 * SECOND, v -> ack.run());
         }
         world.engine().run(world.engine().now() + 2 * SECOND);
         final Runnable ack = watch.rules().gate(true, world.engine().now());
-        h.wish(new Wish.Table("load-table", rows(900, false), -1), 4 * SECOND, v -> {
-            if (v instanceof Verdict.Kept k) {
+        h.wish(new Command.PutTable("load-table", rows(900, false), -1), 4 * SECOND, v -> {
+            if (v instanceof CommandResult.Applied k) {
                 watch.rules().change(value(900), "kept", k.sequence(), -1, world.engine().now());
                 ack.run();
             }
@@ -83,44 +83,44 @@
             final boolean whole = world.settled();
             read(h, "r/", p -> {
                 final Set<String> seen = new HashSet<>();
-                p.entries().forEach(e -> e.leaf().forEach(l -> seen.add(value(((Leaf.Row) l).rate()))));
+                p.entries().forEach(e -> e.leaf().forEach(l -> seen.add(value(((Value.Row) l).rate()))));
                 watch.rules().read(before, p.sequence(), seen, !whole || !world.settled());
                 final boolean once = p.entries().stream().flatMap(e -> e.leaf().stream())
-                        .anyMatch(l -> l instanceof Leaf.Row r && r.kind().equals(GATE) && r.once());
+                        .anyMatch(l -> l instanceof Value.Row r && r.kind().equals(GATE) && r.once());
                 edit(h, some().orElse(h), p.entries().stream().mapToLong(Entry::sequence).max().orElse(0), once);
             });
         });
         world.engine().in(SECOND / 2 + world.engine().luck().nextLong(SECOND), this::operate);
     }
 
-    private void edit(final Node one, final Node two, final long match, final boolean once) {
+    private void edit(final SimulatedNode one, final SimulatedNode two, final long match, final boolean once) {
         change(one, match, once);
         if (world.engine().luck().nextInt(3) == 0) {
             change(two, match, once);
         }
         if (world.engine().luck().nextInt(6) == 0) {
             final double v = ++values;
-            final List<Leaf.Row> rows = new ArrayList<>(rows(v, once));
-            rows.add(Tariff.plain("nobody-at-all", "quick"));
-            one.wish(new Wish.Table("bad-" + (long) v, rows, -1), 3 * SECOND, r -> fate(v, r, -1));
+            final List<Value.Row> rows = new ArrayList<>(rows(v, once));
+            rows.add(TableRules.plain("nobody-at-all", "quick"));
+            one.wish(new Command.PutTable("bad-" + (long) v, rows, -1), 3 * SECOND, r -> fate(v, r, -1));
         }
     }
 
-    private void change(final Node h, final long match, final boolean once) {
+    private void change(final SimulatedNode h, final long match, final boolean once) {
         final double v = ++values;
-        final Wish w = world.engine().luck().nextInt(4) == 0
-                ? new Wish.Table("put-" + (long) v, rows(v, once), match)
-                : new Wish.Cells("set-" + (long) v, List.of(new Wish.Cell("*", world.some(world.sorts()).kind(), "rate", value(v))), match);
+        final Command w = world.engine().luck().nextInt(4) == 0
+                ? new Command.PutTable("put-" + (long) v, rows(v, once), match)
+                : new Command.PatchTable("set-" + (long) v, List.of(new Command.Cell("*", world.some(world.sorts()).kind(), "rate", value(v))), match);
         h.wish(w, 3 * SECOND, r -> fate(v, r, match));
     }
 
     private void fate(final double v, final Object r, final long match) {
         final long now = world.engine().now();
-        switch ((Verdict) r) {
-            case Verdict.Kept k -> watch.rules().change(value(v), "kept", k.sequence(), match, now);
-            case Verdict.Rejected x -> watch.rules().change(value(v), "rejected", x.sequence(), match, now);
-            case Verdict.Unknown u -> watch.rules().change(value(v), "unknown", 0, match, now);
-            case Verdict.Stands s -> watch.rules().change(value(v), "stands", 0, match, now);
+        switch ((CommandResult) r) {
+            case CommandResult.Applied k -> watch.rules().change(value(v), "kept", k.sequence(), match, now);
+            case CommandResult.Rejected x -> watch.rules().change(value(v), "rejected", x.sequence(), match, now);
+            case CommandResult.Unknown u -> watch.rules().change(value(v), "unknown", 0, match, now);
+            case CommandResult.AlreadyClaimed s -> watch.rules().change(value(v), "stands", 0, match, now);
         }
     }
 
@@ -132,14 +132,14 @@
         open = !open;
         final boolean now = open;
         final Runnable ack = watch.rules().gate(now, world.engine().now());
-        insist("r/", "", m -> new Wish.Cells("gate-" + ++turns, List.of(new Wish.Cell("*", GATE, "once", "" + !now)), m), s -> {
+        insist("r/", "", m -> new Command.PatchTable("gate-" + ++turns, List.of(new Command.Cell("*", GATE, "once", "" + !now)), m), s -> {
             ack.run();
             watch.count("gates");
             world.engine().in(PAUSE + world.engine().luck().nextLong(SECOND), this::turn);
         });
     }
 
-    /** Orders a zone empty or gives it back, through some harbor, until it is acknowledged. */
+    /** Orders a zone empty or gives it back, through some controller, until it is acknowledged. */
     void drain(final String zone, final boolean on) {
         world.tell((on ? "drain " : "undrain ") + zone);
         if (on) {
@@ -147,7 +147,7 @@
         } else {
             watch.rules().undrain(zone);
         }
-        insist("z/", "z/" + zone, m -> new Wish.Zone("zone-" + ++turns, zone, on, m), s -> {
+        insist("z/", "z/" + zone, m -> new Command.SetEvacuation("zone-" + ++turns, zone, on, m), s -> {
             world.stir();
             if (on) {
                 watch.count("drains");
@@ -173,7 +173,7 @@
         });
     }
 
-    private void contend(final String zone, final Node one, final boolean[] over, final Runnable end) {
+    private void contend(final String zone, final SimulatedNode one, final boolean[] over, final Runnable end) {
         read(one, "z/", p -> {
             if (over[0]) {
                 return;
@@ -181,28 +181,28 @@
             final long match = sequence(p, "z/" + zone);
             final long asked = world.engine().now();
             final List<Object> fates = new ArrayList<>();
-            final Node two = some().orElse(one);
+            final SimulatedNode two = some().orElse(one);
             final boolean first = world.engine().luck().nextBoolean();
-            final Verdict[] on = {new Verdict.Unknown("")};
-            final Verdict[] off = {new Verdict.Unknown("")};
+            final CommandResult[] on = {new CommandResult.Unknown("")};
+            final CommandResult[] off = {new CommandResult.Unknown("")};
             final Runnable judge = () -> {
                 if (over[0] || fates.size() < 2) {
                     return;
                 }
                 watch.count("races");
                 watch.probe(Mark.LOSER);
-                if (on[0] instanceof Verdict.Kept && off[0] instanceof Verdict.Kept) {
+                if (on[0] instanceof CommandResult.Applied && off[0] instanceof CommandResult.Applied) {
                     watch.fault(Mark.LOSER, "an order to empty " + zone + " and one to give it back were both kept against " + match);
                 }
-                if (on[0] instanceof Verdict.Kept && off[0] instanceof Verdict.Rejected) {
+                if (on[0] instanceof CommandResult.Applied && off[0] instanceof CommandResult.Rejected) {
                     watch.rules().drain(zone, asked);
                     watch.rules().drained(zone, world.engine().now());
                 }
                 end.run();
             };
             for (final boolean side : new boolean[] {first, !first}) {
-                (side ? one : two).wish(new Wish.Zone("race-" + ++turns, zone, side, match), 3 * SECOND, v -> {
-                    (side ? on : off)[0] = (Verdict) v;
+                (side ? one : two).wish(new Command.SetEvacuation("race-" + ++turns, zone, side, match), 3 * SECOND, v -> {
+                    (side ? on : off)[0] = (CommandResult) v;
                     fates.add(v);
                     judge.run();
                 });
@@ -214,7 +214,7 @@
     void move(final World.Person p, final List<String> homes) {
         world.tell("homes of " + p.name() + " become " + homes);
         final Runnable ack = watch.rules().home(p.name(), Set.copyOf(homes), false, world.engine().now());
-        insist("t/", "t/" + p.name(), m -> new Wish.Person("move-" + ++turns, leaf(p, homes), m), s -> {
+        insist("t/", "t/" + p.name(), m -> new Command.PutTenant("move-" + ++turns, leaf(p, homes), m), s -> {
             ack.run();
             world.stir();
             watch.count("homeMoves");
@@ -225,7 +225,7 @@
     void drop(final World.Person p) {
         world.tell("tenant " + p.name() + " is taken away");
         final Runnable ack = watch.rules().home(p.name(), Set.of(), true, world.engine().now());
-        insist("t/", "t/" + p.name(), m -> new Wish.Drop("drop-" + ++turns, p.name(), m), s -> {
+        insist("t/", "t/" + p.name(), m -> new Command.RemoveTenant("drop-" + ++turns, p.name(), m), s -> {
             ack.run();
             world.stir();
             watch.count("drops");
@@ -235,25 +235,25 @@
     /** The table grows by so many rows, a part of them at a time. */
     void grow(final int rows) {
         world.tell("the table grows by " + rows + " rows");
-        final List<Wish.Cell> cells = new ArrayList<>();
+        final List<Command.Cell> cells = new ArrayList<>();
         for (int i = 0; i < rows; i++) {
-            cells.add(new Wish.Cell(world.people().get(i % world.people().size()).name(), "kind" + i, "rate", value(900)));
+            cells.add(new Command.Cell(world.people().get(i % world.people().size()).name(), "kind" + i, "rate", value(900)));
         }
         for (int i = 0; i < rows; i += 1_000) {
-            final List<Wish.Cell> part = cells.subList(i, Math.min(rows, i + 1_000));
-            insist("r/", "", m -> new Wish.Cells("grow-" + ++turns, part, -1), s -> watch.count("grown"));
+            final List<Command.Cell> part = cells.subList(i, Math.min(rows, i + 1_000));
+            insist("r/", "", m -> new Command.PatchTable("grow-" + ++turns, part, -1), s -> watch.count("grown"));
         }
     }
 
-    /** Reads the table back through every harbor that is up, and changes it once more, at the end of a day. */
+    /** Reads the table back through every controller that is up, and changes it once more, at the end of a day. */
     void last() {
         final long before = watch.rules().acked();
-        world.harbors().stream().filter(Node::alive).forEach(h -> read(h, "r/", p -> {
+        world.controllers().stream().filter(SimulatedNode::alive).forEach(h -> read(h, "r/", p -> {
             watch.count("lastReads");
             watch.rules().read(before, p.sequence(), Set.of(), false);
         }));
-        some().ifPresent(h -> h.wish(new Wish.Cells("last", List.of(new Wish.Cell("*", world.sorts().getFirst().kind(), "rate", value(950))), -1),
-                4 * SECOND, v -> kept = v instanceof Verdict.Kept));
+        some().ifPresent(h -> h.wish(new Command.PatchTable("last", List.of(new Command.Cell("*", world.sorts().getFirst().kind(), "rate", value(950))), -1),
+                4 * SECOND, v -> kept = v instanceof CommandResult.Applied));
         world.engine().run(world.engine().now() + 5 * SECOND);
     }
 
@@ -263,7 +263,7 @@
     }
 
     /** Orders on one thing go one after another: the next is asked for when the one before is kept. */
-    private void insist(final String part, final String key, final LongFunction<Wish> wish, final LongConsumer then) {
+    private void insist(final String part, final String key, final LongFunction<Command> wish, final LongConsumer then) {
         if (key.isEmpty()) {
             ask(part, key, wish, then);
             return;
@@ -286,9 +286,9 @@
     }
 
     /** Asks until it is kept; each time against the sequence just read, so that no earlier copy can come late. */
-    private void ask(final String part, final String key, final LongFunction<Wish> wish, final LongConsumer then) {
+    private void ask(final String part, final String key, final LongFunction<Command> wish, final LongConsumer then) {
         final Runnable again = () -> world.engine().in(SECOND / 5, () -> ask(part, key, wish, then));
-        final Optional<Node> at = some();
+        final Optional<SimulatedNode> at = some();
         if (at.isEmpty()) {
             again.run();
             return;
@@ -305,7 +305,7 @@
             if (told[0]) {
                 return;
             }
-            if (!(r instanceof Clerk.Page p) || !p.ok()) {
+            if (!(r instanceof ChainClient.Page p) || !p.ok()) {
                 told[0] = true;
                 again.run();
                 return;
@@ -314,7 +314,7 @@
             at.get().wish(wish.apply(match), 3 * SECOND, v -> {
                 if (!told[0]) {
                     told[0] = true;
-                    if (v instanceof Verdict.Kept k) {
+                    if (v instanceof CommandResult.Applied k) {
                         then.accept(k.sequence());
                     } else {
                         again.run();
@@ -324,36 +324,36 @@
         });
     }
 
-    private void read(final Node h, final String part, final java.util.function.Consumer<Clerk.Page> then) {
+    private void read(final SimulatedNode h, final String part, final java.util.function.Consumer<ChainClient.Page> then) {
         h.read(part, 3 * SECOND, r -> {
-            if (r instanceof Clerk.Page p && p.ok()) {
+            if (r instanceof ChainClient.Page p && p.ok()) {
                 then.accept(p);
             }
         });
     }
 
-    private static long sequence(final Clerk.Page p, final String key) {
+    private static long sequence(final ChainClient.Page p, final String key) {
         return p.entries().stream().filter(e -> e.key().equals(key)).mapToLong(Entry::sequence).findFirst().orElse(0);
     }
 
-    private Optional<Node> some() {
-        final List<Node> up = world.harbors().stream().filter(Node::alive).toList();
+    private Optional<SimulatedNode> some() {
+        final List<SimulatedNode> up = world.controllers().stream().filter(SimulatedNode::alive).toList();
         return up.isEmpty() ? Optional.empty() : Optional.of(world.some(up));
     }
 
-    private List<Leaf.Row> rows(final double rate, final boolean once) {
-        final List<Leaf.Row> rows = new ArrayList<>(world.sorts().stream().map(s -> row(s, rate)).toList());
-        final Leaf.Row r = Tariff.plain("*", GATE);
-        rows.add(new Leaf.Row("*", GATE, 1, r.load(), r.cold(), r.cross(), 900, 2_000, 400, 600, 3_000_000, once, 1));
+    private List<Value.Row> rows(final double rate, final boolean once) {
+        final List<Value.Row> rows = new ArrayList<>(world.sorts().stream().map(s -> row(s, rate)).toList());
+        final Value.Row r = TableRules.plain("*", GATE);
+        rows.add(new Value.Row("*", GATE, 1, r.load(), r.cold(), r.cross(), 900, 2_000, 400, 600, 3_000_000, once, 1));
         return rows;
     }
 
-    private static Leaf.Row row(final World.Sort s, final double rate) {
-        final Leaf.Row r = Tariff.plain("*", s.kind());
-        return new Leaf.Row("*", s.kind(), s.prefix() > 8 ? 3 : 1, r.load(), r.cold(), r.cross(), rate, 2_000, 400, 600, 3_000_000, s.once(), s.once() ? 9 : 1);
+    private static Value.Row row(final World.Sort s, final double rate) {
+        final Value.Row r = TableRules.plain("*", s.kind());
+        return new Value.Row("*", s.kind(), s.prefix() > 8 ? 3 : 1, r.load(), r.cold(), r.cross(), rate, 2_000, 400, 600, 3_000_000, s.once(), s.once() ? 9 : 1);
     }
 
-    private static Leaf.Tenant leaf(final World.Person p, final List<String> homes) {
-        return new Leaf.Tenant(p.name(), homes, p.share(), Seals.hash(p.secret()), "salt-" + p.name());
+    private static Value.Tenant leaf(final World.Person p, final List<String> homes) {
+        return new Value.Tenant(p.name(), homes, p.share(), Seals.hash(p.secret()), "salt-" + p.name());
     }
 }
--- a/drill/src/main/java/silverlatch/drill/sim/Rules.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Rules.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -88,14 +88,14 @@
         }
     }
 
-    /** A purser showed under which page it picks. */
-    public void shown(final String purser, final long page, final long at) {
-        final Shown old = shown.getOrDefault(purser, new Shown(0, 0));
+    /** A gateway showed under which page it picks. */
+    public void shown(final String gateway, final long page, final long at) {
+        final Shown old = shown.getOrDefault(gateway, new Shown(0, 0));
         if (page < old.page() && at - old.at() > SECOND / 4) {
-            watch.fault(Mark.BACK, "purser " + purser + " went from page " + old.page() + " to " + page + " after " + (at - old.at()) / 1000 + " ms");
+            watch.fault(Mark.BACK, "gateway " + gateway + " went from page " + old.page() + " to " + page + " after " + (at - old.at()) / 1000 + " ms");
         }
         if (page > old.page()) {
-            shown.put(purser, new Shown(page, at));
+            shown.put(gateway, new Shown(page, at));
         }
     }
 
@@ -106,8 +106,8 @@
         return () -> gate.set(place, new Turn(open, at, watch.now()));
     }
 
-    /** Something came of a purser's table at this moment: the gate held it up or not. Gives the turns that it can have known, if any. */
-    public int obeyed(final String purser, final boolean open, final String what, final long at) {
+    /** Something came of a gateway's table at this moment: the gate held it up or not. Gives the turns that it can have known, if any. */
+    public int obeyed(final String gateway, final boolean open, final String what, final long at) {
         final int floor = floor(at);
         if (floor > 0) {
             watch.probe(Mark.TABLE);
@@ -118,13 +118,13 @@
             }
         }
         if (floor >= 0) {
-            watch.fault(Mark.TABLE, what + " at " + purser + " as if the gate were " + (open ? "open" : "shut") + " "
+            watch.fault(Mark.TABLE, what + " at " + gateway + " as if the gate were " + (open ? "open" : "shut") + " "
                     + (at - gate.get(floor).acked()) / 1000 + " ms after the other was acknowledged");
         }
         return -1;
     }
 
-    /** The last turn that every purser must know by now, or -1. */
+    /** The last turn that every gateway must know by now, or -1. */
     private int floor(final long at) {
         int floor = -1;
         for (int i = 0; i < gate.size(); i++) {
@@ -133,18 +133,18 @@
         return floor;
     }
 
-    /** A purser decided by its table, which is all the observer believes of what it holds. */
-    public void passed(final String purser, final boolean open, final String what, final long at) {
-        final int may = obeyed(purser, open, what, at);
+    /** A gateway decided by its table, which is all the observer believes of what it holds. */
+    public void passed(final String gateway, final boolean open, final String what, final long at) {
+        final int may = obeyed(gateway, open, what, at);
         if (may < 0) {
             return;
         }
-        final Shown old = obeyed.getOrDefault(purser, new Shown(-1, 0));
+        final Shown old = obeyed.getOrDefault(gateway, new Shown(-1, 0));
         if (old.page() >= 0 && gate.size() > 1) {
             watch.probe(Mark.BACK);
         }
         if (may < old.page() && at - old.at() > SECOND / 4) {
-            watch.fault(Mark.BACK, what + " at " + purser + " as if the gate were " + (open ? "open" : "shut") + " "
+            watch.fault(Mark.BACK, what + " at " + gateway + " as if the gate were " + (open ? "open" : "shut") + " "
                     + (at - old.at()) / 1000 + " ms after it obeyed the newer table");
         }
         int least = may;
@@ -152,7 +152,7 @@
             least = gate.get(i).open() == open ? i : least;
         }
         if (least > old.page()) {
-            obeyed.put(purser, new Shown(least, at));
+            obeyed.put(gateway, new Shown(least, at));
         }
     }
 
@@ -210,7 +210,7 @@
         values(values, "was read back");
     }
 
-    /** Values that some purser goes by. */
+    /** Values that some gateway goes by. */
     public void values(final Set<String> values, final String where) {
         for (final String v : values) {
             if (fates.getOrDefault(v, "").equals("rejected")) {
--- a/drill/src/main/java/silverlatch/drill/sim/Node.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -8,31 +8,31 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import silverlatch.carry.Act;
-import silverlatch.carry.Carry;
-import silverlatch.carry.Facts;
-import silverlatch.carry.permit.Seals;
-import silverlatch.crew.Crew;
-import silverlatch.crew.Member;
-import silverlatch.deck.Deck;
-import silverlatch.deck.Effect;
-import silverlatch.deck.Event;
-import silverlatch.deck.Ship;
-import silverlatch.ledger.Note;
-import silverlatch.quay.Berth;
-import silverlatch.quay.Quay;
-import silverlatch.rumor.Rumor;
-import silverlatch.rumor.Worker;
-import silverlatch.tariff.Leaf;
-import silverlatch.tariff.Verdict;
-import silverlatch.tariff.Wish;
-import silverlatch.tide.Anchor;
-import silverlatch.tide.Ntp;
-import silverlatch.tide.Stamp;
+import silverlatch.dispatch.Act;
+import silverlatch.dispatch.Dispatcher;
+import silverlatch.dispatch.Facts;
+import silverlatch.dispatch.permit.Seals;
+import silverlatch.membership.Membership;
+import silverlatch.membership.Member;
+import silverlatch.node.Node;
+import silverlatch.node.Effect;
+import silverlatch.node.Event;
+import silverlatch.node.Ship;
+import silverlatch.log.LogRecord;
+import silverlatch.replication.Replica;
+import silverlatch.replication.ChainReplica;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
+import silverlatch.state.Value;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Command;
+import silverlatch.clock.PhysicalClock;
+import silverlatch.clock.Ntp;
+import silverlatch.clock.Stamp;
 import silverlatch.wire.Frame;
 
-/** A daemon in the simulator: the shipping deck and, for a purser, the shipping carry, with fakes for the world around. */
-final class Node {
+/** A daemon in the simulator: the shipping deck and, for a gateway, the shipping carry, with fakes for the world around. */
+final class SimulatedNode {
     private static final long BEAT = 20_000L;
     private static final long SKEW = 50_000L;
     private static final long DRAGGED = 80_000L;
@@ -50,8 +50,8 @@
     private final Map<Long, Consumer<String>> jobs = new HashMap<>();
     private final List<Runnable> frozen = new ArrayList<>();
     private final Map<Event, Long> logs = new HashMap<>();
-    private Optional<Deck> deck = Optional.empty();
-    private Optional<Carry> carry = Optional.empty();
+    private Optional<Node> deck = Optional.empty();
+    private Optional<Dispatcher> carry = Optional.empty();
     private Optional<Facts> facts = Optional.empty();
     private long epoch;
     private long base;
@@ -65,7 +65,7 @@
     private long life;
     private long reset;
 
-    Node(final World world, final String name, final String zone, final String region, final String address, final List<String> seeds,
+    SimulatedNode(final World world, final String name, final String zone, final String region, final String address, final List<String> seeds,
          final boolean disk) {
         this.world = world;
         this.name = name;
@@ -93,19 +93,19 @@
         return address;
     }
 
-    boolean harbor() {
-        return name.startsWith("harbor");
+    boolean controller() {
+        return name.startsWith("controller");
     }
 
     Optional<Disk> disk() {
         return disk;
     }
 
-    Optional<Deck> deck() {
+    Optional<Node> deck() {
         return deck;
     }
 
-    Optional<Carry> carry() {
+    Optional<Dispatcher> carry() {
         return carry;
     }
 
@@ -153,18 +153,18 @@
         base = world.engine().luck().nextLong(1_000_000_000_000L);
         rate = 1 + (world.engine().luck().nextDouble() - 0.5) * 1e-4;
         asked.clear();
-        final List<String> around = world.harbors().stream().map(Node::address).toList();
+        final List<String> around = world.controllers().stream().map(SimulatedNode::address).toList();
         final List<String> seeds = around.stream().anyMatch(this.seeds::contains) ? this.seeds : around;
-        final Member me = new Member(name, harbor() ? "harbor" : "purser", zone, region, address, address, wall() / 1000, 0, "up", false);
-        final Optional<Quay.Setup> chain = disk.map(d -> {
-            return Quay.Setup.of(new Berth(d.identity(), address), seeds);
+        final Member me = new Member(name, controller() ? "controller" : "gateway", zone, region, address, address, wall() / 1000, 0, "up", false);
+        final Optional<ChainReplica.Setup> chain = disk.map(d -> {
+            return ChainReplica.Setup.of(new Replica(d.identity(), address), seeds);
         });
-        final Deck made = new Deck(new Deck.Setup(me, seeds, 7, 50_000, Crew.Times.PLAIN, Rumor.Times.PLAIN, world.guards()), chain,
-                disk.map(Disk::notes).orElse(List.of()), new Anchor(wall(), now(), 0), world.engine().luck().split(), now());
+        final Node made = new Node(new Node.Setup(me, seeds, 7, 50_000, Membership.Times.PLAIN, Gossip.Times.PLAIN, world.guards()), chain,
+                disk.map(Disk::notes).orElse(List.of()), new PhysicalClock(wall(), now(), 0), world.engine().luck().split(), now());
         deck = Optional.of(made);
-        if (!harbor()) {
+        if (!controller()) {
             facts = Optional.of(made.facts());
-            carry = Optional.of(new Carry(Carry.Setup.PLAIN.under(world.guards()), new Seals("simulated-cluster-key"), made.facts(), () -> made.local(now()),
+            carry = Optional.of(new Dispatcher(Dispatcher.Setup.PLAIN.under(world.guards()), new Seals("simulated-cluster-key"), made.facts(), () -> made.local(now()),
                     world.engine().luck().split()));
         }
         beat(epoch);
@@ -192,7 +192,7 @@
 
     /** Stops in good order, as a process does when it is asked to. */
     void stop() {
-        carry.ifPresent(Carry::close);
+        carry.ifPresent(Dispatcher::close);
         post(() -> {
             deck.ifPresent(d -> d.ready(false));
             flush();
@@ -251,7 +251,7 @@
         });
     }
 
-    void wish(final Wish w, final long span, final Consumer<Object> then) {
+    void wish(final Command w, final long span, final Consumer<Object> then) {
         post(() -> {
             token++;
             asked.put(token, then);
@@ -277,7 +277,7 @@
     }
 
     /** A consumer's call: the job gets the token and the carry; the acts for the token come back. */
-    void call(final java.util.function.ObjLongConsumer<Carry> job, final Consumer<Act> back, final Consumer<Long> number) {
+    void call(final java.util.function.ObjLongConsumer<Dispatcher> job, final Consumer<Act> back, final Consumer<Long> number) {
         post(() -> {
             token++;
             calls.put(token, back);
@@ -287,7 +287,7 @@
         });
     }
 
-    void carrying(final Consumer<Carry> job) {
+    void carrying(final Consumer<Dispatcher> job) {
         post(() -> {
             carry.ifPresent(job);
             flush();
@@ -314,10 +314,10 @@
         world.engine().in(BEAT, () -> beat(mine));
     }
 
-    private void look(final Deck d) {
-        if (harbor()) {
+    private void look(final Node d) {
+        if (controller()) {
             ready = d.quay().map(q -> {
-                final Quay.State s = q.state(now());
+                final ChainReplica.State s = q.state(now());
                 return s.spot().equals("chained") && s.level() && s.leased();
             }).orElse(d.rumor().age(now()) < 2_500_000L);
         } else {
@@ -334,7 +334,7 @@
         if (deck.isEmpty()) {
             return;
         }
-        final Deck d = deck.get();
+        final Node d = deck.get();
         boolean more = true;
         while (more && alive()) {
             carry.ifPresent(c -> {
@@ -346,7 +346,7 @@
             ships.forEach(s -> world.ship(this, s));
             final List<Effect> effects = d.drain();
             effects.forEach(this::effect);
-            final List<Act> acts = carry.map(Carry::drain).orElse(List.of());
+            final List<Act> acts = carry.map(Dispatcher::drain).orElse(List.of());
             acts.forEach(this::act);
             more = !effects.isEmpty() || !acts.isEmpty();
         }
@@ -385,14 +385,14 @@
         }
     }
 
-    private void heard(final Frame f, final Deck d) {
+    private void heard(final Frame f, final Node d) {
         if (!d.parked() && bound(f.stamp().bits(), d)) {
             top = Math.max(top, f.stamp().bits());
         }
     }
 
     /** Whether a stamp is one that this daemon may believe by its physical clock as it is now. */
-    private boolean bound(final long bits, final Deck d) {
+    private boolean bound(final long bits, final Node d) {
         return bits - d.anchor().phys(now()) <= Ntp.span(SKEW);
     }
 
@@ -411,7 +411,7 @@
                 final long mine = epoch;
                 disk.ifPresent(x -> x.write(k, t -> {
                     if (mine == epoch) {
-                        if (k.notes().stream().anyMatch(Note.Deed.class::isInstance)) {
+                        if (k.notes().stream().anyMatch(LogRecord.Appended.class::isInstance)) {
                             deck.ifPresent(this::synced);
                         }
                         post(() -> {
@@ -434,7 +434,7 @@
         }
     }
 
-    private void synced(final Deck d) {
+    private void synced(final Node d) {
         final String id = disk.map(Disk::identity).orElse("");
         if (d.view().head().map(b -> b.id().equals(id)).orElse(false)) {
             world.step(Step.HEAD, this);
@@ -446,7 +446,7 @@
     private void aimed(final Act a) {
         switch (a) {
             case Act.Picked p -> world.step(Step.PICKED, this);
-            case Act.Claim c when c.wish() instanceof Wish.Hold -> world.step(Step.CLAIMS, this);
+            case Act.Claim c when c.wish() instanceof Command.Claim -> world.step(Step.CLAIMS, this);
             case Act.Run r -> world.step(Step.ASKS, this);
             default -> {
             }
@@ -481,7 +481,7 @@
             }
             case Act.Cut c -> Optional.ofNullable(jobs.remove(c.job())).ifPresent(j -> j.accept("cut"));
             case Act.Claim c -> {
-                wish(c.wish(), c.span(), v -> carry.ifPresent(x -> x.verdict(c.job(), (Verdict) v, now())));
+                wish(c.wish(), c.span(), v -> carry.ifPresent(x -> x.verdict(c.job(), (CommandResult) v, now())));
             }
             case Act.Judged j -> world.watch().count("judged");
             case Act.Ended e -> world.watch().count("ended-" + e.state());
@@ -500,7 +500,7 @@
     Set<String> values() {
         final Set<String> set = new HashSet<>();
         facts.ifPresent(f -> f.policy().leaves().forEach(l -> {
-            if (l instanceof Leaf.Row r) {
+            if (l instanceof Value.Row r) {
                 set.add(Office.value(r.rate()));
             }
         }));
--- a/drill/src/main/java/silverlatch/drill/sim/Step.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Step.java
@@ -1,14 +1,14 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 /** The steps of a ticket and of a change at which a fault can be aimed. */
 public enum Step {
-    /** A purser made a pick; its ticket is not handed over yet. */
+    /** A gateway made a pick; its ticket is not handed over yet. */
     PICKED,
-    /** A purser is about to claim a key. */
+    /** A gateway is about to claim a key. */
     CLAIMS,
-    /** A purser had its last look; no byte went to the worker yet. */
+    /** A gateway had its last look; no byte went to the worker yet. */
     ASKS,
-    /** A purser passes a piece on. */
+    /** A gateway passes a piece on. */
     PIECE,
     /** The head synced a change that it has not passed on. */
     HEAD,
--- a/drill/src/main/java/silverlatch/drill/sim/Traveller.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Traveller.java
@@ -1,15 +1,15 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.security.MessageDigest;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
-import silverlatch.carry.Act;
-import silverlatch.carry.Line;
-import silverlatch.carry.Load;
-import silverlatch.carry.Order;
-import silverlatch.carry.permit.Seals;
-import silverlatch.drill.worker.Speech;
+import silverlatch.dispatch.Act;
+import silverlatch.dispatch.Line;
+import silverlatch.dispatch.Load;
+import silverlatch.dispatch.Order;
+import silverlatch.dispatch.permit.Seals;
+import silverlatch.simulation.worker.Speech;
 
 /** One consumer's ticket in the simulator, from the pick to its end, verified as it comes. */
 final class Traveller {
@@ -27,7 +27,7 @@
     private final MessageDigest sum = Seals.digest();
     private String ticket = "";
     private String run = "";
-    private Optional<Node> carrier = Optional.empty();
+    private Optional<SimulatedNode> carrier = Optional.empty();
     private long number;
     private long next;
     private boolean over;
@@ -54,17 +54,17 @@
     void go() {
         begun = world.engine().now();
         world.engine().in(PATIENCE, () -> end("cut"));
-        pick(world.some(world.pursers()), 0);
+        pick(world.some(world.gateways()), 0);
     }
 
     String ticket() {
         return ticket;
     }
 
-    private void pick(final Node n, final int hops) {
+    private void pick(final SimulatedNode n, final int hops) {
         if (!n.alive()) {
             if (hops < 4) {
-                pick(world.some(world.pursers()), hops + 1);
+                pick(world.some(world.gateways()), hops + 1);
             } else {
                 end("unreached");
             }
@@ -85,7 +85,7 @@
                 }));
     }
 
-    private void picked(final Node n, final Act a, final int hops) {
+    private void picked(final SimulatedNode n, final Act a, final int hops) {
         if (over) {
             return;
         }
@@ -100,7 +100,7 @@
                 }
             }
             case Act.Pointed p -> {
-                final Optional<Node> other = world.node(p.doors().getFirst());
+                final Optional<SimulatedNode> other = world.node(p.doors().getFirst());
                 if (hops > 4 || other.isEmpty()) {
                     end("rejected");
                 } else {
@@ -112,7 +112,7 @@
         }
     }
 
-    private void hand(final Node n, final String permit) {
+    private void hand(final SimulatedNode n, final String permit) {
         if (over) {
             return;
         }
@@ -132,7 +132,7 @@
         }
     }
 
-    private void twin(final Node n, final String permit) {
+    private void twin(final SimulatedNode n, final String permit) {
         if (n.alive()) {
             world.watch().copied(ticket);
             n.call((c, t) -> c.ticket(new Load(person.secret(), permit, prefix, prompt, 10_000_000), t, n.now()), a -> {
@@ -141,7 +141,7 @@
         }
     }
 
-    private void move(final Node n) {
+    private void move(final SimulatedNode n) {
         if (over || !n.alive() || ticket.isEmpty()) {
             return;
         }
@@ -160,7 +160,7 @@
         }), t -> number = t));
     }
 
-    private void back(final Node n, final Act a, final Runnable then) {
+    private void back(final SimulatedNode n, final Act a, final Runnable then) {
         if (a instanceof Act.Flow f) {
             f.lines().forEach(l -> {
                 if (l instanceof Line.Piece p && !world.source(p.run()).isEmpty()) {
@@ -172,11 +172,11 @@
         world.net().bytes(lane(n) + "<", n.name(), place, then);
     }
 
-    private String lane(final Node n) {
+    private String lane(final SimulatedNode n) {
         return place + ">" + n.name() + "/" + ticket + "/" + leg;
     }
 
-    private void flow(final Node n, final Act a) {
+    private void flow(final SimulatedNode n, final Act a) {
         if (over) {
             return;
         }
@@ -259,7 +259,7 @@
     }
 
     /** An ended stream is read once more, as long as it may be kept. */
-    private void reread(final Node n) {
+    private void reread(final SimulatedNode n) {
         if (n.alive()) {
             world.watch().count("rereads");
             n.call((c, t) -> c.attach(ticket, person.secret(), 0, t, n.now()), a -> {
@@ -286,7 +286,7 @@
         }
         world.watch().kind(sort.kind(), person.name(), outcome, first - begun);
         if (outcome.equals("cut")) {
-            carrier.filter(Node::alive).ifPresent(n -> n.hangUp(number));
+            carrier.filter(SimulatedNode::alive).ifPresent(n -> n.hangUp(number));
         }
         if (!ticket.isEmpty()) {
             world.watch().ended(ticket, person.name(), outcome, world.engine().now());
--- a/drill/src/main/java/silverlatch/drill/sim/Watch.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Watch.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -186,13 +186,13 @@
 
     /**
      * How many runs a worker has at once. A worker that is warm by a part can read and write for that part of its slots;
-     * what is above only waits, but each purser may send one that the worker's last word did not count yet. More is a flood.
+     * what is above only waits, but each gateway may send one that the worker's last word did not count yet. More is a flood.
      */
-    public void load(final String worker, final int running, final int slots, final int pursers, final long at) {
+    public void load(final String worker, final int running, final int slots, final int gateways, final long at) {
         final long since = at - colds.getOrDefault(worker, -60 * SECOND);
         if (since < 6 * SECOND) {
             final double part = Math.min(1, 0.1 + 0.9 * since / (6.0 * SECOND));
-            final double most = slots * part + pursers;
+            final double most = slots * part + gateways;
             count("coldRuns");
             probe(Mark.COLD);
             most("coldPerMille", Math.round(1000 * running / most));
--- a/drill/src/main/java/silverlatch/drill/sim/Ways.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Ways.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -12,9 +12,9 @@
     }
 
     static void coreSplit(final World w, final long span) {
-        final Node n = w.some(w.harbors());
-        w.tell("split off " + n.name() + " from the harbors");
-        final Set<String> rest = w.harbors().stream().map(Node::name).filter(x -> !x.equals(n.name())).collect(Collectors.toSet());
+        final SimulatedNode n = w.some(w.controllers());
+        w.tell("split off " + n.name() + " from the controllers");
+        final Set<String> rest = w.controllers().stream().map(SimulatedNode::name).filter(x -> !x.equals(n.name())).collect(Collectors.toSet());
         final Runnable one = w.net().cut(Set.of(n.name()), rest);
         final Runnable two = w.engine().luck().nextBoolean() ? w.net().cut(rest, Set.of(n.name())) : () -> {
         };
@@ -25,9 +25,9 @@
     }
 
     static void coreCut(final World w, final long span) {
-        w.tell("cut the harbors off");
-        final Set<String> core = w.harbors().stream().map(Node::name).collect(Collectors.toSet());
-        final Set<String> rest = w.pursers().stream().map(Node::name).collect(Collectors.toSet());
+        w.tell("cut the controllers off");
+        final Set<String> core = w.controllers().stream().map(SimulatedNode::name).collect(Collectors.toSet());
+        final Set<String> rest = w.gateways().stream().map(SimulatedNode::name).collect(Collectors.toSet());
         final Runnable one = w.net().cut(core, rest);
         final Runnable two = w.net().cut(rest, core);
         w.later(span, () -> {
@@ -48,7 +48,7 @@
     }
 
     static void tailCut(final World w, final long span) {
-        final String region = w.harbors().getLast().region();
+        final String region = w.controllers().getLast().region();
         w.tell("cut off " + region + ", where the tail is");
         final Runnable heal = w.net().island(places(w, region));
         w.later(9_000_000, () -> {
@@ -58,9 +58,9 @@
     }
 
     static void clockJumps(final World w, final long span) {
-        final List<Node> all = new ArrayList<>(w.pursers());
-        all.addAll(w.harbors());
-        final Node n = w.some(all);
+        final List<SimulatedNode> all = new ArrayList<>(w.gateways());
+        all.addAll(w.controllers());
+        final SimulatedNode n = w.some(all);
         final long off = (w.engine().luck().nextBoolean() ? 1 : -1) * (100_000 + w.engine().luck().nextLong(600_000_000L));
         w.drags();
         w.tell("clock of " + n.name() + " jumps by " + off / 1000 + " ms");
@@ -69,9 +69,9 @@
     }
 
     static void clockOff(final World w, final long span) {
-        final List<Node> all = new ArrayList<>(w.pursers());
-        all.addAll(w.harbors());
-        final Node n = w.some(all);
+        final List<SimulatedNode> all = new ArrayList<>(w.gateways());
+        all.addAll(w.controllers());
+        final SimulatedNode n = w.some(all);
         final long off = (w.engine().luck().nextBoolean() ? 1 : -1) * (100_000 + w.engine().luck().nextLong(600_000_000L));
         w.drags();
         w.tell("restart " + n.name() + " with its clock off by " + off / 1000 + " ms");
@@ -87,11 +87,11 @@
     }
 
     static void newsCut(final World w, final long span) {
-        final Node n = w.some(w.pursers());
+        final SimulatedNode n = w.some(w.gateways());
         final Mill m = w.some(w.mills());
         w.tell("cut the news of " + n.name() + ", and " + m.name() + " leaves");
-        final Set<String> rest = w.pursers().stream().map(Node::name).collect(Collectors.toSet());
-        w.harbors().forEach(h -> rest.add(h.name()));
+        final Set<String> rest = w.gateways().stream().map(SimulatedNode::name).collect(Collectors.toSet());
+        w.controllers().forEach(h -> rest.add(h.name()));
         rest.remove(n.name());
         final Set<String> tellers = new HashSet<>(rest);
         tellers.add(m.name());
@@ -107,14 +107,14 @@
     }
 
     static void clocksOff(final World w, final long span) {
-        final List<Node> all = new ArrayList<>(w.harbors());
-        all.addAll(Blows.half(w, w.pursers()));
+        final List<SimulatedNode> all = new ArrayList<>(w.controllers());
+        all.addAll(Blows.half(w, w.gateways()));
         final boolean same = w.engine().luck().nextBoolean();
         final long off = 60_000 + w.engine().luck().nextLong(60_000_000L);
-        w.tell("restart " + all.stream().map(Node::name).toList() + " with clocks ahead by " + (same ? off / 1000 + " ms" : "as many spans"));
+        w.tell("restart " + all.stream().map(SimulatedNode::name).toList() + " with clocks ahead by " + (same ? off / 1000 + " ms" : "as many spans"));
         all.removeFirst();
         long at = 0;
-        for (final Node n : all) {
+        for (final SimulatedNode n : all) {
             final long mine = same ? off : off + w.engine().luck().nextLong(5_000_000L);
             w.later(at, () -> {
                 n.kill();
@@ -126,7 +126,7 @@
     }
 
     static void overflowStorm(final World w, final long span) {
-        final Node n = w.some(w.pursers());
+        final SimulatedNode n = w.some(w.gateways());
         w.tell("storm at " + n.name());
         for (long t = 0; t < 1_500_000; t += 5_000) {
             w.engine().in(t, () -> w.flood(n, 400));
@@ -157,8 +157,8 @@
 
     static Set<String> places(final World w, final String region) {
         final Set<String> set = new HashSet<>(Set.of("consumers-" + region));
-        w.pursers().stream().filter(n -> n.region().equals(region)).forEach(n -> set.add(n.name()));
-        w.harbors().stream().filter(n -> n.region().equals(region)).forEach(n -> set.add(n.name()));
+        w.gateways().stream().filter(n -> n.region().equals(region)).forEach(n -> set.add(n.name()));
+        w.controllers().stream().filter(n -> n.region().equals(region)).forEach(n -> set.add(n.name()));
         w.mills().stream().filter(m -> m.region().equals(region)).forEach(m -> set.add(m.name()));
         return set;
     }
--- a/drill/src/main/java/silverlatch/drill/sim/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/World.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -9,12 +9,12 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import silverlatch.carry.Act;
-import silverlatch.carry.Line;
-import silverlatch.deck.Effect;
-import silverlatch.deck.Ship;
-import silverlatch.drill.fleet.Plan;
-import silverlatch.guard.Guards;
+import silverlatch.dispatch.Act;
+import silverlatch.dispatch.Line;
+import silverlatch.node.Effect;
+import silverlatch.node.Ship;
+import silverlatch.simulation.fleet.Plan;
+import silverlatch.safeguard.Safeguards;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
 
@@ -26,13 +26,13 @@
     private final Watch watch;
     private final Office office;
     private final Plan plan;
-    private final Guards guards;
-    private final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final Safeguards guards;
+    private final Map<String, SimulatedNode> nodes = new LinkedHashMap<>();
     private final Map<String, Mill> mills = new LinkedHashMap<>();
     private final Map<String, Known> known = new HashMap<>();
     private final Map<String, Frame> newest = new HashMap<>();
     private final Map<String, String> sources = new HashMap<>();
-    private final Map<Step, Consumer<Node>> aims = new EnumMap<>(Step.class);
+    private final Map<Step, Consumer<SimulatedNode>> aims = new EnumMap<>(Step.class);
     private final List<Person> people = new ArrayList<>();
     private final List<Sort> sorts = new ArrayList<>();
     private final List<String> story = new ArrayList<>();
@@ -64,7 +64,7 @@
     }
 
     /** A world of a plan, driven by a seed, with so many tickets a second. */
-    public World(final Plan plan, final long seed, final long rate, final Guards guards, final boolean loud) {
+    public World(final Plan plan, final long seed, final long rate, final Safeguards guards, final boolean loud) {
         this.engine = new Engine(seed);
         this.net = new Net(engine);
         this.watch = new Watch(engine::now);
@@ -74,18 +74,18 @@
         this.loud = loud;
         final List<String> seeds = new ArrayList<>();
         for (int i = 1; i <= plan.regions().size(); i++) {
-            seeds.add("harbor-" + i);
+            seeds.add("controller-" + i);
         }
         int h = 0;
         int p = 0;
         int w = 0;
         for (final Plan.Region r : plan.regions()) {
             h++;
-            add(new Node(this, "harbor-" + h, r.zone(), r.region(), "harbor-" + h, seeds, true));
-            final List<Node> near = new ArrayList<>();
-            for (int i = 0; i < r.pursers(); i++) {
+            add(new SimulatedNode(this, "controller-" + h, r.zone(), r.region(), "controller-" + h, seeds, true));
+            final List<SimulatedNode> near = new ArrayList<>();
+            for (int i = 0; i < r.gateways(); i++) {
                 p++;
-                near.add(add(new Node(this, "purser-" + p, r.zone(), r.region(), "purser-" + p, seeds, false)));
+                near.add(add(new SimulatedNode(this, "gateway-" + p, r.zone(), r.region(), "gateway-" + p, seeds, false)));
             }
             for (int i = 0; i < r.workers(); i++) {
                 w++;
@@ -120,7 +120,7 @@
         return List.copyOf(story);
     }
 
-    Guards guards() {
+    Safeguards guards() {
         return guards;
     }
 
@@ -128,16 +128,16 @@
         return plan;
     }
 
-    /** Waits until the harbors stand in one chain again, so that a machine may be lost for good. */
+    /** Waits until the controllers stand in one chain again, so that a machine may be lost for good. */
     void settle() {
         for (int i = 0; i < 90 && (engine.now() < losing || !settled()); i++) {
             engine.run(engine.now() + SECOND);
         }
     }
 
-    /** Whether all harbors stand in one chain. */
+    /** Whether all controllers stand in one chain. */
     boolean settled() {
-        return harbors().stream().allMatch(n -> n.ready()
+        return controllers().stream().allMatch(n -> n.ready()
                 && n.deck().map(d -> d.view().chain().size() == plan.regions().size()).orElse(false));
     }
 
@@ -183,12 +183,12 @@
     }
 
     /** The next daemon that comes to a step is hit there. */
-    void aim(final Step step, final Consumer<Node> hit) {
+    void aim(final Step step, final Consumer<SimulatedNode> hit) {
         aims.put(step, hit);
     }
 
     /** A daemon comes to a step. */
-    void step(final Step step, final Node n) {
+    void step(final Step step, final SimulatedNode n) {
         Optional.ofNullable(aims.remove(step)).ifPresent(h -> {
             watch.count("aimed-" + step);
             stir();
@@ -217,19 +217,19 @@
         return sorts;
     }
 
-    List<Node> pursers() {
-        return nodes.values().stream().filter(n -> !n.harbor()).toList();
+    List<SimulatedNode> gateways() {
+        return nodes.values().stream().filter(n -> !n.controller()).toList();
     }
 
-    List<Node> harbors() {
-        return nodes.values().stream().filter(Node::harbor).toList();
+    List<SimulatedNode> controllers() {
+        return nodes.values().stream().filter(SimulatedNode::controller).toList();
     }
 
     List<Mill> mills() {
         return List.copyOf(mills.values());
     }
 
-    Optional<Node> node(final String name) {
+    Optional<SimulatedNode> node(final String name) {
         return Optional.ofNullable(nodes.get(name));
     }
 
@@ -244,36 +244,36 @@
         }
     }
 
-    void log(final Node n, final Effect.Log l) {
+    void log(final SimulatedNode n, final Effect.Log l) {
         if (loud) {
             System.out.println(engine.now() / 1000 + " ms " + n.name() + " " + l.event() + " " + l.text());
         }
     }
 
-    /** Replaces a harbor by an empty machine at a new address. */
-    Node swap(final Node old) {
+    /** Replaces a controller by an empty machine at a new address. */
+    SimulatedNode swap(final SimulatedNode old) {
         old.kill();
         nodes.remove(old.name());
-        final String fresh = "harbor-" + (char) ('a' + nodes.size() % 26) + engine.luck().nextInt(1_000);
-        final List<String> seeds = harbors().stream().map(Node::address).limit(2).collect(java.util.stream.Collectors.toCollection(ArrayList::new));
+        final String fresh = "controller-" + (char) ('a' + nodes.size() % 26) + engine.luck().nextInt(1_000);
+        final List<String> seeds = controllers().stream().map(SimulatedNode::address).limit(2).collect(java.util.stream.Collectors.toCollection(ArrayList::new));
         seeds.add(old.address());
-        final Node n = add(new Node(this, fresh, old.zone(), old.region(), fresh, seeds, true));
+        final SimulatedNode n = add(new SimulatedNode(this, fresh, old.zone(), old.region(), fresh, seeds, true));
         n.start();
         return n;
     }
 
     /** Starts everything, waits until it stands, and gives it its tenants and its table. */
     public void open() {
-        nodes.values().forEach(Node::start);
+        nodes.values().forEach(SimulatedNode::start);
         mills.values().forEach(Mill::start);
-        for (int i = 0; i < 200 && !harbors().stream().allMatch(Node::ready); i++) {
+        for (int i = 0; i < 200 && !controllers().stream().allMatch(SimulatedNode::ready); i++) {
             engine.run(engine.now() + 100_000);
         }
         office.load();
-        for (int i = 0; i < 300 && !pursers().stream().allMatch(n -> n.ready() && n.facts().map(f -> f.row("*", sorts.getFirst().kind()).isPresent()).orElse(false)); i++) {
+        for (int i = 0; i < 300 && !gateways().stream().allMatch(n -> n.ready() && n.facts().map(f -> f.row("*", sorts.getFirst().kind()).isPresent()).orElse(false)); i++) {
             engine.run(engine.now() + 100_000);
         }
-        if (!pursers().stream().allMatch(Node::ready)) {
+        if (!gateways().stream().allMatch(SimulatedNode::ready)) {
             watch.fault(Mark.DEAD, "the fleet did not stand up");
         }
         engine.run(engine.now() + 2 * SECOND);
@@ -314,9 +314,9 @@
         known.put(ticket, new Known(person, key, tries));
     }
 
-    void ship(final Node from, final Ship s) {
+    void ship(final SimulatedNode from, final Ship s) {
         from.spoke(s.frame());
-        final Optional<Node> to = nodes.values().stream().filter(n -> n.address().equals(s.to())).findFirst();
+        final Optional<SimulatedNode> to = nodes.values().stream().filter(n -> n.address().equals(s.to())).findFirst();
         to.ifPresent(t -> {
             final long life = t.epoch();
             final Frame f = engine.luck().nextInt(50) == 0 ? again(s.frame()) : s.frame();
@@ -332,7 +332,7 @@
     }
 
     /** A daemon gets so many copies of the newest frame that another region sent it. */
-    void flood(final Node n, final int times) {
+    void flood(final SimulatedNode n, final int times) {
         Optional.ofNullable(newest.get(n.name())).ifPresent(f -> {
             for (int i = 0; i < times; i++) {
                 n.frame(f);
@@ -344,7 +344,7 @@
         return codec.read(codec.write(f), Frame.class) instanceof Codec.Read.Good<Frame> good ? good.thing() : f;
     }
 
-    void run(final Node n, final Act.Run r, final Map<Long, Consumer<String>> jobs) {
+    void run(final SimulatedNode n, final Act.Run r, final Map<Long, Consumer<String>> jobs) {
         final Mill m = mills.get(r.worker());
         final long page = n.facts().map(f -> f.page()).orElse(0L);
         final Known who = known.getOrDefault(r.ticket(), new Known(people.getFirst(), "", 0));
@@ -404,7 +404,7 @@
         return sources.getOrDefault(run, "");
     }
 
-    private void follow(final Node n, final Mill m, final Act.Run r, final boolean[] over, final long life) {
+    private void follow(final SimulatedNode n, final Mill m, final Act.Run r, final boolean[] over, final long life) {
         engine.in(200_000, () -> {
             if (over[0] || life != n.epoch()) {
                 return;
@@ -418,7 +418,7 @@
         });
     }
 
-    private void fail(final Node n, final long job, final boolean started, final String why) {
+    private void fail(final SimulatedNode n, final long job, final boolean started, final String why) {
         final long life = n.epoch();
         n.carrying(c -> {
             if (life == n.epoch()) {
@@ -427,7 +427,7 @@
         });
     }
 
-    private Node add(final Node n) {
+    private SimulatedNode add(final SimulatedNode n) {
         nodes.put(n.name(), n);
         net.put(n.name(), n.region());
         return n;
@@ -481,7 +481,7 @@
     }
 
     private void gaze() {
-        pursers().stream().filter(Node::ready).forEach(n -> watch.rules().values(n.values(), "is followed by " + n.name()));
+        gateways().stream().filter(SimulatedNode::ready).forEach(n -> watch.rules().values(n.values(), "is followed by " + n.name()));
         engine.in(SECOND / 4, this::gaze);
     }
 }
--- a/drill/src/main/java/silverlatch/drill/worker/Faults.java
+++ b/simulation/src/main/java/silverlatch/simulation/worker/Faults.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.worker;
+package silverlatch.simulation.worker;
 
 /** What a stand-in worker can be told to do wrong. */
 public enum Faults {
--- a/drill/src/main/java/silverlatch/drill/worker/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/worker/Main.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.worker;
+package silverlatch.simulation.worker;
 
 import java.io.IOException;
 import java.io.PrintWriter;
@@ -21,12 +21,12 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
-import silverlatch.carry.Line;
-import silverlatch.desk.back.Lines;
-import silverlatch.desk.duty.Duty;
-import silverlatch.desk.web.Call;
-import silverlatch.desk.web.Web;
-import silverlatch.sheet.Sheet;
+import silverlatch.dispatch.Line;
+import silverlatch.server.workerclient.Lines;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.web.Call;
+import silverlatch.server.web.Web;
+import silverlatch.json.JsonDocument;
 
 /** A stand-in worker: reads prompts, keeps prefixes, streams pieces, seals, announces itself, and misbehaves on demand. */
 public final class Main {
@@ -39,8 +39,8 @@
     private String region = "";
     @Option(name = "--door", required = true)
     private String door = "";
-    @Option(name = "--pursers", required = true, usage = "doors to announce to, by commas")
-    private String pursers = "";
+    @Option(name = "--gateways", required = true, usage = "doors to announce to, by commas")
+    private String gateways = "";
     @Option(name = "--record", required = true, usage = "the file of runs")
     private String record = "";
     @Option(name = "--key", required = true, usage = "the workers' key")
@@ -52,7 +52,7 @@
     @Option(name = "--read", usage = "microseconds for a part of a prefix that is not kept")
     private long read = 5_000;
     private final long life = System.currentTimeMillis() * 1000;
-    private final long began = Duty.now();
+    private final long began = EventLoop.now();
     private final ScheduledExecutorService work = Executors.newSingleThreadScheduledExecutor(r -> Thread.ofPlatform().daemon(true).name("work").unstarted(r));
     private final HttpClient http = new HttpClient();
     private final LinkedHashMap<Long, Boolean> kept = new LinkedHashMap<>(16, 0.75f, true);
@@ -114,7 +114,7 @@
             c.reply(401, Map.of("faults", List.of("the workers' key is needed")), Map.of("X-Started", "no"));
             return;
         }
-        if (!(Sheet.parse(c.body(), 4 << 20) instanceof Sheet.Parsed.Good good)) {
+        if (!(JsonDocument.parse(c.body(), 4 << 20) instanceof JsonDocument.Parsed.Good good)) {
             c.reply(400, Map.of("faults", List.of("not JSON")), Map.of("X-Started", "no"));
             return;
         }
@@ -122,7 +122,7 @@
             c.reply(503, Map.of("started", false), Map.of("X-Started", "no"));
             return;
         }
-        final Sheet s = good.sheet();
+        final JsonDocument s = good.sheet();
         final String ticket = s.text("ticket", 256);
         final String run = s.text("run", 256);
         final String tenant = s.text("tenant", 64);
@@ -130,7 +130,7 @@
         final String prompt = s.text("prompt", 4 << 20);
         final List<Long> prefix = s.wholes("prefix", 64);
         note(Map.of("event", "start", "ticket", ticket, "run", run, "tenant", tenant, "kind", kind, "region", region, "worker", name,
-                "prompt", silverlatch.carry.permit.Seals.hash(prompt).substring(0, 12), "at", System.currentTimeMillis()));
+                "prompt", silverlatch.dispatch.permit.Seals.hash(prompt).substring(0, 12), "at", System.currentTimeMillis()));
         c.stream("", false, () -> {
         }, () -> {
         });
@@ -190,7 +190,7 @@
 
     private void announce() {
         sequence++;
-        for (final String p : pursers.split(",")) {
+        for (final String p : gateways.split(",")) {
             final List<Long> list = new ArrayList<>(kept.keySet());
             final Map<String, Object> word = new LinkedHashMap<>();
             word.put("worker", name);
@@ -204,15 +204,15 @@
             word.put("slots", slots);
             word.put("kept", list);
             word.put("leaving", leaving);
-            word.put("up", Duty.now() - began);
+            word.put("up", EventLoop.now() - began);
             word.put("echo", echoes.getOrDefault(p, 0L));
             http.newRequest(URI.create("http://" + p + "/v1/announcements")).method("POST")
                     .headers(h -> h.put("Authorization", "Bearer " + key))
-                    .body(new StringRequestContent("application/json", Sheet.write(word))).timeout(2, TimeUnit.SECONDS)
+                    .body(new StringRequestContent("application/json", JsonDocument.write(word))).timeout(2, TimeUnit.SECONDS)
                     .send(new org.eclipse.jetty.client.BufferingResponseListener() {
                         @Override
                         public void onComplete(final org.eclipse.jetty.client.Result result) {
-                            if (result.isSucceeded() && Sheet.parse(getContent(), 4096) instanceof Sheet.Parsed.Good g) {
+                            if (result.isSucceeded() && JsonDocument.parse(getContent(), 4096) instanceof JsonDocument.Parsed.Good g) {
                                 echoes.put(p, g.sheet().whole("echo", 0, Long.MAX_VALUE, 0));
                             }
                         }
@@ -221,6 +221,6 @@
     }
 
     private void note(final Map<String, Object> fields) {
-        book.println(Sheet.write(fields));
+        book.println(JsonDocument.write(fields));
     }
 }
--- a/drill/src/main/java/silverlatch/drill/worker/Speech.java
+++ b/simulation/src/main/java/silverlatch/simulation/worker/Speech.java
@@ -1,8 +1,8 @@
-package silverlatch.drill.worker;
+package silverlatch.simulation.worker;
 
 import java.security.MessageDigest;
 import java.util.HexFormat;
-import silverlatch.carry.permit.Seals;
+import silverlatch.dispatch.permit.Seals;
 
 /** What a stand-in worker says: a function of the prompt alone, so that a consumer can tell its own reply. */
 public final class Speech {
--- a/drill/src/test/java/silverlatch/drill/fleet/RollTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/fleet/RollTest.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.fleet;
+package silverlatch.simulation.fleet;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.anyOf;
@@ -17,7 +17,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import silverlatch.drill.check.Main;
+import silverlatch.simulation.check.Main;
 
 /** The telecom's fleet of processes while it is operated: rolled, stopped and frozen mid-stream, swapped, a region lost, a disk full. */
 final class RollTest {
@@ -35,11 +35,11 @@
         }
     }
 
-    /** Whether a harbor keeps a change within a minute of asking. */
-    private static boolean takes(final Fleet fleet, final String harbor, final String path, final String body) throws InterruptedException {
+    /** Whether a controller keeps a change within a minute of asking. */
+    private static boolean takes(final Fleet fleet, final String controller, final String path, final String body) throws InterruptedException {
         return fleet.until(() -> {
             try {
-                return fleet.ask(harbor, "PUT", path, body).statusCode() == 200;
+                return fleet.ask(controller, "PUT", path, body).statusCode() == 200;
             } catch (final IOException | InterruptedException e) {
                 return false;
             }
@@ -54,13 +54,13 @@
         }
     }
 
-    /** Starts a long stream at a purser, and waits until its first pieces came. */
-    private static Stream stream(final Fleet fleet, final String purser, final int pieces) throws Exception {
+    /** Starts a long stream at a gateway, and waits until its first pieces came. */
+    private static Stream stream(final Fleet fleet, final String gateway, final int pieces) throws Exception {
         final List<Stream> tries = new ArrayList<>();
         final Plan.Tenant who = fleet.plan().tenants().getFirst();
         assertThat(fleet.until(() -> {
             try {
-                final HttpResponse<String> pick = fleet.as(who.key(), purser, "POST", "/v1/picks",
+                final HttpResponse<String> pick = fleet.as(who.key(), gateway, "POST", "/v1/picks",
                         "{\"tenant\":\"" + who.name() + "\",\"kind\":\"" + fleet.plan().kinds().getFirst().kind() + "\"}");
                 if (!pick.body().contains("\"permit\"")) {
                     return false;
@@ -68,7 +68,7 @@
                 final ConcurrentLinkedQueue<String> lines = new ConcurrentLinkedQueue<>();
                 tries.add(new Stream(lines, CompletableFuture.supplyAsync(() -> {
                     try {
-                        fleet.lines(who.key(), purser, "/v1/tickets", "{\"permit\":\"" + pick.body().replaceAll(".*\"permit\":\"([^\"]*)\".*", "$1")
+                        fleet.lines(who.key(), gateway, "/v1/tickets", "{\"permit\":\"" + pick.body().replaceAll(".*\"permit\":\"([^\"]*)\".*", "$1")
                                 + "\",\"prompt\":\"" + pieces + " pieces of a long story\",\"expiryMs\":50000}", lines::add);
                         return true;
                     } catch (final IOException | InterruptedException | java.io.UncheckedIOException e) {
@@ -93,14 +93,14 @@
     @Test
     void aFleetIsRolledSwappedAndLosesARegionWithEveryReceiptInOrder() throws Exception {
         try (Fleet fleet = new Fleet(Plan.read(Path.of("../examples/telecom")), folder, System.getProperty("java.class.path"))) {
-            fleet.all("harbor");
-            fleet.all("purser");
+            fleet.all("controller");
+            fleet.all("gateway");
             fleet.all("worker");
-            assertThat("harbors", fleet.ready("harbor", 90), is(true));
+            assertThat("controllers", fleet.ready("controller", 90), is(true));
             assertThat(fleet.load(), everyItem(is(200)));
-            assertThat("pursers", fleet.ready("purser", 90), is(true));
+            assertThat("gateways", fleet.ready("gateway", 90), is(true));
             final Path receipts = folder.resolve("receipts");
-            final Process load = fleet.begin("silverlatch.drill.consumer.Main", folder.resolve("consumer.out"), List.of("--doors", fleet.doors("purser"),
+            final Process load = fleet.begin("silverlatch.simulation.consumer.Main", folder.resolve("consumer.out"), List.of("--doors", fleet.doors("gateway"),
                     "--seconds", "45", "--rate", "15", "--tenants", fleet.plan().people(), "--kinds", fleet.plan().sorts(),
                     "--receipts", receipts.toString(), "--seed", "9"));
             rolls(fleet);
@@ -118,67 +118,67 @@
     }
 
     private static void rolls(final Fleet fleet) throws Exception {
-        final Stream cut = stream(fleet, "purser-1", 900);
+        final Stream cut = stream(fleet, "gateway-1", 900);
         fleet.settings(Map.of("grace", 2_000_000, "keep", 30_000_000));
-        assertThat(fleet.stop("purser-1"), is(143));
+        assertThat(fleet.stop("gateway-1"), is(143));
         assertThat("the grace ran out", cut.whole(), containsString("\"lost\""));
         gapless(cut.whole());
-        fleet.start("purser-1");
-        for (final String name : List.of("harbor-3", "harbor-1", "purser-2", "purser-3")) {
+        fleet.start("gateway-1");
+        for (final String name : List.of("controller-3", "controller-1", "gateway-2", "gateway-3")) {
             assertThat(name, fleet.stop(name), is(143));
             fleet.start(name);
             assertThat(name, fleet.ready(name, 90), is(true));
         }
-        assertThat("purser-1", fleet.ready("purser-1", 90), is(true));
-        assertThat("three stand in the chain", fleet.until(() -> body(fleet, "harbor-1", "/status").split("127.0.0.1").length > 3, 60), is(true));
+        assertThat("gateway-1", fleet.ready("gateway-1", 90), is(true));
+        assertThat("three stand in the chain", fleet.until(() -> body(fleet, "controller-1", "/status").split("127.0.0.1").length > 3, 60), is(true));
     }
 
     private static void freezes(final Fleet fleet) throws Exception {
-        final Stream held = stream(fleet, "purser-2", 100);
-        fleet.freeze("purser-2", true);
-        assertThat(fleet.until(() -> body(fleet, "purser-3", "/ready").contains("ready") && fleet.isReady("purser-3"), 30), is(true));
-        fleet.freeze("purser-2", false);
+        final Stream held = stream(fleet, "gateway-2", 100);
+        fleet.freeze("gateway-2", true);
+        assertThat(fleet.until(() -> body(fleet, "gateway-3", "/ready").contains("ready") && fleet.isReady("gateway-3"), 30), is(true));
+        fleet.freeze("gateway-2", false);
         assertThat(held.whole(), anyOf(containsString("\"seal\""), containsString("\"lost\""), containsString("rejected")));
         gapless(held.whole());
     }
 
     private static void swaps(final Fleet fleet) throws Exception {
-        fleet.kill("harbor-2");
-        fleet.harbor("harbor-9", fleet.plan().regions().get(1), true);
-        fleet.start("harbor-9");
-        assertThat("the empty machine at a new address stands in the chain", fleet.ready("harbor-9", 90), is(true));
-        fleet.harbor("harbor-8", fleet.plan().regions().get(2), false);
-        fleet.start("harbor-8");
-        assertThat("a harbor without a data folder replies", fleet.until(() -> body(fleet, "harbor-8", "/v1/table").contains("\"rows\""), 60), is(true));
-        assertThat(takes(fleet, "harbor-8", "/v1/zones/nowhere", "{\"empty\":true}"), is(true));
-        assertThat(body(fleet, "harbor-9", "/v1/zones"), containsString("nowhere"));
+        fleet.kill("controller-2");
+        fleet.controller("controller-9", fleet.plan().regions().get(1), true);
+        fleet.start("controller-9");
+        assertThat("the empty machine at a new address stands in the chain", fleet.ready("controller-9", 90), is(true));
+        fleet.controller("controller-8", fleet.plan().regions().get(2), false);
+        fleet.start("controller-8");
+        assertThat("a controller without a data folder replies", fleet.until(() -> body(fleet, "controller-8", "/v1/table").contains("\"rows\""), 60), is(true));
+        assertThat(takes(fleet, "controller-8", "/v1/zones/nowhere", "{\"empty\":true}"), is(true));
+        assertThat(body(fleet, "controller-9", "/v1/zones"), containsString("nowhere"));
     }
 
     private static void region(final Fleet fleet) throws Exception {
-        final List<String> lost = fleet.places(fleet.plan().regions().get(2).region()).stream().filter(n -> !n.equals("harbor-8")).toList();
+        final List<String> lost = fleet.places(fleet.plan().regions().get(2).region()).stream().filter(n -> !n.equals("controller-8")).toList();
         for (final String name : lost) {
             fleet.kill(name);
         }
-        assertThat("the others take changes", takes(fleet, "harbor-1", "/v1/zones/elsewhere", "{\"empty\":true}"), is(true));
+        assertThat("the others take changes", takes(fleet, "controller-1", "/v1/zones/elsewhere", "{\"empty\":true}"), is(true));
         for (final String name : lost) {
             fleet.start(name);
         }
-        assertThat("the region is back", fleet.ready("harbor-3", 90) && fleet.ready("purser", 90), is(true));
-        assertThat(fleet.until(() -> body(fleet, "harbor-3", "/v1/zones").contains("elsewhere"), 60), is(true));
+        assertThat("the region is back", fleet.ready("controller-3", 90) && fleet.ready("gateway", 90), is(true));
+        assertThat(fleet.until(() -> body(fleet, "controller-3", "/v1/zones").contains("elsewhere"), 60), is(true));
     }
 
     private static void fills(final Fleet fleet) throws Exception {
-        fleet.kill("harbor-3");
-        fleet.cramped("harbor-3", 600);
-        assertThat(fleet.ready("harbor-3", 90), is(true));
-        final String was = body(fleet, "harbor-1", "/v1/table");
+        fleet.kill("controller-3");
+        fleet.cramped("controller-3", 600);
+        assertThat(fleet.ready("controller-3", 90), is(true));
+        final String was = body(fleet, "controller-1", "/v1/table");
         final StringBuilder rows = new StringBuilder(was.substring(0, was.lastIndexOf(']')));
         for (int i = 0; i < 12_000; i++) {
             rows.append(",{\"tenant\":\"*\",\"kind\":\"kind-").append(i).append("\"}");
         }
-        assertThat(takes(fleet, "harbor-1", "/v1/table", rows + "]}"), is(true));
-        assertThat("the full machine leaves the chain", fleet.until(() -> body(fleet, "harbor-3", "/ready").contains("broken"), 60), is(true));
-        assertThat("the fleet goes on", takes(fleet, "harbor-1", "/v1/zones/nowhere", "{\"empty\":false}"), is(true));
-        assertThat(Files.readString(fleet.folder().resolve("harbor-3.log")), containsString("SL405 DISK_BROKEN"));
+        assertThat(takes(fleet, "controller-1", "/v1/table", rows + "]}"), is(true));
+        assertThat("the full machine leaves the chain", fleet.until(() -> body(fleet, "controller-3", "/ready").contains("broken"), 60), is(true));
+        assertThat("the fleet goes on", takes(fleet, "controller-1", "/v1/zones/nowhere", "{\"empty\":false}"), is(true));
+        assertThat(Files.readString(fleet.folder().resolve("controller-3.log")), containsString("SL405 DISK_BROKEN"));
     }
 }
--- a/drill/src/test/java/silverlatch/drill/hollow/HollowTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/hollow/HollowTest.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.hollow;
+package silverlatch.simulation.hollow;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import silverlatch.tariff.Tariff;
-import silverlatch.tariff.Wish;
+import silverlatch.state.TableRules;
+import silverlatch.state.Command;
 
 final class HollowTest {
     @Test
@@ -25,12 +25,12 @@
     void aFleetSettlesAndItsChangesReachAllWithinASecond() {
         final Hollow fleet = new Hollow(30, 40, 3);
         fleet.pass(8 * Hollow.SECOND);
-        assertThat(fleet.rule(new Wish.Table("table", List.of(Tariff.plain("*", "chat")), -1), 5 * Hollow.SECOND), greaterThanOrEqualTo(0L));
+        assertThat(fleet.rule(new Command.PutTable("table", List.of(TableRules.plain("*", "chat")), -1), 5 * Hollow.SECOND), greaterThanOrEqualTo(0L));
         fleet.pass(12 * Hollow.SECOND);
         assertThat(fleet.settled(), is(true));
         for (int i = 0; i < 5; i++) {
             assertThat(fleet.change(Hollow.SECOND), greaterThanOrEqualTo(0L));
-            assertThat(fleet.rule(new Wish.Cells("rule-" + i, List.of(new Wish.Cell("*", "chat", "rate", "" + (500 + i))), -1), Hollow.SECOND),
+            assertThat(fleet.rule(new Command.PatchTable("rule-" + i, List.of(new Command.Cell("*", "chat", "rate", "" + (500 + i))), -1), Hollow.SECOND),
                     greaterThanOrEqualTo(0L));
         }
         assertThat(fleet.unsure(), is(0L));
--- a/drill/src/test/java/silverlatch/drill/sim/BriefTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/BriefTest.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -17,7 +17,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
-import silverlatch.guard.Guard;
+import silverlatch.safeguard.Safeguard;
 
 /** Holds docs/brief.md to what there is: each name in it exists, and no fault, guard or mark is left out. */
 final class BriefTest {
@@ -50,7 +50,7 @@
     void theBriefsPageNamesEveryFaultGuardAndMarkAndNothingElse() throws IOException {
         final String page = Files.readString(ROOT.resolve("docs/brief.md"));
         assertThat(named(page, "`Fault\\.([A-Z_]+)`"), is(names(Fault.values())));
-        assertThat(named(page, "`Guard\\.([A-Z_]+)`"), is(names(Guard.values())));
+        assertThat(named(page, "`Guard\\.([A-Z_]+)`"), is(names(Safeguard.values())));
         assertThat(named(page, "`Mark\\.([A-Z_]+)`"), is(names(Mark.values())));
     }
 
@@ -58,7 +58,7 @@
     void theBriefsPageNamesTestsThatExist() throws IOException {
         final String page = Files.readString(ROOT.resolve("docs/brief.md"));
         final Set<String> there = new TreeSet<>();
-        for (final Path p : sources("core/src/test", "desk/src/test", "drill/src/test")) {
+        for (final Path p : sources("core/src/test", "server/src/test", "simulation/src/test")) {
             final String name = p.getFileName().toString().replace(".java", "");
             there.add(name);
             named(Files.readString(p), "void (\\w+)\\(").forEach(m -> there.add(name + "." + m));
@@ -71,7 +71,7 @@
     @Test
     void theProgramsKnowNoGuardLetDown() throws IOException {
         final List<String> found = new ArrayList<>();
-        for (final Path p : sources("core/src/main", "desk/src/main")) {
+        for (final Path p : sources("core/src/main", "server/src/main")) {
             if (Files.readString(p).contains("new Guards(") && !p.endsWith("guard/Guards.java")) {
                 found.add(p.toString());
             }
--- a/drill/src/test/java/silverlatch/drill/sim/DayTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
@@ -1,4 +1,4 @@
-package silverlatch.drill.sim;
+package silverlatch.simulation.sim;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
@@ -22,9 +22,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import silverlatch.drill.fleet.Plan;
-import silverlatch.guard.Guard;
-import silverlatch.guard.Guards;
+import silverlatch.simulation.fleet.Plan;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
 
 /** Days of failure on the fake clock, for both deployments; a failing day names its seed. */
 final class DayTest {
@@ -38,7 +38,7 @@
         return days.stream().flatMap(c -> c.wrong().stream().map(w -> "seed " + c.script().seed() + " " + c.story() + ": " + w)).toList();
     }
 
-    private static List<Day.Came> all(final Plan plan, final List<Day.Script> scripts, final Guards guards) {
+    private static List<Day.Came> all(final Plan plan, final List<Day.Script> scripts, final Safeguards guards) {
         return scripts.parallelStream().map(s -> Day.run(plan, s, guards, false)).toList();
     }
 
@@ -53,7 +53,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"ferry", "telecom"})
     void eachFaultOfTheBriefIsBorneAndEveryCheckIsPutToTheTest(final String name) throws IOException {
-        final List<Day.Came> days = all(plan(name), Arrays.stream(Fault.values()).map(f -> Day.Script.of(11, List.of(f), RATE)).toList(), Guards.ALL);
+        final List<Day.Came> days = all(plan(name), Arrays.stream(Fault.values()).map(f -> Day.Script.of(11, List.of(f), RATE)).toList(), Safeguards.ALL);
         assertThat(wrong(days), is(List.of()));
         assertThat("put to no test", tried(days), is(empty()));
     }
@@ -61,7 +61,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"ferry", "telecom"})
     void daysOfSeveralFaultsAreBorne(final String name) throws IOException {
-        assertThat(wrong(all(plan(name), LongStream.range(100, 116).mapToObj(s -> Day.Script.drawn(s, RATE)).toList(), Guards.ALL)), is(List.of()));
+        assertThat(wrong(all(plan(name), LongStream.range(100, 116).mapToObj(s -> Day.Script.drawn(s, RATE)).toList(), Safeguards.ALL)), is(List.of()));
     }
 
     @Test
@@ -74,7 +74,7 @@
                     .filter(r -> from % 3 > 0 && (r.hashCode() + from) % 2 == 0).toList()));
         }
         final Plan plan = new Plan("many", few.regions(), few.kinds(), many, few.table());
-        final List<Day.Came> days = all(plan, List.of(Day.Script.of(1, List.of(Fault.TENANTS_MOVE, Fault.REGION_LOST), RATE)), Guards.ALL);
+        final List<Day.Came> days = all(plan, List.of(Day.Script.of(1, List.of(Fault.TENANTS_MOVE, Fault.REGION_LOST), RATE)), Safeguards.ALL);
         assertThat(wrong(days), is(List.of()));
     }
 
@@ -82,63 +82,63 @@
     void theSameSeedGivesTheSameDay() throws IOException {
         final Plan plan = plan("ferry");
         final Day.Script day = Day.Script.of(5, List.of(Fault.PURSERS_KILLED, Fault.HARBOR_KILLED), RATE);
-        final Map<String, Long> once = Day.run(plan, day, Guards.ALL, false).tally();
-        assertThat(Day.run(plan, day, Guards.ALL, false).tally(), is(once));
+        final Map<String, Long> once = Day.run(plan, day, Safeguards.ALL, false).tally();
+        assertThat(Day.run(plan, day, Safeguards.ALL, false).tally(), is(once));
     }
 
     /** A check, the guards let down, the fault under which the check must trip, tickets a second, seeds. */
-    private record Trip(Mark mark, Set<Guard> down, Fault fault, long rate, long seeds) {
+    private record Trip(Mark mark, Set<Safeguard> down, Fault fault, long rate, long seeds) {
     }
 
     private static Stream<Trip> trips() {
         return Stream.of(
-                new Trip(Mark.TWICE, Set.of(Guard.CLAIM), Fault.CONSUMERS_MOVE, 60, 2),
-                new Trip(Mark.TWICE, Set.of(Guard.SPENT), Fault.CONSUMERS_MOVE, 60, 2),
-                new Trip(Mark.TWICE, Set.of(Guard.LIFE), Fault.KILLED_AT_STEPS, 60, 24),
-                new Trip(Mark.TWICE, Set.of(Guard.BEGUN), Fault.WORKER_BREAKS, 60, 4),
-                new Trip(Mark.REJECTED, Set.of(Guard.BEGUN), Fault.WORKER_BREAKS, 60, 8),
-                new Trip(Mark.FOREIGN, Set.of(Guard.LINE), Fault.WORKER_BREAKS, 60, 8),
-                new Trip(Mark.CUT, Set.of(Guard.SEAL), Fault.WORKER_BREAKS, 60, 8),
-                new Trip(Mark.PIECE, Set.of(Guard.PIECE), Fault.WORKER_BREAKS, 60, 8),
-                new Trip(Mark.JOIN, Set.of(Guard.BEGUN, Guard.LINE, Guard.PIECE), Fault.WORKER_BREAKS, 60, 8),
-                new Trip(Mark.SERVED, Set.of(Guard.SERVED), Fault.CONSUMERS_MOVE, 60, 2),
-                new Trip(Mark.SENT, Set.of(Guard.SENT), Fault.CONSUMERS_MOVE, 60, 2),
-                new Trip(Mark.KEPT, Set.of(Guard.KEPT), Fault.TENANTS_MOVE, 60, 4),
-                new Trip(Mark.LEAVE, Set.of(Guard.WORD, Guard.SURE), Fault.NEWS_CUT, 60, 8),
-                new Trip(Mark.TABLE, Set.of(Guard.SURE), Fault.NEWS_CUT, 60, 4),
-                new Trip(Mark.BACK, Set.of(Guard.PAGE), Fault.NEWS_CUT, 60, 8),
-                new Trip(Mark.LOSER, Set.of(Guard.MATCH), Fault.CONSUMERS_MOVE, 60, 2),
-                new Trip(Mark.READ, Set.of(Guard.LEASE), Fault.TAIL_CUT, 60, 4),
-                new Trip(Mark.DRAIN, Set.of(Guard.ZONE), Fault.ZONE_DRAINED, 60, 2),
-                new Trip(Mark.TRIES, Set.of(Guard.TRIES), Fault.WORKERS_DENY, 60, 2),
-                new Trip(Mark.COLD, Set.of(Guard.RAMP), Fault.REGION_LOST, 400, 2),
-                new Trip(Mark.RETURN, Set.of(Guard.WARM), Fault.REGION_COLD, 60, 4),
-                new Trip(Mark.DEAD, Set.of(Guard.MEND), Fault.HARBOR_SWAPPED, 60, 4),
-                new Trip(Mark.STAMP, Set.of(Guard.ABOVE), Fault.CONSUMERS_MOVE, 60, 2),
-                new Trip(Mark.DRAG, Set.of(Guard.FAR), Fault.CLOCK_OFF, 60, 4));
+                new Trip(Mark.TWICE, Set.of(Safeguard.CLAIM), Fault.CONSUMERS_MOVE, 60, 2),
+                new Trip(Mark.TWICE, Set.of(Safeguard.SPENT), Fault.CONSUMERS_MOVE, 60, 2),
+                new Trip(Mark.TWICE, Set.of(Safeguard.LIFE), Fault.KILLED_AT_STEPS, 60, 24),
+                new Trip(Mark.TWICE, Set.of(Safeguard.BEGUN), Fault.WORKER_BREAKS, 60, 4),
+                new Trip(Mark.REJECTED, Set.of(Safeguard.BEGUN), Fault.WORKER_BREAKS, 60, 8),
+                new Trip(Mark.FOREIGN, Set.of(Safeguard.LINE), Fault.WORKER_BREAKS, 60, 8),
+                new Trip(Mark.CUT, Set.of(Safeguard.SEAL), Fault.WORKER_BREAKS, 60, 8),
+                new Trip(Mark.PIECE, Set.of(Safeguard.PIECE), Fault.WORKER_BREAKS, 60, 8),
+                new Trip(Mark.JOIN, Set.of(Safeguard.BEGUN, Safeguard.LINE, Safeguard.PIECE), Fault.WORKER_BREAKS, 60, 8),
+                new Trip(Mark.SERVED, Set.of(Safeguard.SERVED), Fault.CONSUMERS_MOVE, 60, 2),
+                new Trip(Mark.SENT, Set.of(Safeguard.SENT), Fault.CONSUMERS_MOVE, 60, 2),
+                new Trip(Mark.KEPT, Set.of(Safeguard.KEPT), Fault.TENANTS_MOVE, 60, 4),
+                new Trip(Mark.LEAVE, Set.of(Safeguard.WORD, Safeguard.SURE), Fault.NEWS_CUT, 60, 8),
+                new Trip(Mark.TABLE, Set.of(Safeguard.SURE), Fault.NEWS_CUT, 60, 4),
+                new Trip(Mark.BACK, Set.of(Safeguard.PAGE), Fault.NEWS_CUT, 60, 8),
+                new Trip(Mark.LOSER, Set.of(Safeguard.MATCH), Fault.CONSUMERS_MOVE, 60, 2),
+                new Trip(Mark.READ, Set.of(Safeguard.LEASE), Fault.TAIL_CUT, 60, 4),
+                new Trip(Mark.DRAIN, Set.of(Safeguard.ZONE), Fault.ZONE_DRAINED, 60, 2),
+                new Trip(Mark.TRIES, Set.of(Safeguard.TRIES), Fault.WORKERS_DENY, 60, 2),
+                new Trip(Mark.COLD, Set.of(Safeguard.RAMP), Fault.REGION_LOST, 400, 2),
+                new Trip(Mark.RETURN, Set.of(Safeguard.WARM), Fault.REGION_COLD, 60, 4),
+                new Trip(Mark.DEAD, Set.of(Safeguard.MEND), Fault.HARBOR_SWAPPED, 60, 4),
+                new Trip(Mark.STAMP, Set.of(Safeguard.ABOVE), Fault.CONSUMERS_MOVE, 60, 2),
+                new Trip(Mark.DRAG, Set.of(Safeguard.FAR), Fault.CLOCK_OFF, 60, 4));
     }
 
     @ParameterizedTest
     @MethodSource("trips")
     void theObserverNoticesWhenAGuardIsDown(final Trip t) throws IOException {
         final List<Day.Script> days = LongStream.range(1, 1 + t.seeds()).mapToObj(s -> Day.Script.of(s, List.of(t.fault()), t.rate())).toList();
-        final List<String> found = all(plan("ferry"), days, new Guards(t.down())).stream().flatMap(d -> d.wrong().stream()).toList();
+        final List<String> found = all(plan("ferry"), days, new Safeguards(t.down())).stream().flatMap(d -> d.wrong().stream()).toList();
         assertThat(found, hasItem(startsWith(t.mark() + " ")));
     }
 
     @Test
     void aDiskThatLiesAboutItsSyncIsNoticed() throws IOException {
         final List<Day.Script> days = LongStream.range(1, 5).mapToObj(s -> new Day.Script(s, List.of(Fault.ALL_KILLED), 60, true)).toList();
-        final List<String> found = all(plan("ferry"), days, Guards.ALL).stream().flatMap(d -> d.wrong().stream()).toList();
+        final List<String> found = all(plan("ferry"), days, Safeguards.ALL).stream().flatMap(d -> d.wrong().stream()).toList();
         assertThat(found, hasItem(startsWith("READ ")));
     }
 
     @Test
     void aDayThatPutsNothingToTheTestIsNoticed() throws IOException {
         final Plan ferry = plan("ferry");
-        final Plan idle = new Plan("idle", ferry.regions().stream().map(r -> new Plan.Region(r.region(), r.zone(), r.pursers(), 0)).toList(),
+        final Plan idle = new Plan("idle", ferry.regions().stream().map(r -> new Plan.Region(r.region(), r.zone(), r.gateways(), 0)).toList(),
                 ferry.kinds(), ferry.tenants(), ferry.table());
-        final List<Day.Came> days = all(idle, List.of(Day.Script.of(1, List.of(), RATE)), Guards.ALL);
+        final List<Day.Came> days = all(idle, List.of(Day.Script.of(1, List.of(), RATE)), Safeguards.ALL);
         assertThat(days.getFirst().wrong(), hasItem(startsWith("IDLE ")));
         assertThat(tried(days), is(not(empty())));
     }
@@ -148,7 +148,7 @@
         final Set<Mark> left = EnumSet.complementOf(EnumSet.of(Mark.IDLE));
         trips().forEach(t -> left.remove(t.mark()));
         assertThat(left, is(empty()));
-        final Set<Guard> down = EnumSet.allOf(Guard.class);
+        final Set<Safeguard> down = EnumSet.allOf(Safeguard.class);
         trips().forEach(t -> down.removeAll(t.down()));
         assertThat(down, is(empty()));
     }
@@ -156,7 +156,7 @@
     @Test
     void aWrongDayIsCutDownToTheFaultsThatShowIt() throws IOException {
         final Plan plan = plan("ferry");
-        final Guards guards = new Guards(Set.of(Guard.ZONE));
+        final Safeguards guards = new Safeguards(Set.of(Safeguard.ZONE));
         final Day.Came came = Day.run(plan, Day.Script.of(3, List.of(Fault.DISK_LIMPS, Fault.ZONE_DRAINED), RATE), guards, false);
         assertThat(Main.fewest(plan, came, guards).faults(), is(List.of(Fault.ZONE_DRAINED)));
     }
@@ -170,10 +170,10 @@
 
     @Test
     void aPlanWithFaultsIsToldWithThePlaceOfEach(@org.junit.jupiter.api.io.TempDir final Path folder) throws Exception {
-        java.nio.file.Files.writeString(folder.resolve("plan.json"), "{\"regions\":[{\"region\":7,\"zone\":\"z\",\"pursers\":-1,\"workers\":1}],"
+        java.nio.file.Files.writeString(folder.resolve("plan.json"), "{\"regions\":[{\"region\":7,\"zone\":\"z\",\"gateways\":-1,\"workers\":1}],"
                 + "\"kinds\":[],\"tenants\":[],\"odd\":1}");
         final IOException told = org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> Plan.read(folder));
-        for (final String place : List.of("$.regions[0].region", "$.regions[0].pursers", "$.odd")) {
+        for (final String place : List.of("$.regions[0].region", "$.regions[0].gateways", "$.odd")) {
             assertThat(told.getMessage(), org.hamcrest.Matchers.containsString(place));
         }
         assertThat(Main.wrong(new String[] {folder.toString(), "1", "1"}), is(2));
