--- a/core/src/main/java/silverlatch/clock/ClockReading.java
+++ b/core/src/main/java/silverlatch/clock/ClockReading.java
@@ -3,14 +3,11 @@
 /** What came of asking the clock for a stamp. */
 public sealed interface ClockReading {
     /** The event has its stamp; the clock moves on to the given state. */
-    record Made(PwcClock tide, Stamp stamp) implements ClockReading {
-    }
+    record Made(PwcClock tide, Stamp stamp) implements ClockReading {}
 
     /** A carry into the high bits would follow: wait this many microseconds and ask again. */
-    record Wait(long micros) implements ClockReading {
-    }
+    record Wait(long micros) implements ClockReading {}
 
     /** The message's stamp is ahead of anything a clock within the skew could make, by this many units. */
-    record Far(long units) implements ClockReading {
-    }
+    record Far(long units) implements ClockReading {}
 }
--- a/core/src/main/java/silverlatch/clock/Ntp.java
+++ b/core/src/main/java/silverlatch/clock/Ntp.java
@@ -4,10 +4,10 @@
 public final class Ntp {
     /** Seconds between the Unix epoch and this project's epoch, 2020-01-01 UTC. */
     public static final long EPOCH = 1_577_836_800L;
+
     private static final long MILLION = 1_000_000L;
 
-    private Ntp() {
-    }
+    private Ntp() {}
 
     /** Fixed point units for a span of microseconds. */
     public static long span(final long micros) {
--- a/core/src/main/java/silverlatch/clock/ProcessClock.java
+++ b/core/src/main/java/silverlatch/clock/ProcessClock.java
@@ -8,6 +8,7 @@
 public final class ProcessClock {
     /** The longest wait for an overflow, in microseconds. */
     public static final long BOUND = 5_000L;
+
     private static final long WINDOW = 10_000_000L;
     private static final int STORM = 64;
     private final Safeguards guards;
@@ -103,7 +104,8 @@
         }
         final ClockReading step = tide.take(mark, phys);
         return step instanceof ClockReading.Far && !guards.stands(Safeguard.FAR)
-                ? new PwcClock(Math.max(tide.last(), mark.bits()), tide.low(), tide.skew()).send(phys) : step;
+                ? new PwcClock(Math.max(tide.last(), mark.bits()), tide.low(), tide.skew()).send(phys)
+                : step;
     }
 
     private ClockReading settle(final ClockReading step) {
@@ -116,6 +118,5 @@
     }
 
     /** Counts of what the clock met. */
-    public record Counts(long waits, long carries, long fars, long dropped) {
-    }
+    public record Counts(long waits, long carries, long fars, long dropped) {}
 }
--- a/core/src/main/java/silverlatch/dispatch/Dispatcher.java
+++ b/core/src/main/java/silverlatch/dispatch/Dispatcher.java
@@ -15,23 +15,23 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import silverlatch.clock.Stamp;
+import silverlatch.dispatch.buffer.Slab;
 import silverlatch.dispatch.permit.Permit;
 import silverlatch.dispatch.permit.Seals;
-import silverlatch.dispatch.buffer.Slab;
-import silverlatch.statemachine.TransitionTable;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
 import silverlatch.membership.Member;
 import silverlatch.node.Event;
-import silverlatch.safeguard.Safeguard;
-import silverlatch.safeguard.Safeguards;
 import silverlatch.placement.Case;
-import silverlatch.placement.WeightedScorers;
 import silverlatch.placement.PlacementInput;
-import silverlatch.gossip.Gossip;
-import silverlatch.gossip.Worker;
-import silverlatch.state.Value;
-import silverlatch.state.CommandResult;
+import silverlatch.placement.WeightedScorers;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
 import silverlatch.state.Command;
-import silverlatch.clock.Stamp;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Value;
+import silverlatch.statemachine.TransitionTable;
 
 /**
  * Picks and carries the tickets of one gateway. It does no input or output: events go in, acts come out.
@@ -71,26 +71,85 @@
     private boolean closing;
 
     /** Settings; times in microseconds. */
-    public record Setup(int slab, int queue, long permit, long word, long sure, long claim, long keep, int buffer,
-                        double tries, long shun, long patience, long memory, long start, Safeguards guards) {
+    public record Setup(
+            int slab,
+            int queue,
+            long permit,
+            long word,
+            long sure,
+            long claim,
+            long keep,
+            int buffer,
+            double tries,
+            long shun,
+            long patience,
+            long memory,
+            long start,
+            Safeguards guards) {
         /** What holds when nothing is said. */
-        public static final Setup PLAIN = new Setup(4_096, 2_048, 2 * SECOND, 2 * SECOND, 2 * SECOND, SECOND, 20 * SECOND,
-                4 << 20, 0.1, SECOND, 5 * SECOND, 30 * SECOND, SECOND, Safeguards.ALL);
+        public static final Setup PLAIN = new Setup(
+                4_096,
+                2_048,
+                2 * SECOND,
+                2 * SECOND,
+                2 * SECOND,
+                SECOND,
+                20 * SECOND,
+                4 << 20,
+                0.1,
+                SECOND,
+                5 * SECOND,
+                30 * SECOND,
+                SECOND,
+                Safeguards.ALL);
 
         /** Settings as operators give them: all guards stand. */
-        public Setup(final int slab, final int queue, final long permit, final long word, final long sure, final long claim, final long keep,
-                     final int buffer, final double tries, final long shun, final long patience, final long memory, final long start) {
-            this(slab, queue, permit, word, sure, claim, keep, buffer, tries, shun, patience, memory, start, Safeguards.ALL);
+        public Setup(
+                final int slab,
+                final int queue,
+                final long permit,
+                final long word,
+                final long sure,
+                final long claim,
+                final long keep,
+                final int buffer,
+                final double tries,
+                final long shun,
+                final long patience,
+                final long memory,
+                final long start) {
+            this(
+                    slab,
+                    queue,
+                    permit,
+                    word,
+                    sure,
+                    claim,
+                    keep,
+                    buffer,
+                    tries,
+                    shun,
+                    patience,
+                    memory,
+                    start,
+                    Safeguards.ALL);
         }
 
         /** The same under the guards that stand. */
         public Setup under(final Safeguards standing) {
-            return new Setup(slab, queue, permit, word, sure, claim, keep, buffer, tries, shun, patience, memory, start, standing);
+            return new Setup(
+                    slab, queue, permit, word, sure, claim, keep, buffer, tries, shun, patience, memory, start,
+                    standing);
         }
     }
 
     /** A gateway that carries nothing yet. */
-    public Dispatcher(final Setup setup, final Seals seals, final Facts facts, final Supplier<Stamp> stamps, final RandomGenerator luck) {
+    public Dispatcher(
+            final Setup setup,
+            final Seals seals,
+            final Facts facts,
+            final Supplier<Stamp> stamps,
+            final RandomGenerator luck) {
         this.setup = setup;
         this.seals = seals;
         this.facts = facts;
@@ -105,10 +164,14 @@
     /** Takes what the gateway knows now. */
     public void facts(final Facts next, final long now) {
         if (next.me().life() != facts.me().life()) {
-            flows.values().forEach(f -> List.copyOf(f.queue).forEach(t -> reject(t, 503, "the carrier joined anew", SECOND)));
+            flows.values()
+                    .forEach(f -> List.copyOf(f.queue).forEach(t -> reject(t, 503, "the carrier joined anew", SECOND)));
         }
         if (next.workers() != facts.workers()) {
-            next.workers().forEach((id, h) -> hands.computeIfAbsent(id, k -> new Hand(h.worker().life())).see(h, now));
+            next.workers()
+                    .forEach((id, h) -> hands.computeIfAbsent(
+                                    id, k -> new Hand(h.worker().life()))
+                            .see(h, now));
         }
         hands.keySet().removeIf(id -> !next.workers().containsKey(id) && hands.get(id).mine == 0);
         final boolean turned = next.page() != facts.page();
@@ -125,19 +188,34 @@
             slab.get(place).ifPresent(t -> {
                 final Optional<Value.Tenant> who = same(t);
                 final boolean mine = who.map(this::home).orElse(false);
-                final boolean yours = mine && (t.worker.isEmpty() || !t.held || Optional.ofNullable(facts.workers().get(t.worker))
-                        .map(h -> who.get().homes().isEmpty() || who.get().homes().contains(h.worker().region())).orElse(true));
+                final boolean yours = mine
+                        && (t.worker.isEmpty()
+                                || !t.held
+                                || Optional.ofNullable(facts.workers().get(t.worker))
+                                        .map(h -> who.get().homes().isEmpty()
+                                                || who.get()
+                                                        .homes()
+                                                        .contains(h.worker().region()))
+                                        .orElse(true));
                 if (!yours) {
                     count("homeless");
-                    revoke(t, mine ? "the worker is no longer in the tenant's homes" : "the tenant may not be carried here any more", now);
+                    revoke(
+                            t,
+                            mine
+                                    ? "the worker is no longer in the tenant's homes"
+                                    : "the tenant may not be carried here any more",
+                            now);
                 }
             });
         }
-        ended.stream().filter(e -> !same(e.ticket()).map(this::home).orElse(false)).toList().forEach(e -> {
-            ended.remove(e);
-            drop(e.ticket());
-            count("dropped");
-        });
+        ended.stream()
+                .filter(e -> !same(e.ticket()).map(this::home).orElse(false))
+                .toList()
+                .forEach(e -> {
+                    ended.remove(e);
+                    drop(e.ticket());
+                    count("dropped");
+                });
     }
 
     private Optional<Value.Tenant> same(final Ticket t) {
@@ -156,8 +234,7 @@
                 out.add(new Act.Cut(t.job));
                 lose(t, why, now);
             }
-            default -> {
-            }
+            default -> {}
         }
     }
 
@@ -202,7 +279,13 @@
         final Optional<Value.Tenant> who = facts.tenant(o.tenant());
         if (who.isEmpty() || !Seals.same(Seals.hash(o.secret()), who.get().hash())) {
             final Optional<String> why = unready(now);
-            no(token, why.isPresent() ? 503 : 401, "", why.orElse("the tenant or its key is not known"), why.isPresent() ? SECOND : 0, "");
+            no(
+                    token,
+                    why.isPresent() ? 503 : 401,
+                    "",
+                    why.orElse("the tenant or its key is not known"),
+                    why.isPresent() ? SECOND : 0,
+                    "");
             return;
         }
         final List<String> homes = who.get().homes();
@@ -231,23 +314,45 @@
             no(token, 429, "", "too many tickets are tried again", 2 * SECOND, "");
             return;
         }
-        final String ticket = facts.me().id() + "-" + Long.toString(facts.me().life(), 36) + "-" + Long.toString(++serial, 36)
-                + Long.toString(luck.nextLong() >>> 20, 36);
+        final String ticket = facts.me().id() + "-" + Long.toString(facts.me().life(), 36) + "-"
+                + Long.toString(++serial, 36) + Long.toString(luck.nextLong() >>> 20, 36);
         final Case plea = plea(ticket, who.get(), row.get(), salted(who.get(), o.prefix()));
         final long stampOf = stamps.get().bits();
         final WeightedScorers.Ruling ruling = judged(plea, sights(now), stampOf);
         if (ruling instanceof WeightedScorers.Ruling.Barred) {
-            tales.put(new TraceLog.Tale(ticket, o.tenant(), o.kind(), "", facts.page(), stampOf, "rejected",
-                    "no worker is allowed", 0, ruling.opinions()));
+            tales.put(new TraceLog.Tale(
+                    ticket,
+                    o.tenant(),
+                    o.kind(),
+                    "",
+                    facts.page(),
+                    stampOf,
+                    "rejected",
+                    "no worker is allowed",
+                    0,
+                    ruling.opinions()));
             no(token, 503, ticket, "no worker is allowed", SECOND, "");
             return;
         }
-        final String worker = ruling instanceof WeightedScorers.Ruling.Picked p ? p.worker().worker().id() : "";
+        final String worker = ruling instanceof WeightedScorers.Ruling.Picked p
+                ? p.worker().worker().id()
+                : "";
         final Stamp stamp = new Stamp(stampOf);
-        final Permit permit = new Permit(ticket, o.tenant(), o.kind(), worker, facts.me().id(), facts.me().life(), facts.page(),
-                stamp, now + setup.permit(), o.key());
-        tales.put(new TraceLog.Tale(ticket, o.tenant(), o.kind(), worker, facts.page(), stamp.bits(), "picked", "", 0, ruling.opinions()));
-        out.add(new Act.Picked(token, ticket, facts.me().door(), seals.write(permit), worker, facts.page(), stamp.bits()));
+        final Permit permit = new Permit(
+                ticket,
+                o.tenant(),
+                o.kind(),
+                worker,
+                facts.me().id(),
+                facts.me().life(),
+                facts.page(),
+                stamp,
+                now + setup.permit(),
+                o.key());
+        tales.put(new TraceLog.Tale(
+                ticket, o.tenant(), o.kind(), worker, facts.page(), stamp.bits(), "picked", "", 0, ruling.opinions()));
+        out.add(new Act.Picked(
+                token, ticket, facts.me().door(), seals.write(permit), worker, facts.page(), stamp.bits()));
     }
 
     /** A consumer hands over its ticket. */
@@ -268,8 +373,15 @@
             no(token, 409, p.ticket(), "the ticket was handed over before", 0, "");
             return;
         }
-        if (!p.carrier().equals(facts.me().id()) || up(Safeguard.LIFE) && (p.life() != facts.me().life() || now - p.expiry() > setup.memory())) {
-            no(token, 410, p.ticket(), "the permit is of another time; whether its ticket ran is not known here", 0, "");
+        if (!p.carrier().equals(facts.me().id())
+                || up(Safeguard.LIFE) && (p.life() != facts.me().life() || now - p.expiry() > setup.memory())) {
+            no(
+                    token,
+                    410,
+                    p.ticket(),
+                    "the permit is of another time; whether its ticket ran is not known here",
+                    0,
+                    "");
             return;
         }
         if (now >= p.expiry() && up(Safeguard.LIFE)) {
@@ -301,8 +413,16 @@
             over(token, p.ticket(), 429, "the queue is full");
             return;
         }
-        final Ticket t = new Ticket(p, who.get(), row.get(), salted(who.get(), l.prefix()), l.prompt(), now + l.span(),
-                now + Math.min(row.get().hold(), l.span()), token, chart.start());
+        final Ticket t = new Ticket(
+                p,
+                who.get(),
+                row.get(),
+                salted(who.get(), l.prefix()),
+                l.prompt(),
+                now + l.span(),
+                now + Math.min(row.get().hold(), l.span()),
+                token,
+                chart.start());
         final Optional<Long> place = slab.put(t);
         if (place.isEmpty()) {
             over(token, p.ticket(), 503, "the slab is full");
@@ -313,8 +433,10 @@
         readers.put(token, t.place);
         move(t, "queue");
         join(flow, t, false);
-        final boolean stale = p.page() < facts.page() || facts.workers().containsKey(p.worker())
-                && facts.drained(facts.workers().get(p.worker()).worker().zone(), p.stamp());
+        final boolean stale = p.page() < facts.page()
+                || facts.workers().containsKey(p.worker())
+                        && facts.drained(
+                                facts.workers().get(p.worker()).worker().zone(), p.stamp());
         if (stale) {
             count("stale");
         }
@@ -324,8 +446,12 @@
 
     /** A consumer comes back to a ticket's stream, from a piece on. */
     public void attach(final String ticket, final String secret, final long from, final long token, final long now) {
-        final Optional<Ticket> found = Optional.ofNullable(open.get(ticket)).flatMap(slab::get)
-                .or(() -> ended.stream().map(Ended::ticket).filter(t -> t.permit.ticket().equals(ticket)).findFirst())
+        final Optional<Ticket> found = Optional.ofNullable(open.get(ticket))
+                .flatMap(slab::get)
+                .or(() -> ended.stream()
+                        .map(Ended::ticket)
+                        .filter(t -> t.permit.ticket().equals(ticket))
+                        .findFirst())
                 .filter(t -> Seals.same(t.tenant.hash(), Seals.hash(secret)))
                 .filter(t -> same(t).map(this::home).orElse(false) || !up(Safeguard.KEPT));
         if (found.isEmpty() || from < 0 || from > found.get().lines.size()) {
@@ -355,21 +481,27 @@
 
     /** The consumer's side can take more. */
     public void hungry(final long token) {
-        Optional.ofNullable(readers.get(token)).flatMap(slab::get).filter(t -> t.reader.map(r -> r == token).orElse(false)).ifPresent(t -> {
-            t.hungry = true;
-            feed(t);
-        });
+        Optional.ofNullable(readers.get(token))
+                .flatMap(slab::get)
+                .filter(t -> t.reader.map(r -> r == token).orElse(false))
+                .ifPresent(t -> {
+                    t.hungry = true;
+                    feed(t);
+                });
     }
 
     /** The consumer's connection went away. */
     public void left(final long token, final long now) {
-        Optional.ofNullable(readers.remove(token)).flatMap(slab::get).filter(t -> t.reader.map(r -> r == token).orElse(false)).ifPresent(t -> {
-            t.reader = Optional.empty();
-            t.left = Optional.of(now);
-            if (t.state.equals("queued")) {
-                reject(t, 503, "the consumer went away", 0);
-            }
-        });
+        Optional.ofNullable(readers.remove(token))
+                .flatMap(slab::get)
+                .filter(t -> t.reader.map(r -> r == token).orElse(false))
+                .ifPresent(t -> {
+                    t.reader = Optional.empty();
+                    t.left = Optional.of(now);
+                    if (t.state.equals("queued")) {
+                        reject(t, 503, "the consumer went away", 0);
+                    }
+                });
     }
 
     /** A verdict of the chain on a job's wish. */
@@ -388,7 +520,13 @@
                     }
                     t.why = "the key is taken";
                     finish(t, "reject");
-                    no(t, 409, "the key is taken", 0, s.claim().state() + " at " + s.claim().carrier() + " as " + s.claim().ticket());
+                    no(
+                            t,
+                            409,
+                            "the key is taken",
+                            0,
+                            s.claim().state() + " at " + s.claim().carrier() + " as "
+                                    + s.claim().ticket());
                 }
                 case CommandResult.Rejected r -> {
                     release(t);
@@ -469,7 +607,7 @@
     /** A clock event. */
     public void tick(final long now) {
         time = now;
-        for (final var all = spent.entrySet().iterator(); all.hasNext();) {
+        for (final var all = spent.entrySet().iterator(); all.hasNext(); ) {
             final Map.Entry<String, Long> e = all.next();
             if (now - e.getValue() <= 3 * setup.memory()) {
                 break;
@@ -489,19 +627,30 @@
             }
         }
         for (final long place : List.copyOf(open.values())) {
-            slab.get(place).filter(t -> t.state.equals("running") || t.state.equals("asking")).ifPresent(t -> {
-                final boolean alone = t.left.map(at -> now - at > setup.patience()).orElse(false);
-                final boolean mute = t.state.equals("asking") && now - t.asked > setup.start();
-                if (now >= t.expiry || alone || mute) {
-                    out.add(new Act.Cut(t.job));
-                    lose(t, alone ? "the consumer went away" : mute ? "the worker gave no sign of a start in time" : "the expiry passed", now);
-                }
-            });
+            slab.get(place)
+                    .filter(t -> t.state.equals("running") || t.state.equals("asking"))
+                    .ifPresent(t -> {
+                        final boolean alone =
+                                t.left.map(at -> now - at > setup.patience()).orElse(false);
+                        final boolean mute = t.state.equals("asking") && now - t.asked > setup.start();
+                        if (now >= t.expiry || alone || mute) {
+                            out.add(new Act.Cut(t.job));
+                            lose(
+                                    t,
+                                    alone
+                                            ? "the consumer went away"
+                                            : mute ? "the worker gave no sign of a start in time" : "the expiry passed",
+                                    now);
+                        }
+                    });
         }
         if (now - swept >= SECOND) {
             swept = now;
             if (flows.values().removeIf(f -> f.idle(now))) {
-                shares.keySet().retainAll(flows.values().stream().map(f -> f.tenant).collect(java.util.stream.Collectors.toSet()));
+                shares.keySet()
+                        .retainAll(flows.values().stream()
+                                .map(f -> f.tenant)
+                                .collect(java.util.stream.Collectors.toSet()));
             }
         }
         pump(now);
@@ -521,12 +670,22 @@
         return Optional.ofNullable(jobs.get(id)).flatMap(slab::get).filter(t -> t.job == id);
     }
 
-    private void point(final long token, final List<String> homes, final Set<String> empty, final boolean home, final long now) {
-        final List<String> doors = new ArrayList<>(facts.crew().stream().filter(Member::ready)
+    private void point(
+            final long token, final List<String> homes, final Set<String> empty, final boolean home, final long now) {
+        final List<String> doors = new ArrayList<>(facts.crew().stream()
+                .filter(Member::ready)
                 .filter(m -> m.state().equals("up") && !empty.contains(m.zone()))
-                .filter(m -> homes.isEmpty() || homes.contains(m.region())).map(Member::door).toList());
+                .filter(m -> homes.isEmpty() || homes.contains(m.region()))
+                .map(Member::door)
+                .toList());
         if (doors.isEmpty()) {
-            no(token, 503, "", unready(now).orElse(home ? "this zone is being emptied" : "no gateway in the homes is ready"), SECOND, "");
+            no(
+                    token,
+                    503,
+                    "",
+                    unready(now).orElse(home ? "this zone is being emptied" : "no gateway in the homes is ready"),
+                    SECOND,
+                    "");
             return;
         }
         java.util.Collections.shuffle(doors, new java.util.Random(luck.nextLong()));
@@ -561,8 +720,10 @@
         }
         final Set<Flow> stuck = new java.util.HashSet<>();
         while (true) {
-            final Optional<Flow> next = waiting.values().stream().filter(f -> !stuck.contains(f))
-                    .min(Comparator.comparingDouble((Flow f) -> share(f).tag).thenComparing(f -> -f.queue.peek().row.rank())
+            final Optional<Flow> next = waiting.values().stream()
+                    .filter(f -> !stuck.contains(f))
+                    .min(Comparator.comparingDouble((Flow f) -> share(f).tag)
+                            .thenComparing(f -> -f.queue.peek().row.rank())
                             .thenComparingDouble(f -> f.tag));
             if (next.isEmpty()) {
                 return;
@@ -604,7 +765,8 @@
         }
         final Case plea = plea(t.permit.ticket(), who.get(), row, t.prefix);
         final List<PlacementInput> all = sights(now);
-        final Optional<PlacementInput> wanted = t.want.flatMap(w -> all.stream().filter(s -> s.worker().id().equals(w)).findFirst())
+        final Optional<PlacementInput> wanted = t.want.flatMap(
+                        w -> all.stream().filter(s -> s.worker().id().equals(w)).findFirst())
                 .filter(s -> court.stands(plea, s));
         if (wanted.isPresent() && t.permit.page() == facts.page()) {
             return new WeightedScorers.Ruling.Picked(wanted.get(), List.of());
@@ -612,8 +774,17 @@
         final long stamp = stamps.get().bits();
         final WeightedScorers.Ruling ruling = judged(plea, all, stamp);
         if (ruling instanceof WeightedScorers.Ruling.Picked p) {
-            tales.put(new TraceLog.Tale(t.permit.ticket(), t.permit.tenant(), t.permit.kind(), p.worker().worker().id(), facts.page(),
-                    stamp, t.state, "", t.tries, ruling.opinions()));
+            tales.put(new TraceLog.Tale(
+                    t.permit.ticket(),
+                    t.permit.tenant(),
+                    t.permit.kind(),
+                    p.worker().worker().id(),
+                    facts.page(),
+                    stamp,
+                    t.state,
+                    "",
+                    t.tries,
+                    ruling.opinions()));
         }
         return ruling;
     }
@@ -622,8 +793,15 @@
         final long seed = luck.nextLong() >>> 12;
         final WeightedScorers.Ruling ruling = court.pick(plea, all, new java.util.SplittableRandom(seed));
         if (!(ruling instanceof WeightedScorers.Ruling.Full)) {
-            out.add(new Act.Judged(plea, all, seed, facts.page(), stamp,
-                    ruling instanceof WeightedScorers.Ruling.Picked p ? p.worker().worker().id() : ""));
+            out.add(new Act.Judged(
+                    plea,
+                    all,
+                    seed,
+                    facts.page(),
+                    stamp,
+                    ruling instanceof WeightedScorers.Ruling.Picked p
+                            ? p.worker().worker().id()
+                            : ""));
         }
         return ruling;
     }
@@ -632,7 +810,14 @@
         move(t, "claim");
         job(t);
         t.at = stamps.get().bits();
-        out.add(new Act.Claim(t.job, new Command.Claim(t.permit.ticket(), t.key(), t.permit.ticket(), facts.me().id(), t.at),
+        out.add(new Act.Claim(
+                t.job,
+                new Command.Claim(
+                        t.permit.ticket(),
+                        t.key(),
+                        t.permit.ticket(),
+                        facts.me().id(),
+                        t.at),
                 setup.claim()));
     }
 
@@ -640,8 +825,13 @@
         final Optional<Gossip.Heard> w = Optional.ofNullable(facts.workers().get(t.worker));
         final Optional<Value.Row> row = facts.row(t.permit.tenant(), t.permit.kind());
         final Optional<Value.Tenant> who = facts.tenant(t.permit.tenant());
-        final boolean stands = w.isPresent() && row.isPresent() && who.isPresent() && sure(now)
-                && now < t.expiry && !keyless(row.get(), t.permit) && allowed(t, who.get(), row.get(), w.get(), now);
+        final boolean stands = w.isPresent()
+                && row.isPresent()
+                && who.isPresent()
+                && sure(now)
+                && now < t.expiry
+                && !keyless(row.get(), t.permit)
+                && allowed(t, who.get(), row.get(), w.get(), now);
         if (!stands) {
             release(t);
             reject(t, 503, "the pick grew stale before it was sent", SECOND / 2);
@@ -659,10 +849,21 @@
             budget.fresh(now);
         }
         final Worker x = w.get().worker();
-        out.add(new Act.Run(t.job, now + setup.start(), x.id(), x.address(), t.permit.ticket(), t.run, t.permit.tenant(), t.permit.kind(), t.prefix, t.prompt));
+        out.add(new Act.Run(
+                t.job,
+                now + setup.start(),
+                x.id(),
+                x.address(),
+                t.permit.ticket(),
+                t.run,
+                t.permit.tenant(),
+                t.permit.kind(),
+                t.prefix,
+                t.prompt));
     }
 
-    private boolean allowed(final Ticket t, final Value.Tenant who, final Value.Row row, final Gossip.Heard h, final long now) {
+    private boolean allowed(
+            final Ticket t, final Value.Tenant who, final Value.Row row, final Gossip.Heard h, final long now) {
         final Case plea = plea(t.permit.ticket(), who, row, t.prefix);
         final PlacementInput s = new PlacementInput(h.worker(), h.age(now), 0, 0, Long.MAX_VALUE, false, 1);
         return last.stands(plea, s);
@@ -676,14 +877,27 @@
 
     private Optional<String> fault(final Ticket t, final Line line) {
         return switch (line) {
-            case Line.Piece p -> up(Safeguard.LINE) && !p.ticket().equals(t.permit.ticket()) ? Optional.of("a piece of another ticket")
-                    : up(Safeguard.LINE) && !p.run().equals(t.run) ? Optional.of("a piece of another run")
-                    : up(Safeguard.PIECE) && p.number() != t.lines.size() ? Optional.of("piece " + p.number() + " where " + t.lines.size() + " was due")
-                    : Optional.empty();
-            case Line.Seal s -> !up(Safeguard.SEAL) ? Optional.empty() : !s.ticket().equals(t.permit.ticket()) || !s.run().equals(t.run) || !s.worker().equals(t.worker)
-                    ? Optional.of("a seal of another ticket, run or worker")
-                    : s.count() != t.lines.size() ? Optional.of("a seal over " + s.count() + " pieces where " + t.lines.size() + " came")
-                    : !s.sha().equals(HexFormat.of().formatHex(copy(t.sum))) ? Optional.of("a seal that does not fit") : Optional.empty();
+            case Line.Piece p ->
+                up(Safeguard.LINE) && !p.ticket().equals(t.permit.ticket())
+                        ? Optional.of("a piece of another ticket")
+                        : up(Safeguard.LINE) && !p.run().equals(t.run)
+                                ? Optional.of("a piece of another run")
+                                : up(Safeguard.PIECE) && p.number() != t.lines.size()
+                                        ? Optional.of("piece " + p.number() + " where " + t.lines.size() + " was due")
+                                        : Optional.empty();
+            case Line.Seal s ->
+                !up(Safeguard.SEAL)
+                        ? Optional.empty()
+                        : !s.ticket().equals(t.permit.ticket())
+                                        || !s.run().equals(t.run)
+                                        || !s.worker().equals(t.worker)
+                                ? Optional.of("a seal of another ticket, run or worker")
+                                : s.count() != t.lines.size()
+                                        ? Optional.of("a seal over " + s.count() + " pieces where " + t.lines.size()
+                                                + " came")
+                                        : !s.sha().equals(HexFormat.of().formatHex(copy(t.sum)))
+                                                ? Optional.of("a seal that does not fit")
+                                                : Optional.empty();
             case Line.Lost l -> Optional.of(l.why());
         };
     }
@@ -747,7 +961,16 @@
         jobs.remove(t.job);
         open.remove(t.permit.ticket());
         if (t.claimed) {
-            out.add(new Act.Claim(0, new Command.CompleteClaim(t.run + "/" + t.state, t.key(), t.permit.ticket(), facts.me().id(), t.state, t.at), 30 * SECOND));
+            out.add(new Act.Claim(
+                    0,
+                    new Command.CompleteClaim(
+                            t.run + "/" + t.state,
+                            t.key(),
+                            t.permit.ticket(),
+                            facts.me().id(),
+                            t.state,
+                            t.at),
+                    30 * SECOND));
         }
         ended.add(new Ended(t, time));
         t.prompt = "";
@@ -767,7 +990,13 @@
         no(token, code, ticket, why, SECOND, "");
     }
 
-    private void no(final long token, final int code, final String ticket, final String why, final long after, final String stands) {
+    private void no(
+            final long token,
+            final int code,
+            final String ticket,
+            final String why,
+            final long after,
+            final String stands) {
         count("code" + code);
         if (!ticket.isEmpty()) {
             out.add(new Act.Log(Event.TICKET_REJECTED, ticket + " " + code + " " + why));
@@ -797,7 +1026,8 @@
         if (queued < setup.queue() && slab.used() < slab.size()) {
             return true;
         }
-        final Optional<Ticket> least = waiting.values().stream().flatMap(f -> f.queue.stream())
+        final Optional<Ticket> least = waiting.values().stream()
+                .flatMap(f -> f.queue.stream())
                 .min(Comparator.comparingInt((Ticket t) -> t.row.rank()).thenComparing(t -> -t.begun));
         if (least.isPresent() && least.get().row.rank() < row.rank()) {
             reject(least.get(), 503, "shed for a kind that goes before", SECOND);
@@ -812,8 +1042,12 @@
 
     private List<PlacementInput> sights(final long now) {
         final int peers = peers();
-        return facts.workers().values().stream().sorted(Comparator.comparing(h -> h.worker().id()))
-                .map(h -> hands.computeIfAbsent(h.worker().id(), k -> new Hand(h.worker().life())).sight(h, now, peers)).toList();
+        return facts.workers().values().stream()
+                .sorted(Comparator.comparing(h -> h.worker().id()))
+                .map(h -> hands.computeIfAbsent(
+                                h.worker().id(), k -> new Hand(h.worker().life()))
+                        .sight(h, now, peers))
+                .toList();
     }
 
     private int peers() {
@@ -823,8 +1057,12 @@
     /** How many gateways share a cell of the tenant: those that may carry for it. */
     private int peers(final Value.Tenant who) {
         final Set<String> empty = facts.empty();
-        return 1 + (int) facts.crew().stream().filter(m -> m.ready() && !empty.contains(m.zone())
-                && (who.homes().isEmpty() || who.homes().contains(m.region()))).count();
+        return 1
+                + (int) facts.crew().stream()
+                        .filter(m -> m.ready()
+                                && !empty.contains(m.zone())
+                                && (who.homes().isEmpty() || who.homes().contains(m.region())))
+                        .count();
     }
 
     private Case plea(final String ticket, final Value.Tenant who, final Value.Row row, final List<Long> prefix) {
@@ -866,6 +1104,5 @@
         tally.merge(name, 1L, Long::sum);
     }
 
-    private record Ended(Ticket ticket, long at) {
-    }
+    private record Ended(Ticket ticket, long at) {}
 }
--- a/core/src/main/java/silverlatch/dispatch/Facts.java
+++ b/core/src/main/java/silverlatch/dispatch/Facts.java
@@ -4,12 +4,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import silverlatch.membership.Member;
+import silverlatch.clock.Stamp;
 import silverlatch.gossip.Gossip;
+import silverlatch.membership.Member;
+import silverlatch.state.Policy;
 import silverlatch.state.StateMachine;
 import silverlatch.state.Value;
-import silverlatch.state.Policy;
-import silverlatch.clock.Stamp;
 
 /**
  * What a gateway knows at one moment, copied for the duty that carries tickets.
@@ -21,8 +21,13 @@
  * @param workers the workers heard of
  * @param crew    the live gateways, without this one
  */
-public record Facts(Member me, long page, Optional<Long> sure, Policy policy,
-                    Map<String, Gossip.Heard> workers, List<Member> crew) {
+public record Facts(
+        Member me,
+        long page,
+        Optional<Long> sure,
+        Policy policy,
+        Map<String, Gossip.Heard> workers,
+        List<Member> crew) {
     /** Copies the collections. */
     public Facts {
         workers = Map.copyOf(workers);
@@ -41,7 +46,9 @@
 
     /** The row for a tenant and kind: its own, or the one for all. */
     public Optional<Value.Row> row(final String tenant, final String kind) {
-        return policy.leaf(StateMachine.row(tenant, kind)).or(() -> policy.leaf(StateMachine.row("*", kind))).map(l -> (Value.Row) l);
+        return policy.leaf(StateMachine.row(tenant, kind))
+                .or(() -> policy.leaf(StateMachine.row("*", kind)))
+                .map(l -> (Value.Row) l);
     }
 
     /** The zones that are being emptied. */
--- a/core/src/main/java/silverlatch/dispatch/Hand.java
+++ b/core/src/main/java/silverlatch/dispatch/Hand.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import silverlatch.placement.PlacementInput;
 import silverlatch.gossip.Gossip;
+import silverlatch.placement.PlacementInput;
 
 /** What this gateway knows of its own runs at a worker. One duty owns it. */
 final class Hand {
@@ -50,6 +50,7 @@
     }
 
     PlacementInput sight(final Gossip.Heard h, final long now, final int peers) {
-        return new PlacementInput(h.worker(), h.age(now), Math.max(0, sent.size() - done), mine, now - back, now < shun, peers);
+        return new PlacementInput(
+                h.worker(), h.age(now), Math.max(0, sent.size() - done), mine, now - back, now < shun, peers);
     }
 }
--- a/core/src/main/java/silverlatch/dispatch/Ticket.java
+++ b/core/src/main/java/silverlatch/dispatch/Ticket.java
@@ -38,8 +38,16 @@
     long bytes;
     long at;
 
-    Ticket(final Permit permit, final Value.Tenant tenant, final Value.Row row, final List<Long> prefix, final String prompt,
-           final long expiry, final long hold, final long reader, final String state) {
+    Ticket(
+            final Permit permit,
+            final Value.Tenant tenant,
+            final Value.Row row,
+            final List<Long> prefix,
+            final String prompt,
+            final long expiry,
+            final long hold,
+            final long reader,
+            final String state) {
         this.permit = permit;
         this.tenant = tenant;
         this.row = row;
--- a/core/src/main/java/silverlatch/dispatch/TraceLog.java
+++ b/core/src/main/java/silverlatch/dispatch/TraceLog.java
@@ -17,8 +17,17 @@
     }
 
     /** A ticket's story: whose, what was said, who was picked under which page and stamp, and how it stands. */
-    public record Tale(String ticket, String tenant, String kind, String worker, long page, long stamp, String state,
-                       String why, int tries, List<WeightedScorers.Opinion> opinions) {
+    public record Tale(
+            String ticket,
+            String tenant,
+            String kind,
+            String worker,
+            long page,
+            long stamp,
+            String state,
+            String why,
+            int tries,
+            List<WeightedScorers.Opinion> opinions) {
         /** Copies the opinions. */
         public Tale {
             opinions = List.copyOf(opinions);
@@ -50,7 +59,8 @@
 
     /** How many tickets stand in each state. */
     public Map<String, Long> counts() {
-        return tales.values().stream().collect(java.util.stream.Collectors.groupingBy(Tale::state,
-                java.util.TreeMap::new, java.util.stream.Collectors.counting()));
+        return tales.values().stream()
+                .collect(java.util.stream.Collectors.groupingBy(
+                        Tale::state, java.util.TreeMap::new, java.util.stream.Collectors.counting()));
     }
 }
--- a/core/src/main/java/silverlatch/dispatch/buffer/Slab.java
+++ b/core/src/main/java/silverlatch/dispatch/buffer/Slab.java
@@ -43,7 +43,9 @@
     /** The thing of a number, if it is still the one. */
     public Optional<T> get(final long number) {
         final int place = (int) (number & (1 << SHIFT) - 1);
-        return number > 0 && place < places.size() && turns.get(place) == number >> SHIFT ? places.get(place) : Optional.empty();
+        return number > 0 && place < places.size() && turns.get(place) == number >> SHIFT
+                ? places.get(place)
+                : Optional.empty();
     }
 
     /** Lets a thing go. */
--- a/core/src/main/java/silverlatch/dispatch/permit/Permit.java
+++ b/core/src/main/java/silverlatch/dispatch/permit/Permit.java
@@ -16,6 +16,14 @@
  * @param expiry  until when it can be used, by the carrier's monotonic clock
  * @param key     the consumer's own key, or empty
  */
-public record Permit(String ticket, String tenant, String kind, String worker, String carrier, long life,
-                     long page, Stamp stamp, long expiry, String key) {
-}
+public record Permit(
+        String ticket,
+        String tenant,
+        String kind,
+        String worker,
+        String carrier,
+        long life,
+        long page,
+        Stamp stamp,
+        long expiry,
+        String key) {}
--- a/core/src/main/java/silverlatch/dispatch/permit/Seals.java
+++ b/core/src/main/java/silverlatch/dispatch/permit/Seals.java
@@ -22,9 +22,21 @@
 
     /** The permit as text, with its seal. */
     public String write(final Permit p) {
-        final String body = Base64.getUrlEncoder().withoutPadding().encodeToString(String.join(BAR, p.ticket(), p.tenant(),
-                p.kind(), p.worker(), p.carrier(), "" + p.life(), "" + p.page(), "" + p.stamp().bits(), "" + p.expiry(),
-                HexFormat.of().formatHex(p.key().getBytes(StandardCharsets.UTF_8))).getBytes(StandardCharsets.UTF_8));
+        final String body = Base64.getUrlEncoder()
+                .withoutPadding()
+                .encodeToString(String.join(
+                                BAR,
+                                p.ticket(),
+                                p.tenant(),
+                                p.kind(),
+                                p.worker(),
+                                p.carrier(),
+                                "" + p.life(),
+                                "" + p.page(),
+                                "" + p.stamp().bits(),
+                                "" + p.expiry(),
+                                HexFormat.of().formatHex(p.key().getBytes(StandardCharsets.UTF_8)))
+                        .getBytes(StandardCharsets.UTF_8));
         return body + "." + Base64.getUrlEncoder().withoutPadding().encodeToString(mac(body));
     }
 
@@ -40,8 +52,16 @@
                 return Optional.empty();
             }
             final String[] f = new String(Base64.getUrlDecoder().decode(body), StandardCharsets.UTF_8).split("\\|", -1);
-            return Optional.of(new Permit(f[0], f[1], f[2], f[3], f[4], Long.parseLong(f[5]), Long.parseLong(f[6]),
-                    new Stamp(Long.parseLong(f[7])), Long.parseLong(f[8]),
+            return Optional.of(new Permit(
+                    f[0],
+                    f[1],
+                    f[2],
+                    f[3],
+                    f[4],
+                    Long.parseLong(f[5]),
+                    Long.parseLong(f[6]),
+                    new Stamp(Long.parseLong(f[7])),
+                    Long.parseLong(f[8]),
                     new String(HexFormat.of().parseHex(f[9]), StandardCharsets.UTF_8)));
         } catch (final IllegalArgumentException e) {
             return Optional.empty();
--- a/core/src/main/java/silverlatch/gossip/Gossip.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -7,13 +7,13 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
-import silverlatch.membership.Membership;
 import silverlatch.membership.Member;
+import silverlatch.membership.Membership;
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
+import silverlatch.replication.View;
 import silverlatch.safeguard.Safeguard;
 import silverlatch.safeguard.Safeguards;
-import silverlatch.replication.View;
 import silverlatch.state.StateMachine;
 import silverlatch.wire.Msg;
 
@@ -139,7 +139,9 @@
 
     /** How long ago the words on workers here were surely the newest. */
     public long sure(final long now) {
-        return words.flatMap(w -> w.sure(peers.controller(), peers.controllers().size() + 1, now)).map(t -> Math.max(0, now - t)).orElse(Long.MAX_VALUE);
+        return words.flatMap(w -> w.sure(peers.controller(), peers.controllers().size() + 1, now))
+                .map(t -> Math.max(0, now - t))
+                .orElse(Long.MAX_VALUE);
     }
 
     /** Forgets what makes this daemon sure, as a rejoin does. */
@@ -174,7 +176,8 @@
             return 0;
         }
         final Optional<Long> asOf = Optional.ofNullable(echoes.get(word.id()))
-                .filter(e -> e.life() == word.life() && e.token() == echo).map(Echo::at);
+                .filter(e -> e.life() == word.life() && e.token() == echo)
+                .map(Echo::at);
         take(word, asOf, now);
         final long token = luck.nextLong() >>> 11;
         echoes.put(word.id(), new Echo(word.life(), token, now));
@@ -199,7 +202,8 @@
     /** A worker's life is over; false when it isn't known here. */
     public boolean gone(final String id, final long now) {
         final boolean known = words.map(w -> w.gone(id, now)).orElseGet(() -> {
-            final Optional<Worker> last = Optional.ofNullable(workers.get(id)).map(h -> h.worker().gone());
+            final Optional<Worker> last =
+                    Optional.ofNullable(workers.get(id)).map(h -> h.worker().gone());
             last.filter(w -> !workers.get(id).worker().leaving()).ifPresent(w -> take(w.next(), Optional.empty(), now));
             return last.isPresent();
         });
@@ -213,7 +217,8 @@
             case Msg.Ask m -> tell(m, home, now);
             case Msg.Tell m -> told(m, home, now);
             case Msg.Marks m -> pulls.ifPresent(p -> out.add(new Effect.Send(home, p.bodies(m, now))));
-            case Msg.Bodies m -> pulls.flatMap(p -> p.take(m, home, now)).ifPresent(b -> out.add(new Effect.Send(home, b)));
+            case Msg.Bodies m ->
+                pulls.flatMap(p -> p.take(m, home, now)).ifPresent(b -> out.add(new Effect.Send(home, b)));
             case Msg.Push m -> {
                 words.ifPresent(w -> m.words().forEach(x -> w.take(x, true, now)));
                 m.members().forEach(x -> crew.learn(x, now));
@@ -223,8 +228,7 @@
                     out.add(new Effect.Send(home, ask(now)));
                 }
             }
-            default -> {
-            }
+            default -> {}
         }
     }
 
@@ -234,7 +238,8 @@
         spread(now);
         if (now - askAt >= times.pull() && !(words.isPresent() && peers.controller())) {
             askAt = now;
-            peers.some(crew.live().stream().filter(Member::gateway).toList(), words.isPresent() ? 1 : 2).forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
+            peers.some(crew.live().stream().filter(Member::gateway).toList(), words.isPresent() ? 1 : 2)
+                    .forEach(m -> out.add(new Effect.Send(m.address(), ask(now))));
         }
         if (now - rootAt >= peers.root(times)) {
             rootAt = now;
@@ -255,8 +260,11 @@
 
     private List<Member> roots(final long now) {
         final List<Member> roots = peers.roots(view, words.isPresent());
-        return words.isEmpty() ? peers.some(roots, 2) : peers.controller() ? peers.turn(roots, 3)
-                : peers.some(age(now) > OLD || sure(now) > OLD ? roots : peers.near(roots), 1);
+        return words.isEmpty()
+                ? peers.some(roots, 2)
+                : peers.controller()
+                        ? peers.turn(roots, 3)
+                        : peers.some(age(now) > OLD || sure(now) > OLD ? roots : peers.near(roots), 1);
     }
 
     private void spread(final long now) {
@@ -270,26 +278,52 @@
     }
 
     private void push(final Msg.Push msg) {
-        (words.isEmpty() ? peers.some(crew.live(), FEW) : peers.spread()).forEach(m -> out.add(new Effect.Send(m.address(), msg)));
+        (words.isEmpty() ? peers.some(crew.live(), FEW) : peers.spread())
+                .forEach(m -> out.add(new Effect.Send(m.address(), msg)));
     }
 
     private Msg.Ask ask(final long now) {
-        return new Msg.Ask(now, books.page(), view.number(), words.isPresent() ? List.of() : workers.values().stream()
-                .map(h -> new Msg.Mark(h.worker().id(), h.worker().life(), h.worker().sequence())).toList(),
-                words.isPresent() ? peers.ring().total() : digest(), words.map(w -> w.sums().total()).orElse(0L));
+        return new Msg.Ask(
+                now,
+                books.page(),
+                view.number(),
+                words.isPresent()
+                        ? List.of()
+                        : workers.values().stream()
+                                .map(h -> new Msg.Mark(
+                                        h.worker().id(),
+                                        h.worker().life(),
+                                        h.worker().sequence()))
+                                .toList(),
+                words.isPresent() ? peers.ring().total() : digest(),
+                words.map(w -> w.sums().total()).orElse(0L));
     }
 
     private long digest() {
-        return crew.all().stream().mapToLong(m -> (m.id().hashCode() * 31L + m.life() * 17 + m.turn() * 7 + m.state().hashCode())
-                * 0x9E3779B97F4A7C15L).sum();
+        return crew.all().stream()
+                .mapToLong(m -> (m.id().hashCode() * 31L
+                                + m.life() * 17
+                                + m.turn() * 7
+                                + m.state().hashCode())
+                        * 0x9E3779B97F4A7C15L)
+                .sum();
     }
 
     private void tell(final Msg.Ask m, final String home, final long now) {
         final long age = age(now);
-        out.add(new Effect.Send(home, new Msg.Tell(m.at(), books.page(), age == Long.MAX_VALUE ? -1 : Math.max(0, age), fleet,
-                m.page() < books.page() ? books.since(m.page()) : guards.stands(Safeguard.PAGE) ? List.of() : books.since(0),
-                m.view() < view.number() ? List.of(view) : List.of(),
-                pulls.<Msg.News>map(p -> p.brief(m, home, sure(now), now)).orElseGet(() -> whole(m, now)))));
+        out.add(new Effect.Send(
+                home,
+                new Msg.Tell(
+                        m.at(),
+                        books.page(),
+                        age == Long.MAX_VALUE ? -1 : Math.max(0, age),
+                        fleet,
+                        m.page() < books.page()
+                                ? books.since(m.page())
+                                : guards.stands(Safeguard.PAGE) ? List.of() : books.since(0),
+                        m.view() < view.number() ? List.of(view) : List.of(),
+                        pulls.<Msg.News>map(p -> p.brief(m, home, sure(now), now))
+                                .orElseGet(() -> whole(m, now)))));
     }
 
     private Msg.News.Whole whole(final Msg.Ask m, final long now) {
@@ -300,13 +334,20 @@
         for (final Heard h : workers.values()) {
             final Worker w = h.worker();
             final Optional<Msg.Mark> mark = Optional.ofNullable(marks.get(w.id()));
-            final boolean newer = mark.map(k -> w.life() != k.life() ? w.life() > k.life() : w.sequence() > k.sequence()).orElse(true);
-            final boolean same = mark.map(k -> w.life() == k.life() && w.sequence() == k.sequence()).orElse(false);
+            final boolean newer = mark.map(
+                            k -> w.life() != k.life() ? w.life() > k.life() : w.sequence() > k.sequence())
+                    .orElse(true);
+            final boolean same = mark.map(k -> w.life() == k.life() && w.sequence() == k.sequence())
+                    .orElse(false);
             if (newer) {
                 bodies.add(w);
             }
             if (newer || same) {
-                ages.add(new Msg.Aged(w.id(), w.life(), w.sequence(), h.asOf().map(t -> Math.max(0, now - t)).orElse(-1L)));
+                ages.add(new Msg.Aged(
+                        w.id(),
+                        w.life(),
+                        w.sequence(),
+                        h.asOf().map(t -> Math.max(0, now - t)).orElse(-1L)));
             }
         }
         return new Msg.News.Whole(ages, bodies, m.crew() == digest() ? List.of() : crew.all());
@@ -321,9 +362,12 @@
         }
         switch (m.news()) {
             case Msg.News.Whole n -> told(n, m.at(), now);
-            case Msg.News.Brief b -> pulls.flatMap(p -> p.told(b, m.at(), home)).ifPresent(x -> out.add(new Effect.Send(home, x)));
+            case Msg.News.Brief b ->
+                pulls.flatMap(p -> p.told(b, m.at(), home)).ifPresent(x -> out.add(new Effect.Send(home, x)));
         }
-        m.view().stream().filter(v -> v.number() > view.number() && v.fleet() == fleet).forEach(v -> view = v);
+        m.view().stream()
+                .filter(v -> v.number() > view.number() && v.fleet() == fleet)
+                .forEach(v -> view = v);
         if (m.page() > books.page()) {
             books.apply(m.page(), m.entries());
             announce();
@@ -340,8 +384,11 @@
         n.members().forEach(x -> crew.learn(x, now));
         n.workers().forEach(w -> take(w, Optional.empty(), now));
         for (final Msg.Aged a : n.ages()) {
-            Optional.ofNullable(workers.get(a.id())).filter(h -> a.age() >= 0 && h.worker().life() == a.life()
-                    && h.worker().sequence() == a.sequence()).ifPresent(h -> renew(h, at - a.age()));
+            Optional.ofNullable(workers.get(a.id()))
+                    .filter(h -> a.age() >= 0
+                            && h.worker().life() == a.life()
+                            && h.worker().sequence() == a.sequence())
+                    .ifPresent(h -> renew(h, at - a.age()));
         }
     }
 
@@ -386,6 +433,5 @@
         seen = Map.of();
     }
 
-    private record Echo(long life, long token, long at) {
-    }
+    private record Echo(long life, long token, long at) {}
 }
--- a/core/src/main/java/silverlatch/gossip/Peers.java
+++ b/core/src/main/java/silverlatch/gossip/Peers.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import silverlatch.membership.Membership;
 import silverlatch.membership.Member;
+import silverlatch.membership.Membership;
 import silverlatch.replication.View;
 import silverlatch.wire.Msg;
 
@@ -72,7 +72,10 @@
     long root(final Gossip.Times times) {
         refresh();
         return times.way() instanceof Way.Controllers h && !controller()
-                ? Math.max(times.root(), Math.min(SECOND, gateways * SECOND / Math.max(1, (long) controllers.size() * h.asks()))) : times.root();
+                ? Math.max(
+                        times.root(),
+                        Math.min(SECOND, gateways * SECOND / Math.max(1, (long) controllers.size() * h.asks())))
+                : times.root();
     }
 
     /** Some to pass news on to, more in a large fleet: one from anywhere, the others from this region. */
@@ -87,32 +90,45 @@
     /** Live controllers to ask: those of the chain, or all. */
     List<Member> roots(final View view, final boolean all) {
         final List<String> chain = view.chain().stream().map(b -> b.address()).toList();
-        return crew.live().stream().filter(m -> !m.gateway())
-                .filter(m -> all || chain.isEmpty() || chain.contains(m.address())).toList();
+        return crew.live().stream()
+                .filter(m -> !m.gateway())
+                .filter(m -> all || chain.isEmpty() || chain.contains(m.address()))
+                .toList();
     }
 
     /** Those of this region, or all where there are none. */
     List<Member> near(final List<Member> all) {
-        final List<Member> near = all.stream().filter(m -> m.region().equals(crew.me().region())).toList();
+        final List<Member> near =
+                all.stream().filter(m -> m.region().equals(crew.me().region())).toList();
         return near.isEmpty() ? all : near;
     }
 
     /** What is known of the crew in these ranges. */
     List<Msg.Mark> marks(final long bits) {
-        return crew.all().stream().filter(m -> Sums.in(bits, m.id())).map(Peers::mark).toList();
+        return crew.all().stream()
+                .filter(m -> Sums.in(bits, m.id()))
+                .map(Peers::mark)
+                .toList();
     }
 
     /** Who is known better here than by these marks, which are all that another holds in these ranges. */
     List<Member> newer(final long bits, final List<Msg.Mark> marks) {
         final Map<String, Msg.Mark> map = new HashMap<>();
         marks.forEach(k -> map.put(k.id(), k));
-        return crew.all().stream().filter(m -> Sums.in(bits, m.id()))
-                .filter(m -> Optional.ofNullable(map.get(m.id())).map(k -> after(mark(m), k)).orElse(true)).toList();
+        return crew.all().stream()
+                .filter(m -> Sums.in(bits, m.id()))
+                .filter(m -> Optional.ofNullable(map.get(m.id()))
+                        .map(k -> after(mark(m), k))
+                        .orElse(true))
+                .toList();
     }
 
     /** Who is known worse here than by these marks. */
     List<String> lacks(final List<Msg.Mark> marks) {
-        return marks.stream().filter(k -> crew.get(k.id()).map(m -> after(k, mark(m))).orElse(true)).map(Msg.Mark::id).toList();
+        return marks.stream()
+                .filter(k -> crew.get(k.id()).map(m -> after(k, mark(m))).orElse(true))
+                .map(Msg.Mark::id)
+                .toList();
     }
 
     private static boolean after(final Msg.Mark a, final Msg.Mark b) {
@@ -127,7 +143,11 @@
         if (known != crew.version()) {
             known = crew.version();
             final List<Member> all = crew.all();
-            controllers = all.stream().filter(m -> !m.gateway() && !m.state().equals("left") && !m.id().equals(crew.me().id())).toList();
+            controllers = all.stream()
+                    .filter(m -> !m.gateway()
+                            && !m.state().equals("left")
+                            && !m.id().equals(crew.me().id()))
+                    .toList();
             gateways = all.stream().filter(m -> m.gateway() && m.live()).count();
             ring = new Sums();
             all.forEach(m -> ring.add(mark(m)));
--- a/core/src/main/java/silverlatch/gossip/Pulls.java
+++ b/core/src/main/java/silverlatch/gossip/Pulls.java
@@ -22,8 +22,11 @@
     Msg.News.Brief brief(final Msg.Ask m, final String home, final long age, final long now) {
         final boolean word = m.words() != words.sums().total();
         final boolean who = m.crew() != peers.ring().total();
-        final Msg.Ranges ranges = new Msg.Ranges(word ? words.sums().ranges() : new long[0], who ? peers.ring().ranges() : new long[0]);
-        return new Msg.News.Brief(age == Long.MAX_VALUE ? -1 : age, word || who ? List.of(ranges) : List.of(),
+        final Msg.Ranges ranges = new Msg.Ranges(
+                word ? words.sums().ranges() : new long[0], who ? peers.ring().ranges() : new long[0]);
+        return new Msg.News.Brief(
+                age == Long.MAX_VALUE ? -1 : age,
+                word || who ? List.of(ranges) : List.of(),
                 peers.controller() && peers.controller(home) ? List.of(words.beats(now)) : List.of());
     }
 
@@ -33,8 +36,14 @@
             b.beats().forEach(x -> words.beats(x, home, at));
         }
         final Pull pull = new Pull(home, at, b.age());
-        final long word = b.ranges().stream().mapToLong(r -> words.sums().differ(r.words())).findFirst().orElse(0);
-        final long who = b.ranges().stream().mapToLong(r -> peers.ring().differ(r.crew())).findFirst().orElse(0);
+        final long word = b.ranges().stream()
+                .mapToLong(r -> words.sums().differ(r.words()))
+                .findFirst()
+                .orElse(0);
+        final long who = b.ranges().stream()
+                .mapToLong(r -> peers.ring().differ(r.crew()))
+                .findFirst()
+                .orElse(0);
         if (word == 0 && who == 0) {
             match(pull);
             return Optional.empty();
@@ -45,8 +54,12 @@
 
     /** What the asked holds that the asker lacks, and what it lacks itself. */
     Msg.Bodies bodies(final Msg.Marks m, final long now) {
-        return new Msg.Bodies(m.at(), words.newer(m.words(), m.workers(), now), peers.newer(m.crew(), m.members()),
-                words.lacks(m.workers()), peers.lacks(m.members()));
+        return new Msg.Bodies(
+                m.at(),
+                words.newer(m.words(), m.workers(), now),
+                peers.newer(m.crew(), m.members()),
+                words.lacks(m.workers()),
+                peers.lacks(m.members()));
     }
 
     /** Takes bodies, and gives those that the other lacks. */
@@ -54,8 +67,16 @@
         m.members().forEach(x -> crew.hold(x, now));
         m.words().forEach(x -> words.take(x, false, now));
         open.filter(p -> p.at() == m.at() && p.home().equals(home)).ifPresent(this::match);
-        return m.workers().isEmpty() && m.daemons().isEmpty() ? Optional.empty() : Optional.of(new Msg.Bodies(0, words.words(m.workers(), now),
-                m.daemons().stream().flatMap(id -> crew.get(id).stream()).toList(), List.of(), List.of()));
+        return m.workers().isEmpty() && m.daemons().isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Msg.Bodies(
+                        0,
+                        words.words(m.workers(), now),
+                        m.daemons().stream()
+                                .flatMap(id -> crew.get(id).stream())
+                                .toList(),
+                        List.of(),
+                        List.of()));
     }
 
     /** Forgets a pull under way. */
@@ -73,6 +94,5 @@
         }
     }
 
-    private record Pull(String home, long at, long age) {
-    }
+    private record Pull(String home, long at, long age) {}
 }
--- a/core/src/main/java/silverlatch/gossip/Sums.java
+++ b/core/src/main/java/silverlatch/gossip/Sums.java
@@ -6,6 +6,7 @@
 final class Sums {
     /** How many ranges; one bit of a long for each. */
     static final int RANGES = Long.SIZE;
+
     private final long[] ranges = new long[RANGES];
     private long total;
 
--- a/core/src/main/java/silverlatch/gossip/Way.java
+++ b/core/src/main/java/silverlatch/gossip/Way.java
@@ -3,8 +3,7 @@
 /** How words of workers spread. */
 public sealed interface Way {
     /** Workers announce to any daemon; pulls renew the age of each word everywhere. */
-    record Everywhere() implements Way {
-    }
+    record Everywhere() implements Way {}
 
     /**
      * Workers announce to controllers; only what changes travels.
--- a/core/src/main/java/silverlatch/gossip/WorkerReport.java
+++ b/core/src/main/java/silverlatch/gossip/WorkerReport.java
@@ -14,8 +14,26 @@
 public record WorkerReport(Worker worker, boolean silent, boolean gone, long age) {
     /** A worker's own word; what it repeats with each call stays behind. */
     public static WorkerReport of(final Worker w) {
-        return new WorkerReport(new Worker(w.id(), w.address(), w.zone(), w.region(), w.life(), w.sequence(), 0, 0, w.slots(), List.of(),
-                w.leaving(), w.up(), w.pool(), w.cold(), w.rest()), false, false, 0);
+        return new WorkerReport(
+                new Worker(
+                        w.id(),
+                        w.address(),
+                        w.zone(),
+                        w.region(),
+                        w.life(),
+                        w.sequence(),
+                        0,
+                        0,
+                        w.slots(),
+                        List.of(),
+                        w.leaving(),
+                        w.up(),
+                        w.pool(),
+                        w.cold(),
+                        w.rest()),
+                false,
+                false,
+                0);
     }
 
     /** The worker's name. */
--- a/core/src/main/java/silverlatch/gossip/WorkerReports.java
+++ b/core/src/main/java/silverlatch/gossip/WorkerReports.java
@@ -48,7 +48,8 @@
     /** A worker said this here; false when it came late. */
     boolean say(final Worker said, final long now) {
         final Optional<Item> old = Optional.ofNullable(items.get(said.id()));
-        if (old.isEmpty() && items.size() >= MOST || old.filter(i -> i.late(said)).isPresent()) {
+        if (old.isEmpty() && items.size() >= MOST
+                || old.filter(i -> i.late(said)).isPresent()) {
             return false;
         }
         final WorkerReport word = WorkerReport.of(said);
@@ -78,15 +79,25 @@
     /** Takes a word from another daemon; one that came by push is passed on. */
     void take(final WorkerReport word, final boolean pass, final long now) {
         final Optional<Item> old = Optional.ofNullable(items.get(word.id()));
-        if (old.isEmpty() && items.size() >= MOST || (word.silent() || word.gone()) && word.age() > way.forget()
+        if (old.isEmpty() && items.size() >= MOST
+                || (word.silent() || word.gone()) && word.age() > way.forget()
                 || !old.map(i -> word.after(i.word())).orElse(true)) {
             return;
         }
-        final Optional<Item> same = old.filter(i -> i.word().worker().life() == word.worker().life());
-        final boolean beats = word.silent() && same.map(i -> now - i.own() < way.silent() && i.top() > word.worker().sequence()).orElse(false);
-        final WorkerReport kept = beats ? new WorkerReport(word.worker().at(same.get().top()), false, false, 0) : word;
+        final Optional<Item> same =
+                old.filter(i -> i.word().worker().life() == word.worker().life());
+        final boolean beats = word.silent()
+                && same.map(i -> now - i.own() < way.silent()
+                                && i.top() > word.worker().sequence())
+                        .orElse(false);
+        final WorkerReport kept =
+                beats ? new WorkerReport(word.worker().at(same.get().top()), false, false, 0) : word;
         final long heard = word.silent() || word.gone() ? same.map(Item::heard).orElse(now) : now;
-        put(new Item(kept, now, heard, same.map(Item::own).orElse(Long.MIN_VALUE / 2),
+        put(new Item(
+                kept,
+                now,
+                heard,
+                same.map(Item::own).orElse(Long.MIN_VALUE / 2),
                 Math.max(same.map(Item::top).orElse(0L), kept.worker().sequence())));
         tell(old, kept);
         if (pass || beats) {
@@ -103,31 +114,50 @@
 
     /** All words that are neither silent nor gone, as of now. */
     List<WorkerReport> standing(final long now) {
-        return items.values().stream().filter(i -> !i.word().gone() && !i.word().silent()).map(i -> i.now(now)).toList();
+        return items.values().stream()
+                .filter(i -> !i.word().gone() && !i.word().silent())
+                .map(i -> i.now(now))
+                .toList();
     }
 
     /** The words on some workers, as of now. */
     List<WorkerReport> words(final Collection<String> ids, final long now) {
-        return ids.stream().flatMap(id -> Optional.ofNullable(items.get(id)).stream()).map(i -> i.now(now)).toList();
+        return ids.stream()
+                .flatMap(id -> Optional.ofNullable(items.get(id)).stream())
+                .map(i -> i.now(now))
+                .toList();
     }
 
     /** What is held in these ranges. */
     List<Msg.Mark> marks(final long bits) {
-        return items.values().stream().filter(i -> Sums.in(bits, i.word().id())).map(i -> i.word().mark()).toList();
+        return items.values().stream()
+                .filter(i -> Sums.in(bits, i.word().id()))
+                .map(i -> i.word().mark())
+                .toList();
     }
 
     /** What is newer here than these marks, which are all that another holds in these ranges. */
     List<WorkerReport> newer(final long bits, final List<Msg.Mark> marks, final long now) {
         final Map<String, Msg.Mark> map = new HashMap<>();
         marks.forEach(m -> map.put(m.id(), m));
-        return items.values().stream().filter(i -> Sums.in(bits, i.word().id()))
-                .filter(i -> Optional.ofNullable(map.get(i.word().id())).map(i.word()::after).orElse(true)).map(i -> i.now(now)).toList();
+        return items.values().stream()
+                .filter(i -> Sums.in(bits, i.word().id()))
+                .filter(i -> Optional.ofNullable(map.get(i.word().id()))
+                        .map(i.word()::after)
+                        .orElse(true))
+                .map(i -> i.now(now))
+                .toList();
     }
 
     /** Which of these marks are newer than what is held here. */
     List<String> lacks(final List<Msg.Mark> marks) {
-        return marks.stream().filter(m -> Optional.ofNullable(items.get(m.id())).map(i -> i.word().mark())
-                .map(k -> m.life() != k.life() ? m.life() > k.life() : m.sequence() > k.sequence()).orElse(true)).map(Msg.Mark::id).toList();
+        return marks.stream()
+                .filter(m -> Optional.ofNullable(items.get(m.id()))
+                        .map(i -> i.word().mark())
+                        .map(k -> m.life() != k.life() ? m.life() > k.life() : m.sequence() > k.sequence())
+                        .orElse(true))
+                .map(Msg.Mark::id)
+                .toList();
     }
 
     /** What was here when another was asked was surely all that it knew, and that was the newest at a moment. */
@@ -192,12 +222,16 @@
             awake = now;
         }
         looked = now;
-        final List<Item> old = items.values().stream().filter(i -> (i.word().silent() || i.word().gone())
-                && i.word().age() + now - i.at() > way.forget()).toList();
+        final List<Item> old = items.values().stream()
+                .filter(i -> (i.word().silent() || i.word().gone()) && i.word().age() + now - i.at() > way.forget())
+                .toList();
         old.forEach(i -> drop(i.word()));
         if (controller && now - awake >= way.silent()) {
-            items.values().stream().filter(i -> !i.word().silent() && !i.word().gone() && now - i.heard() > way.silent())
-                    .filter(i -> contact(i.word().worker(), controllers, now)).toList().forEach(i -> {
+            items.values().stream()
+                    .filter(i -> !i.word().silent() && !i.word().gone() && now - i.heard() > way.silent())
+                    .filter(i -> contact(i.word().worker(), controllers, now))
+                    .toList()
+                    .forEach(i -> {
                         final WorkerReport word = new WorkerReport(i.now(now).worker(), true, false, now - i.heard());
                         put(new Item(word, now, i.heard(), i.own(), i.top()));
                         tell(Optional.of(i), word);
@@ -220,8 +254,13 @@
     Map<String, Gossip.Heard> workers(final boolean controller) {
         if (dirty) {
             final Map<String, Gossip.Heard> map = new HashMap<>();
-            list().forEach(i -> map.put(i.word().id(), new Gossip.Heard(i.word().worker(), controller ? Optional.of(i.heard()) : sure,
-                    i.word().silent(), i.at())));
+            list().forEach(i -> map.put(
+                    i.word().id(),
+                    new Gossip.Heard(
+                            i.word().worker(),
+                            controller ? Optional.of(i.heard()) : sure,
+                            i.word().silent(),
+                            i.at())));
             seen = Map.copyOf(map);
             dirty = false;
         }
@@ -245,10 +284,18 @@
 
     /** Whether this controller knows what the controllers near a worker hear: those of its zone, else its region, else all. */
     private boolean contact(final Worker w, final List<Member> controllers, final long now) {
-        final List<Member> zone = controllers.stream().filter(m -> m.zone().equals(w.zone())).toList();
-        final List<Member> near = zone.isEmpty() ? controllers.stream().filter(m -> m.region().equals(w.region())).toList() : zone;
-        return (near.isEmpty() ? controllers : near).stream()
-                .allMatch(m -> Optional.ofNullable(contacts.get(m.address())).map(t -> now - t <= way.silent() / 2).orElse(false));
+        final List<Member> zone =
+                controllers.stream().filter(m -> m.zone().equals(w.zone())).toList();
+        final List<Member> near = zone.isEmpty()
+                ? controllers.stream()
+                        .filter(m -> m.region().equals(w.region()))
+                        .toList()
+                : zone;
+        return (near.isEmpty() ? controllers : near)
+                .stream()
+                        .allMatch(m -> Optional.ofNullable(contacts.get(m.address()))
+                                .map(t -> now - t <= way.silent() / 2)
+                                .orElse(false));
     }
 
     private void put(final Item next) {
@@ -275,7 +322,8 @@
     }
 
     private void tell(final Optional<Item> before, final WorkerReport word) {
-        final Optional<WorkerReport> old = before.map(Item::word).filter(o -> o.worker().life() == word.worker().life());
+        final Optional<WorkerReport> old = before.map(Item::word)
+                .filter(o -> o.worker().life() == word.worker().life());
         final Worker w = word.worker();
         if (before.isEmpty() && !word.gone()) {
             logs.add(new Effect.Log(Event.WORKER_KNOWN, w.id() + " " + w.address() + " zone " + w.zone()));
@@ -306,9 +354,14 @@
 
         boolean changed(final Worker said, final long now) {
             final Worker old = word.worker().aged(now - at);
-            return word.silent() || said.life() != old.life() || said.leaving() != old.leaving() || said.slots() != old.slots()
-                    || !said.address().equals(old.address()) || !said.zone().equals(old.zone())
-                    || !said.region().equals(old.region()) || !said.pool().equals(old.pool())
+            return word.silent()
+                    || said.life() != old.life()
+                    || said.leaving() != old.leaving()
+                    || said.slots() != old.slots()
+                    || !said.address().equals(old.address())
+                    || !said.zone().equals(old.zone())
+                    || !said.region().equals(old.region())
+                    || !said.pool().equals(old.pool())
                     || Math.abs(said.cold() - old.cold()) > Math.max(SLACK, old.cold() / 8)
                     || said.rest() == 0 != (old.rest() == 0)
                     || Math.abs(said.rest() - old.rest()) > Math.max(4 * SLACK, old.rest() / 8);
--- a/core/src/main/java/silverlatch/json/JsonDocument.java
+++ b/core/src/main/java/silverlatch/json/JsonDocument.java
@@ -29,12 +29,10 @@
     /** What parsing gave. */
     public sealed interface Parsed {
         /** An object to read. */
-        record Good(JsonDocument sheet) implements Parsed {
-        }
+        record Good(JsonDocument sheet) implements Parsed {}
 
         /** Not one: the HTTP-like code and why. */
-        record Bad(int code, String why) implements Parsed {
-        }
+        record Bad(int code, String why) implements Parsed {}
     }
 
     /** Parses an object of at most so many bytes. */
@@ -49,12 +47,16 @@
             case BROKEN -> {
                 return new Parsed.Bad(400, "$: not JSON");
             }
-            case WHOLE -> {
-            }
+            case WHOLE -> {}
         }
         try {
-            final Object root = JSON.type(Object.class).fromJson(StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(body)).toString());
-            return root instanceof Map<?, ?> map ? new Parsed.Good(new JsonDocument("$", map, new ArrayList<>()))
+            final Object root = JSON.type(Object.class)
+                    .fromJson(StandardCharsets.UTF_8
+                            .newDecoder()
+                            .decode(ByteBuffer.wrap(body))
+                            .toString());
+            return root instanceof Map<?, ?> map
+                    ? new Parsed.Good(new JsonDocument("$", map, new ArrayList<>()))
                     : new Parsed.Bad(400, "$: an object is needed");
         } catch (final CharacterCodingException e) {
             return new Parsed.Bad(400, "$: not UTF-8");
@@ -83,7 +85,8 @@
     /** The fields as they stand. */
     public Map<String, Object> map() {
         final Map<String, Object> all = new java.util.LinkedHashMap<>();
-        fields.forEach((k, v) -> all.put(String.valueOf(k), Optional.<Object>ofNullable(v).orElse("")));
+        fields.forEach((k, v) ->
+                all.put(String.valueOf(k), Optional.<Object>ofNullable(v).orElse("")));
         return all;
     }
 
@@ -94,7 +97,10 @@
 
     /** Notes every key that was not asked for, and gives all faults. */
     public List<String> end() {
-        fields.keySet().stream().map(String::valueOf).filter(k -> !asked.contains(k)).sorted()
+        fields.keySet().stream()
+                .map(String::valueOf)
+                .filter(k -> !asked.contains(k))
+                .sorted()
                 .forEach(k -> faults.add(path + "." + k + ": unknown key"));
         return faults();
     }
@@ -138,24 +144,28 @@
 
     /** A number, or what holds when there is none. */
     public double number(final String key, final double other) {
-        return value(key).map(v -> {
-            if (v instanceof Number n && Double.isFinite(n.doubleValue())) {
-                return n.doubleValue();
-            }
-            faults.add(path + "." + key + ": a number is needed");
-            return other;
-        }).orElse(other);
+        return value(key)
+                .map(v -> {
+                    if (v instanceof Number n && Double.isFinite(n.doubleValue())) {
+                        return n.doubleValue();
+                    }
+                    faults.add(path + "." + key + ": a number is needed");
+                    return other;
+                })
+                .orElse(other);
     }
 
     /** A flag, or what holds when there is none. */
     public boolean flag(final String key, final boolean other) {
-        return value(key).map(v -> {
-            if (v instanceof Boolean b) {
-                return b;
-            }
-            faults.add(path + "." + key + ": true or false is needed");
-            return other;
-        }).orElse(other);
+        return value(key)
+                .map(v -> {
+                    if (v instanceof Boolean b) {
+                        return b;
+                    }
+                    faults.add(path + "." + key + ": true or false is needed");
+                    return other;
+                })
+                .orElse(other);
     }
 
     /** A list of texts; empty when there is none. */
@@ -195,7 +205,9 @@
 
     /** An object within this one; an empty one when there is none. */
     public JsonDocument sheet(final String key) {
-        return value(key).filter(v -> v instanceof Map<?, ?>).map(v -> new JsonDocument(path + "." + key, (Map<?, ?>) v, faults))
+        return value(key)
+                .filter(v -> v instanceof Map<?, ?>)
+                .map(v -> new JsonDocument(path + "." + key, (Map<?, ?>) v, faults))
                 .orElseGet(() -> {
                     faults.add(path + "." + key + ": an object is needed");
                     return new JsonDocument(path + "." + key, Map.of(), faults);
@@ -204,30 +216,34 @@
 
     /** A cell's value as text, whether it is a text, a number or a flag. */
     public String cell(final String key) {
-        return value(key).map(v -> switch (v) {
-            case String s when s.length() <= 64 -> s;
-            case Boolean b -> "" + b;
-            case Double d when d == Math.rint(d) && Math.abs(d) < 1e15 -> "" + d.longValue();
-            case Number n -> "" + n;
-            default -> {
-                faults.add(path + "." + key + ": a text, a number or a flag is needed");
-                yield "";
-            }
-        }).orElseGet(() -> missing(key, ""));
+        return value(key)
+                .map(v -> switch (v) {
+                    case String s when s.length() <= 64 -> s;
+                    case Boolean b -> "" + b;
+                    case Double d when d == Math.rint(d) && Math.abs(d) < 1e15 -> "" + d.longValue();
+                    case Number n -> "" + n;
+                    default -> {
+                        faults.add(path + "." + key + ": a text, a number or a flag is needed");
+                        yield "";
+                    }
+                })
+                .orElseGet(() -> missing(key, ""));
     }
 
     private List<?> raw(final String key, final int count) {
-        return value(key).map(v -> {
-            if (!(v instanceof List<?> list)) {
-                faults.add(path + "." + key + ": a list is needed");
-                return List.of();
-            }
-            if (list.size() > count) {
-                faults.add(path + "." + key + ": at most " + count + " entries");
-                return List.of();
-            }
-            return list;
-        }).orElse(List.of());
+        return value(key)
+                .map(v -> {
+                    if (!(v instanceof List<?> list)) {
+                        faults.add(path + "." + key + ": a list is needed");
+                        return List.of();
+                    }
+                    if (list.size() > count) {
+                        faults.add(path + "." + key + ": at most " + count + " entries");
+                        return List.of();
+                    }
+                    return list;
+                })
+                .orElse(List.of());
     }
 
     private String text(final String at, final Object v, final int most) {
--- a/core/src/main/java/silverlatch/json/JsonSchema.java
+++ b/core/src/main/java/silverlatch/json/JsonSchema.java
@@ -3,7 +3,11 @@
 /** Whether bytes are one whole JSON value (RFC 8259) that isn't too deep; what their texts hold is not looked at. */
 final class JsonSchema {
     /** What was found. */
-    enum Found { WHOLE, DEEP, BROKEN }
+    enum Found {
+        WHOLE,
+        DEEP,
+        BROKEN
+    }
 
     private final byte[] body;
     private final int most;
--- a/core/src/main/java/silverlatch/log/LogRecord.java
+++ b/core/src/main/java/silverlatch/log/LogRecord.java
@@ -8,24 +8,19 @@
 /** What is written to the ledger. */
 public sealed interface LogRecord {
     /** A change in the chain. */
-    record Appended(LogEntry change) implements LogRecord {
-    }
+    record Appended(LogEntry change) implements LogRecord {}
 
     /** A decided view. */
-    record ViewInstalled(View view, boolean level) implements LogRecord {
-    }
+    record ViewInstalled(View view, boolean level) implements LogRecord {}
 
     /** A promise of the view register. */
-    record Promised(long number, long ballot) implements LogRecord {
-    }
+    record Promised(long number, long ballot) implements LogRecord {}
 
     /** An accepted proposal of the view register. */
-    record Accepted(long number, long ballot, View view) implements LogRecord {
-    }
+    record Accepted(long number, long ballot, View view) implements LogRecord {}
 
     /** A founding this machine agreed to. */
-    record Founding(View view) implements LogRecord {
-    }
+    record Founding(View view) implements LogRecord {}
 
     /** Notes written and synced together. */
     record Batch(List<LogRecord> notes) implements LogRecord {
@@ -36,8 +31,16 @@
     }
 
     /** Everything up to a sequence; the roof is the newest stamp of a change. */
-    record Snapshot(long sequence, View view, boolean level, long ballot, long nodded, List<View> nod, long roof,
-                   List<Entry> entries) implements LogRecord {
+    record Snapshot(
+            long sequence,
+            View view,
+            boolean level,
+            long ballot,
+            long nodded,
+            List<View> nod,
+            long roof,
+            List<Entry> entries)
+            implements LogRecord {
         /** Copies the lists. */
         public Snapshot {
             nod = List.copyOf(nod);
--- a/core/src/main/java/silverlatch/log/WriteAheadLog.java
+++ b/core/src/main/java/silverlatch/log/WriteAheadLog.java
@@ -44,7 +44,8 @@
          * The ledger, its machine's identity, all that it held, how many bytes of a torn tail were cut off, and whether
          * the folder was made to take part in a first founding.
          */
-        record Good(WriteAheadLog ledger, String identity, List<LogRecord> notes, long torn, boolean founder) implements Opened {
+        record Good(WriteAheadLog ledger, String identity, List<LogRecord> notes, long torn, boolean founder)
+                implements Opened {
             /** Copies the notes. */
             public Good {
                 notes = List.copyOf(notes);
@@ -52,12 +53,10 @@
         }
 
         /** It can't be trusted. */
-        record Damaged(String why) implements Opened {
-        }
+        record Damaged(String why) implements Opened {}
 
         /** The disk can't be read or written now; what it holds may be sound. */
-        record Barred(String why) implements Opened {
-        }
+        record Barred(String why) implements Opened {}
     }
 
     /** Opens a folder, and makes it when there is none; one made here may take part in a first founding. */
@@ -130,7 +129,8 @@
         if (!pictures.isEmpty()) {
             final List<byte[]> frames = new ArrayList<>();
             final byte[] all = Files.readAllBytes(folder.resolve(name("picture", first)));
-            if (scan(all, frames) != all.length || frames.size() != 1
+            if (scan(all, frames) != all.length
+                    || frames.size() != 1
                     || !(codec.read(frames.getFirst(), LogRecord.class) instanceof Codec.Read.Good<LogRecord> good)) {
                 return new Opened.Damaged("picture " + first + " is damaged");
             }
@@ -169,11 +169,12 @@
             }
         }
         final long last = segments.isEmpty() ? 1 : segments.getLast();
-        final FileChannel ch = FileChannel.open(folder.resolve(name("segment", last)),
-                StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        final FileChannel ch = FileChannel.open(
+                folder.resolve(name("segment", last)), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         ch.position(ch.size());
         sync(folder);
-        return new Opened.Good(new WriteAheadLog(folder, ch, last), identity, notes, torn, Files.exists(folder.resolve(FOUNDER)));
+        return new Opened.Good(
+                new WriteAheadLog(folder, ch, last), identity, notes, torn, Files.exists(folder.resolve(FOUNDER)));
     }
 
     private static int scan(final byte[] all, final List<byte[]> frames) {
@@ -214,8 +215,12 @@
     }
 
     private static byte[] frame(final byte[] body) {
-        return ByteBuffer.allocate(HEAD + body.length).putLong(MAGIC).putInt(body.length)
-                .putInt(sum(body, 0, body.length)).put(body).array();
+        return ByteBuffer.allocate(HEAD + body.length)
+                .putLong(MAGIC)
+                .putInt(body.length)
+                .putInt(sum(body, 0, body.length))
+                .put(body)
+                .array();
     }
 
     private void batch(final List<LogRecord> notes) throws IOException {
@@ -229,7 +234,8 @@
     private void turn() throws IOException {
         channel.close();
         number++;
-        channel = FileChannel.open(folder.resolve(name("segment", number)), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+        channel = FileChannel.open(
+                folder.resolve(name("segment", number)), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
         sync(folder);
     }
 
@@ -266,7 +272,8 @@
     /** Writes a whole file in place of an older one, synced with its name. */
     public static void put(final Path file, final byte[] bytes) throws IOException {
         final Path part = file.resolveSibling(file.getFileName() + ".part");
-        try (FileChannel ch = FileChannel.open(part, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel ch = FileChannel.open(
+                part, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             final ByteBuffer all = ByteBuffer.wrap(bytes);
             while (all.hasRemaining()) {
                 ch.write(all);
@@ -285,8 +292,11 @@
 
     private static List<Long> numbers(final Path folder, final String kind) throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.map(f -> f.getFileName().toString()).filter(n -> n.matches(kind + "-\\d{12}"))
-                    .map(n -> Long.parseLong(n.substring(n.length() - 12))).sorted().toList();
+            return files.map(f -> f.getFileName().toString())
+                    .filter(n -> n.matches(kind + "-\\d{12}"))
+                    .map(n -> Long.parseLong(n.substring(n.length() - 12)))
+                    .sorted()
+                    .toList();
         }
     }
 
--- a/core/src/main/java/silverlatch/membership/Member.java
+++ b/core/src/main/java/silverlatch/membership/Member.java
@@ -16,8 +16,17 @@
  * @param state   a state of the chart member
  * @param ready   whether it takes tickets
  */
-public record Member(String id, String role, String zone, String region, String address, String door,
-                     long life, long turn, String state, boolean ready) {
+public record Member(
+        String id,
+        String role,
+        String zone,
+        String region,
+        String address,
+        String door,
+        long life,
+        long turn,
+        String state,
+        boolean ready) {
     /** Whether this word on the same daemon goes before the other. */
     public boolean beats(final Member old) {
         if (life != old.life) {
@@ -55,6 +64,7 @@
     }
 
     private static int grave(final String state) {
-        return Optional.of(java.util.List.of("up", "suspect", "dead", "left").indexOf(state)).orElse(0);
+        return Optional.of(java.util.List.of("up", "suspect", "dead", "left").indexOf(state))
+                .orElse(0);
     }
 }
--- a/core/src/main/java/silverlatch/membership/Membership.java
+++ b/core/src/main/java/silverlatch/membership/Membership.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import silverlatch.statemachine.TransitionTable;
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
+import silverlatch.statemachine.TransitionTable;
 import silverlatch.wire.Msg;
 
 /** Who is in the fleet and who lives: joining by seeds, heartbeats to watchers named by the ring, suspicion as news. */
@@ -78,7 +78,9 @@
     /** Those thought to live, without this daemon. */
     public List<Member> live() {
         if (live.isEmpty()) {
-            live = members.values().stream().filter(m -> m.live() && !m.id().equals(me.id())).toList();
+            live = members.values().stream()
+                    .filter(m -> m.live() && !m.id().equals(me.id()))
+                    .toList();
         }
         return live;
     }
@@ -110,7 +112,8 @@
 
     /** Starts a new incarnation, as a rejoin does. */
     public void life(final long next) {
-        mine(new Member(me.id(), me.role(), me.zone(), me.region(), me.address(), me.door(), next, 0, "up", me.ready()));
+        mine(new Member(
+                me.id(), me.role(), me.zone(), me.region(), me.address(), me.door(), next, 0, "up", me.ready()));
     }
 
     /** Hails the seeds again at the next clock event, known or not. */
@@ -137,8 +140,7 @@
             }
             case Msg.Beat m -> hear(m.me(), now);
             case Msg.Pulse m -> get(m.id()).filter(x -> x.life() == m.life()).ifPresent(x -> beats.put(x.id(), now));
-            default -> {
-            }
+            default -> {}
         }
     }
 
@@ -156,7 +158,10 @@
         if (word.id().equals(me.id())) {
             if (word.life() > me.life()) {
                 life(word.life() + 1);
-            } else if (word.life() == me.life() && word.turn() >= me.turn() && !word.equals(me) && !me.state().equals("left")) {
+            } else if (word.life() == me.life()
+                    && word.turn() >= me.turn()
+                    && !word.equals(me)
+                    && !me.state().equals("left")) {
                 mine(me.turned(word.turn() + 1, me.ready()));
             }
             return;
@@ -178,8 +183,12 @@
     public void tick(final long now) {
         if (now - hailAt >= (fresh ? Math.min(SOON, times.hail()) : times.hail())) {
             hailAt = now;
-            seeds.stream().filter(s -> !s.equals(me.address()))
-                    .filter(s -> fresh || members.values().stream().noneMatch(m -> m.address().equals(s) && m.state().equals("up")))
+            seeds.stream()
+                    .filter(s -> !s.equals(me.address()))
+                    .filter(s -> fresh
+                            || members.values().stream()
+                                    .noneMatch(m ->
+                                            m.address().equals(s) && m.state().equals("up")))
                     .forEach(s -> out.add(new Effect.Send(s, new Msg.Hail(me, now))));
         }
         if (now - beatAt >= times.beat()) {
@@ -217,8 +226,11 @@
 
     private List<Member> ring() {
         if (ring.isEmpty()) {
-            ring = members.values().stream().filter(Member::live)
-                    .sorted(Comparator.comparingLong((Member m) -> place(m.id())).thenComparing(Member::id)).toList();
+            ring = members.values().stream()
+                    .filter(Member::live)
+                    .sorted(Comparator.comparingLong((Member m) -> place(m.id()))
+                            .thenComparing(Member::id))
+                    .toList();
         }
         return ring;
     }
@@ -241,7 +253,9 @@
 
     private List<Member> suspects() {
         if (suspects.isEmpty()) {
-            suspects = Optional.of(members.values().stream().filter(m -> m.state().equals("suspect")).toList());
+            suspects = Optional.of(members.values().stream()
+                    .filter(m -> m.state().equals("suspect"))
+                    .toList());
         }
         return suspects.get();
     }
@@ -269,19 +283,26 @@
         final List<Member> watched = watched();
         watched.forEach(m -> beats.putIfAbsent(m.id(), now));
         beats.keySet().retainAll(watched.stream().map(Member::id).toList());
-        final List<Member> missing = watched.stream().filter(m -> now - beats.get(m.id()) > times.miss()).toList();
+        final List<Member> missing = watched.stream()
+                .filter(m -> now - beats.get(m.id()) > times.miss())
+                .toList();
         final boolean most = missing.size() >= 2 && missing.size() * 2 > watched.size();
         if (most != doubt) {
             doubt = most;
             if (doubt) {
-                out.add(new Effect.Log(Event.SELF_DOUBT, missing.size() + " of " + watched.size() + " watched are silent"));
+                out.add(new Effect.Log(
+                        Event.SELF_DOUBT, missing.size() + " of " + watched.size() + " watched are silent"));
             }
         }
         if (!doubt) {
-            missing.stream().filter(m -> m.state().equals("up")).forEach(m -> learn(m.in(chart.move(m.state(), "miss")), now));
+            missing.stream()
+                    .filter(m -> m.state().equals("up"))
+                    .forEach(m -> learn(m.in(chart.move(m.state(), "miss")), now));
         }
-        suspects().stream().filter(m -> now - since.getOrDefault(m.id(), now) > times.bury())
-                .toList().forEach(m -> learn(m.in(chart.move(m.state(), "bury")), now));
+        suspects().stream()
+                .filter(m -> now - since.getOrDefault(m.id(), now) > times.bury())
+                .toList()
+                .forEach(m -> learn(m.in(chart.move(m.state(), "bury")), now));
     }
 
     private void hear(final Member word, final long now) {
@@ -296,12 +317,14 @@
     }
 
     private void tell(final Member m) {
-        out.add(new Effect.Log(switch (m.state()) {
-            case "up" -> Event.MEMBER_UP;
-            case "suspect" -> Event.MEMBER_SUSPECT;
-            case "dead" -> Event.MEMBER_DEAD;
-            default -> Event.MEMBER_LEFT;
-        }, m.id() + " life " + m.life()));
+        out.add(new Effect.Log(
+                switch (m.state()) {
+                    case "up" -> Event.MEMBER_UP;
+                    case "suspect" -> Event.MEMBER_SUSPECT;
+                    case "dead" -> Event.MEMBER_DEAD;
+                    default -> Event.MEMBER_LEFT;
+                },
+                m.id() + " life " + m.life()));
     }
 
     private static long place(final String id) {
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -8,24 +8,24 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import silverlatch.clock.ClockReading;
+import silverlatch.clock.Ntp;
+import silverlatch.clock.PhysicalClock;
+import silverlatch.clock.ProcessClock;
+import silverlatch.clock.PwcClock;
+import silverlatch.clock.Stamp;
 import silverlatch.dispatch.Facts;
-import silverlatch.membership.Membership;
-import silverlatch.membership.Member;
-import silverlatch.safeguard.Safeguards;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
 import silverlatch.log.LogRecord;
+import silverlatch.membership.Member;
+import silverlatch.membership.Membership;
 import silverlatch.replication.ChainClient;
 import silverlatch.replication.ChainReplica;
 import silverlatch.replication.View;
-import silverlatch.gossip.Gossip;
-import silverlatch.gossip.Worker;
-import silverlatch.state.Policy;
+import silverlatch.safeguard.Safeguards;
 import silverlatch.state.Command;
-import silverlatch.clock.PhysicalClock;
-import silverlatch.clock.ProcessClock;
-import silverlatch.clock.Ntp;
-import silverlatch.clock.Stamp;
-import silverlatch.clock.ClockReading;
-import silverlatch.clock.PwcClock;
+import silverlatch.state.Policy;
 import silverlatch.wire.Frame;
 import silverlatch.wire.Msg;
 
@@ -59,21 +59,39 @@
     private long policyPage;
 
     /** A daemon's place and settings; skew in microseconds. */
-    public record Setup(Member me, List<String> seeds, int low, long skew, Membership.Times crew, Gossip.Times rumor, Safeguards guards) {
+    public record Setup(
+            Member me,
+            List<String> seeds,
+            int low,
+            long skew,
+            Membership.Times crew,
+            Gossip.Times rumor,
+            Safeguards guards) {
         /** Copies the seeds. */
         public Setup {
             seeds = List.copyOf(seeds);
         }
 
         /** A place and settings with all guards standing. */
-        public Setup(final Member me, final List<String> seeds, final int low, final long skew, final Membership.Times crew, final Gossip.Times rumor) {
+        public Setup(
+                final Member me,
+                final List<String> seeds,
+                final int low,
+                final long skew,
+                final Membership.Times crew,
+                final Gossip.Times rumor) {
             this(me, seeds, low, skew, crew, rumor, Safeguards.ALL);
         }
     }
 
     /** A daemon as it starts: its anchor, and for a controller with a data folder its chain setup and what the ledger held. */
-    public Node(final Setup setup, final Optional<ChainReplica.Setup> chain, final List<LogRecord> notes, final PhysicalClock anchor,
-                final RandomGenerator luck, final long now) {
+    public Node(
+            final Setup setup,
+            final Optional<ChainReplica.Setup> chain,
+            final List<LogRecord> notes,
+            final PhysicalClock anchor,
+            final RandomGenerator luck,
+            final long now) {
         this.setup = setup;
         this.anchor = anchor;
         this.begun = now;
@@ -89,11 +107,14 @@
     }
 
     private static Optional<Stamp> floor(final List<LogRecord> notes) {
-        return notes.stream().flatMap(n -> switch (n) {
-            case LogRecord.Appended d -> java.util.stream.Stream.of(d.change().stamp());
-            case LogRecord.Snapshot p -> java.util.stream.Stream.of(new Stamp(p.roof()));
-            default -> java.util.stream.Stream.<Stamp>empty();
-        }).max(Stamp::compareTo);
+        return notes.stream()
+                .flatMap(n -> switch (n) {
+                    case LogRecord.Appended d ->
+                        java.util.stream.Stream.of(d.change().stamp());
+                    case LogRecord.Snapshot p -> java.util.stream.Stream.of(new Stamp(p.roof()));
+                    default -> java.util.stream.Stream.<Stamp>empty();
+                })
+                .max(Stamp::compareTo);
     }
 
     /** The stamp of a local event at this moment of the duty's own clock. */
@@ -134,7 +155,9 @@
     /** The newest view known here. */
     public View view() {
         final View heard = rumor.view();
-        return quay.map(ChainReplica::view).filter(v -> v.number() >= heard.number()).orElse(heard);
+        return quay.map(ChainReplica::view)
+                .filter(v -> v.number() >= heard.number())
+                .orElse(heard);
     }
 
     /** Whether a frame waits for the clock. */
@@ -150,8 +173,14 @@
             policyPage = rumor.books().page();
         }
         final long now = begun;
-        final Optional<Long> sure = rumor.age(now) == Long.MAX_VALUE ? Optional.empty() : Optional.of(now - rumor.age(now));
-        return new Facts(crew.me(), rumor.books().page(), sure.filter(s -> mustered), policy, rumor.workers(),
+        final Optional<Long> sure =
+                rumor.age(now) == Long.MAX_VALUE ? Optional.empty() : Optional.of(now - rumor.age(now));
+        return new Facts(
+                crew.me(),
+                rumor.books().page(),
+                sure.filter(s -> mustered),
+                policy,
+                rumor.workers(),
                 crew.live().stream().filter(Member::gateway).toList());
     }
 
@@ -282,7 +311,8 @@
             case ClockReading.Far far -> {
                 count("far");
                 samples.put(f.home(), sample);
-                out.add(new Effect.Log(Event.FAR_STAMP, f.from() + " is ahead by " + Ntp.micros(far.units()) + " us too many"));
+                out.add(new Effect.Log(
+                        Event.FAR_STAMP, f.from() + " is ahead by " + Ntp.micros(far.units()) + " us too many"));
                 if (!(f.body() instanceof Msg.Astray)) {
                     inner.add(new Effect.Send(f.home(), new Msg.Astray(far.units(), phys)));
                 }
@@ -337,14 +367,16 @@
         judged = now;
         samples.values().removeIf(s -> now - s.at() > SAMPLE);
         final long phys = anchor.phys(now);
-        final List<Long> gaps = new ArrayList<>(samples.values().stream().map(Sample::gap).toList());
+        final List<Long> gaps =
+                new ArrayList<>(samples.values().stream().map(Sample::gap).toList());
         gaps.add(0L);
         gaps.sort(Long::compare);
         final long middle = gaps.get((gaps.size() - 1) / 2);
         final long skew = Ntp.span(setup.skew());
         if (gaps.size() >= 3 && Math.abs(middle) > skew) {
             anchor = anchor.moved(middle < 0 ? -Ntp.micros(-middle) : Ntp.micros(middle));
-            out.add(new Effect.Log(Event.ANCHORED, "moved by " + (middle < 0 ? -Ntp.micros(-middle) : Ntp.micros(middle)) + " us"));
+            out.add(new Effect.Log(
+                    Event.ANCHORED, "moved by " + (middle < 0 ? -Ntp.micros(-middle) : Ntp.micros(middle)) + " us"));
             rejoin(now, "the median of the peers");
         } else if (keeper.due(phys)) {
             rejoin(now, "overflows");
@@ -386,8 +418,15 @@
 
     private boolean stamp(final Ship s, final long now) {
         if (keeper.send(anchor.phys(now)) instanceof ClockReading.Made made) {
-            ships.add(new Ship(s.to(), new Frame(made.stamp(), rumor.fleet(), setup.me().id(), setup.me().address(),
-                    crew.me().life(), s.frame().body())));
+            ships.add(new Ship(
+                    s.to(),
+                    new Frame(
+                            made.stamp(),
+                            rumor.fleet(),
+                            setup.me().id(),
+                            setup.me().address(),
+                            crew.me().life(),
+                            s.frame().body())));
             return true;
         }
         return false;
@@ -399,9 +438,13 @@
         while (!inner.isEmpty() && loops++ < LOOPS) {
             final Effect e = inner.poll();
             switch (e) {
-                case Effect.Send s when s.to().equals(setup.me().address()) -> hand(s.body(), s.to(), now, anchor.phys(now));
+                case Effect.Send s
+                when s.to().equals(setup.me().address()) -> hand(s.body(), s.to(), now, anchor.phys(now));
                 case Effect.Send s -> {
-                    final Ship ship = new Ship(s.to(), new Frame(new Stamp(1), 0, setup.me().id(), setup.me().address(), 0, s.body()));
+                    final Ship ship = new Ship(
+                            s.to(),
+                            new Frame(
+                                    new Stamp(1), 0, setup.me().id(), setup.me().address(), 0, s.body()));
                     if (!going.isEmpty() || !stamp(ship, now)) {
                         going.add(new Parked<>(ship, now));
                     }
@@ -423,9 +466,7 @@
         tally.merge(name, 1L, Long::sum);
     }
 
-    private record Sample(long gap, long at) {
-    }
+    private record Sample(long gap, long at) {}
 
-    private record Parked<T>(T thing, long at) {
-    }
+    private record Parked<T>(T thing, long at) {}
 }
--- a/core/src/main/java/silverlatch/placement/Case.java
+++ b/core/src/main/java/silverlatch/placement/Case.java
@@ -15,7 +15,14 @@
  * @param region the carrier's region
  * @param empty  the zones that are being emptied
  */
-public record Case(String ticket, Value.Tenant tenant, Value.Row row, List<Long> prefix, String zone, String region, Set<String> empty) {
+public record Case(
+        String ticket,
+        Value.Tenant tenant,
+        Value.Row row,
+        List<Long> prefix,
+        String zone,
+        String region,
+        Set<String> empty) {
     /** Copies the collections. */
     public Case {
         prefix = List.copyOf(prefix);
--- a/core/src/main/java/silverlatch/placement/ScorerResult.java
+++ b/core/src/main/java/silverlatch/placement/ScorerResult.java
@@ -3,14 +3,11 @@
 /** What a judge finds of one worker for one ticket. */
 public sealed interface ScorerResult {
     /** A score from 0 to 1. */
-    record Score(double value) implements ScorerResult {
-    }
+    record Score(double value) implements ScorerResult {}
 
     /** Never this worker. */
-    record Veto(String why) implements ScorerResult {
-    }
+    record Veto(String why) implements ScorerResult {}
 
     /** Not this worker now, but perhaps in a moment. */
-    record Later(String why) implements ScorerResult {
-    }
+    record Later(String why) implements ScorerResult {}
 }
--- a/core/src/main/java/silverlatch/placement/WeightedScorers.java
+++ b/core/src/main/java/silverlatch/placement/WeightedScorers.java
@@ -5,8 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
-import silverlatch.safeguard.Safeguard;
-import silverlatch.safeguard.Safeguards;
 import silverlatch.placement.scorer.Cold;
 import silverlatch.placement.scorer.Cross;
 import silverlatch.placement.scorer.Home;
@@ -14,6 +12,8 @@
 import silverlatch.placement.scorer.Load;
 import silverlatch.placement.scorer.Prefix;
 import silverlatch.placement.scorer.Zone;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
 
 /** Hears all judges on all workers and picks. */
 public final class WeightedScorers {
@@ -58,8 +58,7 @@
     }
 
     /** One judge's finding on one worker, with the weight it had. */
-    public record Opinion(String worker, String judge, ScorerResult finding, double weight) {
-    }
+    public record Opinion(String worker, String judge, ScorerResult finding, double weight) {}
 
     /** What the court decides. */
     public sealed interface Ruling {
@@ -67,16 +66,13 @@
         List<Opinion> opinions();
 
         /** This worker. */
-        record Picked(PlacementInput worker, List<Opinion> opinions) implements Ruling {
-        }
+        record Picked(PlacementInput worker, List<Opinion> opinions) implements Ruling {}
 
         /** None now, but one may have room in a moment. */
-        record Full(List<Opinion> opinions) implements Ruling {
-        }
+        record Full(List<Opinion> opinions) implements Ruling {}
 
         /** None is allowed. */
-        record Barred(List<Opinion> opinions) implements Ruling {
-        }
+        record Barred(List<Opinion> opinions) implements Ruling {}
     }
 
     /** Picks a worker for a ticket. */
@@ -109,11 +105,16 @@
             return later ? new Ruling.Full(all) : new Ruling.Barred(all);
         }
         final double best = rated.stream().mapToDouble(Rated::total).max().orElse(0);
-        final List<Rated> near = new ArrayList<>(rated.stream().filter(r -> r.total() >= best - NEAR)
-                .sorted(Comparator.comparingLong((Rated r) -> draw(ticket.ticket(), r.worker().worker().id()))).toList());
+        final List<Rated> near = new ArrayList<>(rated.stream()
+                .filter(r -> r.total() >= best - NEAR)
+                .sorted(Comparator.comparingLong(
+                        (Rated r) -> draw(ticket.ticket(), r.worker().worker().id())))
+                .toList());
         final Rated one = near.remove(luck.nextInt(near.size()));
-        final Optional<Rated> two = near.isEmpty() ? Optional.empty() : Optional.of(near.get(luck.nextInt(near.size())));
-        final Rated won = two.filter(t -> free(t) > free(one) || free(t) == free(one) && t.total() > one.total()).orElse(one);
+        final Optional<Rated> two =
+                near.isEmpty() ? Optional.empty() : Optional.of(near.get(luck.nextInt(near.size())));
+        final Rated won = two.filter(t -> free(t) > free(one) || free(t) == free(one) && t.total() > one.total())
+                .orElse(one);
         return new Ruling.Picked(won.worker(), all);
     }
 
@@ -135,6 +136,5 @@
         return sum ^ sum >>> 31;
     }
 
-    private record Rated(PlacementInput worker, double total) {
-    }
+    private record Rated(PlacementInput worker, double total) {}
 }
--- a/core/src/main/java/silverlatch/placement/scorer/Cold.java
+++ b/core/src/main/java/silverlatch/placement/scorer/Cold.java
@@ -1,9 +1,9 @@
 package silverlatch.placement.scorer;
 
 import silverlatch.placement.Case;
-import silverlatch.placement.ScorerResult;
-import silverlatch.placement.Scorer;
 import silverlatch.placement.PlacementInput;
+import silverlatch.placement.Scorer;
+import silverlatch.placement.ScorerResult;
 
 /** Spares a worker that just came, and lets it take more step by step. */
 public final class Cold implements Scorer {
--- a/core/src/main/java/silverlatch/placement/scorer/Cross.java
+++ b/core/src/main/java/silverlatch/placement/scorer/Cross.java
@@ -1,9 +1,9 @@
 package silverlatch.placement.scorer;
 
 import silverlatch.placement.Case;
-import silverlatch.placement.ScorerResult;
-import silverlatch.placement.Scorer;
 import silverlatch.placement.PlacementInput;
+import silverlatch.placement.Scorer;
+import silverlatch.placement.ScorerResult;
 
 /** Counts the cost of leaving the zone or the region. */
 public final class Cross implements Scorer {
--- a/core/src/main/java/silverlatch/placement/scorer/Home.java
+++ b/core/src/main/java/silverlatch/placement/scorer/Home.java
@@ -1,9 +1,9 @@
 package silverlatch.placement.scorer;
 
 import silverlatch.placement.Case;
-import silverlatch.placement.ScorerResult;
-import silverlatch.placement.Scorer;
 import silverlatch.placement.PlacementInput;
+import silverlatch.placement.Scorer;
+import silverlatch.placement.ScorerResult;
 
 /** Never lets a ticket out of its tenant's homes. */
 public final class Home implements Scorer {
@@ -19,7 +19,9 @@
 
     @Override
     public ScorerResult weigh(final Case ticket, final PlacementInput worker) {
-        return ticket.tenant().homes().isEmpty() || ticket.tenant().homes().contains(worker.worker().region())
-                ? new ScorerResult.Score(1) : new ScorerResult.Veto("region " + worker.worker().region() + " is no home");
+        return ticket.tenant().homes().isEmpty()
+                        || ticket.tenant().homes().contains(worker.worker().region())
+                ? new ScorerResult.Score(1)
+                : new ScorerResult.Veto("region " + worker.worker().region() + " is no home");
     }
 }
--- a/core/src/main/java/silverlatch/placement/scorer/Lease.java
+++ b/core/src/main/java/silverlatch/placement/scorer/Lease.java
@@ -1,9 +1,9 @@
 package silverlatch.placement.scorer;
 
 import silverlatch.placement.Case;
-import silverlatch.placement.ScorerResult;
-import silverlatch.placement.Scorer;
 import silverlatch.placement.PlacementInput;
+import silverlatch.placement.Scorer;
+import silverlatch.placement.ScorerResult;
 
 /** Never lets work to a worker that leaves, whose word is too old, or where a try failed just now. */
 public final class Lease implements Scorer {
--- a/core/src/main/java/silverlatch/placement/scorer/Load.java
+++ b/core/src/main/java/silverlatch/placement/scorer/Load.java
@@ -1,9 +1,9 @@
 package silverlatch.placement.scorer;
 
 import silverlatch.placement.Case;
-import silverlatch.placement.ScorerResult;
-import silverlatch.placement.Scorer;
 import silverlatch.placement.PlacementInput;
+import silverlatch.placement.Scorer;
+import silverlatch.placement.ScorerResult;
 
 /** Favours a worker with free slots, and waits for a full one. */
 public final class Load implements Scorer {
--- a/core/src/main/java/silverlatch/placement/scorer/Prefix.java
+++ b/core/src/main/java/silverlatch/placement/scorer/Prefix.java
@@ -2,9 +2,9 @@
 
 import java.util.List;
 import silverlatch.placement.Case;
-import silverlatch.placement.ScorerResult;
-import silverlatch.placement.Scorer;
 import silverlatch.placement.PlacementInput;
+import silverlatch.placement.Scorer;
+import silverlatch.placement.ScorerResult;
 
 /** Favours a worker that keeps the longest part of the prefix. */
 public final class Prefix implements Scorer {
--- a/core/src/main/java/silverlatch/replication/ChainClient.java
+++ b/core/src/main/java/silverlatch/replication/ChainClient.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import silverlatch.node.Effect;
-import silverlatch.state.CommandResult;
 import silverlatch.state.Command;
+import silverlatch.state.CommandResult;
 import silverlatch.wire.Msg;
 
 /** Carries wishes to the head and questions to the tail for one daemon, until they are decided or their time is up. */
@@ -60,8 +60,7 @@
                     out.add(new Effect.Answer(open.remove(m.ask()).token(), new Page(true, m.sequence(), m.entries())));
                 }
             }
-            default -> {
-            }
+            default -> {}
         }
     }
 
@@ -73,8 +72,11 @@
             final Open o = e.getValue();
             if (now >= o.expiry()) {
                 open.remove(e.getKey());
-                out.add(new Effect.Answer(o.token(), o.msg() instanceof Msg.WriteRequest w
-                        ? new CommandResult.Unknown(w.wish().id()) : new Page(false, 0, List.of())));
+                out.add(new Effect.Answer(
+                        o.token(),
+                        o.msg() instanceof Msg.WriteRequest w
+                                ? new CommandResult.Unknown(w.wish().id())
+                                : new Page(false, 0, List.of())));
             } else if (other || now - o.sent() >= AGAIN) {
                 open(e.getKey(), o, now);
             }
@@ -94,6 +96,5 @@
         (o.write() ? view.head() : view.tail()).ifPresent(b -> out.add(new Effect.Send(b.address(), o.msg())));
     }
 
-    private record Open(Msg msg, boolean write, long token, long sent, long expiry) {
-    }
+    private record Open(Msg msg, boolean write, long token, long sent, long expiry) {}
 }
--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -14,18 +14,18 @@
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
-import silverlatch.statemachine.TransitionTable;
+import silverlatch.clock.Stamp;
+import silverlatch.log.LogRecord;
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
 import silverlatch.safeguard.Safeguard;
 import silverlatch.safeguard.Safeguards;
-import silverlatch.log.LogRecord;
-import silverlatch.state.StateMachine;
+import silverlatch.state.Command;
+import silverlatch.state.CommandResult;
 import silverlatch.state.Entry;
+import silverlatch.state.StateMachine;
 import silverlatch.state.Value;
-import silverlatch.state.CommandResult;
-import silverlatch.state.Command;
-import silverlatch.clock.Stamp;
+import silverlatch.statemachine.TransitionTable;
 import silverlatch.wire.Msg;
 
 /**
@@ -122,8 +122,18 @@
      * @param most   how many machines vote where so many are there
      * @param found  whether this machine may take part in a first founding
      */
-    public record Setup(Replica me, List<String> seats, long lease, long ask, long suspect, long swap, long stall, int copies, int most,
-                        boolean found, Safeguards guards) {
+    public record Setup(
+            Replica me,
+            List<String> seats,
+            long lease,
+            long ask,
+            long suspect,
+            long swap,
+            long stall,
+            int copies,
+            int most,
+            boolean found,
+            Safeguards guards) {
         /** Copies the seats. */
         public Setup {
             seats = List.copyOf(seats);
@@ -131,7 +141,8 @@
 
         /** The times that hold when nothing is said. */
         public static Setup of(final Replica me, final List<String> seats) {
-            return new Setup(me, seats, 600_000L, 120_000L, 800_000L, 5_000_000L, 1_000_000L, 2, 3, true, Safeguards.ALL);
+            return new Setup(
+                    me, seats, 600_000L, 120_000L, 800_000L, 5_000_000L, 1_000_000L, 2, 3, true, Safeguards.ALL);
         }
 
         /** The same under the guards that stand. */
@@ -151,8 +162,7 @@
     }
 
     /** What the log and the status show. */
-    public record State(String spot, boolean level, View view, long sequence, long page, int pending, boolean leased) {
-    }
+    public record State(String spot, boolean level, View view, long sequence, long page, int pending, boolean leased) {}
 
     /** What is to be done in the world; it is handed over once. */
     public List<Effect> drain() {
@@ -173,7 +183,12 @@
 
     /** The fencing number under which this machine holds the duties, if it does. */
     public Optional<Long> duty(final long now) {
-        return chained() && level && leased(now) && view.holder().equals(setup.me().id()) ? Optional.of(view.number()) : Optional.empty();
+        return chained()
+                        && level
+                        && leased(now)
+                        && view.holder().equals(setup.me().id())
+                ? Optional.of(view.number())
+                : Optional.empty();
     }
 
     /** How this machine stands. */
@@ -183,7 +198,10 @@
 
     /** Whether every acknowledged change of policy is surely in the books here at this moment. */
     public boolean sure(final long now) {
-        return chained() && level && leased(now) && pend.stream().noneMatch(c -> c.puts().stream().anyMatch(Entry::policy));
+        return chained()
+                && level
+                && leased(now)
+                && pend.stream().noneMatch(c -> c.puts().stream().anyMatch(Entry::policy));
     }
 
     /** Takes a message. */
@@ -213,8 +231,7 @@
             case Msg.JoinRequest m -> joins.put(m.me().id(), m);
             case Msg.WriteRequest m -> write(m);
             case Msg.ReadRequest m -> read(m, now);
-            default -> {
-            }
+            default -> {}
         }
     }
 
@@ -230,7 +247,11 @@
             spot = chart.move(spot, "break");
             log(Event.DISK_BROKEN, why);
             held.clear();
-            waits.values().forEach(l -> l.forEach(w -> send(w.home(), new Msg.WriteReply(w.ask(), new CommandResult.Unknown(w.wish().id())))));
+            waits.values()
+                    .forEach(l -> l.forEach(w -> send(
+                            w.home(),
+                            new Msg.WriteReply(
+                                    w.ask(), new CommandResult.Unknown(w.wish().id())))));
             waits.clear();
         }
     }
@@ -256,7 +277,10 @@
         if (broken()) {
             return;
         }
-        final boolean stalled = held.values().stream().findFirst().map(h -> now - h.at() > setup.stall()).orElse(false);
+        final boolean stalled = held.values().stream()
+                .findFirst()
+                .map(h -> now - h.at() > setup.stall())
+                .orElse(false);
         for (final Late l : List.copyOf(late)) {
             if (l.due() <= now) {
                 late.remove(l);
@@ -287,7 +311,9 @@
 
     private void ask(final long now) {
         asked = now;
-        view.voters().forEach(b -> send(b.address(), new Msg.LeaseRequest(view.number(), now, setup.me(), chained() && level)));
+        view.voters()
+                .forEach(b ->
+                        send(b.address(), new Msg.LeaseRequest(view.number(), now, setup.me(), chained() && level)));
     }
 
     private void recall(final LogRecord note) {
@@ -342,13 +368,19 @@
         }
         soughtAt = now;
         sought.values().removeIf(s -> now - s.at() > 2_000_000L);
-        final Msg.Discover seek = new Msg.Discover(setup.me(), birth.isEmpty() && setup.found(), sought.values().stream().map(s -> s.seek().me()).toList());
+        final Msg.Discover seek = new Msg.Discover(
+                setup.me(),
+                birth.isEmpty() && setup.found(),
+                sought.values().stream().map(s -> s.seek().me()).toList());
         seats.forEach(s -> send(s, seek));
-        birth.filter(v -> first(v).equals(setup.me())).ifPresent(v -> v.voters().forEach(b -> send(b.address(), new Msg.Bootstrap(v))));
+        birth.filter(v -> first(v).equals(setup.me()))
+                .ifPresent(v -> v.voters().forEach(b -> send(b.address(), new Msg.Bootstrap(v))));
     }
 
     private static Replica first(final View v) {
-        return v.voters().stream().min(java.util.Comparator.comparing(Replica::id)).orElseThrow();
+        return v.voters().stream()
+                .min(java.util.Comparator.comparing(Replica::id))
+                .orElseThrow();
     }
 
     private void seek(final Msg.Discover m, final long now) {
@@ -356,18 +388,28 @@
             send(m.me().address(), new Msg.ViewDecided(view));
             return;
         }
-        if (!m.empty() || birth.isPresent() || !setup.found() || !setup.seats().contains(setup.me().address())
+        if (!m.empty()
+                || birth.isPresent()
+                || !setup.found()
+                || !setup.seats().contains(setup.me().address())
                 || !setup.seats().contains(m.me().address())) {
             return;
         }
         sought.put(m.me().id(), new Sought(m, now));
-        final List<Replica> all = sought.values().stream().map(s -> s.seek().me()).toList();
+        final List<Replica> all =
+                sought.values().stream().map(s -> s.seek().me()).toList();
         final Set<Replica> same = Set.copyOf(all);
         final boolean whole = all.size() == setup.seats().size()
-                && all.stream().map(Replica::address).collect(java.util.stream.Collectors.toSet()).equals(Set.copyOf(setup.seats()))
-                && sought.values().stream().allMatch(s -> Set.copyOf(s.seek().heard()).equals(same));
+                && all.stream()
+                        .map(Replica::address)
+                        .collect(java.util.stream.Collectors.toSet())
+                        .equals(Set.copyOf(setup.seats()))
+                && sought.values().stream()
+                        .allMatch(s -> Set.copyOf(s.seek().heard()).equals(same));
         if (whole && all.getFirst().id().equals(setup.me().id())) {
-            final List<Replica> order = all.stream().sorted(java.util.Comparator.comparingInt(b -> setup.seats().indexOf(b.address()))).toList();
+            final List<Replica> order = all.stream()
+                    .sorted(java.util.Comparator.comparingInt(b -> setup.seats().indexOf(b.address())))
+                    .toList();
             final long fleet = Math.max(1, order.hashCode() * 0x9E3779B97F4A7C15L & Long.MAX_VALUE);
             final View v = new View(1, fleet, order, order, order.getFirst().id());
             order.forEach(b -> send(b.address(), new Msg.Bootstrap(v)));
@@ -376,13 +418,17 @@
 
     private void found(final Msg.Bootstrap m, final String home) {
         final boolean same = birth.map(b -> b.equals(m.view())).orElse(false);
-        final boolean fits = birth.isEmpty() && view.number() == 0 && m.view().votes(setup.me().id())
+        final boolean fits = birth.isEmpty()
+                && view.number() == 0
+                && m.view().votes(setup.me().id())
                 && m.view().voters().stream().allMatch(b -> sought.containsKey(b.id()));
         if (same) {
             send(home, new Msg.BootstrapAgreed(m.view().fleet(), setup.me()));
         } else if (fits) {
             birth = Optional.of(m.view());
-            keep(List.of(new LogRecord.Founding(m.view())), t -> send(home, new Msg.BootstrapAgreed(m.view().fleet(), setup.me())));
+            keep(
+                    List.of(new LogRecord.Founding(m.view())),
+                    t -> send(home, new Msg.BootstrapAgreed(m.view().fleet(), setup.me())));
         }
     }
 
@@ -432,9 +478,11 @@
             }
         });
         spot = chart.move(spot, in ? "chain" : "learn");
-        keep(List.of(new LogRecord.ViewInstalled(view, level)), t -> {
-        });
-        log(Event.VIEW, "view " + view.number() + " chain " + view.chain().stream().map(Replica::address).toList());
+        keep(List.of(new LogRecord.ViewInstalled(view, level)), t -> {});
+        log(
+                Event.VIEW,
+                "view " + view.number() + " chain "
+                        + view.chain().stream().map(Replica::address).toList());
         ask(now);
         if (!in) {
             forget();
@@ -446,7 +494,11 @@
     }
 
     private void forget() {
-        waits.values().forEach(l -> l.forEach(w -> send(w.home(), new Msg.WriteReply(w.ask(), new CommandResult.Unknown(w.wish().id())))));
+        waits.values()
+                .forEach(l -> l.forEach(w -> send(
+                        w.home(),
+                        new Msg.WriteReply(
+                                w.ask(), new CommandResult.Unknown(w.wish().id())))));
         waits.clear();
         pend.clear();
         overlay.clear();
@@ -472,7 +524,9 @@
             }
             if (!shut && view.place(m.me().id()) >= 0) {
                 given.put(m.me().id(), now + setup.lease());
-                send(m.me().address(), new Msg.LeaseGrant(view.number(), m.at(), setup.me().id()));
+                send(
+                        m.me().address(),
+                        new Msg.LeaseGrant(view.number(), m.at(), setup.me().id()));
             }
         }
     }
@@ -490,7 +544,8 @@
 
     private boolean leased(final long now) {
         final long span = setup.lease() * 9 / 10;
-        return view.majority((int) granted.values().stream().filter(at -> now - at < span).count());
+        return view.majority(
+                (int) granted.values().stream().filter(at -> now - at < span).count());
     }
 
     private void prepare(final Msg.Prepare m, final String home) {
@@ -500,7 +555,12 @@
             if (m.ballot() > promised) {
                 hush = home.equals(setup.me().address()) ? hush : clock;
                 promised = m.ballot();
-                final Msg.Promise reply = new Msg.Promise(m.number(), m.ballot(), setup.me().id(), nodded, nod.stream().toList());
+                final Msg.Promise reply = new Msg.Promise(
+                        m.number(),
+                        m.ballot(),
+                        setup.me().id(),
+                        nodded,
+                        nod.stream().toList());
                 keep(List.of(new LogRecord.Promised(m.number(), m.ballot())), t -> send(home, reply));
             } else if (m.ballot() < promised) {
                 send(home, new Msg.Preempted(m.number(), promised));
@@ -520,7 +580,8 @@
         nodded = m.ballot();
         nod = Optional.of(m.view());
         shut = true;
-        final Msg.Accepted reply = new Msg.Accepted(m.number(), m.ballot(), setup.me().id());
+        final Msg.Accepted reply =
+                new Msg.Accepted(m.number(), m.ballot(), setup.me().id());
         keep(List.of(new LogRecord.Accepted(m.number(), m.ballot(), m.view())), t -> {
             final long due = due(m.view());
             if (t >= due) {
@@ -536,34 +597,46 @@
      * the old view alone: what the new one acknowledges has passed them.
      */
     private long due(final View next) {
-        return ViewPlanner.grown(view, next) ? 0 : view.chain().stream().filter(b -> next.place(b.id()) < 0)
-                .mapToLong(b -> given.getOrDefault(b.id(), 0L)).reduce(floor, Math::max);
+        return ViewPlanner.grown(view, next)
+                ? 0
+                : view.chain().stream()
+                        .filter(b -> next.place(b.id()) < 0)
+                        .mapToLong(b -> given.getOrDefault(b.id(), 0L))
+                        .reduce(floor, Math::max);
     }
 
     private void promise(final Msg.Promise m, final long now) {
-        bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && !b.asking()).ifPresent(b -> {
-            b.yes().add(m.voter());
-            final Bid best = m.nodded() > b.best() && !m.nod().isEmpty() ? b.better(m.nodded(), m.nod().getFirst()) : b;
-            bid = Optional.of(best);
-            if (view.majority(best.yes().size())) {
-                bid = Optional.of(best.ask());
-                view.voters().forEach(v -> send(v.address(), new Msg.Accept(best.number(), best.ballot(), best.view())));
-            }
-        });
+        bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && !b.asking())
+                .ifPresent(b -> {
+                    b.yes().add(m.voter());
+                    final Bid best = m.nodded() > b.best() && !m.nod().isEmpty()
+                            ? b.better(m.nodded(), m.nod().getFirst())
+                            : b;
+                    bid = Optional.of(best);
+                    if (view.majority(best.yes().size())) {
+                        bid = Optional.of(best.ask());
+                        view.voters()
+                                .forEach(v ->
+                                        send(v.address(), new Msg.Accept(best.number(), best.ballot(), best.view())));
+                    }
+                });
     }
 
     private void accepted(final Msg.Accepted m, final long now) {
-        bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && b.asking()).ifPresent(b -> {
-            b.yes().add(m.voter());
-            if (view.majority(b.yes().size())) {
-                final Set<Replica> all = new HashSet<>(view.voters());
-                all.addAll(b.view().voters());
-                all.addAll(b.view().chain());
-                all.stream().filter(t -> !t.equals(setup.me())).sorted(java.util.Comparator.comparing(Replica::id))
-                        .forEach(t -> send(t.address(), new Msg.ViewDecided(b.view())));
-                adopt(b.view(), now);
-            }
-        });
+        bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && b.asking())
+                .ifPresent(b -> {
+                    b.yes().add(m.voter());
+                    if (view.majority(b.yes().size())) {
+                        final Set<Replica> all = new HashSet<>(view.voters());
+                        all.addAll(b.view().voters());
+                        all.addAll(b.view().chain());
+                        all.stream()
+                                .filter(t -> !t.equals(setup.me()))
+                                .sorted(java.util.Comparator.comparing(Replica::id))
+                                .forEach(t -> send(t.address(), new Msg.ViewDecided(b.view())));
+                        adopt(b.view(), now);
+                    }
+                });
     }
 
     private void outbid(final Msg.Preempted m) {
@@ -594,16 +667,29 @@
             after.missed().forEach(b -> log(Event.CHAIN_SUSPECT, b.address()));
         }
         final List<Replica> able = after.able();
-        final int rank = Math.max(0, able.stream().map(Replica::id).filter(i -> view.place(i) >= 0).toList().indexOf(setup.me().id()));
+        final int rank = Math.max(
+                0,
+                able.stream()
+                        .map(Replica::id)
+                        .filter(i -> view.place(i) >= 0)
+                        .toList()
+                        .indexOf(setup.me().id()));
         final boolean others = hush > 0 && now - hush < setup.suspect() + rank * setup.suspect() / 2;
         if (others || now - doubt < rank * setup.suspect() || !view.majority(able.size())) {
             return;
         }
         round++;
-        final int seat = view.voters().stream().map(Replica::id).toList().indexOf(setup.me().id());
-        final Bid mine = new Bid(view.number() + 1, round << 8 | seat, next.or(() -> nod).orElse(view), 0, false, new HashSet<>(), now);
+        final int seat = view.voters().stream()
+                .map(Replica::id)
+                .toList()
+                .indexOf(setup.me().id());
+        final Bid mine = new Bid(
+                view.number() + 1, round << 8 | seat, next.or(() -> nod).orElse(view), 0, false, new HashSet<>(), now);
         bid = Optional.of(mine);
-        log(Event.PROPOSED, "view " + mine.number() + " chain " + mine.view().chain().stream().map(Replica::address).toList());
+        log(
+                Event.PROPOSED,
+                "view " + mine.number() + " chain "
+                        + mine.view().chain().stream().map(Replica::address).toList());
         view.voters().forEach(b -> send(b.address(), new Msg.Prepare(mine.number(), mine.ballot())));
     }
 
@@ -613,8 +699,13 @@
         } else if (now - swept >= SWEEP) {
             swept = now;
             final long turn = books.turn() + 1;
-            view.head().ifPresent(h -> send(h.address(), new Msg.WriteRequest(0, setup.me().address(),
-                    new Command.AdvanceEpoch("sweep-" + turn, turn, view.number()))));
+            view.head()
+                    .ifPresent(h -> send(
+                            h.address(),
+                            new Msg.WriteRequest(
+                                    0,
+                                    setup.me().address(),
+                                    new Command.AdvanceEpoch("sweep-" + turn, turn, view.number()))));
         }
     }
 
@@ -642,8 +733,13 @@
             }
         });
         if (!level) {
-            view.before(setup.me().id()).ifPresent(b -> send(b.address(),
-                    now - low > 4 * RESEND ? compareOf() : new Msg.FetchEntries(view.number(), setup.me().id(), last)));
+            view.before(setup.me().id())
+                    .ifPresent(b -> send(
+                            b.address(),
+                            now - low > 4 * RESEND
+                                    ? compareOf()
+                                    : new Msg.FetchEntries(
+                                            view.number(), setup.me().id(), last)));
         }
         if (tail() && level) {
             settle(now);
@@ -656,7 +752,8 @@
     }
 
     private void tell() {
-        view.chain().stream().filter(b -> !b.id().equals(setup.me().id()))
+        view.chain().stream()
+                .filter(b -> !b.id().equals(setup.me().id()))
                 .forEach(b -> send(b.address(), new Msg.CommitNotice(view.number(), books.sequence())));
     }
 
@@ -691,9 +788,11 @@
         }
         switch (books.judge(m.wish(), overlay, last + 1, stamp)) {
             case StateMachine.Judged.Over over -> {
-                final Optional<Entry> early = Optional.ofNullable(overlay.get("o/" + m.wish().id()));
+                final Optional<Entry> early =
+                        Optional.ofNullable(overlay.get("o/" + m.wish().id()));
                 if (early.isPresent()) {
-                    waits.computeIfAbsent(early.get().sequence(), s -> new ArrayList<>()).add(m);
+                    waits.computeIfAbsent(early.get().sequence(), s -> new ArrayList<>())
+                            .add(m);
                 } else if (over.verdict() instanceof CommandResult.Applied k && k.sequence() > books.sequence()) {
                     waits.computeIfAbsent(k.sequence(), s -> new ArrayList<>()).add(m);
                 } else {
@@ -747,7 +846,10 @@
                 fresh.add(c);
                 at++;
             } else if (c.sequence() > at + 1) {
-                view.before(setup.me().id()).ifPresent(b -> send(b.address(), new Msg.FetchEntries(view.number(), setup.me().id(), last)));
+                view.before(setup.me().id())
+                        .ifPresent(b -> send(
+                                b.address(),
+                                new Msg.FetchEntries(view.number(), setup.me().id(), last)));
                 break;
             }
         }
@@ -775,8 +877,7 @@
     private void rise(final long now) {
         if (!level && want.map(w -> kept >= w).orElse(false)) {
             level = true;
-            keep(List.of(new LogRecord.ViewInstalled(view, true)), t -> {
-            });
+            keep(List.of(new LogRecord.ViewInstalled(view, true)), t -> {});
         }
     }
 
@@ -784,8 +885,12 @@
         if (m.view() != view.number() || !chained() || !level) {
             return;
         }
-        final List<LogEntry> list = LogEntry.batch(Stream.concat(recent.stream().filter(c -> c.sequence() > m.sequence()),
-                pend.stream().filter(c -> c.sequence() > m.sequence() && c.sequence() <= kept)), BATCH, HEAVY);
+        final List<LogEntry> list = LogEntry.batch(
+                Stream.concat(
+                        recent.stream().filter(c -> c.sequence() > m.sequence()),
+                        pend.stream().filter(c -> c.sequence() > m.sequence() && c.sequence() <= kept)),
+                BATCH,
+                HEAVY);
         send(home, new Msg.CatchUpTarget(view.number(), last));
         if (!list.isEmpty() && list.getFirst().sequence() == m.sequence() + 1) {
             send(home, new Msg.Replicate(view.number(), list));
@@ -800,23 +905,27 @@
             recent.add(c);
             heavy += c.weight();
             if (c.puts().stream().anyMatch(Entry::policy)) {
-                log(Event.CHANGED, "sequence " + c.sequence() + " view " + c.view() + " stamp " + c.stamp().bits());
+                log(
+                        Event.CHANGED,
+                        "sequence " + c.sequence() + " view " + c.view() + " stamp "
+                                + c.stamp().bits());
             }
             Optional.ofNullable(waits.remove(c.sequence())).ifPresent(l -> l.forEach(w -> decided(w, c.sequence())));
             if (heavy > RECENT || recent.size() > 10_000) {
                 while (recent.size() > 1 && (heavy > RECENT * 3 / 4 || recent.size() > 8_000)) {
                     heavy -= recent.poll().weight();
                 }
-                picture(t -> {
-                });
+                picture(t -> {});
             }
         }
     }
 
     private void decided(final Msg.WriteRequest w, final long sequence) {
-        final Optional<Value.CommandOutcome> deed = books.get("o/" + w.wish().id()).map(e -> (Value.CommandOutcome) e.leaf().getFirst());
+        final Optional<Value.CommandOutcome> deed = books.get("o/" + w.wish().id())
+                .map(e -> (Value.CommandOutcome) e.leaf().getFirst());
         final CommandResult verdict = deed.filter(d -> d.code() != 0)
-                .map(d -> (CommandResult) new CommandResult.Rejected(d.code(), d.faults(), d.sequence())).orElse(new CommandResult.Applied(sequence));
+                .map(d -> (CommandResult) new CommandResult.Rejected(d.code(), d.faults(), d.sequence()))
+                .orElse(new CommandResult.Applied(sequence));
         if (verdict instanceof CommandResult.Rejected r) {
             log(Event.CHANGE_REJECTED, w.wish().id() + " " + r.code());
         }
@@ -825,7 +934,8 @@
 
     private void picture(final LongConsumer then) {
         final List<LogRecord> notes = new ArrayList<>();
-        notes.add(new LogRecord.Snapshot(books.sequence(), view, level, promised, nodded, nod.stream().toList(), roof, books.all()));
+        notes.add(new LogRecord.Snapshot(
+                books.sequence(), view, level, promised, nodded, nod.stream().toList(), roof, books.all()));
         pend.forEach(c -> notes.add(new LogRecord.Appended(c)));
         final long sequence = books.sequence();
         keep(notes, t -> {
@@ -867,7 +977,12 @@
         if (m.view() != view.number() || chained() && level || m.sequence() < books.sequence()) {
             return;
         }
-        if (joining && held.isEmpty() && m.whole() && m.spans().isEmpty() && m.sequence() == books.sequence() && !chained()) {
+        if (joining
+                && held.isEmpty()
+                && m.whole()
+                && m.spans().isEmpty()
+                && m.sequence() == books.sequence()
+                && !chained()) {
             join();
             return;
         }
@@ -901,9 +1016,15 @@
 
     private void read(final Msg.ReadRequest m, final long now) {
         final boolean held = !enough() && pend.stream().anyMatch(c -> c.sequence() <= kept);
-        final boolean ok = tail() && level && !held && (leased(now) || !setup.guards().stands(Safeguard.LEASE));
-        send(m.home(), new Msg.ReadReply(m.ask(), ok, books.sequence(),
-                ok ? List.copyOf(books.part(m.start()).values()) : List.of()));
+        final boolean ok =
+                tail() && level && !held && (leased(now) || !setup.guards().stands(Safeguard.LEASE));
+        send(
+                m.home(),
+                new Msg.ReadReply(
+                        m.ask(),
+                        ok,
+                        books.sequence(),
+                        ok ? List.copyOf(books.part(m.start()).values()) : List.of()));
     }
 
     private boolean chained() {
@@ -928,17 +1049,13 @@
         out.add(new Effect.Log(event, text));
     }
 
-    private record Held(long at, LongConsumer then) {
-    }
+    private record Held(long at, LongConsumer then) {}
 
-    private record Early(long at, Msg.WriteRequest msg) {
-    }
+    private record Early(long at, Msg.WriteRequest msg) {}
 
-    private record Late(long due, long number, String to, Msg msg) {
-    }
+    private record Late(long due, long number, String to, Msg msg) {}
 
-    private record Sought(Msg.Discover seek, long at) {
-    }
+    private record Sought(Msg.Discover seek, long at) {}
 
     private record Bid(long number, long ballot, View view, long best, boolean asking, Set<String> yes, long at) {
         Bid better(final long more, final View other) {
--- a/core/src/main/java/silverlatch/replication/LogEntry.java
+++ b/core/src/main/java/silverlatch/replication/LogEntry.java
@@ -4,8 +4,8 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.stream.Stream;
-import silverlatch.state.Entry;
 import silverlatch.clock.Stamp;
+import silverlatch.state.Entry;
 
 /** One change in the chain's order: its sequence, the view that let it in, its stamp, and what it writes. */
 public record LogEntry(long sequence, long view, Stamp stamp, List<Entry> puts) {
@@ -23,7 +23,7 @@
     static List<LogEntry> batch(final Stream<LogEntry> all, final int most, final long heavy) {
         final List<LogEntry> list = new ArrayList<>();
         long sum = 0;
-        for (final Iterator<LogEntry> i = all.iterator(); i.hasNext() && list.size() < most;) {
+        for (final Iterator<LogEntry> i = all.iterator(); i.hasNext() && list.size() < most; ) {
             final LogEntry c = i.next();
             sum += c.weight();
             if (!list.isEmpty() && sum > heavy) {
--- a/core/src/main/java/silverlatch/routing/LatencyPredictor.java
+++ b/core/src/main/java/silverlatch/routing/LatencyPredictor.java
@@ -27,15 +27,20 @@
     private static final long APART = 200_000;
     private static final int WORTH = 512;
 
-    private LatencyPredictor() {
-    }
+    private LatencyPredictor() {}
 
     /** What is foretold: when the first event comes, and what the choice costs beside it. */
-    record View(long first, long cost, int unread) {
-    }
+    record View(long first, long cost, int unread) {}
 
-    static View of(final RoutedRequest fare, final Value.Route rule, final WorkerState s, final String zone, final String region,
-                   final Map<Long, String> homes, final Set<String> writers, final long now) {
+    static View of(
+            final RoutedRequest fare,
+            final Value.Route rule,
+            final WorkerState s,
+            final String zone,
+            final String region,
+            final Map<Long, String> homes,
+            final Set<String> writers,
+            final long now) {
         final boolean far = !s.worker.region().equals(region);
         final int unread = unread(fare, s, homes, now);
         final double read = (unread * (TOKEN + PAIR * (fare.in() - unread / 2.0)) + s.unread() * TOKEN) * s.pace;
@@ -43,11 +48,18 @@
         final double full = Math.max(told ? (double) s.running / s.slots : 0, (double) s.runs.size() / s.slots);
         final long queue = told ? s.waiting * WAIT : 0;
         final long way = far ? FAR : s.worker.zone().equals(zone) ? 0 : NEAR;
-        final long first = Math.round(way + BASE * s.pace + read + queue + full * 60_000 + Math.max(0, full - 0.8) * 2_000_000);
+        final long first =
+                Math.round(way + BASE * s.pace + read + queue + full * 60_000 + Math.max(0, full - 0.8) * 2_000_000);
         final boolean odd = !writers.isEmpty() && writers.contains(s.worker.id()) == TrafficStatistics.lengthy(fare);
         final int streams = Math.max(told ? s.running : 0, s.runs.size());
-        final long harm = TrafficStatistics.lengthy(fare) ? Math.min(MOST, streams) * Math.round(HARM * Math.min(1, unread / FULL)) : 0;
-        final long extra = (far ? LONG : 0) + (odd ? APART : 0) + harm + Math.max(0, s.overdue(now)) * 2 + (s.cold(now) ? rule.aim() / 2 : 0);
+        final long harm = TrafficStatistics.lengthy(fare)
+                ? Math.min(MOST, streams) * Math.round(HARM * Math.min(1, unread / FULL))
+                : 0;
+        final long extra = (far ? LONG : 0)
+                + (odd ? APART : 0)
+                + harm
+                + Math.max(0, s.overdue(now)) * 2
+                + (s.cold(now) ? rule.aim() / 2 : 0);
         return new View(first, first + extra, unread);
     }
 
@@ -58,8 +70,11 @@
         for (int i = 0; i < fare.parts().size(); i++) {
             final RoutedRequest.Part p = fare.parts().get(i);
             final boolean own = i + 1 == fare.parts().size();
-            kept = Math.min(kept, own && !s.keeps(p.name(), now) ? 0 : s.keeps(p.name(), now) ? 1
-                    : s.worker.id().equals(homes.get(p.name())) ? FIRST : OTHER);
+            kept = Math.min(
+                    kept,
+                    own && !s.keeps(p.name(), now)
+                            ? 0
+                            : s.keeps(p.name(), now) ? 1 : s.worker.id().equals(homes.get(p.name())) ? FIRST : OTHER);
             all += p.tokens() * (1 - kept);
         }
         return (int) Math.round(fare.parts().isEmpty() ? fare.in() : all);
@@ -67,7 +82,11 @@
 
     /** Whether a prompt's shared parts are large enough to be kept together. */
     static boolean worth(final List<RoutedRequest.Part> parts) {
-        return parts.size() > 1 && parts.subList(0, parts.size() - 1).stream().mapToInt(RoutedRequest.Part::tokens).sum() >= WORTH;
+        return parts.size() > 1
+                && parts.subList(0, parts.size() - 1).stream()
+                                .mapToInt(RoutedRequest.Part::tokens)
+                                .sum()
+                        >= WORTH;
     }
 
     /** The name of a prompt's longest run of shared parts. */
--- a/core/src/main/java/silverlatch/routing/Reachability.java
+++ b/core/src/main/java/silverlatch/routing/Reachability.java
@@ -34,7 +34,10 @@
     }
 
     boolean mute(final Collection<WorkerState> all, final long now) {
-        return now < until || all.stream().filter(s -> s.worker.region().equals(region)).flatMap(s -> s.runs.values().stream())
-                .anyMatch(r -> !r.first && r.begun > heard && now - r.begun > r.guess + r.guess / 2 + SLACK);
+        return now < until
+                || all.stream()
+                        .filter(s -> s.worker.region().equals(region))
+                        .flatMap(s -> s.runs.values().stream())
+                        .anyMatch(r -> !r.first && r.begun > heard && now - r.begun > r.guess + r.guess / 2 + SLACK);
     }
 }
--- a/core/src/main/java/silverlatch/routing/RoutedRequest.java
+++ b/core/src/main/java/silverlatch/routing/RoutedRequest.java
@@ -14,13 +14,13 @@
  * @param in     tokens of the prompt
  * @param out    the most tokens of the reply
  */
-public record RoutedRequest(long token, String host, String path, String ticket, long left, List<Part> parts, int in, int out) {
+public record RoutedRequest(
+        long token, String host, String path, String ticket, long left, List<Part> parts, int in, int out) {
     /** Copies the parts. */
     public RoutedRequest {
         parts = List.copyOf(parts);
     }
 
     /** A part of a prompt: its name as a number, and its tokens. */
-    public record Part(long name, int tokens) {
-    }
+    public record Part(long name, int tokens) {}
 }
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -10,19 +10,19 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import silverlatch.clock.Stamp;
 import silverlatch.dispatch.Budget;
 import silverlatch.dispatch.Facts;
 import silverlatch.dispatch.TraceLog;
 import silverlatch.dispatch.buffer.Slab;
+import silverlatch.gossip.Worker;
 import silverlatch.node.Event;
 import silverlatch.placement.Case;
-import silverlatch.placement.WeightedScorers;
-import silverlatch.placement.ScorerResult;
 import silverlatch.placement.PlacementInput;
-import silverlatch.gossip.Worker;
-import silverlatch.state.Value;
+import silverlatch.placement.ScorerResult;
+import silverlatch.placement.WeightedScorers;
 import silverlatch.state.TableRules;
-import silverlatch.clock.Stamp;
+import silverlatch.state.Value;
 
 /**
  * Places the tickets that come by host and path, and decides what follows when a run breaks. It does no input or
@@ -128,7 +128,9 @@
 
     /** Whether tickets are taken, or why not. */
     public Optional<String> unready() {
-        return leaving || closing ? Optional.of("stopping") : charters.number() == 0 ? Optional.of("no charter is known here yet") : Optional.empty();
+        return leaving || closing
+                ? Optional.of("stopping")
+                : charters.number() == 0 ? Optional.of("no charter is known here yet") : Optional.empty();
     }
 
     /** This gateway is about to stop: it is no longer ready, but still takes what comes. */
@@ -167,7 +169,11 @@
     public void arrive(final RoutedRequest fare, final long now) {
         count("tickets");
         if (closing || charters.number() == 0) {
-            reject(fare.token(), 503, closing ? SECOND / 20 : SECOND + luck.nextLong(SECOND / 2), closing ? "stopping" : "no charter is known here yet");
+            reject(
+                    fare.token(),
+                    503,
+                    closing ? SECOND / 20 : SECOND + luck.nextLong(SECOND / 2),
+                    closing ? "stopping" : "no charter is known here yet");
             return;
         }
         final Optional<Value.Route> rule = charters.rule(fare.host(), fare.path());
@@ -217,7 +223,12 @@
         find(run).ifPresent(o -> {
             reach(stands.get(o.worker)).heard(now);
             load.ifPresent(l -> stands.get(o.worker).load(l.running(), l.waiting(), l.slots(), now));
-            if (status >= 500 && o.rule.again() && o.tries < o.rule.tries() && now < o.end && !places(o, now).isEmpty() && budget.take(now)) {
+            if (status >= 500
+                    && o.rule.again()
+                    && o.tries < o.rule.tries()
+                    && now < o.end
+                    && !places(o, now).isEmpty()
+                    && budget.take(now)) {
                 count("again_ill");
                 drop(o, true, now);
                 send(o, now);
@@ -242,7 +253,8 @@
         find(run).ifPresent(o -> {
             count("broke_" + point.name().toLowerCase(java.util.Locale.ROOT));
             tales.state(o.fare.ticket(), "broke", point + " at " + o.worker);
-            out.add(new RoutingEffect.Log(Event.RUN_BROKE, o.worker + " " + point + " after " + (now - o.begun) / 1000 + " ms"));
+            out.add(new RoutingEffect.Log(
+                    Event.RUN_BROKE, o.worker + " " + point + " after " + (now - o.begun) / 1000 + " ms"));
             final WorkerState s = stands.get(o.worker);
             if (point == FailurePoint.UNSENT) {
                 reach(s).missed(now);
@@ -254,9 +266,12 @@
             if (point == FailurePoint.NOT_RUN) {
                 s.shunUntil = Math.max(s.shunUntil, now + 150_000);
             }
-            final boolean free = point == FailurePoint.UNSENT || point == FailurePoint.NOT_RUN || point == FailurePoint.STRANGER;
-            final boolean may = (free || o.rule.again() && (point != FailurePoint.BEGUN || o.rule.resume())) && now < o.end;
-            final boolean left = point == FailurePoint.UNSENT && o.tries <= o.rule.tries() + 1 || o.tries < o.rule.tries();
+            final boolean free =
+                    point == FailurePoint.UNSENT || point == FailurePoint.NOT_RUN || point == FailurePoint.STRANGER;
+            final boolean may =
+                    (free || o.rule.again() && (point != FailurePoint.BEGUN || o.rule.resume())) && now < o.end;
+            final boolean left =
+                    point == FailurePoint.UNSENT && o.tries <= o.rule.tries() + 1 || o.tries < o.rule.tries();
             if (may && left && !places(o, now).isEmpty() && (point == FailurePoint.UNSENT || budget.take(now))) {
                 o.tries -= point == FailurePoint.UNSENT ? 1 : 0;
                 count("again");
@@ -309,11 +324,17 @@
         }
         final WorkerState s = stands.get(o.worker);
         final WorkerState.Run r = s.runs.get(o.run);
-        final long patience = r.first ? Math.max(SECOND, 2 * o.rule.gap()) : Math.max(o.rule.aim() * 3 / 4, 3 * r.guess);
-        if (o.rule.again() && (!o.begunReply || o.rule.resume()) && o.tries < o.rule.tries() && now - r.heard > patience
+        final long patience =
+                r.first ? Math.max(SECOND, 2 * o.rule.gap()) : Math.max(o.rule.aim() * 3 / 4, 3 * r.guess);
+        if (o.rule.again()
+                && (!o.begunReply || o.rule.resume())
+                && o.tries < o.rule.tries()
+                && now - r.heard > patience
                 && !o.failed.contains(o.worker)) {
             out.add(new RoutingEffect.Log(Event.RUN_BROKE, o.worker + " silent for " + (now - r.heard) / 1000 + " ms"));
-            final List<Pick> others = places(o, now).stream().filter(p -> !p.stand().worker.id().equals(o.worker)).toList();
+            final List<Pick> others = places(o, now).stream()
+                    .filter(p -> !p.stand().worker.id().equals(o.worker))
+                    .toList();
             if (!others.isEmpty() && budget.take(now)) {
                 count("moved");
                 o.failed.add(o.worker);
@@ -330,7 +351,8 @@
     }
 
     private String lot(final Value.Route rule) {
-        final int sum = rule.lots().stream().mapToInt(Value.WeightedBackend::weight).sum();
+        final int sum =
+                rule.lots().stream().mapToInt(Value.WeightedBackend::weight).sum();
         int at = sum <= 0 ? 0 : luck.nextInt(sum);
         for (final Value.WeightedBackend l : rule.lots()) {
             at -= l.weight();
@@ -341,23 +363,45 @@
         return rule.lots().isEmpty() ? "" : rule.lots().getFirst().pool();
     }
 
-    private record Pick(WorkerState stand, LatencyPredictor.View view) {
-    }
+    private record Pick(WorkerState stand, LatencyPredictor.View view) {}
 
     private List<Pick> places(final Open o, final long now) {
-        final Value.Tenant who = tenants.computeIfAbsent(o.rule.name(), n -> new Value.Tenant(n, o.rule.homes(), 1, "", ""));
-        final Case plea = new Case(o.fare.ticket(), who, TableRules.plain("*", o.rule.name()), List.of(), facts.me().zone(), facts.me().region(), facts.empty());
-        final List<WorkerState> fit = stands.values().stream().filter(s -> s.worker.pool().equals(o.pool) && facts.workers().containsKey(s.worker.id()))
-                .filter(s -> last.stands(plea, new PlacementInput(s.worker, facts.workers().get(s.worker.id()).age(now), 0, 0, 0, false, 1)))
+        final Value.Tenant who =
+                tenants.computeIfAbsent(o.rule.name(), n -> new Value.Tenant(n, o.rule.homes(), 1, "", ""));
+        final Case plea = new Case(
+                o.fare.ticket(),
+                who,
+                TableRules.plain("*", o.rule.name()),
+                List.of(),
+                facts.me().zone(),
+                facts.me().region(),
+                facts.empty());
+        final List<WorkerState> fit = stands.values().stream()
+                .filter(s -> s.worker.pool().equals(o.pool) && facts.workers().containsKey(s.worker.id()))
+                .filter(s -> last.stands(
+                        plea,
+                        new PlacementInput(
+                                s.worker, facts.workers().get(s.worker.id()).age(now), 0, 0, 0, false, 1)))
                 .filter(s -> !o.failed.contains(s.worker.id()))
-                .filter(s -> !s.cold(now) || warm(s, o.pool, now)).toList();
-        final Set<String> writers = habits.writers(stands.values().stream().filter(s -> s.worker.pool().equals(o.pool)).toList(), now);
+                .filter(s -> !s.cold(now) || warm(s, o.pool, now))
+                .toList();
+        final Set<String> writers = habits.writers(
+                stands.values().stream()
+                        .filter(s -> s.worker.pool().equals(o.pool))
+                        .toList(),
+                now);
         final Map<Long, String> homes = homes(o.fare, fit, writers);
         final Map<String, Boolean> mute = new HashMap<>();
         fit.forEach(s -> mute.computeIfAbsent(s.worker.region(), r -> reach(s).mute(stands.values(), now)));
-        return fit.stream().map(s -> new Pick(s, LatencyPredictor.of(o.fare, o.rule, s, facts.me().zone(), facts.me().region(), homes, writers, now)))
-                .sorted(Comparator.comparingLong(p -> p.view().cost() + (mute.get(p.stand().worker.region()) ? o.rule.aim() * 2 : 0)
-                        + (p.stand().shunned(now) ? o.rule.aim() * 4 : 0))).toList();
+        return fit.stream()
+                .map(s -> new Pick(
+                        s,
+                        LatencyPredictor.of(
+                                o.fare, o.rule, s, facts.me().zone(), facts.me().region(), homes, writers, now)))
+                .sorted(Comparator.comparingLong(p -> p.view().cost()
+                        + (mute.get(p.stand().worker.region()) ? o.rule.aim() * 2 : 0)
+                        + (p.stand().shunned(now) ? o.rule.aim() * 4 : 0)))
+                .toList();
     }
 
     private Optional<Pick> pick(final Open o, final List<Pick> all, final long now) {
@@ -365,11 +409,19 @@
             return Optional.empty();
         }
         final long best = all.getFirst().view().cost();
-        final List<Pick> near = all.stream().filter(p -> p.stand().shunned(now) == all.getFirst().stand().shunned(now)
-                && p.stand().worker.region().equals(all.getFirst().stand().worker.region())
-                && p.view().cost() <= best + NEAR * o.rule.aim()).toList();
-        final List<Pick> least = near.stream().sorted(Comparator.comparingInt(p -> p.stand().runs.size())).toList();
-        return LatencyPredictor.worth(o.fare.parts()) ? Optional.of(all.getFirst())
+        final List<Pick> near = all.stream()
+                .filter(p -> p.stand().shunned(now) == all.getFirst().stand().shunned(now)
+                        && p.stand()
+                                .worker
+                                .region()
+                                .equals(all.getFirst().stand().worker.region())
+                        && p.view().cost() <= best + NEAR * o.rule.aim())
+                .toList();
+        final List<Pick> least = near.stream()
+                .sorted(Comparator.comparingInt(p -> p.stand().runs.size()))
+                .toList();
+        return LatencyPredictor.worth(o.fare.parts())
+                ? Optional.of(all.getFirst())
                 : Optional.of(least.get(luck.nextInt(Math.min(2, least.size()))));
     }
 
@@ -383,22 +435,34 @@
             return homes;
         }
         final String here = facts.me().region();
-        final List<WorkerState> readers = fit.stream().filter(s -> !writers.contains(s.worker.id())).toList();
-        final int gateways = 1 + (int) facts.crew().stream().filter(m -> m.region().equals(here)).count();
+        final List<WorkerState> readers =
+                fit.stream().filter(s -> !writers.contains(s.worker.id())).toList();
+        final int gateways = 1
+                + (int) facts.crew().stream()
+                        .filter(m -> m.region().equals(here))
+                        .count();
         final boolean near = readers.stream().anyMatch(s -> s.worker.region().equals(here)) && habits.often(gateways);
         final long key = LatencyPredictor.key(fare);
-        readers.stream().filter(s -> !near || s.worker.region().equals(here))
+        readers.stream()
+                .filter(s -> !near || s.worker.region().equals(here))
                 .max(Comparator.comparingLong(s -> LatencyPredictor.draw(key, s.worker.id())))
-                .ifPresent(s -> fare.parts().subList(0, fare.parts().size() - 1).forEach(p -> homes.put(p.name(), s.worker.id())));
+                .ifPresent(s -> fare.parts()
+                        .subList(0, fare.parts().size() - 1)
+                        .forEach(p -> homes.put(p.name(), s.worker.id())));
         return homes;
     }
 
     /** Whether this gateway may send to a cold worker now: a few gateways named by hashing share what it bears. */
     private boolean warm(final WorkerState s, final String pool, final long now) {
-        final double rate = charters.pool(pool).map(Value.BackendPool::rate).filter(r -> r > 0).orElse(1.0);
+        final double rate = charters.pool(pool)
+                .map(Value.BackendPool::rate)
+                .filter(r -> r > 0)
+                .orElse(1.0);
         final int share = Math.max(1, Math.min(most, (int) Math.floor(rate)));
         final long mine = LatencyPredictor.draw(7, s.worker.id() + facts.me().id());
-        final long before = facts.crew().stream().filter(m -> LatencyPredictor.draw(7, s.worker.id() + m.id()) > mine).count();
+        final long before = facts.crew().stream()
+                .filter(m -> LatencyPredictor.draw(7, s.worker.id() + m.id()) > mine)
+                .count();
         final long gap = Math.max(SECOND, Math.round(share * SECOND / rate));
         return before < share && now - s.lastSent >= gap;
     }
@@ -406,9 +470,25 @@
     private void send(final Open o, final long now) {
         final List<Pick> all = places(o, now);
         final Optional<Pick> pick = pick(o, all, now);
-        tales.put(new TraceLog.Tale(o.fare.ticket(), "", o.rule.name(), pick.map(p -> p.stand().worker.id()).orElse(""), facts.page(), o.stamp.bits(),
-                pick.isEmpty() ? "nowhere" : "sent", "", o.tries, all.stream().limit(SHOWN).map(p -> new WeightedScorers.Opinion(p.stand().worker.id(), "outlook",
-                new ScorerResult.Score((double) o.rule.aim() / Math.max(1, o.rule.aim() + p.view().cost())), 1)).toList()));
+        tales.put(new TraceLog.Tale(
+                o.fare.ticket(),
+                "",
+                o.rule.name(),
+                pick.map(p -> p.stand().worker.id()).orElse(""),
+                facts.page(),
+                o.stamp.bits(),
+                pick.isEmpty() ? "nowhere" : "sent",
+                "",
+                o.tries,
+                all.stream()
+                        .limit(SHOWN)
+                        .map(p -> new WeightedScorers.Opinion(
+                                p.stand().worker.id(),
+                                "outlook",
+                                new ScorerResult.Score((double) o.rule.aim()
+                                        / Math.max(1, o.rule.aim() + p.view().cost())),
+                                1))
+                        .toList()));
         if (pick.isEmpty()) {
             count("nowhere");
             close(o);
@@ -425,17 +505,29 @@
         o.tries++;
         o.run = job;
         o.worker = w.id();
-        s.runs.put(job, new WorkerState.Run(now, pick.get().view().unread(), pick.get().view().first()));
+        s.runs.put(
+                job,
+                new WorkerState.Run(
+                        now, pick.get().view().unread(), pick.get().view().first()));
         s.lastSent = now;
         o.fare.parts().forEach(p -> s.keep(p.name(), now));
         jobs.put(job, o.place);
         count("sends");
-        out.add(new RoutingEffect.Send(o.fare.token(), job, w.id(), w.address(), o.end - now, o.rule.rank(), !o.rule.again(), o.rule.stream()));
+        out.add(new RoutingEffect.Send(
+                o.fare.token(),
+                job,
+                w.id(),
+                w.address(),
+                o.end - now,
+                o.rule.rank(),
+                !o.rule.again(),
+                o.rule.stream()));
     }
 
     /** When to come back: soon where another worker may take it, later where none is known yet or the allowed ones are cold. */
     private long away(final Open o) {
-        final boolean known = stands.values().stream().anyMatch(s -> s.worker.pool().equals(o.pool) && !s.worker.leaving());
+        final boolean known =
+                stands.values().stream().anyMatch(s -> s.worker.pool().equals(o.pool) && !s.worker.leaving());
         if (!known) {
             return SECOND + luck.nextLong(SECOND / 2);
         }
@@ -476,6 +568,5 @@
     }
 
     /** What a worker's reply tells of its load. */
-    public record Load(int running, int waiting, int slots) {
-    }
+    public record Load(int running, int waiting, int slots) {}
 }
--- a/core/src/main/java/silverlatch/routing/RoutingTable.java
+++ b/core/src/main/java/silverlatch/routing/RoutingTable.java
@@ -7,8 +7,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import silverlatch.state.Value;
 import silverlatch.state.Policy;
+import silverlatch.state.Value;
 
 /** The rules and pools of one page, found by host and path. */
 final class RoutingTable {
@@ -20,20 +20,25 @@
     RoutingTable(final Policy policy) {
         policy.leaves().forEach(l -> {
             switch (l) {
-                case Value.Route r -> hosts.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>()).add(r);
+                case Value.Route r ->
+                    hosts.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>())
+                            .add(r);
                 case Value.BackendPool p -> pools.put(p.name(), p);
                 case Value.RoutingConfiguration c -> number = c.number();
-                default -> {
-                }
+                default -> {}
             }
         });
-        hosts.values().forEach(l -> l.sort(Comparator.comparingInt((Value.Route r) -> -r.path().length())));
+        hosts.values()
+                .forEach(l -> l.sort(
+                        Comparator.comparingInt((Value.Route r) -> -r.path().length())));
     }
 
     Optional<Value.Route> rule(final String host, final String path) {
         final int colon = host.lastIndexOf(':');
-        final String name = (colon > 0 && host.indexOf(']') < colon ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
-        return Optional.ofNullable(hosts.get(name)).flatMap(l -> l.stream().filter(r -> path.startsWith(r.path())).findFirst());
+        final String name =
+                (colon > 0 && host.indexOf(']') < colon ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+        return Optional.ofNullable(hosts.get(name))
+                .flatMap(l -> l.stream().filter(r -> path.startsWith(r.path())).findFirst());
     }
 
     Optional<Value.BackendPool> pool(final String name) {
--- a/core/src/main/java/silverlatch/routing/TrafficStatistics.java
+++ b/core/src/main/java/silverlatch/routing/TrafficStatistics.java
@@ -18,6 +18,7 @@
 final class TrafficStatistics {
     /** A prompt of so many tokens is long: reading it takes a worker more than one piece. */
     static final int LONG = 2_048;
+
     private static final long WINDOW = 45_000_000L;
     private static final double WRITERS = 0.4;
     private static final double OFTEN = 6;
@@ -26,8 +27,7 @@
     private final Map<Long, Integer> keys = new HashMap<>();
     private final Map<String, Kind> kinds = new HashMap<>();
 
-    private record Seen(long key, long at) {
-    }
+    private record Seen(long key, long at) {}
 
     /** When a rule last brought a long prompt and a short one, and its homes. */
     private record Kind(long longAt, long shortAt, List<String> homes) {
@@ -41,8 +41,11 @@
     }
 
     void note(final RoutedRequest fare, final Value.Route rule, final long now) {
-        final Kind old = kinds.getOrDefault(rule.name(), new Kind(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2, rule.homes()));
-        kinds.put(rule.name(), new Kind(lengthy(fare) ? now : old.longAt(), lengthy(fare) ? old.shortAt() : now, rule.homes()));
+        final Kind old =
+                kinds.getOrDefault(rule.name(), new Kind(Long.MIN_VALUE / 2, Long.MIN_VALUE / 2, rule.homes()));
+        kinds.put(
+                rule.name(),
+                new Kind(lengthy(fare) ? now : old.longAt(), lengthy(fare) ? old.shortAt() : now, rule.homes()));
         if (LatencyPredictor.worth(fare.parts())) {
             final long key = LatencyPredictor.key(fare);
             seen.add(new Seen(key, now));
@@ -65,11 +68,18 @@
 
     /** The workers of each region that write long replies where both kinds of work come by; the others read. */
     Set<String> writers(final List<WorkerState> pool, final long now) {
-        final Map<String, List<WorkerState>> regions = pool.stream().filter(s -> !s.worker.leaving()).collect(Collectors.groupingBy(s -> s.worker.region()));
-        return regions.entrySet().stream().filter(e -> e.getValue().size() > 1 && both(e.getKey(), now))
-                .flatMap(e -> e.getValue().stream().sorted(Comparator.comparingLong((WorkerState s) -> LatencyPredictor.draw(11, s.worker.id())))
-                        .limit(Math.clamp(Math.round(e.getValue().size() * WRITERS), 1, e.getValue().size() - 1)))
-                .map(s -> s.worker.id()).collect(Collectors.toSet());
+        final Map<String, List<WorkerState>> regions =
+                pool.stream().filter(s -> !s.worker.leaving()).collect(Collectors.groupingBy(s -> s.worker.region()));
+        return regions.entrySet().stream()
+                .filter(e -> e.getValue().size() > 1 && both(e.getKey(), now))
+                .flatMap(e -> e.getValue().stream()
+                        .sorted(Comparator.comparingLong((WorkerState s) -> LatencyPredictor.draw(11, s.worker.id())))
+                        .limit(Math.clamp(
+                                Math.round(e.getValue().size() * WRITERS),
+                                1,
+                                e.getValue().size() - 1)))
+                .map(s -> s.worker.id())
+                .collect(Collectors.toSet());
     }
 
     private boolean both(final String region, final long now) {
--- a/core/src/main/java/silverlatch/routing/WorkerState.java
+++ b/core/src/main/java/silverlatch/routing/WorkerState.java
@@ -71,12 +71,19 @@
 
     /** Tokens of my own runs there that it has still to read. */
     long unread() {
-        return runs.values().stream().filter(r -> !r.first).mapToLong(r -> r.unread).sum();
+        return runs.values().stream()
+                .filter(r -> !r.first)
+                .mapToLong(r -> r.unread)
+                .sum();
     }
 
     /** By how much the most silent run there is overdue. */
     long overdue(final long now) {
-        return runs.values().stream().filter(r -> !r.first).mapToLong(r -> now - r.begun - 2 * r.guess - 150_000L).max().orElse(0);
+        return runs.values().stream()
+                .filter(r -> !r.first)
+                .mapToLong(r -> now - r.begun - 2 * r.guess - 150_000L)
+                .max()
+                .orElse(0);
     }
 
     /** What share of a part it likely keeps, by what went there before. */
--- a/core/src/main/java/silverlatch/state/Command.java
+++ b/core/src/main/java/silverlatch/state/Command.java
@@ -24,46 +24,45 @@
     }
 
     /** A tenant, new or changed. */
-    record PutTenant(String id, Value.Tenant tenant, long match) implements Command {
-    }
+    record PutTenant(String id, Value.Tenant tenant, long match) implements Command {}
 
     /** A tenant to be taken away. */
-    record RemoveTenant(String id, String tenant, long match) implements Command {
-    }
+    record RemoveTenant(String id, String tenant, long match) implements Command {}
 
     /** A zone to be emptied or given back. */
-    record SetEvacuation(String id, String zone, boolean on, long match) implements Command {
-    }
+    record SetEvacuation(String id, String zone, boolean on, long match) implements Command {}
 
     /** A key to be bound to a ticket. */
-    record Claim(String id, String key, String ticket, String carrier, long at) implements Command {
-    }
+    record Claim(String id, String key, String ticket, String carrier, long at) implements Command {}
 
     /** How a claimed ticket ended. */
-    record CompleteClaim(String id, String key, String ticket, String carrier, String state, long at) implements Command {
-    }
+    record CompleteClaim(String id, String key, String ticket, String carrier, String state, long at)
+            implements Command {}
 
     /** Another turn of the glass: claims that have seen enough turns are let go; a duty, fenced by the view's number. */
-    record AdvanceEpoch(String id, long turn, long fence) implements Command {
-    }
+    record AdvanceEpoch(String id, long turn, long fence) implements Command {}
 
     /** A calendar, new or changed. */
-    record PutSchedule(String id, Value.Schedule calendar, long match) implements Command {
-    }
+    record PutSchedule(String id, Value.Schedule calendar, long match) implements Command {}
 
     /** A calendar to be taken away. */
-    record RemoveSchedule(String id, String name, long match) implements Command {
-    }
+    record RemoveSchedule(String id, String name, long match) implements Command {}
 
     /** What a calendar asks for; a duty, fenced by the view's number. */
-    record Scheduled(String id, long fence, Command wish) implements Command {
-    }
+    record Scheduled(String id, long fence, Command wish) implements Command {}
 
     /**
      * A whole new charter: rules, pools and bounds, and the operator's own paper. The match is the number of the charter
      * it builds on, 0 where there is none; a lost race is told with the number in force in place of a sequence.
      */
-    record PutConfiguration(String id, Value.RoutingConfiguration charter, List<Value.Route> rules, List<Value.BackendPool> pools, String paper, long match) implements Command {
+    record PutConfiguration(
+            String id,
+            Value.RoutingConfiguration charter,
+            List<Value.Route> rules,
+            List<Value.BackendPool> pools,
+            String paper,
+            long match)
+            implements Command {
         /** Copies the lists. */
         public PutConfiguration {
             rules = List.copyOf(rules);
@@ -72,6 +71,5 @@
     }
 
     /** One cell of the table. */
-    record Cell(String tenant, String kind, String field, String value) {
-    }
+    record Cell(String tenant, String kind, String field, String value) {}
 }
--- a/core/src/main/java/silverlatch/state/ConfigurationValidator.java
+++ b/core/src/main/java/silverlatch/state/ConfigurationValidator.java
@@ -24,13 +24,13 @@
     public static final int MOST_POOLS = 5_000;
     /** How many bytes a charter's paper may have. */
     public static final int LONGEST = 4 << 20;
+
     private static final int LOTS = 1_000;
     private static final int TOLD = 20;
     private static final int NAME = 256;
     private static final int PATH = 1_024;
 
-    private ConfigurationValidator() {
-    }
+    private ConfigurationValidator() {}
 
     /** The key of a rule. */
     public static String rule(final String host, final String path) {
@@ -82,11 +82,18 @@
         w.rules().forEach(r -> next.put(rule(r.host(), r.path()), r));
         w.pools().forEach(p -> next.put(pool(p.name()), p));
         final List<Entry> puts = new ArrayList<>();
-        old.keySet().stream().filter(k -> !next.containsKey(k)).sorted().forEach(k -> puts.add(new Entry(k, seq, List.of())));
-        next.entrySet().stream().filter(e -> !old.containsKey(e.getKey()) || !old.get(e.getKey()).leaf().getFirst().equals(e.getValue()))
-                .sorted(Map.Entry.comparingByKey()).forEach(e -> puts.add(new Entry(e.getKey(), seq, List.of(e.getValue()))));
+        old.keySet().stream()
+                .filter(k -> !next.containsKey(k))
+                .sorted()
+                .forEach(k -> puts.add(new Entry(k, seq, List.of())));
+        next.entrySet().stream()
+                .filter(e -> !old.containsKey(e.getKey())
+                        || !old.get(e.getKey()).leaf().getFirst().equals(e.getValue()))
+                .sorted(Map.Entry.comparingByKey())
+                .forEach(e -> puts.add(new Entry(e.getKey(), seq, List.of(e.getValue()))));
         puts.add(new Entry(CHARTER, seq, List.of(w.charter())));
-        puts.add(new Entry(PAPER, seq, List.of(new Value.ConfigurationDocument(w.charter().number(), w.paper()))));
+        puts.add(new Entry(
+                PAPER, seq, List.of(new Value.ConfigurationDocument(w.charter().number(), w.paper()))));
         return puts;
     }
 
@@ -95,7 +102,8 @@
         return paper.length() > LONGEST || paper.getBytes(StandardCharsets.UTF_8).length > LONGEST;
     }
 
-    private static void pool(final List<String> list, final String at, final Value.BackendPool p, final Set<String> pools) {
+    private static void pool(
+            final List<String> list, final String at, final Value.BackendPool p, final Set<String> pools) {
         name(list, at + ".name", p.name(), NAME);
         if (!pools.add(p.name())) {
             list.add(at + ".name: a second pool " + cut(p.name()));
@@ -108,7 +116,12 @@
         low(list, at + ".stride", p.stride(), 0);
     }
 
-    private static void rule(final List<String> list, final String at, final Value.Route r, final Set<String> pools, final Set<String> keys) {
+    private static void rule(
+            final List<String> list,
+            final String at,
+            final Value.Route r,
+            final Set<String> pools,
+            final Set<String> keys) {
         name(list, at + ".name", r.name(), NAME);
         name(list, at + ".host", r.host(), NAME);
         if (r.host().indexOf('/') >= 0 || r.host().indexOf('|') >= 0) {
@@ -132,14 +145,16 @@
         lots(list, at + ".lots", r.lots(), pools);
     }
 
-    private static void lots(final List<String> list, final String at, final List<Value.WeightedBackend> lots, final Set<String> pools) {
+    private static void lots(
+            final List<String> list, final String at, final List<Value.WeightedBackend> lots, final Set<String> pools) {
         if (lots.isEmpty() || lots.size() > LOTS) {
             list.add(at + ": 1 to " + LOTS + " are needed, not " + lots.size());
             return;
         }
         for (int i = 0; i < lots.size() && list.size() < TOLD; i++) {
             if (!pools.contains(lots.get(i).pool())) {
-                list.add(at + "[" + i + "].pool: there is no pool " + cut(lots.get(i).pool()));
+                list.add(at + "[" + i + "].pool: there is no pool "
+                        + cut(lots.get(i).pool()));
             }
             low(list, at + "[" + i + "].weight", lots.get(i).weight(), 0);
         }
@@ -156,7 +171,8 @@
 
     private static void low(final List<String> list, final String at, final double value, final double least) {
         if (!(value >= least)) {
-            list.add(at + ": " + (value == Math.rint(value) ? "" + (long) value : "" + value) + " is less than " + (long) least);
+            list.add(at + ": " + (value == Math.rint(value) ? "" + (long) value : "" + value) + " is less than "
+                    + (long) least);
         }
     }
 
--- a/core/src/main/java/silverlatch/state/Entry.java
+++ b/core/src/main/java/silverlatch/state/Entry.java
@@ -19,19 +19,37 @@
 
     /** About how many bytes the entry takes in a frame. */
     public long weight() {
-        return 96 + key.length() + leaf.stream().mapToLong(l -> switch (l) {
-            case Value.ConfigurationDocument p -> 2L * p.text().length();
-            case Value.Route r -> 128 + r.name().length() + r.host().length() + r.path().length() + 32L * r.homes().size() + 48L * r.lots().size();
-            case Value.Schedule k -> 96L * (1 + k.cells().size());
-            case Value.CommandOutcome d -> 32 + d.faults().stream().mapToLong(String::length).sum();
-            case Value.Tenant t -> 160 + 32L * t.homes().size();
-            default -> 160;
-        }).sum();
+        return 96
+                + key.length()
+                + leaf.stream()
+                        .mapToLong(l -> switch (l) {
+                            case Value.ConfigurationDocument p -> 2L * p.text().length();
+                            case Value.Route r ->
+                                128
+                                        + r.name().length()
+                                        + r.host().length()
+                                        + r.path().length()
+                                        + 32L * r.homes().size()
+                                        + 48L * r.lots().size();
+                            case Value.Schedule k -> 96L * (1 + k.cells().size());
+                            case Value.CommandOutcome d ->
+                                32
+                                        + d.faults().stream()
+                                                .mapToLong(String::length)
+                                                .sum();
+                            case Value.Tenant t -> 160 + 32L * t.homes().size();
+                            default -> 160;
+                        })
+                        .sum();
     }
 
     /** Whether the entry is part of what the data plane follows. */
     public boolean policy() {
-        return key.startsWith("t/") || key.startsWith("r/") || key.startsWith("z/")
-                || key.startsWith("u/") || key.startsWith("b/") || key.startsWith("p/");
+        return key.startsWith("t/")
+                || key.startsWith("r/")
+                || key.startsWith("z/")
+                || key.startsWith("u/")
+                || key.startsWith("b/")
+                || key.startsWith("p/");
     }
 }
--- a/core/src/main/java/silverlatch/state/Policy.java
+++ b/core/src/main/java/silverlatch/state/Policy.java
@@ -17,6 +17,7 @@
 public final class Policy {
     /** Nothing. */
     public static final Policy NONE = new Policy(Map.of(), Map.of(), List.of());
+
     private static final int FEW = 256;
     private final Map<String, Entry> base;
     private final Map<String, Entry> over;
@@ -27,7 +28,10 @@
         this.base = base;
         this.over = over;
         this.drains = drains;
-        this.empty = drains.stream().filter(Value.Evacuation::on).map(Value.Evacuation::zone).collect(Collectors.toUnmodifiableSet());
+        this.empty = drains.stream()
+                .filter(Value.Evacuation::on)
+                .map(Value.Evacuation::zone)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /** A policy of these entries. */
@@ -56,7 +60,9 @@
 
     /** What a key holds. */
     public Optional<Value> leaf(final String key) {
-        return Optional.ofNullable(over.get(key)).or(() -> Optional.ofNullable(base.get(key))).flatMap(e -> e.leaf().stream().findFirst());
+        return Optional.ofNullable(over.get(key))
+                .or(() -> Optional.ofNullable(base.get(key)))
+                .flatMap(e -> e.leaf().stream().findFirst());
     }
 
     /** Orders on zones. */
@@ -71,6 +77,7 @@
 
     /** All that is held. */
     public Stream<Value> leaves() {
-        return Stream.concat(over.values().stream(), base.values().stream().filter(e -> !over.containsKey(e.key()))).flatMap(e -> e.leaf().stream());
+        return Stream.concat(over.values().stream(), base.values().stream().filter(e -> !over.containsKey(e.key())))
+                .flatMap(e -> e.leaf().stream());
     }
 }
