--- a/core/src/main/java/silverlatch/state/StateMachine.java
+++ b/core/src/main/java/silverlatch/state/StateMachine.java
@@ -12,9 +12,9 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import silverlatch.clock.Stamp;
 import silverlatch.safeguard.Safeguard;
 import silverlatch.safeguard.Safeguards;
-import silverlatch.clock.Stamp;
 
 /** The shared books of the control plane: what they hold, and the one function that judges a wish against them. */
 public final class StateMachine {
@@ -24,13 +24,15 @@
     public static final int CLAIMS = 200_000;
     /** A claim is kept for so many turns of the glass: 7 days of ten minutes each. */
     public static final int TURNS = 7 * 144;
+
     private static final int SWEPT = 5_000;
     private static final String GLASS = "h/glass";
     private static final String RUNNING = "running";
     private static final String REJECTED = "rejected";
     private static final int DEEDS = 1_000;
     private final TreeMap<String, Entry> entries = new TreeMap<>();
-    private final TreeSet<Entry> newest = new TreeSet<>(Comparator.comparingLong(Entry::sequence).thenComparing(Entry::key));
+    private final TreeSet<Entry> newest =
+            new TreeSet<>(Comparator.comparingLong(Entry::sequence).thenComparing(Entry::key));
     private final Safeguards guards;
     private long sequence;
     private long page;
@@ -142,7 +144,9 @@
 
     /** The entries of one range. */
     public List<Entry> range(final int range, final int ranges) {
-        return entries.values().stream().filter(e -> slot(e.key(), ranges) == range).toList();
+        return entries.values().stream()
+                .filter(e -> slot(e.key(), ranges) == range)
+                .toList();
     }
 
     /** The entry of a key, if it is held and not gone. */
@@ -170,32 +174,64 @@
         final Look look = new Look(seen);
         final Optional<Entry> done = look.at("o/" + wish.id());
         if (done.isPresent() && done.get().leaf().getFirst() instanceof Value.CommandOutcome d) {
-            return new Judged.Over(d.code() == 0 ? new CommandResult.Applied(done.get().sequence())
-                    : new CommandResult.Rejected(d.code(), d.faults(), d.sequence()));
+            return new Judged.Over(
+                    d.code() == 0
+                            ? new CommandResult.Applied(done.get().sequence())
+                            : new CommandResult.Rejected(d.code(), d.faults(), d.sequence()));
         }
         final Judged judged = judged(wish, look, seq, stamp);
-        final boolean lasting = wish instanceof Command.Claim || wish instanceof Command.CompleteClaim || wish instanceof Command.AdvanceEpoch;
-        return judged instanceof Judged.Over over && over.verdict() instanceof CommandResult.Rejected r && r.code() != 409 && !lasting
-                ? let(look, List.of(), wish.id(), seq, new Value.CommandOutcome(r.sequence(), r.code(), r.faults())) : judged;
+        final boolean lasting = wish instanceof Command.Claim
+                || wish instanceof Command.CompleteClaim
+                || wish instanceof Command.AdvanceEpoch;
+        return judged instanceof Judged.Over over
+                        && over.verdict() instanceof CommandResult.Rejected r
+                        && r.code() != 409
+                        && !lasting
+                ? let(look, List.of(), wish.id(), seq, new Value.CommandOutcome(r.sequence(), r.code(), r.faults()))
+                : judged;
     }
 
     private Judged judged(final Command wish, final Look look, final long seq, final Stamp stamp) {
         return switch (wish) {
             case Command.PatchTable w -> cells(w, look, seq);
             case Command.PutTable w -> table(w, look, seq);
-            case Command.PutTenant w -> matched(look, "t/" + w.tenant().name(), w.match(),
-                    () -> TableRules.faults(w.tenant()), w.id(), seq, w.tenant());
-            case Command.RemoveTenant w -> look.at("t/" + w.tenant()).isEmpty()
-                    ? rejected(404, "no tenant " + w.tenant(), 0)
-                    : matched(look, "t/" + w.tenant(), w.match(), List::of, w.id(), seq);
-            case Command.SetEvacuation w -> matched(look, "z/" + w.zone(), w.match(), () -> TableRules.word("zone", w.zone()),
-                    w.id(), seq, new Value.Evacuation(w.zone(), w.on(), stamp));
+            case Command.PutTenant w ->
+                matched(
+                        look,
+                        "t/" + w.tenant().name(),
+                        w.match(),
+                        () -> TableRules.faults(w.tenant()),
+                        w.id(),
+                        seq,
+                        w.tenant());
+            case Command.RemoveTenant w ->
+                look.at("t/" + w.tenant()).isEmpty()
+                        ? rejected(404, "no tenant " + w.tenant(), 0)
+                        : matched(look, "t/" + w.tenant(), w.match(), List::of, w.id(), seq);
+            case Command.SetEvacuation w ->
+                matched(
+                        look,
+                        "z/" + w.zone(),
+                        w.match(),
+                        () -> TableRules.word("zone", w.zone()),
+                        w.id(),
+                        seq,
+                        new Value.Evacuation(w.zone(), w.on(), stamp));
             case Command.Claim w -> hold(w, look, seq);
             case Command.CompleteClaim w -> end(w, look, seq);
-            case Command.PutSchedule w -> matched(look, "k/" + w.calendar().name(), w.match(), () -> TableRules.word("name", w.calendar().name()),
-                    w.id(), seq, w.calendar());
-            case Command.RemoveSchedule w -> look.at("k/" + w.name()).isEmpty() ? rejected(404, "no calendar " + w.name(), 0)
-                    : matched(look, "k/" + w.name(), w.match(), List::of, w.id(), seq);
+            case Command.PutSchedule w ->
+                matched(
+                        look,
+                        "k/" + w.calendar().name(),
+                        w.match(),
+                        () -> TableRules.word("name", w.calendar().name()),
+                        w.id(),
+                        seq,
+                        w.calendar());
+            case Command.RemoveSchedule w ->
+                look.at("k/" + w.name()).isEmpty()
+                        ? rejected(404, "no calendar " + w.name(), 0)
+                        : matched(look, "k/" + w.name(), w.match(), List::of, w.id(), seq);
             case Command.Scheduled w -> judged(w.wish(), look, seq, stamp);
             case Command.AdvanceEpoch w -> sweep(w, look, seq);
             case Command.PutConfiguration w -> lay(w, look, seq);
@@ -212,9 +248,14 @@
         for (int i = 0; i < w.cells().size(); i++) {
             final Command.Cell c = w.cells().get(i);
             final String key = row(c.tenant(), c.kind());
-            final Value.Row old = rows.computeIfAbsent(key, k -> look.at(k).map(e -> (Value.Row) e.leaf().getFirst())
-                    .orElseGet(() -> look.at(row("*", c.kind())).map(e -> (Value.Row) e.leaf().getFirst())
-                            .map(r -> TableRules.renamed(r, c.tenant())).orElse(TableRules.plain(c.tenant(), c.kind()))));
+            final Value.Row old = rows.computeIfAbsent(
+                    key,
+                    k -> look.at(k)
+                            .map(e -> (Value.Row) e.leaf().getFirst())
+                            .orElseGet(() -> look.at(row("*", c.kind()))
+                                    .map(e -> (Value.Row) e.leaf().getFirst())
+                                    .map(r -> TableRules.renamed(r, c.tenant()))
+                                    .orElse(TableRules.plain(c.tenant(), c.kind()))));
             switch (TableRules.set(old, c.field(), c.value())) {
                 case TableRules.Cut.Good good -> rows.put(key, good.row());
                 case TableRules.Cut.Bad bad -> faults.add("$.cells[" + i + "]: " + bad.fault());
@@ -225,9 +266,11 @@
             faults.addAll(look.person(r));
         });
         if (!faults.isEmpty() || rows.isEmpty()) {
-            return new Judged.Over(new CommandResult.Rejected(422, rows.isEmpty() ? List.of("$.cells: none given") : faults, now));
+            return new Judged.Over(
+                    new CommandResult.Rejected(422, rows.isEmpty() ? List.of("$.cells: none given") : faults, now));
         }
-        final long more = rows.keySet().stream().filter(k -> look.at(k).isEmpty()).count();
+        final long more =
+                rows.keySet().stream().filter(k -> look.at(k).isEmpty()).count();
         if (more > 0 && look.rows().size() + more > ROWS) {
             return rejected(507, "the table would have more than " + ROWS + " rows", now);
         }
@@ -261,14 +304,21 @@
             faults.add("$.rows: a table needs a row");
         }
         if (!faults.isEmpty()) {
-            return new Judged.Over(new CommandResult.Rejected(422, faults.subList(0, Math.min(50, faults.size())), now));
+            return new Judged.Over(
+                    new CommandResult.Rejected(422, faults.subList(0, Math.min(50, faults.size())), now));
         }
         look.rows().stream().filter(k -> !keys.contains(k)).forEach(k -> puts.add(new Entry(k, seq, List.of())));
         return let(look, puts, w.id(), seq);
     }
 
-    private Judged matched(final Look look, final String key, final long match,
-                           final java.util.function.Supplier<List<String>> check, final String id, final long seq, final Value... leaf) {
+    private Judged matched(
+            final Look look,
+            final String key,
+            final long match,
+            final java.util.function.Supplier<List<String>> check,
+            final String id,
+            final long seq,
+            final Value... leaf) {
         final long now = look.sequence(key);
         if (lost(match, now)) {
             return rejected(409, key.substring(2) + " is at sequence " + now, now);
@@ -285,9 +335,11 @@
     }
 
     private Judged hold(final Command.Claim w, final Look look, final long seq) {
-        final Optional<Value.Claim> old = look.at("c/" + w.key()).map(e -> (Value.Claim) e.leaf().getFirst())
+        final Optional<Value.Claim> old = look.at("c/" + w.key())
+                .map(e -> (Value.Claim) e.leaf().getFirst())
                 .filter(c -> guards.stands(Safeguard.CLAIM));
-        if (old.map(c -> c.ticket().equals(w.ticket()) && c.state().equals(RUNNING)).orElse(false)) {
+        if (old.map(c -> c.ticket().equals(w.ticket()) && c.state().equals(RUNNING))
+                .orElse(false)) {
             return new Judged.Over(new CommandResult.Applied(look.sequence("c/" + w.key())));
         }
         if (old.isPresent() && !taken(old.get(), w)) {
@@ -305,7 +357,8 @@
     }
 
     private Judged end(final Command.CompleteClaim w, final Look look, final long seq) {
-        final Optional<Value.Claim> old = look.at("c/" + w.key()).map(e -> (Value.Claim) e.leaf().getFirst());
+        final Optional<Value.Claim> old =
+                look.at("c/" + w.key()).map(e -> (Value.Claim) e.leaf().getFirst());
         if (old.isEmpty() && w.state().equals(REJECTED)) {
             return claimed(w.key(), seq, new Value.Claim(w.ticket(), w.carrier(), w.state(), w.at(), look.turn()));
         }
@@ -315,7 +368,15 @@
         if (!old.get().state().equals(RUNNING)) {
             return new Judged.Over(new CommandResult.Applied(look.sequence("c/" + w.key())));
         }
-        return claimed(w.key(), seq, new Value.Claim(old.get().ticket(), old.get().carrier(), w.state(), old.get().at(), old.get().turn()));
+        return claimed(
+                w.key(),
+                seq,
+                new Value.Claim(
+                        old.get().ticket(),
+                        old.get().carrier(),
+                        w.state(),
+                        old.get().at(),
+                        old.get().turn()));
     }
 
     private static Judged claimed(final String key, final long seq, final Value.Claim claim) {
@@ -326,12 +387,14 @@
         return let(look, puts, id, seq, new Value.CommandOutcome(seq, 0, List.of()));
     }
 
-    private Judged let(final Look look, final List<Entry> puts, final String id, final long seq, final Value.CommandOutcome deed) {
+    private Judged let(
+            final Look look, final List<Entry> puts, final String id, final long seq, final Value.CommandOutcome deed) {
         final List<Entry> all = new ArrayList<>(puts);
         all.add(new Entry("o/" + id, seq, List.of(deed)));
         final SortedMap<String, Entry> deeds = part("o/");
         if (deeds.size() >= DEEDS) {
-            deeds.values().stream().min(java.util.Comparator.comparingLong(Entry::sequence))
+            deeds.values().stream()
+                    .min(java.util.Comparator.comparingLong(Entry::sequence))
                     .ifPresent(e -> all.add(new Entry(e.key(), seq, List.of())));
         }
         return new Judged.Let(all);
@@ -339,9 +402,14 @@
 
     private Judged lay(final Command.PutConfiguration w, final Look look, final long seq) {
         final Optional<Entry> held = look.at(ConfigurationValidator.CHARTER);
-        final long now = held.map(e -> ((Value.RoutingConfiguration) e.leaf().getFirst()).number()).orElse(0L);
+        final long now = held.map(e -> ((Value.RoutingConfiguration) e.leaf().getFirst()).number())
+                .orElse(0L);
         final boolean same = now == w.charter().number()
-                && look.at(ConfigurationValidator.PAPER).map(e -> ((Value.ConfigurationDocument) e.leaf().getFirst()).text().equals(w.paper())).orElse(false);
+                && look.at(ConfigurationValidator.PAPER)
+                        .map(e -> ((Value.ConfigurationDocument) e.leaf().getFirst())
+                                .text()
+                                .equals(w.paper()))
+                        .orElse(false);
         if (same) {
             return new Judged.Over(new CommandResult.Applied(look.sequence(ConfigurationValidator.CHARTER)));
         }
@@ -369,12 +437,17 @@
     private Judged sweep(final Command.AdvanceEpoch w, final Look look, final long seq) {
         final long now = look.turn();
         if (w.turn() != now + 1) {
-            return w.turn() <= now ? new Judged.Over(new CommandResult.Applied(look.sequence(GLASS))) : rejected(409, "the glass was turned " + now + " times", now);
+            return w.turn() <= now
+                    ? new Judged.Over(new CommandResult.Applied(look.sequence(GLASS)))
+                    : rejected(409, "the glass was turned " + now + " times", now);
         }
         final List<Entry> puts = new ArrayList<>(List.of(new Entry(GLASS, seq, List.of(new Value.Epoch(w.turn())))));
-        part("c/").values().stream().map(e -> look.at(e.key())).flatMap(Optional::stream)
+        part("c/").values().stream()
+                .map(e -> look.at(e.key()))
+                .flatMap(Optional::stream)
                 .filter(e -> e.leaf().getFirst() instanceof Value.Claim c && c.turn() + TURNS < w.turn())
-                .limit(SWEPT).forEach(e -> puts.add(new Entry(e.key(), seq, List.of())));
+                .limit(SWEPT)
+                .forEach(e -> puts.add(new Entry(e.key(), seq, List.of())));
         return new Judged.Let(puts);
     }
 
@@ -399,12 +472,10 @@
     /** What judging a wish gives. */
     public sealed interface Judged {
         /** It is let in and writes these entries. */
-        record Let(List<Entry> puts) implements Judged {
-        }
+        record Let(List<Entry> puts) implements Judged {}
 
         /** It is decided without a write. */
-        record Over(CommandResult verdict) implements Judged {
-        }
+        record Over(CommandResult verdict) implements Judged {}
     }
 
     private final class Look {
@@ -415,11 +486,16 @@
         }
 
         Optional<Entry> at(final String key) {
-            return Optional.ofNullable(seen.get(key)).or(() -> Optional.ofNullable(entries.get(key))).filter(e -> !e.gone());
+            return Optional.ofNullable(seen.get(key))
+                    .or(() -> Optional.ofNullable(entries.get(key)))
+                    .filter(e -> !e.gone());
         }
 
         long sequence(final String key) {
-            return Optional.ofNullable(seen.get(key)).or(() -> Optional.ofNullable(entries.get(key))).map(Entry::sequence).orElse(0L);
+            return Optional.ofNullable(seen.get(key))
+                    .or(() -> Optional.ofNullable(entries.get(key)))
+                    .map(Entry::sequence)
+                    .orElse(0L);
         }
 
         long table() {
@@ -431,7 +507,9 @@
         }
 
         long turn() {
-            return at(GLASS).map(e -> ((Value.Epoch) e.leaf().getFirst()).turn()).orElse(0L);
+            return at(GLASS)
+                    .map(e -> ((Value.Epoch) e.leaf().getFirst()).turn())
+                    .orElse(0L);
         }
 
         Set<String> rows() {
@@ -451,7 +529,8 @@
 
         List<String> person(final Value.Row r) {
             return r.tenant().equals("*") || at("t/" + r.tenant()).isPresent()
-                    ? List.of() : List.of("tenant: there is no tenant " + r.tenant());
+                    ? List.of()
+                    : List.of("tenant: there is no tenant " + r.tenant());
         }
     }
 }
--- a/core/src/main/java/silverlatch/state/Value.java
+++ b/core/src/main/java/silverlatch/state/Value.java
@@ -14,13 +14,24 @@
     }
 
     /** One row of the table: weights of the judges and limits, for a tenant (or *) and a kind. */
-    record Row(String tenant, String kind, double prefix, double load, double cold, double cross,
-               double rate, double burst, int running, int queue, long hold, boolean once, int rank) implements Value {
-    }
+    record Row(
+            String tenant,
+            String kind,
+            double prefix,
+            double load,
+            double cold,
+            double cross,
+            double rate,
+            double burst,
+            int running,
+            int queue,
+            long hold,
+            boolean once,
+            int rank)
+            implements Value {}
 
     /** An order to empty a zone, or to take that back. */
-    record Evacuation(String zone, boolean on, Stamp at) implements Value {
-    }
+    record Evacuation(String zone, boolean on, Stamp at) implements Value {}
 
     /** A calendar: at the times of a cron line it sets cells, or empties a zone or gives it back; no zone is an empty text. */
     record Schedule(String name, String cron, List<Command.Cell> cells, String zone, boolean empty) implements Value {
@@ -31,12 +42,10 @@
     }
 
     /** A consumer's key, bound to the one ticket that may run under it; the stamp it came with, and the turn of the glass then. */
-    record Claim(String ticket, String carrier, String state, long at, long turn) implements Value {
-    }
+    record Claim(String ticket, String carrier, String state, long at, long turn) implements Value {}
 
     /** How often the glass was turned: the fleet's own count of time, by monotonic clocks only. */
-    record Epoch(long turn) implements Value {
-    }
+    record Epoch(long turn) implements Value {}
 
     /**
      * Where tickets that come by host and path go: the longest path of a host that begins a ticket's path rules it.
@@ -56,8 +65,22 @@
      * @param homes  the regions it may run in; none means all
      * @param lots   the pools it goes to, by weight
      */
-    record Route(String name, String host, String path, boolean once, boolean stream, boolean resume, boolean kept,
-                long hold, long aim, long gap, int rank, int tries, List<String> homes, List<WeightedBackend> lots) implements Value {
+    record Route(
+            String name,
+            String host,
+            String path,
+            boolean once,
+            boolean stream,
+            boolean resume,
+            boolean kept,
+            long hold,
+            long aim,
+            long gap,
+            int rank,
+            int tries,
+            List<String> homes,
+            List<WeightedBackend> lots)
+            implements Value {
         /** Copies the lists. */
         public Route {
             homes = List.copyOf(homes);
@@ -71,8 +94,7 @@
     }
 
     /** A pool's part in a rule. */
-    record WeightedBackend(String pool, int weight) {
-    }
+    record WeightedBackend(String pool, int weight) {}
 
     /**
      * A pool of workers.
@@ -86,16 +108,14 @@
      * @param memory how many tokens a worker holds
      * @param stride how many tokens an event holds
      */
-    record BackendPool(String name, String health, int lines, long cold, double rate, int slots, int memory, int stride) implements Value {
-    }
+    record BackendPool(String name, String health, int lines, long cold, double rate, int slots, int memory, int stride)
+            implements Value {}
 
     /** The charter in force: the operators' own number, and what a consumer may send (bytes, microseconds). */
-    record RoutingConfiguration(long number, int head, int body, long slow, long idle) implements Value {
-    }
+    record RoutingConfiguration(long number, int head, int body, long slow, long idle) implements Value {}
 
     /** The charter as the operator wrote it, to the letter. */
-    record ConfigurationDocument(long number, String text) implements Value {
-    }
+    record ConfigurationDocument(long number, String text) implements Value {}
 
     /** How a change was decided, by its id: kept when the code is 0, else rejected with its faults. */
     record CommandOutcome(long sequence, int code, List<String> faults) implements Value {
--- a/core/src/main/java/silverlatch/statemachine/TransitionTable.java
+++ b/core/src/main/java/silverlatch/statemachine/TransitionTable.java
@@ -22,7 +22,11 @@
     private final Map<String, Map<String, String>> moves;
     private final Set<String> ends;
 
-    private TransitionTable(final String name, final String start, final Map<String, Map<String, String>> moves, final Set<String> ends) {
+    private TransitionTable(
+            final String name,
+            final String start,
+            final Map<String, Map<String, String>> moves,
+            final Set<String> ends) {
         this.name = name;
         this.start = start;
         this.moves = moves;
@@ -31,7 +35,8 @@
 
     /** Reads the chart of the given name from the charts folder of the program. */
     public static TransitionTable load(final String name) {
-        try (InputStream in = Optional.ofNullable(TransitionTable.class.getResourceAsStream("/statemachines/" + name + ".json"))
+        try (InputStream in = Optional.ofNullable(
+                        TransitionTable.class.getResourceAsStream("/statemachines/" + name + ".json"))
                 .orElseThrow(() -> new IllegalArgumentException("no chart " + name))) {
             return parse(new String(in.readAllBytes(), StandardCharsets.UTF_8));
         } catch (final IOException e) {
@@ -41,7 +46,8 @@
 
     /** Reads a chart and checks that each state is reachable and each that takes no event is named as an end. */
     public static TransitionTable parse(final String text) {
-        final Map<?, ?> root = (Map<?, ?>) Jsonb.builder().build().type(Object.class).fromJson(text);
+        final Map<?, ?> root =
+                (Map<?, ?>) Jsonb.builder().build().type(Object.class).fromJson(text);
         final String first = (String) root.get("start");
         final Map<String, Map<String, String>> moves = new HashMap<>();
         for (final Object row : (List<?>) root.get("moves")) {
@@ -86,8 +92,9 @@
 
     /** Where an event leads; an event the state does not take is a fault of the program. */
     public String move(final String spot, final String event) {
-        return next(spot, event).orElseThrow(() -> new IllegalStateException(
-                "chart " + name + ": " + spot + " does not take " + event));
+        return next(spot, event)
+                .orElseThrow(
+                        () -> new IllegalStateException("chart " + name + ": " + spot + " does not take " + event));
     }
 
     /** Whether nothing follows on this state. */
--- a/core/src/main/java/silverlatch/wire/Codec.java
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -14,16 +14,17 @@
 import java.util.List;
 import java.util.Set;
 import silverlatch.log.LogRecord;
-import silverlatch.replication.Replica;
 import silverlatch.replication.LogEntry;
-import silverlatch.state.Value;
-import silverlatch.state.CommandResult;
+import silverlatch.replication.Replica;
 import silverlatch.state.Command;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Value;
 
 /** Turns frames and notes into bytes and back: registered classes only, every size bounded by the bytes at hand. */
 public final class Codec {
     /** The largest frame or note. */
     public static final int MOST = 16 << 20;
+
     private static final int DEPTH = 24;
     private final Kryo kryo = new Kryo();
 
@@ -41,8 +42,15 @@
         kryo.register(ArrayList.class, lists);
         kryo.register(List.class, lists);
         final Set<Class<?>> seen = new HashSet<>();
-        final Deque<Class<?>> open = new ArrayDeque<>(List.of(Frame.class, Msg.class, LogRecord.class, Value.class,
-                Command.class, CommandResult.class, LogEntry.class, Replica.class));
+        final Deque<Class<?>> open = new ArrayDeque<>(List.of(
+                Frame.class,
+                Msg.class,
+                LogRecord.class,
+                Value.class,
+                Command.class,
+                CommandResult.class,
+                LogEntry.class,
+                Replica.class));
         while (!open.isEmpty()) {
             final Class<?> type = open.poll();
             if (!seen.add(type)) {
@@ -52,12 +60,23 @@
                 Arrays.stream(type.getPermittedSubclasses()).forEach(open::add);
             } else if (type.isRecord()) {
                 kryo.register(type);
-                Arrays.stream(type.getRecordComponents()).map(c -> c.getType())
-                        .filter(t -> t.getName().startsWith("silverlatch")).forEach(open::add);
+                Arrays.stream(type.getRecordComponents())
+                        .map(c -> c.getType())
+                        .filter(t -> t.getName().startsWith("silverlatch"))
+                        .forEach(open::add);
                 if (type == Msg.Ask.class) {
-                    open.addAll(List.of(Msg.Mark.class, Msg.Aged.class, Msg.RangeEntries.class, Command.Cell.class, Value.WeightedBackend.class,
-                            silverlatch.state.Entry.class, silverlatch.gossip.Worker.class, silverlatch.gossip.WorkerReport.class,
-                            Msg.Ranges.class, Msg.Beats.class, silverlatch.replication.View.class));
+                    open.addAll(List.of(
+                            Msg.Mark.class,
+                            Msg.Aged.class,
+                            Msg.RangeEntries.class,
+                            Command.Cell.class,
+                            Value.WeightedBackend.class,
+                            silverlatch.state.Entry.class,
+                            silverlatch.gossip.Worker.class,
+                            silverlatch.gossip.WorkerReport.class,
+                            Msg.Ranges.class,
+                            Msg.Beats.class,
+                            silverlatch.replication.View.class));
                 }
             }
         }
@@ -87,8 +106,13 @@
                 return new Read.Bad<>("bytes left over");
             }
             return new Read.Good<>(type.cast(thing));
-        } catch (final KryoException | IllegalArgumentException | NullPointerException | IndexOutOfBoundsException
-                       | NegativeArraySizeException | ClassCastException | IllegalStateException e) {
+        } catch (final KryoException
+                | IllegalArgumentException
+                | NullPointerException
+                | IndexOutOfBoundsException
+                | NegativeArraySizeException
+                | ClassCastException
+                | IllegalStateException e) {
             return new Read.Bad<>(e.getClass().getSimpleName());
         } finally {
             kryo.reset();
@@ -98,12 +122,10 @@
     /** What reading gave. */
     public sealed interface Read<T> {
         /** It was read. */
-        record Good<T>(T thing) implements Read<T> {
-        }
+        record Good<T>(T thing) implements Read<T> {}
 
         /** It is not one of ours. */
-        record Bad<T>(String why) implements Read<T> {
-        }
+        record Bad<T>(String why) implements Read<T> {}
     }
 
     private static int size(final Input in, final int each) {
--- a/core/src/main/java/silverlatch/wire/Msg.java
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -1,22 +1,21 @@
 package silverlatch.wire;
 
 import java.util.List;
+import silverlatch.clock.Stamp;
+import silverlatch.gossip.Worker;
+import silverlatch.gossip.WorkerReport;
 import silverlatch.membership.Member;
-import silverlatch.replication.Replica;
 import silverlatch.replication.LogEntry;
+import silverlatch.replication.Replica;
 import silverlatch.replication.View;
-import silverlatch.gossip.WorkerReport;
-import silverlatch.gossip.Worker;
-import silverlatch.state.Entry;
-import silverlatch.state.CommandResult;
 import silverlatch.state.Command;
-import silverlatch.clock.Stamp;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Entry;
 
 /** What daemons say to each other. */
 public sealed interface Msg {
     /** A daemon makes itself known, and asks who else is there; it echoes its own monotonic time. */
-    record Hail(Member me, long mono) implements Msg {
-    }
+    record Hail(Member me, long mono) implements Msg {}
 
     /** Who is there, the hailer's echo, the physical time here in fixed point, and the newest stamp as a floor. */
     record Muster(List<Member> members, long mono, long phys, Stamp floor) implements Msg {
@@ -27,12 +26,10 @@
     }
 
     /** A heartbeat to a watcher. */
-    record Beat(Member me) implements Msg {
-    }
+    record Beat(Member me) implements Msg {}
 
     /** A heartbeat that tells no more than that a life goes on. */
-    record Pulse(String id, long life) implements Msg {
-    }
+    record Pulse(String id, long life) implements Msg {}
 
     /** News passed on at once: it can restrict, but renews nothing. */
     record Push(List<Member> members, List<Worker> workers, List<WorkerReport> words, long page) implements Msg {
@@ -58,11 +55,11 @@
     }
 
     /** The word on a worker that the asker holds. */
-    record Mark(String id, long life, long sequence) {
-    }
+    record Mark(String id, long life, long sequence) {}
 
     /** The reply to a pull: the page, what the asker lacks of it, the view if the asker's is older, and the news. */
-    record Tell(long at, long page, long age, long fleet, List<Entry> entries, List<View> view, News news) implements Msg {
+    record Tell(long at, long page, long age, long fleet, List<Entry> entries, List<View> view, News news)
+            implements Msg {
         /** Copies the lists. */
         public Tell {
             entries = List.copyOf(entries);
@@ -93,12 +90,10 @@
     }
 
     /** Digests by range of names; empty where all are equal. */
-    record Ranges(long[] words, long[] crew) {
-    }
+    record Ranges(long[] words, long[] crew) {}
 
     /** How long ago each worker of a roster was heard: four bits each, in the order of names. */
-    record Beats(long roster, long[] ages) {
-    }
+    record Beats(long roster, long[] ages) {}
 
     /** All that the asker holds in the ranges that differ; the time is that of its pull. */
     record Marks(long at, long words, long crew, List<Mark> workers, List<Mark> members) implements Msg {
@@ -110,7 +105,8 @@
     }
 
     /** What the other lacks, and the names of what it has newer; the time is that of the pull it ends, or 0. */
-    record Bodies(long at, List<WorkerReport> words, List<Member> members, List<String> workers, List<String> daemons) implements Msg {
+    record Bodies(long at, List<WorkerReport> words, List<Member> members, List<String> workers, List<String> daemons)
+            implements Msg {
         /** Copies the lists. */
         public Bodies {
             words = List.copyOf(words);
@@ -121,8 +117,7 @@
     }
 
     /** How old the word on a worker is, in microseconds; negative when it was never renewed here. */
-    record Aged(String id, long life, long sequence, long age) {
-    }
+    record Aged(String id, long life, long sequence, long age) {}
 
     /** A controller with a data folder looks for the others. */
     record Discover(Replica me, boolean empty, List<Replica> heard) implements Msg {
@@ -133,28 +128,22 @@
     }
 
     /** A founding proposed to all seeds. */
-    record Bootstrap(View view) implements Msg {
-    }
+    record Bootstrap(View view) implements Msg {}
 
     /** A founding agreed to and synced. */
-    record BootstrapAgreed(long fleet, Replica me) implements Msg {
-    }
+    record BootstrapAgreed(long fleet, Replica me) implements Msg {}
 
     /** A member asks a voter that its view still holds, and says whether it has all that its chain has. */
-    record LeaseRequest(long view, long at, Replica me, boolean level) implements Msg {
-    }
+    record LeaseRequest(long view, long at, Replica me, boolean level) implements Msg {}
 
     /** A voter says that the view holds. */
-    record LeaseGrant(long view, long at, String voter) implements Msg {
-    }
+    record LeaseGrant(long view, long at, String voter) implements Msg {}
 
     /** A decided view. */
-    record ViewDecided(View view) implements Msg {
-    }
+    record ViewDecided(View view) implements Msg {}
 
     /** The view register: ask for a promise. */
-    record Prepare(long number, long ballot) implements Msg {
-    }
+    record Prepare(long number, long ballot) implements Msg {}
 
     /** The view register: a promise, with what was accepted before. */
     record Promise(long number, long ballot, String voter, long nodded, List<View> nod) implements Msg {
@@ -165,16 +154,13 @@
     }
 
     /** The view register: accept this. */
-    record Accept(long number, long ballot, View view) implements Msg {
-    }
+    record Accept(long number, long ballot, View view) implements Msg {}
 
     /** The view register: accepted. */
-    record Accepted(long number, long ballot, String voter) implements Msg {
-    }
+    record Accepted(long number, long ballot, String voter) implements Msg {}
 
     /** The view register: a higher ballot was promised. */
-    record Preempted(long number, long ballot) implements Msg {
-    }
+    record Preempted(long number, long ballot) implements Msg {}
 
     /** Changes go down the chain. */
     record Replicate(long view, List<LogEntry> changes) implements Msg {
@@ -185,20 +171,16 @@
     }
 
     /** Acks come up the chain. */
-    record CommitNotice(long view, long sequence) implements Msg {
-    }
+    record CommitNotice(long view, long sequence) implements Msg {}
 
     /** A predecessor says how far its own log goes as this view begins. */
-    record CatchUpTarget(long view, long sequence) implements Msg {
-    }
+    record CatchUpTarget(long view, long sequence) implements Msg {}
 
     /** A follower says how far it has come. */
-    record FetchEntries(long view, String id, long sequence) implements Msg {
-    }
+    record FetchEntries(long view, String id, long sequence) implements Msg {}
 
     /** A member to be mended sends its digests. */
-    record CompareDigests(long view, Replica me, long sequence, long[] digests) implements Msg {
-    }
+    record CompareDigests(long view, Replica me, long sequence, long[] digests) implements Msg {}
 
     /** The ranges that differ, at a sequence; whole tells that no other range differs. */
     record RepairRanges(long view, long sequence, List<RangeEntries> spans, boolean whole) implements Msg {
@@ -217,20 +199,16 @@
     }
 
     /** A mended member asks to be put at the end of the chain. */
-    record JoinRequest(long view, Replica me, long sequence) implements Msg {
-    }
+    record JoinRequest(long view, Replica me, long sequence) implements Msg {}
 
     /** A wish is sent to the head. */
-    record WriteRequest(long ask, String home, Command wish) implements Msg {
-    }
+    record WriteRequest(long ask, String home, Command wish) implements Msg {}
 
     /** What came of the wish. */
-    record WriteReply(long ask, CommandResult verdict) implements Msg {
-    }
+    record WriteReply(long ask, CommandResult verdict) implements Msg {}
 
     /** A question for the tail: the entries whose keys start so. */
-    record ReadRequest(long ask, String home, String start) implements Msg {
-    }
+    record ReadRequest(long ask, String home, String start) implements Msg {}
 
     /** The tail's reply, at a sequence; ok is false where the asked one can't answer. */
     record ReadReply(long ask, boolean ok, long sequence, List<Entry> entries) implements Msg {
@@ -241,6 +219,5 @@
     }
 
     /** The sender is told that its stamp was rejected as too far ahead, and the physical time here. */
-    record Astray(long units, long phys) implements Msg {
-    }
+    record Astray(long units, long phys) implements Msg {}
 }
--- a/core/src/test/java/silverlatch/clock/PwcClockTest.java
+++ b/core/src/test/java/silverlatch/clock/PwcClockTest.java
@@ -18,8 +18,7 @@
     private static final long MASK = (1L << LOW) - 1;
     private static final long MICRO = Ntp.span(1);
 
-    private record Mail(long due, int to, Stamp stamp, int root) {
-    }
+    private record Mail(long due, int to, Stamp stamp, int root) {}
 
     @Test
     void everyEffectIsLessThanItsCauseOnRandomGraphsWithSkewUpToTheBound() {
@@ -57,7 +56,11 @@
                     if (step instanceof ClockReading.Made m) {
                         assertThat("seed " + seed, x.stamp().before(m.stamp()), is(true));
                         assertThat("seed " + seed, m.stamp().bits(), greaterThan(tides[x.to()].last()));
-                        unseen(Math.max(x.stamp().bits(), tides[x.to()].last()), m.stamp().bits(), real + off[x.to()], seed);
+                        unseen(
+                                Math.max(x.stamp().bits(), tides[x.to()].last()),
+                                m.stamp().bits(),
+                                real + off[x.to()],
+                                seed);
                         tides[x.to()] = m.tide();
                     } else {
                         assertThat("seed " + seed, step, instanceOf(ClockReading.Wait.class));
--- a/core/src/test/java/silverlatch/dispatch/DispatcherTest.java
+++ b/core/src/test/java/silverlatch/dispatch/DispatcherTest.java
@@ -14,17 +14,17 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import silverlatch.clock.Stamp;
 import silverlatch.dispatch.permit.Permit;
 import silverlatch.dispatch.permit.Seals;
-import silverlatch.membership.Member;
 import silverlatch.gossip.Gossip;
 import silverlatch.gossip.Worker;
-import silverlatch.state.StateMachine;
+import silverlatch.membership.Member;
+import silverlatch.state.CommandResult;
 import silverlatch.state.Entry;
-import silverlatch.state.Value;
+import silverlatch.state.StateMachine;
 import silverlatch.state.TableRules;
-import silverlatch.state.CommandResult;
-import silverlatch.clock.Stamp;
+import silverlatch.state.Value;
 
 /** One gateway with scripted consumers, workers and chain, on a fake clock. */
 final class DispatcherTest {
@@ -44,7 +44,8 @@
         tenant("two", List.of(), 1);
         row(TableRules.plain("*", "ask"));
         worker("w1", "z1", "r1", 4);
-        return new Dispatcher(Dispatcher.Setup.PLAIN, SEALS, facts(me), () -> new Stamp(++stamp), new SplittableRandom(3));
+        return new Dispatcher(
+                Dispatcher.Setup.PLAIN, SEALS, facts(me), () -> new Stamp(++stamp), new SplittableRandom(3));
     }
 
     private Facts facts(final Member me) {
@@ -52,15 +53,26 @@
     }
 
     private void tenant(final String name, final List<String> homes, final double share) {
-        policy.put("t/" + name, new Entry("t/" + name, page, List.of(new Value.Tenant(name, homes, share, Seals.hash("key-" + name), "salt"))));
+        policy.put(
+                "t/" + name,
+                new Entry(
+                        "t/" + name,
+                        page,
+                        List.of(new Value.Tenant(name, homes, share, Seals.hash("key-" + name), "salt"))));
     }
 
     private void row(final Value.Row r) {
-        policy.put(StateMachine.row(r.tenant(), r.kind()), new Entry(StateMachine.row(r.tenant(), r.kind()), page, List.of(r)));
+        policy.put(
+                StateMachine.row(r.tenant(), r.kind()),
+                new Entry(StateMachine.row(r.tenant(), r.kind()), page, List.of(r)));
     }
 
     private void worker(final String id, final String zone, final String region, final int slots) {
-        workers.put(id, new Gossip.Heard(new Worker(id, id, zone, region, 1, now, 0, 0, slots, List.of(), false, 60_000_000), Optional.of(now)));
+        workers.put(
+                id,
+                new Gossip.Heard(
+                        new Worker(id, id, zone, region, 1, now, 0, 0, slots, List.of(), false, 60_000_000),
+                        Optional.of(now)));
     }
 
     private void learn() {
@@ -90,7 +102,10 @@
     }
 
     private Act.Rejected rejected(final long of) {
-        return all(Act.Rejected.class).stream().filter(r -> r.token() == of).findFirst().orElseThrow();
+        return all(Act.Rejected.class).stream()
+                .filter(r -> r.token() == of)
+                .findFirst()
+                .orElseThrow();
     }
 
     private Act.Run run() {
@@ -98,12 +113,21 @@
     }
 
     private Line.Seal seal(final Act.Run r, final String... texts) {
-        return new Line.Seal(r.worker(), r.ticket(), r.run(), texts.length, HexFormat.of().formatHex(
-                Seals.digest().digest(String.join("", texts).getBytes(java.nio.charset.StandardCharsets.UTF_8))));
+        return new Line.Seal(
+                r.worker(),
+                r.ticket(),
+                r.run(),
+                texts.length,
+                HexFormat.of()
+                        .formatHex(Seals.digest()
+                                .digest(String.join("", texts).getBytes(java.nio.charset.StandardCharsets.UTF_8))));
     }
 
     private List<Line> flowed(final long of) {
-        return all(Act.Flow.class).stream().filter(f -> f.token() == of).flatMap(f -> f.lines().stream()).toList();
+        return all(Act.Flow.class).stream()
+                .filter(f -> f.token() == of)
+                .flatMap(f -> f.lines().stream())
+                .toList();
     }
 
     @Test
@@ -121,9 +145,12 @@
 
     @Test
     void whatDoesNotFitEndsAsLostAndNeverWithASeal() {
-        final List<java.util.function.Function<Act.Run, Line>> wrongs = List.of(r -> new Line.Piece(r.ticket(), r.run(), 1, "b"),
-                r -> new Line.Piece(r.ticket() + "x", r.run(), 0, "b"), r -> new Line.Piece(r.ticket(), r.run() + "x", 0, "b"),
-                r -> seal(r, "more"), r -> new Line.Seal(r.worker(), r.ticket(), r.run(), 0, "00"));
+        final List<java.util.function.Function<Act.Run, Line>> wrongs = List.of(
+                r -> new Line.Piece(r.ticket(), r.run(), 1, "b"),
+                r -> new Line.Piece(r.ticket() + "x", r.run(), 0, "b"),
+                r -> new Line.Piece(r.ticket(), r.run() + "x", 0, "b"),
+                r -> seal(r, "more"),
+                r -> new Line.Seal(r.worker(), r.ticket(), r.run(), 0, "00"));
         for (final java.util.function.Function<Act.Run, Line> wrong : wrongs) {
             final long t = hand("one", pick("one", "ask", "").permit());
             carry.line(run().job(), wrong.apply(run()), now);
@@ -136,7 +163,10 @@
     @Test
     void aForgedPermitIsRejectedAndALateCopyNeverRuns() {
         final String permit = pick("one", "ask", "").permit();
-        assertThat(rejected(hand("one", permit.substring(0, permit.length() - 2) + "AA")).code(), is(403));
+        assertThat(
+                rejected(hand("one", permit.substring(0, permit.length() - 2) + "AA"))
+                        .code(),
+                is(403));
         assertThat(rejected(hand("two", permit)).code(), is(401));
         hand("one", permit);
         final int runs = all(Act.Run.class).size();
@@ -144,7 +174,8 @@
         now += 3_000_000;
         learn();
         assertThat(rejected(hand("one", permit)).code(), is(409));
-        final String old = SEALS.write(new Permit("t", "one", "ask", "w1", "p1", 6, 1, new Stamp(5), now + 1_000_000, ""));
+        final String old =
+                SEALS.write(new Permit("t", "one", "ask", "w1", "p1", 6, 1, new Stamp(5), now + 1_000_000, ""));
         assertThat(rejected(hand("one", old)).code(), is(410));
         assertThat(all(Act.Run.class).size(), is(runs));
     }
@@ -156,9 +187,19 @@
         final Act.Picked p = pick("one", "ask", "");
         final String zone = p.worker().equals("w1") ? "z1" : "z2";
         final String other = p.worker().equals("w1") ? "w2" : "w1";
-        policy.put("z/" + zone, new Entry("z/" + zone, ++page, List.of(new Value.Evacuation(zone, true, new Stamp(++stamp)))));
+        policy.put(
+                "z/" + zone,
+                new Entry("z/" + zone, ++page, List.of(new Value.Evacuation(zone, true, new Stamp(++stamp)))));
         if (zone.equals("z1")) {
-            carry.facts(new Facts(ME, page, Optional.of(now), silverlatch.state.Policy.of(policy.values()), workers, List.of()), now);
+            carry.facts(
+                    new Facts(
+                            ME,
+                            page,
+                            Optional.of(now),
+                            silverlatch.state.Policy.of(policy.values()),
+                            workers,
+                            List.of()),
+                    now);
             assertThat(rejected(hand("one", p.permit())).why(), containsString("being emptied"));
         } else {
             learn();
@@ -191,7 +232,10 @@
         gather();
         assertThat(all(Act.Run.class).size(), is(1));
         final long t = hand("one", pick("one", "rule", "k").permit());
-        carry.verdict(all(Act.Claim.class).getLast().job(), new CommandResult.AlreadyClaimed(new Value.Claim("x", "p1", "running", 0, 0)), now);
+        carry.verdict(
+                all(Act.Claim.class).getLast().job(),
+                new CommandResult.AlreadyClaimed(new Value.Claim("x", "p1", "running", 0, 0)),
+                now);
         gather();
         assertThat(rejected(t).code(), is(409));
         assertThat(rejected(t).stands(), containsString("running"));
@@ -264,7 +308,10 @@
             now += 1_000;
             learn();
         }
-        final long two = all(Act.Run.class).stream().limit(28).filter(r -> r.tenant().equals("two")).count();
+        final long two = all(Act.Run.class).stream()
+                .limit(28)
+                .filter(r -> r.tenant().equals("two"))
+                .count();
         assertThat(two, is(10L));
     }
 
--- a/core/src/test/java/silverlatch/gossip/ControllerReportsTest.java
+++ b/core/src/test/java/silverlatch/gossip/ControllerReportsTest.java
@@ -16,13 +16,13 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import silverlatch.membership.Membership;
 import silverlatch.membership.Member;
+import silverlatch.membership.Membership;
 import silverlatch.node.Effect;
-import silverlatch.safeguard.Safeguards;
 import silverlatch.replication.View;
-import silverlatch.state.StateMachine;
+import silverlatch.safeguard.Safeguards;
 import silverlatch.state.Entry;
+import silverlatch.state.StateMachine;
 import silverlatch.state.TableRules;
 import silverlatch.wire.Msg;
 
@@ -32,21 +32,21 @@
     private final Map<String, Gossip> rumors = new LinkedHashMap<>();
     private final Set<String> cut = new HashSet<>();
     private final Set<String> dead = new HashSet<>();
-    private final PriorityQueue<Letter> letters = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
-            : Long.compare(a.turn(), b.turn()));
+    private final PriorityQueue<Letter> letters = new PriorityQueue<>(
+            (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.turn(), b.turn()));
     private final List<Msg> sent = new ArrayList<>();
     private final SplittableRandom luck = new SplittableRandom(5);
     private long now = 100 * SECOND;
     private long turn;
 
-    private record Letter(long at, long turn, String from, String to, Msg body) {
-    }
+    private record Letter(long at, long turn, String from, String to, Msg body) {}
 
     private void fleet(final int size) {
         final List<Member> all = new ArrayList<>();
         for (int i = 0; i < size; i++) {
             final String id = (i < 3 ? "h" : "p") + i;
-            all.add(new Member(id, i < 3 ? "controller" : "gateway", "z" + i % 3, "r" + i % 3, id, id, 1, 0, "up", true));
+            all.add(new Member(
+                    id, i < 3 ? "controller" : "gateway", "z" + i % 3, "r" + i % 3, id, id, 1, 0, "up", true));
         }
         all.forEach(m -> {
             final Membership crew = new Membership(m, List.of("h0", "h1", "h2"), Membership.Times.PLAIN);
@@ -82,13 +82,19 @@
         for (final Effect e : rumors.get(id).drain()) {
             if (e instanceof Effect.Send s) {
                 sent.add(s.body());
-                letters.add(new Letter(now + 1_000 + (id.charAt(1) % 3 == s.to().charAt(1) % 3 ? 0 : 34_000), turn++, id, s.to(), s.body()));
+                letters.add(new Letter(
+                        now + 1_000 + (id.charAt(1) % 3 == s.to().charAt(1) % 3 ? 0 : 34_000),
+                        turn++,
+                        id,
+                        s.to(),
+                        s.body()));
             }
         }
     }
 
     private static Worker worker(final long life, final long sequence, final boolean leaving, final long cold) {
-        return new Worker("w", "10.0.0.9:1", "z0", "r0", life, sequence, 3, 1, 8, List.of(4L), leaving, 0, "pool", cold, 0);
+        return new Worker(
+                "w", "10.0.0.9:1", "z0", "r0", life, sequence, 3, 1, 8, List.of(4L), leaving, 0, "pool", cold, 0);
     }
 
     private void say(final String at, final long sequence) {
@@ -112,7 +118,9 @@
     }
 
     private long bodies() {
-        return sent.stream().filter(m -> m instanceof Msg.Push || m instanceof Msg.Marks || m instanceof Msg.Bodies).count();
+        return sent.stream()
+                .filter(m -> m instanceof Msg.Push || m instanceof Msg.Marks || m instanceof Msg.Bodies)
+                .count();
     }
 
     @Test
@@ -122,7 +130,11 @@
         pass(3 * SECOND);
         sent.clear();
         beat("h0", 2, 20);
-        assertThat(sent.stream().filter(m -> !(m instanceof Msg.Ask || m instanceof Msg.Tell)).toList(), empty());
+        assertThat(
+                sent.stream()
+                        .filter(m -> !(m instanceof Msg.Ask || m instanceof Msg.Tell))
+                        .toList(),
+                empty());
         assertThat(at("h0").orElseThrow().age(now), lessThanOrEqualTo(1_300_000L));
         rumors.keySet().forEach(id -> {
             assertThat(at(id).orElseThrow().worker().sequence(), is(1L));
@@ -138,7 +150,9 @@
         say("h0", worker(1, 2, true, 0));
         dead.add("h0");
         pass(SECOND);
-        rumors.keySet().stream().filter(id -> !id.equals("h0")).forEach(id -> assertThat(id, at(id).orElseThrow().worker().leaving(), is(true)));
+        rumors.keySet().stream()
+                .filter(id -> !id.equals("h0"))
+                .forEach(id -> assertThat(id, at(id).orElseThrow().worker().leaving(), is(true)));
     }
 
     @Test
@@ -171,7 +185,8 @@
         rumors.keySet().forEach(id -> assertThat(id, at(id).isPresent(), is(false)));
         say("h2", worker(2, 1, false, 0));
         pass(SECOND);
-        rumors.keySet().forEach(id -> assertThat(id, at(id).orElseThrow().worker().life(), is(2L)));
+        rumors.keySet()
+                .forEach(id -> assertThat(id, at(id).orElseThrow().worker().life(), is(2L)));
         rumors.get("h0").gone("w", now);
         ship("h0");
         pass(62 * SECOND);
@@ -216,7 +231,8 @@
     void aWrongWordOfSilenceIsRefutedByTheHarborThatHearsTheWorker() {
         fleet(5);
         beat("h0", 1, 3);
-        final WorkerReport lie = new WorkerReport(WorkerReport.of(worker(1, 1, false, 0)).worker(), true, false, 5 * SECOND);
+        final WorkerReport lie =
+                new WorkerReport(WorkerReport.of(worker(1, 1, false, 0)).worker(), true, false, 5 * SECOND);
         rumors.get("p4").on(new Msg.Push(List.of(), List.of(), List.of(lie), 0), "h1", now);
         pass(SECOND);
         rumors.keySet().forEach(id -> assertThat(id, at(id).orElseThrow().silent(), is(false)));
@@ -260,13 +276,20 @@
     void equalDigestsBringNoBodiesAndOneThatDiffersBringsOne() {
         fleet(5);
         for (int i = 0; i < 40; i++) {
-            rumors.get("h0").announced(new Worker("w" + i, "a:" + i, "z0", "r0", 1, 1, 0, 0, 8, List.of(), false, 0), 0, now);
+            rumors.get("h0")
+                    .announced(new Worker("w" + i, "a:" + i, "z0", "r0", 1, 1, 0, 0, 8, List.of(), false, 0), 0, now);
         }
         pass(3 * SECOND);
         sent.clear();
         pass(2 * SECOND);
         assertThat(bodies(), is(0L));
-        assertThat(sent.stream().filter(m -> m instanceof Msg.Tell t && t.news() instanceof Msg.News.Brief b && !b.ranges().isEmpty()).toList(), empty());
+        assertThat(
+                sent.stream()
+                        .filter(m -> m instanceof Msg.Tell t
+                                && t.news() instanceof Msg.News.Brief b
+                                && !b.ranges().isEmpty())
+                        .toList(),
+                empty());
         rumors.get("h0").announced(new Worker("w7", "a:7", "z0", "r0", 1, 2, 0, 0, 8, List.of(), true, 0), 0, now);
         rumors.get("h0").drain();
         pass(2 * SECOND);
@@ -275,7 +298,9 @@
                 assertThat(b.words().size(), lessThanOrEqualTo(1));
             }
         });
-        rumors.keySet().forEach(id -> assertThat(id, rumors.get(id).workers().get("w7").worker().leaving(), is(true)));
+        rumors.keySet()
+                .forEach(id -> assertThat(
+                        id, rumors.get(id).workers().get("w7").worker().leaving(), is(true)));
     }
 
     @Test
@@ -287,14 +312,16 @@
         cut.addAll(List.of("h0", "p3", "p6"));
         pass(5 * SECOND);
         List.of("h0", "p3", "p6").forEach(id -> assertThat(id, rumors.get(id).sure(now), greaterThan(4 * SECOND)));
-        List.of("h1", "h2", "p4", "p8").forEach(id -> assertThat(id, rumors.get(id).sure(now), lessThanOrEqualTo(2 * SECOND)));
+        List.of("h1", "h2", "p4", "p8")
+                .forEach(id -> assertThat(id, rumors.get(id).sure(now), lessThanOrEqualTo(2 * SECOND)));
     }
 
     @Test
     void aDeadHarborKeepsSilenceUntoldOfItsOwnZoneOnly() {
         fleet(9);
         say("h1", 1);
-        rumors.get("h1").announced(new Worker("v", "10.0.0.8:1", "z1", "r1", 1, 1, 0, 0, 8, List.of(), false, 0), 0, now);
+        rumors.get("h1")
+                .announced(new Worker("v", "10.0.0.8:1", "z1", "r1", 1, 1, 0, 0, 8, List.of(), false, 0), 0, now);
         ship("h1");
         pass(SECOND);
         dead.add("h0");
--- a/core/src/test/java/silverlatch/json/JsonSchemaTest.java
+++ b/core/src/test/java/silverlatch/json/JsonSchemaTest.java
@@ -10,14 +10,53 @@
 
 final class JsonSchemaTest {
     @ParameterizedTest
-    @ValueSource(strings = {"{}", " [ ] ", "{\"a\":[1,-0,0.5,1e9,2E-3,10],\"b\":{\"c\":null}}\n", "[true,false,null,\"\\u00e9\\n\\\"\"]", "\"é\"", "-7"})
+    @ValueSource(
+            strings = {
+                "{}",
+                " [ ] ",
+                "{\"a\":[1,-0,0.5,1e9,2E-3,10],\"b\":{\"c\":null}}\n",
+                "[true,false,null,\"\\u00e9\\n\\\"\"]",
+                "\"é\"",
+                "-7"
+            })
     void oneWholeValueIsWhole(final String text) {
         assertThat(found(text), is(JsonSchema.Found.WHOLE));
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", " ", "{", "[1,2", "{} x", "{}{}", "[1,]", "{\"a\":1,}", "{a:1}", "{\"a\" 1}", "{\"a\":}", "[1 2]", "01", "1.", ".5",
-            "+1", "1e", "-", "tru", "nul", "\"a", "\"\\x\"", "\"\\u12\"", "\"a\nb\"", "]", "{\"a\":1]", "[1}", "NaN", "'a'", "{\"a\":1 \"b\":2}"})
+    @ValueSource(
+            strings = {
+                "",
+                " ",
+                "{",
+                "[1,2",
+                "{} x",
+                "{}{}",
+                "[1,]",
+                "{\"a\":1,}",
+                "{a:1}",
+                "{\"a\" 1}",
+                "{\"a\":}",
+                "[1 2]",
+                "01",
+                "1.",
+                ".5",
+                "+1",
+                "1e",
+                "-",
+                "tru",
+                "nul",
+                "\"a",
+                "\"\\x\"",
+                "\"\\u12\"",
+                "\"a\nb\"",
+                "]",
+                "{\"a\":1]",
+                "[1}",
+                "NaN",
+                "'a'",
+                "{\"a\":1 \"b\":2}"
+            })
     void anythingElseIsBroken(final String text) {
         assertThat(found(text), is(JsonSchema.Found.BROKEN));
     }
--- a/core/src/test/java/silverlatch/log/WriteAheadLogTest.java
+++ b/core/src/test/java/silverlatch/log/WriteAheadLogTest.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import silverlatch.replication.View;
-import silverlatch.state.StateMachine;
 import silverlatch.state.Entry;
+import silverlatch.state.StateMachine;
 import silverlatch.state.Value;
 
 final class WriteAheadLogTest {
@@ -36,7 +36,9 @@
         first.ledger().close();
         final WriteAheadLog.Opened.Good second = open(folder);
         assertThat(second.identity(), is(first.identity()));
-        assertThat(second.notes(), is(List.of(new LogRecord.Promised(1, 0), new LogRecord.Promised(2, 3), new LogRecord.Promised(4, 0))));
+        assertThat(
+                second.notes(),
+                is(List.of(new LogRecord.Promised(1, 0), new LogRecord.Promised(2, 3), new LogRecord.Promised(4, 0))));
     }
 
     @Test
@@ -71,8 +73,10 @@
     void aPictureOfAsManyClaimsAsThereMayBeIsReadBack() throws IOException {
         final List<Entry> claims = new java.util.ArrayList<>();
         for (int i = 0; i < StateMachine.CLAIMS; i++) {
-            claims.add(new Entry("c/" + String.format("%064x", i), i, List.of(new Value.Claim("gateway-1-hmi2nbkpu3-z2gfbs3q7i" + i, "10.0.0.1:7000",
-                    "running", i, 1))));
+            claims.add(new Entry(
+                    "c/" + String.format("%064x", i),
+                    i,
+                    List.of(new Value.Claim("gateway-1-hmi2nbkpu3-z2gfbs3q7i" + i, "10.0.0.1:7000", "running", i, 1))));
         }
         final LogRecord.Snapshot picture = new LogRecord.Snapshot(1, View.NONE, true, 0, 0, List.of(), 1, claims);
         final WriteAheadLog.Opened.Good first = open(folder);
@@ -124,7 +128,8 @@
         first.ledger().write(List.of(new LogRecord.Promised(3, 0)));
         first.ledger().close();
         assertThat(Files.exists(segment(1)), is(false));
-        assertThat(open(folder).notes(), is(List.of(picture, new LogRecord.Promised(2, 0), new LogRecord.Promised(3, 0))));
+        assertThat(
+                open(folder).notes(), is(List.of(picture, new LogRecord.Promised(2, 0), new LogRecord.Promised(3, 0))));
         Files.write(folder.resolve("picture-000000000002"), new byte[] {1, 2, 3});
         assertThat(WriteAheadLog.open(folder), instanceOf(WriteAheadLog.Opened.Damaged.class));
     }
--- a/core/src/test/java/silverlatch/membership/MembershipTest.java
+++ b/core/src/test/java/silverlatch/membership/MembershipTest.java
@@ -11,9 +11,9 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import silverlatch.clock.Stamp;
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
-import silverlatch.clock.Stamp;
 import silverlatch.wire.Msg;
 
 /** A crew on a fake clock; frames arrive at once unless the script holds them back, news is passed to all. */
@@ -24,7 +24,12 @@
     private long now = 1_000_000;
 
     private void start(final String id, final long life) {
-        crews.put(id, new Membership(new Member(id, "gateway", "z", "r", id, id, life, 0, "up", true), List.of("n0", "n1", "n2"), Membership.Times.PLAIN));
+        crews.put(
+                id,
+                new Membership(
+                        new Member(id, "gateway", "z", "r", id, id, life, 0, "up", true),
+                        List.of("n0", "n1", "n2"),
+                        Membership.Times.PLAIN));
         logs.computeIfAbsent(id, k -> new ArrayList<>());
     }
 
@@ -116,6 +121,8 @@
         start("n3", 7);
         pass(3_000_000);
         assertThat(crews.get("n3").me().life() > old, is(true));
-        assertThat(crews.get("n0").get("n3").orElseThrow().life(), is(crews.get("n3").me().life()));
+        assertThat(
+                crews.get("n0").get("n3").orElseThrow().life(),
+                is(crews.get("n3").me().life()));
     }
 }
--- a/core/src/test/java/silverlatch/membership/PulseTest.java
+++ b/core/src/test/java/silverlatch/membership/PulseTest.java
@@ -11,8 +11,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import silverlatch.node.Effect;
 import silverlatch.clock.Stamp;
+import silverlatch.node.Effect;
 import silverlatch.wire.Msg;
 
 /** A crew at quiet rates, where three heartbeats in four tell only that a life goes on. */
@@ -24,7 +24,12 @@
     private long now = SECOND;
 
     private void start(final String id, final long life) {
-        crews.put(id, new Membership(new Member(id, "gateway", "z", "r", id, id, life, 0, "up", true), List.of("n0", "n1", "n2"), Membership.Times.QUIET));
+        crews.put(
+                id,
+                new Membership(
+                        new Member(id, "gateway", "z", "r", id, id, life, 0, "up", true),
+                        List.of("n0", "n1", "n2"),
+                        Membership.Times.QUIET));
     }
 
     private void pass(final long span) {
@@ -32,18 +37,23 @@
             List.copyOf(crews.keySet()).forEach(id -> {
                 crews.get(id).tick(now);
                 ship(id);
-                crews.get(id).news().forEach(m -> crews.forEach((to, c) -> {
-                    if (!mute.contains(id) && !mute.contains(to)) {
-                        c.learn(m, now);
-                    }
-                }));
+                crews.get(id)
+                        .news()
+                        .forEach(m -> crews.forEach((to, c) -> {
+                            if (!mute.contains(id) && !mute.contains(to)) {
+                                c.learn(m, now);
+                            }
+                        }));
             });
         }
     }
 
     private void ship(final String id) {
         for (final Effect e : crews.get(id).drain()) {
-            if (e instanceof Effect.Send s && crews.containsKey(s.to()) && !mute.contains(id) && !mute.contains(s.to())) {
+            if (e instanceof Effect.Send s
+                    && crews.containsKey(s.to())
+                    && !mute.contains(id)
+                    && !mute.contains(s.to())) {
                 sent.add(s.body());
                 crews.get(s.to()).on(s.body(), now, 0, Stamp.NONE);
                 ship(s.to());
--- a/core/src/test/java/silverlatch/node/EventTest.java
+++ b/core/src/test/java/silverlatch/node/EventTest.java
@@ -27,9 +27,11 @@
             page.add(rows.group(1) + " " + rows.group(2) + " " + rows.group(3));
         }
         final Set<String> code = Arrays.stream(Event.values())
-                .map(e -> e.number() + " " + e + " " + (e.warning() ? "WARN" : "INFO")).collect(Collectors.toCollection(TreeSet::new));
+                .map(e -> e.number() + " " + e + " " + (e.warning() ? "WARN" : "INFO"))
+                .collect(Collectors.toCollection(TreeSet::new));
         assertThat(page, is(code));
-        assertThat(Arrays.stream(Event.values()).map(Event::number).distinct().count(), is((long) Event.values().length));
+        assertThat(
+                Arrays.stream(Event.values()).map(Event::number).distinct().count(), is((long) Event.values().length));
     }
 
     @Test
@@ -37,13 +39,16 @@
         final StringBuilder all = new StringBuilder();
         for (final String module : new String[] {"core", "server"}) {
             try (Stream<Path> files = Files.walk(ROOT.resolve(module + "/src/main/java"))) {
-                for (final Path f : files.filter(p -> p.toString().endsWith(".java") && !p.endsWith("Event.java")).toList()) {
+                for (final Path f : files.filter(p -> p.toString().endsWith(".java") && !p.endsWith("Event.java"))
+                        .toList()) {
                     all.append(Files.readString(f));
                 }
             }
         }
-        final Set<String> unused = Arrays.stream(Event.values()).map(Event::name)
-                .filter(n -> !all.toString().contains("Event." + n)).collect(Collectors.toCollection(TreeSet::new));
+        final Set<String> unused = Arrays.stream(Event.values())
+                .map(Event::name)
+                .filter(n -> !all.toString().contains("Event." + n))
+                .collect(Collectors.toCollection(TreeSet::new));
         assertThat(unused, is(Set.of()));
     }
 }
--- a/core/src/test/java/silverlatch/replication/ChainClientTest.java
+++ b/core/src/test/java/silverlatch/replication/ChainClientTest.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import silverlatch.node.Effect;
-import silverlatch.state.CommandResult;
 import silverlatch.state.Command;
+import silverlatch.state.CommandResult;
 import silverlatch.wire.Msg;
 
 final class ChainClientTest {
@@ -15,7 +15,10 @@
     private final ChainClient clerk = new ChainClient("me", () -> view, 10);
 
     private List<String> sent() {
-        return clerk.drain().stream().filter(e -> e instanceof Effect.Send).map(e -> ((Effect.Send) e).to()).toList();
+        return clerk.drain().stream()
+                .filter(e -> e instanceof Effect.Send)
+                .map(e -> ((Effect.Send) e).to())
+                .toList();
     }
 
     @Test
--- a/core/src/test/java/silverlatch/replication/ChainReplicaTest.java
+++ b/core/src/test/java/silverlatch/replication/ChainReplicaTest.java
@@ -13,12 +13,12 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
-import silverlatch.node.Effect;
+import silverlatch.clock.Stamp;
 import silverlatch.log.LogRecord;
-import silverlatch.state.Value;
-import silverlatch.state.CommandResult;
+import silverlatch.node.Effect;
 import silverlatch.state.Command;
-import silverlatch.clock.Stamp;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Value;
 import silverlatch.wire.Msg;
 
 /** Three machines, a scripted operator, and a fake clock; messages go only where the script lets them. */
@@ -37,7 +37,13 @@
     private void start(final String seat, final String id) {
         disks.putIfAbsent(seat, new ArrayList<>());
         unsynced.put(seat, new ArrayList<>());
-        quays.put(seat, new ChainReplica(ChainReplica.Setup.of(new Replica(id, seat), SEATS), List.copyOf(disks.get(seat)), () -> new Stamp(++stamp), now));
+        quays.put(
+                seat,
+                new ChainReplica(
+                        ChainReplica.Setup.of(new Replica(id, seat), SEATS),
+                        List.copyOf(disks.get(seat)),
+                        () -> new Stamp(++stamp),
+                        now));
         down.remove(seat);
     }
 
@@ -78,11 +84,12 @@
     private void effect(final String seat, final ChainReplica q, final Effect e) {
         switch (e) {
             case Effect.Send s when s.to().equals("operator") -> told.add(s.body());
-            case Effect.Send s -> mail.add(() -> {
-                if (!down.contains(s.to()) && !down.contains(seat) && quays.containsKey(s.to())) {
-                    quays.get(s.to()).on(s.body(), seat, now);
-                }
-            });
+            case Effect.Send s ->
+                mail.add(() -> {
+                    if (!down.contains(s.to()) && !down.contains(seat) && quays.containsKey(s.to())) {
+                        quays.get(s.to()).on(s.body(), seat, now);
+                    }
+                });
             case Effect.Keep k -> {
                 if (stuck.contains(seat)) {
                     unsynced.get(seat).add(k);
@@ -90,8 +97,7 @@
                     mail.add(() -> sync(seat, q, k));
                 }
             }
-            default -> {
-            }
+            default -> {}
         }
     }
 
@@ -108,7 +114,14 @@
     }
 
     private void put(final String at, final String id, final long match) {
-        quays.get(at).on(new Msg.WriteRequest(1, "operator", new Command.PutTable(id, List.of(silverlatch.state.TableRules.plain("*", id)), match)), "operator", now);
+        quays.get(at)
+                .on(
+                        new Msg.WriteRequest(
+                                1,
+                                "operator",
+                                new Command.PutTable(id, List.of(silverlatch.state.TableRules.plain("*", id)), match)),
+                        "operator",
+                        now);
         pump();
     }
 
@@ -118,7 +131,9 @@
 
     private Set<String> kinds(final String at) {
         final Set<String> set = new TreeSet<>();
-        quays.get(at).books().part("r/").values().stream().filter(e -> !e.gone()).forEach(e -> set.add(((Value.Row) e.leaf().getFirst()).kind()));
+        quays.get(at).books().part("r/").values().stream()
+                .filter(e -> !e.gone())
+                .forEach(e -> set.add(((Value.Row) e.leaf().getFirst()).kind()));
         return set;
     }
 
@@ -163,7 +178,15 @@
     void aHeadThatDiesBetweenSyncAndReplyLeavesItsChangeToTheNextHead() {
         found();
         put("a", "one", -1);
-        quays.get("a").on(new Msg.WriteRequest(2, "operator", new Command.PutTable("two", List.of(silverlatch.state.TableRules.plain("*", "two")), -1)), "operator", now);
+        quays.get("a")
+                .on(
+                        new Msg.WriteRequest(
+                                2,
+                                "operator",
+                                new Command.PutTable(
+                                        "two", List.of(silverlatch.state.TableRules.plain("*", "two")), -1)),
+                        "operator",
+                        now);
         quays.get("a").drain().forEach(e -> effect("a", quays.get("a"), e));
         for (int i = mail.size(); i > 0; i--) {
             mail.poll().run();
@@ -202,7 +225,8 @@
             quays.get("b").tick(now);
             pump();
             final boolean reads = quays.get("c").state(now).leased();
-            final boolean moved = quays.get("a").view().number() > 1 || quays.get("b").view().number() > 1;
+            final boolean moved =
+                    quays.get("a").view().number() > 1 || quays.get("b").view().number() > 1;
             overlap |= reads && moved;
         }
         assertThat("the chain went on", quays.get("b").view().number() > 1, is(true));
@@ -241,11 +265,22 @@
     @Test
     void aRejectedChangeStaysRejectedWhenACopyOfItComesLate() {
         found();
-        final Msg.WriteRequest copy = new Msg.WriteRequest(7, "operator", new Command.PutTable("late", List.of(silverlatch.state.TableRules.plain("someone", "late")), -1));
+        final Msg.WriteRequest copy = new Msg.WriteRequest(
+                7,
+                "operator",
+                new Command.PutTable("late", List.of(silverlatch.state.TableRules.plain("someone", "late")), -1));
         quays.get("a").on(copy, "operator", now);
         pump();
         assertThat(((CommandResult.Rejected) ((Msg.WriteReply) last()).verdict()).code(), is(422));
-        quays.get("a").on(new Msg.WriteRequest(8, "operator", new Command.PutTenant("who", new Value.Tenant("someone", List.of(), 1, "0".repeat(64), "s"), -1)), "operator", now);
+        quays.get("a")
+                .on(
+                        new Msg.WriteRequest(
+                                8,
+                                "operator",
+                                new Command.PutTenant(
+                                        "who", new Value.Tenant("someone", List.of(), 1, "0".repeat(64), "s"), -1)),
+                        "operator",
+                        now);
         pump();
         assertThat(((Msg.WriteReply) last()).verdict(), instanceOf(CommandResult.Applied.class));
         quays.get("a").on(copy, "operator", now);
@@ -257,7 +292,11 @@
     @Test
     void aDutyOfAnOldHolderIsRejected() {
         found();
-        quays.get("a").on(new Msg.WriteRequest(3, "operator", new Command.AdvanceEpoch("sweep-0", Long.MAX_VALUE, 0)), "operator", now);
+        quays.get("a")
+                .on(
+                        new Msg.WriteRequest(3, "operator", new Command.AdvanceEpoch("sweep-0", Long.MAX_VALUE, 0)),
+                        "operator",
+                        now);
         pump();
         assertThat(((CommandResult.Rejected) ((Msg.WriteReply) last()).verdict()).code(), is(409));
     }
@@ -309,20 +348,32 @@
     @Test
     void aHolderWhoseClockIsFarAheadForgetsNoClaimAndLetsNoChangeIn() {
         found();
-        mail.add(() -> quays.get("a").on(new Msg.WriteRequest(71, "operator", new Command.Claim("h", "key", "one", "p", 5)), "operator", now));
+        mail.add(() -> quays.get("a")
+                .on(
+                        new Msg.WriteRequest(71, "operator", new Command.Claim("h", "key", "one", "p", 5)),
+                        "operator",
+                        now));
         pass(1_000_000);
         final long right = stamp;
         stamp = right + silverlatch.clock.Ntp.span(30L * 86_400 * 1_000_000);
         start("a", "id-a");
         down.addAll(List.of("b", "c"));
-        mail.add(() -> quays.get("a").on(new Msg.WriteRequest(72, "operator", new Command.SetEvacuation("z", "syros", true, -1)), "operator", now));
+        mail.add(() -> quays.get("a")
+                .on(
+                        new Msg.WriteRequest(72, "operator", new Command.SetEvacuation("z", "syros", true, -1)),
+                        "operator",
+                        now));
         pass(500_000);
         stamp = right + 1_000_000;
         down.clear();
         pass(20_000_000);
         assertThat(quays.get("c").books().get("c/key").isPresent(), is(true));
         assertThat(quays.get("c").books().get("z/syros").isPresent(), is(false));
-        mail.add(() -> quays.get("a").on(new Msg.WriteRequest(73, "operator", new Command.SetEvacuation("y", "rhodes", true, -1)), "operator", now));
+        mail.add(() -> quays.get("a")
+                .on(
+                        new Msg.WriteRequest(73, "operator", new Command.SetEvacuation("y", "rhodes", true, -1)),
+                        "operator",
+                        now));
         pass(1_000_000);
         assertThat(quays.get("c").books().get("z/rhodes").isPresent(), is(true));
     }
--- a/core/src/test/java/silverlatch/replication/FailoverTimeTest.java
+++ b/core/src/test/java/silverlatch/replication/FailoverTimeTest.java
@@ -23,8 +23,11 @@
     private static ReplicaCluster found(final List<String> all) {
         final ReplicaCluster bay = new ReplicaCluster(SEATS, HOP, s -> s.counts(2, all.size()));
         all.forEach(s -> bay.start(s, true));
-        final long took = bay.until(20_000_000, () -> all.stream().allMatch(s -> bay.quay(s).state(bay.now()).level()
-                && bay.quay(s).view().chain().size() == all.size()));
+        final long took = bay.until(
+                20_000_000,
+                () -> all.stream()
+                        .allMatch(s -> bay.quay(s).state(bay.now()).level()
+                                && bay.quay(s).view().chain().size() == all.size()));
         assertThat("all stand in the chain", took >= 0, is(true));
         bay.pass(1_000_000);
         return bay;
@@ -44,11 +47,16 @@
                 }
             }
             final List<ReplicaCluster.Asked> asks = new ArrayList<>();
-            all.stream().filter(s -> !dead.contains(s)).forEach(s -> asks.add(bay.lay(s, asks.size() + 1, -1, 6_000_000)));
+            all.stream()
+                    .filter(s -> !dead.contains(s))
+                    .forEach(s -> asks.add(bay.lay(s, asks.size() + 1, -1, 6_000_000)));
             bay.pass(6_500_000);
             assertThat("one at least is kept", asks.stream().anyMatch(ReplicaCluster.Asked::kept), is(true));
-            asks.forEach(a -> assertThat("" + a.reply(), a.kept() || a.reply() instanceof CommandResult.Rejected, is(true)));
-            most = Math.max(most, asks.stream().mapToLong(ReplicaCluster.Asked::span).max().orElseThrow());
+            asks.forEach(
+                    a -> assertThat("" + a.reply(), a.kept() || a.reply() instanceof CommandResult.Rejected, is(true)));
+            most = Math.max(
+                    most,
+                    asks.stream().mapToLong(ReplicaCluster.Asked::span).max().orElseThrow());
         }
         return most;
     }
@@ -76,11 +84,13 @@
         final ReplicaCluster bay = new ReplicaCluster(SEATS, HOP, s -> s.counts(2, 6));
         SIX.forEach(s -> bay.start(s, true));
         bay.until(5_000_000, () -> bay.quay("a").view().number() == 1);
-        final List<ReplicaCluster.Asked> asks = LongStream.rangeClosed(1, 60).mapToObj(i -> {
-            final ReplicaCluster.Asked a = bay.lay("b", i, -1, 3_000_000);
-            bay.pass(50_000);
-            return a;
-        }).toList();
+        final List<ReplicaCluster.Asked> asks = LongStream.rangeClosed(1, 60)
+                .mapToObj(i -> {
+                    final ReplicaCluster.Asked a = bay.lay("b", i, -1, 3_000_000);
+                    bay.pass(50_000);
+                    return a;
+                })
+                .toList();
         bay.pass(3_000_000);
         assertThat(bay.quay("a").view().voters().size(), is(6));
         assertThat(asks.stream().mapToLong(ReplicaCluster.Asked::span).max().orElseThrow(), lessThan(600_000L));
--- a/core/src/test/java/silverlatch/replication/LogEntryTest.java
+++ b/core/src/test/java/silverlatch/replication/LogEntryTest.java
@@ -9,10 +9,10 @@
 import java.util.Collections;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import silverlatch.clock.Stamp;
 import silverlatch.state.ConfigurationValidator;
 import silverlatch.state.Entry;
 import silverlatch.state.Value;
-import silverlatch.clock.Stamp;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Msg;
 
@@ -23,25 +23,48 @@
 
     @Test
     void heavyChangesGoInFramesOfTheirOwn() {
-        final LogEntry heavy = change(1, new Value.ConfigurationDocument(1, "x".repeat(ConfigurationValidator.LONGEST)));
+        final LogEntry heavy =
+                change(1, new Value.ConfigurationDocument(1, "x".repeat(ConfigurationValidator.LONGEST)));
         final List<LogEntry> many = Collections.nCopies(9, heavy);
         final List<LogEntry> batch = LogEntry.batch(many.stream(), 512, 4L << 20);
         assertThat(batch.size(), is(1));
         assertThat(new Codec().write(new Msg.Replicate(1, batch)).length, lessThan(Codec.MOST));
         final LogEntry light = change(1, new Value.Epoch(1));
-        assertThat(LogEntry.batch(Collections.nCopies(900, light).stream(), 512, 4L << 20).size(), is(512));
-        assertThat(LogEntry.batch(List.of(light, light, heavy, light).stream(), 512, 4L << 20).size(), is(2));
+        assertThat(
+                LogEntry.batch(Collections.nCopies(900, light).stream(), 512, 4L << 20)
+                        .size(),
+                is(512));
+        assertThat(
+                LogEntry.batch(List.of(light, light, heavy, light).stream(), 512, 4L << 20)
+                        .size(),
+                is(2));
     }
 
     @Test
     void aCharterOfAsManyRulesAsThereMayBeFitsAFrame() {
         final List<Entry> puts = new ArrayList<>();
         for (int i = 0; i < ConfigurationValidator.MOST; i++) {
-            final Value.Route r = new Value.Route("rule of route number " + i, "service-" + i + ".example", "/some/longer/path/", true, true, false, true, 30_000_000,
-                    500_000, 20_000, 1, 3, List.of("north", "south"), List.of(new Value.WeightedBackend("warm", 3), new Value.WeightedBackend("spare", 1)));
+            final Value.Route r = new Value.Route(
+                    "rule of route number " + i,
+                    "service-" + i + ".example",
+                    "/some/longer/path/",
+                    true,
+                    true,
+                    false,
+                    true,
+                    30_000_000,
+                    500_000,
+                    20_000,
+                    1,
+                    3,
+                    List.of("north", "south"),
+                    List.of(new Value.WeightedBackend("warm", 3), new Value.WeightedBackend("spare", 1)));
             puts.add(new Entry(ConfigurationValidator.rule(r.host(), r.path()), 1, List.of(r)));
         }
-        puts.add(new Entry(ConfigurationValidator.PAPER, 1, List.of(new Value.ConfigurationDocument(1, "x".repeat(ConfigurationValidator.LONGEST)))));
+        puts.add(new Entry(
+                ConfigurationValidator.PAPER,
+                1,
+                List.of(new Value.ConfigurationDocument(1, "x".repeat(ConfigurationValidator.LONGEST)))));
         final LogEntry c = new LogEntry(1, 1, new Stamp(1), puts);
         final int size = new Codec().write(new Msg.Replicate(1, List.of(c))).length;
         assertThat(size, lessThan(Codec.MOST));
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -12,13 +12,13 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.UnaryOperator;
-import silverlatch.node.Effect;
+import silverlatch.clock.Stamp;
 import silverlatch.log.LogRecord;
+import silverlatch.node.Effect;
+import silverlatch.state.Command;
+import silverlatch.state.CommandResult;
 import silverlatch.state.ConfigurationValidator;
 import silverlatch.state.Value;
-import silverlatch.state.CommandResult;
-import silverlatch.state.Command;
-import silverlatch.clock.Stamp;
 import silverlatch.wire.Msg;
 
 /** Machines with ledgers and clerks on a fake clock: frames take a time, syncs take a time, and a power cut loses what wasn't synced. */
@@ -32,7 +32,8 @@
     private final Map<String, List<LogRecord>> disks = new TreeMap<>();
     private final Map<String, String> names = new HashMap<>();
     private final Set<Set<String>> cuts = new HashSet<>();
-    private final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::turn));
+    private final PriorityQueue<Due> queue =
+            new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::turn));
     private final Map<Long, Asked> asked = new LinkedHashMap<>();
     private long now = 1_000_000;
     private long turn;
@@ -75,12 +76,16 @@
     /** How all machines stand, for a failure's text. */
     @Override
     public String toString() {
-        return quays.entrySet().stream().map(e -> {
-            final ChainReplica.State s = e.getValue().state(now);
-            return "\n" + e.getKey() + " " + s.spot() + (s.level() ? " level" : "") + (s.leased() ? " leased" : "") + " sequence " + s.sequence()
-                    + " pending " + s.pending() + " view " + s.view().number() + " voters " + s.view().voters() + " chain "
-                    + s.view().chain().stream().map(Replica::address).toList();
-        }).collect(java.util.stream.Collectors.joining());
+        return quays.entrySet().stream()
+                .map(e -> {
+                    final ChainReplica.State s = e.getValue().state(now);
+                    return "\n" + e.getKey() + " " + s.spot() + (s.level() ? " level" : "")
+                            + (s.leased() ? " leased" : "") + " sequence " + s.sequence()
+                            + " pending " + s.pending() + " view " + s.view().number() + " voters "
+                            + s.view().voters() + " chain "
+                            + s.view().chain().stream().map(Replica::address).toList();
+                })
+                .collect(java.util.stream.Collectors.joining());
     }
 
     long now() {
@@ -99,8 +104,12 @@
     void start(final String seat, final boolean found) {
         final List<LogRecord> disk = disks.computeIfAbsent(seat, s -> new ArrayList<>());
         final String name = names.computeIfAbsent(seat, s -> "id-" + s + "-" + ++turn);
-        final ChainReplica q = new ChainReplica(setup.apply(ChainReplica.Setup.of(new Replica(name, seat), seats)).founds(found), List.copyOf(disk),
-                () -> new Stamp(++stamp), now);
+        final ChainReplica q = new ChainReplica(
+                setup.apply(ChainReplica.Setup.of(new Replica(name, seat), seats))
+                        .founds(found),
+                List.copyOf(disk),
+                () -> new Stamp(++stamp),
+                now);
         quays.put(seat, q);
         clerks.put(seat, new ChainClient(seat, q::view, turn++ * 1_000_000));
         beat(seat, q);
@@ -157,9 +166,28 @@
 
     static Command.PutConfiguration charter(final long number, final long match) {
         final Value.BackendPool pool = new Value.BackendPool("pool", "/", 1, 0, 1, 1, 0, 1);
-        final Value.Route rule = new Value.Route("rule", "host" + number, "/", false, false, false, false, 1, 0, 0, 0, 1, List.of(),
+        final Value.Route rule = new Value.Route(
+                "rule",
+                "host" + number,
+                "/",
+                false,
+                false,
+                false,
+                false,
+                1,
+                0,
+                0,
+                0,
+                1,
+                List.of(),
                 List.of(new Value.WeightedBackend("pool", 1)));
-        return new Command.PutConfiguration("lay-" + number + "-" + match, new Value.RoutingConfiguration(number, 1, 1, 1, 1), List.of(rule), List.of(pool), "paper " + number, match);
+        return new Command.PutConfiguration(
+                "lay-" + number + "-" + match,
+                new Value.RoutingConfiguration(number, 1, 1, 1, 1),
+                List.of(rule),
+                List.of(pool),
+                "paper " + number,
+                match);
     }
 
     Asked lay(final String at, final long number, final long match, final long span) {
@@ -180,16 +208,26 @@
 
     /** The number of the charter that a machine holds as acknowledged. */
     long held(final String seat) {
-        return quays.get(seat).books().get(ConfigurationValidator.CHARTER).map(e -> ((Value.RoutingConfiguration) e.leaf().getFirst()).number()).orElse(0L);
+        return quays.get(seat)
+                .books()
+                .get(ConfigurationValidator.CHARTER)
+                .map(e -> ((Value.RoutingConfiguration) e.leaf().getFirst()).number())
+                .orElse(0L);
     }
 
     /** On how many of the disks a charter is synced, as a change or within a picture. */
     long synced(final long number) {
-        return disks.values().stream().filter(d -> d.stream().anyMatch(n -> switch (n) {
-            case LogRecord.Appended x -> x.change().puts().stream().anyMatch(e -> e.key().equals(ConfigurationValidator.CHARTER) && at(e, number));
-            case LogRecord.Snapshot p -> p.entries().stream().anyMatch(e -> e.key().equals(ConfigurationValidator.CHARTER) && at(e, number));
-            default -> false;
-        })).count();
+        return disks.values().stream()
+                .filter(d -> d.stream().anyMatch(n -> switch (n) {
+                    case LogRecord.Appended x ->
+                        x.change().puts().stream()
+                                .anyMatch(e -> e.key().equals(ConfigurationValidator.CHARTER) && at(e, number));
+                    case LogRecord.Snapshot p ->
+                        p.entries().stream()
+                                .anyMatch(e -> e.key().equals(ConfigurationValidator.CHARTER) && at(e, number));
+                    default -> false;
+                }))
+                .count();
     }
 
     private static boolean at(final silverlatch.state.Entry e, final long number) {
@@ -234,24 +272,25 @@
                     });
                 }
             }
-            case Effect.Keep k -> at(now + 2_000, () -> {
-                if (quays.get(seat) == q) {
-                    k.notes().forEach(n -> {
-                        if (n instanceof LogRecord.Snapshot) {
-                            disks.get(seat).clear();
-                        }
-                        disks.get(seat).add(n);
-                    });
-                    q.kept(k.token(), now);
-                    flush(seat, q);
-                }
-            });
-            case Effect.Answer a -> Optional.ofNullable(asked.remove(a.token())).ifPresent(x -> {
-                x.reply = Optional.of(a.reply());
-                x.end = now;
-            });
-            case Effect.Log l -> {
-            }
+            case Effect.Keep k ->
+                at(now + 2_000, () -> {
+                    if (quays.get(seat) == q) {
+                        k.notes().forEach(n -> {
+                            if (n instanceof LogRecord.Snapshot) {
+                                disks.get(seat).clear();
+                            }
+                            disks.get(seat).add(n);
+                        });
+                        q.kept(k.token(), now);
+                        flush(seat, q);
+                    }
+                });
+            case Effect.Answer a ->
+                Optional.ofNullable(asked.remove(a.token())).ifPresent(x -> {
+                    x.reply = Optional.of(a.reply());
+                    x.end = now;
+                });
+            case Effect.Log l -> {}
         }
     }
 
@@ -263,6 +302,5 @@
         }
     }
 
-    private record Due(long at, long turn, Runnable job) {
-    }
+    private record Due(long at, long turn, Runnable job) {}
 }
--- a/core/src/test/java/silverlatch/replication/StormTest.java
+++ b/core/src/test/java/silverlatch/replication/StormTest.java
@@ -34,11 +34,9 @@
             bay = new ReplicaCluster(SEATS, 1_000 + luck.nextInt(60_000), s -> s.counts(copies, 6));
         }
 
-        private record Seen(ReplicaCluster.Asked asked, long least) {
-        }
+        private record Seen(ReplicaCluster.Asked asked, long least) {}
 
-        private record Wrote(ReplicaCluster.Asked asked, long number) {
-        }
+        private record Wrote(ReplicaCluster.Asked asked, long number) {}
 
         void run() {
             SIX.forEach(s -> bay.start(s, true));
@@ -54,21 +52,27 @@
             bay.pass(40 * SECOND);
             judge();
             final long most = acked();
-            SIX.forEach(s -> assertThat(s + " has the newest in the end" + bay, bay.held(s), greaterThanOrEqualTo(most)));
+            SIX.forEach(
+                    s -> assertThat(s + " has the newest in the end" + bay, bay.held(s), greaterThanOrEqualTo(most)));
             final ReplicaCluster.Asked last = bay.lay("d", ++number, -1, 5 * SECOND);
             bay.pass(6 * SECOND);
             assertThat("writes go on" + bay, last.kept(), is(true));
         }
 
         private long acked() {
-            return writes.stream().filter(w -> w.asked().kept()).mapToLong(Wrote::number).max().orElse(0);
+            return writes.stream()
+                    .filter(w -> w.asked().kept())
+                    .mapToLong(Wrote::number)
+                    .max()
+                    .orElse(0);
         }
 
         private boolean whole() {
-            return bay.up().size() == 6 && SIX.stream().allMatch(s -> {
-                final ChainReplica.State q = bay.quay(s).state(bay.now());
-                return q.level() && q.view().chain().size() == 6;
-            });
+            return bay.up().size() == 6
+                    && SIX.stream().allMatch(s -> {
+                        final ChainReplica.State q = bay.quay(s).state(bay.now());
+                        return q.level() && q.view().chain().size() == 6;
+                    });
         }
 
         private void fault() {
@@ -103,9 +107,9 @@
                         SIX.forEach(s -> bay.start(s, false));
                     }
                 }
-                case 6, 7, 8 -> SIX.stream().filter(s -> !bay.up().contains(s)).findFirst().ifPresent(s -> bay.start(s, false));
-                default -> {
-                }
+                case 6, 7, 8 ->
+                    SIX.stream().filter(s -> !bay.up().contains(s)).findFirst().ifPresent(s -> bay.start(s, false));
+                default -> {}
             }
         }
 
@@ -120,8 +124,14 @@
                 final Optional<Object> reply = r.asked().answer();
                 reply.filter(x -> x instanceof ChainClient.Page p && p.ok()).ifPresent(x -> {
                     answered++;
-                    final long told = ((ChainClient.Page) x).entries().stream().filter(e -> !e.gone())
-                            .mapToLong(e -> ((Value.ConfigurationDocument) e.leaf().getFirst()).number()).max().orElse(0);
+                    final long told = ((ChainClient.Page) x)
+                            .entries().stream()
+                                    .filter(e -> !e.gone())
+                                    .mapToLong(e -> ((Value.ConfigurationDocument)
+                                                    e.leaf().getFirst())
+                                            .number())
+                                    .max()
+                                    .orElse(0);
                     assertThat("a read after an ack", told, greaterThanOrEqualTo(r.least()));
                 });
                 return reply.isPresent();
--- a/core/src/test/java/silverlatch/replication/VotersTest.java
+++ b/core/src/test/java/silverlatch/replication/VotersTest.java
@@ -14,9 +14,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import silverlatch.state.CommandResult;
 import silverlatch.state.Entry;
 import silverlatch.state.Value;
-import silverlatch.state.CommandResult;
 
 /** Fleets of which more, or fewer, than three machines vote. */
 final class VotersTest {
@@ -34,7 +34,10 @@
     }
 
     private static View view(final ReplicaCluster bay) {
-        return bay.up().stream().map(s -> bay.quay(s).view()).max(java.util.Comparator.comparingLong(View::number)).orElseThrow();
+        return bay.up().stream()
+                .map(s -> bay.quay(s).view())
+                .max(java.util.Comparator.comparingLong(View::number))
+                .orElseThrow();
     }
 
     private static Set<String> voters(final ReplicaCluster bay) {
@@ -57,7 +60,13 @@
             bay.until(4 * SECOND, () -> a.span() > 0);
             final ChainClient.Page p = (ChainClient.Page) a.reply();
             assertThat(s + " tells it" + bay, p.ok(), is(true));
-            assertThat(s, p.entries().stream().filter(e -> !e.gone()).map(VotersTest::paper).toList(), is(List.of("paper " + number)));
+            assertThat(
+                    s,
+                    p.entries().stream()
+                            .filter(e -> !e.gone())
+                            .map(VotersTest::paper)
+                            .toList(),
+                    is(List.of("paper " + number)));
         });
     }
 
@@ -208,7 +217,11 @@
             }
             final String at = bay.up().stream().sorted().toList().get(turn % 2);
             keep(bay, at, 1, 0);
-            final List<String> lost = chain(bay).stream().sorted().skip(turn % 2).limit(copies - 1).toList();
+            final List<String> lost = chain(bay).stream()
+                    .sorted()
+                    .skip(turn % 2)
+                    .limit(copies - 1)
+                    .toList();
             List.copyOf(bay.up()).forEach(bay::kill);
             lost.forEach(bay::wipe);
             bay.pass(turn * 50_000L);
@@ -230,7 +243,11 @@
         bay.kill("c");
         bay.pass(5 * SECOND);
         assertThat(cut.reply(), instanceOf(CommandResult.Unknown.class));
-        assertThat("nor told by a read", ((ChainClient.Page) read(bay, "a")).entries().stream().map(VotersTest::paper).toList(), not(is(List.of("paper 2"))));
+        assertThat(
+                "nor told by a read",
+                ((ChainClient.Page) read(bay, "a"))
+                        .entries().stream().map(VotersTest::paper).toList(),
+                not(is(List.of("paper 2"))));
         bay.start("c", false);
         bay.pass(8 * SECOND);
         keep(bay, "b", 3, 2);
--- a/core/src/test/java/silverlatch/routing/RouterTest.java
+++ b/core/src/test/java/silverlatch/routing/RouterTest.java
@@ -16,14 +16,14 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
+import silverlatch.clock.Stamp;
 import silverlatch.dispatch.Facts;
-import silverlatch.membership.Member;
 import silverlatch.gossip.Gossip;
 import silverlatch.gossip.Worker;
+import silverlatch.membership.Member;
 import silverlatch.state.Entry;
-import silverlatch.state.Value;
 import silverlatch.state.Policy;
-import silverlatch.clock.Stamp;
+import silverlatch.state.Value;
 
 final class RouterTest {
     private static final long MS = 1_000;
@@ -37,16 +37,37 @@
     private final Router passage = new Router(Router.Setup.PLAIN, facts(), () -> new Stamp(1), new SplittableRandom(7));
 
     RouterTest() {
-        entries.add(new Entry("p/charter", 1, List.of(new Value.RoutingConfiguration(1, 16_384, 1 << 20, 3 * S, 15 * S))));
-        entries.add(new Entry("b/pool", 1, List.of(new Value.BackendPool("pool", "/health", 100, 3 * S, 9, 128, 100_000, 5))));
+        entries.add(
+                new Entry("p/charter", 1, List.of(new Value.RoutingConfiguration(1, 16_384, 1 << 20, 3 * S, 15 * S))));
+        entries.add(new Entry(
+                "b/pool", 1, List.of(new Value.BackendPool("pool", "/health", 100, 3 * S, 9, 128, 100_000, 5))));
         entries.add(new Entry("u/a|/once/", 1, List.of(rule("once", "/once/", true, false, 2, List.of()))));
         entries.add(new Entry("u/a|/again/", 1, List.of(rule("again", "/again/", true, true, 2, List.of("west")))));
         entries.add(new Entry("u/a|/", 1, List.of(rule("all", "/", true, false, 1, List.of()))));
     }
 
-    private static Value.Route rule(final String name, final String path, final boolean once, final boolean resume, final int tries,
-                                  final List<String> homes) {
-        return new Value.Route(name, "a", path, once, true, resume, true, 15 * S, 600 * MS, 400 * MS, 0, tries, homes, List.of(new Value.WeightedBackend("pool", 1)));
+    private static Value.Route rule(
+            final String name,
+            final String path,
+            final boolean once,
+            final boolean resume,
+            final int tries,
+            final List<String> homes) {
+        return new Value.Route(
+                name,
+                "a",
+                path,
+                once,
+                true,
+                resume,
+                true,
+                15 * S,
+                600 * MS,
+                400 * MS,
+                0,
+                tries,
+                homes,
+                List.of(new Value.WeightedBackend("pool", 1)));
     }
 
     private static Member gateway(final String id) {
@@ -59,8 +80,26 @@
         return new Facts(gateway("me"), page, Optional.of(now), Policy.of(entries), heard, crew);
     }
 
-    private void worker(final String id, final String region, final long cold, final boolean leaving, final long sequence) {
-        workers.put(id, new Worker(id, id + ":1", region + "1", region, 1, sequence, 0, 0, 128, List.of(), leaving, 0, "pool", cold, 0));
+    private void worker(
+            final String id, final String region, final long cold, final boolean leaving, final long sequence) {
+        workers.put(
+                id,
+                new Worker(
+                        id,
+                        id + ":1",
+                        region + "1",
+                        region,
+                        1,
+                        sequence,
+                        0,
+                        0,
+                        128,
+                        List.of(),
+                        leaving,
+                        0,
+                        "pool",
+                        cold,
+                        0));
         learn();
     }
 
@@ -75,11 +114,19 @@
     }
 
     private RoutingEffect.Send sent(final List<RoutingEffect> moves) {
-        return moves.stream().filter(RoutingEffect.Send.class::isInstance).map(RoutingEffect.Send.class::cast).findFirst().orElseThrow();
+        return moves.stream()
+                .filter(RoutingEffect.Send.class::isInstance)
+                .map(RoutingEffect.Send.class::cast)
+                .findFirst()
+                .orElseThrow();
     }
 
     private static RoutingEffect.Reject rejected(final List<RoutingEffect> moves) {
-        return moves.stream().filter(RoutingEffect.Reject.class::isInstance).map(RoutingEffect.Reject.class::cast).findFirst().orElseThrow();
+        return moves.stream()
+                .filter(RoutingEffect.Reject.class::isInstance)
+                .map(RoutingEffect.Reject.class::cast)
+                .findFirst()
+                .orElseThrow();
     }
 
     @Test
@@ -113,7 +160,12 @@
         passage.failed(one.job(), FailurePoint.SENT, now);
         final List<RoutingEffect> moves = passage.drain();
         assertThat(moves.stream().filter(RoutingEffect.Send.class::isInstance).toList(), is(empty()));
-        assertThat(moves.stream().filter(RoutingEffect.Fail.class::isInstance).map(m -> ((RoutingEffect.Fail) m).code()).toList(), is(List.of(502)));
+        assertThat(
+                moves.stream()
+                        .filter(RoutingEffect.Fail.class::isInstance)
+                        .map(m -> ((RoutingEffect.Fail) m).code())
+                        .toList(),
+                is(List.of(502)));
         passage.failed(one.job(), FailurePoint.NOT_RUN, now);
         assertThat(passage.drain(), is(empty()));
     }
@@ -172,7 +224,10 @@
             final RoutingEffect.Send one = sent(arrive("/once/x", List.of()));
             passage.failed(one.job(), FailurePoint.NOT_RUN, now);
             final List<RoutingEffect> next = passage.drain();
-            final Optional<RoutingEffect.Send> two = next.stream().filter(RoutingEffect.Send.class::isInstance).map(RoutingEffect.Send.class::cast).findFirst();
+            final Optional<RoutingEffect.Send> two = next.stream()
+                    .filter(RoutingEffect.Send.class::isInstance)
+                    .map(RoutingEffect.Send.class::cast)
+                    .findFirst();
             if (two.isPresent()) {
                 again++;
                 passage.heard(two.get().job(), now);
@@ -203,13 +258,18 @@
             for (int i = 0; i < all.size(); i++) {
                 final String id = i == 19 ? "me" : "p" + i;
                 final Facts f = facts();
-                final List<Member> others = new ArrayList<>(names.stream().filter(n -> !n.equals(id)).map(RouterTest::gateway).toList());
+                final List<Member> others = new ArrayList<>(names.stream()
+                        .filter(n -> !n.equals(id))
+                        .map(RouterTest::gateway)
+                        .toList());
                 if (ms == 0) {
                     all.get(i).facts(new Facts(gateway(id), f.page(), f.sure(), f.policy(), f.workers(), others), now);
                 }
                 if ((ms / 10 + i) % 5 == 0) {
                     all.get(i).arrive(new RoutedRequest(ms * 100L + i, "a", "/once/x", "t", S, List.of(), 1, 1), now);
-                    final int sends = (int) all.get(i).drain().stream().filter(RoutingEffect.Send.class::isInstance).count();
+                    final int sends = (int) all.get(i).drain().stream()
+                            .filter(RoutingEffect.Send.class::isInstance)
+                            .count();
                     seconds.merge(now / S, sends, Integer::sum);
                 }
             }
@@ -226,7 +286,12 @@
         final Set<String> used = new HashSet<>();
         for (int i = 0; i < 20; i++) {
             now += S;
-            final RoutingEffect.Send s = sent(arrive("/once/x", List.of(new RoutedRequest.Part(5, 2_500), new RoutedRequest.Part(6, 3_700), new RoutedRequest.Part(100 + i, 800))));
+            final RoutingEffect.Send s = sent(arrive(
+                    "/once/x",
+                    List.of(
+                            new RoutedRequest.Part(5, 2_500),
+                            new RoutedRequest.Part(6, 3_700),
+                            new RoutedRequest.Part(100 + i, 800))));
             used.add(s.worker());
             passage.heard(s.job(), now);
             passage.ended(s.job(), true, now);
@@ -243,7 +308,12 @@
         passage.tick(now);
         final List<RoutingEffect> moves = passage.drain();
         assertThat(moves.contains(new RoutingEffect.Cut(one.job())), is(true));
-        assertThat(moves.stream().filter(RoutingEffect.Fail.class::isInstance).map(m -> ((RoutingEffect.Fail) m).code()).toList(), is(List.of(504)));
+        assertThat(
+                moves.stream()
+                        .filter(RoutingEffect.Fail.class::isInstance)
+                        .map(m -> ((RoutingEffect.Fail) m).code())
+                        .toList(),
+                is(List.of(504)));
         assertThat(passage.open(), is(0));
     }
 
@@ -258,8 +328,17 @@
             writers.add(s.worker());
             passage.headed(s.job(), Optional.of(new Router.Load(10, 0, 128)), now);
             passage.heard(s.job(), now);
-            passage.arrive(new RoutedRequest(++token, "a", "/once/x", "t" + token, 15 * S, List.of(new RoutedRequest.Part(i, 5_000), new RoutedRequest.Part(1_000 + i, 20_000)),
-                    25_000, 50), now);
+            passage.arrive(
+                    new RoutedRequest(
+                            ++token,
+                            "a",
+                            "/once/x",
+                            "t" + token,
+                            15 * S,
+                            List.of(new RoutedRequest.Part(i, 5_000), new RoutedRequest.Part(1_000 + i, 20_000)),
+                            25_000,
+                            50),
+                    now);
             final RoutingEffect.Send l = sent(passage.drain());
             assertThat(i < 4 || !writers.contains(l.worker()), is(true));
             passage.headed(l.job(), Optional.empty(), now);
@@ -295,8 +374,11 @@
 
     @Test
     void withoutACharterNothingIsTaken() {
-        final Router bare = new Router(Router.Setup.PLAIN, new Facts(gateway("me"), 0, Optional.empty(), Policy.NONE, Map.of(), List.of()),
-                () -> new Stamp(1), new SplittableRandom(1));
+        final Router bare = new Router(
+                Router.Setup.PLAIN,
+                new Facts(gateway("me"), 0, Optional.empty(), Policy.NONE, Map.of(), List.of()),
+                () -> new Stamp(1),
+                new SplittableRandom(1));
         bare.arrive(new RoutedRequest(1, "a", "/once/x", "t", S, List.of(), 1, 1), now);
         assertThat(rejected(bare.drain()).code(), is(503));
         assertThat(bare.unready().isPresent(), is(true));
--- a/core/src/test/java/silverlatch/state/PolicyTest.java
+++ b/core/src/test/java/silverlatch/state/PolicyTest.java
@@ -27,7 +27,9 @@
                 final int n = luck.nextInt(600);
                 final boolean zone = n % 7 == 0;
                 final String key = zone ? "z/zone" + n : StateMachine.row("*", "kind" + n);
-                final Value leaf = zone ? new Value.Evacuation("zone" + n, luck.nextBoolean(), new Stamp(i)) : TableRules.plain("*", "kind" + n);
+                final Value leaf = zone
+                        ? new Value.Evacuation("zone" + n, luck.nextBoolean(), new Stamp(i))
+                        : TableRules.plain("*", "kind" + n);
                 final boolean gone = luck.nextInt(4) == 0;
                 puts.removeIf(e -> e.key().equals(key));
                 puts.add(new Entry(key, i, gone ? List.of() : List.of(leaf)));
@@ -48,7 +50,13 @@
         final Policy last = policy.with(books.since(page));
         model.forEach((k, l) -> assertThat(k, last.leaf(k), is(Optional.of(l))));
         assertThat(last.leaves().count(), is((long) model.size()));
-        assertThat(last.empty(), is(model.values().stream().filter(l -> l instanceof Value.Evacuation d && d.on()).map(l -> ((Value.Evacuation) l).zone()).collect(Collectors.toSet())));
-        assertThat(last.drains().size(), is((int) model.keySet().stream().filter(k -> k.startsWith("z/")).count()));
+        assertThat(
+                last.empty(),
+                is(model.values().stream()
+                        .filter(l -> l instanceof Value.Evacuation d && d.on())
+                        .map(l -> ((Value.Evacuation) l).zone())
+                        .collect(Collectors.toSet())));
+        assertThat(last.drains().size(), is((int)
+                model.keySet().stream().filter(k -> k.startsWith("z/")).count()));
     }
 }
--- a/core/src/test/java/silverlatch/statemachine/TransitionTableTest.java
+++ b/core/src/test/java/silverlatch/statemachine/TransitionTableTest.java
@@ -21,11 +21,17 @@
 
     @Test
     void aChartWithAFaultIsNotTaken() {
-        assertThrows(IllegalArgumentException.class, () -> TransitionTable.parse(
-                "{\"name\":\"x\",\"start\":\"a\",\"ends\":[\"b\"],\"moves\":[[\"a\",\"go\",\"b\"],[\"a\",\"go\",\"a\"]]}"));
-        assertThrows(IllegalArgumentException.class, () -> TransitionTable.parse(
-                "{\"name\":\"x\",\"start\":\"a\",\"ends\":[\"b\",\"c\"],\"moves\":[[\"a\",\"go\",\"b\"]]}"));
-        assertThrows(IllegalArgumentException.class, () -> TransitionTable.parse(
-                "{\"name\":\"x\",\"start\":\"a\",\"ends\":[],\"moves\":[[\"a\",\"go\",\"b\"]]}"));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> TransitionTable.parse(
+                        "{\"name\":\"x\",\"start\":\"a\",\"ends\":[\"b\"],\"moves\":[[\"a\",\"go\",\"b\"],[\"a\",\"go\",\"a\"]]}"));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> TransitionTable.parse(
+                        "{\"name\":\"x\",\"start\":\"a\",\"ends\":[\"b\",\"c\"],\"moves\":[[\"a\",\"go\",\"b\"]]}"));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> TransitionTable.parse(
+                        "{\"name\":\"x\",\"start\":\"a\",\"ends\":[],\"moves\":[[\"a\",\"go\",\"b\"]]}"));
     }
 }
--- a/core/src/test/java/silverlatch/wire/CodecTest.java
+++ b/core/src/test/java/silverlatch/wire/CodecTest.java
@@ -11,14 +11,23 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
-import silverlatch.membership.Member;
-import silverlatch.gossip.Worker;
 import silverlatch.clock.Stamp;
+import silverlatch.gossip.Worker;
+import silverlatch.membership.Member;
 
 final class CodecTest {
-    private static final Member ME = new Member("p", "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", 3, 4, "up", true);
-    private static final Frame FRAME = new Frame(new Stamp(77), 5, "p", "127.0.0.1:1", 3, new Msg.Push(List.of(ME),
-            List.of(new Worker("w", "a", "z", "r", 1, 2, 3, 4, 5, List.of(6L, 7L, 8L), true, 9)), 10));
+    private static final Member ME =
+            new Member("p", "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", 3, 4, "up", true);
+    private static final Frame FRAME = new Frame(
+            new Stamp(77),
+            5,
+            "p",
+            "127.0.0.1:1",
+            3,
+            new Msg.Push(
+                    List.of(ME),
+                    List.of(new Worker("w", "a", "z", "r", 1, 2, 3, 4, 5, List.of(6L, 7L, 8L), true, 9)),
+                    10));
     private final Codec codec = new Codec();
 
     @Test
--- a/core/src/test/java/silverlatch/wire/SizesTest.java
+++ b/core/src/test/java/silverlatch/wire/SizesTest.java
@@ -5,15 +5,16 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import silverlatch.membership.Member;
-import silverlatch.gossip.WorkerReport;
-import silverlatch.gossip.Worker;
 import silverlatch.clock.Stamp;
+import silverlatch.gossip.Worker;
+import silverlatch.gossip.WorkerReport;
+import silverlatch.membership.Member;
 
 /** The bytes of what is said again and again, with names and addresses as long as a large fleet has them. */
 final class SizesTest {
     private static final String HOME = "10.131.112.113:7001";
-    private static final Member ME = new Member("gateway-117", "gateway", "attica-3", "attica", HOME, "10.131.112.113:8001", 1L << 50, 4, "up", true);
+    private static final Member ME = new Member(
+            "gateway-117", "gateway", "attica-3", "attica", HOME, "10.131.112.113:8001", 1L << 50, 4, "up", true);
     private final Codec codec = new Codec();
 
     private int size(final Msg body) {
@@ -23,21 +24,58 @@
     @Test
     void aPullThatBringsNothingNewIsSmall() {
         assertThat(size(new Msg.Ask(1L << 40, 2_300, 9, List.of(), 1L << 62, 1L << 61)), lessThan(150));
-        assertThat(size(new Msg.Tell(1L << 40, 2_300, 400_000, 1L << 60, List.of(), List.of(),
-                new Msg.News.Brief(300_000, List.of(), List.of()))), lessThan(150));
+        assertThat(
+                size(new Msg.Tell(
+                        1L << 40,
+                        2_300,
+                        400_000,
+                        1L << 60,
+                        List.of(),
+                        List.of(),
+                        new Msg.News.Brief(300_000, List.of(), List.of()))),
+                lessThan(150));
     }
 
     @Test
     void betweenHarborsTheAgesOfAThousandWorkersFitIntoSevenHundredBytes() {
-        assertThat(size(new Msg.Tell(1L << 40, 2_300, 400_000, 1L << 60, List.of(), List.of(),
-                new Msg.News.Brief(300_000, List.of(), List.of(new Msg.Beats(1L << 62, new long[1_100 / 16 + 1]))))), lessThan(720));
+        assertThat(
+                size(new Msg.Tell(
+                        1L << 40,
+                        2_300,
+                        400_000,
+                        1L << 60,
+                        List.of(),
+                        List.of(),
+                        new Msg.News.Brief(
+                                300_000, List.of(), List.of(new Msg.Beats(1L << 62, new long[1_100 / 16 + 1]))))),
+                lessThan(720));
     }
 
     @Test
     void aBeatAndAWordAreSmall() {
         assertThat(size(new Msg.Beat(ME)), lessThan(200));
         assertThat(size(new Msg.Pulse(ME.id(), ME.life())), lessThan(100));
-        assertThat(size(new Msg.Push(List.of(), List.of(), List.of(WorkerReport.of(new Worker("worker-1017", "10.131.112.114:9001", "attica-3", "attica",
-                1L << 50, 9, 0, 0, 16, List.of(), true, 77, "large", 0, 0))), 2_300)), lessThan(300));
+        assertThat(
+                size(new Msg.Push(
+                        List.of(),
+                        List.of(),
+                        List.of(WorkerReport.of(new Worker(
+                                "worker-1017",
+                                "10.131.112.114:9001",
+                                "attica-3",
+                                "attica",
+                                1L << 50,
+                                9,
+                                0,
+                                0,
+                                16,
+                                List.of(),
+                                true,
+                                77,
+                                "large",
+                                0,
+                                0))),
+                        2_300)),
+                lessThan(300));
     }
 }
--- a/server/src/main/java/silverlatch/server/controller/ConfigurationJson.java
+++ b/server/src/main/java/silverlatch/server/controller/ConfigurationJson.java
@@ -6,26 +6,34 @@
 import java.util.Map;
 import java.util.Optional;
 import silverlatch.json.JsonDocument;
+import silverlatch.state.Command;
 import silverlatch.state.ConfigurationValidator;
 import silverlatch.state.Value;
-import silverlatch.state.Command;
 
 /** Charters, their rules and their pools as JSON, both ways. */
 public final class ConfigurationJson {
     private static final long LONG = Long.MAX_VALUE;
     private static final int INT = Integer.MAX_VALUE;
 
-    private ConfigurationJson() {
-    }
+    private ConfigurationJson() {}
 
     /** Reads a charter; what is wrong with it is noted in the sheet. */
-    public static Command.PutConfiguration read(final JsonDocument s, final String paper, final String id, final long match) {
+    public static Command.PutConfiguration read(
+            final JsonDocument s, final String paper, final String id, final long match) {
         final long number = s.whole("number", 1, LONG);
-        final List<Value.Route> rules = s.sheets("rules", ConfigurationValidator.MOST + 1).stream().map(ConfigurationJson::rule).toList();
-        final List<Value.BackendPool> pools = s.sheets("pools", ConfigurationValidator.MOST_POOLS + 1).stream().map(ConfigurationJson::pool).toList();
+        final List<Value.Route> rules = s.sheets("rules", ConfigurationValidator.MOST + 1).stream()
+                .map(ConfigurationJson::rule)
+                .toList();
+        final List<Value.BackendPool> pools = s.sheets("pools", ConfigurationValidator.MOST_POOLS + 1).stream()
+                .map(ConfigurationJson::pool)
+                .toList();
         final JsonDocument b = s.sheet("bounds");
-        final Value.RoutingConfiguration charter = new Value.RoutingConfiguration(number, (int) b.whole("head", 0, INT), (int) b.whole("body", 0, INT),
-                b.whole("slow", 0, LONG), b.whole("idle", 0, LONG));
+        final Value.RoutingConfiguration charter = new Value.RoutingConfiguration(
+                number,
+                (int) b.whole("head", 0, INT),
+                (int) b.whole("body", 0, INT),
+                b.whole("slow", 0, LONG),
+                b.whole("idle", 0, LONG));
         b.end();
         return new Command.PutConfiguration(id, charter, rules, pools, paper, match);
     }
@@ -33,7 +41,9 @@
     /** A body as text, if it can be given back to the byte. */
     public static Optional<String> paper(final byte[] body) {
         final String text = new String(body, StandardCharsets.UTF_8);
-        return java.util.Arrays.equals(text.getBytes(StandardCharsets.UTF_8), body) ? Optional.of(text) : Optional.empty();
+        return java.util.Arrays.equals(text.getBytes(StandardCharsets.UTF_8), body)
+                ? Optional.of(text)
+                : Optional.empty();
     }
 
     /** A rule as JSON. */
@@ -52,7 +62,11 @@
         map.put("rank", r.rank());
         map.put("tries", r.tries());
         map.put("homes", r.homes());
-        map.put("lots", r.lots().stream().map(l -> Map.of("pool", l.pool(), "weight", l.weight())).toList());
+        map.put(
+                "lots",
+                r.lots().stream()
+                        .map(l -> Map.of("pool", l.pool(), "weight", l.weight()))
+                        .toList());
         return map;
     }
 
@@ -71,9 +85,20 @@
     }
 
     private static Value.Route rule(final JsonDocument s) {
-        final Value.Route r = new Value.Route(s.text("name", 256), s.text("host", 256), s.text("path", 1_024), s.flag("once", false),
-                s.flag("stream", false), s.flag("resume", false), s.flag("kept", false), s.whole("hold", 0, LONG), s.whole("aim", 0, LONG, 0),
-                s.whole("gap", 0, LONG, 0), (int) s.whole("rank", 0, INT, 0), (int) s.whole("tries", 0, INT, 1), s.texts("homes", 64, 64),
+        final Value.Route r = new Value.Route(
+                s.text("name", 256),
+                s.text("host", 256),
+                s.text("path", 1_024),
+                s.flag("once", false),
+                s.flag("stream", false),
+                s.flag("resume", false),
+                s.flag("kept", false),
+                s.whole("hold", 0, LONG),
+                s.whole("aim", 0, LONG, 0),
+                s.whole("gap", 0, LONG, 0),
+                (int) s.whole("rank", 0, INT, 0),
+                (int) s.whole("tries", 0, INT, 1),
+                s.texts("homes", 64, 64),
                 s.sheets("lots", 1_000).stream().map(ConfigurationJson::lot).toList());
         s.end();
         return r;
@@ -86,8 +111,14 @@
     }
 
     private static Value.BackendPool pool(final JsonDocument s) {
-        final Value.BackendPool p = new Value.BackendPool(s.text("name", 256), s.text("health", 1_024, ""), (int) s.whole("lines", 0, INT, 0),
-                s.whole("cold", 0, LONG, 0), s.number("rate", 0), (int) s.whole("slots", 0, INT), (int) s.whole("memory", 0, INT, 0),
+        final Value.BackendPool p = new Value.BackendPool(
+                s.text("name", 256),
+                s.text("health", 1_024, ""),
+                (int) s.whole("lines", 0, INT, 0),
+                s.whole("cold", 0, LONG, 0),
+                s.number("rate", 0),
+                (int) s.whole("slots", 0, INT),
+                (int) s.whole("memory", 0, INT, 0),
                 (int) s.whole("stride", 0, INT, 0));
         s.end();
         return p;
--- a/server/src/main/java/silverlatch/server/controller/ControlService.java
+++ b/server/src/main/java/silverlatch/server/controller/ControlService.java
@@ -1,10 +1,10 @@
 package silverlatch.server.controller;
 
 import java.util.function.Consumer;
-import silverlatch.replication.ChainClient;
 import silverlatch.gossip.Worker;
-import silverlatch.state.CommandResult;
+import silverlatch.replication.ChainClient;
 import silverlatch.state.Command;
+import silverlatch.state.CommandResult;
 
 /**
  * What a controller does for operators and workers, whatever door they came by. Replies come on the controller's own duty, those
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -10,23 +10,23 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import silverlatch.gossip.Worker;
+import silverlatch.log.WriteAheadLog;
 import silverlatch.membership.Member;
-import silverlatch.node.Node;
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
-import silverlatch.server.transport.Transport;
-import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.node.Node;
+import silverlatch.replication.ChainClient;
+import silverlatch.replication.ChainReplica;
 import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.eventloop.EventLoopHandle;
 import silverlatch.server.eventloop.Logs;
 import silverlatch.server.settings.Settings;
+import silverlatch.server.transport.Transport;
 import silverlatch.server.web.Web;
-import silverlatch.log.WriteAheadLog;
-import silverlatch.replication.ChainClient;
-import silverlatch.replication.ChainReplica;
-import silverlatch.gossip.Worker;
-import silverlatch.state.ConfigurationValidator;
-import silverlatch.state.CommandResult;
 import silverlatch.state.Command;
+import silverlatch.state.CommandResult;
+import silverlatch.state.ConfigurationValidator;
 
 /** The control plane's process: chain, view, and the operators' door. */
 @Singleton
@@ -68,7 +68,9 @@
         }));
         this.roster = settings.data().map(d -> new WorkerRoster(java.nio.file.Path.of(d)));
         this.bridge = new EventLoopHandle(deck, settings.rates().deck(), dock::ship, this::keep, this::look);
-        this.web = new Web(settings.door(), Math.max(settings.body(), 8 << 20),
+        this.web = new Web(
+                settings.door(),
+                Math.max(settings.body(), 8 << 20),
                 new Door(settings, bridge, dock, calendars, () -> unready)::route);
     }
 
@@ -82,7 +84,9 @@
         dock.start();
         bridge.start();
         web.start();
-        Logs.write(Event.STARTED, "controller " + settings.name() + " at " + settings.address() + " door " + settings.door());
+        Logs.write(
+                Event.STARTED,
+                "controller " + settings.name() + " at " + settings.address() + " door " + settings.door());
     }
 
     /** Stops in good order: the chain goes on without this machine, its duties have a successor. */
@@ -105,7 +109,8 @@
     @Override
     public void lay(final Command.PutConfiguration wish, final Consumer<CommandResult> then) {
         if (ConfigurationValidator.huge(wish.paper())) {
-            then.accept(new CommandResult.Rejected(413, List.of("$: longer than " + ConfigurationValidator.LONGEST + " bytes"), 0));
+            then.accept(new CommandResult.Rejected(
+                    413, List.of("$: longer than " + ConfigurationValidator.LONGEST + " bytes"), 0));
             return;
         }
         wish(wish, SOON, then);
@@ -125,19 +130,23 @@
 
     @Override
     public void word(final Worker worker, final Consumer<Boolean> then) {
-        word(d -> {
-            final boolean left = leaving(d, worker.id());
-            d.announced(worker, 0, EventLoop.now());
-            return new Taken(d.rumor().workers().containsKey(worker.id()), !left && leaving(d, worker.id()));
-        }, then);
+        word(
+                d -> {
+                    final boolean left = leaving(d, worker.id());
+                    d.announced(worker, 0, EventLoop.now());
+                    return new Taken(d.rumor().workers().containsKey(worker.id()), !left && leaving(d, worker.id()));
+                },
+                then);
     }
 
     @Override
     public void gone(final String worker, final Consumer<Boolean> then) {
-        word(d -> {
-            final boolean known = d.gone(worker, EventLoop.now());
-            return new Taken(known, known);
-        }, then);
+        word(
+                d -> {
+                    final boolean known = d.gone(worker, EventLoop.now());
+                    return new Taken(known, known);
+                },
+                then);
     }
 
     /** Takes the seeds that hold from now on. */
@@ -150,12 +159,13 @@
 
     /** A controller of this region that a worker may call from now on, if it is not this one alone that stands there. */
     public Optional<Member> near(final String zone, final String region) {
-        return nears.stream().filter(m -> m.zone().equals(zone)).findFirst()
+        return nears.stream()
+                .filter(m -> m.zone().equals(zone))
+                .findFirst()
                 .or(() -> nears.stream().filter(m -> m.region().equals(region)).findFirst());
     }
 
-    private record Taken(boolean good, boolean news) {
-    }
+    private record Taken(boolean good, boolean news) {}
 
     /** A leaving that is news goes out with the next beat at the latest, and its reply after that. */
     private void word(final Function<Node, Taken> what, final Consumer<Boolean> then) {
@@ -172,7 +182,9 @@
     }
 
     private static boolean leaving(final Node d, final String id) {
-        return Optional.ofNullable(d.rumor().workers().get(id)).map(h -> h.worker().leaving()).orElse(false);
+        return Optional.ofNullable(d.rumor().workers().get(id))
+                .map(h -> h.worker().leaving())
+                .orElse(false);
     }
 
     private void wish(final Command w, final long span, final Consumer<CommandResult> then) {
@@ -200,16 +212,27 @@
         final List<Runnable> due = List.copyOf(owed);
         owed.clear();
         due.forEach(Runnable::run);
-        nears = java.util.stream.Stream.concat(java.util.stream.Stream.of(d.crew().me()), d.crew().live().stream())
-                .filter(m -> !m.gateway() && m.state().equals("up")).toList();
-        final Optional<String> why = closing ? Optional.of("stopping") : d.quay().map(q -> {
-            final ChainReplica.State s = q.state(now);
-            gone = q.gone();
-            return s.spot().equals("chained") && s.level() && s.leased() ? Optional.<String>empty()
-                    : Optional.of("the chain: " + s.spot() + (s.leased() ? "" : ", no lease"));
-        }).orElseGet(() -> d.rumor().age(now) < 2_500_000L ? Optional.empty() : Optional.of("the books are not confirmed"));
+        nears = java.util.stream.Stream.concat(
+                        java.util.stream.Stream.of(d.crew().me()), d.crew().live().stream())
+                .filter(m -> !m.gateway() && m.state().equals("up"))
+                .toList();
+        final Optional<String> why = closing
+                ? Optional.of("stopping")
+                : d.quay()
+                        .map(q -> {
+                            final ChainReplica.State s = q.state(now);
+                            gone = q.gone();
+                            return s.spot().equals("chained") && s.level() && s.leased()
+                                    ? Optional.<String>empty()
+                                    : Optional.of("the chain: " + s.spot() + (s.leased() ? "" : ", no lease"));
+                        })
+                        .orElseGet(() -> d.rumor().age(now) < 2_500_000L
+                                ? Optional.empty()
+                                : Optional.of("the books are not confirmed"));
         if (why.isPresent() != unready.isPresent()) {
-            Logs.write(why.isPresent() ? Event.UNREADY : Event.READY, settings.name() + why.map(w -> ": " + w).orElse(""));
+            Logs.write(
+                    why.isPresent() ? Event.UNREADY : Event.READY,
+                    settings.name() + why.map(w -> ": " + w).orElse(""));
             d.ready(why.isEmpty());
         }
         unready = why;
@@ -226,14 +249,20 @@
             return;
         }
         calendarAt = now;
-        d.quay().ifPresent(q -> q.duty(now).ifPresent(fence -> calendars.due(q.books(), d.anchor().unix() + (now - d.anchor().mono()) * 1000, fence)
-                .forEach(w -> {
-                    Logs.write(Event.CALENDAR, w.id());
-                    bridge.wish(w, SPAN, v -> {
-                        if (v instanceof CommandResult.Unknown) {
-                            calendars.forget(w.id());
-                        }
-                    });
-                })));
+        d.quay()
+                .ifPresent(q -> q.duty(now)
+                        .ifPresent(fence -> calendars
+                                .due(
+                                        q.books(),
+                                        d.anchor().unix() + (now - d.anchor().mono()) * 1000,
+                                        fence)
+                                .forEach(w -> {
+                                    Logs.write(Event.CALENDAR, w.id());
+                                    bridge.wish(w, SPAN, v -> {
+                                        if (v instanceof CommandResult.Unknown) {
+                                            calendars.forget(w.id());
+                                        }
+                                    });
+                                })));
     }
 }
--- a/server/src/main/java/silverlatch/server/controller/Door.java
+++ b/server/src/main/java/silverlatch/server/controller/Door.java
@@ -10,21 +10,21 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import silverlatch.dispatch.permit.Seals;
-import silverlatch.server.transport.Transport;
-import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.gossip.Worker;
+import silverlatch.json.JsonDocument;
+import silverlatch.replication.ChainClient;
+import silverlatch.replication.ChainReplica;
 import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.eventloop.EventLoopHandle;
 import silverlatch.server.settings.Settings;
+import silverlatch.server.transport.Transport;
 import silverlatch.server.web.Call;
 import silverlatch.server.web.Words;
-import silverlatch.replication.ChainClient;
-import silverlatch.replication.ChainReplica;
-import silverlatch.gossip.Worker;
-import silverlatch.json.JsonDocument;
-import silverlatch.state.StateMachine;
+import silverlatch.state.Command;
+import silverlatch.state.CommandResult;
 import silverlatch.state.ConfigurationValidator;
+import silverlatch.state.StateMachine;
 import silverlatch.state.Value;
-import silverlatch.state.CommandResult;
-import silverlatch.state.Command;
 
 /** The HTTP door of a controller: operators' orders, workers' words, and how the controller stands. */
 final class Door {
@@ -35,7 +35,12 @@
     private final Schedules calendars;
     private final Supplier<Optional<String>> unready;
 
-    Door(final Settings settings, final EventLoopHandle bridge, final Transport dock, final Schedules calendars, final Supplier<Optional<String>> unready) {
+    Door(
+            final Settings settings,
+            final EventLoopHandle bridge,
+            final Transport dock,
+            final Schedules calendars,
+            final Supplier<Optional<String>> unready) {
         this.settings = settings;
         this.bridge = bridge;
         this.dock = dock;
@@ -107,11 +112,27 @@
 
     private void change(final Call c, final String id) {
         read(c, "o/" + id, p -> {
-            final Optional<silverlatch.state.Entry> e = p.entries().stream().filter(x -> x.key().equals("o/" + id)).findFirst();
-            final Optional<Value.CommandOutcome> deed = e.map(x -> (Value.CommandOutcome) x.leaf().getFirst());
-            c.reply(deed.isPresent() ? 200 : 404, deed.isEmpty() ? Map.of("outcome", "absent", "faults", List.of("no such change took effect"))
-                    : deed.get().code() == 0 ? Map.of("outcome", "kept", "sequence", deed.get().sequence())
-                    : Map.of("outcome", "rejected", "code", deed.get().code(), "faults", deed.get().faults()));
+            final Optional<silverlatch.state.Entry> e =
+                    p.entries().stream().filter(x -> x.key().equals("o/" + id)).findFirst();
+            final Optional<Value.CommandOutcome> deed =
+                    e.map(x -> (Value.CommandOutcome) x.leaf().getFirst());
+            c.reply(
+                    deed.isPresent() ? 200 : 404,
+                    deed.isEmpty()
+                            ? Map.of("outcome", "absent", "faults", List.of("no such change took effect"))
+                            : deed.get().code() == 0
+                                    ? Map.of(
+                                            "outcome",
+                                            "kept",
+                                            "sequence",
+                                            deed.get().sequence())
+                                    : Map.of(
+                                            "outcome",
+                                            "rejected",
+                                            "code",
+                                            deed.get().code(),
+                                            "faults",
+                                            deed.get().faults()));
         });
     }
 
@@ -121,7 +142,10 @@
             if (p.ok()) {
                 then.accept(p);
             } else {
-                c.reply(503, Map.of("outcome", "rejected", "faults", List.of("the chain's tail can't be asked now")), Map.of("Retry-After", "1"));
+                c.reply(
+                        503,
+                        Map.of("outcome", "rejected", "faults", List.of("the chain's tail can't be asked now")),
+                        Map.of("Retry-After", "1"));
             }
         });
         if (!sent) {
@@ -137,19 +161,29 @@
         sheet(c).ifPresent(s -> {
             final Worker w = Words.read(s);
             final long echo = Words.echo(s);
-            if (!faulty(c, s) && !bridge.with(d -> {
-                final long next = d.announced(w, echo, EventLoop.now());
-                c.reply(200, Map.of("echo", next, "table", d.rumor().books().page()));
-            })) {
+            if (!faulty(c, s)
+                    && !bridge.with(d -> {
+                        final long next = d.announced(w, echo, EventLoop.now());
+                        c.reply(
+                                200,
+                                Map.of("echo", next, "table", d.rumor().books().page()));
+                    })) {
                 no(c, 503, "the ring is full");
             }
         });
     }
 
     private void paper(final Call c) {
-        read(c, ConfigurationValidator.PAPER, p -> p.entries().stream().filter(e -> !e.gone()).map(e -> (Value.ConfigurationDocument) e.leaf().getFirst()).findFirst()
-                .ifPresentOrElse(x -> c.text("application/json", x.text(), Map.of("ETag", "\"" + x.number() + "\"")),
-                        () -> no(c, 404, "there is no charter yet")));
+        read(
+                c,
+                ConfigurationValidator.PAPER,
+                p -> p.entries().stream()
+                        .filter(e -> !e.gone())
+                        .map(e -> (Value.ConfigurationDocument) e.leaf().getFirst())
+                        .findFirst()
+                        .ifPresentOrElse(
+                                x -> c.text("application/json", x.text(), Map.of("ETag", "\"" + x.number() + "\"")),
+                                () -> no(c, 404, "there is no charter yet")));
     }
 
     private void charter(final Call c) {
@@ -165,7 +199,8 @@
         sheet(c).ifPresent(s -> {
             final Command.PutConfiguration w = ConfigurationJson.read(s, paper.get(), id(c), -1);
             if (!faulty(c, s)) {
-                match(c).ifPresent(m -> wish(c, new Command.PutConfiguration(w.id(), w.charter(), w.rules(), w.pools(), w.paper(), m)));
+                match(c).ifPresent(m ->
+                        wish(c, new Command.PutConfiguration(w.id(), w.charter(), w.rules(), w.pools(), w.paper(), m)));
             }
         });
     }
@@ -195,7 +230,11 @@
 
     private void tenant(final Call c, final String name) {
         sheet(c).ifPresent(s -> {
-            final Value.Tenant t = new Value.Tenant(name, s.texts("homes", 64, 64), s.number("share", 1), Seals.hash(s.text("key", 256)),
+            final Value.Tenant t = new Value.Tenant(
+                    name,
+                    s.texts("homes", 64, 64),
+                    s.number("share", 1),
+                    Seals.hash(s.text("key", 256)),
                     Seals.hash(settings.key() + "|" + name).substring(0, 16));
             if (!faulty(c, s)) {
                 match(c).ifPresent(m -> wish(c, new Command.PutTenant(id(c), t, m)));
@@ -206,7 +245,8 @@
     private void calendar(final Call c, final String name) {
         sheet(c).ifPresent(s -> {
             final List<Command.Cell> cells = cellsOf(s);
-            final Value.Schedule k = new Value.Schedule(name, s.text("cron", 128), cells, s.text("zone", 64, ""), s.flag("empty", false));
+            final Value.Schedule k = new Value.Schedule(
+                    name, s.text("cron", 128), cells, s.text("zone", 64, ""), s.flag("empty", false));
             final List<String> faults = new ArrayList<>(s.end());
             faults.addAll(calendars.faults(k));
             if (!faults.isEmpty()) {
@@ -241,13 +281,35 @@
     private void wish(final Call c, final Command w) {
         final boolean sent = bridge.wish(w, SPAN, r -> {
             switch ((CommandResult) r) {
-                case CommandResult.Applied k -> c.reply(200, Map.of("outcome", "kept", "sequence", k.sequence(), "change", w.id()),
-                        Map.of("ETag", "\"" + k.sequence() + "\""));
-                case CommandResult.Rejected x -> c.reply(x.code(), Map.of("outcome", "rejected", "faults", x.faults(), "sequence", x.sequence(),
-                        "change", w.id()), x.code() == 503 ? Map.of("Retry-After", "1") : Map.of());
+                case CommandResult.Applied k ->
+                    c.reply(
+                            200,
+                            Map.of("outcome", "kept", "sequence", k.sequence(), "change", w.id()),
+                            Map.of("ETag", "\"" + k.sequence() + "\""));
+                case CommandResult.Rejected x ->
+                    c.reply(
+                            x.code(),
+                            Map.of(
+                                    "outcome",
+                                    "rejected",
+                                    "faults",
+                                    x.faults(),
+                                    "sequence",
+                                    x.sequence(),
+                                    "change",
+                                    w.id()),
+                            x.code() == 503 ? Map.of("Retry-After", "1") : Map.of());
                 case CommandResult.AlreadyClaimed s -> c.reply(409, Map.of("outcome", "rejected", "change", w.id()));
-                case CommandResult.Unknown u -> c.reply(504, Map.of("outcome", "unknown", "change", w.id(),
-                        "faults", List.of("not decided in time; ask for the change by its id")));
+                case CommandResult.Unknown u ->
+                    c.reply(
+                            504,
+                            Map.of(
+                                    "outcome",
+                                    "unknown",
+                                    "change",
+                                    w.id(),
+                                    "faults",
+                                    List.of("not decided in time; ask for the change by its id")));
             }
         });
         if (!sent) {
@@ -256,7 +318,9 @@
     }
 
     private static String id(final Call c) {
-        return c.header("X-Change").filter(h -> h.matches("[A-Za-z0-9-]{8,64}")).orElseGet(() -> UUID.randomUUID().toString());
+        return c.header("X-Change")
+                .filter(h -> h.matches("[A-Za-z0-9-]{8,64}"))
+                .orElseGet(() -> UUID.randomUUID().toString());
     }
 
     private static Optional<Long> match(final Call c) {
@@ -290,7 +354,10 @@
     }
 
     private static void no(final Call c, final int code, final String why) {
-        c.reply(code, Map.of("outcome", "rejected", "faults", List.of(why)), code == 503 ? Map.of("Retry-After", "1") : Map.of());
+        c.reply(
+                code,
+                Map.of("outcome", "rejected", "faults", List.of(why)),
+                code == 503 ? Map.of("Retry-After", "1") : Map.of());
     }
 
     private void status(final Call c) {
@@ -303,7 +370,11 @@
             map.put("fleet", Long.toHexString(d.view().fleet()));
             map.put("view", d.view().number());
             map.put("holder", d.view().holder());
-            map.put("voters", d.view().voters().stream().map(b -> b.id() + " " + b.address()).toList());
+            map.put(
+                    "voters",
+                    d.view().voters().stream()
+                            .map(b -> b.id() + " " + b.address())
+                            .toList());
             map.put("chain", d.view().chain().stream().map(b -> b.address()).toList());
             d.quay().ifPresent(q -> {
                 final ChainReplica.State s = q.state(now);
@@ -315,10 +386,20 @@
             });
             map.put("table", d.rumor().books().page());
             map.put("stamp", "" + d.keeper().last().bits());
-            map.put("crew", d.crew().all().stream().map(m -> m.id() + " " + m.role() + " " + m.zone() + " " + m.region() + " " + m.door() + " "
-                    + m.state() + (m.ready() ? " ready" : "")).toList());
-            map.put("workers", d.rumor().workers().values().stream().map(h -> h.worker().id() + " " + h.worker().zone() + " running "
-                    + h.worker().running() + "/" + h.worker().slots() + (h.worker().leaving() ? " leaving" : "")).sorted().toList());
+            map.put(
+                    "crew",
+                    d.crew().all().stream()
+                            .map(m -> m.id() + " " + m.role() + " " + m.zone() + " " + m.region() + " " + m.door() + " "
+                                    + m.state() + (m.ready() ? " ready" : ""))
+                            .toList());
+            map.put(
+                    "workers",
+                    d.rumor().workers().values().stream()
+                            .map(h -> h.worker().id() + " " + h.worker().zone() + " running "
+                                    + h.worker().running() + "/" + h.worker().slots()
+                                    + (h.worker().leaving() ? " leaving" : ""))
+                            .sorted()
+                            .toList());
             c.reply(200, map);
         });
     }
@@ -335,7 +416,10 @@
             d.quay().ifPresent(q -> all.put("quay_sequence", q.books().sequence()));
             all.put("wire_bad", dock.bad());
             all.put("wire_dropped", dock.dropped());
-            c.text(all.entrySet().stream().map(e -> "silverlatch_" + e.getKey() + " " + e.getValue()).collect(Collectors.joining("\n")) + "\n");
+            c.text(all.entrySet().stream()
+                            .map(e -> "silverlatch_" + e.getKey() + " " + e.getValue())
+                            .collect(Collectors.joining("\n"))
+                    + "\n");
         });
     }
 }
--- a/server/src/main/java/silverlatch/server/controller/LogWriter.java
+++ b/server/src/main/java/silverlatch/server/controller/LogWriter.java
@@ -5,9 +5,9 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
-import silverlatch.node.Effect;
-import silverlatch.log.WriteAheadLog;
 import silverlatch.log.LogRecord;
+import silverlatch.log.WriteAheadLog;
+import silverlatch.node.Effect;
 
 /** The duty that writes the ledger: all that waits goes in one batch with one sync. */
 public final class LogWriter {
@@ -45,7 +45,9 @@
     }
 
     private static long weight(final Effect.Keep keep) {
-        return keep.notes().stream().mapToLong(n -> n instanceof LogRecord.Appended d ? d.change().weight() : 64).sum();
+        return keep.notes().stream()
+                .mapToLong(n -> n instanceof LogRecord.Appended d ? d.change().weight() : 64)
+                .sum();
     }
 
     private void run() {
--- a/server/src/main/java/silverlatch/server/controller/Main.java
+++ b/server/src/main/java/silverlatch/server/controller/Main.java
@@ -10,28 +10,27 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.locks.LockSupport;
 import java.util.SplittableRandom;
+import java.util.concurrent.locks.LockSupport;
+import silverlatch.clock.PhysicalClock;
+import silverlatch.log.LogRecord;
+import silverlatch.log.WriteAheadLog;
 import silverlatch.membership.Member;
-import silverlatch.node.Node;
 import silverlatch.node.Event;
-import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.node.Node;
+import silverlatch.replication.ChainReplica;
+import silverlatch.replication.Replica;
 import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.eventloop.EventLoopHandle;
 import silverlatch.server.eventloop.Logs;
 import silverlatch.server.settings.Flags;
 import silverlatch.server.settings.Settings;
-import silverlatch.log.WriteAheadLog;
-import silverlatch.log.LogRecord;
-import silverlatch.replication.Replica;
-import silverlatch.replication.ChainReplica;
-import silverlatch.clock.PhysicalClock;
 
 /** The program controller. */
 public final class Main {
     private static final long PAUSE = 200_000_000L;
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs a controller until it is told to stop. */
     public static void main(final String[] args) {
@@ -66,7 +65,9 @@
                         }
                     }
                     case WriteAheadLog.Opened.Good g -> {
-                        Logs.write(Event.RECOVERED, g.notes().size() + " notes, " + g.torn() + " bytes of a torn tail cut off");
+                        Logs.write(
+                                Event.RECOVERED,
+                                g.notes().size() + " notes, " + g.torn() + " bytes of a torn tail cut off");
                         return g;
                     }
                 }
@@ -119,8 +120,7 @@
     /** How the parts are made. */
     @Module
     static final class Shed {
-        private Shed() {
-        }
+        private Shed() {}
 
         @Provides
         @Singleton
@@ -133,12 +133,25 @@
         static Node deck(final Settings s, final Optional<WriteAheadLog.Opened.Good> opened) {
             final long now = EventLoop.now();
             final long wall = EventLoopHandle.wall();
-            final Member me = new Member(s.name(), "controller", s.zone(), s.region(), s.address(), s.door(), wall / 1000, 0, "up", false);
-            final List<LogRecord> notes = opened.map(WriteAheadLog.Opened.Good::notes).orElse(List.of());
-            return new Node(new Node.Setup(me, s.seeds(), s.low(), s.skew(), s.rates().crew(), s.rates().rumor()),
-                    opened.map(o -> ChainReplica.Setup.of(new Replica(o.identity(), s.address()), s.seeds()).counts(s.copies(), s.voters())
-                            .founds(s.found() || o.founder())), notes,
-                    new PhysicalClock(wall, now, 0), new SplittableRandom(new SecureRandom().nextLong()), now);
+            final Member me = new Member(
+                    s.name(), "controller", s.zone(), s.region(), s.address(), s.door(), wall / 1000, 0, "up", false);
+            final List<LogRecord> notes =
+                    opened.map(WriteAheadLog.Opened.Good::notes).orElse(List.of());
+            return new Node(
+                    new Node.Setup(
+                            me,
+                            s.seeds(),
+                            s.low(),
+                            s.skew(),
+                            s.rates().crew(),
+                            s.rates().rumor()),
+                    opened.map(o -> ChainReplica.Setup.of(new Replica(o.identity(), s.address()), s.seeds())
+                            .counts(s.copies(), s.voters())
+                            .founds(s.found() || o.founder())),
+                    notes,
+                    new PhysicalClock(wall, now, 0),
+                    new SplittableRandom(new SecureRandom().nextLong()),
+                    now);
         }
     }
 }
--- a/server/src/main/java/silverlatch/server/controller/Schedules.java
+++ b/server/src/main/java/silverlatch/server/controller/Schedules.java
@@ -13,10 +13,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import silverlatch.state.Command;
 import silverlatch.state.StateMachine;
-import silverlatch.state.Value;
 import silverlatch.state.TableRules;
-import silverlatch.state.Command;
+import silverlatch.state.Value;
 
 /**
  * When calendars are due. A change bears the calendar's name and minute as its id, so that a holder of the duty that
@@ -33,7 +33,9 @@
         final Optional<Cron> cron = parse(k.cron());
         if (cron.isEmpty()) {
             list.add("$.cron: five fields are needed: minute, hour, day, month, weekday; not '" + k.cron() + "'");
-        } else if (ExecutionTime.forCron(cron.get()).nextExecution(ZonedDateTime.of(2026, 1, 1, 0, 0, 0, 0, ZoneOffset.UTC)).isEmpty()) {
+        } else if (ExecutionTime.forCron(cron.get())
+                .nextExecution(ZonedDateTime.of(2026, 1, 1, 0, 0, 0, 0, ZoneOffset.UTC))
+                .isEmpty()) {
             list.add("$.cron: '" + k.cron() + "' never comes");
         }
         if (k.cells().isEmpty() == k.zone().isEmpty()) {
@@ -54,12 +56,17 @@
         final List<Command> list = new ArrayList<>();
         books.part("k/").values().stream().filter(e -> !e.gone()).forEach(e -> {
             final Value.Schedule k = (Value.Schedule) e.leaf().getFirst();
-            parse(k.cron()).flatMap(c -> ExecutionTime.forCron(c).lastExecution(at(now + 1))).map(ZonedDateTime::toEpochSecond)
-                    .filter(t -> now - t <= WINDOW).ifPresent(t -> {
+            parse(k.cron())
+                    .flatMap(c -> ExecutionTime.forCron(c).lastExecution(at(now + 1)))
+                    .map(ZonedDateTime::toEpochSecond)
+                    .filter(t -> now - t <= WINDOW)
+                    .ifPresent(t -> {
                         final String id = "cal-" + k.name() + "-" + t;
                         if (!asked.containsKey(id)) {
                             asked.put(id, t);
-                            final Command inner = k.zone().isEmpty() ? new Command.PatchTable(id, k.cells(), -1) : new Command.SetEvacuation(id, k.zone(), k.empty(), -1);
+                            final Command inner = k.zone().isEmpty()
+                                    ? new Command.PatchTable(id, k.cells(), -1)
+                                    : new Command.SetEvacuation(id, k.zone(), k.empty(), -1);
                             list.add(new Command.Scheduled(id, fence, inner));
                         }
                     });
--- a/server/src/main/java/silverlatch/server/controller/WorkerRoster.java
+++ b/server/src/main/java/silverlatch/server/controller/WorkerRoster.java
@@ -7,10 +7,10 @@
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.zip.CRC32C;
+import silverlatch.gossip.WorkerReport;
+import silverlatch.log.WriteAheadLog;
 import silverlatch.node.Event;
 import silverlatch.server.eventloop.Logs;
-import silverlatch.log.WriteAheadLog;
-import silverlatch.gossip.WorkerReport;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Msg;
 
@@ -38,8 +38,10 @@
             if (all.length < HEAD || ByteBuffer.wrap(all).getLong() != sum(all, HEAD)) {
                 return List.of();
             }
-            return new Codec().read(java.util.Arrays.copyOfRange(all, HEAD, all.length), Msg.Bodies.class) instanceof Codec.Read.Good<Msg.Bodies> good
-                    ? good.thing().words() : List.of();
+            return new Codec().read(java.util.Arrays.copyOfRange(all, HEAD, all.length), Msg.Bodies.class)
+                            instanceof Codec.Read.Good<Msg.Bodies> good
+                    ? good.thing().words()
+                    : List.of();
         } catch (final IOException e) {
             return List.of();
         }
@@ -61,7 +63,10 @@
         while (true) {
             try {
                 final byte[] body = codec.write(new Msg.Bodies(0, ring.take(), List.of(), List.of(), List.of()));
-                final byte[] all = ByteBuffer.allocate(HEAD + body.length).putLong(sum(body, 0)).put(body).array();
+                final byte[] all = ByteBuffer.allocate(HEAD + body.length)
+                        .putLong(sum(body, 0))
+                        .put(body)
+                        .array();
                 WriteAheadLog.put(file, all);
                 told = false;
             } catch (final IOException e) {
--- a/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
@@ -5,8 +5,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import silverlatch.node.Node;
 import silverlatch.node.Effect;
+import silverlatch.node.Node;
 import silverlatch.node.Ship;
 import silverlatch.state.Command;
 
@@ -21,7 +21,12 @@
     private final Map<Long, Consumer<Object>> asked = new ConcurrentHashMap<>();
 
     /** A bridge that beats each so many microseconds; the last argument is called after each beat. */
-    public EventLoopHandle(final Node deck, final long beat, final Consumer<Ship> dock, final Consumer<Effect.Keep> ledger, final Consumer<Node> after) {
+    public EventLoopHandle(
+            final Node deck,
+            final long beat,
+            final Consumer<Ship> dock,
+            final Consumer<Effect.Keep> ledger,
+            final Consumer<Node> after) {
         this.deck = deck;
         this.dock = dock;
         this.ledger = ledger;
@@ -93,7 +98,8 @@
         final List<Effect> list = deck.drain();
         for (final Effect e : list) {
             switch (e) {
-                case Effect.Answer a -> java.util.Optional.ofNullable(asked.remove(a.token())).ifPresent(c -> c.accept(a.reply()));
+                case Effect.Answer a ->
+                    java.util.Optional.ofNullable(asked.remove(a.token())).ifPresent(c -> c.accept(a.reply()));
                 case Effect.Log l -> Logs.write(l.event(), l.text());
                 case Effect.Keep k -> ledger.accept(k);
                 case Effect.Send s -> throw new IllegalStateException("a send left the deck unstamped");
@@ -107,5 +113,4 @@
             });
         }
     }
-
 }
--- a/server/src/main/java/silverlatch/server/eventloop/Logs.java
+++ b/server/src/main/java/silverlatch/server/eventloop/Logs.java
@@ -8,8 +8,7 @@
 public final class Logs {
     private static final Logger LOG = LoggerFactory.getLogger("silverlatch");
 
-    private Logs() {
-    }
+    private Logs() {}
 
     /** Writes one event. */
     public static void write(final Event event, final String text) {
--- a/server/src/main/java/silverlatch/server/gateway/Gateway.java
+++ b/server/src/main/java/silverlatch/server/gateway/Gateway.java
@@ -20,29 +20,29 @@
 import silverlatch.dispatch.Order;
 import silverlatch.dispatch.TraceLog;
 import silverlatch.dispatch.permit.Seals;
-import silverlatch.node.Node;
+import silverlatch.gossip.Worker;
+import silverlatch.json.JsonDocument;
+import silverlatch.membership.Member;
 import silverlatch.node.Event;
-import silverlatch.server.workerclient.Back;
-import silverlatch.server.workerclient.Lines;
-import silverlatch.server.transport.Transport;
-import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.node.Node;
+import silverlatch.placement.ScorerResult;
+import silverlatch.routing.Router;
 import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.eventloop.EventLoopHandle;
 import silverlatch.server.eventloop.Logs;
-import silverlatch.server.replay.Pages;
-import silverlatch.server.replay.Recorder;
-import silverlatch.membership.Member;
+import silverlatch.server.proxy.Fields;
 import silverlatch.server.proxy.ProxyServer;
 import silverlatch.server.proxy.WorkerHttpClient;
-import silverlatch.server.proxy.Fields;
-import silverlatch.routing.Router;
+import silverlatch.server.replay.Pages;
+import silverlatch.server.replay.Recorder;
 import silverlatch.server.settings.Settings;
+import silverlatch.server.transport.Transport;
 import silverlatch.server.web.Call;
 import silverlatch.server.web.Doors;
 import silverlatch.server.web.Web;
 import silverlatch.server.web.Words;
-import silverlatch.placement.ScorerResult;
-import silverlatch.gossip.Worker;
-import silverlatch.json.JsonDocument;
+import silverlatch.server.workerclient.Back;
+import silverlatch.server.workerclient.Lines;
 import silverlatch.state.CommandResult;
 
 /** The data plane's process: picks, carries and gossips. */
@@ -79,8 +79,7 @@
         this.passage = passage;
         this.duty = new EventLoop("carry", 16_384, settings.rates().carry(), this::beat);
         this.dock = new Transport(settings.address(), this::frame);
-        this.bridge = new EventLoopHandle(deck, settings.rates().deck(), dock::ship, k -> {
-        }, this::publish);
+        this.bridge = new EventLoopHandle(deck, settings.rates().deck(), dock::ship, k -> {}, this::publish);
         this.back = new Back(settings.line(), settings.worker(), this);
         this.book = settings.record().map(Recorder::new);
     }
@@ -105,7 +104,8 @@
         dock.start();
         bridge.start();
         duty.start();
-        Logs.write(Event.STARTED, "gateway " + settings.name() + " at " + settings.address() + " door " + settings.door());
+        Logs.write(
+                Event.STARTED, "gateway " + settings.name() + " at " + settings.address() + " door " + settings.door());
     }
 
     /** Stops in good order: unready at once, streams go on within the grace, what is left is told to be lost. */
@@ -118,7 +118,8 @@
             final long end = EventLoop.now() + settings.grace();
             TimeUnit.MICROSECONDS.sleep(gate.isEmpty() ? 200_000L : Math.min(LINGER, settings.grace() / 3));
             duty.post(passage::close);
-            while (EventLoop.now() < end && carry.open() + gate.map(ProxyServer::open).orElse(0) > 0) {
+            while (EventLoop.now() < end
+                    && carry.open() + gate.map(ProxyServer::open).orElse(0) > 0) {
                 TimeUnit.MILLISECONDS.sleep(20);
             }
             post(() -> carry.end(EventLoop.now()));
@@ -177,7 +178,9 @@
 
     private void publish(final Node d) {
         final Facts facts = d.facts();
-        gateways = java.util.stream.Stream.concat(java.util.stream.Stream.of(facts.me()), facts.crew().stream()).filter(Member::ready).toList();
+        gateways = java.util.stream.Stream.concat(java.util.stream.Stream.of(facts.me()), facts.crew().stream())
+                .filter(Member::ready)
+                .toList();
         post(() -> {
             carry.facts(facts, EventLoop.now());
             passage.facts(facts, EventLoop.now());
@@ -197,7 +200,9 @@
         act();
         final Optional<String> why = gate.isEmpty() ? carry.unready(EventLoop.now()) : passage.unready();
         if (why.isPresent() != unready.isPresent()) {
-            Logs.write(why.isPresent() ? Event.UNREADY : Event.READY, settings.name() + why.map(w -> ": " + w).orElse(""));
+            Logs.write(
+                    why.isPresent() ? Event.UNREADY : Event.READY,
+                    settings.name() + why.map(w -> ": " + w).orElse(""));
             bridge.with(d -> d.ready(why.isEmpty()));
         }
         unready = why;
@@ -207,14 +212,38 @@
         gate.ifPresent(g -> passage.drain().forEach(g::move));
         for (final Act a : carry.drain()) {
             switch (a) {
-                case Act.Picked p -> call(p.token(), c -> c.reply(200, Map.of("outcome", "picked", "ticket", p.ticket(), "carrier",
-                        p.carrier(), "permit", p.permit(), "worker", p.worker(), "table", p.page(), "stamp", "" + p.stamp())));
-                case Act.Pointed p -> call(p.token(), c -> c.reply(200, Map.of("outcome", "pointed", "doors", p.doors())));
-                case Act.Rejected r -> call(r.token(), c -> reject(c, r.code(), r.ticket(), r.why(), r.after(), r.stands()));
+                case Act.Picked p ->
+                    call(
+                            p.token(),
+                            c -> c.reply(
+                                    200,
+                                    Map.of(
+                                            "outcome",
+                                            "picked",
+                                            "ticket",
+                                            p.ticket(),
+                                            "carrier",
+                                            p.carrier(),
+                                            "permit",
+                                            p.permit(),
+                                            "worker",
+                                            p.worker(),
+                                            "table",
+                                            p.page(),
+                                            "stamp",
+                                            "" + p.stamp())));
+                case Act.Pointed p ->
+                    call(p.token(), c -> c.reply(200, Map.of("outcome", "pointed", "doors", p.doors())));
+                case Act.Rejected r ->
+                    call(r.token(), c -> reject(c, r.code(), r.ticket(), r.why(), r.after(), r.stands()));
                 case Act.Flow f -> flow(f);
                 case Act.Run r -> run(r);
                 case Act.Cut c -> back.cut(c.job());
-                case Act.Claim c -> bridge.wish(c.wish(), c.span(), v -> post(() -> carry.verdict(c.job(), (CommandResult) v, EventLoop.now())));
+                case Act.Claim c ->
+                    bridge.wish(
+                            c.wish(),
+                            c.span(),
+                            v -> post(() -> carry.verdict(c.job(), (CommandResult) v, EventLoop.now())));
                 case Act.Judged j -> book.ifPresent(b -> b.write(Pages.write(j)));
                 case Act.Ended e -> book.ifPresent(b -> b.write(Pages.write(e)));
                 case Act.Log l -> Logs.write(l.event(), l.text());
@@ -241,20 +270,32 @@
 
     private void flow(final Act.Flow f) {
         final Optional<Call> call = Optional.ofNullable(f.last() ? calls.remove(f.token()) : calls.get(f.token()));
-        call.ifPresent(c -> c.stream(f.lines().stream().map(Lines::write).collect(Collectors.joining()), f.last(),
-                () -> post(() -> carry.hungry(f.token())), () -> {
+        call.ifPresent(c -> c.stream(
+                f.lines().stream().map(Lines::write).collect(Collectors.joining()),
+                f.last(),
+                () -> post(() -> carry.hungry(f.token())),
+                () -> {
                     calls.remove(f.token());
                     post(() -> carry.left(f.token(), EventLoop.now()));
                 }));
     }
 
-    private static void reject(final Call c, final int code, final String ticket, final String why, final long after, final String stands) {
-        final Map<String, Object> map = new TreeMap<>(Map.of("outcome", "rejected", "ticket", ticket, "faults", List.of(why),
-                "retryAfterMs", after / 1000));
+    private static void reject(
+            final Call c,
+            final int code,
+            final String ticket,
+            final String why,
+            final long after,
+            final String stands) {
+        final Map<String, Object> map = new TreeMap<>(
+                Map.of("outcome", "rejected", "ticket", ticket, "faults", List.of(why), "retryAfterMs", after / 1000));
         if (!stands.isEmpty()) {
             map.put("stands", stands);
         }
-        c.reply(code, map, after > 0 ? Map.of("Retry-After", "" + Math.max(1, (after + MILLION - 1) / MILLION)) : Map.of());
+        c.reply(
+                code,
+                map,
+                after > 0 ? Map.of("Retry-After", "" + Math.max(1, (after + MILLION - 1) / MILLION)) : Map.of());
     }
 
     /** Replies to a call at this gateway's own door, for one that opens doors itself. */
@@ -265,7 +306,8 @@
             case "POST /v1/tickets" -> ticket(c);
             case "POST /v1/announcements" -> announce(c);
             case "GET /live" -> c.reply(200, Map.of("live", true));
-            case "GET /ready" -> c.reply(unready.isEmpty() ? 200 : 503, Map.of("ready", unready.isEmpty(), "why", unready.orElse("")));
+            case "GET /ready" ->
+                c.reply(unready.isEmpty() ? 200 : 503, Map.of("ready", unready.isEmpty(), "why", unready.orElse("")));
             case "GET /status" -> status(c);
             case "GET /metrics" -> metrics(c);
             default -> {
@@ -312,8 +354,14 @@
 
     private void pick(final Call c) {
         sheet(c).ifPresent(s -> {
-            final Order o = new Order(c.secret(), s.text("tenant", 64), s.text("kind", 64), s.texts("prefix", 64, 128),
-                    s.whole("size", 0, Integer.MAX_VALUE, 0), s.text("key", 128, ""), (int) s.whole("tries", 0, 1_000, 0));
+            final Order o = new Order(
+                    c.secret(),
+                    s.text("tenant", 64),
+                    s.text("kind", 64),
+                    s.texts("prefix", 64, 128),
+                    s.whole("size", 0, Integer.MAX_VALUE, 0),
+                    s.text("key", 128, ""),
+                    (int) s.whole("tries", 0, 1_000, 0));
             if (!faulty(c, s)) {
                 begin(c, token -> carry.pick(o, token, EventLoop.now()));
             }
@@ -322,7 +370,11 @@
 
     private void ticket(final Call c) {
         sheet(c).ifPresent(s -> {
-            final Load l = new Load(c.secret(), s.text("permit", 4096), s.texts("prefix", 64, 128), s.text("prompt", settings.body()),
+            final Load l = new Load(
+                    c.secret(),
+                    s.text("permit", 4096),
+                    s.texts("prefix", 64, 128),
+                    s.text("prompt", settings.body()),
                     s.whole("expiryMs", 1, 3_600_000, 30_000) * 1000);
             if (!faulty(c, s)) {
                 begin(c, token -> carry.ticket(l, token, EventLoop.now()));
@@ -371,21 +423,51 @@
 
     private void explain(final Call c, final String ticket) {
         if (operator(c)) {
-            post(() -> carry.tales().get(ticket).or(() -> passage.tales().get(ticket)).ifPresentOrElse(t -> c.reply(200, tale(t)),
-                    () -> c.reply(404, Map.of("outcome", "rejected", "faults", List.of("no such ticket here")))));
+            post(() -> carry.tales()
+                    .get(ticket)
+                    .or(() -> passage.tales().get(ticket))
+                    .ifPresentOrElse(
+                            t -> c.reply(200, tale(t)),
+                            () -> c.reply(
+                                    404, Map.of("outcome", "rejected", "faults", List.of("no such ticket here")))));
         }
     }
 
     private static Map<String, Object> tale(final TraceLog.Tale t) {
         final List<Map<String, Object>> said = new ArrayList<>();
-        t.opinions().forEach(o -> said.add(Map.of("worker", o.worker(), "judge", o.judge(), "weight", o.weight(), "finding",
-                switch (o.finding()) {
-                    case ScorerResult.Score s -> "score " + Math.round(s.value() * 1000) / 1000.0;
-                    case ScorerResult.Veto v -> "veto: " + v.why();
-                    case ScorerResult.Later l -> "later: " + l.why();
-                })));
-        final Map<String, Object> map = new TreeMap<>(Map.of("ticket", t.ticket(), "tenant", t.tenant(), "kind", t.kind(), "worker",
-                t.worker(), "table", t.page(), "stamp", "" + t.stamp(), "state", t.state(), "why", t.why(), "tries", t.tries()));
+        t.opinions()
+                .forEach(o -> said.add(Map.of(
+                        "worker",
+                        o.worker(),
+                        "judge",
+                        o.judge(),
+                        "weight",
+                        o.weight(),
+                        "finding",
+                        switch (o.finding()) {
+                            case ScorerResult.Score s -> "score " + Math.round(s.value() * 1000) / 1000.0;
+                            case ScorerResult.Veto v -> "veto: " + v.why();
+                            case ScorerResult.Later l -> "later: " + l.why();
+                        })));
+        final Map<String, Object> map = new TreeMap<>(Map.of(
+                "ticket",
+                t.ticket(),
+                "tenant",
+                t.tenant(),
+                "kind",
+                t.kind(),
+                "worker",
+                t.worker(),
+                "table",
+                t.page(),
+                "stamp",
+                "" + t.stamp(),
+                "state",
+                t.state(),
+                "why",
+                t.why(),
+                "tries",
+                t.tries()));
         map.put("judges", said);
         return map;
     }
@@ -401,16 +483,28 @@
             map.put("ready", unready.isEmpty());
             map.put("why", unready.orElse(""));
             map.put("table", d.rumor().books().page());
-            map.put("tableAgeMs", d.rumor().age(now) == Long.MAX_VALUE ? -1 : d.rumor().age(now) / 1000);
+            map.put(
+                    "tableAgeMs",
+                    d.rumor().age(now) == Long.MAX_VALUE ? -1 : d.rumor().age(now) / 1000);
             map.put("stamp", "" + d.keeper().last().bits());
             map.put("wallJumps", d.anchor().jumps());
             map.put("view", d.view().number());
             map.put("chain", d.view().chain().stream().map(b -> b.address()).toList());
-            map.put("crew", d.crew().all().stream().map(m -> m.id() + " " + m.role() + " " + m.zone() + " " + m.state()
-                    + (m.ready() ? " ready" : "")).toList());
-            map.put("workers", d.rumor().workers().values().stream().map(h -> h.worker().id() + " " + h.worker().zone() + " running "
-                    + h.worker().running() + "/" + h.worker().slots() + (h.worker().leaving() ? " leaving" : "") + " age "
-                    + (h.age(now) == Long.MAX_VALUE ? "unknown" : h.age(now) / 1000 + " ms")).sorted().toList());
+            map.put(
+                    "crew",
+                    d.crew().all().stream()
+                            .map(m -> m.id() + " " + m.role() + " " + m.zone() + " " + m.state()
+                                    + (m.ready() ? " ready" : ""))
+                            .toList());
+            map.put(
+                    "workers",
+                    d.rumor().workers().values().stream()
+                            .map(h -> h.worker().id() + " " + h.worker().zone() + " running "
+                                    + h.worker().running() + "/" + h.worker().slots()
+                                    + (h.worker().leaving() ? " leaving" : "") + " age "
+                                    + (h.age(now) == Long.MAX_VALUE ? "unknown" : h.age(now) / 1000 + " ms"))
+                            .sorted()
+                            .toList());
             c.reply(200, map);
         });
     }
@@ -433,7 +527,10 @@
                 all.put("wire_bad", dock.bad());
                 all.put("wire_dropped", dock.dropped());
                 all.put("ring_full", duty.full() + bridge.duty().full());
-                c.text(all.entrySet().stream().map(e -> "silverlatch_" + e.getKey() + " " + e.getValue()).collect(Collectors.joining("\n")) + "\n");
+                c.text(all.entrySet().stream()
+                                .map(e -> "silverlatch_" + e.getKey() + " " + e.getValue())
+                                .collect(Collectors.joining("\n"))
+                        + "\n");
             });
         });
     }
--- a/server/src/main/java/silverlatch/server/gateway/Main.java
+++ b/server/src/main/java/silverlatch/server/gateway/Main.java
@@ -9,23 +9,22 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import silverlatch.clock.PhysicalClock;
 import silverlatch.dispatch.Dispatcher;
 import silverlatch.dispatch.permit.Seals;
 import silverlatch.membership.Member;
-import silverlatch.node.Node;
 import silverlatch.node.Event;
-import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.node.Node;
+import silverlatch.routing.Router;
 import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.eventloop.EventLoopHandle;
 import silverlatch.server.eventloop.Logs;
 import silverlatch.server.settings.Flags;
 import silverlatch.server.settings.Settings;
-import silverlatch.routing.Router;
-import silverlatch.clock.PhysicalClock;
 
 /** The program gateway. */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs a gateway until it is told to stop. */
     public static void main(final String[] args) {
@@ -68,8 +67,7 @@
     /** How the parts are made. */
     @Module
     static final class Shed {
-        private Shed() {
-        }
+        private Shed() {}
 
         @Provides
         @Singleton
@@ -82,15 +80,28 @@
         static Node deck(final Settings s, final SplittableRandom luck) {
             final long now = EventLoop.now();
             final long wall = EventLoopHandle.wall();
-            final Member me = new Member(s.name(), "gateway", s.zone(), s.region(), s.address(), s.door(), wall / 1000, 0, "up", false);
-            return new Node(new Node.Setup(me, s.seeds(), s.low(), s.skew(), s.rates().crew(), s.rates().rumor()), Optional.empty(),
-                    List.of(), new PhysicalClock(wall, now, 0), luck.split(), now);
+            final Member me = new Member(
+                    s.name(), "gateway", s.zone(), s.region(), s.address(), s.door(), wall / 1000, 0, "up", false);
+            return new Node(
+                    new Node.Setup(
+                            me,
+                            s.seeds(),
+                            s.low(),
+                            s.skew(),
+                            s.rates().crew(),
+                            s.rates().rumor()),
+                    Optional.empty(),
+                    List.of(),
+                    new PhysicalClock(wall, now, 0),
+                    luck.split(),
+                    now);
         }
 
         @Provides
         @Singleton
         static Dispatcher carry(final Settings s, final Node deck, final SplittableRandom luck) {
-            return new Dispatcher(s.carry(), new Seals(s.key()), deck.facts(), () -> deck.local(EventLoop.now()), luck.split());
+            return new Dispatcher(
+                    s.carry(), new Seals(s.key()), deck.facts(), () -> deck.local(EventLoop.now()), luck.split());
         }
 
         @Provides
--- a/server/src/main/java/silverlatch/server/proxy/Events.java
+++ b/server/src/main/java/silverlatch/server/proxy/Events.java
@@ -19,7 +19,9 @@
         part.reset();
         part.write(all, end, all.length - end);
         final String text = new String(all, 0, end, StandardCharsets.ISO_8859_1);
-        final int id = Math.max(text.startsWith("id:") ? 0 : -1, text.lastIndexOf("\nid:") + 1 > 0 ? text.lastIndexOf("\nid:") + 1 : -1);
+        final int id = Math.max(
+                text.startsWith("id:") ? 0 : -1,
+                text.lastIndexOf("\nid:") + 1 > 0 ? text.lastIndexOf("\nid:") + 1 : -1);
         if (id >= 0) {
             last = text.substring(id + 3, text.indexOf('\n', id)).strip();
         }
--- a/server/src/main/java/silverlatch/server/proxy/Fields.java
+++ b/server/src/main/java/silverlatch/server/proxy/Fields.java
@@ -20,10 +20,28 @@
  * @param none     says that a worker did not run the ticket
  * @param rank     how urgent a ticket is; 0 comes first
  */
-public record Fields(String ticket, String expiry, String parts, String tokens, String seal, String expect, String load, String none, String rank) {
+public record Fields(
+        String ticket,
+        String expiry,
+        String parts,
+        String tokens,
+        String seal,
+        String expect,
+        String load,
+        String none,
+        String rank) {
     /** The product's own names. */
-    public static final Fields PLAIN = new Fields("Silverlatch-Ticket", "Silverlatch-Expiry-Ms", "Silverlatch-Parts", "Silverlatch-Tokens",
-            "Silverlatch-Seal", "Silverlatch-Worker", "Silverlatch-Load", "Silverlatch-Not-Run", "Silverlatch-Rank");
+    public static final Fields PLAIN = new Fields(
+            "Silverlatch-Ticket",
+            "Silverlatch-Expiry-Ms",
+            "Silverlatch-Parts",
+            "Silverlatch-Tokens",
+            "Silverlatch-Seal",
+            "Silverlatch-Worker",
+            "Silverlatch-Load",
+            "Silverlatch-Not-Run",
+            "Silverlatch-Rank");
+
     private static final int MOST = 256;
 
     /** The names that the gate sets itself on what it sends to a worker, in lower case. */
@@ -41,7 +59,8 @@
             if (colon > 0 && list.size() < MOST) {
                 final String name = one.substring(0, colon).strip();
                 final Optional<Long> tokens = whole(one.substring(colon + 1));
-                tokens.filter(t -> t <= Integer.MAX_VALUE).ifPresent(t -> list.add(new RoutedRequest.Part(name(name), t.intValue())));
+                tokens.filter(t -> t <= Integer.MAX_VALUE)
+                        .ifPresent(t -> list.add(new RoutedRequest.Part(name(name), t.intValue())));
             }
         }
         return list;
@@ -53,8 +72,15 @@
         if (part.length != 3) {
             return Optional.empty();
         }
-        final List<Long> all = java.util.Arrays.stream(part).map(Fields::whole).flatMap(Optional::stream).filter(n -> n < 1_000_000).toList();
-        return all.size() == 3 ? Optional.of(new Router.Load(all.get(0).intValue(), all.get(1).intValue(), all.get(2).intValue())) : Optional.empty();
+        final List<Long> all = java.util.Arrays.stream(part)
+                .map(Fields::whole)
+                .flatMap(Optional::stream)
+                .filter(n -> n < 1_000_000)
+                .toList();
+        return all.size() == 3
+                ? Optional.of(new Router.Load(
+                        all.get(0).intValue(), all.get(1).intValue(), all.get(2).intValue()))
+                : Optional.empty();
     }
 
     /** A whole number that is not negative. */
--- a/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
@@ -20,11 +20,11 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import silverlatch.server.eventloop.EventLoop;
 import silverlatch.routing.FailurePoint;
 import silverlatch.routing.RoutedRequest;
-import silverlatch.routing.RoutingEffect;
 import silverlatch.routing.Router;
+import silverlatch.routing.RoutingEffect;
+import silverlatch.server.eventloop.EventLoop;
 
 /** One ticket at the gate: the consumer's side, and the run at a worker that feeds it now. */
 final class ProxiedRequest {
@@ -44,8 +44,14 @@
     private boolean ended;
     private String seen = "";
 
-    ProxiedRequest(final ProxyServer gate, final long token, final RoutedRequest fare, final Request request, final Response response, final Callback callback,
-           final byte[] body) {
+    ProxiedRequest(
+            final ProxyServer gate,
+            final long token,
+            final RoutedRequest fare,
+            final Request request,
+            final Response response,
+            final Callback callback,
+            final byte[] body) {
         this.gate = gate;
         this.token = token;
         this.fare = fare;
@@ -55,13 +61,22 @@
         this.body = body;
     }
 
-    private record Part(byte[] bytes, boolean last, Runnable then) {
-    }
+    private record Part(byte[] bytes, boolean last, Runnable then) {}
 
     private static Set<String> hop() {
         final Set<String> set = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
-        set.addAll(List.of("Connection", "Keep-Alive", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Proxy-Connection",
-                "Proxy-Authenticate", "Proxy-Authorization", "Content-Length", "Expect"));
+        set.addAll(List.of(
+                "Connection",
+                "Keep-Alive",
+                "Transfer-Encoding",
+                "TE",
+                "Trailer",
+                "Upgrade",
+                "Proxy-Connection",
+                "Proxy-Authenticate",
+                "Proxy-Authorization",
+                "Content-Length",
+                "Expect"));
         return set;
     }
 
@@ -163,24 +178,29 @@
         final Part part = queue.poll();
         writing = true;
         ended = part.last();
-        response.write(part.last(), ByteBuffer.wrap(part.bytes()), Callback.from(() -> {
-            synchronized (this) {
-                writing = false;
-            }
-            part.then().run();
-            if (part.last()) {
-                callback.succeeded();
-            } else {
-                pump();
-            }
-        }, fault -> {
-            synchronized (this) {
-                ended = true;
-                run.ifPresent(Run::drop);
-            }
-            callback.failed(fault);
-            gate.gone(token);
-        }));
+        response.write(
+                part.last(),
+                ByteBuffer.wrap(part.bytes()),
+                Callback.from(
+                        () -> {
+                            synchronized (this) {
+                                writing = false;
+                            }
+                            part.then().run();
+                            if (part.last()) {
+                                callback.succeeded();
+                            } else {
+                                pump();
+                            }
+                        },
+                        fault -> {
+                            synchronized (this) {
+                                ended = true;
+                                run.ifPresent(Run::drop);
+                            }
+                            callback.failed(fault);
+                            gate.gone(token);
+                        }));
     }
 
     /** One run of the ticket at one worker. */
@@ -203,11 +223,17 @@
             final HttpFields from = request.getHeaders();
             final Set<String> named = named(from);
             final Set<String> own = gate.words().own();
-            ask = gate.lighter().ask(send.address(), request.getMethod(), request.getHttpURI().getPathQuery())
+            ask = gate.lighter()
+                    .ask(
+                            send.address(),
+                            request.getMethod(),
+                            request.getHttpURI().getPathQuery())
                     .headers(h -> {
                         h.clear();
                         for (final HttpField f : from) {
-                            if (!HOP.contains(f.getName()) && !named.contains(f.getName()) && !own.contains(f.getName())) {
+                            if (!HOP.contains(f.getName())
+                                    && !named.contains(f.getName())
+                                    && !own.contains(f.getName())) {
                                 h.add(f.getName(), f.getValue());
                             }
                         }
@@ -223,7 +249,9 @@
                     .onResponseContentAsync(this::content)
                     .timeout(send.left() / 1000 + 1_000, java.util.concurrent.TimeUnit.MILLISECONDS)
                     .idleTimeout(send.left() / 1000 + 1_000, java.util.concurrent.TimeUnit.MILLISECONDS);
-            if (body.length > 0 || from.contains(HttpHeader.CONTENT_LENGTH) || from.contains(HttpHeader.TRANSFER_ENCODING)) {
+            if (body.length > 0
+                    || from.contains(HttpHeader.CONTENT_LENGTH)
+                    || from.contains(HttpHeader.TRANSFER_ENCODING)) {
                 ask.body(new BytesRequestContent(from.get(HttpHeader.CONTENT_TYPE), body));
             }
             ask.send(result -> complete(result.isSucceeded()));
@@ -239,8 +267,10 @@
             reply = r;
             final HttpFields h = r.getHeaders();
             final Fields w = gate.words();
-            final String mine = Optional.ofNullable(request.getHeaders().get(w.ticket())).orElse("");
-            final String theirs = Optional.ofNullable(h.get(w.ticket())).orElse(mine.isEmpty() || r.getStatus() / 100 != 2 ? mine : "?");
+            final String mine =
+                    Optional.ofNullable(request.getHeaders().get(w.ticket())).orElse("");
+            final String theirs = Optional.ofNullable(h.get(w.ticket()))
+                    .orElse(mine.isEmpty() || r.getStatus() / 100 != 2 ? mine : "?");
             good = r.getStatus() / 100 == 2 && h.contains(w.seal()) && !h.contains(HttpHeader.CONTENT_ENCODING);
             wrong = !theirs.equals(mine) || r.getStatus() / 100 == 2 && !good;
             if (wrong) {
@@ -264,7 +294,8 @@
             }
         }
 
-        private void content(final org.eclipse.jetty.client.Response r, final Content.Chunk chunk, final Runnable more) {
+        private void content(
+                final org.eclipse.jetty.client.Response r, final Content.Chunk chunk, final Runnable more) {
             final byte[] bytes = new byte[chunk.remaining()];
             chunk.getByteBuffer().get(bytes);
             if (over.get() || wrong) {
@@ -319,16 +350,21 @@
                 }
             } else if (whole && !wrong) {
                 final boolean none = reply.getHeaders().contains(gate.words().none());
-                final Optional<Router.Load> load = Fields.load(Optional.ofNullable(reply.getHeaders().get(gate.words().load())));
+                final Optional<Router.Load> load = Fields.load(
+                        Optional.ofNullable(reply.getHeaders().get(gate.words().load())));
                 if (reply.getStatus() == 421 || none && reply.getStatus() != 400) {
-                    gate.tell(p -> p.failed(job, reply.getStatus() == 421 ? FailurePoint.STRANGER : FailurePoint.NOT_RUN, EventLoop.now()));
+                    gate.tell(p -> p.failed(
+                            job,
+                            reply.getStatus() == 421 ? FailurePoint.STRANGER : FailurePoint.NOT_RUN,
+                            EventLoop.now()));
                 } else if (headed) {
                     gate.tell(p -> p.failed(job, FailurePoint.BEGUN, EventLoop.now()));
                 } else {
                     gate.tell(p -> p.ill(job, reply.getStatus(), load, EventLoop.now()));
                 }
             } else {
-                final FailurePoint point = !begun.get() ? FailurePoint.UNSENT : good ? FailurePoint.BEGUN : FailurePoint.SENT;
+                final FailurePoint point =
+                        !begun.get() ? FailurePoint.UNSENT : good ? FailurePoint.BEGUN : FailurePoint.SENT;
                 gate.tell(p -> p.failed(job, point, EventLoop.now()));
             }
         }
--- a/server/src/main/java/silverlatch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxyServer.java
@@ -11,10 +11,10 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import silverlatch.server.eventloop.EventLoop;
 import silverlatch.routing.RoutedRequest;
-import silverlatch.routing.RoutingEffect;
 import silverlatch.routing.Router;
+import silverlatch.routing.RoutingEffect;
+import silverlatch.server.eventloop.EventLoop;
 
 /** Where tickets come in by host and path: it takes them in whole, and does what passage decides. */
 public final class ProxyServer extends Handler.Abstract.NonBlocking {
@@ -57,10 +57,16 @@
         Content.Source.asByteArrayAsync(request, most).whenComplete((bytes, fault) -> {
             if (fault == null) {
                 enter(request, response, callback, bytes);
-            } else if (fault instanceof java.util.concurrent.TimeoutException || fault.getCause() instanceof java.util.concurrent.TimeoutException) {
+            } else if (fault instanceof java.util.concurrent.TimeoutException
+                    || fault.getCause() instanceof java.util.concurrent.TimeoutException) {
                 tell(response, callback, 408, "it came too slowly", true);
             } else {
-                tell(response, callback, fault instanceof IllegalStateException ? 413 : 400, "larger than " + most + " bytes, or cut short", true);
+                tell(
+                        response,
+                        callback,
+                        fault instanceof IllegalStateException ? 413 : 400,
+                        "larger than " + most + " bytes, or cut short",
+                        true);
             }
         });
         return true;
@@ -120,23 +126,32 @@
         final Optional<String> host = Optional.ofNullable(request.getHeaders().get(HttpHeader.HOST));
         final String path = Request.getPathInContext(request);
         final String[] tokensOf = text(request, words.tokens()).orElse("0,0").split(",");
-        final RoutedRequest fare = new RoutedRequest(token, host.orElse(""), path, text(request, words.ticket()).orElse(""),
-                text(request, words.expiry()).flatMap(Fields::whole).orElse(60_000L) * 1000, Fields.parts(text(request, words.parts())),
-                count(tokensOf, 0), count(tokensOf, 1));
+        final RoutedRequest fare = new RoutedRequest(
+                token,
+                host.orElse(""),
+                path,
+                text(request, words.ticket()).orElse(""),
+                text(request, words.expiry()).flatMap(Fields::whole).orElse(60_000L) * 1000,
+                Fields.parts(text(request, words.parts())),
+                count(tokensOf, 0),
+                count(tokensOf, 1));
         voyages.put(token, new ProxiedRequest(this, token, fare, request, response, callback, body));
         request.addFailureListener(f -> gone(token));
         duty.accept(p -> p.arrive(fare, EventLoop.now()));
     }
 
     private static int count(final String[] list, final int at) {
-        return at < list.length ? Fields.whole(list[at]).map(n -> (int) Math.min(n, 10_000_000)).orElse(0) : 0;
+        return at < list.length
+                ? Fields.whole(list[at]).map(n -> (int) Math.min(n, 10_000_000)).orElse(0)
+                : 0;
     }
 
     private static Optional<String> text(final Request request, final String name) {
         return Optional.ofNullable(request.getHeaders().get(name));
     }
 
-    private static void tell(final Response response, final Callback callback, final int code, final String why, final boolean close) {
+    private static void tell(
+            final Response response, final Callback callback, final int code, final String why, final boolean close) {
         response.setStatus(code);
         if (close) {
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
