--- a/server/src/main/java/silverlatch/server/replay/Main.java
+++ b/server/src/main/java/silverlatch/server/replay/Main.java
@@ -15,29 +15,36 @@
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.ParserProperties;
 import silverlatch.dispatch.Act;
-import silverlatch.server.settings.Flags;
 import silverlatch.placement.Case;
-import silverlatch.placement.WeightedScorers;
 import silverlatch.placement.ScorerResult;
+import silverlatch.placement.WeightedScorers;
+import silverlatch.server.settings.Flags;
 import silverlatch.state.Value;
 
 /** The tool replay: judges a recorded day again, under its own table or another one, and shows which picks change and why. */
 public final class Main {
-    @Option(name = "--table", metaVar = "FILE", usage = "the table to judge by (as 'silverlatch --json table get' gives it); without it the day's own")
+    @Option(
+            name = "--table",
+            metaVar = "FILE",
+            usage = "the table to judge by (as 'silverlatch --json table get' gives it); without it the day's own")
     private String table = "";
+
     @Option(name = "--most", metaVar = "N", usage = "how many changed picks to show")
     private int most = 10;
+
     @Option(name = "--word", metaVar = "MICROSECONDS", usage = "the setting word of the day")
     private long word = 2_000_000;
+
     @Option(name = "--help", help = true, usage = "show this text and end")
     private boolean help;
+
     @Option(name = "--version", help = true, usage = "show the version and end")
     private boolean version;
+
     @Argument(metaVar = "RECORDING")
     private List<String> files = new ArrayList<>();
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs the tool: 0 done, 2 wrong use or a fault in a file. */
     public static void main(final String[] args) {
@@ -45,7 +52,8 @@
     }
 
     private int run(final String[] args, final PrintStream out, final PrintStream err) {
-        final CmdLineParser parser = new CmdLineParser(this, ParserProperties.defaults().withUsageWidth(100));
+        final CmdLineParser parser =
+                new CmdLineParser(this, ParserProperties.defaults().withUsageWidth(100));
         try {
             parser.parseArgument(args);
         } catch (final CmdLineException e) {
@@ -64,7 +72,8 @@
             return 2;
         }
         final List<String> faults = new ArrayList<>();
-        final Optional<Map<String, Value.Row>> rows = table.isEmpty() ? Optional.empty() : Optional.of(Pages.table(Path.of(table), faults));
+        final Optional<Map<String, Value.Row>> rows =
+                table.isEmpty() ? Optional.empty() : Optional.of(Pages.table(Path.of(table), faults));
         final Pages.Read read = Pages.read(files.stream().map(Path::of).toList());
         if (read instanceof Pages.Read.Bad bad) {
             faults.addAll(bad.faults());
@@ -84,15 +93,20 @@
         int shown = 0;
         for (final Act.Judged j : day.judged()) {
             final Case old = j.plea();
-            final Optional<Value.Row> row = rows.map(r -> Optional.ofNullable(r.get(old.tenant().name() + "/" + old.row().kind()))
-                    .or(() -> Optional.ofNullable(r.get("*/" + old.row().kind())))).orElse(Optional.of(old.row()));
+            final Optional<Value.Row> row = rows.map(r -> Optional.ofNullable(
+                                    r.get(old.tenant().name() + "/" + old.row().kind()))
+                            .or(() -> Optional.ofNullable(r.get("*/" + old.row().kind()))))
+                    .orElse(Optional.of(old.row()));
             if (row.isEmpty()) {
                 tally.merge("kind " + old.row().kind() + " is not in the table", 1, Integer::sum);
                 continue;
             }
-            final Case plea = new Case(old.ticket(), old.tenant(), row.get(), old.prefix(), old.zone(), old.region(), old.empty());
+            final Case plea = new Case(
+                    old.ticket(), old.tenant(), row.get(), old.prefix(), old.zone(), old.region(), old.empty());
             final WeightedScorers.Ruling ruling = court.pick(plea, j.sights(), new SplittableRandom(j.seed()));
-            final String now = ruling instanceof WeightedScorers.Ruling.Picked p ? p.worker().worker().id() : "";
+            final String now = ruling instanceof WeightedScorers.Ruling.Picked p
+                    ? p.worker().worker().id()
+                    : "";
             if (now.equals(j.worker())) {
                 same++;
                 continue;
@@ -102,20 +116,32 @@
                 show(j, ruling, now, day.ends().getOrDefault(old.ticket(), "open"), out);
             }
         }
-        out.println(day.judged().size() + " picks, " + same + " the same, " + (day.judged().size() - same) + " changed");
+        out.println(day.judged().size() + " picks, " + same + " the same, "
+                + (day.judged().size() - same) + " changed");
         tally.forEach((k, v) -> out.println("  " + k + ": " + v));
     }
 
-    private static void show(final Act.Judged j, final WeightedScorers.Ruling ruling, final String now, final String end, final PrintStream out) {
-        out.println("ticket " + j.plea().ticket() + " " + j.plea().tenant().name() + " " + j.plea().row().kind() + ": "
-                + name(j.worker()) + " -> " + name(now) + " (page " + j.page() + ", stamp " + j.stamp() + ", it ended " + end + ")");
+    private static void show(
+            final Act.Judged j,
+            final WeightedScorers.Ruling ruling,
+            final String now,
+            final String end,
+            final PrintStream out) {
+        out.println("ticket " + j.plea().ticket() + " " + j.plea().tenant().name() + " "
+                + j.plea().row().kind() + ": " + name(j.worker()) + " -> " + name(now) + " (page " + j.page()
+                + ", stamp " + j.stamp() + ", it ended " + end + ")");
         final Map<String, String> why = new LinkedHashMap<>();
-        ruling.opinions().stream().filter(o -> o.worker().equals(now) || o.worker().equals(j.worker())).forEach(o -> why.merge(o.judge(),
-                o.worker() + " " + switch (o.finding()) {
-                    case ScorerResult.Score s -> String.format("%.2f x %s", s.value(), o.weight());
-                    case ScorerResult.Veto v -> "veto: " + v.why();
-                    case ScorerResult.Later l -> "later: " + l.why();
-                }, (a, b) -> a + ", " + b));
+        ruling.opinions().stream()
+                .filter(o -> o.worker().equals(now) || o.worker().equals(j.worker()))
+                .forEach(o -> why.merge(
+                        o.judge(),
+                        o.worker() + " "
+                                + switch (o.finding()) {
+                                    case ScorerResult.Score s -> String.format("%.2f x %s", s.value(), o.weight());
+                                    case ScorerResult.Veto v -> "veto: " + v.why();
+                                    case ScorerResult.Later l -> "later: " + l.why();
+                                },
+                        (a, b) -> a + ", " + b));
         why.forEach((k, v) -> out.println("    " + k + ": " + v));
     }
 
--- a/server/src/main/java/silverlatch/server/replay/Pages.java
+++ b/server/src/main/java/silverlatch/server/replay/Pages.java
@@ -11,23 +11,23 @@
 import java.util.Map;
 import java.util.Set;
 import silverlatch.dispatch.Act;
-import silverlatch.server.controller.Rows;
-import silverlatch.placement.Case;
-import silverlatch.placement.PlacementInput;
 import silverlatch.gossip.Worker;
 import silverlatch.json.JsonDocument;
-import silverlatch.state.Value;
+import silverlatch.placement.Case;
+import silverlatch.placement.PlacementInput;
+import silverlatch.server.controller.Rows;
 import silverlatch.state.TableRules;
+import silverlatch.state.Value;
 
 /** The lines of a recorded day, both ways; no prompt is among them. */
 public final class Pages {
     /** The first line of every recording. */
     public static final String HEAD = "{\"silverlatch\":\"day\",\"format\":1}";
+
     private static final int LINE = 4 << 20;
     private static final long FAR = 1L << 50;
 
-    private Pages() {
-    }
+    private Pages() {}
 
     /** What a recording held. */
     public record Day(List<Act.Judged> judged, Map<String, String> ends) {
@@ -41,8 +41,7 @@
     /** What reading gave. */
     public sealed interface Read {
         /** A whole recording. */
-        record Good(Day day) implements Read {
-        }
+        record Good(Day day) implements Read {}
 
         /** The place of each fault. */
         record Bad(List<String> faults) implements Read {
@@ -121,8 +120,12 @@
         return faults.isEmpty() ? new Read.Good(new Day(judged, ends)) : new Read.Bad(faults);
     }
 
-    private static void line(final String at, final String text, final List<Act.Judged> judged, final Map<String, String> ends,
-                             final List<String> faults) {
+    private static void line(
+            final String at,
+            final String text,
+            final List<Act.Judged> judged,
+            final Map<String, String> ends,
+            final List<String> faults) {
         switch (JsonDocument.parse(text.getBytes(StandardCharsets.UTF_8), LINE)) {
             case JsonDocument.Parsed.Bad bad -> faults.add(at + bad.why());
             case JsonDocument.Parsed.Good good -> {
@@ -149,19 +152,46 @@
         r.end();
         final List<PlacementInput> sights = new ArrayList<>();
         s.sheets("sights", 10_000).forEach(x -> {
-            final Worker w = new Worker(x.text("worker", 64), "", x.text("zone", 64), x.text("region", 64), 0, 0, (int) x.whole("running", 0, Integer.MAX_VALUE),
-                    (int) x.whole("queued", 0, Integer.MAX_VALUE), (int) x.whole("slots", 1, Integer.MAX_VALUE), x.wholes("kept", 4_096),
-                    x.flag("leaving", false), x.whole("up", 0, FAR));
-            sights.add(new PlacementInput(w, x.whole("age", 0, FAR), (int) x.whole("since", 0, Integer.MAX_VALUE), (int) x.whole("mine", 0, Integer.MAX_VALUE),
-                    x.whole("back", 0, FAR), x.flag("shunned", false), (int) x.whole("peers", 1, Integer.MAX_VALUE)));
+            final Worker w = new Worker(
+                    x.text("worker", 64),
+                    "",
+                    x.text("zone", 64),
+                    x.text("region", 64),
+                    0,
+                    0,
+                    (int) x.whole("running", 0, Integer.MAX_VALUE),
+                    (int) x.whole("queued", 0, Integer.MAX_VALUE),
+                    (int) x.whole("slots", 1, Integer.MAX_VALUE),
+                    x.wholes("kept", 4_096),
+                    x.flag("leaving", false),
+                    x.whole("up", 0, FAR));
+            sights.add(new PlacementInput(
+                    w,
+                    x.whole("age", 0, FAR),
+                    (int) x.whole("since", 0, Integer.MAX_VALUE),
+                    (int) x.whole("mine", 0, Integer.MAX_VALUE),
+                    x.whole("back", 0, FAR),
+                    x.flag("shunned", false),
+                    (int) x.whole("peers", 1, Integer.MAX_VALUE)));
             x.end();
         });
         final Value.Tenant who = new Value.Tenant(s.text("tenant", 64), s.texts("homes", 64, 64), 1, "", "");
-        final Case plea = new Case(s.text("ticket", 256), who, row, s.wholes("prefix", 64), s.text("zone", 64), s.text("region", 64),
+        final Case plea = new Case(
+                s.text("ticket", 256),
+                who,
+                row,
+                s.wholes("prefix", 64),
+                s.text("zone", 64),
+                s.text("region", 64),
                 Set.copyOf(s.texts("empty", 64, 64)));
         final String stamp = s.text("stamp", 20);
-        final Act.Judged made = new Act.Judged(plea, sights, s.whole("seed", 0, Long.MAX_VALUE), s.whole("page", 0, Long.MAX_VALUE),
-                stamp.matches("\\d{1,19}") ? Long.parseLong(stamp) : 0, s.text("picked", 64));
+        final Act.Judged made = new Act.Judged(
+                plea,
+                sights,
+                s.whole("seed", 0, Long.MAX_VALUE),
+                s.whole("page", 0, Long.MAX_VALUE),
+                stamp.matches("\\d{1,19}") ? Long.parseLong(stamp) : 0,
+                s.text("picked", 64));
         s.end();
         return made;
     }
--- a/server/src/main/java/silverlatch/server/settings/Flags.java
+++ b/server/src/main/java/silverlatch/server/settings/Flags.java
@@ -16,48 +16,65 @@
 public final class Flags {
     /** The product's version. */
     public static final String VERSION = "0.1.0";
+
     @Option(name = "--settings", metaVar = "FILE", usage = "the settings file (JSON); flags go before it")
     private String settings = "";
+
     @Option(name = "--name", metaVar = "NAME", usage = "this process's name")
     private String name = "";
+
     @Option(name = "--zone", metaVar = "ZONE", usage = "its zone")
     private String zone = "";
+
     @Option(name = "--region", metaVar = "REGION", usage = "its region")
     private String region = "";
+
     @Option(name = "--address", metaVar = "IP:PORT", usage = "where it takes frames of other processes")
     private String address = "";
+
     @Option(name = "--door", metaVar = "IP:PORT", usage = "where it takes HTTP")
     private String door = "";
+
     @Option(name = "--seeds", metaVar = "A,B,C", usage = "one to three addresses of controllers")
     private String seeds = "";
+
     @Option(name = "--data", metaVar = "FOLDER", usage = "the data folder (controllers only)")
     private String data = "";
+
     @Option(name = "--record", metaVar = "FOLDER", usage = "record the day's placements into a folder (gateways only)")
     private String record = "";
+
     @Option(name = "--gate", metaVar = "IP:PORT", usage = "where it takes tickets by host and path (gateways only)")
     private String gate = "";
+
     @Option(name = "--check", usage = "check the settings and end")
     private boolean check;
+
     @Option(name = "--help", help = true, usage = "show this text and end")
     private boolean help;
+
     @Option(name = "--version", help = true, usage = "show the version and end")
     private boolean version;
 
     /** What the command line came to. */
     public sealed interface Parsed {
         /** Run with these settings. */
-        record Run(Settings settings) implements Parsed {
-        }
+        record Run(Settings settings) implements Parsed {}
 
         /** End with this code; all is said. */
-        record End(int code) implements Parsed {
-        }
+        record End(int code) implements Parsed {}
     }
 
     /** Reads a command line and the settings it names. */
-    public static Parsed parse(final String program, final String[] args, final boolean controller, final PrintStream out, final PrintStream err) {
+    public static Parsed parse(
+            final String program,
+            final String[] args,
+            final boolean controller,
+            final PrintStream out,
+            final PrintStream err) {
         final Flags flags = new Flags();
-        final CmdLineParser parser = new CmdLineParser(flags, ParserProperties.defaults().withUsageWidth(100));
+        final CmdLineParser parser =
+                new CmdLineParser(flags, ParserProperties.defaults().withUsageWidth(100));
         try {
             parser.parseArgument(args);
         } catch (final CmdLineException e) {
@@ -92,7 +109,9 @@
 
     private Map<String, Object> over() {
         final Map<String, Object> map = new HashMap<>();
-        final Map<String, String> texts = Map.of("name", name, "zone", zone, "region", region, "address", address, "door", door, "data", data, "record", record, "gate", gate);
+        final Map<String, String> texts = Map.of(
+                "name", name, "zone", zone, "region", region, "address", address, "door", door, "data", data, "record",
+                record, "gate", gate);
         texts.forEach((k, v) -> {
             if (!v.isEmpty()) {
                 map.put(k, v);
--- a/server/src/main/java/silverlatch/server/settings/Rates.java
+++ b/server/src/main/java/silverlatch/server/settings/Rates.java
@@ -1,10 +1,10 @@
 package silverlatch.server.settings;
 
 import java.util.List;
-import silverlatch.membership.Membership;
 import silverlatch.gossip.Gossip;
 import silverlatch.gossip.Way;
 import silverlatch.json.JsonDocument;
+import silverlatch.membership.Membership;
 
 /** How often the daemons speak to each other and their duties beat; times in microseconds. */
 public record Rates(Membership.Times crew, Gossip.Times rumor, long deck, long carry) {
@@ -23,13 +23,26 @@
         final Rates plain = controllers ? QUIET : PLAIN;
         final long silent = s.whole("silent", 2_000_000L, 600_000_000L, Way.Controllers.PLAIN.silent());
         final long forget = s.whole("forget", 5_000_000L, 3_600_000_000L, Way.Controllers.PLAIN.forget());
-        final Rates made = new Rates(new Membership.Times(s.whole("heartbeat", 50_000L, 10_000_000L, plain.crew().beat()),
-                s.whole("miss", 200_000L, 60_000_000L, plain.crew().miss()), s.whole("bury", 200_000L, 600_000_000L, plain.crew().bury()),
-                s.whole("hail", 100_000L, 60_000_000L, plain.crew().hail()), plain.crew().whole()),
-                new Gossip.Times(s.whole("pullPurser", 50_000L, 10_000_000L, plain.rumor().pull()),
+        final Rates made = new Rates(
+                new Membership.Times(
+                        s.whole("heartbeat", 50_000L, 10_000_000L, plain.crew().beat()),
+                        s.whole("miss", 200_000L, 60_000_000L, plain.crew().miss()),
+                        s.whole("bury", 200_000L, 600_000_000L, plain.crew().bury()),
+                        s.whole("hail", 100_000L, 60_000_000L, plain.crew().hail()),
+                        plain.crew().whole()),
+                new Gossip.Times(
+                        s.whole(
+                                "pullPurser",
+                                50_000L,
+                                10_000_000L,
+                                plain.rumor().pull()),
                         s.whole("pullHarbor", 50_000L, 2_000_000L, plain.rumor().root()),
-                        controllers ? new Way.Controllers(silent, forget, (int) s.whole("asks", 1, 10_000, Way.Controllers.PLAIN.asks())) : new Way.Everywhere()),
-                s.whole("deck", 1_000L, 200_000L, plain.deck()), s.whole("carry", 1_000L, 200_000L, plain.carry()));
+                        controllers
+                                ? new Way.Controllers(
+                                        silent, forget, (int) s.whole("asks", 1, 10_000, Way.Controllers.PLAIN.asks()))
+                                : new Way.Everywhere()),
+                s.whole("deck", 1_000L, 200_000L, plain.deck()),
+                s.whole("carry", 1_000L, 200_000L, plain.carry()));
         if (made.crew().miss() < 2 * made.crew().beat()) {
             faults.add("miss: at least two heartbeats are needed");
         }
--- a/server/src/main/java/silverlatch/server/settings/Settings.java
+++ b/server/src/main/java/silverlatch/server/settings/Settings.java
@@ -19,9 +19,29 @@
  * @param gate   where a gateway takes tickets by host and path
  * @param voters how many controllers with a data folder vote, where so many are there
  */
-public record Settings(String name, String zone, String region, String address, String door, List<String> seeds,
-                       Optional<String> data, Optional<String> record, String key, String operator, String worker, int low, long skew, long grace, Dispatcher.Setup carry,
-                       int body, int line, boolean found, int copies, int voters, Rates rates, Optional<String> gate) {
+public record Settings(
+        String name,
+        String zone,
+        String region,
+        String address,
+        String door,
+        List<String> seeds,
+        Optional<String> data,
+        Optional<String> record,
+        String key,
+        String operator,
+        String worker,
+        int low,
+        long skew,
+        long grace,
+        Dispatcher.Setup carry,
+        int body,
+        int line,
+        boolean found,
+        int copies,
+        int voters,
+        Rates rates,
+        Optional<String> gate) {
     /** The largest settings file. */
     public static final int MOST = 64 << 10;
 
@@ -33,8 +53,7 @@
     /** What reading gave. */
     public sealed interface Read {
         /** Settings without a fault. */
-        record Good(Settings settings) implements Read {
-        }
+        record Good(Settings settings) implements Read {}
 
         /** Every fault that was found. */
         record Bad(List<String> faults) implements Read {
@@ -49,7 +68,9 @@
     public static Read read(final Optional<String> file, final Map<String, Object> flags, final boolean controller) {
         final byte[] body;
         try {
-            body = file.isPresent() ? Files.readAllBytes(Path.of(file.get())) : "{}".getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            body = file.isPresent()
+                    ? Files.readAllBytes(Path.of(file.get()))
+                    : "{}".getBytes(java.nio.charset.StandardCharsets.UTF_8);
         } catch (final IOException e) {
             return new Read.Bad(List.of("the settings file can't be read: " + e.getMessage()));
         }
@@ -63,21 +84,41 @@
         final List<String> faults = new ArrayList<>();
         final Dispatcher.Setup plain = Dispatcher.Setup.PLAIN;
         final String data = s.text("data", 4096, "");
-        final Settings made = new Settings(s.text("name", 64), s.text("zone", 64), s.text("region", 64), s.text("address", 64),
-                s.text("door", 64), s.texts("seeds", 3, 64), data.isEmpty() ? Optional.empty() : Optional.of(data),
-                Optional.of(s.text("record", 4096, "")).filter(r -> !r.isEmpty()), s.text("key", 256),
-                s.text("operator", 256), s.text("worker", 256), (int) s.whole("low", 1, 30, 7), s.whole("skew", 0, 10_000_000L, 50_000L),
+        final Settings made = new Settings(
+                s.text("name", 64),
+                s.text("zone", 64),
+                s.text("region", 64),
+                s.text("address", 64),
+                s.text("door", 64),
+                s.texts("seeds", 3, 64),
+                data.isEmpty() ? Optional.empty() : Optional.of(data),
+                Optional.of(s.text("record", 4096, "")).filter(r -> !r.isEmpty()),
+                s.text("key", 256),
+                s.text("operator", 256),
+                s.text("worker", 256),
+                (int) s.whole("low", 1, 30, 7),
+                s.whole("skew", 0, 10_000_000L, 50_000L),
                 s.whole("grace", 0, 600_000_000L, 5_000_000L),
-                new Dispatcher.Setup((int) s.whole("slab", 1, 1_000_000, plain.slab()), (int) s.whole("queue", 1, 1_000_000, plain.queue()),
-                        s.whole("permit", 100_000, 10_000_000, plain.permit()), s.whole("word", 500_000, 2_500_000, plain.word()),
-                        s.whole("sure", 500_000, 2_500_000, plain.sure()), s.whole("claim", 100_000, 10_000_000, plain.claim()),
-                        s.whole("keep", 0, 600_000_000L, plain.keep()), (int) s.whole("buffer", 1_024, 64 << 20, plain.buffer()),
-                        s.number("tries", plain.tries()), s.whole("shun", 0, 60_000_000L, plain.shun()),
+                new Dispatcher.Setup(
+                        (int) s.whole("slab", 1, 1_000_000, plain.slab()),
+                        (int) s.whole("queue", 1, 1_000_000, plain.queue()),
+                        s.whole("permit", 100_000, 10_000_000, plain.permit()),
+                        s.whole("word", 500_000, 2_500_000, plain.word()),
+                        s.whole("sure", 500_000, 2_500_000, plain.sure()),
+                        s.whole("claim", 100_000, 10_000_000, plain.claim()),
+                        s.whole("keep", 0, 600_000_000L, plain.keep()),
+                        (int) s.whole("buffer", 1_024, 64 << 20, plain.buffer()),
+                        s.number("tries", plain.tries()),
+                        s.whole("shun", 0, 60_000_000L, plain.shun()),
                         s.whole("patience", 0, 600_000_000L, plain.patience()),
                         s.whole("memory", 10_000_000L, 600_000_000L, plain.memory()),
                         s.whole("start", 100_000L, 60_000_000L, plain.start())),
-                (int) s.whole("body", 1_024, 16 << 20, 4 << 20), (int) s.whole("line", 1_024, 4 << 20, 256 << 10),
-                s.flag("found", true), (int) s.whole("copies", 1, 7, 2), (int) s.whole("voters", 1, 9, 3), Rates.read(s, faults),
+                (int) s.whole("body", 1_024, 16 << 20, 4 << 20),
+                (int) s.whole("line", 1_024, 4 << 20, 256 << 10),
+                s.flag("found", true),
+                (int) s.whole("copies", 1, 7, 2),
+                (int) s.whole("voters", 1, 9, 3),
+                Rates.read(s, faults),
                 Optional.of(s.text("gate", 64, "")).filter(g -> !g.isEmpty()));
         faults.addAll(s.end());
         faults.addAll(TableRules.word("name", made.name()));
@@ -87,7 +128,8 @@
         place(faults, "door", made.door());
         made.gate().ifPresent(g -> place(faults, "gate", g));
         made.seeds().forEach(x -> place(faults, "seeds", x));
-        if (made.seeds().isEmpty() || made.seeds().stream().distinct().count() != made.seeds().size()) {
+        if (made.seeds().isEmpty()
+                || made.seeds().stream().distinct().count() != made.seeds().size()) {
             faults.add("seeds: one to three different addresses are needed");
         }
         if (made.copies() > made.voters()) {
@@ -114,13 +156,16 @@
         if (!(made.carry().tries() >= 0 && made.carry().tries() <= 0.2)) {
             faults.add("tries: not within 0 and 0.2");
         }
-        return faults.isEmpty() ? new Read.Good(made) : new Read.Bad(faults.stream().distinct().toList());
+        return faults.isEmpty()
+                ? new Read.Good(made)
+                : new Read.Bad(faults.stream().distinct().toList());
     }
 
     private static void place(final List<String> faults, final String field, final String text) {
         final int colon = text.lastIndexOf(':');
         final String port = colon < 0 ? "" : text.substring(colon + 1);
-        final boolean number = port.matches("\\d{1,5}") && Integer.parseInt(port) > 0 && Integer.parseInt(port) < 65_536;
+        final boolean number =
+                port.matches("\\d{1,5}") && Integer.parseInt(port) > 0 && Integer.parseInt(port) < 65_536;
         if (!number || !text.substring(0, colon).matches("\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:]+]")) {
             faults.add(field + ": an IP number and a port are needed, like 10.0.0.1:7000, not '" + text + "'");
         }
--- a/server/src/main/java/silverlatch/server/tool/Difference.java
+++ b/server/src/main/java/silverlatch/server/tool/Difference.java
@@ -4,11 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import silverlatch.server.controller.Rows;
 import silverlatch.json.JsonDocument;
+import silverlatch.server.controller.Rows;
 import silverlatch.state.StateMachine;
-import silverlatch.state.Value;
 import silverlatch.state.TableRules;
+import silverlatch.state.Value;
 
 /** What a file would change in a table, cell by cell. */
 sealed interface Difference {
@@ -53,8 +53,10 @@
                 lines.add("+ " + r.tenant() + " " + r.kind());
                 return;
             }
-            TableRules.FIELDS.stream().filter(f -> !TableRules.get(old.get(k), f).equals(TableRules.get(r, f))).forEach(f ->
-                    lines.add("  " + r.tenant() + " " + r.kind() + " " + f + ": " + TableRules.get(old.get(k), f) + " -> " + TableRules.get(r, f)));
+            TableRules.FIELDS.stream()
+                    .filter(f -> !TableRules.get(old.get(k), f).equals(TableRules.get(r, f)))
+                    .forEach(f -> lines.add("  " + r.tenant() + " " + r.kind() + " " + f + ": "
+                            + TableRules.get(old.get(k), f) + " -> " + TableRules.get(r, f)));
         });
         return new Good(lines, now.whole("sequence", 0, Long.MAX_VALUE));
     }
--- a/server/src/main/java/silverlatch/server/tool/Main.java
+++ b/server/src/main/java/silverlatch/server/tool/Main.java
@@ -26,8 +26,8 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import org.kohsuke.args4j.ParserProperties;
-import silverlatch.server.settings.Flags;
 import silverlatch.json.JsonDocument;
+import silverlatch.server.settings.Flags;
 
 /** The operators' command. Exit codes: 0 done, 1 rejected, 2 wrong use, 3 not reached, 4 not known. */
 public final class Main {
@@ -56,25 +56,32 @@
               status                                 show what the daemon at --door knows
               explain TICKET                         show why a ticket went where it went (ask its carrier's door)
             exit codes: 0 done, 1 rejected, 2 wrong use, 3 not reached, 4 not known whether it takes effect""";
+
     @Option(name = "--door", metaVar = "IP:PORT[,...]", usage = "doors to try, one after another (or SILVERLATCH_DOOR)")
     private String door = Optional.ofNullable(System.getenv("SILVERLATCH_DOOR")).orElse("127.0.0.1:8001");
+
     @Option(name = "--key", metaVar = "KEY", usage = "the operator's key (or SILVERLATCH_KEY)")
     private String key = Optional.ofNullable(System.getenv("SILVERLATCH_KEY")).orElse("");
+
     @Option(name = "--match", metaVar = "SEQUENCE", usage = "only if it still is at this sequence")
     private String match = "*";
+
     @Option(name = "--change", metaVar = "ID", usage = "the change's id, to ask for it later")
     private String change = UUID.randomUUID().toString();
+
     @Option(name = "--json", usage = "print the reply as it came")
     private boolean json;
+
     @Option(name = "--help", help = true, usage = "show this text and end")
     private boolean help;
+
     @Option(name = "--version", help = true, usage = "show the version and end")
     private boolean version;
+
     @Argument(metaVar = "COMMAND")
     private List<String> words = new ArrayList<>();
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs one command. */
     public static void main(final String[] args) {
@@ -82,7 +89,8 @@
     }
 
     private int run(final String[] args, final PrintStream out, final PrintStream err) {
-        final CmdLineParser parser = new CmdLineParser(this, ParserProperties.defaults().withUsageWidth(100));
+        final CmdLineParser parser =
+                new CmdLineParser(this, ParserProperties.defaults().withUsageWidth(100));
         try {
             parser.parseArgument(args);
         } catch (final CmdLineException e) {
@@ -99,7 +107,9 @@
             return 0;
         }
         try {
-            if (words.size() == 3 && words.get(0).equals("table") && words.get(1).equals("diff")) {
+            if (words.size() == 3
+                    && words.get(0).equals("table")
+                    && words.get(1).equals("diff")) {
                 return diff(Files.readAllBytes(Path.of(words.get(2))), out, err);
             }
             if (!words.isEmpty() && words.size() < 3 && words.get(0).equals("claims")) {
@@ -126,28 +136,51 @@
         } else if (pair.equals("table put") && n == 3) {
             return Optional.of(new Ask("PUT", "/v1/table", Optional.of(Files.readAllBytes(Path.of(words.get(2))))));
         } else if (pair.equals("table set") && n == 6) {
-            return Optional.of(new Ask("PATCH", "/v1/table", body(Map.of("cells", List.of(Map.of("tenant", words.get(2), "kind", words.get(3),
-                    "field", words.get(4), "value", words.get(5)))))));
+            return Optional.of(new Ask(
+                    "PATCH",
+                    "/v1/table",
+                    body(Map.of(
+                            "cells",
+                            List.of(Map.of(
+                                    "tenant",
+                                    words.get(2),
+                                    "kind",
+                                    words.get(3),
+                                    "field",
+                                    words.get(4),
+                                    "value",
+                                    words.get(5)))))));
         } else if (pair.equals("tenant list") && n == 2) {
             return ask("GET", "/v1/tenants");
         } else if (pair.equals("tenant put") && n >= 5 && words.get(4).matches("\\d+(\\.\\d+)?")) {
-            return Optional.of(new Ask("PUT", "/v1/tenants/" + words.get(2), body(Map.of("key", words.get(3),
-                    "share", Double.parseDouble(words.get(4)), "homes", words.subList(5, n)))));
+            return Optional.of(new Ask(
+                    "PUT",
+                    "/v1/tenants/" + words.get(2),
+                    body(Map.of(
+                            "key",
+                            words.get(3),
+                            "share",
+                            Double.parseDouble(words.get(4)),
+                            "homes",
+                            words.subList(5, n)))));
         } else if (pair.equals("tenant drop") && n == 3) {
             return ask("DELETE", "/v1/tenants/" + words.get(2));
         } else if (pair.equals("charter get") && n == 2) {
             return ask("GET", PAPER);
         } else if (pair.equals("charter rules") && n == 2) {
             return ask("GET", "/v1/rules");
-        } else if (pair.equals("charter put") && (n == 3 || n == 4 && words.get(3).matches("\\d{1,18}"))) {
+        } else if (pair.equals("charter put")
+                && (n == 3 || n == 4 && words.get(3).matches("\\d{1,18}"))) {
             match = n == 4 ? words.get(3) : match;
             return Optional.of(new Ask("PUT", PAPER, Optional.of(Files.readAllBytes(Path.of(words.get(2))))));
         } else if ((verb.equals("drain") || verb.equals("undrain")) && n == 2) {
-            return Optional.of(new Ask("PUT", "/v1/zones/" + words.get(1), body(Map.of("empty", verb.equals("drain")))));
+            return Optional.of(
+                    new Ask("PUT", "/v1/zones/" + words.get(1), body(Map.of("empty", verb.equals("drain")))));
         } else if (pair.equals("calendar list") && n == 2) {
             return ask("GET", "/v1/calendars");
         } else if (pair.equals("calendar put") && n == 4) {
-            return Optional.of(new Ask("PUT", "/v1/calendars/" + words.get(2), Optional.of(Files.readAllBytes(Path.of(words.get(3))))));
+            return Optional.of(new Ask(
+                    "PUT", "/v1/calendars/" + words.get(2), Optional.of(Files.readAllBytes(Path.of(words.get(3))))));
         } else if (pair.equals("calendar drop") && n == 3) {
             return ask("DELETE", "/v1/calendars/" + words.get(2));
         } else if (verb.equals("zones") && n == 1) {
@@ -178,16 +211,25 @@
             String why = "no door is given";
             for (final String d : door.split(",")) {
                 try {
-                    final Request r = http.newRequest(URI.create("http://" + d + ask.path())).method(ask.method())
-                            .headers(h -> h.put("Authorization", "Bearer " + key).put("X-Change", change).put("If-Match", match))
+                    final Request r = http.newRequest(URI.create("http://" + d + ask.path()))
+                            .method(ask.method())
+                            .headers(h -> h.put("Authorization", "Bearer " + key)
+                                    .put("X-Change", change)
+                                    .put("If-Match", match))
                             .timeout(10, TimeUnit.SECONDS);
                     ask.body().ifPresent(b -> r.body(new BytesRequestContent("application/json", b)));
-                    final ContentResponse reply = new CompletableResponseListener(r, LARGEST).send().get(10, TimeUnit.SECONDS);
-                    return show(reply, json || ask.method().equals("GET") && ask.path().equals(PAPER), out, err);
+                    final ContentResponse reply =
+                            new CompletableResponseListener(r, LARGEST).send().get(10, TimeUnit.SECONDS);
+                    return show(
+                            reply,
+                            json || ask.method().equals("GET") && ask.path().equals(PAPER),
+                            out,
+                            err);
                 } catch (final ExecutionException | TimeoutException e) {
                     why = d + ": " + e.getMessage();
                     if (!ask.method().equals("GET") && !(e.getCause() instanceof java.net.ConnectException)) {
-                        err.println("silverlatch: " + why + "; it is not known whether change " + change + " takes effect");
+                        err.println(
+                                "silverlatch: " + why + "; it is not known whether change " + change + " takes effect");
                         return 4;
                     }
                 }
@@ -211,9 +253,11 @@
         final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         final boolean was = json;
         json = true;
-        code[0] = send(new Ask("GET", path, Optional.empty()), new PrintStream(bytes, true, StandardCharsets.UTF_8), err);
+        code[0] =
+                send(new Ask("GET", path, Optional.empty()), new PrintStream(bytes, true, StandardCharsets.UTF_8), err);
         json = was;
-        if (code[0] == 0 && JsonDocument.parse(bytes.toByteArray(), 64 << 20) instanceof JsonDocument.Parsed.Good good) {
+        if (code[0] == 0
+                && JsonDocument.parse(bytes.toByteArray(), 64 << 20) instanceof JsonDocument.Parsed.Good good) {
             return Optional.of(good.sheet());
         }
         err.print(bytes.toString(StandardCharsets.UTF_8));
@@ -251,8 +295,11 @@
             if (page.isEmpty()) {
                 return code[0];
             }
-            final List<JsonDocument> all = page.get().sheets("claims", Integer.MAX_VALUE).stream().filter(s -> s.text("state", 16).equals(state)).toList();
-            all.forEach(s -> out.println("ticket=" + s.text("ticket", 256) + "  carrier=" + s.text("carrier", 64) + "  since=" + s.text("since", 64)));
+            final List<JsonDocument> all = page.get().sheets("claims", Integer.MAX_VALUE).stream()
+                    .filter(s -> s.text("state", 16).equals(state))
+                    .toList();
+            all.forEach(s -> out.println("ticket=" + s.text("ticket", 256) + "  carrier=" + s.text("carrier", 64)
+                    + "  since=" + s.text("since", 64)));
             found += all.size();
         }
         out.println(found + " " + state);
@@ -273,7 +320,8 @@
                 if (code == 0) {
                     print("", map, out);
                 } else {
-                    err.println("silverlatch: " + map.getOrDefault("outcome", "rejected") + " (" + reply.getStatus() + ")");
+                    err.println(
+                            "silverlatch: " + map.getOrDefault("outcome", "rejected") + " (" + reply.getStatus() + ")");
                     print("  ", map, err);
                 }
             }
@@ -295,13 +343,14 @@
     }
 
     private static String row(final Map<?, ?> map) {
-        return map.entrySet().stream().map(e -> e.getKey() + "=" + plain(e.getValue())).collect(java.util.stream.Collectors.joining("  "));
+        return map.entrySet().stream()
+                .map(e -> e.getKey() + "=" + plain(e.getValue()))
+                .collect(java.util.stream.Collectors.joining("  "));
     }
 
     private static String plain(final Object v) {
         return v instanceof Double d && d == Math.rint(d) && Math.abs(d) < 1e15 ? "" + d.longValue() : "" + v;
     }
 
-    private record Ask(String method, String path, Optional<byte[]> body) {
-    }
+    private record Ask(String method, String path, Optional<byte[]> body) {}
 }
--- a/server/src/main/java/silverlatch/server/transport/PeerConnection.java
+++ b/server/src/main/java/silverlatch/server/transport/PeerConnection.java
@@ -169,8 +169,13 @@
     /** Lets the system probe an idle connection each second and give it up after three. */
     static void probe(final Socket s) throws IOException {
         s.setKeepAlive(true);
-        final Map<SocketOption<Integer>, Integer> wanted = Map.of(ExtendedSocketOptions.TCP_KEEPIDLE, 1,
-                ExtendedSocketOptions.TCP_KEEPINTERVAL, 1, ExtendedSocketOptions.TCP_KEEPCOUNT, 2);
+        final Map<SocketOption<Integer>, Integer> wanted = Map.of(
+                ExtendedSocketOptions.TCP_KEEPIDLE,
+                1,
+                ExtendedSocketOptions.TCP_KEEPINTERVAL,
+                1,
+                ExtendedSocketOptions.TCP_KEEPCOUNT,
+                2);
         for (final Map.Entry<SocketOption<Integer>, Integer> e : wanted.entrySet()) {
             if (s.supportedOptions().contains(e.getKey())) {
                 s.setOption(e.getKey(), e.getValue());
@@ -186,6 +191,5 @@
         }
     }
 
-    private record Waiting(Frame frame, long at) {
-    }
+    private record Waiting(Frame frame, long at) {}
 }
--- a/server/src/main/java/silverlatch/server/transport/Transport.java
+++ b/server/src/main/java/silverlatch/server/transport/Transport.java
@@ -124,7 +124,8 @@
 
     private void read(final Socket socket) {
         final Codec codec = new Codec();
-        try (Socket s = socket; DataInputStream in = new DataInputStream(new BufferedInputStream(s.getInputStream(), 64 << 10))) {
+        try (Socket s = socket;
+                DataInputStream in = new DataInputStream(new BufferedInputStream(s.getInputStream(), 64 << 10))) {
             s.setTcpNoDelay(true);
             s.setSoTimeout(SILENT);
             long told = EventLoop.now();
--- a/server/src/main/java/silverlatch/server/web/Abrupt.java
+++ b/server/src/main/java/silverlatch/server/web/Abrupt.java
@@ -24,7 +24,6 @@
 
     private static final class None extends SslContextFactory.Client {
         @Override
-        protected void doStart() {
-        }
+        protected void doStart() {}
     }
 }
--- a/server/src/main/java/silverlatch/server/web/Call.java
+++ b/server/src/main/java/silverlatch/server/web/Call.java
@@ -51,7 +51,10 @@
 
     /** The bearer's secret, or empty. */
     public String secret() {
-        return header("Authorization").filter(h -> h.startsWith("Bearer ")).map(h -> h.substring(7)).orElse("");
+        return header("Authorization")
+                .filter(h -> h.startsWith("Bearer "))
+                .map(h -> h.substring(7))
+                .orElse("");
     }
 
     /** A part of the query. */
@@ -110,17 +113,22 @@
         if (last && !ended.compareAndSet(false, true)) {
             return;
         }
-        response.write(last, ByteBuffer.wrap(lines.getBytes(StandardCharsets.UTF_8)), Callback.from(() -> {
-            good.run();
-            if (last) {
-                callback.succeeded();
-            }
-        }, x -> {
-            bad.run();
-            if (ended.compareAndSet(false, true) || last) {
-                callback.failed(x);
-            }
-        }));
+        response.write(
+                last,
+                ByteBuffer.wrap(lines.getBytes(StandardCharsets.UTF_8)),
+                Callback.from(
+                        () -> {
+                            good.run();
+                            if (last) {
+                                callback.succeeded();
+                            }
+                        },
+                        x -> {
+                            bad.run();
+                            if (ended.compareAndSet(false, true) || last) {
+                                callback.failed(x);
+                            }
+                        }));
     }
 
     static Content.Source source(final Request request) {
--- a/server/src/main/java/silverlatch/server/web/Doors.java
+++ b/server/src/main/java/silverlatch/server/web/Doors.java
@@ -31,7 +31,8 @@
         server = new Server(pool);
         server.setHandler(new Handler.Abstract.NonBlocking() {
             @Override
-            public boolean handle(final Request request, final Response response, final Callback callback) throws Exception {
+            public boolean handle(final Request request, final Response response, final Callback callback)
+                    throws Exception {
                 return doors.get(request.getConnectionMetaData().getConnector()).handle(request, response, callback);
             }
         });
@@ -40,7 +41,10 @@
                 response.setStatus(500);
             }
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
-            response.write(true, java.nio.ByteBuffer.wrap("not understood\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII)), callback);
+            response.write(
+                    true,
+                    java.nio.ByteBuffer.wrap("not understood\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII)),
+                    callback);
             return true;
         });
     }
@@ -63,7 +67,8 @@
     }
 
     /** Adds a door for whole calls, with bodies up to a bound. */
-    public void add(final String address, final int head, final long idle, final int most, final Consumer<Call> router) {
+    public void add(
+            final String address, final int head, final long idle, final int most, final Consumer<Call> router) {
         add(address, head, idle, new Web.Router(most, router));
     }
 
--- a/server/src/main/java/silverlatch/server/web/Web.java
+++ b/server/src/main/java/silverlatch/server/web/Web.java
@@ -40,8 +40,10 @@
         server.addConnector(connector);
         server.setHandler(new Router(most, router));
         server.setErrorHandler((request, response, callback) -> {
-            new Call(request, response, callback, new byte[0]).reply(response.getStatus() < 400 ? 500 : response.getStatus(),
-                    Map.of("outcome", "rejected", "faults", List.of("$: not understood")));
+            new Call(request, response, callback, new byte[0])
+                    .reply(
+                            response.getStatus() < 400 ? 500 : response.getStatus(),
+                            Map.of("outcome", "rejected", "faults", List.of("$: not understood")));
             return true;
         });
     }
@@ -86,8 +88,10 @@
             final long size = request.getLength();
             if (size > most) {
                 response.getHeaders().put(HttpHeader.CONNECTION, "close");
-                new Call(request, response, callback, new byte[0]).reply(413,
-                        Map.of("outcome", "rejected", "faults", List.of("$: larger than " + most + " bytes")));
+                new Call(request, response, callback, new byte[0])
+                        .reply(
+                                413,
+                                Map.of("outcome", "rejected", "faults", List.of("$: larger than " + most + " bytes")));
                 return true;
             }
             if (size == 0 || request.getMethod().equals("GET")) {
@@ -96,8 +100,14 @@
             }
             Content.Source.asByteArrayAsync(request, most).whenComplete((bytes, fault) -> {
                 if (fault != null) {
-                    new Call(request, response, callback, new byte[0]).reply(413,
-                            Map.of("outcome", "rejected", "faults", List.of("$: larger than " + most + " bytes, or cut short")));
+                    new Call(request, response, callback, new byte[0])
+                            .reply(
+                                    413,
+                                    Map.of(
+                                            "outcome",
+                                            "rejected",
+                                            "faults",
+                                            List.of("$: larger than " + most + " bytes, or cut short")));
                 } else {
                     router.accept(new Call(request, response, callback, bytes));
                 }
--- a/server/src/main/java/silverlatch/server/workerclient/Back.java
+++ b/server/src/main/java/silverlatch/server/workerclient/Back.java
@@ -14,8 +14,8 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import silverlatch.dispatch.Act;
 import silverlatch.dispatch.Line;
-import silverlatch.server.eventloop.EventLoop;
 import silverlatch.json.JsonDocument;
+import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.web.Abrupt;
 
 /** Asks workers to run, by Jetty's client. */
@@ -70,9 +70,21 @@
     public void run(final Act.Run r) {
         final AtomicBoolean begun = new AtomicBoolean();
         final Lines lines = new Lines(line, l -> sink.line(r.job(), l));
-        final String body = JsonDocument.write(Map.of("ticket", r.ticket(), "run", r.run(), "tenant", r.tenant(), "kind", r.kind(),
-                "prefix", r.prefix(), "prompt", r.prompt()));
-        final Request request = http.newRequest(URI.create("http://" + r.address() + "/v1/runs")).method("POST")
+        final String body = JsonDocument.write(Map.of(
+                "ticket",
+                r.ticket(),
+                "run",
+                r.run(),
+                "tenant",
+                r.tenant(),
+                "kind",
+                r.kind(),
+                "prefix",
+                r.prefix(),
+                "prompt",
+                r.prompt()));
+        final Request request = http.newRequest(URI.create("http://" + r.address() + "/v1/runs"))
+                .method("POST")
                 .headers(h -> h.put("Authorization", "Bearer " + key))
                 .body(new StringRequestContent("application/json", body))
                 .onRequestBegin(q -> {
@@ -97,15 +109,20 @@
         request.send(result -> {
             jobs.remove(r.job());
             final int status = result.getResponse().getStatus();
-            final boolean denied = result.getResponseFailure() == null && status == 503
+            final boolean denied = result.getResponseFailure() == null
+                    && status == 503
                     && "no".equals(result.getResponse().getHeaders().get("X-Started"));
-            sink.failed(r.job(), begun.get() && !denied, result.isFailed() ? "" + result.getFailure().getMessage() : "status " + status);
+            sink.failed(
+                    r.job(),
+                    begun.get() && !denied,
+                    result.isFailed() ? "" + result.getFailure().getMessage() : "status " + status);
         });
     }
 
     /** Drops a run. */
     public void cut(final long job) {
-        java.util.Optional.ofNullable(jobs.remove(job)).ifPresent(r -> r.abort(new java.util.concurrent.CancellationException("cut")));
+        java.util.Optional.ofNullable(jobs.remove(job))
+                .ifPresent(r -> r.abort(new java.util.concurrent.CancellationException("cut")));
     }
 
     /** A fault of the client. */
--- a/server/src/main/java/silverlatch/server/workerclient/Lines.java
+++ b/server/src/main/java/silverlatch/server/workerclient/Lines.java
@@ -37,12 +37,27 @@
 
     /** A record as a line of JSON. */
     public static String write(final Line line) {
-        return JsonDocument.write(switch (line) {
-            case Line.Piece p -> Map.of("ticket", p.ticket(), "run", p.run(), "number", p.number(), "text", p.text());
-            case Line.Seal s -> Map.of("seal", Map.of("worker", s.worker(), "ticket", s.ticket(), "run", s.run(),
-                    "count", s.count(), "sha256", s.sha()));
-            case Line.Lost l -> Map.of("lost", Map.of("ticket", l.ticket(), "why", l.why()));
-        }) + "\n";
+        return JsonDocument.write(
+                        switch (line) {
+                            case Line.Piece p ->
+                                Map.of("ticket", p.ticket(), "run", p.run(), "number", p.number(), "text", p.text());
+                            case Line.Seal s ->
+                                Map.of(
+                                        "seal",
+                                        Map.of(
+                                                "worker",
+                                                s.worker(),
+                                                "ticket",
+                                                s.ticket(),
+                                                "run",
+                                                s.run(),
+                                                "count",
+                                                s.count(),
+                                                "sha256",
+                                                s.sha()));
+                            case Line.Lost l -> Map.of("lost", Map.of("ticket", l.ticket(), "why", l.why()));
+                        })
+                + "\n";
     }
 
     private void line(final byte[] bytes) {
@@ -52,12 +67,21 @@
                 final JsonDocument s = good.sheet();
                 if (s.has("seal")) {
                     final JsonDocument x = s.sheet("seal");
-                    final Line.Seal seal = new Line.Seal(x.text("worker", 256), x.text("ticket", 256), x.text("run", 256),
-                            x.whole("count", 0, Integer.MAX_VALUE), x.text("sha256", 64));
+                    final Line.Seal seal = new Line.Seal(
+                            x.text("worker", 256),
+                            x.text("ticket", 256),
+                            x.text("run", 256),
+                            x.whole("count", 0, Integer.MAX_VALUE),
+                            x.text("sha256", 64));
                     give(s, seal);
                 } else {
-                    give(s, new Line.Piece(s.text("ticket", 256), s.text("run", 256),
-                            s.whole("number", 0, Integer.MAX_VALUE), s.text("text", most)));
+                    give(
+                            s,
+                            new Line.Piece(
+                                    s.text("ticket", 256),
+                                    s.text("run", 256),
+                                    s.whole("number", 0, Integer.MAX_VALUE),
+                                    s.text("text", most)));
                 }
             }
         }
--- a/server/src/test/java/silverlatch/server/controller/ControllerTest.java
+++ b/server/src/test/java/silverlatch/server/controller/ControllerTest.java
@@ -20,20 +20,23 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import silverlatch.server.settings.Settings;
+import silverlatch.gossip.Worker;
 import silverlatch.log.WriteAheadLog;
 import silverlatch.replication.ChainClient;
-import silverlatch.gossip.Worker;
-import silverlatch.state.Value;
-import silverlatch.state.CommandResult;
+import silverlatch.server.settings.Settings;
 import silverlatch.state.Command;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Value;
 
 /** Controllers in this process, with doors on loopback and data folders of their own. */
 final class ControllerTest {
-    private static final String PAPER = "{\"number\":%d,\n  \"rules\":[{\"name\":\"r\",\"host\":\"h.example\",\"path\":\"/\",\"hold\":1000,"
-            + "\"lots\":[{\"pool\":\"p\",\"weight\":1}]}],\"pools\":[{\"name\":\"p\",\"slots\":4}],\"bounds\":{\"head\":1,\"body\":1,\"slow\":1,\"idle\":1}}";
+    private static final String PAPER =
+            "{\"number\":%d,\n  \"rules\":[{\"name\":\"r\",\"host\":\"h.example\",\"path\":\"/\",\"hold\":1000,"
+                    + "\"lots\":[{\"pool\":\"p\",\"weight\":1}]}],\"pools\":[{\"name\":\"p\",\"slots\":4}],\"bounds\":{\"head\":1,\"body\":1,\"slow\":1,\"idle\":1}}";
+
     @TempDir
     private Path folder;
+
     private final HttpClient http = HttpClient.newHttpClient();
     private String door = "";
 
@@ -48,12 +51,58 @@
         door = place();
         final List<String> seeds = new java.util.ArrayList<>(List.of(address));
         seeds.addAll(others);
-        final Settings s = ((Settings.Read.Good) Settings.read(Optional.empty(), Map.of("name", "one", "zone", "z", "region", "r", "address", address,
-                "door", door, "seeds", seeds, "data", folder.resolve("data").toString(), "key", "a key of sixteen or more", "operator", "operator-key",
-                "worker", "worker-key"), true)).settings();
-        final Settings alone = new Settings(s.name(), s.zone(), s.region(), s.address(), s.door(), s.seeds(), s.data(), s.record(), s.key(), s.operator(),
-                s.worker(), s.low(), s.skew(), s.grace(), s.carry(), s.body(), s.line(), s.found(), 1, s.voters(), silverlatch.server.settings.Rates.PLAIN, Optional.empty());
-        final Controller h = DaggerMain_Parts.factory().make(alone, Optional.of((WriteAheadLog.Opened.Good) WriteAheadLog.open(Path.of(s.data().get())))).controller();
+        final Settings s = ((Settings.Read.Good) Settings.read(
+                        Optional.empty(),
+                        Map.of(
+                                "name",
+                                "one",
+                                "zone",
+                                "z",
+                                "region",
+                                "r",
+                                "address",
+                                address,
+                                "door",
+                                door,
+                                "seeds",
+                                seeds,
+                                "data",
+                                folder.resolve("data").toString(),
+                                "key",
+                                "a key of sixteen or more",
+                                "operator",
+                                "operator-key",
+                                "worker",
+                                "worker-key"),
+                        true))
+                .settings();
+        final Settings alone = new Settings(
+                s.name(),
+                s.zone(),
+                s.region(),
+                s.address(),
+                s.door(),
+                s.seeds(),
+                s.data(),
+                s.record(),
+                s.key(),
+                s.operator(),
+                s.worker(),
+                s.low(),
+                s.skew(),
+                s.grace(),
+                s.carry(),
+                s.body(),
+                s.line(),
+                s.found(),
+                1,
+                s.voters(),
+                silverlatch.server.settings.Rates.PLAIN,
+                Optional.empty());
+        final Controller h = DaggerMain_Parts.factory()
+                .make(alone, Optional.of((WriteAheadLog.Opened.Good)
+                        WriteAheadLog.open(Path.of(s.data().get()))))
+                .controller();
         h.start();
         return h;
     }
@@ -64,9 +113,16 @@
         return f.get(5, TimeUnit.SECONDS);
     }
 
-    private HttpResponse<String> call(final String method, final String path, final String body, final String key, final String match) throws Exception {
-        return http.send(HttpRequest.newBuilder(URI.create("http://" + door + path)).method(method, HttpRequest.BodyPublishers.ofString(body))
-                .header("Authorization", "Bearer " + key).header("If-Match", match).build(), HttpResponse.BodyHandlers.ofString());
+    private HttpResponse<String> call(
+            final String method, final String path, final String body, final String key, final String match)
+            throws Exception {
+        return http.send(
+                HttpRequest.newBuilder(URI.create("http://" + door + path))
+                        .method(method, HttpRequest.BodyPublishers.ofString(body))
+                        .header("Authorization", "Bearer " + key)
+                        .header("If-Match", match)
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
     }
 
     private void ready() throws Exception {
@@ -76,7 +132,13 @@
     }
 
     private static Command.PutConfiguration lay(final long number, final long match) {
-        return new Command.PutConfiguration("wish-" + number + "-" + match, new Value.RoutingConfiguration(number, 1, 1, 1, 1), List.of(), List.of(), "paper " + number, match);
+        return new Command.PutConfiguration(
+                "wish-" + number + "-" + match,
+                new Value.RoutingConfiguration(number, 1, 1, 1, 1),
+                List.of(),
+                List.of(),
+                "paper " + number,
+                match);
     }
 
     @Test
@@ -86,20 +148,35 @@
         assertThat(call("GET", "/v1/charter", "", "operator-key", "*").statusCode(), is(404));
         final String paper = String.format(PAPER, 3);
         assertThat(call("PUT", "/v1/charter", paper, "operator-key", "0").statusCode(), is(200));
-        assertThat("the same again", call("PUT", "/v1/charter", paper, "operator-key", "0").statusCode(), is(200));
+        assertThat(
+                "the same again",
+                call("PUT", "/v1/charter", paper, "operator-key", "0").statusCode(),
+                is(200));
         final HttpResponse<String> lost = call("PUT", "/v1/charter", String.format(PAPER, 4), "operator-key", "2");
         assertThat(lost.statusCode(), is(409));
         assertThat(lost.body().contains("\"sequence\":3"), is(true));
-        assertThat(call("PUT", "/v1/charter", paper.replace("\"pool\":\"p\"", "\"pool\":\"q\"").replace(":3", ":5"), "operator-key", "3").statusCode(), is(422));
+        assertThat(
+                call(
+                                "PUT",
+                                "/v1/charter",
+                                paper.replace("\"pool\":\"p\"", "\"pool\":\"q\"")
+                                        .replace(":3", ":5"),
+                                "operator-key",
+                                "3")
+                        .statusCode(),
+                is(422));
         assertThat(call("PUT", "/v1/charter", paper, "worker-key", "3").statusCode(), is(401));
         final HttpResponse<String> got = call("GET", "/v1/charter", "", "operator-key", "*");
         assertThat(got.body(), is(paper));
         assertThat(got.headers().firstValue("ETag").orElse(""), is("\"3\""));
-        assertThat(call("GET", "/v1/rules", "", "operator-key", "*").body().contains("\"host\":\"h.example\""), is(true));
-        assertThat(ControllerTest.<CommandResult>get(t -> h.lay(lay(9, 3), t)), instanceOf(CommandResult.Applied.class));
+        assertThat(
+                call("GET", "/v1/rules", "", "operator-key", "*").body().contains("\"host\":\"h.example\""), is(true));
+        assertThat(
+                ControllerTest.<CommandResult>get(t -> h.lay(lay(9, 3), t)), instanceOf(CommandResult.Applied.class));
         final ChainClient.Page page = get(h::paper);
         assertThat(page.entries().getFirst().leaf(), is(List.of(new Value.ConfigurationDocument(9, "paper 9"))));
-        assertThat(ControllerTest.<CommandResult>get(t -> h.zone("z", true, t)), instanceOf(CommandResult.Applied.class));
+        assertThat(
+                ControllerTest.<CommandResult>get(t -> h.zone("z", true, t)), instanceOf(CommandResult.Applied.class));
         assertThat(call("GET", "/v1/charter", "", "operator-key", "*").body(), is("paper 9"));
         h.stop();
     }
@@ -113,12 +190,17 @@
         assertThat(ControllerTest.<Boolean>get(t -> h.word(w, t)), is(true));
         assertThat(call("GET", "/status", "", "operator-key", "*").body().contains("w z running 0/4\""), is(true));
         assertThat(ControllerTest.<Boolean>get(t -> h.gone("w", t)), is(true));
-        assertThat(call("GET", "/status", "", "operator-key", "*").body().contains("w z running 0/4 leaving\""), is(true));
-        final String word = "{\"worker\":\"v\",\"address\":\"10.0.0.2:1\",\"zone\":\"z\",\"region\":\"r\",\"life\":1,\"sequence\":1,\"slots\":2,"
-                + "\"pool\":\"p\",\"coldMs\":50,\"restMs\":90}";
+        assertThat(
+                call("GET", "/status", "", "operator-key", "*").body().contains("w z running 0/4 leaving\""), is(true));
+        final String word =
+                "{\"worker\":\"v\",\"address\":\"10.0.0.2:1\",\"zone\":\"z\",\"region\":\"r\",\"life\":1,\"sequence\":1,\"slots\":2,"
+                        + "\"pool\":\"p\",\"coldMs\":50,\"restMs\":90}";
         assertThat(call("POST", "/v1/announcements", word, "operator-key", "*").statusCode(), is(401));
         assertThat(call("POST", "/v1/announcements", word, "worker-key", "*").statusCode(), is(200));
-        assertThat(call("POST", "/v1/announcements", word.replace("restMs", "rest"), "worker-key", "*").statusCode(), is(422));
+        assertThat(
+                call("POST", "/v1/announcements", word.replace("restMs", "rest"), "worker-key", "*")
+                        .statusCode(),
+                is(422));
         assertThat(call("GET", "/status", "", "operator-key", "*").body().contains("v z running 0/2\""), is(true));
         h.stop();
     }
@@ -129,7 +211,9 @@
         long least = Long.MAX_VALUE;
         for (int i = 0; i < 4; i++) {
             final long at = System.nanoTime();
-            assertThat(ControllerTest.<CommandResult>get(t -> h.lay(lay(1, 0), t)), instanceOf(CommandResult.Unknown.class));
+            assertThat(
+                    ControllerTest.<CommandResult>get(t -> h.lay(lay(1, 0), t)),
+                    instanceOf(CommandResult.Unknown.class));
             least = Math.min(least, (System.nanoTime() - at) / 1_000_000);
         }
         assertThat("by a duty that has time", least, lessThan(950L));
--- a/server/src/test/java/silverlatch/server/controller/SchedulesTest.java
+++ b/server/src/test/java/silverlatch/server/controller/SchedulesTest.java
@@ -7,10 +7,10 @@
 import java.time.Instant;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import silverlatch.state.StateMachine;
+import silverlatch.state.Command;
 import silverlatch.state.Entry;
+import silverlatch.state.StateMachine;
 import silverlatch.state.Value;
-import silverlatch.state.Command;
 
 final class SchedulesTest {
     private static long at(final String time) {
@@ -31,7 +31,9 @@
         final List<Command> first = one.due(books, at("2026-12-02T02:30:00Z"), 4);
         assertThat(first.size(), is(1));
         assertThat(one.due(books, at("2026-12-02T02:30:01Z"), 4), is(List.of()));
-        assertThat(two.due(books, at("2026-12-02T02:30:20Z"), 5).getFirst().id(), is(first.getFirst().id()));
+        assertThat(
+                two.due(books, at("2026-12-02T02:30:20Z"), 5).getFirst().id(),
+                is(first.getFirst().id()));
         assertThat(two.due(books, at("2026-12-02T02:45:00Z"), 5), is(List.of()));
         one.forget(first.getFirst().id());
         assertThat(one.due(books, at("2026-12-02T02:30:30Z"), 4).size(), is(1));
@@ -43,7 +45,8 @@
         assertThat(all.faults(night("30 2 * * *")), is(List.of()));
         assertThat(all.faults(night("0 0 31 2 *")).getFirst(), containsString("never comes"));
         assertThat(all.faults(night("61 2 * * *")).getFirst(), containsString("$.cron"));
-        final List<String> two = all.faults(new Value.Schedule("x", "nonsense", List.of(new Command.Cell("*", "fare", "colour", "1")), "syros", true));
+        final List<String> two = all.faults(new Value.Schedule(
+                "x", "nonsense", List.of(new Command.Cell("*", "fare", "colour", "1")), "syros", true));
         assertThat(two.size(), is(3));
     }
 }
--- a/server/src/test/java/silverlatch/server/controller/WorkerRosterTest.java
+++ b/server/src/test/java/silverlatch/server/controller/WorkerRosterTest.java
@@ -10,11 +10,13 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import silverlatch.gossip.WorkerReport;
 import silverlatch.gossip.Worker;
+import silverlatch.gossip.WorkerReport;
 
 final class WorkerRosterTest {
-    private static final WorkerReport WORD = WorkerReport.of(new Worker("w", "10.0.0.1:80", "z", "r", 1, 7, 0, 0, 8, List.of(), true, 0, "pool", 1_000, 0));
+    private static final WorkerReport WORD = WorkerReport.of(
+            new Worker("w", "10.0.0.1:80", "z", "r", 1, 7, 0, 0, 8, List.of(), true, 0, "pool", 1_000, 0));
+
     @TempDir
     private Path folder;
 
--- a/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
+++ b/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
@@ -30,19 +30,19 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import silverlatch.clock.Stamp;
 import silverlatch.dispatch.Facts;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
 import silverlatch.membership.Member;
+import silverlatch.routing.Router;
+import silverlatch.routing.RoutingEffect;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.web.Doors;
 import silverlatch.server.web.Web;
-import silverlatch.routing.RoutingEffect;
-import silverlatch.routing.Router;
-import silverlatch.gossip.Gossip;
-import silverlatch.gossip.Worker;
 import silverlatch.state.Entry;
-import silverlatch.state.Value;
 import silverlatch.state.Policy;
-import silverlatch.clock.Stamp;
+import silverlatch.state.Value;
 
 /** The gate between scripted consumers and scripted workers. */
 final class ProxyServerTest {
@@ -50,8 +50,7 @@
     private final ExecutorService duty = Executors.newSingleThreadExecutor();
     private final List<Peer> peers = new ArrayList<>();
     private final AtomicInteger told = new AtomicInteger();
-    private final AtomicReference<Runnable> third = new AtomicReference<>(() -> {
-    });
+    private final AtomicReference<Runnable> third = new AtomicReference<>(() -> {});
     private final AtomicReference<ProxyServer> gate = new AtomicReference<>();
     private WorkerHttpClient lighter;
     private Doors doors;
@@ -88,7 +87,9 @@
                     asked.add(request);
                     final String reply = script.apply(request);
                     final boolean close = reply.endsWith("|");
-                    s.getOutputStream().write((close ? reply.substring(0, reply.length() - 1) : reply).getBytes(StandardCharsets.ISO_8859_1));
+                    s.getOutputStream()
+                            .write((close ? reply.substring(0, reply.length() - 1) : reply)
+                                    .getBytes(StandardCharsets.ISO_8859_1));
                     s.getOutputStream().flush();
                     if (close) {
                         return;
@@ -110,18 +111,25 @@
             all.write(b);
         }
         final String head = all.toString(StandardCharsets.ISO_8859_1);
-        final Optional<Integer> size = head.lines().filter(l -> l.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:"))
-                .map(l -> Integer.parseInt(l.substring(15).strip())).findFirst();
+        final Optional<Integer> size = head.lines()
+                .filter(l -> l.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:"))
+                .map(l -> Integer.parseInt(l.substring(15).strip()))
+                .findFirst();
         return head + new String(in.readNBytes(size.orElse(0)), StandardCharsets.ISO_8859_1);
     }
 
     private static String header(final String request, final String name) {
-        return request.lines().filter(l -> l.toLowerCase(java.util.Locale.ROOT).startsWith(name.toLowerCase(java.util.Locale.ROOT) + ":"))
-                .map(l -> l.substring(name.length() + 1).strip()).findFirst().orElse("");
+        return request.lines()
+                .filter(l ->
+                        l.toLowerCase(java.util.Locale.ROOT).startsWith(name.toLowerCase(java.util.Locale.ROOT) + ":"))
+                .map(l -> l.substring(name.length() + 1).strip())
+                .findFirst()
+                .orElse("");
     }
 
     private static String good(final String request) {
-        return "HTTP/1.1 200 OK\r\nSilverlatch-Ticket: " + header(request, "Silverlatch-Ticket") + "\r\nSilverlatch-Seal: s\r\n";
+        return "HTTP/1.1 200 OK\r\nSilverlatch-Ticket: " + header(request, "Silverlatch-Ticket")
+                + "\r\nSilverlatch-Seal: s\r\n";
     }
 
     private static String chunk(final String text) {
@@ -176,23 +184,64 @@
     private Facts facts(final long page) {
         final Map<String, Gossip.Heard> heard = new HashMap<>();
         for (int i = 0; i < peers.size(); i++) {
-            heard.put("w" + i, new Gossip.Heard(new Worker("w" + i, "127.0.0.1:" + peers.get(i).server.getLocalPort(), "z", "r", 1, 1, 0, 0, 8,
-                    List.of(), false, 0, "pool", 0, 0), Optional.of(EventLoop.now())));
+            heard.put(
+                    "w" + i,
+                    new Gossip.Heard(
+                            new Worker(
+                                    "w" + i,
+                                    "127.0.0.1:" + peers.get(i).server.getLocalPort(),
+                                    "z",
+                                    "r",
+                                    1,
+                                    1,
+                                    0,
+                                    0,
+                                    8,
+                                    List.of(),
+                                    false,
+                                    0,
+                                    "pool",
+                                    0,
+                                    0),
+                            Optional.of(EventLoop.now())));
         }
-        final List<Entry> all = List.of(new Entry("p/charter", 1, List.of(new Value.RoutingConfiguration(1, 8_192, 4_096, 1_000_000, 1_000_000))),
+        final List<Entry> all = List.of(
+                new Entry(
+                        "p/charter", 1, List.of(new Value.RoutingConfiguration(1, 8_192, 4_096, 1_000_000, 1_000_000))),
                 new Entry("b/pool", 1, List.of(new Value.BackendPool("pool", "/health", 10, 0, 9, 8, 1_000, 5))),
-                new Entry("u/a|/once/", 1, List.of(rule("/once/", false))), new Entry("u/a|/again/", 1, List.of(rule("/again/", true))));
-        return new Facts(new Member("me", "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", 1, 0, "up", true), page, Optional.of(1L), Policy.of(all),
-                heard, List.of());
+                new Entry("u/a|/once/", 1, List.of(rule("/once/", false))),
+                new Entry("u/a|/again/", 1, List.of(rule("/again/", true))));
+        return new Facts(
+                new Member("me", "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", 1, 0, "up", true),
+                page,
+                Optional.of(1L),
+                Policy.of(all),
+                heard,
+                List.of());
     }
 
     private static Value.Route rule(final String path, final boolean again) {
-        return new Value.Route(path, "a", path, true, true, again, true, 5_000_000, 600_000, 400_000, 0, 2, List.of(), List.of(new Value.WeightedBackend("pool", 1)));
+        return new Value.Route(
+                path,
+                "a",
+                path,
+                true,
+                true,
+                again,
+                true,
+                5_000_000,
+                600_000,
+                400_000,
+                0,
+                2,
+                List.of(),
+                List.of(new Value.WeightedBackend("pool", 1)));
     }
 
     private String ask(final String path, final String more, final String body) throws IOException {
-        return raw("POST " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nSilverlatch-Ticket: t-1\r\nSilverlatch-Expiry-Ms: 4000\r\n" + more
-                + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+        return raw("POST " + path
+                + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nSilverlatch-Ticket: t-1\r\nSilverlatch-Expiry-Ms: 4000\r\n"
+                + more + "Content-Length: " + body.length() + "\r\n\r\n" + body);
     }
 
     private String raw(final String request) throws IOException {
@@ -215,7 +264,8 @@
     @Test
     void aTicketAndItsReplyPassUnchanged() throws IOException {
         final Peer w = worker(r -> good(r) + CHUNKED + "X-Own: 1\r\n\r\n" + event(1) + event(2) + "0\r\n\r\n");
-        final String reply = ask("/once/a%20b?q=1&r=%2F", "X-Other: kept\r\nSilverlatch-Worker: forged\r\n", "the body");
+        final String reply =
+                ask("/once/a%20b?q=1&r=%2F", "X-Other: kept\r\nSilverlatch-Worker: forged\r\n", "the body");
         assertThat(reply, startsWith("HTTP/1.1 200"));
         assertThat(reply, containsString("Silverlatch-Seal: s"));
         assertThat(reply, containsString("X-Own: 1"));
@@ -233,7 +283,9 @@
 
     @Test
     void anotherTicketsReplyReachesNobody() throws IOException {
-        worker(r -> "HTTP/1.1 200 OK\r\nSilverlatch-Ticket: other\r\nSilverlatch-Seal: s\r\nContent-Length: 6\r\n\r\nsecret");
+        worker(
+                r ->
+                        "HTTP/1.1 200 OK\r\nSilverlatch-Ticket: other\r\nSilverlatch-Seal: s\r\nContent-Length: 6\r\n\r\nsecret");
         final String reply = ask("/once/x", "", "b");
         assertThat(reply, startsWith("HTTP/1.1 502"));
         assertThat(reply, not(containsString("secret")));
@@ -256,7 +308,8 @@
     @Test
     void aResumableStreamGoesOnElsewhereAfterTheLastWholeEvent() throws IOException {
         final Function<String, String> script = r -> header(r, "Last-Event-Id").isEmpty()
-                ? good(r).replace("Seal: s", "Seal: first") + CHUNKED + "\r\n" + event(1) + event(2) + chunk("id: 3\ndata: torn") + "|"
+                ? good(r).replace("Seal: s", "Seal: first") + CHUNKED + "\r\n" + event(1) + event(2)
+                        + chunk("id: 3\ndata: torn") + "|"
                 : good(r) + CHUNKED + "\r\n" + event(3) + event(4) + "0\r\n\r\n";
         final Peer one = worker(script);
         final Peer two = worker(script);
@@ -275,7 +328,9 @@
         final Peer one = worker(r -> good(r) + CHUNKED + "\r\n" + event(1) + event(2) + "0\r\n\r\n");
         final Peer other = new Peer(r -> good(r) + CHUNKED + "\r\n" + event(1) + event(2) + event(3) + "0\r\n\r\n");
         peers.add(other);
-        third.set(() -> gate.get().move(new RoutingEffect.Send(1, 99, "w1", "127.0.0.1:" + other.server.getLocalPort(), 3_000_000, 0, false, true)));
+        third.set(() -> gate.get()
+                .move(new RoutingEffect.Send(
+                        1, 99, "w1", "127.0.0.1:" + other.server.getLocalPort(), 3_000_000, 0, false, true)));
         final String reply = ask("/again/x", "", "b");
         assertThat(one.asked.size(), is(1));
         assertThat(header(other.asked.getFirst(), "Last-Event-Id"), is(""));
@@ -317,11 +372,22 @@
     @Test
     void badRequestsEndTheirConnectionAndReachNoWorker() throws IOException {
         final Peer w = worker(r -> good(r) + "Content-Length: 0\r\n\r\n");
-        assertThat(raw("POST /once/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"), startsWith("HTTP/1.1 400"));
-        assertThat(raw("POST /once/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), startsWith("HTTP/1.1 400"));
-        assertThat(raw("POST /once/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nZZ\r\n\r\n"), startsWith("HTTP/1.1 400"));
-        assertThat(raw("POST /once/x HTTP/1.1\r\nHost: a\r\nX-Bad: a\0b\r\nContent-Length: 0\r\n\r\n"), startsWith("HTTP/1.1 400"));
-        assertThat(raw("POST /once/x HTTP/1.1\r\nHost: a\r\nX-Long: " + "x".repeat(9_000) + "\r\n\r\n"), startsWith("HTTP/1.1 431"));
+        assertThat(
+                raw("POST /once/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"),
+                startsWith("HTTP/1.1 400"));
+        assertThat(
+                raw(
+                        "POST /once/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+                startsWith("HTTP/1.1 400"));
+        assertThat(
+                raw("POST /once/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nZZ\r\n\r\n"),
+                startsWith("HTTP/1.1 400"));
+        assertThat(
+                raw("POST /once/x HTTP/1.1\r\nHost: a\r\nX-Bad: a\0b\r\nContent-Length: 0\r\n\r\n"),
+                startsWith("HTTP/1.1 400"));
+        assertThat(
+                raw("POST /once/x HTTP/1.1\r\nHost: a\r\nX-Long: " + "x".repeat(9_000) + "\r\n\r\n"),
+                startsWith("HTTP/1.1 431"));
         assertThat(ask("/once/x", "", "x".repeat(5_000)), startsWith("HTTP/1.1 413"));
         assertThat(ask("/nowhere/x", "", "b"), startsWith("HTTP/1.1 404"));
         assertThat(w.asked.size(), is(0));
--- a/server/src/test/java/silverlatch/server/transport/TransportTest.java
+++ b/server/src/test/java/silverlatch/server/transport/TransportTest.java
@@ -20,16 +20,17 @@
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import silverlatch.clock.Stamp;
 import silverlatch.membership.Member;
 import silverlatch.node.Ship;
 import silverlatch.server.eventloop.EventLoop;
-import silverlatch.clock.Stamp;
 import silverlatch.wire.Frame;
 import silverlatch.wire.Msg;
 
 /** Docks on loopback before scripted peers, on shorter times than those in use. */
 final class TransportTest {
-    private static final PeerConnection.Times QUICK = new PeerConnection.Times(256, 200_000L, 300_000L, 200_000L, 400_000L, 100_000L);
+    private static final PeerConnection.Times QUICK =
+            new PeerConnection.Times(256, 200_000L, 300_000L, 200_000L, 400_000L, 100_000L);
     private final List<AutoCloseable> open = new ArrayList<>();
     private final BlockingQueue<Frame> came = new LinkedBlockingQueue<>();
 
@@ -54,7 +55,8 @@
     }
 
     private static Ship ship(final int port, final long number, final String pad) {
-        final Member me = new Member("p" + pad, "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", number, 4, "up", true);
+        final Member me =
+                new Member("p" + pad, "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", number, 4, "up", true);
         return new Ship("127.0.0.1:" + port, new Frame(new Stamp(number), 5, "p", "127.0.0.1:1", 3, new Msg.Beat(me)));
     }
 
@@ -164,7 +166,7 @@
             final DataInputStream in = new DataInputStream(s.getInputStream());
             final int size = in.readInt();
             final long start = EventLoop.now();
-            for (int left = size; left > 0;) {
+            for (int left = size; left > 0; ) {
                 left -= in.readNBytes(Math.min(left, 256 << 10)).length;
                 s.getOutputStream().write(1);
                 from.ship(ship(port, 2, ""));
--- a/server/src/test/java/silverlatch/server/workerclient/BackTest.java
+++ b/server/src/test/java/silverlatch/server/workerclient/BackTest.java
@@ -68,14 +68,13 @@
         } else if (body.contains("trouble")) {
             c.reply(503, Map.of());
         } else if (body.contains("long")) {
-            c.stream("{\"text\":\"" + "x".repeat(2_000) + "\"}\n", true, () -> {
-            }, () -> {
-            });
+            c.stream("{\"text\":\"" + "x".repeat(2_000) + "\"}\n", true, () -> {}, () -> {});
         } else {
-            c.stream("", false, () -> c.stream(Lines.write(new Line.Piece("t", "t.1", 0, "hi")), true, () -> {
-            }, () -> {
-            }), () -> {
-            });
+            c.stream(
+                    "",
+                    false,
+                    () -> c.stream(Lines.write(new Line.Piece("t", "t.1", 0, "hi")), true, () -> {}, () -> {}),
+                    () -> {});
         }
     }
 
--- a/simulation/src/main/java/silverlatch/simulation/check/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/check/Main.java
@@ -13,8 +13,7 @@
 
 /** Holds the consumers' receipts against the workers' own records of what they ran; trusts nothing the daemons say. */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /** Checks: RECEIPTS HOMES RECORD...; homes are TENANT=REGION+REGION by commas. Ends with 1 when something is wrong. */
     public static void main(final String[] args) throws IOException {
@@ -49,7 +48,8 @@
     }
 
     /** Checks receipts against records. */
-    public static Found check(final Path receipts, final Map<String, List<String>> homes, final List<Path> records) throws IOException {
+    public static Found check(final Path receipts, final Map<String, List<String>> homes, final List<Path> records)
+            throws IOException {
         final List<String> wrong = new ArrayList<>();
         final Map<String, List<JsonDocument>> starts = new HashMap<>();
         int runs = 0;
@@ -64,7 +64,8 @@
                     continue;
                 }
                 runs++;
-                starts.computeIfAbsent(s.text("ticket", 256), k -> new ArrayList<>()).add(s);
+                starts.computeIfAbsent(s.text("ticket", 256), k -> new ArrayList<>())
+                        .add(s);
                 final List<String> allowed = homes.getOrDefault(s.text("tenant", 64), List.of());
                 if (!allowed.isEmpty() && !allowed.contains(s.text("region", 64))) {
                     wrong.add("ticket " + s.text("ticket", 256) + " ran outside its homes");
@@ -87,12 +88,14 @@
             if (ran.size() > 1) {
                 wrong.add("ticket " + ticket + " ran " + ran.size() + " times");
             }
-            if (outcome.equals("done") && (ran.size() != 1 || !ran.getFirst().text("prompt", 64).equals(r.text("prompt", 64)))) {
+            if (outcome.equals("done")
+                    && (ran.size() != 1 || !ran.getFirst().text("prompt", 64).equals(r.text("prompt", 64)))) {
                 wrong.add("ticket " + ticket + " is done without its own run");
             }
             final String key = r.text("key", 128);
             if (!key.isEmpty() && !ran.isEmpty()) {
-                Optional.ofNullable(keys.put(r.text("tenant", 64) + "|" + key, ticket)).filter(o -> !o.equals(ticket))
+                Optional.ofNullable(keys.put(r.text("tenant", 64) + "|" + key, ticket))
+                        .filter(o -> !o.equals(ticket))
                         .ifPresent(o -> wrong.add("key " + key + " ran as " + o + " and as " + ticket));
             }
             if (outcome.startsWith("BAD")) {
@@ -105,7 +108,8 @@
     private static List<JsonDocument> lines(final Path p) throws IOException {
         final List<JsonDocument> list = new ArrayList<>();
         for (final String line : Files.readAllLines(p)) {
-            if (JsonDocument.parse(line.getBytes(StandardCharsets.UTF_8), 1 << 20) instanceof JsonDocument.Parsed.Good g) {
+            if (JsonDocument.parse(line.getBytes(StandardCharsets.UTF_8), 1 << 20)
+                    instanceof JsonDocument.Parsed.Good g) {
                 list.add(g.sheet());
             }
         }
--- a/simulation/src/main/java/silverlatch/simulation/consumer/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/consumer/Main.java
@@ -24,39 +24,47 @@
 import org.kohsuke.args4j.Option;
 import silverlatch.dispatch.Line;
 import silverlatch.dispatch.permit.Seals;
-import silverlatch.server.workerclient.Lines;
+import silverlatch.json.JsonDocument;
 import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.workerclient.Lines;
 import silverlatch.simulation.worker.Speech;
-import silverlatch.json.JsonDocument;
 
 /** A stand-in for all consumers: an open load of mixed kinds, each reply verified and put down in a file of receipts. */
 public final class Main {
     @Option(name = "--doors", required = true)
     private String doors = "";
+
     @Option(name = "--seconds")
     private int seconds = 10;
+
     @Option(name = "--rate", usage = "tickets a second")
     private int rate = 50;
+
     @Option(name = "--tenants", required = true, usage = "NAME:KEY,...")
     private String tenants = "";
+
     @Option(name = "--kinds", required = true, usage = "KIND:WEIGHT:PIECES:PREFIX:ONCE,...")
     private String kinds = "";
+
     @Option(name = "--receipts", required = true)
     private String receipts = "";
+
     @Option(name = "--seed")
     private long seed = 1;
+
     @Option(name = "--crowd", usage = "how many times as many tickets come in the middle third")
     private int crowd = 1;
+
     @Option(name = "--again", usage = "each so many once-only tickets is sent again under its key")
     private int again = 10;
+
     private final HttpClient http = new HttpClient();
     private final Map<String, Long> tally = new TreeMap<>();
     private final List<Long> firsts = new ArrayList<>();
     private final AtomicLong open = new AtomicLong();
     private PrintWriter book;
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs a load; ends with 1 when a reply was not what it should be. */
     public static void main(final String[] args) throws Exception {
@@ -97,8 +105,14 @@
             final String[] who = people[luck.nextInt(people.length)].split(":");
             final int pieces = Math.max(1, Integer.parseInt(f[2]) / 2 + luck.nextInt(Integer.parseInt(f[2])));
             final String key = Boolean.parseBoolean(f[4]) ? "k" + seed + "-" + n : "";
-            final Trip trip = new Trip(who[0], who[1], f[0], key, pieces + " " + who[0] + " asks " + n + " " + seed,
-                    prefix(f, luck), luck.nextLong());
+            final Trip trip = new Trip(
+                    who[0],
+                    who[1],
+                    f[0],
+                    key,
+                    pieces + " " + who[0] + " asks " + n + " " + seed,
+                    prefix(f, luck),
+                    luck.nextLong());
             trip.go();
             if (!key.isEmpty() && luck.nextInt(again) == 0) {
                 new Trip(who[0], who[1], f[0], key, trip.prompt, trip.prefix, luck.nextLong()).go();
@@ -112,8 +126,8 @@
             tally.forEach((k, v) -> System.out.println(k + " " + v));
             firsts.sort(Long::compare);
             if (!firsts.isEmpty()) {
-                System.out.println("first piece ms min/median/max " + firsts.getFirst() / 1000 + "/" + firsts.get(firsts.size() / 2) / 1000
-                        + "/" + firsts.getLast() / 1000);
+                System.out.println("first piece ms min/median/max " + firsts.getFirst() / 1000 + "/"
+                        + firsts.get(firsts.size() / 2) / 1000 + "/" + firsts.getLast() / 1000);
             }
             System.out.println("open " + open.get());
         }
@@ -153,8 +167,14 @@
         private String fault = "";
         private Optional<Line> last = Optional.empty();
 
-        Trip(final String tenant, final String secret, final String kind, final String key, final String prompt,
-             final List<String> prefix, final long seed) {
+        Trip(
+                final String tenant,
+                final String secret,
+                final String kind,
+                final String key,
+                final String prompt,
+                final List<String> prefix,
+                final long seed) {
             this.tenant = tenant;
             this.secret = secret;
             this.kind = kind;
@@ -171,8 +191,8 @@
         }
 
         private void pick(final String door, final int hops) {
-            final Map<String, Object> body = new LinkedHashMap<>(Map.of("tenant", tenant, "kind", kind, "prefix", prefix,
-                    "size", prompt.length()));
+            final Map<String, Object> body = new LinkedHashMap<>(
+                    Map.of("tenant", tenant, "kind", kind, "prefix", prefix, "size", prompt.length()));
             if (!key.isEmpty()) {
                 body.put("key", key);
             }
@@ -199,10 +219,13 @@
         private void hand(final String door, final String permit) {
             final Lines lines = new Lines(1 << 20, this::line);
             final java.io.ByteArrayOutputStream other = new java.io.ByteArrayOutputStream();
-            http.newRequest(URI.create("http://" + door + "/v1/tickets")).method("POST")
+            http.newRequest(URI.create("http://" + door + "/v1/tickets"))
+                    .method("POST")
                     .headers(h -> h.put("Authorization", "Bearer " + secret))
-                    .body(new StringRequestContent("application/json", JsonDocument.write(Map.of("permit", permit, "prefix", prefix,
-                            "prompt", prompt, "expiryMs", 15_000))))
+                    .body(new StringRequestContent(
+                            "application/json",
+                            JsonDocument.write(
+                                    Map.of("permit", permit, "prefix", prefix, "prompt", prompt, "expiryMs", 15_000))))
                     .timeout(18, TimeUnit.SECONDS)
                     .onResponseContent((r, b) -> {
                         if (r.getStatus() == 200) {
@@ -240,7 +263,9 @@
                 case Line.Seal s -> {
                     worker = s.worker();
                     run = s.run();
-                    if (s.count() != next || next != Speech.count(prompt) || !s.ticket().equals(ticket)
+                    if (s.count() != next
+                            || next != Speech.count(prompt)
+                            || !s.ticket().equals(ticket)
                             || !s.sha().equals(HexFormat.of().formatHex(sum.digest()))) {
                         fault = "a seal that does not fit";
                     }
@@ -259,7 +284,9 @@
             } else if (last.isPresent()) {
                 end("lost", JsonDocument.empty());
             } else if (code >= 400 && result.isSucceeded()) {
-                final JsonDocument s = JsonDocument.parse(other, 1 << 20) instanceof JsonDocument.Parsed.Good g ? g.sheet() : JsonDocument.empty();
+                final JsonDocument s = JsonDocument.parse(other, 1 << 20) instanceof JsonDocument.Parsed.Good g
+                        ? g.sheet()
+                        : JsonDocument.empty();
                 end("rejected-" + code, s);
             } else {
                 end(code == 200 || next > 0 ? "cut" : "broken", JsonDocument.empty());
@@ -271,8 +298,9 @@
             if (outcome.startsWith("BAD")) {
                 count("BAD");
             }
-            final Map<String, Object> map = new LinkedHashMap<>(Map.of("ticket", ticket, "tenant", tenant, "kind", kind, "key", key,
-                    "outcome", outcome, "run", run, "worker", worker, "table", table, "pieces", next));
+            final Map<String, Object> map = new LinkedHashMap<>(Map.of(
+                    "ticket", ticket, "tenant", tenant, "kind", kind, "key", key, "outcome", outcome, "run", run,
+                    "worker", worker, "table", table, "pieces", next));
             map.put("prompt", Seals.hash(prompt).substring(0, 12));
             map.put("picked", picked);
             map.put("why", s.has("faults") ? String.join("; ", s.texts("faults", 10, 500)) : "");
@@ -282,17 +310,26 @@
             open.decrementAndGet();
         }
 
-        private void post(final String door, final String path, final Map<String, Object> body,
-                          final java.util.function.BiConsumer<Integer, JsonDocument> then) {
-            http.newRequest(URI.create("http://" + door + path)).method("POST")
+        private void post(
+                final String door,
+                final String path,
+                final Map<String, Object> body,
+                final java.util.function.BiConsumer<Integer, JsonDocument> then) {
+            http.newRequest(URI.create("http://" + door + path))
+                    .method("POST")
                     .headers(h -> h.put("Authorization", "Bearer " + secret))
-                    .body(new StringRequestContent("application/json", JsonDocument.write(body))).timeout(5, TimeUnit.SECONDS)
+                    .body(new StringRequestContent("application/json", JsonDocument.write(body)))
+                    .timeout(5, TimeUnit.SECONDS)
                     .send(new BufferingResponseListener() {
                         @Override
                         public void onComplete(final Result result) {
-                            final JsonDocument s = result.isSucceeded() && JsonDocument.parse(getContent(), 1 << 20) instanceof JsonDocument.Parsed.Good g
-                                    ? g.sheet() : JsonDocument.empty();
-                            then.accept(result.isSucceeded() ? result.getResponse().getStatus() : 0, s);
+                            final JsonDocument s = result.isSucceeded()
+                                            && JsonDocument.parse(getContent(), 1 << 20)
+                                                    instanceof JsonDocument.Parsed.Good g
+                                    ? g.sheet()
+                                    : JsonDocument.empty();
+                            then.accept(
+                                    result.isSucceeded() ? result.getResponse().getStatus() : 0, s);
                         }
                     });
         }
--- a/simulation/src/main/java/silverlatch/simulation/fleet/Fleet.java
+++ b/simulation/src/main/java/silverlatch/simulation/fleet/Fleet.java
@@ -21,18 +21,20 @@
 public final class Fleet implements AutoCloseable {
     /** The operator's key of a drill. */
     public static final String OPERATOR = "simulation-operator-key";
+
     private static final String WORKERS = "simulation-workers-key";
     private final Path folder;
     private final Plan plan;
     private final String classes;
     private final List<String> seeds;
     private final Map<String, Part> parts = new LinkedHashMap<>();
-    private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+    private final HttpClient http =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
     private final List<ServerSocket> held = new ArrayList<>();
 
     /** A process: its program, its arguments, where it listens, and itself while it runs. */
-    private record Part(String name, String main, List<String> args, String address, String door, List<Process> process) {
-    }
+    private record Part(
+            String name, String main, List<String> args, String address, String door, List<Process> process) {}
 
     /** A fleet of a plan in a folder of its own. */
     public Fleet(final Plan plan, final Path folder, final String classes) throws IOException {
@@ -49,7 +51,12 @@
         int n = 0;
         for (final Plan.Region r : plan.regions()) {
             n++;
-            daemon("controller-" + n, "silverlatch.server.controller.Main", r, seeds.get(n - 1), folder.resolve("data-" + n));
+            daemon(
+                    "controller-" + n,
+                    "silverlatch.server.controller.Main",
+                    r,
+                    seeds.get(n - 1),
+                    folder.resolve("data-" + n));
         }
         n = 0;
         for (final Plan.Region r : plan.regions()) {
@@ -67,29 +74,64 @@
             for (int i = 0; i < r.workers(); i++) {
                 final String door = free();
                 final String name = "worker-" + ++n;
-                parts.put(name, new Part(name, "silverlatch.simulation.worker.Main", List.of("--name", name, "--zone", r.zone(), "--region", r.region(),
-                        "--door", door, "--gateways", String.join(",", near), "--key", WORKERS, "--record", folder.resolve(name + ".runs").toString()),
-                        "", door, new ArrayList<>()));
+                parts.put(
+                        name,
+                        new Part(
+                                name,
+                                "silverlatch.simulation.worker.Main",
+                                List.of(
+                                        "--name",
+                                        name,
+                                        "--zone",
+                                        r.zone(),
+                                        "--region",
+                                        r.region(),
+                                        "--door",
+                                        door,
+                                        "--gateways",
+                                        String.join(",", near),
+                                        "--key",
+                                        WORKERS,
+                                        "--record",
+                                        folder.resolve(name + ".runs").toString()),
+                                "",
+                                door,
+                                new ArrayList<>()));
             }
         }
     }
 
     /** Writes the settings that all daemons read at their next start. */
     public void settings(final Map<String, Object> more) throws IOException {
-        final Map<String, Object> all = new LinkedHashMap<>(Map.of("seeds", seeds, "key", "simulation-cluster-key-of-this-fleet",
-                "operator", OPERATOR, "worker", WORKERS));
+        final Map<String, Object> all = new LinkedHashMap<>(Map.of(
+                "seeds",
+                seeds,
+                "key",
+                "simulation-cluster-key-of-this-fleet",
+                "operator",
+                OPERATOR,
+                "worker",
+                WORKERS));
         all.putAll(more);
         Files.writeString(folder.resolve("settings.json"), JsonDocument.write(all));
     }
 
     /** Adds a controller at a new address, with an empty data folder or with none. */
     public void controller(final String name, final Plan.Region region, final boolean disk) throws IOException {
-        daemon(name, "silverlatch.server.controller.Main", region, free(), disk ? folder.resolve("data-" + name) : Path.of(""));
+        daemon(
+                name,
+                "silverlatch.server.controller.Main",
+                region,
+                free(),
+                disk ? folder.resolve("data-" + name) : Path.of(""));
     }
 
     /** The processes that stand in a region. */
     public List<String> places(final String region) {
-        return parts.values().stream().filter(p -> p.args().contains(region)).map(Part::name).toList();
+        return parts.values().stream()
+                .filter(p -> p.args().contains(region))
+                .map(Part::name)
+                .toList();
     }
 
     /** Starts a process that can't write a file beyond so many KiB, as on a disk that fills up. */
@@ -106,12 +148,24 @@
         release();
         final Part p = parts.get(name);
         final List<String> words = new ArrayList<>(before);
-        words.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx160m", "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "--sun-misc-unsafe-memory-access=allow", "-cp", classes, p.main()));
+        words.addAll(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx160m",
+                "-Xss512k",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "--sun-misc-unsafe-memory-access=allow",
+                "-cp",
+                classes,
+                p.main()));
         words.addAll(p.args());
         p.process().clear();
-        p.process().add(new ProcessBuilder(words).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile())).start());
+        p.process()
+                .add(new ProcessBuilder(words)
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                                folder.resolve(name + ".log").toFile()))
+                        .start());
     }
 
     /** Starts all processes whose names start so. */
@@ -171,7 +225,8 @@
         final Path data = folder.resolve("data-" + controller.substring(controller.indexOf('-') + 1));
         if (Files.exists(data)) {
             try (Stream<Path> files = Files.walk(data)) {
-                for (final Path f : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+                for (final Path f :
+                        files.sorted(java.util.Comparator.reverseOrder()).toList()) {
                     Files.delete(f);
                 }
             }
@@ -179,31 +234,59 @@
     }
 
     /** The reply of a daemon's door to the operator. */
-    public HttpResponse<String> ask(final String name, final String method, final String path, final String body) throws IOException, InterruptedException {
+    public HttpResponse<String> ask(final String name, final String method, final String path, final String body)
+            throws IOException, InterruptedException {
         return as(OPERATOR, name, method, path, body);
     }
 
     /** The reply of a daemon's door to the bearer of a key. */
-    public HttpResponse<String> as(final String key, final String name, final String method, final String path, final String body)
+    public HttpResponse<String> as(
+            final String key, final String name, final String method, final String path, final String body)
             throws IOException, InterruptedException {
         return call(key, name, method, path, body, 10);
     }
 
     /** Posts, and hands over each line of the reply as it comes, for up to a minute. */
-    public void lines(final String key, final String name, final String path, final String body, final java.util.function.Consumer<String> line)
+    public void lines(
+            final String key,
+            final String name,
+            final String path,
+            final String body,
+            final java.util.function.Consumer<String> line)
             throws IOException, InterruptedException {
-        http.send(request(key, name, "POST", path, body, 60), HttpResponse.BodyHandlers.ofLines()).body().forEach(line);
-    }
-
-    private HttpResponse<String> call(final String key, final String name, final String method, final String path, final String body, final int seconds)
+        http.send(request(key, name, "POST", path, body, 60), HttpResponse.BodyHandlers.ofLines())
+                .body()
+                .forEach(line);
+    }
+
+    private HttpResponse<String> call(
+            final String key,
+            final String name,
+            final String method,
+            final String path,
+            final String body,
+            final int seconds)
             throws IOException, InterruptedException {
         return http.send(request(key, name, method, path, body, seconds), HttpResponse.BodyHandlers.ofString());
     }
 
-    private HttpRequest request(final String key, final String name, final String method, final String path, final String body, final int seconds) {
-        return HttpRequest.newBuilder(URI.create("http://" + door(name) + path)).timeout(Duration.ofSeconds(seconds))
-                .header("Authorization", "Bearer " + key).header("Content-Type", "application/json")
-                .method(method, body.isEmpty() ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body)).build();
+    private HttpRequest request(
+            final String key,
+            final String name,
+            final String method,
+            final String path,
+            final String body,
+            final int seconds) {
+        return HttpRequest.newBuilder(URI.create("http://" + door(name) + path))
+                .timeout(Duration.ofSeconds(seconds))
+                .header("Authorization", "Bearer " + key)
+                .header("Content-Type", "application/json")
+                .method(
+                        method,
+                        body.isEmpty()
+                                ? HttpRequest.BodyPublishers.noBody()
+                                : HttpRequest.BodyPublishers.ofString(body))
+                .build();
     }
 
     /** Waits until all whose names start so say that they are ready; false when they don't in time. */
@@ -236,17 +319,29 @@
     }
 
     /** Runs a program of ours to its end, its output into a file; gives the exit code. */
-    public int run(final String main, final Path out, final List<String> args) throws IOException, InterruptedException {
+    public int run(final String main, final Path out, final List<String> args)
+            throws IOException, InterruptedException {
         return begin(main, out, args).waitFor();
     }
 
     /** Starts a program of ours, its output into a file. */
     public Process begin(final String main, final Path out, final List<String> args) throws IOException {
-        final List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx512m", "-XX:+UseSerialGC", "--sun-misc-unsafe-memory-access=allow", "-cp", classes, main));
+        final List<String> words = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx512m",
+                "-XX:+UseSerialGC",
+                "--sun-misc-unsafe-memory-access=allow",
+                "-cp",
+                classes,
+                main));
         words.addAll(args);
-        final Process p = new ProcessBuilder(words).redirectErrorStream(true).redirectOutput(out.toFile()).start();
-        parts.computeIfAbsent("run " + main + " " + out, k -> new Part(k, main, args, "", "", new ArrayList<>())).process().add(p);
+        final Process p = new ProcessBuilder(words)
+                .redirectErrorStream(true)
+                .redirectOutput(out.toFile())
+                .start();
+        parts.computeIfAbsent("run " + main + " " + out, k -> new Part(k, main, args, "", "", new ArrayList<>()))
+                .process()
+                .add(p);
         return p;
     }
 
@@ -254,9 +349,15 @@
     public List<Integer> load() throws IOException, InterruptedException {
         final List<Integer> codes = new ArrayList<>();
         for (final Plan.Tenant t : plan.tenants()) {
-            codes.add(ask("controller-1", "PUT", "/v1/tenants/" + t.name(), JsonDocument.write(Map.of("key", t.key(), "share", t.share(), "homes", t.homes()))).statusCode());
+            codes.add(ask(
+                            "controller-1",
+                            "PUT",
+                            "/v1/tenants/" + t.name(),
+                            JsonDocument.write(Map.of("key", t.key(), "share", t.share(), "homes", t.homes())))
+                    .statusCode());
         }
-        codes.add(ask("controller-1", "PUT", "/v1/table", Files.readString(plan.table())).statusCode());
+        codes.add(ask("controller-1", "PUT", "/v1/table", Files.readString(plan.table()))
+                .statusCode());
         return codes;
     }
 
@@ -277,10 +378,23 @@
         }
     }
 
-    private void daemon(final String name, final String main, final Plan.Region r, final String address, final Path data) throws IOException {
+    private void daemon(
+            final String name, final String main, final Plan.Region r, final String address, final Path data)
+            throws IOException {
         final String door = free();
-        final List<String> args = new ArrayList<>(List.of("--settings", folder.resolve("settings.json").toString(), "--name", name,
-                "--zone", r.zone(), "--region", r.region(), "--address", address, "--door", door));
+        final List<String> args = new ArrayList<>(List.of(
+                "--settings",
+                folder.resolve("settings.json").toString(),
+                "--name",
+                name,
+                "--zone",
+                r.zone(),
+                "--region",
+                r.region(),
+                "--address",
+                address,
+                "--door",
+                door));
         if (!data.toString().isEmpty()) {
             args.addAll(List.of("--data", data.toString()));
         } else if (name.startsWith("gateway")) {
--- a/simulation/src/main/java/silverlatch/simulation/fleet/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/fleet/Main.java
@@ -8,8 +8,7 @@
 
 /** Stands up a deployment, serves a mixed load for some seconds, changes a cell, and checks every reply. */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /** Arguments: the folder of the plan, seconds, tickets a second. */
     public static void main(final String[] args) throws Exception {
@@ -25,13 +24,16 @@
     }
 
     private static boolean obeyed(final Path receipts, final String changed, final long acked) throws Exception {
-        final long sequence = JsonDocument.parse(changed.getBytes(java.nio.charset.StandardCharsets.UTF_8), 4096) instanceof JsonDocument.Parsed.Good g
-                ? g.sheet().whole("sequence", 1, Long.MAX_VALUE) : Long.MAX_VALUE;
+        final long sequence = JsonDocument.parse(changed.getBytes(java.nio.charset.StandardCharsets.UTF_8), 4096)
+                        instanceof JsonDocument.Parsed.Good g
+                ? g.sheet().whole("sequence", 1, Long.MAX_VALUE)
+                : Long.MAX_VALUE;
         long under = 0;
         long late = 0;
         long first = Long.MAX_VALUE;
         for (final String line : Files.readAllLines(receipts)) {
-            if (JsonDocument.parse(line.getBytes(java.nio.charset.StandardCharsets.UTF_8), 1 << 20) instanceof JsonDocument.Parsed.Good r
+            if (JsonDocument.parse(line.getBytes(java.nio.charset.StandardCharsets.UTF_8), 1 << 20)
+                            instanceof JsonDocument.Parsed.Good r
                     && r.sheet().whole("picked", 0, Long.MAX_VALUE) > 0) {
                 final long at = r.sheet().whole("picked", 0, Long.MAX_VALUE);
                 final boolean fresh = r.sheet().whole("table", 0, Long.MAX_VALUE) >= sequence;
@@ -40,7 +42,8 @@
                 first = fresh ? Math.min(first, at - acked) : first;
             }
         }
-        System.out.println("picks under the changed table: " + under + ", the first " + first + " ms after its ack; picks under an older one 3 s after: " + late);
+        System.out.println("picks under the changed table: " + under + ", the first " + first
+                + " ms after its ack; picks under an older one 3 s after: " + late);
         return under > 0 && late == 0;
     }
 
@@ -54,18 +57,38 @@
         Thread.sleep(2_000);
         final Path receipts = fleet.folder().resolve("receipts");
         final Path out = fleet.folder().resolve("consumer.out");
-        final Process load = fleet.begin("silverlatch.simulation.consumer.Main", out, List.of("--doors", fleet.doors("gateway"), "--seconds", "" + seconds,
-                "--rate", rate, "--tenants", fleet.plan().people(), "--kinds", fleet.plan().sorts(), "--receipts", receipts.toString()));
+        final Process load = fleet.begin(
+                "silverlatch.simulation.consumer.Main",
+                out,
+                List.of(
+                        "--doors",
+                        fleet.doors("gateway"),
+                        "--seconds",
+                        "" + seconds,
+                        "--rate",
+                        rate,
+                        "--tenants",
+                        fleet.plan().people(),
+                        "--kinds",
+                        fleet.plan().sorts(),
+                        "--receipts",
+                        receipts.toString()));
         Thread.sleep(seconds * 500L);
         final String kind = fleet.plan().kinds().getFirst().kind();
-        final String changed = fleet.ask("controller-2", "PATCH", "/v1/table", "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"" + kind
-                + "\",\"field\":\"cross\",\"value\":2}]}").body();
+        final String changed = fleet.ask(
+                        "controller-2",
+                        "PATCH",
+                        "/v1/table",
+                        "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"" + kind + "\",\"field\":\"cross\",\"value\":2}]}")
+                .body();
         final long acked = System.currentTimeMillis();
         System.out.println("cell changed: " + changed);
         final int served = load.waitFor();
         System.out.print(Files.readString(out));
-        final List<String> words = new ArrayList<>(List.of(receipts.toString(), fleet.plan().homes()));
-        fleet.names("worker").forEach(w -> words.add(fleet.folder().resolve(w + ".runs").toString()));
+        final List<String> words =
+                new ArrayList<>(List.of(receipts.toString(), fleet.plan().homes()));
+        fleet.names("worker")
+                .forEach(w -> words.add(fleet.folder().resolve(w + ".runs").toString()));
         final Path checked = fleet.folder().resolve("check.out");
         final int right = fleet.run("silverlatch.simulation.check.Main", checked, words);
         System.out.print(Files.readString(checked));
--- a/simulation/src/main/java/silverlatch/simulation/hollow/Hollow.java
+++ b/simulation/src/main/java/silverlatch/simulation/hollow/Hollow.java
@@ -13,16 +13,16 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import silverlatch.membership.Membership;
+import silverlatch.clock.PhysicalClock;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
 import silverlatch.membership.Member;
-import silverlatch.node.Node;
+import silverlatch.membership.Membership;
 import silverlatch.node.Effect;
-import silverlatch.replication.Replica;
+import silverlatch.node.Node;
 import silverlatch.replication.ChainReplica;
-import silverlatch.gossip.Gossip;
-import silverlatch.gossip.Worker;
+import silverlatch.replication.Replica;
 import silverlatch.state.Command;
-import silverlatch.clock.PhysicalClock;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
 
@@ -38,8 +38,8 @@
     private final List<HollowDaemon> nodes = new ArrayList<>();
     private final Map<String, HollowDaemon> byAddress = new HashMap<>();
     private final List<Hand> hands = new ArrayList<>();
-    private final PriorityQueue<Job> jobs = new PriorityQueue<>((a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at())
-            : Long.compare(a.turn(), b.turn()));
+    private final PriorityQueue<Job> jobs = new PriorityQueue<>(
+            (a, b) -> a.at() != b.at() ? Long.compare(a.at(), b.at()) : Long.compare(a.turn(), b.turn()));
     private final SplittableRandom luck;
     private final Codec codec = new Codec();
     private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
@@ -50,15 +50,12 @@
     private long turn;
 
     /** What daemons of one role sent and how long they worked. */
-    record Tally(long daemons, long frames, long bytes, long nanos) {
-    }
+    record Tally(long daemons, long frames, long bytes, long nanos) {}
 
     /** When the first and the last daemon knew. */
-    record Spread(Predicate<Node> known, Set<HollowDaemon> waiting, long[] last) {
-    }
+    record Spread(Predicate<Node> known, Set<HollowDaemon> waiting, long[] last) {}
 
-    private record Job(long at, long turn, Runnable work) {
-    }
+    private record Job(long at, long turn, Runnable work) {}
 
     /** One deck and what it did since the counts were last cleared. */
     static final class HollowDaemon {
@@ -92,19 +89,53 @@
         for (int i = 0; i < daemons; i++) {
             final boolean controller = i < HARBORS;
             final String region = "region-" + i % regions;
-            final Member me = new Member((controller ? "controller-" : "gateway-") + i, controller ? "controller" : "gateway", region + "-" + i / regions % 3, region,
-                    address(i), address(i) + "0", wall() / 1000 + i, 0, "up", true);
-            final Optional<ChainReplica.Setup> chain = i < CHAIN ? Optional.of(ChainReplica.Setup.of(new Replica("disk-" + i, address(i)), seeds)) : Optional.empty();
-            final HollowDaemon node = new HollowDaemon(me, new Node(new Node.Setup(me, seeds, 7, 50_000, Membership.Times.QUIET, Gossip.Times.QUIET), chain, List.of(),
-                    new PhysicalClock(wall(), now, 0), luck.split(), now));
+            final Member me = new Member(
+                    (controller ? "controller-" : "gateway-") + i,
+                    controller ? "controller" : "gateway",
+                    region + "-" + i / regions % 3,
+                    region,
+                    address(i),
+                    address(i) + "0",
+                    wall() / 1000 + i,
+                    0,
+                    "up",
+                    true);
+            final Optional<ChainReplica.Setup> chain = i < CHAIN
+                    ? Optional.of(ChainReplica.Setup.of(new Replica("disk-" + i, address(i)), seeds))
+                    : Optional.empty();
+            final HollowDaemon node = new HollowDaemon(
+                    me,
+                    new Node(
+                            new Node.Setup(me, seeds, 7, 50_000, Membership.Times.QUIET, Gossip.Times.QUIET),
+                            chain,
+                            List.of(),
+                            new PhysicalClock(wall(), now, 0),
+                            luck.split(),
+                            now));
             nodes.add(node);
             byAddress.put(me.address(), node);
             in(luck.nextLong(BEAT), () -> beat(node));
         }
         for (int i = 0; i < workers; i++) {
             final String region = "region-" + i % regions;
-            final Hand hand = new Hand(i % HARBORS, new Worker("worker-" + i, "10.200." + i / 200 + "." + i % 200 + ":9001", region + "-" + i / regions % 3, region,
-                    wall() / 1000, 0, 0, 0, 16, List.of(), false, 0, "large", 0, 0));
+            final Hand hand = new Hand(
+                    i % HARBORS,
+                    new Worker(
+                            "worker-" + i,
+                            "10.200." + i / 200 + "." + i % 200 + ":9001",
+                            region + "-" + i / regions % 3,
+                            region,
+                            wall() / 1000,
+                            0,
+                            0,
+                            0,
+                            16,
+                            List.of(),
+                            false,
+                            0,
+                            "large",
+                            0,
+                            0));
             hands.add(hand);
             in(3 * SECOND + luck.nextLong(WORD), () -> repeat(hand));
         }
@@ -147,21 +178,32 @@
 
     /** What the daemons of one role did. */
     Tally tally(final boolean controller) {
-        final List<HollowDaemon> list = nodes.stream().filter(n -> n.me.gateway() != controller).toList();
-        return new Tally(list.size(), list.stream().mapToLong(n -> n.frames).sum(), list.stream().mapToLong(n -> n.bytes).sum(),
+        final List<HollowDaemon> list =
+                nodes.stream().filter(n -> n.me.gateway() != controller).toList();
+        return new Tally(
+                list.size(),
+                list.stream().mapToLong(n -> n.frames).sum(),
+                list.stream().mapToLong(n -> n.bytes).sum(),
                 list.stream().mapToLong(n -> n.nanos).sum());
     }
 
     /** Whether all daemons know so many workers, each other, and the page. */
     boolean settled() {
         final long page = nodes.getFirst().deck.rumor().books().page();
-        return nodes.stream().allMatch(n -> n.deck.rumor().workers().size() == hands.size() && n.deck.crew().live().size() == nodes.size() - 1
-                && n.deck.rumor().books().page() == page && n.deck.rumor().sure(now) < 2 * SECOND && n.deck.rumor().age(now) < 2 * SECOND);
+        return nodes.stream()
+                .allMatch(n -> n.deck.rumor().workers().size() == hands.size()
+                        && n.deck.crew().live().size() == nodes.size() - 1
+                        && n.deck.rumor().books().page() == page
+                        && n.deck.rumor().sure(now) < 2 * SECOND
+                        && n.deck.rumor().age(now) < 2 * SECOND);
     }
 
     /** How many daemons are not sure of their words or their page within two seconds. */
     long unsure() {
-        return nodes.stream().filter(n -> n.deck.rumor().sure(now) > 2 * SECOND || n.deck.rumor().age(now) > 2 * SECOND).count();
+        return nodes.stream()
+                .filter(n ->
+                        n.deck.rumor().sure(now) > 2 * SECOND || n.deck.rumor().age(now) > 2 * SECOND)
+                .count();
     }
 
     /** One worker changes what it says, and says it at once; gives how long until all know, or -1 after the span. */
@@ -179,7 +221,9 @@
         final HollowDaemon node = nodes.get(luck.nextInt(CHAIN));
         final long token = ++turn;
         final long[] page = {Long.MAX_VALUE};
-        asked.put(token, v -> page[0] = v instanceof silverlatch.state.CommandResult.Applied k ? k.sequence() : Long.MAX_VALUE);
+        asked.put(
+                token,
+                v -> page[0] = v instanceof silverlatch.state.CommandResult.Applied k ? k.sequence() : Long.MAX_VALUE);
         work(node, () -> node.deck.wish(wish, token, now, now + 5 * SECOND));
         return until(d -> d.rumor().books().page() >= page[0], span);
     }
@@ -225,7 +269,22 @@
     }
 
     private static Worker word(final Worker w, final boolean leaving) {
-        return new Worker(w.id(), w.address(), w.zone(), w.region(), w.life(), w.sequence() + 1, 0, 0, w.slots(), List.of(), leaving, 0, w.pool(), 0, 0);
+        return new Worker(
+                w.id(),
+                w.address(),
+                w.zone(),
+                w.region(),
+                w.life(),
+                w.sequence() + 1,
+                0,
+                0,
+                w.slots(),
+                List.of(),
+                leaving,
+                0,
+                w.pool(),
+                0,
+                0);
     }
 
     private void say(final Hand hand) {
@@ -249,21 +308,22 @@
         switch (e) {
             case Effect.Keep k -> in(NEAR, () -> work(n, () -> n.deck.kept(k.token(), now)));
             case Effect.Answer a -> Optional.ofNullable(asked.remove(a.token())).ifPresent(c -> c.accept(a.reply()));
-            default -> {
-            }
+            default -> {}
         }
     }
 
     private void ship(final HollowDaemon from, final Letter l) {
         from.frames++;
         from.bytes += l.bytes().length + Integer.BYTES;
-        Optional.ofNullable(byAddress.get(l.to())).ifPresent(to -> in(from.me.region().equals(to.me.region()) ? NEAR : FAR, () -> work(to, () -> {
-            if (codec.read(l.bytes(), Frame.class) instanceof Codec.Read.Good<Frame> good) {
-                to.deck.frame(good.thing(), now);
-            }
-        })));
+        Optional.ofNullable(byAddress.get(l.to()))
+                .ifPresent(to -> in(
+                        from.me.region().equals(to.me.region()) ? NEAR : FAR,
+                        () -> work(to, () -> {
+                            if (codec.read(l.bytes(), Frame.class) instanceof Codec.Read.Good<Frame> good) {
+                                to.deck.frame(good.thing(), now);
+                            }
+                        })));
     }
 
-    private record Letter(String to, byte[] bytes) {
-    }
+    private record Letter(String to, byte[] bytes) {}
 }
--- a/simulation/src/main/java/silverlatch/simulation/hollow/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/hollow/Main.java
@@ -4,8 +4,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import silverlatch.state.TableRules;
 import silverlatch.state.Command;
+import silverlatch.state.TableRules;
 
 /** Takes the figures of docs/CAPACITY.md with daemons that share a process. */
 public final class Main {
@@ -20,13 +20,15 @@
 
         static Ask of(final String... args) {
             final boolean seeded = args.length == 4 && args[2].equals("--seed");
-            if (args.length != 2 && !seeded || !Arrays.stream(args).filter(a -> !a.equals("--seed")).allMatch(a -> a.matches("\\d{1,9}"))) {
+            if (args.length != 2 && !seeded
+                    || !Arrays.stream(args).filter(a -> !a.equals("--seed")).allMatch(a -> a.matches("\\d{1,9}"))) {
                 return no(USAGE);
             }
             final int daemons = Integer.parseInt(args[0]);
             final int workers = Integer.parseInt(args[1]);
             if (daemons <= Hollow.HARBORS || daemons > DAEMONS) {
-                return no("daemons: " + daemons + " are not within " + (Hollow.HARBORS + 1) + " and " + DAEMONS + ", the bounds of this machine");
+                return no("daemons: " + daemons + " are not within " + (Hollow.HARBORS + 1) + " and " + DAEMONS
+                        + ", the bounds of this machine");
             }
             if (workers < 1 || workers > WORKERS) {
                 return no("workers: " + workers + " are not within 1 and " + WORKERS + ", the bounds of this machine");
@@ -39,8 +41,7 @@
         }
     }
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Arguments: daemons, workers, and a seed. */
     public static void main(final String[] args) {
@@ -68,8 +69,12 @@
         final List<Long> rules = new ArrayList<>();
         for (int i = 0; i < TRIALS; i++) {
             words.add(second(fleet, fleet.change(Hollow.SECOND)));
-            rules.add(second(fleet, fleet.rule(new Command.PatchTable("rule-" + i, List.of(new Command.Cell("*", "chat", "rate", "" + (500 + i))), -1),
-                    Hollow.SECOND)));
+            rules.add(second(
+                    fleet,
+                    fleet.rule(
+                            new Command.PatchTable(
+                                    "rule-" + i, List.of(new Command.Cell("*", "chat", "rate", "" + (500 + i))), -1),
+                            Hollow.SECOND)));
         }
         show("under change, a worker's and a rule's in turn, some 0.8 a second", fleet);
         System.out.println("unsure under change: " + fleet.unsure());
@@ -87,14 +92,23 @@
         for (final boolean controller : new boolean[] {false, true}) {
             final Hollow.Tally t = fleet.tally(controller);
             final double each = (double) t.daemons() * fleet.counted() / Hollow.SECOND;
-            System.out.printf("%s: each %s sends %.1f frames/s, %.0f bytes/s, works %.2f ms/s%n", phase, controller ? "controller" : "gateway",
-                    t.frames() / each, t.bytes() / each, t.nanos() / 1e6 / each);
+            System.out.printf(
+                    "%s: each %s sends %.1f frames/s, %.0f bytes/s, works %.2f ms/s%n",
+                    phase,
+                    controller ? "controller" : "gateway",
+                    t.frames() / each,
+                    t.bytes() / each,
+                    t.nanos() / 1e6 / each);
         }
     }
 
     private static void tell(final String what, final List<Long> times) {
         final List<Long> known = times.stream().filter(t -> t >= 0).sorted().toList();
-        System.out.println(what + ", ms min/median/max: " + (known.isEmpty() ? "none" : known.getFirst() / 1000 + "/" + known.get(known.size() / 2) / 1000
-                + "/" + known.getLast() / 1000) + ", not within a second: " + (times.size() - known.size()) + " of " + times.size());
+        System.out.println(what + ", ms min/median/max: "
+                + (known.isEmpty()
+                        ? "none"
+                        : known.getFirst() / 1000 + "/" + known.get(known.size() / 2) / 1000 + "/"
+                                + known.getLast() / 1000)
+                + ", not within a second: " + (times.size() - known.size()) + " of " + times.size());
     }
 }
--- a/simulation/src/main/java/silverlatch/simulation/measure/Disks.java
+++ b/simulation/src/main/java/silverlatch/simulation/measure/Disks.java
@@ -6,18 +6,17 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import silverlatch.server.eventloop.EventLoop;
-import silverlatch.log.WriteAheadLog;
+import silverlatch.clock.Stamp;
 import silverlatch.log.LogRecord;
+import silverlatch.log.WriteAheadLog;
 import silverlatch.replication.LogEntry;
+import silverlatch.server.eventloop.EventLoop;
 import silverlatch.state.Entry;
 import silverlatch.state.Value;
-import silverlatch.clock.Stamp;
 
 /** How long the ledger takes on this machine's disk: to write and sync batches, and to be read again. */
 final class Disks {
-    private Disks() {
-    }
+    private Disks() {}
 
     static void run() throws IOException {
         System.out.println("| batch | sync us min/median/max of 50 |");
@@ -60,8 +59,14 @@
     private static List<LogRecord> notes(final int first, final int count) {
         final List<LogRecord> list = new ArrayList<>();
         for (int i = first; i < first + count; i++) {
-            list.add(new LogRecord.Appended(new LogEntry(i + 1, 1, new Stamp(i + 1), List.of(new Entry("c/" + "0123456789abcdef".repeat(4) + i, i + 1,
-                    List.of(new Value.Claim("gateway-1-ticket-" + i, "gateway-1", "running", i, 0)))))));
+            list.add(new LogRecord.Appended(new LogEntry(
+                    i + 1,
+                    1,
+                    new Stamp(i + 1),
+                    List.of(new Entry(
+                            "c/" + "0123456789abcdef".repeat(4) + i,
+                            i + 1,
+                            List.of(new Value.Claim("gateway-1-ticket-" + i, "gateway-1", "running", i, 0)))))));
         }
         return list;
     }
--- a/simulation/src/main/java/silverlatch/simulation/measure/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/measure/Main.java
@@ -6,8 +6,7 @@
 
 /** Takes the figures of docs/measure.md: bits, spread, mend, crowd or disk. */
 public final class Main {
-    private Main() {
-    }
+    private Main() {}
 
     /** Arguments: the plan's folder, which figures, the seed. */
     public static void main(final String[] args) throws Exception {
--- a/simulation/src/main/java/silverlatch/simulation/sim/Aims.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Aims.java
@@ -4,8 +4,7 @@
 
 /** Faults aimed at a step of a ticket or of a change. */
 final class Aims {
-    private Aims() {
-    }
+    private Aims() {}
 
     static void frozenAtPick(final World w, final long span) {
         freeze(w, Step.PICKED, span);
@@ -63,7 +62,9 @@
 
     static void freeze(final World w, final Step step, final long span) {
         w.tell("freeze at " + step);
-        final long nap = w.engine().luck().nextBoolean() ? span : 30_000 + w.engine().luck().nextLong(500_000);
+        final long nap = w.engine().luck().nextBoolean()
+                ? span
+                : 30_000 + w.engine().luck().nextLong(500_000);
         w.aim(step, n -> {
             w.tell("freeze " + n.name() + " at " + step + " for " + nap / 1000 + " ms");
             n.freeze(true);
--- a/simulation/src/main/java/silverlatch/simulation/sim/Blows.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Blows.java
@@ -7,8 +7,7 @@
 
 /** What happens to daemons and their disks, alone, in a region, or all at once. */
 final class Blows {
-    private Blows() {
-    }
+    private Blows() {}
 
     static void gatewayKilled(final World w, final long span) {
         final SimulatedNode n = w.some(w.gateways());
@@ -131,7 +130,8 @@
     }
 
     static void refounding(final World w, final long span) {
-        final List<SimulatedNode> two = w.controllers().subList(1, w.controllers().size());
+        final List<SimulatedNode> two =
+                w.controllers().subList(1, w.controllers().size());
         final SimulatedNode third = w.controllers().getFirst();
         w.tell("wipe " + two.stream().map(SimulatedNode::name).toList() + " with " + third.name() + " cut off");
         final Runnable heal = w.net().island(Set.of(third.name()));
--- a/simulation/src/main/java/silverlatch/simulation/sim/Day.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Day.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import silverlatch.simulation.fleet.Plan;
 import silverlatch.safeguard.Safeguards;
+import silverlatch.simulation.fleet.Plan;
 
 /** A day in the simulator: it opens, faults come one after another, it heals, it is judged, and some end with one last fault. */
 public final class Day {
@@ -13,8 +13,7 @@
     private static final long RETURN = 12 * SECOND;
     private static final long WINDOW = 3 * SECOND;
 
-    private Day() {
-    }
+    private Day() {}
 
     /** What a day is made of. */
     public record Script(long seed, List<Fault> faults, long rate, boolean lying) {
@@ -71,7 +70,13 @@
         final boolean founded = !script.faults().contains(Fault.REFOUNDING);
         usual.dead(end, founded);
         if (script.seed() % 2 == 0 && founded) {
-            final List<Fault> lasts = List.of(Fault.PURSERS_KILLED, Fault.ALL_KILLED, Fault.REGION_LOST, Fault.HARBOR_KILLED, Fault.PURSER_FROZEN, Fault.KILLED_AT_STEPS);
+            final List<Fault> lasts = List.of(
+                    Fault.PURSERS_KILLED,
+                    Fault.ALL_KILLED,
+                    Fault.REGION_LOST,
+                    Fault.HARBOR_KILLED,
+                    Fault.PURSER_FROZEN,
+                    Fault.KILLED_AT_STEPS);
             hit(w, lasts.get((int) (script.seed() / 2 % lasts.size())));
             w.watch().count("lastFaults");
             w.engine().run(w.engine().now() + 2 * SECOND);
@@ -144,14 +149,20 @@
             w.watch().probe(Mark.RETURN);
             final long done = w.watch().done(now - WINDOW, now);
             if (done * 4 < all) {
-                w.watch().fault(Mark.RETURN, "12 s after a return " + done + " replies come where " + all + " came before");
+                w.watch()
+                        .fault(
+                                Mark.RETURN,
+                                "12 s after a return " + done + " replies come where " + all + " came before");
             }
             w.watch().most("returnShortPerMille", Math.max(0, 1000 - 1000 * done / Math.max(1, all)));
             parts.forEach((tenant, usual) -> {
                 final long part = w.watch().done(tenant, now - WINDOW, now);
                 if (part * 4 < usual && usual >= 12) {
-                    w.watch().fault(Mark.RETURN, "12 s after a return of " + (b.region().isEmpty() ? "all" : b.region()) + " " + tenant + " has " + part
-                            + " replies where it had " + usual + " before");
+                    w.watch()
+                            .fault(
+                                    Mark.RETURN,
+                                    "12 s after a return of " + (b.region().isEmpty() ? "all" : b.region()) + " "
+                                            + tenant + " has " + part + " replies where it had " + usual + " before");
                 }
             });
         }
@@ -160,7 +171,10 @@
             w.watch().probe(Mark.DEAD);
             final long after = w.watch().done(from, from + WINDOW);
             if (after * 4 < all && founded) {
-                w.watch().fault(Mark.DEAD, "after all was healed " + after + " replies come where " + all + " came before");
+                w.watch()
+                        .fault(
+                                Mark.DEAD,
+                                "after all was healed " + after + " replies come where " + all + " came before");
             }
             if (founded && w.watch().tally().getOrDefault("lastReads", 0L) == 0) {
                 w.watch().fault(Mark.DEAD, "the table can't be read back after all was healed");
--- a/simulation/src/main/java/silverlatch/simulation/sim/Disk.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Disk.java
@@ -3,8 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import silverlatch.node.Effect;
 import silverlatch.log.LogRecord;
+import silverlatch.node.Effect;
 
 /** A small disk: what is synced stays, what is not may be gone; it can stall, fill up, limp, or be taken away. */
 public final class Disk {
--- a/simulation/src/main/java/silverlatch/simulation/sim/Loads.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Loads.java
@@ -7,8 +7,7 @@
 
 /** What workers and consumers do: crashes, limping, broken streams, crowds, swings. */
 final class Loads {
-    private Loads() {
-    }
+    private Loads() {}
 
     static void workerCrashed(final World w, final long span) {
         final Mill m = w.some(w.mills());
@@ -51,8 +50,15 @@
     }
 
     static void workerBreaks(final World w, final long span) {
-        final List<Faults> bad = new ArrayList<>(List.of(Faults.GAP, Faults.REPEAT, Faults.FOREIGN, Faults.NOSEAL, Faults.WRONGSEAL, Faults.DENY,
-                Faults.SLOW, Faults.DROP));
+        final List<Faults> bad = new ArrayList<>(List.of(
+                Faults.GAP,
+                Faults.REPEAT,
+                Faults.FOREIGN,
+                Faults.NOSEAL,
+                Faults.WRONGSEAL,
+                Faults.DENY,
+                Faults.SLOW,
+                Faults.DROP));
         for (int round = 0; round < 2; round++) {
             w.later(round * span, () -> {
                 final List<Mill> all = new ArrayList<>(w.mills());
@@ -84,7 +90,8 @@
     static void regionCold(final World w, final long span) {
         final String region = w.some(w.plan().regions()).region();
         w.tell("lose the workers of " + region);
-        final List<Mill> some = w.mills().stream().filter(m -> m.region().equals(region)).toList();
+        final List<Mill> some =
+                w.mills().stream().filter(m -> m.region().equals(region)).toList();
         some.forEach(Mill::kill);
         w.later(span, () -> {
             some.forEach(Mill::start);
--- a/simulation/src/main/java/silverlatch/simulation/sim/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Main.java
@@ -18,33 +18,41 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
-import silverlatch.simulation.fleet.Plan;
 import silverlatch.safeguard.Safeguard;
 import silverlatch.safeguard.Safeguards;
+import silverlatch.simulation.fleet.Plan;
 
 /** Runs many days. Ends with 0 when all are right, 1 when a day is wrong or a check was put to no test, 2 on wrong use. */
 public final class Main {
     private static final int MANY = 100;
+
     @Argument(index = 0, metaVar = "PLAN-FOLDER", required = true, usage = "folder with a plan.json")
     private String plan = "";
+
     @Argument(index = 1, metaVar = "FIRST-SEED", required = true, usage = "a whole number")
     private String first = "";
+
     @Argument(index = 2, metaVar = "COUNT", required = true, usage = "how many seeds, 1 to 100000")
     private String count = "";
+
     @Argument(index = 3, metaVar = "FAULTS", usage = "drawn, each, or names of faults joined by commas")
     private String faults = "drawn";
+
     @Option(name = "--rate", metaVar = "N", usage = "tickets a second, 1 to 5000")
     private String rate = "60";
+
     @Option(name = "--down", metaVar = "GUARDS", usage = "guards to let down, joined by commas")
     private String down = "";
+
     @Option(name = "--loud", usage = "print the story and the daemons' logs; one day at a time")
     private boolean loud;
+
     @Option(name = "--shrink", usage = "cut each wrong day down to the fewest faults that still show it")
     private boolean shrink;
+
     private final List<String> wrongs = new ArrayList<>();
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs the sweep. */
     public static void main(final String[] args) throws Exception {
@@ -71,8 +79,10 @@
         final long seed = whole("FIRST-SEED", first, 0, Long.MAX_VALUE / 8192);
         final long days = whole("COUNT", count, 1, 100_000);
         final long load = whole("--rate", rate, 1, 5_000);
-        final List<Fault> named = faults.equals("drawn") || faults.equals("each") ? List.of() : named("FAULTS", faults, Fault.class);
-        final Safeguards guards = new Safeguards(Set.copyOf(down.isEmpty() ? List.of() : named("--down", down, Safeguard.class)));
+        final List<Fault> named =
+                faults.equals("drawn") || faults.equals("each") ? List.of() : named("FAULTS", faults, Fault.class);
+        final Safeguards guards =
+                new Safeguards(Set.copyOf(down.isEmpty() ? List.of() : named("--down", down, Safeguard.class)));
         final List<Plan> read = new ArrayList<>();
         try {
             if (Files.isRegularFile(Path.of(plan, "plan.json"))) {
@@ -92,7 +102,8 @@
             final long mine = s;
             switch (faults) {
                 case "drawn" -> scripts.add(Day.Script.drawn(mine, load));
-                case "each" -> Arrays.stream(Fault.values()).forEach(f -> scripts.add(Day.Script.of(mine, List.of(f), load)));
+                case "each" ->
+                    Arrays.stream(Fault.values()).forEach(f -> scripts.add(Day.Script.of(mine, List.of(f), load)));
                 default -> scripts.add(Day.Script.of(mine, named, load));
             }
         }
@@ -100,13 +111,15 @@
     }
 
     private int sweep(final Plan what, final List<Day.Script> scripts, final Safeguards guards) throws Exception {
-        final ExecutorService pool = Executors.newFixedThreadPool(loud ? 1 : Runtime.getRuntime().availableProcessors(),
-                r -> {
+        final ExecutorService pool =
+                Executors.newFixedThreadPool(loud ? 1 : Runtime.getRuntime().availableProcessors(), r -> {
                     final Thread t = new Thread(r, "days");
                     t.setDaemon(true);
                     return t;
                 });
-        final List<Future<Day.Came>> days = scripts.stream().map(s -> pool.submit(() -> Day.run(what, s, guards, loud))).toList();
+        final List<Future<Day.Came>> days = scripts.stream()
+                .map(s -> pool.submit(() -> Day.run(what, s, guards, loud)))
+                .toList();
         int wrong = 0;
         final Map<String, Long> sum = new TreeMap<>();
         for (final Future<Day.Came> day : days) {
@@ -114,18 +127,23 @@
             add(sum, came.tally());
             if (!came.wrong().isEmpty()) {
                 wrong++;
-                System.out.println("seed " + came.script().seed() + " " + came.script().faults());
+                System.out.println(
+                        "seed " + came.script().seed() + " " + came.script().faults());
                 came.story().forEach(s -> System.out.println("    " + s));
                 came.wrong().stream().limit(6).forEach(s -> System.out.println("  WRONG " + s));
                 if (shrink) {
-                    System.out.println("  fewest faults: " + fewest(what, came, guards).faults());
+                    System.out.println(
+                            "  fewest faults: " + fewest(what, came, guards).faults());
                 }
             }
         }
         pool.shutdown();
         sum.forEach((k, v) -> System.out.println("  " + k + " " + v));
-        final List<Mark> untried = scripts.size() < MANY ? List.of()
-                : Arrays.stream(Mark.values()).filter(m -> !sum.containsKey("test-" + m)).toList();
+        final List<Mark> untried = scripts.size() < MANY
+                ? List.of()
+                : Arrays.stream(Mark.values())
+                        .filter(m -> !sum.containsKey("test-" + m))
+                        .toList();
         if (!untried.isEmpty()) {
             System.out.println("put to no test: " + untried);
         }
@@ -168,14 +186,16 @@
     }
 
     private <E extends Enum<E>> List<E> named(final String place, final String text, final Class<E> type) {
-        final Map<String, E> all = EnumSet.allOf(type).stream().collect(Collectors.toMap(Enum::name, e -> e, (a, b) -> a, TreeMap::new));
+        final Map<String, E> all =
+                EnumSet.allOf(type).stream().collect(Collectors.toMap(Enum::name, e -> e, (a, b) -> a, TreeMap::new));
         final List<E> list = new ArrayList<>();
         final String[] names = text.split(",", -1);
         for (int i = 0; i < names.length; i++) {
             if (all.containsKey(names[i])) {
                 list.add(all.get(names[i]));
             } else {
-                wrongs.add(place + "[" + i + "]: no " + type.getSimpleName().toLowerCase(java.util.Locale.ROOT) + " " + names[i] + "; there are " + all.keySet());
+                wrongs.add(place + "[" + i + "]: no " + type.getSimpleName().toLowerCase(java.util.Locale.ROOT) + " "
+                        + names[i] + "; there are " + all.keySet());
             }
         }
         return list;
--- a/simulation/src/main/java/silverlatch/simulation/sim/Mill.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Mill.java
@@ -10,9 +10,9 @@
 import java.util.function.BiConsumer;
 import silverlatch.dispatch.Act;
 import silverlatch.dispatch.Line;
+import silverlatch.gossip.Worker;
 import silverlatch.simulation.worker.Faults;
 import silverlatch.simulation.worker.Speech;
-import silverlatch.gossip.Worker;
 
 /** A worker in the simulator. */
 final class Mill {
@@ -38,7 +38,13 @@
     private Faults fault = Faults.NONE;
     private long serial;
 
-    Mill(final World world, final String name, final String zone, final String region, final List<SimulatedNode> near, final int slots) {
+    Mill(
+            final World world,
+            final String name,
+            final String zone,
+            final String region,
+            final List<SimulatedNode> near,
+            final int slots) {
         this.world = world;
         this.name = name;
         this.zone = zone;
@@ -126,7 +132,8 @@
         final Runnable job = () -> {
             running++;
             most = Math.max(most, running);
-            final long fresh = r.prefix().stream().filter(p -> !kept.containsKey(p)).count();
+            final long fresh =
+                    r.prefix().stream().filter(p -> !kept.containsKey(p)).count();
             world.watch().count(fresh == 0 && !r.prefix().isEmpty() ? "prefixKept" : "prefixRead");
             r.prefix().forEach(p -> kept.put(p, true));
             while (kept.size() > KEPT) {
@@ -139,11 +146,22 @@
         } else {
             line.add(job);
         }
-        world.watch().load(name, running + line.size(), slots, world.gateways().size(), world.engine().now());
+        world.watch()
+                .load(
+                        name,
+                        running + line.size(),
+                        slots,
+                        world.gateways().size(),
+                        world.engine().now());
         return exchange;
     }
 
-    private void step(final long mine, final long exchange, final Act.Run r, final int number, final BiConsumer<Line, Boolean> out) {
+    private void step(
+            final long mine,
+            final long exchange,
+            final Act.Run r,
+            final int number,
+            final BiConsumer<Line, Boolean> out) {
         if (mine != epoch) {
             return;
         }
@@ -217,16 +235,34 @@
     private void announce() {
         sequence++;
         for (final SimulatedNode n : near) {
-            final Worker w = new Worker(name, name, zone, region, life, sequence, running, line.size(), slots, new ArrayList<>(kept.keySet()),
-                    leaving, world.engine().now() - began);
+            final Worker w = new Worker(
+                    name,
+                    name,
+                    zone,
+                    region,
+                    life,
+                    sequence,
+                    running,
+                    line.size(),
+                    slots,
+                    new ArrayList<>(kept.keySet()),
+                    leaving,
+                    world.engine().now() - began);
             final long echo = echoes.getOrDefault(n.name(), 0L);
             final long mine = epoch;
-            world.net().bytes(name + ">" + n.name() + n.epoch(), name, n.name(), () -> n.announced(w, echo, next ->
-                    world.net().bytes(n.name() + ">" + name + n.epoch(), n.name(), name, () -> {
-                        if (mine == epoch) {
-                            echoes.put(n.name(), next);
-                        }
-                    })));
+            world.net()
+                    .bytes(
+                            name + ">" + n.name() + n.epoch(),
+                            name,
+                            n.name(),
+                            () -> n.announced(
+                                    w,
+                                    echo,
+                                    next -> world.net().bytes(n.name() + ">" + name + n.epoch(), n.name(), name, () -> {
+                                        if (mine == epoch) {
+                                            echoes.put(n.name(), next);
+                                        }
+                                    })));
         }
     }
 }
--- a/simulation/src/main/java/silverlatch/simulation/sim/Net.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Net.java
@@ -62,7 +62,11 @@
     /** How long the way takes this time. */
     public long delay(final String from, final String to) {
         final boolean near = regions.getOrDefault(from, "").equals(regions.getOrDefault(to, ""));
-        return near ? 150 + engine.luck().nextLong(700) : 8_000 + engine.luck().nextLong(12_000) + (slow == 0 ? 0 : slow + engine.luck().nextLong(slow));
+        return near
+                ? 150 + engine.luck().nextLong(700)
+                : 8_000
+                        + engine.luck().nextLong(12_000)
+                        + (slow == 0 ? 0 : slow + engine.luck().nextLong(slow));
     }
 
     /** A frame between daemons: kept in order as a rule; behind a cut it is lost or comes late. */
@@ -121,6 +125,5 @@
         });
     }
 
-    private record Cut(BiPredicate<String, String> hit) {
-    }
+    private record Cut(BiPredicate<String, String> hit) {}
 }
--- a/simulation/src/main/java/silverlatch/simulation/sim/Office.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Office.java
@@ -13,16 +13,17 @@
 import java.util.function.LongFunction;
 import silverlatch.dispatch.permit.Seals;
 import silverlatch.replication.ChainClient;
+import silverlatch.state.Command;
+import silverlatch.state.CommandResult;
 import silverlatch.state.Entry;
-import silverlatch.state.Value;
 import silverlatch.state.TableRules;
-import silverlatch.state.CommandResult;
-import silverlatch.state.Command;
+import silverlatch.state.Value;
 
 /** The operators of a simulated day: two at once at times, who read, change, race, and are told what came of it. */
 final class Office {
     /** The kind whose row is the gate: tickets of it bear no key, and its cell "once" asks for one or not. */
     static final String GATE = "trial";
+
     private static final long SECOND = 1_000_000L;
     private static final long PAUSE = 7 * SECOND;
     private final World world;
@@ -54,14 +55,21 @@
         int i = 0;
         for (final World.Person p : world.people()) {
             i++;
-            final Runnable ack = watch.rules().home(p.name(), Set.copyOf(p.homes()), false, world.engine().now());
+            final Runnable ack = watch.rules()
+                    .home(p.name(), Set.copyOf(p.homes()), false, world.engine().now());
             h.wish(new Command.PutTenant("load-" + p.name(), leaf(p, p.homes()), -1), 4 * SECOND, v -> ack.run());
         }
         world.engine().run(world.engine().now() + 2 * SECOND);
         final Runnable ack = watch.rules().gate(true, world.engine().now());
         h.wish(new Command.PutTable("load-table", rows(900, false), -1), 4 * SECOND, v -> {
             if (v instanceof CommandResult.Applied k) {
-                watch.rules().change(value(900), "kept", k.sequence(), -1, world.engine().now());
+                watch.rules()
+                        .change(
+                                value(900),
+                                "kept",
+                                k.sequence(),
+                                -1,
+                                world.engine().now());
                 ack.run();
             }
         });
@@ -85,9 +93,14 @@
                 final Set<String> seen = new HashSet<>();
                 p.entries().forEach(e -> e.leaf().forEach(l -> seen.add(value(((Value.Row) l).rate()))));
                 watch.rules().read(before, p.sequence(), seen, !whole || !world.settled());
-                final boolean once = p.entries().stream().flatMap(e -> e.leaf().stream())
+                final boolean once = p.entries().stream()
+                        .flatMap(e -> e.leaf().stream())
                         .anyMatch(l -> l instanceof Value.Row r && r.kind().equals(GATE) && r.once());
-                edit(h, some().orElse(h), p.entries().stream().mapToLong(Entry::sequence).max().orElse(0), once);
+                edit(
+                        h,
+                        some().orElse(h),
+                        p.entries().stream().mapToLong(Entry::sequence).max().orElse(0),
+                        once);
             });
         });
         world.engine().in(SECOND / 2 + world.engine().luck().nextLong(SECOND), this::operate);
@@ -110,7 +123,10 @@
         final double v = ++values;
         final Command w = world.engine().luck().nextInt(4) == 0
                 ? new Command.PutTable("put-" + (long) v, rows(v, once), match)
-                : new Command.PatchTable("set-" + (long) v, List.of(new Command.Cell("*", world.some(world.sorts()).kind(), "rate", value(v))), match);
+                : new Command.PatchTable(
+                        "set-" + (long) v,
+                        List.of(new Command.Cell("*", world.some(world.sorts()).kind(), "rate", value(v))),
+                        match);
         h.wish(w, 3 * SECOND, r -> fate(v, r, match));
     }
 
@@ -132,11 +148,16 @@
         open = !open;
         final boolean now = open;
         final Runnable ack = watch.rules().gate(now, world.engine().now());
-        insist("r/", "", m -> new Command.PatchTable("gate-" + ++turns, List.of(new Command.Cell("*", GATE, "once", "" + !now)), m), s -> {
-            ack.run();
-            watch.count("gates");
-            world.engine().in(PAUSE + world.engine().luck().nextLong(SECOND), this::turn);
-        });
+        insist(
+                "r/",
+                "",
+                m -> new Command.PatchTable(
+                        "gate-" + ++turns, List.of(new Command.Cell("*", GATE, "once", "" + !now)), m),
+                s -> {
+                    ack.run();
+                    watch.count("gates");
+                    world.engine().in(PAUSE + world.engine().luck().nextLong(SECOND), this::turn);
+                });
     }
 
     /** Orders a zone empty or gives it back, through some controller, until it is acknowledged. */
@@ -192,7 +213,9 @@
                 watch.count("races");
                 watch.probe(Mark.LOSER);
                 if (on[0] instanceof CommandResult.Applied && off[0] instanceof CommandResult.Applied) {
-                    watch.fault(Mark.LOSER, "an order to empty " + zone + " and one to give it back were both kept against " + match);
+                    watch.fault(
+                            Mark.LOSER,
+                            "an order to empty " + zone + " and one to give it back were both kept against " + match);
                 }
                 if (on[0] instanceof CommandResult.Applied && off[0] instanceof CommandResult.Rejected) {
                     watch.rules().drain(zone, asked);
@@ -201,11 +224,12 @@
                 end.run();
             };
             for (final boolean side : new boolean[] {first, !first}) {
-                (side ? one : two).wish(new Command.SetEvacuation("race-" + ++turns, zone, side, match), 3 * SECOND, v -> {
-                    (side ? on : off)[0] = (CommandResult) v;
-                    fates.add(v);
-                    judge.run();
-                });
+                (side ? one : two)
+                        .wish(new Command.SetEvacuation("race-" + ++turns, zone, side, match), 3 * SECOND, v -> {
+                            (side ? on : off)[0] = (CommandResult) v;
+                            fates.add(v);
+                            judge.run();
+                        });
             }
         });
     }
@@ -213,7 +237,8 @@
     /** A tenant's homes are changed while its tickets queue, run, and are kept to be read again. */
     void move(final World.Person p, final List<String> homes) {
         world.tell("homes of " + p.name() + " become " + homes);
-        final Runnable ack = watch.rules().home(p.name(), Set.copyOf(homes), false, world.engine().now());
+        final Runnable ack = watch.rules()
+                .home(p.name(), Set.copyOf(homes), false, world.engine().now());
         insist("t/", "t/" + p.name(), m -> new Command.PutTenant("move-" + ++turns, leaf(p, homes), m), s -> {
             ack.run();
             world.stir();
@@ -224,7 +249,8 @@
     /** A tenant is taken away. */
     void drop(final World.Person p) {
         world.tell("tenant " + p.name() + " is taken away");
-        final Runnable ack = watch.rules().home(p.name(), Set.of(), true, world.engine().now());
+        final Runnable ack =
+                watch.rules().home(p.name(), Set.of(), true, world.engine().now());
         insist("t/", "t/" + p.name(), m -> new Command.RemoveTenant("drop-" + ++turns, p.name(), m), s -> {
             ack.run();
             world.stir();
@@ -237,7 +263,8 @@
         world.tell("the table grows by " + rows + " rows");
         final List<Command.Cell> cells = new ArrayList<>();
         for (int i = 0; i < rows; i++) {
-            cells.add(new Command.Cell(world.people().get(i % world.people().size()).name(), "kind" + i, "rate", value(900)));
+            cells.add(new Command.Cell(
+                    world.people().get(i % world.people().size()).name(), "kind" + i, "rate", value(900)));
         }
         for (int i = 0; i < rows; i += 1_000) {
             final List<Command.Cell> part = cells.subList(i, Math.min(rows, i + 1_000));
@@ -248,12 +275,19 @@
     /** Reads the table back through every controller that is up, and changes it once more, at the end of a day. */
     void last() {
         final long before = watch.rules().acked();
-        world.controllers().stream().filter(SimulatedNode::alive).forEach(h -> read(h, "r/", p -> {
-            watch.count("lastReads");
-            watch.rules().read(before, p.sequence(), Set.of(), false);
-        }));
-        some().ifPresent(h -> h.wish(new Command.PatchTable("last", List.of(new Command.Cell("*", world.sorts().getFirst().kind(), "rate", value(950))), -1),
-                4 * SECOND, v -> kept = v instanceof CommandResult.Applied));
+        world.controllers().stream()
+                .filter(SimulatedNode::alive)
+                .forEach(h -> read(h, "r/", p -> {
+                    watch.count("lastReads");
+                    watch.rules().read(before, p.sequence(), Set.of(), false);
+                }));
+        some().ifPresent(h -> h.wish(
+                new Command.PatchTable(
+                        "last",
+                        List.of(new Command.Cell("*", world.sorts().getFirst().kind(), "rate", value(950))),
+                        -1),
+                4 * SECOND,
+                v -> kept = v instanceof CommandResult.Applied));
         world.engine().run(world.engine().now() + 5 * SECOND);
     }
 
@@ -263,15 +297,18 @@
     }
 
     /** Orders on one thing go one after another: the next is asked for when the one before is kept. */
-    private void insist(final String part, final String key, final LongFunction<Command> wish, final LongConsumer then) {
+    private void insist(
+            final String part, final String key, final LongFunction<Command> wish, final LongConsumer then) {
         if (key.isEmpty()) {
             ask(part, key, wish, then);
             return;
         }
-        queue(key, done -> ask(part, key, wish, s -> {
-            then.accept(s);
-            done.run();
-        }));
+        queue(
+                key,
+                done -> ask(part, key, wish, s -> {
+                    then.accept(s);
+                    done.run();
+                }));
     }
 
     private void queue(final String key, final java.util.function.Consumer<Runnable> order) {
@@ -310,7 +347,9 @@
                 again.run();
                 return;
             }
-            final long match = key.isEmpty() ? p.entries().stream().mapToLong(Entry::sequence).max().orElse(0) : sequence(p, key);
+            final long match = key.isEmpty()
+                    ? p.entries().stream().mapToLong(Entry::sequence).max().orElse(0)
+                    : sequence(p, key);
             at.get().wish(wish.apply(match), 3 * SECOND, v -> {
                 if (!told[0]) {
                     told[0] = true;
@@ -324,7 +363,8 @@
         });
     }
 
-    private void read(final SimulatedNode h, final String part, final java.util.function.Consumer<ChainClient.Page> then) {
+    private void read(
+            final SimulatedNode h, final String part, final java.util.function.Consumer<ChainClient.Page> then) {
         h.read(part, 3 * SECOND, r -> {
             if (r instanceof ChainClient.Page p && p.ok()) {
                 then.accept(p);
@@ -333,16 +373,22 @@
     }
 
     private static long sequence(final ChainClient.Page p, final String key) {
-        return p.entries().stream().filter(e -> e.key().equals(key)).mapToLong(Entry::sequence).findFirst().orElse(0);
+        return p.entries().stream()
+                .filter(e -> e.key().equals(key))
+                .mapToLong(Entry::sequence)
+                .findFirst()
+                .orElse(0);
     }
 
     private Optional<SimulatedNode> some() {
-        final List<SimulatedNode> up = world.controllers().stream().filter(SimulatedNode::alive).toList();
+        final List<SimulatedNode> up =
+                world.controllers().stream().filter(SimulatedNode::alive).toList();
         return up.isEmpty() ? Optional.empty() : Optional.of(world.some(up));
     }
 
     private List<Value.Row> rows(final double rate, final boolean once) {
-        final List<Value.Row> rows = new ArrayList<>(world.sorts().stream().map(s -> row(s, rate)).toList());
+        final List<Value.Row> rows =
+                new ArrayList<>(world.sorts().stream().map(s -> row(s, rate)).toList());
         final Value.Row r = TableRules.plain("*", GATE);
         rows.add(new Value.Row("*", GATE, 1, r.load(), r.cold(), r.cross(), 900, 2_000, 400, 600, 3_000_000, once, 1));
         return rows;
@@ -350,7 +396,20 @@
 
     private static Value.Row row(final World.Sort s, final double rate) {
         final Value.Row r = TableRules.plain("*", s.kind());
-        return new Value.Row("*", s.kind(), s.prefix() > 8 ? 3 : 1, r.load(), r.cold(), r.cross(), rate, 2_000, 400, 600, 3_000_000, s.once(), s.once() ? 9 : 1);
+        return new Value.Row(
+                "*",
+                s.kind(),
+                s.prefix() > 8 ? 3 : 1,
+                r.load(),
+                r.cold(),
+                r.cross(),
+                rate,
+                2_000,
+                400,
+                600,
+                3_000_000,
+                s.once(),
+                s.once() ? 9 : 1);
     }
 
     private static Value.Tenant leaf(final World.Person p, final List<String> homes) {
--- a/simulation/src/main/java/silverlatch/simulation/sim/Orders.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Orders.java
@@ -5,8 +5,7 @@
 
 /** What operators do to each other and to tickets under way. */
 final class Orders {
-    private Orders() {
-    }
+    private Orders() {}
 
     static void zoneDrained(final World w, final long span) {
         final String zone = w.some(w.plan().regions()).zone();
--- a/simulation/src/main/java/silverlatch/simulation/sim/Rules.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Rules.java
@@ -29,15 +29,12 @@
         this.watch = watch;
     }
 
-    private record Shown(long page, long at) {
-    }
+    private record Shown(long page, long at) {}
 
-    private record Drain(long asked, long acked) {
-    }
+    private record Drain(long asked, long acked) {}
 
     /** One turn of the gate: open or shut, when it was asked for, when it was acknowledged. */
-    private record Turn(boolean open, long asked, long acked) {
-    }
+    private record Turn(boolean open, long asked, long acked) {}
 
     /** Where a tenant was at home, from the asking on, and since when for sure. */
     private record Home(Set<String> regions, boolean gone, long asked, long acked) {
@@ -49,18 +46,31 @@
     void started(final Watch.Run r, final long at) {
         lodged(r.tenant(), r.region(), Mark.SERVED, "ticket " + r.ticket() + " ran in " + r.region(), at);
         lodged(r.tenant(), r.place(), Mark.SENT, "ticket " + r.ticket() + " was carried in " + r.place(), at);
-        drains.values().stream().filter(d -> at - d.asked() > 5 * SECOND).findFirst().ifPresent(d -> watch.probe(Mark.DRAIN));
+        drains.values().stream()
+                .filter(d -> at - d.asked() > 5 * SECOND)
+                .findFirst()
+                .ifPresent(d -> watch.probe(Mark.DRAIN));
         final Drain d = drains.getOrDefault(r.zone(), new Drain(NEVER, NEVER));
         if (at > d.asked()) {
             watch.most("drainAskedMs", (at - d.asked()) / 1000);
             watch.most("drainAckedMs", Math.max(0, (at - d.acked()) / 1000));
         }
         if (at - d.acked() > 5 * SECOND) {
-            watch.fault(Mark.DRAIN, "zone " + r.zone() + " got ticket " + r.ticket() + " " + (at - d.asked()) / 1000 + " ms after it was to be emptied");
-        }
-        final long due = acks.stream().filter(a -> at - a[0] > 3 * SECOND).mapToLong(a -> a[1]).max().orElse(0);
+            watch.fault(
+                    Mark.DRAIN,
+                    "zone " + r.zone() + " got ticket " + r.ticket() + " " + (at - d.asked()) / 1000
+                            + " ms after it was to be emptied");
+        }
+        final long due = acks.stream()
+                .filter(a -> at - a[0] > 3 * SECOND)
+                .mapToLong(a -> a[1])
+                .max()
+                .orElse(0);
         if (r.page() < due) {
-            watch.fault(Mark.TABLE, "ticket " + r.ticket() + " ran under page " + r.page() + " more than 3 s after " + due + " was acknowledged");
+            watch.fault(
+                    Mark.TABLE,
+                    "ticket " + r.ticket() + " ran under page " + r.page() + " more than 3 s after " + due
+                            + " was acknowledged");
         }
     }
 
@@ -92,7 +102,10 @@
     public void shown(final String gateway, final long page, final long at) {
         final Shown old = shown.getOrDefault(gateway, new Shown(0, 0));
         if (page < old.page() && at - old.at() > SECOND / 4) {
-            watch.fault(Mark.BACK, "gateway " + gateway + " went from page " + old.page() + " to " + page + " after " + (at - old.at()) / 1000 + " ms");
+            watch.fault(
+                    Mark.BACK,
+                    "gateway " + gateway + " went from page " + old.page() + " to " + page + " after "
+                            + (at - old.at()) / 1000 + " ms");
         }
         if (page > old.page()) {
             shown.put(gateway, new Shown(page, at));
@@ -118,8 +131,10 @@
             }
         }
         if (floor >= 0) {
-            watch.fault(Mark.TABLE, what + " at " + gateway + " as if the gate were " + (open ? "open" : "shut") + " "
-                    + (at - gate.get(floor).acked()) / 1000 + " ms after the other was acknowledged");
+            watch.fault(
+                    Mark.TABLE,
+                    what + " at " + gateway + " as if the gate were " + (open ? "open" : "shut") + " "
+                            + (at - gate.get(floor).acked()) / 1000 + " ms after the other was acknowledged");
         }
         return -1;
     }
@@ -144,8 +159,10 @@
             watch.probe(Mark.BACK);
         }
         if (may < old.page() && at - old.at() > SECOND / 4) {
-            watch.fault(Mark.BACK, what + " at " + gateway + " as if the gate were " + (open ? "open" : "shut") + " "
-                    + (at - old.at()) / 1000 + " ms after it obeyed the newer table");
+            watch.fault(
+                    Mark.BACK,
+                    what + " at " + gateway + " as if the gate were " + (open ? "open" : "shut") + " "
+                            + (at - old.at()) / 1000 + " ms after it obeyed the newer table");
         }
         int least = may;
         for (int i = may; i >= floor(at); i--) {
@@ -187,7 +204,9 @@
                 final String old = matches.getOrDefault(match, value);
                 matches.putIfAbsent(match, value);
                 if (!old.equals(value)) {
-                    watch.fault(Mark.LOSER, "two changes were kept against sequence " + match + ": " + old + " and " + value);
+                    watch.fault(
+                            Mark.LOSER,
+                            "two changes were kept against sequence " + match + ": " + old + " and " + value);
                 }
             }
         }
@@ -205,7 +224,9 @@
             watch.probe(Mark.READ);
         }
         if (sequence < before) {
-            watch.fault(Mark.READ, "a table at sequence " + sequence + " was read back after " + before + " was acknowledged");
+            watch.fault(
+                    Mark.READ,
+                    "a table at sequence " + sequence + " was read back after " + before + " was acknowledged");
         }
         values(values, "was read back");
     }
--- a/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
@@ -8,27 +8,27 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import silverlatch.clock.Ntp;
+import silverlatch.clock.PhysicalClock;
+import silverlatch.clock.Stamp;
 import silverlatch.dispatch.Act;
 import silverlatch.dispatch.Dispatcher;
 import silverlatch.dispatch.Facts;
 import silverlatch.dispatch.permit.Seals;
-import silverlatch.membership.Membership;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
+import silverlatch.log.LogRecord;
 import silverlatch.membership.Member;
-import silverlatch.node.Node;
+import silverlatch.membership.Membership;
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
+import silverlatch.node.Node;
 import silverlatch.node.Ship;
-import silverlatch.log.LogRecord;
-import silverlatch.replication.Replica;
 import silverlatch.replication.ChainReplica;
-import silverlatch.gossip.Gossip;
-import silverlatch.gossip.Worker;
-import silverlatch.state.Value;
-import silverlatch.state.CommandResult;
+import silverlatch.replication.Replica;
 import silverlatch.state.Command;
-import silverlatch.clock.PhysicalClock;
-import silverlatch.clock.Ntp;
-import silverlatch.clock.Stamp;
+import silverlatch.state.CommandResult;
+import silverlatch.state.Value;
 import silverlatch.wire.Frame;
 
 /** A daemon in the simulator: the shipping deck and, for a gateway, the shipping carry, with fakes for the world around. */
@@ -65,8 +65,14 @@
     private long life;
     private long reset;
 
-    SimulatedNode(final World world, final String name, final String zone, final String region, final String address, final List<String> seeds,
-         final boolean disk) {
+    SimulatedNode(
+            final World world,
+            final String name,
+            final String zone,
+            final String region,
+            final String address,
+            final List<String> seeds,
+            final boolean disk) {
         this.world = world;
         this.name = name;
         this.zone = zone;
@@ -153,18 +159,38 @@
         base = world.engine().luck().nextLong(1_000_000_000_000L);
         rate = 1 + (world.engine().luck().nextDouble() - 0.5) * 1e-4;
         asked.clear();
-        final List<String> around = world.controllers().stream().map(SimulatedNode::address).toList();
+        final List<String> around =
+                world.controllers().stream().map(SimulatedNode::address).toList();
         final List<String> seeds = around.stream().anyMatch(this.seeds::contains) ? this.seeds : around;
-        final Member me = new Member(name, controller() ? "controller" : "gateway", zone, region, address, address, wall() / 1000, 0, "up", false);
+        final Member me = new Member(
+                name,
+                controller() ? "controller" : "gateway",
+                zone,
+                region,
+                address,
+                address,
+                wall() / 1000,
+                0,
+                "up",
+                false);
         final Optional<ChainReplica.Setup> chain = disk.map(d -> {
             return ChainReplica.Setup.of(new Replica(d.identity(), address), seeds);
         });
-        final Node made = new Node(new Node.Setup(me, seeds, 7, 50_000, Membership.Times.PLAIN, Gossip.Times.PLAIN, world.guards()), chain,
-                disk.map(Disk::notes).orElse(List.of()), new PhysicalClock(wall(), now(), 0), world.engine().luck().split(), now());
+        final Node made = new Node(
+                new Node.Setup(me, seeds, 7, 50_000, Membership.Times.PLAIN, Gossip.Times.PLAIN, world.guards()),
+                chain,
+                disk.map(Disk::notes).orElse(List.of()),
+                new PhysicalClock(wall(), now(), 0),
+                world.engine().luck().split(),
+                now());
         deck = Optional.of(made);
         if (!controller()) {
             facts = Optional.of(made.facts());
-            carry = Optional.of(new Dispatcher(Dispatcher.Setup.PLAIN.under(world.guards()), new Seals("simulated-cluster-key"), made.facts(), () -> made.local(now()),
+            carry = Optional.of(new Dispatcher(
+                    Dispatcher.Setup.PLAIN.under(world.guards()),
+                    new Seals("simulated-cluster-key"),
+                    made.facts(),
+                    () -> made.local(now()),
                     world.engine().luck().split()));
         }
         beat(epoch);
@@ -197,11 +223,14 @@
             deck.ifPresent(d -> d.ready(false));
             flush();
         });
-        world.engine().in(3_000_000, () -> post(() -> {
-            carry.ifPresent(c -> c.end(now()));
-            deck.ifPresent(d -> d.leave(now()));
-            flush();
-        }));
+        world.engine()
+                .in(
+                        3_000_000,
+                        () -> post(() -> {
+                            carry.ifPresent(c -> c.end(now()));
+                            deck.ifPresent(d -> d.leave(now()));
+                            flush();
+                        }));
         final long mine = epoch;
         world.engine().in(4_500_000, () -> {
             if (mine == epoch) {
@@ -277,7 +306,10 @@
     }
 
     /** A consumer's call: the job gets the token and the carry; the acts for the token come back. */
-    void call(final java.util.function.ObjLongConsumer<Dispatcher> job, final Consumer<Act> back, final Consumer<Long> number) {
+    void call(
+            final java.util.function.ObjLongConsumer<Dispatcher> job,
+            final Consumer<Act> back,
+            final Consumer<Long> number) {
         post(() -> {
             token++;
             calls.put(token, back);
@@ -316,10 +348,12 @@
 
     private void look(final Node d) {
         if (controller()) {
-            ready = d.quay().map(q -> {
-                final ChainReplica.State s = q.state(now());
-                return s.spot().equals("chained") && s.level() && s.leased();
-            }).orElse(d.rumor().age(now()) < 2_500_000L);
+            ready = d.quay()
+                    .map(q -> {
+                        final ChainReplica.State s = q.state(now());
+                        return s.spot().equals("chained") && s.level() && s.leased();
+                    })
+                    .orElse(d.rumor().age(now()) < 2_500_000L);
         } else {
             carry.ifPresent(c -> {
                 c.tick(now());
@@ -373,7 +407,8 @@
             top = deck.filter(d -> !bound(top, d)).isPresent() ? 0 : top;
         }
         if (stamp.bits() <= Math.max(said, top)) {
-            world.watch().fault(Mark.STAMP, name + " said " + stamp.bits() + " after it heard " + top + " and said " + said);
+            world.watch()
+                    .fault(Mark.STAMP, name + " said " + stamp.bits() + " after it heard " + top + " and said " + said);
         }
         said = Math.max(said, stamp.bits());
         if (world.dragging() && wall == 0 && world.engine().now() - reset > 10_000_000L) {
@@ -409,20 +444,23 @@
             case Effect.Answer a -> Optional.ofNullable(asked.remove(a.token())).ifPresent(c -> c.accept(a.reply()));
             case Effect.Keep k -> {
                 final long mine = epoch;
-                disk.ifPresent(x -> x.write(k, t -> {
-                    if (mine == epoch) {
-                        if (k.notes().stream().anyMatch(LogRecord.Appended.class::isInstance)) {
-                            deck.ifPresent(this::synced);
-                        }
-                        post(() -> {
-                            deck.ifPresent(d -> d.kept(t, now()));
+                disk.ifPresent(x -> x.write(
+                        k,
+                        t -> {
+                            if (mine == epoch) {
+                                if (k.notes().stream().anyMatch(LogRecord.Appended.class::isInstance)) {
+                                    deck.ifPresent(this::synced);
+                                }
+                                post(() -> {
+                                    deck.ifPresent(d -> d.kept(t, now()));
+                                    flush();
+                                });
+                            }
+                        },
+                        why -> post(() -> {
+                            deck.ifPresent(d -> d.broke(why, now()));
                             flush();
-                        });
-                    }
-                }, why -> post(() -> {
-                    deck.ifPresent(d -> d.broke(why, now()));
-                    flush();
-                })));
+                        })));
             }
             case Effect.Log l -> {
                 logs.merge(l.event(), 1L, Long::sum);
@@ -448,8 +486,7 @@
             case Act.Picked p -> world.step(Step.PICKED, this);
             case Act.Claim c when c.wish() instanceof Command.Claim -> world.step(Step.CLAIMS, this);
             case Act.Run r -> world.step(Step.ASKS, this);
-            default -> {
-            }
+            default -> {}
         }
     }
 
--- a/simulation/src/main/java/silverlatch/simulation/sim/Traveller.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Traveller.java
@@ -37,8 +37,16 @@
     private long begun;
     private long first;
 
-    Traveller(final World world, final World.Person person, final World.Sort sort, final String key, final String place, final int tries,
-              final String prompt, final List<String> prefix, final boolean roams) {
+    Traveller(
+            final World world,
+            final World.Person person,
+            final World.Sort sort,
+            final String key,
+            final String place,
+            final int tries,
+            final String prompt,
+            final List<String> prefix,
+            final boolean roams) {
         this.world = world;
         this.person = person;
         this.sort = sort;
@@ -71,18 +79,45 @@
             return;
         }
         final Order o = new Order(person.secret(), person.name(), sort.kind(), prefix, prompt.length(), key, tries);
-        world.net().bytes(place + ">" + n.name() + n.epoch() + "/" + turn, place, n.name(), () -> n.call((c, t) -> c.pick(o, t, n.now()),
-                a -> {
-                    if (a instanceof Act.Picked p) {
-                        world.watch().rules().shown(n.name(), p.page(), world.engine().now());
-                        world.watch().rules().lodged(person.name(), n.region(), Mark.SENT, "a pick was made in " + n.region(), world.engine().now());
-                    }
-                    if (sort.kind().equals(Office.GATE) && (a instanceof Act.Picked || a instanceof Act.Rejected x && x.why().startsWith("$.key"))) {
-                        world.watch().rules().passed(n.name(), a instanceof Act.Picked, "a pick", world.engine().now());
-                    }
-                    back(n, a, () -> picked(n, a, hops));
-                }, t -> {
-                }));
+        world.net()
+                .bytes(
+                        place + ">" + n.name() + n.epoch() + "/" + turn,
+                        place,
+                        n.name(),
+                        () -> n.call(
+                                (c, t) -> c.pick(o, t, n.now()),
+                                a -> {
+                                    if (a instanceof Act.Picked p) {
+                                        world.watch()
+                                                .rules()
+                                                .shown(
+                                                        n.name(),
+                                                        p.page(),
+                                                        world.engine().now());
+                                        world.watch()
+                                                .rules()
+                                                .lodged(
+                                                        person.name(),
+                                                        n.region(),
+                                                        Mark.SENT,
+                                                        "a pick was made in " + n.region(),
+                                                        world.engine().now());
+                                    }
+                                    if (sort.kind().equals(Office.GATE)
+                                            && (a instanceof Act.Picked
+                                                    || a instanceof Act.Rejected x
+                                                            && x.why().startsWith("$.key"))) {
+                                        world.watch()
+                                                .rules()
+                                                .passed(
+                                                        n.name(),
+                                                        a instanceof Act.Picked,
+                                                        "a pick",
+                                                        world.engine().now());
+                                    }
+                                    back(n, a, () -> picked(n, a, hops));
+                                },
+                                t -> {}));
     }
 
     private void picked(final SimulatedNode n, final Act a, final int hops) {
@@ -93,7 +128,9 @@
             case Act.Picked p -> {
                 ticket = p.ticket();
                 world.known(this, ticket, person, key, tries);
-                final long pause = world.engine().luck().nextInt(30) == 0 ? world.engine().luck().nextLong(3_000_000) : 0;
+                final long pause = world.engine().luck().nextInt(30) == 0
+                        ? world.engine().luck().nextLong(3_000_000)
+                        : 0;
                 world.engine().in(pause, () -> hand(n, p.permit()));
                 if (world.engine().luck().nextInt(50) == 0) {
                     world.engine().in(pause + world.engine().luck().nextLong(1_500_000), () -> twin(n, p.permit()));
@@ -122,11 +159,19 @@
         }
         carrier = Optional.of(n);
         final Load l = new Load(person.secret(), permit, prefix, prompt, 10_000_000);
-        world.net().bytes(lane(n), place, n.name(), () -> n.call((c, t) -> c.ticket(l, t, n.now()), a -> back(n, a, () -> {
-            if (leg == 0) {
-                flow(n, a);
-            }
-        }), t -> number = t));
+        world.net()
+                .bytes(
+                        lane(n),
+                        place,
+                        n.name(),
+                        () -> n.call(
+                                (c, t) -> c.ticket(l, t, n.now()),
+                                a -> back(n, a, () -> {
+                                    if (leg == 0) {
+                                        flow(n, a);
+                                    }
+                                }),
+                                t -> number = t));
         if (roams) {
             world.engine().in(150_000, () -> move(n));
         }
@@ -135,9 +180,10 @@
     private void twin(final SimulatedNode n, final String permit) {
         if (n.alive()) {
             world.watch().copied(ticket);
-            n.call((c, t) -> c.ticket(new Load(person.secret(), permit, prefix, prompt, 10_000_000), t, n.now()), a -> {
-            }, t -> {
-            });
+            n.call(
+                    (c, t) -> c.ticket(new Load(person.secret(), permit, prefix, prompt, 10_000_000), t, n.now()),
+                    a -> {},
+                    t -> {});
         }
     }
 
@@ -149,23 +195,43 @@
         leg++;
         final long mine = leg;
         n.hangUp(number);
-        world.net().bytes(lane(n), place, n.name(), () -> n.call((c, t) -> c.attach(ticket, person.secret(), next, t, n.now()), a -> back(n, a, () -> {
-            if (mine == leg) {
-                if (a instanceof Act.Flow) {
-                    world.watch().rules().lodged(person.name(), n.region(), Mark.KEPT, "ticket " + ticket + " was read again in " + n.region(),
-                            world.engine().now() - SECOND / 2);
-                }
-                flow(n, a);
-            }
-        }), t -> number = t));
+        world.net()
+                .bytes(
+                        lane(n),
+                        place,
+                        n.name(),
+                        () -> n.call(
+                                (c, t) -> c.attach(ticket, person.secret(), next, t, n.now()),
+                                a -> back(n, a, () -> {
+                                    if (mine == leg) {
+                                        if (a instanceof Act.Flow) {
+                                            world.watch()
+                                                    .rules()
+                                                    .lodged(
+                                                            person.name(),
+                                                            n.region(),
+                                                            Mark.KEPT,
+                                                            "ticket " + ticket + " was read again in " + n.region(),
+                                                            world.engine().now() - SECOND / 2);
+                                        }
+                                        flow(n, a);
+                                    }
+                                }),
+                                t -> number = t));
     }
 
     private void back(final SimulatedNode n, final Act a, final Runnable then) {
         if (a instanceof Act.Flow f) {
             f.lines().forEach(l -> {
                 if (l instanceof Line.Piece p && !world.source(p.run()).isEmpty()) {
-                    world.watch().rules().lodged(person.name(), world.source(p.run()), Mark.SERVED, "a piece of " + ticket + " came from "
-                            + world.source(p.run()), world.engine().now() - SECOND / 2);
+                    world.watch()
+                            .rules()
+                            .lodged(
+                                    person.name(),
+                                    world.source(p.run()),
+                                    Mark.SERVED,
+                                    "a piece of " + ticket + " came from " + world.source(p.run()),
+                                    world.engine().now() - SECOND / 2);
                 }
             });
         }
@@ -217,7 +283,11 @@
         world.watch().count("code" + r.code());
         end(r.code() == 404 ? "broken" : "rejected");
         if (r.after() > 0 && tries < 2 && !key.isEmpty() | world.engine().luck().nextInt(3) == 0) {
-            world.engine().in(r.after(), () -> world.travel(new Traveller(world, person, sort, key, place, tries + 1, prompt, prefix, false)));
+            world.engine()
+                    .in(
+                            r.after(),
+                            () -> world.travel(
+                                    new Traveller(world, person, sort, key, place, tries + 1, prompt, prefix, false)));
         }
     }
 
@@ -247,7 +317,9 @@
             }
             case Line.Seal s -> {
                 sealed = true;
-                if (next != Speech.count(prompt) || s.count() != next || !s.sha().equals(HexFormat.of().formatHex(sum.digest()))) {
+                if (next != Speech.count(prompt)
+                        || s.count() != next
+                        || !s.sha().equals(HexFormat.of().formatHex(sum.digest()))) {
                     wrong(Mark.CUT, "a seal that does not fit what came");
                 }
                 if (!s.ticket().equals(ticket)) {
@@ -262,13 +334,21 @@
     private void reread(final SimulatedNode n) {
         if (n.alive()) {
             world.watch().count("rereads");
-            n.call((c, t) -> c.attach(ticket, person.secret(), 0, t, n.now()), a -> {
-                if (a instanceof Act.Flow) {
-                    world.watch().rules().lodged(person.name(), n.region(), Mark.KEPT, "ticket " + ticket + " was read again in " + n.region(),
-                            world.engine().now());
-                }
-            }, t -> {
-            });
+            n.call(
+                    (c, t) -> c.attach(ticket, person.secret(), 0, t, n.now()),
+                    a -> {
+                        if (a instanceof Act.Flow) {
+                            world.watch()
+                                    .rules()
+                                    .lodged(
+                                            person.name(),
+                                            n.region(),
+                                            Mark.KEPT,
+                                            "ticket " + ticket + " was read again in " + n.region(),
+                                            world.engine().now());
+                        }
+                    },
+                    t -> {});
         }
     }
 
@@ -282,7 +362,8 @@
         }
         over = true;
         if (outcome.equals("done") && world.roams()) {
-            carrier.ifPresent(n -> world.engine().in(SECOND + world.engine().luck().nextLong(10 * SECOND), () -> reread(n)));
+            carrier.ifPresent(n ->
+                    world.engine().in(SECOND + world.engine().luck().nextLong(10 * SECOND), () -> reread(n)));
         }
         world.watch().kind(sort.kind(), person.name(), outcome, first - begun);
         if (outcome.equals("cut")) {
@@ -293,8 +374,14 @@
         } else {
             world.watch().count("pick-" + outcome);
         }
-        if ((outcome.equals("cut") || outcome.equals("broken") || outcome.equals("lost")) && !key.isEmpty() && tries < 2) {
-            world.engine().in(500_000, () -> world.travel(new Traveller(world, person, sort, key, place, tries + 1, prompt, prefix, false)));
+        if ((outcome.equals("cut") || outcome.equals("broken") || outcome.equals("lost"))
+                && !key.isEmpty()
+                && tries < 2) {
+            world.engine()
+                    .in(
+                            500_000,
+                            () -> world.travel(
+                                    new Traveller(world, person, sort, key, place, tries + 1, prompt, prefix, false)));
         }
     }
 }
