--- a/simulation/src/main/java/silverlatch/simulation/sim/Watch.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Watch.java
@@ -33,11 +33,9 @@
     private final Map<String, List<Long>> firsts = new TreeMap<>();
     private int extras;
 
-    private record Done(String tenant, long at) {
-    }
+    private record Done(String tenant, long at) {}
 
-    private record Tried(long at, boolean extra) {
-    }
+    private record Tried(long at, boolean extra) {}
 
     /** An observer who reads true time off the clock. */
     public Watch(final java.util.function.LongSupplier clock) {
@@ -49,9 +47,17 @@
     }
 
     /** A run as the worker and the consumer know it. */
-    public record Run(String ticket, String tenant, String kind, String key, String worker, String zone, String region, String carrier,
-                      String place, long page) {
-    }
+    public record Run(
+            String ticket,
+            String tenant,
+            String kind,
+            String key,
+            String worker,
+            String zone,
+            String region,
+            String carrier,
+            String place,
+            long page) {}
 
     /** What operators were told, held against what came of it. */
     public Rules rules() {
@@ -113,19 +119,26 @@
             fault(Mark.REJECTED, "ticket " + r.ticket() + " runs after it was rejected");
         }
         final long left = leaves.getOrDefault(r.worker(), Long.MAX_VALUE / 2);
-        leaves.values().stream().filter(t -> at - t > 3 * SECOND && at - t < 8 * SECOND).findFirst().ifPresent(t -> probe(Mark.LEAVE));
+        leaves.values().stream()
+                .filter(t -> at - t > 3 * SECOND && at - t < 8 * SECOND)
+                .findFirst()
+                .ifPresent(t -> probe(Mark.LEAVE));
         if (at > left) {
             most("leaveMs", (at - left) / 1000);
         }
         if (at - left > 3 * SECOND) {
-            fault(Mark.LEAVE, "worker " + r.worker() + " got ticket " + r.ticket() + " " + (at - left) / 1000 + " ms after it said it leaves");
+            fault(
+                    Mark.LEAVE,
+                    "worker " + r.worker() + " got ticket " + r.ticket() + " " + (at - left) / 1000
+                            + " ms after it said it leaves");
         }
         rules.started(r, at);
     }
 
     /** A run was sent to a worker: a first one, or one more. */
     public void tried(final String tenant, final String key, final boolean again, final long at) {
-        final boolean known = !key.isEmpty() && seen.computeIfAbsent(tenant, k -> new HashMap<>()).putIfAbsent(key, true) != null;
+        final boolean known = !key.isEmpty()
+                && seen.computeIfAbsent(tenant, k -> new HashMap<>()).putIfAbsent(key, true) != null;
         final boolean extra = again || known;
         tries.add(new Tried(at, extra));
         extras += extra ? 1 : 0;
@@ -197,7 +210,10 @@
             probe(Mark.COLD);
             most("coldPerMille", Math.round(1000 * running / most));
             if (running > most) {
-                fault(Mark.COLD, "worker " + worker + " has " + running + " runs " + since / 1000 + " ms after it came back cold");
+                fault(
+                        Mark.COLD,
+                        "worker " + worker + " has " + running + " runs " + since / 1000
+                                + " ms after it came back cold");
             }
         }
     }
@@ -228,6 +244,8 @@
 
     /** How many tickets of a tenant were done between two times. */
     public long done(final String tenant, final long from, final long to) {
-        return good.stream().filter(d -> d.at() >= from && d.at() < to && d.tenant().equals(tenant)).count();
+        return good.stream()
+                .filter(d -> d.at() >= from && d.at() < to && d.tenant().equals(tenant))
+                .count();
     }
 }
--- a/simulation/src/main/java/silverlatch/simulation/sim/Ways.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Ways.java
@@ -8,16 +8,17 @@
 
 /** What happens to the network and to clocks. */
 final class Ways {
-    private Ways() {
-    }
+    private Ways() {}
 
     static void coreSplit(final World w, final long span) {
         final SimulatedNode n = w.some(w.controllers());
         w.tell("split off " + n.name() + " from the controllers");
-        final Set<String> rest = w.controllers().stream().map(SimulatedNode::name).filter(x -> !x.equals(n.name())).collect(Collectors.toSet());
+        final Set<String> rest = w.controllers().stream()
+                .map(SimulatedNode::name)
+                .filter(x -> !x.equals(n.name()))
+                .collect(Collectors.toSet());
         final Runnable one = w.net().cut(Set.of(n.name()), rest);
-        final Runnable two = w.engine().luck().nextBoolean() ? w.net().cut(rest, Set.of(n.name())) : () -> {
-        };
+        final Runnable two = w.engine().luck().nextBoolean() ? w.net().cut(rest, Set.of(n.name())) : () -> {};
         w.later(span, () -> {
             one.run();
             two.run();
@@ -26,7 +27,8 @@
 
     static void coreCut(final World w, final long span) {
         w.tell("cut the controllers off");
-        final Set<String> core = w.controllers().stream().map(SimulatedNode::name).collect(Collectors.toSet());
+        final Set<String> core =
+                w.controllers().stream().map(SimulatedNode::name).collect(Collectors.toSet());
         final Set<String> rest = w.gateways().stream().map(SimulatedNode::name).collect(Collectors.toSet());
         final Runnable one = w.net().cut(core, rest);
         final Runnable two = w.net().cut(rest, core);
@@ -61,7 +63,8 @@
         final List<SimulatedNode> all = new ArrayList<>(w.gateways());
         all.addAll(w.controllers());
         final SimulatedNode n = w.some(all);
-        final long off = (w.engine().luck().nextBoolean() ? 1 : -1) * (100_000 + w.engine().luck().nextLong(600_000_000L));
+        final long off = (w.engine().luck().nextBoolean() ? 1 : -1)
+                * (100_000 + w.engine().luck().nextLong(600_000_000L));
         w.drags();
         w.tell("clock of " + n.name() + " jumps by " + off / 1000 + " ms");
         n.clock(off);
@@ -72,7 +75,8 @@
         final List<SimulatedNode> all = new ArrayList<>(w.gateways());
         all.addAll(w.controllers());
         final SimulatedNode n = w.some(all);
-        final long off = (w.engine().luck().nextBoolean() ? 1 : -1) * (100_000 + w.engine().luck().nextLong(600_000_000L));
+        final long off = (w.engine().luck().nextBoolean() ? 1 : -1)
+                * (100_000 + w.engine().luck().nextLong(600_000_000L));
         w.drags();
         w.tell("restart " + n.name() + " with its clock off by " + off / 1000 + " ms");
         n.kill();
@@ -111,7 +115,8 @@
         all.addAll(Blows.half(w, w.gateways()));
         final boolean same = w.engine().luck().nextBoolean();
         final long off = 60_000 + w.engine().luck().nextLong(60_000_000L);
-        w.tell("restart " + all.stream().map(SimulatedNode::name).toList() + " with clocks ahead by " + (same ? off / 1000 + " ms" : "as many spans"));
+        w.tell("restart " + all.stream().map(SimulatedNode::name).toList() + " with clocks ahead by "
+                + (same ? off / 1000 + " ms" : "as many spans"));
         all.removeFirst();
         long at = 0;
         for (final SimulatedNode n : all) {
@@ -131,8 +136,7 @@
         for (long t = 0; t < 1_500_000; t += 5_000) {
             w.engine().in(t, () -> w.flood(n, 400));
         }
-        w.later(1_500_000, () -> {
-        });
+        w.later(1_500_000, () -> {});
     }
 
     static void oneWayCut(final World w, final long span) {
@@ -141,7 +145,9 @@
         w.tell(region + (mute ? " is not heard" : " does not hear"));
         final Set<String> here = places(w, region);
         final Set<String> rest = new HashSet<>();
-        w.plan().regions().stream().filter(r -> !r.region().equals(region)).forEach(r -> rest.addAll(places(w, r.region())));
+        w.plan().regions().stream()
+                .filter(r -> !r.region().equals(region))
+                .forEach(r -> rest.addAll(places(w, r.region())));
         final Runnable heal = mute ? w.net().cut(here, rest) : w.net().cut(rest, here);
         w.later(span, () -> {
             heal.run();
--- a/simulation/src/main/java/silverlatch/simulation/sim/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/World.java
@@ -13,8 +13,8 @@
 import silverlatch.dispatch.Line;
 import silverlatch.node.Effect;
 import silverlatch.node.Ship;
-import silverlatch.simulation.fleet.Plan;
 import silverlatch.safeguard.Safeguards;
+import silverlatch.simulation.fleet.Plan;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
 
@@ -50,18 +50,14 @@
     private long due;
     private long dragged = Long.MIN_VALUE / 2;
 
-    record Person(String name, String secret, double share, List<String> homes) {
-    }
+    record Person(String name, String secret, double share, List<String> homes) {}
 
     /** Something came back: a region, or all when the name is empty. */
-    record Back(String region, long at) {
-    }
+    record Back(String region, long at) {}
 
-    record Sort(String kind, int weight, int pieces, int prefix, boolean once) {
-    }
+    record Sort(String kind, int weight, int pieces, int prefix, boolean once) {}
 
-    private record Known(Person person, String key, int tries) {
-    }
+    private record Known(Person person, String key, int tries) {}
 
     /** A world of a plan, driven by a seed, with so many tickets a second. */
     public World(final Plan plan, final long seed, final long rate, final Safeguards guards, final boolean loud) {
@@ -85,7 +81,8 @@
             final List<SimulatedNode> near = new ArrayList<>();
             for (int i = 0; i < r.gateways(); i++) {
                 p++;
-                near.add(add(new SimulatedNode(this, "gateway-" + p, r.zone(), r.region(), "gateway-" + p, seeds, false)));
+                near.add(add(
+                        new SimulatedNode(this, "gateway-" + p, r.zone(), r.region(), "gateway-" + p, seeds, false)));
             }
             for (int i = 0; i < r.workers(); i++) {
                 w++;
@@ -137,8 +134,12 @@
 
     /** Whether all controllers stand in one chain. */
     boolean settled() {
-        return controllers().stream().allMatch(n -> n.ready()
-                && n.deck().map(d -> d.view().chain().size() == plan.regions().size()).orElse(false));
+        return controllers().stream()
+                .allMatch(n -> n.ready()
+                        && n.deck()
+                                .map(d -> d.view().chain().size()
+                                        == plan.regions().size())
+                                .orElse(false));
     }
 
     /** Machines go on being lost until then. */
@@ -254,8 +255,12 @@
     SimulatedNode swap(final SimulatedNode old) {
         old.kill();
         nodes.remove(old.name());
-        final String fresh = "controller-" + (char) ('a' + nodes.size() % 26) + engine.luck().nextInt(1_000);
-        final List<String> seeds = controllers().stream().map(SimulatedNode::address).limit(2).collect(java.util.stream.Collectors.toCollection(ArrayList::new));
+        final String fresh =
+                "controller-" + (char) ('a' + nodes.size() % 26) + engine.luck().nextInt(1_000);
+        final List<String> seeds = controllers().stream()
+                .map(SimulatedNode::address)
+                .limit(2)
+                .collect(java.util.stream.Collectors.toCollection(ArrayList::new));
         seeds.add(old.address());
         final SimulatedNode n = add(new SimulatedNode(this, fresh, old.zone(), old.region(), fresh, seeds, true));
         n.start();
@@ -270,7 +275,17 @@
             engine.run(engine.now() + 100_000);
         }
         office.load();
-        for (int i = 0; i < 300 && !gateways().stream().allMatch(n -> n.ready() && n.facts().map(f -> f.row("*", sorts.getFirst().kind()).isPresent()).orElse(false)); i++) {
+        for (int i = 0;
+                i < 300
+                        && !gateways().stream()
+                                .allMatch(n -> n.ready()
+                                        && n.facts()
+                                                .map(f -> f.row(
+                                                                "*",
+                                                                sorts.getFirst().kind())
+                                                        .isPresent())
+                                                .orElse(false));
+                i++) {
             engine.run(engine.now() + 100_000);
         }
         if (!gateways().stream().allMatch(SimulatedNode::ready)) {
@@ -316,13 +331,16 @@
 
     void ship(final SimulatedNode from, final Ship s) {
         from.spoke(s.frame());
-        final Optional<SimulatedNode> to = nodes.values().stream().filter(n -> n.address().equals(s.to())).findFirst();
+        final Optional<SimulatedNode> to =
+                nodes.values().stream().filter(n -> n.address().equals(s.to())).findFirst();
         to.ifPresent(t -> {
             final long life = t.epoch();
             final Frame f = engine.luck().nextInt(50) == 0 ? again(s.frame()) : s.frame();
             net.frame(from.name(), t.name(), () -> {
                 if (life == t.epoch()) {
-                    if (Optional.ofNullable(newest.get(t.name())).map(o -> o.stamp().before(f.stamp())).orElse(true)) {
+                    if (Optional.ofNullable(newest.get(t.name()))
+                            .map(o -> o.stamp().before(f.stamp()))
+                            .orElse(true)) {
                         newest.put(t.name(), f);
                     }
                     t.frame(f);
@@ -390,7 +408,18 @@
             }
             net.bytes(lane + "<", m.name(), n.name(), () -> n.carrying(c -> c.begun(r.job())));
             sources.put(r.run(), m.region());
-            watch.started(new Watch.Run(r.ticket(), r.tenant(), r.kind(), who.key(), m.name(), m.zone(), m.region(), n.name(), n.region(), page),
+            watch.started(
+                    new Watch.Run(
+                            r.ticket(),
+                            r.tenant(),
+                            r.kind(),
+                            who.key(),
+                            m.name(),
+                            m.zone(),
+                            m.region(),
+                            n.name(),
+                            n.region(),
+                            page),
                     engine.now());
             if (r.kind().equals(Office.GATE)) {
                 watch.rules().obeyed(n.name(), true, "ticket " + r.ticket() + " ran", engine.now());
@@ -469,19 +498,39 @@
         }
         final String prompt = pieces + " " + who.name() + " " + arrivals;
         final String place = "consumers-" + some(plan.regions()).region();
-        travel(new Traveller(this, who, sort, key, place, 0, prompt, prefix, roam && engine.luck().nextInt(3) == 0));
+        travel(new Traveller(
+                this,
+                who,
+                sort,
+                key,
+                place,
+                0,
+                prompt,
+                prefix,
+                roam && engine.luck().nextInt(3) == 0));
         if (sort.once() && engine.luck().nextInt(5) == 0) {
             travel(new Traveller(this, who, sort, key, place, engine.luck().nextInt(2), prompt, prefix, false));
             watch.probe(Mark.TWICE);
         }
         if (engine.luck().nextInt(6) == 0) {
-            travel(new Traveller(this, who, new Sort(Office.GATE, 0, 3, 1, false), "", place, 0, "2 " + who.name() + " t" + arrivals, List.of("trial"), false));
+            travel(new Traveller(
+                    this,
+                    who,
+                    new Sort(Office.GATE, 0, 3, 1, false),
+                    "",
+                    place,
+                    0,
+                    "2 " + who.name() + " t" + arrivals,
+                    List.of("trial"),
+                    false));
         }
         engine.in(1 + engine.luck().nextLong(2 * SECOND / rate), this::arrive);
     }
 
     private void gaze() {
-        gateways().stream().filter(SimulatedNode::ready).forEach(n -> watch.rules().values(n.values(), "is followed by " + n.name()));
+        gateways().stream()
+                .filter(SimulatedNode::ready)
+                .forEach(n -> watch.rules().values(n.values(), "is followed by " + n.name()));
         engine.in(SECOND / 4, this::gaze);
     }
 }
--- a/simulation/src/main/java/silverlatch/simulation/worker/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/worker/Main.java
@@ -22,38 +22,50 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import silverlatch.dispatch.Line;
-import silverlatch.server.workerclient.Lines;
+import silverlatch.json.JsonDocument;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.web.Call;
 import silverlatch.server.web.Web;
-import silverlatch.json.JsonDocument;
+import silverlatch.server.workerclient.Lines;
 
 /** A stand-in worker: reads prompts, keeps prefixes, streams pieces, seals, announces itself, and misbehaves on demand. */
 public final class Main {
     private static final int KEPT = 256;
+
     @Option(name = "--name", required = true)
     private String name = "";
+
     @Option(name = "--zone", required = true)
     private String zone = "";
+
     @Option(name = "--region", required = true)
     private String region = "";
+
     @Option(name = "--door", required = true)
     private String door = "";
+
     @Option(name = "--gateways", required = true, usage = "doors to announce to, by commas")
     private String gateways = "";
+
     @Option(name = "--record", required = true, usage = "the file of runs")
     private String record = "";
+
     @Option(name = "--key", required = true, usage = "the workers' key")
     private String key = "";
+
     @Option(name = "--slots")
     private int slots = 16;
+
     @Option(name = "--piece", usage = "microseconds for a piece")
     private long piece = 10_000;
+
     @Option(name = "--read", usage = "microseconds for a part of a prefix that is not kept")
     private long read = 5_000;
+
     private final long life = System.currentTimeMillis() * 1000;
     private final long began = EventLoop.now();
-    private final ScheduledExecutorService work = Executors.newSingleThreadScheduledExecutor(r -> Thread.ofPlatform().daemon(true).name("work").unstarted(r));
+    private final ScheduledExecutorService work = Executors.newSingleThreadScheduledExecutor(
+            r -> Thread.ofPlatform().daemon(true).name("work").unstarted(r));
     private final HttpClient http = new HttpClient();
     private final LinkedHashMap<Long, Boolean> kept = new LinkedHashMap<>(16, 0.75f, true);
     private final Deque<Runnable> line = new ArrayDeque<>();
@@ -64,8 +76,7 @@
     private Faults fault = Faults.NONE;
     private PrintWriter book;
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs a stand-in until it is stopped. */
     public static void main(final String[] args) throws IOException, Web.WebFault, InterruptedException {
@@ -81,7 +92,12 @@
     }
 
     private void start() throws IOException, Web.WebFault {
-        book = new PrintWriter(Files.newBufferedWriter(Path.of(record), java.nio.file.StandardOpenOption.CREATE, java.nio.file.StandardOpenOption.APPEND), true);
+        book = new PrintWriter(
+                Files.newBufferedWriter(
+                        Path.of(record),
+                        java.nio.file.StandardOpenOption.CREATE,
+                        java.nio.file.StandardOpenOption.APPEND),
+                true);
         try {
             http.setMaxConnectionsPerDestination(4);
             http.start();
@@ -95,16 +111,18 @@
     private void route(final Call c) {
         switch (c.method() + " " + c.path()) {
             case "POST /v1/runs" -> work.execute(() -> take(c));
-            case "POST /faults" -> work.execute(() -> {
-                fault = Faults.valueOf(new String(c.body(), StandardCharsets.UTF_8).strip());
-                c.reply(200, Map.of("fault", fault.name()));
-            });
-            case "POST /leave" -> work.execute(() -> {
-                leaving = true;
-                note(Map.of("event", "leave", "at", System.currentTimeMillis()));
-                announce();
-                c.reply(200, Map.of("leaving", true));
-            });
+            case "POST /faults" ->
+                work.execute(() -> {
+                    fault = Faults.valueOf(new String(c.body(), StandardCharsets.UTF_8).strip());
+                    c.reply(200, Map.of("fault", fault.name()));
+                });
+            case "POST /leave" ->
+                work.execute(() -> {
+                    leaving = true;
+                    note(Map.of("event", "leave", "at", System.currentTimeMillis()));
+                    announce();
+                    c.reply(200, Map.of("leaving", true));
+                });
             default -> c.reply(404, Map.of("faults", List.of("no such page")));
         }
     }
@@ -129,11 +147,26 @@
         final String kind = s.text("kind", 64);
         final String prompt = s.text("prompt", 4 << 20);
         final List<Long> prefix = s.wholes("prefix", 64);
-        note(Map.of("event", "start", "ticket", ticket, "run", run, "tenant", tenant, "kind", kind, "region", region, "worker", name,
-                "prompt", silverlatch.dispatch.permit.Seals.hash(prompt).substring(0, 12), "at", System.currentTimeMillis()));
-        c.stream("", false, () -> {
-        }, () -> {
-        });
+        note(Map.of(
+                "event",
+                "start",
+                "ticket",
+                ticket,
+                "run",
+                run,
+                "tenant",
+                tenant,
+                "kind",
+                kind,
+                "region",
+                region,
+                "worker",
+                name,
+                "prompt",
+                silverlatch.dispatch.permit.Seals.hash(prompt).substring(0, 12),
+                "at",
+                System.currentTimeMillis()));
+        c.stream("", false, () -> {}, () -> {});
         final Runnable job = () -> {
             running++;
             final long fresh = prefix.stream().filter(p -> !kept.containsKey(p)).count();
@@ -156,28 +189,56 @@
             return;
         }
         if (number == count || fault == Faults.DROP && number == 2) {
-            final String sha = fault == Faults.WRONGSEAL ? Speech.sha(prompt, Math.max(0, count - 1)) : Speech.sha(prompt, count);
+            final String sha =
+                    fault == Faults.WRONGSEAL ? Speech.sha(prompt, Math.max(0, count - 1)) : Speech.sha(prompt, count);
             final Line seal = new Line.Seal(name, ticket, run, count, sha);
-            note(Map.of("event", "seal", "ticket", ticket, "run", run, "count", count, "worker", name, "at", System.currentTimeMillis()));
-            c.stream(fault == Faults.NOSEAL || fault == Faults.DROP ? "" : Lines.write(seal), true, () -> {
-            }, () -> {
-            });
+            note(Map.of(
+                    "event",
+                    "seal",
+                    "ticket",
+                    ticket,
+                    "run",
+                    run,
+                    "count",
+                    count,
+                    "worker",
+                    name,
+                    "at",
+                    System.currentTimeMillis()));
+            c.stream(fault == Faults.NOSEAL || fault == Faults.DROP ? "" : Lines.write(seal), true, () -> {}, () -> {});
             end();
             return;
         }
         final String owner = fault == Faults.FOREIGN && number == 1 ? ticket + "x" : ticket;
-        final String text = fault == Faults.GARBAGE && number == 1 ? "{nonsense\n"
+        final String text = fault == Faults.GARBAGE && number == 1
+                ? "{nonsense\n"
                 : Lines.write(new Line.Piece(owner, run, number, Speech.piece(prompt, number)));
-        final String out = fault == Faults.GAP && number == 1 ? "" : fault == Faults.REPEAT && number == 1 ? text + text : text;
+        final String out =
+                fault == Faults.GAP && number == 1 ? "" : fault == Faults.REPEAT && number == 1 ? text + text : text;
         final long pause = fault == Faults.SLOW ? piece * 10 : piece;
-        final Runnable next = () -> work.schedule(() -> step(c, ticket, run, prompt, number + 1), pause, TimeUnit.MICROSECONDS);
+        final Runnable next =
+                () -> work.schedule(() -> step(c, ticket, run, prompt, number + 1), pause, TimeUnit.MICROSECONDS);
         if (out.isEmpty()) {
             next.run();
         } else {
-            c.stream(out, false, next, () -> work.execute(() -> {
-                note(Map.of("event", "cut", "ticket", ticket, "run", run, "worker", name, "at", System.currentTimeMillis()));
-                end();
-            }));
+            c.stream(
+                    out,
+                    false,
+                    next,
+                    () -> work.execute(() -> {
+                        note(Map.of(
+                                "event",
+                                "cut",
+                                "ticket",
+                                ticket,
+                                "run",
+                                run,
+                                "worker",
+                                name,
+                                "at",
+                                System.currentTimeMillis()));
+                        end();
+                    }));
         }
     }
 
@@ -206,13 +267,16 @@
             word.put("leaving", leaving);
             word.put("up", EventLoop.now() - began);
             word.put("echo", echoes.getOrDefault(p, 0L));
-            http.newRequest(URI.create("http://" + p + "/v1/announcements")).method("POST")
+            http.newRequest(URI.create("http://" + p + "/v1/announcements"))
+                    .method("POST")
                     .headers(h -> h.put("Authorization", "Bearer " + key))
-                    .body(new StringRequestContent("application/json", JsonDocument.write(word))).timeout(2, TimeUnit.SECONDS)
+                    .body(new StringRequestContent("application/json", JsonDocument.write(word)))
+                    .timeout(2, TimeUnit.SECONDS)
                     .send(new org.eclipse.jetty.client.BufferingResponseListener() {
                         @Override
                         public void onComplete(final org.eclipse.jetty.client.Result result) {
-                            if (result.isSucceeded() && JsonDocument.parse(getContent(), 4096) instanceof JsonDocument.Parsed.Good g) {
+                            if (result.isSucceeded()
+                                    && JsonDocument.parse(getContent(), 4096) instanceof JsonDocument.Parsed.Good g) {
                                 echoes.put(p, g.sheet().whole("echo", 0, Long.MAX_VALUE, 0));
                             }
                         }
--- a/simulation/src/main/java/silverlatch/simulation/worker/Speech.java
+++ b/simulation/src/main/java/silverlatch/simulation/worker/Speech.java
@@ -6,8 +6,7 @@
 
 /** What a stand-in worker says: a function of the prompt alone, so that a consumer can tell its own reply. */
 public final class Speech {
-    private Speech() {
-    }
+    private Speech() {}
 
     /** The text of one piece. */
     public static String piece(final String prompt, final long number) {
--- a/simulation/src/test/java/silverlatch/simulation/fleet/FleetTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/fleet/FleetTest.java
@@ -18,13 +18,29 @@
     private Path folder;
 
     private Process load(final Fleet fleet, final Path receipts, final int seconds, final long seed) throws Exception {
-        return fleet.begin("silverlatch.simulation.consumer.Main", folder.resolve("consumer.out"), List.of("--doors", fleet.doors("gateway"),
-                "--seconds", "" + seconds, "--rate", "30", "--tenants", fleet.plan().people(), "--kinds", fleet.plan().sorts(),
-                "--receipts", receipts.toString(), "--seed", "" + seed));
+        return fleet.begin(
+                "silverlatch.simulation.consumer.Main",
+                folder.resolve("consumer.out"),
+                List.of(
+                        "--doors",
+                        fleet.doors("gateway"),
+                        "--seconds",
+                        "" + seconds,
+                        "--rate",
+                        "30",
+                        "--tenants",
+                        fleet.plan().people(),
+                        "--kinds",
+                        fleet.plan().sorts(),
+                        "--receipts",
+                        receipts.toString(),
+                        "--seed",
+                        "" + seed));
     }
 
     private static long lines(final Path file) {
-        try (java.util.stream.Stream<String> all = Files.exists(file) ? Files.lines(file) : java.util.stream.Stream.<String>of()) {
+        try (java.util.stream.Stream<String> all =
+                Files.exists(file) ? Files.lines(file) : java.util.stream.Stream.<String>of()) {
             return all.count();
         } catch (final java.io.IOException e) {
             return 0;
@@ -32,22 +48,43 @@
     }
 
     private Main.Found check(final Fleet fleet, final Path receipts) throws Exception {
-        return Main.check(receipts, Main.homes(fleet.plan().homes()),
-                fleet.names("worker").stream().map(w -> fleet.folder().resolve(w + ".runs")).toList());
+        return Main.check(
+                receipts,
+                Main.homes(fleet.plan().homes()),
+                fleet.names("worker").stream()
+                        .map(w -> fleet.folder().resolve(w + ".runs"))
+                        .toList());
     }
 
     @Test
     void aFleetServesObeysAndSurvivesKillsAndALostDisk() throws Exception {
-        try (Fleet fleet = new Fleet(Plan.read(Path.of("../examples/ferry")), folder, System.getProperty("java.class.path"))) {
+        try (Fleet fleet =
+                new Fleet(Plan.read(Path.of("../examples/ferry")), folder, System.getProperty("java.class.path"))) {
             fleet.all("controller");
             fleet.all("gateway");
             fleet.all("worker");
             assertThat("controllers", fleet.ready("controller", 90), is(true));
             assertThat(fleet.load(), everyItem(is(200)));
             assertThat("gateways", fleet.ready("gateway", 90), is(true));
-            says(fleet, () -> fleet.ask("controller-1", "PUT", "/v1/calendars/minute", "{\"cron\":\"0 0 31 2 *\",\"zone\":\"syros\"}"), 422, "never comes");
-            says(fleet, () -> fleet.ask("controller-1", "PUT", "/v1/calendars/minute", "{\"cron\":\"* * * * *\",\"cells\":[{\"tenant\":\"*\",\"kind\":\"ruling\","
-                    + "\"field\":\"burst\",\"value\":777}]}"), 200, "kept");
+            says(
+                    fleet,
+                    () -> fleet.ask(
+                            "controller-1",
+                            "PUT",
+                            "/v1/calendars/minute",
+                            "{\"cron\":\"0 0 31 2 *\",\"zone\":\"syros\"}"),
+                    422,
+                    "never comes");
+            says(
+                    fleet,
+                    () -> fleet.ask(
+                            "controller-1",
+                            "PUT",
+                            "/v1/calendars/minute",
+                            "{\"cron\":\"* * * * *\",\"cells\":[{\"tenant\":\"*\",\"kind\":\"ruling\","
+                                    + "\"field\":\"burst\",\"value\":777}]}"),
+                    200,
+                    "kept");
             final Path receipts = folder.resolve("receipts");
             final Process load = load(fleet, receipts, 12, 5);
             assertThat(fleet.until(() -> lines(receipts) > 60, 60), is(true));
@@ -68,8 +105,14 @@
             assertThat("something ran", found.runs() > 50, is(true));
             assertThat("the wiped controller is back", fleet.ready("controller", 90), is(true));
             assertThat("the killed gateway is back", fleet.ready("gateway", 90), is(true));
-            assertThat(fleet.ask("controller-2", "PATCH", "/v1/table",
-                    "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"field\":\"load\",\"value\":3}]}").statusCode(), is(200));
+            assertThat(
+                    fleet.ask(
+                                    "controller-2",
+                                    "PATCH",
+                                    "/v1/table",
+                                    "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"field\":\"load\",\"value\":3}]}")
+                            .statusCode(),
+                    is(200));
             assertThat(fleet.ask("controller-3", "GET", "/v1/table", "").body(), containsString("\"load\":3"));
             book(fleet);
             reads(fleet);
@@ -79,15 +122,27 @@
             tool(fleet);
             assertThat(fleet.stop("gateway-1"), is(143));
             assertThat(fleet.stop("controller-1"), is(143));
-            assertThat("the chain goes on without the stopped controller", fleet.until(() -> body(fleet, "controller-2", "/status").contains("\"leased\":true"), 30), is(true));
-            assertThat(fleet.ask("controller-2", "PUT", "/v1/zones/syros", "{\"empty\":true}").statusCode(), is(200));
-            assertThat("the calendar's minute came", fleet.until(() -> body(fleet, "controller-3", "/v1/table").contains("\"burst\":777"), 150), is(true));
+            assertThat(
+                    "the chain goes on without the stopped controller",
+                    fleet.until(() -> body(fleet, "controller-2", "/status").contains("\"leased\":true"), 30),
+                    is(true));
+            assertThat(
+                    fleet.ask("controller-2", "PUT", "/v1/zones/syros", "{\"empty\":true}")
+                            .statusCode(),
+                    is(200));
+            assertThat(
+                    "the calendar's minute came",
+                    fleet.until(() -> body(fleet, "controller-3", "/v1/table").contains("\"burst\":777"), 150),
+                    is(true));
             for (final String name : fleet.names("")) {
                 fleet.kill(name);
             }
             fleet.all("controller");
             fleet.all("gateway");
-            assertThat("all are back after all were killed", fleet.ready("controller", 90) && fleet.ready("gateway", 90), is(true));
+            assertThat(
+                    "all are back after all were killed",
+                    fleet.ready("controller", 90) && fleet.ready("gateway", 90),
+                    is(true));
             assertThat(fleet.ask("controller-1", "GET", "/v1/table", "").body(), containsString("\"load\":3"));
             assertThat(fleet.ask("controller-1", "GET", "/v1/zones", "").body(), containsString("\"empty\":true"));
         }
@@ -110,44 +165,75 @@
         assertThat(fleet.run("silverlatch.server.replay.Main", out, List.of(day.toString())), is(0));
         assertThat(Files.readString(out), containsString(", 0 changed"));
         final Path other = folder.resolve("other.json");
-        Files.writeString(other, Files.readString(fleet.plan().table()).replaceAll("\"load\": [0-9.]+", "\"load\": 0")
-                .replaceAll("\"cross\": [0-9.]+", "\"cross\": 900"));
-        assertThat(fleet.run("silverlatch.server.replay.Main", out, List.of("--table", other.toString(), day.toString())), is(0));
+        Files.writeString(
+                other,
+                Files.readString(fleet.plan().table())
+                        .replaceAll("\"load\": [0-9.]+", "\"load\": 0")
+                        .replaceAll("\"cross\": [0-9.]+", "\"cross\": 900"));
+        assertThat(
+                fleet.run("silverlatch.server.replay.Main", out, List.of("--table", other.toString(), day.toString())),
+                is(0));
         assertThat(Files.readString(out), containsString(" -> "));
         Files.writeString(other, Files.readString(day) + "{\"pick\":{\"ticket\":7}}\n{odd\n");
         assertThat(fleet.run("silverlatch.server.replay.Main", out, List.of(other.toString())), is(2));
         assertThat(Files.readString(out), containsString("$.pick.ticket: a text is needed"));
-        assertThat(fleet.run("silverlatch.server.replay.Main", out, List.of(fleet.plan().table().toString())), is(2));
+        assertThat(
+                fleet.run(
+                        "silverlatch.server.replay.Main",
+                        out,
+                        List.of(fleet.plan().table().toString())),
+                is(2));
         assertThat(Files.readString(out), containsString("not a recording of ours"));
     }
 
     private static String body(final String pick) {
-        return "{\"permit\":\"" + pick.replaceAll(".*\"permit\":\"([^\"]*)\".*", "$1") + "\",\"prompt\":\"6 pieces please\"}";
+        return "{\"permit\":\"" + pick.replaceAll(".*\"permit\":\"([^\"]*)\".*", "$1")
+                + "\",\"prompt\":\"6 pieces please\"}";
     }
 
     private static void reads(final Fleet fleet) throws Exception {
         final List<String> picks = new java.util.ArrayList<>();
         final List<java.net.http.HttpResponse<String>> wholes = new java.util.ArrayList<>();
-        says(fleet, () -> {
-            picks.add(fleet.as("key-travellers", "gateway-1", "POST", "/v1/picks", "{\"tenant\":\"travellers\",\"kind\":\"fare\"}").body());
-            wholes.add(fleet.as("key-travellers", "gateway-1", "POST", "/v1/tickets", body(picks.getLast())));
-            return wholes.getLast();
-        }, 200, "\"seal\"");
+        says(
+                fleet,
+                () -> {
+                    picks.add(fleet.as(
+                                    "key-travellers",
+                                    "gateway-1",
+                                    "POST",
+                                    "/v1/picks",
+                                    "{\"tenant\":\"travellers\",\"kind\":\"fare\"}")
+                            .body());
+                    wholes.add(fleet.as("key-travellers", "gateway-1", "POST", "/v1/tickets", body(picks.getLast())));
+                    return wholes.getLast();
+                },
+                200,
+                "\"seal\"");
         final String ticket = picks.getLast().replaceAll(".*\"ticket\":\"([^\"]*)\".*", "$1");
         final String body = body(picks.getLast());
         final java.net.http.HttpResponse<String> whole = wholes.getLast();
         final List<String> lines = whole.body().lines().toList();
         assertThat(lines.size(), is(7));
         assertThat(lines.getLast(), containsString("\"seal\""));
-        final java.net.http.HttpResponse<String> rest = fleet.as("key-travellers", "gateway-1", "GET", "/v1/tickets/" + ticket + "?from=2", "");
+        final java.net.http.HttpResponse<String> rest =
+                fleet.as("key-travellers", "gateway-1", "GET", "/v1/tickets/" + ticket + "?from=2", "");
         assertThat(rest.body().lines().toList(), is(lines.subList(2, 7)));
-        says(fleet, () -> fleet.as("key-clerks", "gateway-1", "GET", "/v1/tickets/" + ticket + "?from=2", ""), 404, "no such ticket");
-        says(fleet, () -> fleet.as("key-travellers", "gateway-1", "POST", "/v1/tickets", body), 409, "handed over before");
+        says(
+                fleet,
+                () -> fleet.as("key-clerks", "gateway-1", "GET", "/v1/tickets/" + ticket + "?from=2", ""),
+                404,
+                "no such ticket");
+        says(
+                fleet,
+                () -> fleet.as("key-travellers", "gateway-1", "POST", "/v1/tickets", body),
+                409,
+                "handed over before");
     }
 
     private static void garbles(final Fleet fleet) throws Exception {
         for (final String name : List.of("gateway-1", "controller-1")) {
-            for (final byte[] bytes : List.of(new byte[] {0x7f, -1, -1, -1, 1, 2}, new byte[] {0, 0, 0, 4, 99, 98, 97, 96})) {
+            for (final byte[] bytes :
+                    List.of(new byte[] {0x7f, -1, -1, -1, 1, 2}, new byte[] {0, 0, 0, 4, 99, 98, 97, 96})) {
                 try (java.net.Socket s = new java.net.Socket()) {
                     s.connect(silverlatch.server.transport.Transport.place(fleet.address(name)));
                     s.getOutputStream().write(bytes);
@@ -169,9 +255,28 @@
         says(fleet, () -> fleet.ask("controller-2", "PUT", "/v1/table", rows + "]}"), 200, "kept");
         final java.net.http.HttpResponse<String> back = fleet.ask("controller-3", "GET", "/v1/table", "");
         assertThat(back.body().split("\"kind\":").length, is(15_000 + 3 + 1));
-        assertThat("the gateways know the large table", fleet.until(() -> fleet.names("gateway").stream().allMatch(p ->
-                body(fleet, p, "/status").contains("\"table\":" + back.headers().firstValue("ETag").orElse("").replace("\"", "") + ",")), 60), is(true));
-        says(fleet, () -> fleet.as("key-travellers", "gateway-1", "POST", "/v1/picks", "{\"tenant\":\"travellers\",\"kind\":\"kind-14999\"}"), 200, "picked");
+        assertThat(
+                "the gateways know the large table",
+                fleet.until(
+                        () -> fleet.names("gateway").stream()
+                                .allMatch(p -> body(fleet, p, "/status")
+                                        .contains("\"table\":"
+                                                + back.headers()
+                                                        .firstValue("ETag")
+                                                        .orElse("")
+                                                        .replace("\"", "") + ",")),
+                        60),
+                is(true));
+        says(
+                fleet,
+                () -> fleet.as(
+                        "key-travellers",
+                        "gateway-1",
+                        "POST",
+                        "/v1/picks",
+                        "{\"tenant\":\"travellers\",\"kind\":\"kind-14999\"}"),
+                200,
+                "picked");
         for (int i = 0; i < 6_000; i++) {
             rows.append(",{\"tenant\":\"*\",\"kind\":\"more-").append(i).append("\"}");
         }
@@ -185,39 +290,105 @@
 
     private static void says(final Fleet fleet, final Ask ask, final int code, final String text) throws Exception {
         final List<java.net.http.HttpResponse<String>> replies = new java.util.ArrayList<>();
-        fleet.until(() -> {
-            try {
-                replies.add(ask.go());
-                return replies.getLast().statusCode() == code && replies.getLast().body().contains(text);
-            } catch (final Exception e) {
-                return false;
-            }
-        }, 60);
+        fleet.until(
+                () -> {
+                    try {
+                        replies.add(ask.go());
+                        return replies.getLast().statusCode() == code
+                                && replies.getLast().body().contains(text);
+                    } catch (final Exception e) {
+                        return false;
+                    }
+                },
+                60);
         assertThat(replies.getLast().body(), replies.getLast().statusCode(), is(code));
         assertThat(replies.getLast().body(), containsString(text));
     }
 
-
     private static void rejects(final Fleet fleet) throws Exception {
         final String pick = "{\"tenant\":\"travellers\",\"kind\":\"fare\"}";
         says(fleet, () -> fleet.ask("gateway-1", "POST", "/v1/picks", "{nonsense"), 400, "$: not JSON");
-        says(fleet, () -> fleet.ask("gateway-1", "POST", "/v1/picks", "[".repeat(40) + "]".repeat(40)), 422, "$: deeper than");
-        says(fleet, () -> fleet.ask("gateway-1", "POST", "/v1/picks", "{\"tenant\":7,\"kind\":\"fare\",\"prefix\":[1],\"odd\":1}"), 422, "$.tenant: a text is needed");
-        says(fleet, () -> fleet.ask("gateway-1", "POST", "/v1/picks", "{\"tenant\":\"t\",\"kind\":\"fare\",\"odd\":1}"), 422, "$.odd: unknown key");
+        says(
+                fleet,
+                () -> fleet.ask("gateway-1", "POST", "/v1/picks", "[".repeat(40) + "]".repeat(40)),
+                422,
+                "$: deeper than");
+        says(
+                fleet,
+                () -> fleet.ask(
+                        "gateway-1", "POST", "/v1/picks", "{\"tenant\":7,\"kind\":\"fare\",\"prefix\":[1],\"odd\":1}"),
+                422,
+                "$.tenant: a text is needed");
+        says(
+                fleet,
+                () -> fleet.ask("gateway-1", "POST", "/v1/picks", "{\"tenant\":\"t\",\"kind\":\"fare\",\"odd\":1}"),
+                422,
+                "$.odd: unknown key");
         says(fleet, () -> fleet.ask("gateway-1", "POST", "/v1/picks", pick), 401, "the tenant or its key is not known");
-        says(fleet, () -> fleet.as("key-travellers", "gateway-1", "POST", "/v1/picks", pick.replace("fare", "nothing")), 422, "$.kind: no kind nothing");
-        says(fleet, () -> fleet.as("key-travellers", "gateway-1", "POST", "/v1/picks", pick.replace("fare", "ruling")), 422, "$.key");
+        says(
+                fleet,
+                () -> fleet.as("key-travellers", "gateway-1", "POST", "/v1/picks", pick.replace("fare", "nothing")),
+                422,
+                "$.kind: no kind nothing");
+        says(
+                fleet,
+                () -> fleet.as("key-travellers", "gateway-1", "POST", "/v1/picks", pick.replace("fare", "ruling")),
+                422,
+                "$.key");
         says(fleet, () -> fleet.as("key-travellers", "gateway-1", "POST", "/v1/picks", pick), 200, "picked");
-        says(fleet, () -> fleet.as("key-travellers", "gateway-1", "POST", "/v1/tickets", "{\"permit\":\"forged.forged\",\"prompt\":\"x\"}"), 403, "no seal of ours");
-        says(fleet, () -> fleet.as("key-travellers", "gateway-1", "GET", "/v1/tickets/someone-elses", ""), 404, "no such ticket");
-        says(fleet, () -> fleet.as("key-travellers", "gateway-1", "POST", "/v1/tickets", "{\"prompt\":\"" + "x".repeat(5 << 20) + "\"}"), 413, "larger than");
-        says(fleet, () -> fleet.as("key-kiosks", "gateway-1", "POST", "/v1/picks", pick.replace("travellers", "kiosks-rhodes")), 200, "pointed");
+        says(
+                fleet,
+                () -> fleet.as(
+                        "key-travellers",
+                        "gateway-1",
+                        "POST",
+                        "/v1/tickets",
+                        "{\"permit\":\"forged.forged\",\"prompt\":\"x\"}"),
+                403,
+                "no seal of ours");
+        says(
+                fleet,
+                () -> fleet.as("key-travellers", "gateway-1", "GET", "/v1/tickets/someone-elses", ""),
+                404,
+                "no such ticket");
+        says(
+                fleet,
+                () -> fleet.as(
+                        "key-travellers",
+                        "gateway-1",
+                        "POST",
+                        "/v1/tickets",
+                        "{\"prompt\":\"" + "x".repeat(5 << 20) + "\"}"),
+                413,
+                "larger than");
+        says(
+                fleet,
+                () -> fleet.as(
+                        "key-kiosks", "gateway-1", "POST", "/v1/picks", pick.replace("travellers", "kiosks-rhodes")),
+                200,
+                "pointed");
         says(fleet, () -> fleet.as("wrong", "gateway-1", "POST", "/v1/announcements", "{}"), 401, "workers' key");
         says(fleet, () -> fleet.as("wrong", "gateway-1", "GET", "/status", ""), 401, "operator's key");
         says(fleet, () -> fleet.as("wrong", "controller-1", "GET", "/v1/table", ""), 401, "operator's key");
-        says(fleet, () -> fleet.ask("controller-1", "PATCH", "/v1/table", "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"field\":\"rate\",\"value\":\"fast\"},"
-                + "{\"tenant\":\"nobody\",\"kind\":\"fare\",\"field\":\"load\",\"value\":1}]}"), 422, "$.cells[0]: rate takes a number, not fast");
-        says(fleet, () -> fleet.ask("controller-1", "PUT", "/v1/table", "{\"rows\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"rate\":-1,\"colour\":2}]}"), 422, "$.rows[0].colour: unknown key");
+        says(
+                fleet,
+                () -> fleet.ask(
+                        "controller-1",
+                        "PATCH",
+                        "/v1/table",
+                        "{\"cells\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"field\":\"rate\",\"value\":\"fast\"},"
+                                + "{\"tenant\":\"nobody\",\"kind\":\"fare\",\"field\":\"load\",\"value\":1}]}"),
+                422,
+                "$.cells[0]: rate takes a number, not fast");
+        says(
+                fleet,
+                () -> fleet.ask(
+                        "controller-1",
+                        "PUT",
+                        "/v1/table",
+                        "{\"rows\":[{\"tenant\":\"*\",\"kind\":\"fare\",\"rate\":-1,\"colour\":2}]}"),
+                422,
+                "$.rows[0].colour: unknown key");
         says(fleet, () -> fleet.ask("controller-1", "PUT", "/v1/zones/syros", "{}"), 422, "$.empty: missing");
         says(fleet, () -> fleet.ask("controller-1", "GET", "/v1/changes/none-such", ""), 404, "absent");
     }
@@ -244,9 +415,14 @@
         assertThat(run(fleet, out, start, "claims", "odd"), is(2));
         assertThat(run(fleet, out, start, "--match", "1", "table", "set", "*", "fare", "cross", "0.5"), is(1));
         assertThat(Files.readString(out), containsString("409"));
-        final String ticket = Files.readAllLines(folder.resolve("receipts")).stream().filter(r -> r.contains("\"done\"") && r.contains("\"gateway-1-"))
-                .map(r -> r.replaceAll(".*\"ticket\":\"([^\"]*)\".*", "$1")).findFirst().orElseThrow();
-        assertThat(run(fleet, out, List.of("--door", fleet.door("gateway-1"), "--key", Fleet.OPERATOR), "explain", ticket), is(0));
+        final String ticket = Files.readAllLines(folder.resolve("receipts")).stream()
+                .filter(r -> r.contains("\"done\"") && r.contains("\"gateway-1-"))
+                .map(r -> r.replaceAll(".*\"ticket\":\"([^\"]*)\".*", "$1"))
+                .findFirst()
+                .orElseThrow();
+        assertThat(
+                run(fleet, out, List.of("--door", fleet.door("gateway-1"), "--key", Fleet.OPERATOR), "explain", ticket),
+                is(0));
         assertThat(Files.readString(out), containsString("judge=prefix"));
         assertThat(Files.readString(out), containsString("state: done"));
         assertThat(run(fleet, out, start, "status"), is(0));
@@ -256,14 +432,25 @@
         assertThat(run(fleet, out, List.of("--help")), is(0));
         assertThat(run(fleet, out, start, "drain", "syros"), is(0));
         assertThat(run(fleet, out, start, "undrain", "syros"), is(0));
-        assertThat(fleet.run("silverlatch.server.gateway.Main", out, List.of("--name", "p", "--address", "nowhere", "--check")), is(2));
+        assertThat(
+                fleet.run(
+                        "silverlatch.server.gateway.Main",
+                        out,
+                        List.of("--name", "p", "--address", "nowhere", "--check")),
+                is(2));
         assertThat(Files.readString(out), containsString("address: an IP number and a port are needed"));
         assertThat(Files.readString(out), containsString("key: at least 16 characters"));
-        assertThat(fleet.run("silverlatch.server.controller.Main", out, List.of("--settings", "../examples/ferry/settings.json", "--check")), is(0));
+        assertThat(
+                fleet.run(
+                        "silverlatch.server.controller.Main",
+                        out,
+                        List.of("--settings", "../examples/ferry/settings.json", "--check")),
+                is(0));
         assertThat(fleet.run("silverlatch.server.controller.Main", out, List.of("--version")), is(0));
     }
 
-    private static int run(final Fleet fleet, final Path out, final List<String> start, final String... words) throws Exception {
+    private static int run(final Fleet fleet, final Path out, final List<String> start, final String... words)
+            throws Exception {
         final List<String> all = new java.util.ArrayList<>(start);
         all.addAll(List.of(words));
         return fleet.run("silverlatch.server.tool.Main", out, all);
--- a/simulation/src/test/java/silverlatch/simulation/fleet/RollTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/fleet/RollTest.java
@@ -36,14 +36,17 @@
     }
 
     /** Whether a controller keeps a change within a minute of asking. */
-    private static boolean takes(final Fleet fleet, final String controller, final String path, final String body) throws InterruptedException {
-        return fleet.until(() -> {
-            try {
-                return fleet.ask(controller, "PUT", path, body).statusCode() == 200;
-            } catch (final IOException | InterruptedException e) {
-                return false;
-            }
-        }, 60);
+    private static boolean takes(final Fleet fleet, final String controller, final String path, final String body)
+            throws InterruptedException {
+        return fleet.until(
+                () -> {
+                    try {
+                        return fleet.ask(controller, "PUT", path, body).statusCode() == 200;
+                    } catch (final IOException | InterruptedException e) {
+                        return false;
+                    }
+                },
+                60);
     }
 
     /** A stream as its consumer sees it: the lines that came, and its end. */
@@ -58,41 +61,65 @@
     private static Stream stream(final Fleet fleet, final String gateway, final int pieces) throws Exception {
         final List<Stream> tries = new ArrayList<>();
         final Plan.Tenant who = fleet.plan().tenants().getFirst();
-        assertThat(fleet.until(() -> {
-            try {
-                final HttpResponse<String> pick = fleet.as(who.key(), gateway, "POST", "/v1/picks",
-                        "{\"tenant\":\"" + who.name() + "\",\"kind\":\"" + fleet.plan().kinds().getFirst().kind() + "\"}");
-                if (!pick.body().contains("\"permit\"")) {
-                    return false;
-                }
-                final ConcurrentLinkedQueue<String> lines = new ConcurrentLinkedQueue<>();
-                tries.add(new Stream(lines, CompletableFuture.supplyAsync(() -> {
-                    try {
-                        fleet.lines(who.key(), gateway, "/v1/tickets", "{\"permit\":\"" + pick.body().replaceAll(".*\"permit\":\"([^\"]*)\".*", "$1")
-                                + "\",\"prompt\":\"" + pieces + " pieces of a long story\",\"expiryMs\":50000}", lines::add);
-                        return true;
-                    } catch (final IOException | InterruptedException | java.io.UncheckedIOException e) {
-                        return false;
-                    }
-                })));
-                return fleet.until(() -> lines.size() > 2, 5) && lines.peek().contains("\"number\":0");
-            } catch (final IOException | InterruptedException e) {
-                return false;
-            }
-        }, 60), is(true));
+        assertThat(
+                fleet.until(
+                        () -> {
+                            try {
+                                final HttpResponse<String> pick = fleet.as(
+                                        who.key(),
+                                        gateway,
+                                        "POST",
+                                        "/v1/picks",
+                                        "{\"tenant\":\"" + who.name() + "\",\"kind\":\""
+                                                + fleet.plan()
+                                                        .kinds()
+                                                        .getFirst()
+                                                        .kind() + "\"}");
+                                if (!pick.body().contains("\"permit\"")) {
+                                    return false;
+                                }
+                                final ConcurrentLinkedQueue<String> lines = new ConcurrentLinkedQueue<>();
+                                tries.add(new Stream(lines, CompletableFuture.supplyAsync(() -> {
+                                    try {
+                                        fleet.lines(
+                                                who.key(),
+                                                gateway,
+                                                "/v1/tickets",
+                                                "{\"permit\":\""
+                                                        + pick.body().replaceAll(".*\"permit\":\"([^\"]*)\".*", "$1")
+                                                        + "\",\"prompt\":\"" + pieces
+                                                        + " pieces of a long story\",\"expiryMs\":50000}",
+                                                lines::add);
+                                        return true;
+                                    } catch (final IOException
+                                            | InterruptedException
+                                            | java.io.UncheckedIOException e) {
+                                        return false;
+                                    }
+                                })));
+                                return fleet.until(() -> lines.size() > 2, 5)
+                                        && lines.peek().contains("\"number\":0");
+                            } catch (final IOException | InterruptedException e) {
+                                return false;
+                            }
+                        },
+                        60),
+                is(true));
         return tries.getLast();
     }
 
     private static void gapless(final String reply) {
         int next = 0;
-        for (final String line : reply.lines().filter(l -> l.contains("\"number\"")).toList()) {
+        for (final String line :
+                reply.lines().filter(l -> l.contains("\"number\"")).toList()) {
             assertThat(line, containsString("\"number\":" + next++));
         }
     }
 
     @Test
     void aFleetIsRolledSwappedAndLosesARegionWithEveryReceiptInOrder() throws Exception {
-        try (Fleet fleet = new Fleet(Plan.read(Path.of("../examples/telecom")), folder, System.getProperty("java.class.path"))) {
+        try (Fleet fleet =
+                new Fleet(Plan.read(Path.of("../examples/telecom")), folder, System.getProperty("java.class.path"))) {
             fleet.all("controller");
             fleet.all("gateway");
             fleet.all("worker");
@@ -100,17 +127,36 @@
             assertThat(fleet.load(), everyItem(is(200)));
             assertThat("gateways", fleet.ready("gateway", 90), is(true));
             final Path receipts = folder.resolve("receipts");
-            final Process load = fleet.begin("silverlatch.simulation.consumer.Main", folder.resolve("consumer.out"), List.of("--doors", fleet.doors("gateway"),
-                    "--seconds", "45", "--rate", "15", "--tenants", fleet.plan().people(), "--kinds", fleet.plan().sorts(),
-                    "--receipts", receipts.toString(), "--seed", "9"));
+            final Process load = fleet.begin(
+                    "silverlatch.simulation.consumer.Main",
+                    folder.resolve("consumer.out"),
+                    List.of(
+                            "--doors",
+                            fleet.doors("gateway"),
+                            "--seconds",
+                            "45",
+                            "--rate",
+                            "15",
+                            "--tenants",
+                            fleet.plan().people(),
+                            "--kinds",
+                            fleet.plan().sorts(),
+                            "--receipts",
+                            receipts.toString(),
+                            "--seed",
+                            "9"));
             rolls(fleet);
             freezes(fleet);
             swaps(fleet);
             region(fleet);
             load.waitFor();
             assertThat(Files.readString(folder.resolve("consumer.out")), containsString("open 0"));
-            final Main.Found found = Main.check(receipts, Main.homes(fleet.plan().homes()),
-                    fleet.names("worker").stream().map(w -> fleet.folder().resolve(w + ".runs")).toList());
+            final Main.Found found = Main.check(
+                    receipts,
+                    Main.homes(fleet.plan().homes()),
+                    fleet.names("worker").stream()
+                            .map(w -> fleet.folder().resolve(w + ".runs"))
+                            .toList());
             assertThat(found.wrong(), is(List.of()));
             assertThat("something ran", found.runs() > 50, is(true));
             fills(fleet);
@@ -130,15 +176,23 @@
             assertThat(name, fleet.ready(name, 90), is(true));
         }
         assertThat("gateway-1", fleet.ready("gateway-1", 90), is(true));
-        assertThat("three stand in the chain", fleet.until(() -> body(fleet, "controller-1", "/status").split("127.0.0.1").length > 3, 60), is(true));
+        assertThat(
+                "three stand in the chain",
+                fleet.until(() -> body(fleet, "controller-1", "/status").split("127.0.0.1").length > 3, 60),
+                is(true));
     }
 
     private static void freezes(final Fleet fleet) throws Exception {
         final Stream held = stream(fleet, "gateway-2", 100);
         fleet.freeze("gateway-2", true);
-        assertThat(fleet.until(() -> body(fleet, "gateway-3", "/ready").contains("ready") && fleet.isReady("gateway-3"), 30), is(true));
+        assertThat(
+                fleet.until(
+                        () -> body(fleet, "gateway-3", "/ready").contains("ready") && fleet.isReady("gateway-3"), 30),
+                is(true));
         fleet.freeze("gateway-2", false);
-        assertThat(held.whole(), anyOf(containsString("\"seal\""), containsString("\"lost\""), containsString("rejected")));
+        assertThat(
+                held.whole(),
+                anyOf(containsString("\"seal\""), containsString("\"lost\""), containsString("rejected")));
         gapless(held.whole());
     }
 
@@ -149,17 +203,25 @@
         assertThat("the empty machine at a new address stands in the chain", fleet.ready("controller-9", 90), is(true));
         fleet.controller("controller-8", fleet.plan().regions().get(2), false);
         fleet.start("controller-8");
-        assertThat("a controller without a data folder replies", fleet.until(() -> body(fleet, "controller-8", "/v1/table").contains("\"rows\""), 60), is(true));
+        assertThat(
+                "a controller without a data folder replies",
+                fleet.until(() -> body(fleet, "controller-8", "/v1/table").contains("\"rows\""), 60),
+                is(true));
         assertThat(takes(fleet, "controller-8", "/v1/zones/nowhere", "{\"empty\":true}"), is(true));
         assertThat(body(fleet, "controller-9", "/v1/zones"), containsString("nowhere"));
     }
 
     private static void region(final Fleet fleet) throws Exception {
-        final List<String> lost = fleet.places(fleet.plan().regions().get(2).region()).stream().filter(n -> !n.equals("controller-8")).toList();
+        final List<String> lost = fleet.places(fleet.plan().regions().get(2).region()).stream()
+                .filter(n -> !n.equals("controller-8"))
+                .toList();
         for (final String name : lost) {
             fleet.kill(name);
         }
-        assertThat("the others take changes", takes(fleet, "controller-1", "/v1/zones/elsewhere", "{\"empty\":true}"), is(true));
+        assertThat(
+                "the others take changes",
+                takes(fleet, "controller-1", "/v1/zones/elsewhere", "{\"empty\":true}"),
+                is(true));
         for (final String name : lost) {
             fleet.start(name);
         }
@@ -177,8 +239,12 @@
             rows.append(",{\"tenant\":\"*\",\"kind\":\"kind-").append(i).append("\"}");
         }
         assertThat(takes(fleet, "controller-1", "/v1/table", rows + "]}"), is(true));
-        assertThat("the full machine leaves the chain", fleet.until(() -> body(fleet, "controller-3", "/ready").contains("broken"), 60), is(true));
-        assertThat("the fleet goes on", takes(fleet, "controller-1", "/v1/zones/nowhere", "{\"empty\":false}"), is(true));
+        assertThat(
+                "the full machine leaves the chain",
+                fleet.until(() -> body(fleet, "controller-3", "/ready").contains("broken"), 60),
+                is(true));
+        assertThat(
+                "the fleet goes on", takes(fleet, "controller-1", "/v1/zones/nowhere", "{\"empty\":false}"), is(true));
         assertThat(Files.readString(fleet.folder().resolve("controller-3.log")), containsString("SL405 DISK_BROKEN"));
     }
 }
--- a/simulation/src/test/java/silverlatch/simulation/hollow/HollowTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/hollow/HollowTest.java
@@ -8,8 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import silverlatch.state.TableRules;
 import silverlatch.state.Command;
+import silverlatch.state.TableRules;
 
 final class HollowTest {
     @Test
@@ -25,12 +25,19 @@
     void aFleetSettlesAndItsChangesReachAllWithinASecond() {
         final Hollow fleet = new Hollow(30, 40, 3);
         fleet.pass(8 * Hollow.SECOND);
-        assertThat(fleet.rule(new Command.PutTable("table", List.of(TableRules.plain("*", "chat")), -1), 5 * Hollow.SECOND), greaterThanOrEqualTo(0L));
+        assertThat(
+                fleet.rule(
+                        new Command.PutTable("table", List.of(TableRules.plain("*", "chat")), -1), 5 * Hollow.SECOND),
+                greaterThanOrEqualTo(0L));
         fleet.pass(12 * Hollow.SECOND);
         assertThat(fleet.settled(), is(true));
         for (int i = 0; i < 5; i++) {
             assertThat(fleet.change(Hollow.SECOND), greaterThanOrEqualTo(0L));
-            assertThat(fleet.rule(new Command.PatchTable("rule-" + i, List.of(new Command.Cell("*", "chat", "rate", "" + (500 + i))), -1), Hollow.SECOND),
+            assertThat(
+                    fleet.rule(
+                            new Command.PatchTable(
+                                    "rule-" + i, List.of(new Command.Cell("*", "chat", "rate", "" + (500 + i))), -1),
+                            Hollow.SECOND),
                     greaterThanOrEqualTo(0L));
         }
         assertThat(fleet.unsure(), is(0L));
--- a/simulation/src/test/java/silverlatch/simulation/sim/BriefTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/BriefTest.java
@@ -77,6 +77,10 @@
             }
         }
         assertThat(found, is(empty()));
-        assertThat(Files.readString(ROOT.resolve("core/src/main/java/silverlatch/guard/Guards.java")).split("new Guards\\(").length, is(2));
+        assertThat(
+                Files.readString(ROOT.resolve("core/src/main/java/silverlatch/guard/Guards.java"))
+                        .split("new Guards\\(")
+                        .length,
+                is(2));
     }
 }
--- a/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
@@ -22,9 +22,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import silverlatch.simulation.fleet.Plan;
 import silverlatch.safeguard.Safeguard;
 import silverlatch.safeguard.Safeguards;
+import silverlatch.simulation.fleet.Plan;
 
 /** Days of failure on the fake clock, for both deployments; a failing day names its seed. */
 final class DayTest {
@@ -35,11 +35,15 @@
     }
 
     private static List<String> wrong(final List<Day.Came> days) {
-        return days.stream().flatMap(c -> c.wrong().stream().map(w -> "seed " + c.script().seed() + " " + c.story() + ": " + w)).toList();
+        return days.stream()
+                .flatMap(c -> c.wrong().stream().map(w -> "seed " + c.script().seed() + " " + c.story() + ": " + w))
+                .toList();
     }
 
     private static List<Day.Came> all(final Plan plan, final List<Day.Script> scripts, final Safeguards guards) {
-        return scripts.parallelStream().map(s -> Day.run(plan, s, guards, false)).toList();
+        return scripts.parallelStream()
+                .map(s -> Day.run(plan, s, guards, false))
+                .toList();
     }
 
     private static Set<Mark> tried(final List<Day.Came> days) {
@@ -53,7 +57,12 @@
     @ParameterizedTest
     @ValueSource(strings = {"ferry", "telecom"})
     void eachFaultOfTheBriefIsBorneAndEveryCheckIsPutToTheTest(final String name) throws IOException {
-        final List<Day.Came> days = all(plan(name), Arrays.stream(Fault.values()).map(f -> Day.Script.of(11, List.of(f), RATE)).toList(), Safeguards.ALL);
+        final List<Day.Came> days = all(
+                plan(name),
+                Arrays.stream(Fault.values())
+                        .map(f -> Day.Script.of(11, List.of(f), RATE))
+                        .toList(),
+                Safeguards.ALL);
         assertThat(wrong(days), is(List.of()));
         assertThat("put to no test", tried(days), is(empty()));
     }
@@ -61,7 +70,14 @@
     @ParameterizedTest
     @ValueSource(strings = {"ferry", "telecom"})
     void daysOfSeveralFaultsAreBorne(final String name) throws IOException {
-        assertThat(wrong(all(plan(name), LongStream.range(100, 116).mapToObj(s -> Day.Script.drawn(s, RATE)).toList(), Safeguards.ALL)), is(List.of()));
+        assertThat(
+                wrong(all(
+                        plan(name),
+                        LongStream.range(100, 116)
+                                .mapToObj(s -> Day.Script.drawn(s, RATE))
+                                .toList(),
+                        Safeguards.ALL)),
+                is(List.of()));
     }
 
     @Test
@@ -70,11 +86,18 @@
         final List<Plan.Tenant> many = new ArrayList<>();
         for (int i = 0; i < 500; i++) {
             final int from = i;
-            many.add(new Plan.Tenant("tenant-" + i, "key-" + i, 1 + i % 7, few.regions().stream().map(Plan.Region::region)
-                    .filter(r -> from % 3 > 0 && (r.hashCode() + from) % 2 == 0).toList()));
+            many.add(new Plan.Tenant(
+                    "tenant-" + i,
+                    "key-" + i,
+                    1 + i % 7,
+                    few.regions().stream()
+                            .map(Plan.Region::region)
+                            .filter(r -> from % 3 > 0 && (r.hashCode() + from) % 2 == 0)
+                            .toList()));
         }
         final Plan plan = new Plan("many", few.regions(), few.kinds(), many, few.table());
-        final List<Day.Came> days = all(plan, List.of(Day.Script.of(1, List.of(Fault.TENANTS_MOVE, Fault.REGION_LOST), RATE)), Safeguards.ALL);
+        final List<Day.Came> days = all(
+                plan, List.of(Day.Script.of(1, List.of(Fault.TENANTS_MOVE, Fault.REGION_LOST), RATE)), Safeguards.ALL);
         assertThat(wrong(days), is(List.of()));
     }
 
@@ -87,8 +110,7 @@
     }
 
     /** A check, the guards let down, the fault under which the check must trip, tickets a second, seeds. */
-    private record Trip(Mark mark, Set<Safeguard> down, Fault fault, long rate, long seeds) {
-    }
+    private record Trip(Mark mark, Set<Safeguard> down, Fault fault, long rate, long seeds) {}
 
     private static Stream<Trip> trips() {
         return Stream.of(
@@ -100,7 +122,12 @@
                 new Trip(Mark.FOREIGN, Set.of(Safeguard.LINE), Fault.WORKER_BREAKS, 60, 8),
                 new Trip(Mark.CUT, Set.of(Safeguard.SEAL), Fault.WORKER_BREAKS, 60, 8),
                 new Trip(Mark.PIECE, Set.of(Safeguard.PIECE), Fault.WORKER_BREAKS, 60, 8),
-                new Trip(Mark.JOIN, Set.of(Safeguard.BEGUN, Safeguard.LINE, Safeguard.PIECE), Fault.WORKER_BREAKS, 60, 8),
+                new Trip(
+                        Mark.JOIN,
+                        Set.of(Safeguard.BEGUN, Safeguard.LINE, Safeguard.PIECE),
+                        Fault.WORKER_BREAKS,
+                        60,
+                        8),
                 new Trip(Mark.SERVED, Set.of(Safeguard.SERVED), Fault.CONSUMERS_MOVE, 60, 2),
                 new Trip(Mark.SENT, Set.of(Safeguard.SENT), Fault.CONSUMERS_MOVE, 60, 2),
                 new Trip(Mark.KEPT, Set.of(Safeguard.KEPT), Fault.TENANTS_MOVE, 60, 4),
@@ -121,23 +148,37 @@
     @ParameterizedTest
     @MethodSource("trips")
     void theObserverNoticesWhenAGuardIsDown(final Trip t) throws IOException {
-        final List<Day.Script> days = LongStream.range(1, 1 + t.seeds()).mapToObj(s -> Day.Script.of(s, List.of(t.fault()), t.rate())).toList();
-        final List<String> found = all(plan("ferry"), days, new Safeguards(t.down())).stream().flatMap(d -> d.wrong().stream()).toList();
+        final List<Day.Script> days = LongStream.range(1, 1 + t.seeds())
+                .mapToObj(s -> Day.Script.of(s, List.of(t.fault()), t.rate()))
+                .toList();
+        final List<String> found = all(plan("ferry"), days, new Safeguards(t.down())).stream()
+                .flatMap(d -> d.wrong().stream())
+                .toList();
         assertThat(found, hasItem(startsWith(t.mark() + " ")));
     }
 
     @Test
     void aDiskThatLiesAboutItsSyncIsNoticed() throws IOException {
-        final List<Day.Script> days = LongStream.range(1, 5).mapToObj(s -> new Day.Script(s, List.of(Fault.ALL_KILLED), 60, true)).toList();
-        final List<String> found = all(plan("ferry"), days, Safeguards.ALL).stream().flatMap(d -> d.wrong().stream()).toList();
+        final List<Day.Script> days = LongStream.range(1, 5)
+                .mapToObj(s -> new Day.Script(s, List.of(Fault.ALL_KILLED), 60, true))
+                .toList();
+        final List<String> found = all(plan("ferry"), days, Safeguards.ALL).stream()
+                .flatMap(d -> d.wrong().stream())
+                .toList();
         assertThat(found, hasItem(startsWith("READ ")));
     }
 
     @Test
     void aDayThatPutsNothingToTheTestIsNoticed() throws IOException {
         final Plan ferry = plan("ferry");
-        final Plan idle = new Plan("idle", ferry.regions().stream().map(r -> new Plan.Region(r.region(), r.zone(), r.gateways(), 0)).toList(),
-                ferry.kinds(), ferry.tenants(), ferry.table());
+        final Plan idle = new Plan(
+                "idle",
+                ferry.regions().stream()
+                        .map(r -> new Plan.Region(r.region(), r.zone(), r.gateways(), 0))
+                        .toList(),
+                ferry.kinds(),
+                ferry.tenants(),
+                ferry.table());
         final List<Day.Came> days = all(idle, List.of(Day.Script.of(1, List.of(), RATE)), Safeguards.ALL);
         assertThat(days.getFirst().wrong(), hasItem(startsWith("IDLE ")));
         assertThat(tried(days), is(not(empty())));
@@ -157,22 +198,35 @@
     void aWrongDayIsCutDownToTheFaultsThatShowIt() throws IOException {
         final Plan plan = plan("ferry");
         final Safeguards guards = new Safeguards(Set.of(Safeguard.ZONE));
-        final Day.Came came = Day.run(plan, Day.Script.of(3, List.of(Fault.DISK_LIMPS, Fault.ZONE_DRAINED), RATE), guards, false);
+        final Day.Came came =
+                Day.run(plan, Day.Script.of(3, List.of(Fault.DISK_LIMPS, Fault.ZONE_DRAINED), RATE), guards, false);
         assertThat(Main.fewest(plan, came, guards).faults(), is(List.of(Fault.ZONE_DRAINED)));
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"../examples/nowhere 1 1", "../examples/ferry one 1", "../examples/ferry 1 0", "../examples/ferry 1 1 FIRE,ZONE_DRAINED",
-            "../examples/ferry 1 1 drawn --down ROPE", "../examples/ferry 1 1 drawn --rate 0", "../examples/ferry 1", "../examples/ferry 1 1 drawn --fast"})
+    @ValueSource(
+            strings = {
+                "../examples/nowhere 1 1",
+                "../examples/ferry one 1",
+                "../examples/ferry 1 0",
+                "../examples/ferry 1 1 FIRE,ZONE_DRAINED",
+                "../examples/ferry 1 1 drawn --down ROPE",
+                "../examples/ferry 1 1 drawn --rate 0",
+                "../examples/ferry 1",
+                "../examples/ferry 1 1 drawn --fast"
+            })
     void wrongWordsOnTheDrillsCommandLineEndWithTwo(final String words) throws Exception {
         assertThat(Main.wrong(words.split(" ")), is(2));
     }
 
     @Test
     void aPlanWithFaultsIsToldWithThePlaceOfEach(@org.junit.jupiter.api.io.TempDir final Path folder) throws Exception {
-        java.nio.file.Files.writeString(folder.resolve("plan.json"), "{\"regions\":[{\"region\":7,\"zone\":\"z\",\"gateways\":-1,\"workers\":1}],"
-                + "\"kinds\":[],\"tenants\":[],\"odd\":1}");
-        final IOException told = org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> Plan.read(folder));
+        java.nio.file.Files.writeString(
+                folder.resolve("plan.json"),
+                "{\"regions\":[{\"region\":7,\"zone\":\"z\",\"gateways\":-1,\"workers\":1}],"
+                        + "\"kinds\":[],\"tenants\":[],\"odd\":1}");
+        final IOException told =
+                org.junit.jupiter.api.Assertions.assertThrows(IOException.class, () -> Plan.read(folder));
         for (final String place : List.of("$.regions[0].region", "$.regions[0].gateways", "$.odd")) {
             assertThat(told.getMessage(), org.hamcrest.Matchers.containsString(place));
         }
