--- a/core/src/main/java/silverlatch/clock/PhysicalClock.java
+++ b/core/src/main/java/silverlatch/clock/PhysicalClock.java
@@ -1,5 +1,7 @@
 package silverlatch.clock;
 
+import silverlatch.util.Numbers;
+
 /**
  * The physical clock under the stamps: the wall clock read once and carried on by the monotonic clock.
  * A wall clock that wanders is followed slowly; one that jumps is not followed.
@@ -22,7 +24,7 @@
             return new PhysicalClock(mine, now, jumps + 1);
         }
         final long most = (now - mono) / 2;
-        return new PhysicalClock(mine + Math.clamp(gap, -most, most), now, jumps);
+        return new PhysicalClock(mine + Numbers.clamp(gap, -most, most), now, jumps);
     }
 
     /** The anchor moved by an offset in microseconds, as a rejoin does that takes the median of its seeds. */
--- a/core/src/main/java/silverlatch/dispatch/buffer/Slab.java
+++ b/core/src/main/java/silverlatch/dispatch/buffer/Slab.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import silverlatch.util.Lists;
 
 /** A bounded slab: things are kept at a place, and found by a number that also tells a reused place apart. */
 public final class Slab<T> {
@@ -33,7 +34,7 @@
             places.add(Optional.of(thing));
             turns.add(1L);
         } else {
-            place = free.removeLast();
+            place = Lists.removeLast(free);
             places.set(place, Optional.of(thing));
             turns.set(place, turns.get(place) + 1);
         }
--- a/core/src/main/java/silverlatch/json/JsonDocument.java
+++ b/core/src/main/java/silverlatch/json/JsonDocument.java
@@ -214,19 +214,23 @@
                 });
     }
 
+    private static Optional<String> text(final Object value) {
+        if (value instanceof String s) {
+            return s.length() <= 64 ? Optional.of(s) : Optional.empty();
+        }
+        if (value instanceof Double d && d == Math.rint(d) && Math.abs(d) < 1e15) {
+            return Optional.of("" + d.longValue());
+        }
+        return value instanceof Boolean || value instanceof Number ? Optional.of("" + value) : Optional.empty();
+    }
+
     /** A cell's value as text, whether it is a text, a number or a flag. */
     public String cell(final String key) {
         return value(key)
-                .map(v -> switch (v) {
-                    case String s when s.length() <= 64 -> s;
-                    case Boolean b -> "" + b;
-                    case Double d when d == Math.rint(d) && Math.abs(d) < 1e15 -> "" + d.longValue();
-                    case Number n -> "" + n;
-                    default -> {
-                        faults.add(path + "." + key + ": a text, a number or a flag is needed");
-                        yield "";
-                    }
-                })
+                .map(v -> text(v).orElseGet(() -> {
+                    faults.add(path + "." + key + ": a text, a number or a flag is needed");
+                    return "";
+                }))
                 .orElseGet(() -> missing(key, ""));
     }
 
--- a/core/src/main/java/silverlatch/log/WriteAheadLog.java
+++ b/core/src/main/java/silverlatch/log/WriteAheadLog.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 import java.util.zip.CRC32C;
+import silverlatch.util.Lists;
 import silverlatch.wire.Codec;
 
 /**
@@ -125,13 +126,13 @@
         final List<Long> pictures = numbers(folder, "picture");
         final List<Long> segments = new ArrayList<>(numbers(folder, "segment"));
         final List<LogRecord> notes = new ArrayList<>();
-        final long first = pictures.isEmpty() ? 0 : pictures.getLast();
+        final long first = pictures.isEmpty() ? 0 : Lists.last(pictures);
         if (!pictures.isEmpty()) {
             final List<byte[]> frames = new ArrayList<>();
             final byte[] all = Files.readAllBytes(folder.resolve(name("picture", first)));
             if (scan(all, frames) != all.length
                     || frames.size() != 1
-                    || !(codec.read(frames.getFirst(), LogRecord.class) instanceof Codec.Read.Good<LogRecord> good)) {
+                    || !(codec.read(frames.get(0), LogRecord.class) instanceof Codec.Read.Good<LogRecord> good)) {
                 return new Opened.Damaged("picture " + first + " is damaged");
             }
             notes.add(good.thing());
@@ -142,7 +143,7 @@
                 return new Opened.Damaged("segment " + (segments.get(i) - 1) + " is missing");
             }
         }
-        if (first > 0 && (segments.isEmpty() || segments.getFirst() != first)) {
+        if (first > 0 && (segments.isEmpty() || segments.get(0) != first)) {
             return new Opened.Damaged("segment " + first + " is missing");
         }
         long torn = 0;
@@ -168,7 +169,7 @@
                 }
             }
         }
-        final long last = segments.isEmpty() ? 1 : segments.getLast();
+        final long last = segments.isEmpty() ? 1 : Lists.last(segments);
         final FileChannel ch = FileChannel.open(
                 folder.resolve(name("segment", last)), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         ch.position(ch.size());
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -437,24 +437,29 @@
         gather();
         while (!inner.isEmpty() && loops++ < LOOPS) {
             final Effect e = inner.poll();
-            switch (e) {
-                case Effect.Send s
-                when s.to().equals(setup.me().address()) -> hand(s.body(), s.to(), now, anchor.phys(now));
-                case Effect.Send s -> {
-                    final Ship ship = new Ship(
-                            s.to(),
-                            new Frame(
-                                    new Stamp(1), 0, setup.me().id(), setup.me().address(), 0, s.body()));
-                    if (!going.isEmpty() || !stamp(ship, now)) {
-                        going.add(new Parked<>(ship, now));
-                    }
-                }
-                default -> out.add(e);
+            if (e instanceof Effect.Send send) {
+                dispatch(send, now);
+            } else {
+                out.add(e);
             }
             gather();
         }
     }
 
+    /** Hands a message to this daemon itself, or stamps it for another; it waits its turn while the clock overflows. */
+    private void dispatch(final Effect.Send send, final long now) {
+        if (send.to().equals(setup.me().address())) {
+            hand(send.body(), send.to(), now, anchor.phys(now));
+            return;
+        }
+        final Frame unstamped =
+                new Frame(new Stamp(1), 0, setup.me().id(), setup.me().address(), 0, send.body());
+        final Ship ship = new Ship(send.to(), unstamped);
+        if (!going.isEmpty() || !stamp(ship, now)) {
+            going.add(new Parked<>(ship, now));
+        }
+    }
+
     private void gather() {
         inner.addAll(crew.drain());
         quay.ifPresent(q -> inner.addAll(q.drain()));
--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -406,12 +406,12 @@
                         .equals(Set.copyOf(setup.seats()))
                 && sought.values().stream()
                         .allMatch(s -> Set.copyOf(s.seek().heard()).equals(same));
-        if (whole && all.getFirst().id().equals(setup.me().id())) {
+        if (whole && all.get(0).id().equals(setup.me().id())) {
             final List<Replica> order = all.stream()
                     .sorted(java.util.Comparator.comparingInt(b -> setup.seats().indexOf(b.address())))
                     .toList();
             final long fleet = Math.max(1, order.hashCode() * 0x9E3779B97F4A7C15L & Long.MAX_VALUE);
-            final View v = new View(1, fleet, order, order, order.getFirst().id());
+            final View v = new View(1, fleet, order, order, order.get(0).id());
             order.forEach(b -> send(b.address(), new Msg.Bootstrap(v)));
         }
     }
@@ -610,7 +610,7 @@
                 .ifPresent(b -> {
                     b.yes().add(m.voter());
                     final Bid best = m.nodded() > b.best() && !m.nod().isEmpty()
-                            ? b.better(m.nodded(), m.nod().getFirst())
+                            ? b.better(m.nodded(), m.nod().get(0))
                             : b;
                     bid = Optional.of(best);
                     if (view.majority(best.yes().size())) {
@@ -892,7 +892,7 @@
                 BATCH,
                 HEAVY);
         send(home, new Msg.CatchUpTarget(view.number(), last));
-        if (!list.isEmpty() && list.getFirst().sequence() == m.sequence() + 1) {
+        if (!list.isEmpty() && list.get(0).sequence() == m.sequence() + 1) {
             send(home, new Msg.Replicate(view.number(), list));
         }
     }
@@ -922,7 +922,7 @@
 
     private void decided(final Msg.WriteRequest w, final long sequence) {
         final Optional<Value.CommandOutcome> deed = books.get("o/" + w.wish().id())
-                .map(e -> (Value.CommandOutcome) e.leaf().getFirst());
+                .map(e -> (Value.CommandOutcome) e.leaf().get(0));
         final CommandResult verdict = deed.filter(d -> d.code() != 0)
                 .map(d -> (CommandResult) new CommandResult.Rejected(d.code(), d.faults(), d.sequence()))
                 .orElse(new CommandResult.Applied(sequence));
--- a/core/src/main/java/silverlatch/replication/View.java
+++ b/core/src/main/java/silverlatch/replication/View.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import silverlatch.util.Lists;
 
 /** The agreed view: its number (also the fencing number), the fleet, the voters, the chain's order, the duty holder. */
 public record View(long number, long fleet, List<Replica> voters, List<Replica> chain, String holder) {
@@ -53,6 +54,6 @@
 
     /** The tail, which answers. */
     public Optional<Replica> tail() {
-        return chain.isEmpty() ? Optional.empty() : Optional.of(chain.getLast());
+        return chain.isEmpty() ? Optional.empty() : Optional.of(Lists.last(chain));
     }
 }
--- a/core/src/main/java/silverlatch/replication/ViewPlanner.java
+++ b/core/src/main/java/silverlatch/replication/ViewPlanner.java
@@ -74,7 +74,7 @@
         }
         final String holder = chain.stream().anyMatch(b -> b.id().equals(view.holder()))
                 ? view.holder()
-                : chain.getFirst().id();
+                : chain.get(0).id();
         return Optional.of(new View(view.number() + 1, view.fleet(), view.voters(), chain, holder));
     }
 
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -360,7 +360,7 @@
                 return l.pool();
             }
         }
-        return rule.lots().isEmpty() ? "" : rule.lots().getFirst().pool();
+        return rule.lots().isEmpty() ? "" : rule.lots().get(0).pool();
     }
 
     private record Pick(WorkerState stand, LatencyPredictor.View view) {}
@@ -408,20 +408,20 @@
         if (all.isEmpty()) {
             return Optional.empty();
         }
-        final long best = all.getFirst().view().cost();
+        final long best = all.get(0).view().cost();
         final List<Pick> near = all.stream()
-                .filter(p -> p.stand().shunned(now) == all.getFirst().stand().shunned(now)
+                .filter(p -> p.stand().shunned(now) == all.get(0).stand().shunned(now)
                         && p.stand()
                                 .worker
                                 .region()
-                                .equals(all.getFirst().stand().worker.region())
+                                .equals(all.get(0).stand().worker.region())
                         && p.view().cost() <= best + NEAR * o.rule.aim())
                 .toList();
         final List<Pick> least = near.stream()
                 .sorted(Comparator.comparingInt(p -> p.stand().runs.size()))
                 .toList();
         return LatencyPredictor.worth(o.fare.parts())
-                ? Optional.of(all.getFirst())
+                ? Optional.of(all.get(0))
                 : Optional.of(least.get(luck.nextInt(Math.min(2, least.size()))));
     }
 
--- a/core/src/main/java/silverlatch/routing/TrafficStatistics.java
+++ b/core/src/main/java/silverlatch/routing/TrafficStatistics.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import silverlatch.state.Value;
+import silverlatch.util.Numbers;
 
 /**
  * What this gateway has seen come by lately, from which all gateways draw the same rules of thumb: which workers of a
@@ -74,7 +75,7 @@
                 .filter(e -> e.getValue().size() > 1 && both(e.getKey(), now))
                 .flatMap(e -> e.getValue().stream()
                         .sorted(Comparator.comparingLong((WorkerState s) -> LatencyPredictor.draw(11, s.worker.id())))
-                        .limit(Math.clamp(
+                        .limit(Numbers.clamp(
                                 Math.round(e.getValue().size() * WRITERS),
                                 1,
                                 e.getValue().size() - 1)))
--- a/core/src/main/java/silverlatch/routing/WorkerState.java
+++ b/core/src/main/java/silverlatch/routing/WorkerState.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import silverlatch.gossip.Gossip;
 import silverlatch.gossip.Worker;
+import silverlatch.util.Numbers;
 
 /** What this gateway knows of one worker by its own runs there and the worker's replies. One duty owns it. */
 final class WorkerState {
@@ -102,8 +103,8 @@
     void good(final Run run, final long now) {
         faults = 0;
         shunUntil = 0;
-        final double ratio = Math.clamp((double) (now - run.begun) / Math.max(1, run.guess), 0.2, 6);
-        pace = Math.clamp(pace + FRESH * (ratio - 1) * 0.5, 0.5, 4);
+        final double ratio = Numbers.clamp((double) (now - run.begun) / Math.max(1, run.guess), 0.2, 6);
+        pace = Numbers.clamp(pace + FRESH * (ratio - 1) * 0.5, 0.5, 4);
     }
 
     void bad(final long now) {
--- a/core/src/main/java/silverlatch/state/ConfigurationValidator.java
+++ b/core/src/main/java/silverlatch/state/ConfigurationValidator.java
@@ -88,7 +88,7 @@
                 .forEach(k -> puts.add(new Entry(k, seq, List.of())));
         next.entrySet().stream()
                 .filter(e -> !old.containsKey(e.getKey())
-                        || !old.get(e.getKey()).leaf().getFirst().equals(e.getValue()))
+                        || !old.get(e.getKey()).leaf().get(0).equals(e.getValue()))
                 .sorted(Map.Entry.comparingByKey())
                 .forEach(e -> puts.add(new Entry(e.getKey(), seq, List.of(e.getValue()))));
         puts.add(new Entry(CHARTER, seq, List.of(w.charter())));
--- a/core/src/main/java/silverlatch/state/StateMachine.java
+++ b/core/src/main/java/silverlatch/state/StateMachine.java
@@ -173,7 +173,7 @@
         final Map<String, Entry> seen = new HashMap<>(overlay);
         final Look look = new Look(seen);
         final Optional<Entry> done = look.at("o/" + wish.id());
-        if (done.isPresent() && done.get().leaf().getFirst() instanceof Value.CommandOutcome d) {
+        if (done.isPresent() && done.get().leaf().get(0) instanceof Value.CommandOutcome d) {
             return new Judged.Over(
                     d.code() == 0
                             ? new CommandResult.Applied(done.get().sequence())
@@ -251,9 +251,9 @@
             final Value.Row old = rows.computeIfAbsent(
                     key,
                     k -> look.at(k)
-                            .map(e -> (Value.Row) e.leaf().getFirst())
+                            .map(e -> (Value.Row) e.leaf().get(0))
                             .orElseGet(() -> look.at(row("*", c.kind()))
-                                    .map(e -> (Value.Row) e.leaf().getFirst())
+                                    .map(e -> (Value.Row) e.leaf().get(0))
                                     .map(r -> TableRules.renamed(r, c.tenant()))
                                     .orElse(TableRules.plain(c.tenant(), c.kind()))));
             switch (TableRules.set(old, c.field(), c.value())) {
@@ -336,7 +336,7 @@
 
     private Judged hold(final Command.Claim w, final Look look, final long seq) {
         final Optional<Value.Claim> old = look.at("c/" + w.key())
-                .map(e -> (Value.Claim) e.leaf().getFirst())
+                .map(e -> (Value.Claim) e.leaf().get(0))
                 .filter(c -> guards.stands(Safeguard.CLAIM));
         if (old.map(c -> c.ticket().equals(w.ticket()) && c.state().equals(RUNNING))
                 .orElse(false)) {
@@ -358,7 +358,7 @@
 
     private Judged end(final Command.CompleteClaim w, final Look look, final long seq) {
         final Optional<Value.Claim> old =
-                look.at("c/" + w.key()).map(e -> (Value.Claim) e.leaf().getFirst());
+                look.at("c/" + w.key()).map(e -> (Value.Claim) e.leaf().get(0));
         if (old.isEmpty() && w.state().equals(REJECTED)) {
             return claimed(w.key(), seq, new Value.Claim(w.ticket(), w.carrier(), w.state(), w.at(), look.turn()));
         }
@@ -402,11 +402,11 @@
 
     private Judged lay(final Command.PutConfiguration w, final Look look, final long seq) {
         final Optional<Entry> held = look.at(ConfigurationValidator.CHARTER);
-        final long now = held.map(e -> ((Value.RoutingConfiguration) e.leaf().getFirst()).number())
+        final long now = held.map(e -> ((Value.RoutingConfiguration) e.leaf().get(0)).number())
                 .orElse(0L);
         final boolean same = now == w.charter().number()
                 && look.at(ConfigurationValidator.PAPER)
-                        .map(e -> ((Value.ConfigurationDocument) e.leaf().getFirst())
+                        .map(e -> ((Value.ConfigurationDocument) e.leaf().get(0))
                                 .text()
                                 .equals(w.paper()))
                         .orElse(false);
@@ -431,7 +431,7 @@
 
     /** How often the glass was turned. */
     public long turn() {
-        return get(GLASS).map(e -> ((Value.Epoch) e.leaf().getFirst()).turn()).orElse(0L);
+        return get(GLASS).map(e -> ((Value.Epoch) e.leaf().get(0)).turn()).orElse(0L);
     }
 
     private Judged sweep(final Command.AdvanceEpoch w, final Look look, final long seq) {
@@ -445,7 +445,7 @@
         part("c/").values().stream()
                 .map(e -> look.at(e.key()))
                 .flatMap(Optional::stream)
-                .filter(e -> e.leaf().getFirst() instanceof Value.Claim c && c.turn() + TURNS < w.turn())
+                .filter(e -> e.leaf().get(0) instanceof Value.Claim c && c.turn() + TURNS < w.turn())
                 .limit(SWEPT)
                 .forEach(e -> puts.add(new Entry(e.key(), seq, List.of())));
         return new Judged.Let(puts);
@@ -507,9 +507,7 @@
         }
 
         long turn() {
-            return at(GLASS)
-                    .map(e -> ((Value.Epoch) e.leaf().getFirst()).turn())
-                    .orElse(0L);
+            return at(GLASS).map(e -> ((Value.Epoch) e.leaf().get(0)).turn()).orElse(0L);
         }
 
         Set<String> rows() {
--- a/core/src/test/java/silverlatch/dispatch/DispatcherTest.java
+++ b/core/src/test/java/silverlatch/dispatch/DispatcherTest.java
@@ -25,6 +25,7 @@
 import silverlatch.state.StateMachine;
 import silverlatch.state.TableRules;
 import silverlatch.state.Value;
+import silverlatch.util.Lists;
 
 /** One gateway with scripted consumers, workers and chain, on a fake clock. */
 final class DispatcherTest {
@@ -92,7 +93,7 @@
     private Act.Picked pick(final String tenant, final String kind, final String key) {
         carry.pick(new Order("key-" + tenant, tenant, kind, List.of(), 1, key, 0), ++token, now);
         gather();
-        return all(Act.Picked.class).getLast();
+        return Lists.last(all(Act.Picked.class));
     }
 
     private long hand(final String tenant, final String permit) {
@@ -109,7 +110,7 @@
     }
 
     private Act.Run run() {
-        return all(Act.Run.class).getLast();
+        return Lists.last(all(Act.Run.class));
     }
 
     private Line.Seal seal(final Act.Run r, final String... texts) {
@@ -155,7 +156,7 @@
             final long t = hand("one", pick("one", "ask", "").permit());
             carry.line(run().job(), wrong.apply(run()), now);
             gather();
-            assertThat(flowed(t).getLast() instanceof Line.Lost, is(true));
+            assertThat(Lists.last(flowed(t)) instanceof Line.Lost, is(true));
             assertThat(flowed(t).stream().anyMatch(l -> l instanceof Line.Seal), is(false));
         }
     }
@@ -227,24 +228,24 @@
         learn();
         hand("one", pick("one", "rule", "k").permit());
         assertThat(all(Act.Run.class).isEmpty(), is(true));
-        final long first = all(Act.Claim.class).getLast().job();
+        final long first = Lists.last(all(Act.Claim.class)).job();
         carry.verdict(first, new CommandResult.Applied(5), now);
         gather();
         assertThat(all(Act.Run.class).size(), is(1));
         final long t = hand("one", pick("one", "rule", "k").permit());
         carry.verdict(
-                all(Act.Claim.class).getLast().job(),
+                Lists.last(all(Act.Claim.class)).job(),
                 new CommandResult.AlreadyClaimed(new Value.Claim("x", "p1", "running", 0, 0)),
                 now);
         gather();
         assertThat(rejected(t).code(), is(409));
         assertThat(rejected(t).stands(), containsString("running"));
         final long u = hand("one", pick("one", "rule", "k2").permit());
-        carry.verdict(all(Act.Claim.class).getLast().job(), new CommandResult.Unknown("id"), now);
+        carry.verdict(Lists.last(all(Act.Claim.class)).job(), new CommandResult.Unknown("id"), now);
         gather();
         assertThat(rejected(u).code(), is(503));
         final long f = hand("one", pick("one", "rule", "k3").permit());
-        carry.verdict(all(Act.Claim.class).getLast().job(), new CommandResult.Rejected(507, List.of("full"), 5), now);
+        carry.verdict(Lists.last(all(Act.Claim.class)).job(), new CommandResult.Rejected(507, List.of("full"), 5), now);
         gather();
         assertThat(rejected(f).code(), is(507));
         assertThat(all(Act.Run.class).size(), is(1));
@@ -267,7 +268,7 @@
                 again++;
                 carry.failed(run().job(), true, "broke", now);
                 gather();
-                assertThat(flowed(t).getLast() instanceof Line.Lost, is(true));
+                assertThat(Lists.last(flowed(t)) instanceof Line.Lost, is(true));
             }
         }
         assertThat(again, greaterThan(2));
@@ -346,8 +347,8 @@
         now += 1_100_000;
         carry.tick(now);
         gather();
-        assertThat(all(Act.Cut.class).getLast().job(), is(run().job()));
-        assertThat(flowed(t).getLast() instanceof Line.Lost, is(true));
+        assertThat(Lists.last(all(Act.Cut.class)).job(), is(run().job()));
+        assertThat(Lists.last(flowed(t)) instanceof Line.Lost, is(true));
     }
 
     @Test
@@ -359,7 +360,7 @@
         now += 2_500_000;
         carry.attach(r.ticket(), "key-one", 0, ++token, now);
         gather();
-        assertThat("unconfirmed", all(Act.Rejected.class).getLast().code(), is(425));
+        assertThat("unconfirmed", Lists.last(all(Act.Rejected.class)).code(), is(425));
         learn();
         carry.attach(r.ticket(), "key-one", 0, ++token, now);
         gather();
@@ -367,9 +368,9 @@
         page++;
         tenant("one", List.of("elsewhere"), 1);
         learn();
-        assertThat("the run is dropped", all(Act.Cut.class).getLast().job(), is(r.job()));
+        assertThat("the run is dropped", Lists.last(all(Act.Cut.class)).job(), is(r.job()));
         carry.attach(r.ticket(), "key-one", 0, ++token, now);
         gather();
-        assertThat("no home any more", all(Act.Rejected.class).getLast().code(), is(404));
+        assertThat("no home any more", Lists.last(all(Act.Rejected.class)).code(), is(404));
     }
 }
--- a/core/src/test/java/silverlatch/log/WriteAheadLogTest.java
+++ b/core/src/test/java/silverlatch/log/WriteAheadLogTest.java
@@ -15,6 +15,7 @@
 import silverlatch.state.Entry;
 import silverlatch.state.StateMachine;
 import silverlatch.state.Value;
+import silverlatch.util.Lists;
 
 final class WriteAheadLogTest {
     @TempDir
@@ -100,7 +101,7 @@
             assertThat(again.torn(), is(cut - whole));
             again.ledger().write(List.of(new LogRecord.Promised(9, 0)));
             again.ledger().close();
-            assertThat(open(folder).notes().getLast(), is(new LogRecord.Promised(9, 0)));
+            assertThat(Lists.last(open(folder).notes()), is(new LogRecord.Promised(9, 0)));
         }
     }
 
--- a/core/src/test/java/silverlatch/replication/ChainReplicaTest.java
+++ b/core/src/test/java/silverlatch/replication/ChainReplicaTest.java
@@ -19,6 +19,7 @@
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
 import silverlatch.state.Value;
+import silverlatch.util.Lists;
 import silverlatch.wire.Msg;
 
 /** Three machines, a scripted operator, and a fake clock; messages go only where the script lets them. */
@@ -83,13 +84,17 @@
 
     private void effect(final String seat, final ChainReplica q, final Effect e) {
         switch (e) {
-            case Effect.Send s when s.to().equals("operator") -> told.add(s.body());
-            case Effect.Send s ->
+            case Effect.Send s -> {
+                if (s.to().equals("operator")) {
+                    told.add(s.body());
+                    return;
+                }
                 mail.add(() -> {
                     if (!down.contains(s.to()) && !down.contains(seat) && quays.containsKey(s.to())) {
                         quays.get(s.to()).on(s.body(), seat, now);
                     }
                 });
+            }
             case Effect.Keep k -> {
                 if (stuck.contains(seat)) {
                     unsynced.get(seat).add(k);
@@ -126,14 +131,14 @@
     }
 
     private Msg last() {
-        return told.getLast();
+        return Lists.last(told);
     }
 
     private Set<String> kinds(final String at) {
         final Set<String> set = new TreeSet<>();
         quays.get(at).books().part("r/").values().stream()
                 .filter(e -> !e.gone())
-                .forEach(e -> set.add(((Value.Row) e.leaf().getFirst()).kind()));
+                .forEach(e -> set.add(((Value.Row) e.leaf().get(0)).kind()));
         return set;
     }
 
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -211,7 +211,7 @@
         return quays.get(seat)
                 .books()
                 .get(ConfigurationValidator.CHARTER)
-                .map(e -> ((Value.RoutingConfiguration) e.leaf().getFirst()).number())
+                .map(e -> ((Value.RoutingConfiguration) e.leaf().get(0)).number())
                 .orElse(0L);
     }
 
@@ -231,7 +231,7 @@
     }
 
     private static boolean at(final silverlatch.state.Entry e, final long number) {
-        return ((Value.RoutingConfiguration) e.leaf().getFirst()).number() >= number;
+        return ((Value.RoutingConfiguration) e.leaf().get(0)).number() >= number;
     }
 
     private void at(final long when, final Runnable job) {
@@ -261,9 +261,10 @@
 
     private void effect(final String seat, final ChainReplica q, final Effect e) {
         switch (e) {
-            case Effect.Send s when s.to().equals(seat) -> hand(seat, q, s.body(), seat);
             case Effect.Send s -> {
-                if (!cuts.contains(Set.of(seat, s.to()))) {
+                if (s.to().equals(seat)) {
+                    hand(seat, q, s.body(), seat);
+                } else if (!cuts.contains(Set.of(seat, s.to()))) {
                     at(now + hop, () -> {
                         if (quays.containsKey(s.to())) {
                             hand(s.to(), quays.get(s.to()), s.body(), seat);
--- a/core/src/test/java/silverlatch/replication/StormTest.java
+++ b/core/src/test/java/silverlatch/replication/StormTest.java
@@ -128,7 +128,7 @@
                             .entries().stream()
                                     .filter(e -> !e.gone())
                                     .mapToLong(e -> ((Value.ConfigurationDocument)
-                                                    e.leaf().getFirst())
+                                                    e.leaf().get(0))
                                             .number())
                                     .max()
                                     .orElse(0);
--- a/core/src/test/java/silverlatch/replication/VotersTest.java
+++ b/core/src/test/java/silverlatch/replication/VotersTest.java
@@ -71,7 +71,7 @@
     }
 
     private static String paper(final Entry e) {
-        return ((Value.ConfigurationDocument) e.leaf().getFirst()).text();
+        return ((Value.ConfigurationDocument) e.leaf().get(0)).text();
     }
 
     @Test
--- a/core/src/test/java/silverlatch/state/ConfigurationValidatorTest.java
+++ b/core/src/test/java/silverlatch/state/ConfigurationValidatorTest.java
@@ -62,7 +62,7 @@
         final StateMachine.Judged.Let let = (StateMachine.Judged.Let) judge(w);
         assertThat("nothing but the deed is written", let.puts().size(), is(1));
         final Value.CommandOutcome deed =
-                (Value.CommandOutcome) let.puts().getFirst().leaf().getFirst();
+                (Value.CommandOutcome) let.puts().get(0).leaf().get(0);
         assertThat(deed.code(), is(422));
         return deed.faults();
     }
--- a/core/src/test/java/silverlatch/state/PolicyTest.java
+++ b/core/src/test/java/silverlatch/state/PolicyTest.java
@@ -38,7 +38,7 @@
                 if (e.gone()) {
                     model.remove(e.key());
                 } else {
-                    model.put(e.key(), e.leaf().getFirst());
+                    model.put(e.key(), e.leaf().get(0));
                 }
             });
             books.apply(i, puts);
--- a/core/src/test/java/silverlatch/state/StateMachineTest.java
+++ b/core/src/test/java/silverlatch/state/StateMachineTest.java
@@ -138,7 +138,7 @@
         assertThat(
                 ((StateMachine.Judged.Over) judge(new Command.SetEvacuation("drain", "z", true, -1))).verdict(),
                 is(new CommandResult.Applied(1)));
-        assertThat(((Value.Evacuation) books.get("z/z").orElseThrow().leaf().getFirst()).on(), is(false));
+        assertThat(((Value.Evacuation) books.get("z/z").orElseThrow().leaf().get(0)).on(), is(false));
     }
 
     @Test
--- a/server/src/main/java/silverlatch/server/controller/Door.java
+++ b/server/src/main/java/silverlatch/server/controller/Door.java
@@ -115,7 +115,7 @@
             final Optional<silverlatch.state.Entry> e =
                     p.entries().stream().filter(x -> x.key().equals("o/" + id)).findFirst();
             final Optional<Value.CommandOutcome> deed =
-                    e.map(x -> (Value.CommandOutcome) x.leaf().getFirst());
+                    e.map(x -> (Value.CommandOutcome) x.leaf().get(0));
             c.reply(
                     deed.isPresent() ? 200 : 404,
                     deed.isEmpty()
@@ -179,7 +179,7 @@
                 ConfigurationValidator.PAPER,
                 p -> p.entries().stream()
                         .filter(e -> !e.gone())
-                        .map(e -> (Value.ConfigurationDocument) e.leaf().getFirst())
+                        .map(e -> (Value.ConfigurationDocument) e.leaf().get(0))
                         .findFirst()
                         .ifPresentOrElse(
                                 x -> c.text("application/json", x.text(), Map.of("ETag", "\"" + x.number() + "\"")),
--- a/server/src/main/java/silverlatch/server/controller/LogWriter.java
+++ b/server/src/main/java/silverlatch/server/controller/LogWriter.java
@@ -8,6 +8,7 @@
 import silverlatch.log.LogRecord;
 import silverlatch.log.WriteAheadLog;
 import silverlatch.node.Effect;
+import silverlatch.util.Threads;
 
 /** The duty that writes the ledger: all that waits goes in one batch with one sync. */
 public final class LogWriter {
@@ -34,7 +35,7 @@
 
     /** Starts the duty. */
     public void start() {
-        Thread.ofPlatform().daemon(true).name("scribe").start(this::run);
+        Threads.startDaemon("scribe", this::run);
     }
 
     /** Takes a write. */
@@ -56,7 +57,7 @@
             try {
                 batch.clear();
                 batch.add(ring.take());
-                long sum = weight(batch.getFirst());
+                long sum = weight(batch.get(0));
                 while (batch.size() < MOST && !ring.isEmpty() && sum + weight(ring.peek()) <= HEAVY) {
                     sum += weight(ring.peek());
                     batch.add(ring.take());
--- a/server/src/main/java/silverlatch/server/controller/Rows.java
+++ b/server/src/main/java/silverlatch/server/controller/Rows.java
@@ -71,7 +71,7 @@
     }
 
     private static Map<String, Object> one(final Entry e) {
-        return switch (e.leaf().getFirst()) {
+        return switch (e.leaf().get(0)) {
             case Value.Row r -> write(r);
             case Value.Tenant t ->
                 Map.of("name", t.name(), "homes", t.homes(), "share", t.share(), "sequence", e.sequence());
--- a/server/src/main/java/silverlatch/server/controller/Schedules.java
+++ b/server/src/main/java/silverlatch/server/controller/Schedules.java
@@ -55,7 +55,7 @@
         final long now = nanos / 1_000_000_000L;
         final List<Command> list = new ArrayList<>();
         books.part("k/").values().stream().filter(e -> !e.gone()).forEach(e -> {
-            final Value.Schedule k = (Value.Schedule) e.leaf().getFirst();
+            final Value.Schedule k = (Value.Schedule) e.leaf().get(0);
             parse(k.cron())
                     .flatMap(c -> ExecutionTime.forCron(c).lastExecution(at(now + 1)))
                     .map(ZonedDateTime::toEpochSecond)
--- a/server/src/main/java/silverlatch/server/controller/WorkerRoster.java
+++ b/server/src/main/java/silverlatch/server/controller/WorkerRoster.java
@@ -11,6 +11,7 @@
 import silverlatch.log.WriteAheadLog;
 import silverlatch.node.Event;
 import silverlatch.server.eventloop.Logs;
+import silverlatch.util.Threads;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Msg;
 
@@ -49,7 +50,7 @@
 
     /** Starts to write what is handed over. */
     void start() {
-        Thread.ofPlatform().daemon(true).name("roster").start(this::run);
+        Threads.startDaemon("roster", this::run);
     }
 
     /** Takes the newest words; false when the last ones are still being written. */
--- a/server/src/main/java/silverlatch/server/eventloop/EventLoop.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoop.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
 import silverlatch.node.Event;
+import silverlatch.util.Threads;
 
 /** One thread with one duty: it takes continuations from a bounded ring, and beats at a steady period. */
 public final class EventLoop {
@@ -18,7 +19,7 @@
     public EventLoop(final String name, final int size, final long period, final Runnable beat) {
         this.ring = new MpscBlockingConsumerArrayQueue<>(size);
         this.period = period;
-        this.thread = Thread.ofPlatform().name(name).daemon(true).unstarted(() -> run(beat));
+        this.thread = Threads.daemon(name, () -> run(beat));
     }
 
     /** The monotonic clock in whole microseconds. */
--- a/server/src/main/java/silverlatch/server/replay/Pages.java
+++ b/server/src/main/java/silverlatch/server/replay/Pages.java
@@ -18,6 +18,7 @@
 import silverlatch.server.controller.Rows;
 import silverlatch.state.TableRules;
 import silverlatch.state.Value;
+import silverlatch.util.Numbers;
 
 /** The lines of a recorded day, both ways; no prompt is among them. */
 public final class Pages {
@@ -71,7 +72,7 @@
             map.put("age", Math.min(FAR, s.age()));
             map.put("since", s.since());
             map.put("mine", s.mine());
-            map.put("back", Math.clamp(s.back(), 0, FAR));
+            map.put("back", Numbers.clamp(s.back(), 0, FAR));
             map.put("shunned", s.shunned());
             map.put("peers", s.peers());
             sights.add(map);
@@ -106,7 +107,7 @@
         for (final Path file : files) {
             try {
                 final List<String> lines = Files.readAllLines(file, StandardCharsets.UTF_8);
-                if (lines.isEmpty() || !lines.getFirst().equals(HEAD)) {
+                if (lines.isEmpty() || !lines.get(0).equals(HEAD)) {
                     faults.add(file + ":1: not a recording of ours");
                     continue;
                 }
--- a/server/src/main/java/silverlatch/server/replay/Recorder.java
+++ b/server/src/main/java/silverlatch/server/replay/Recorder.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import silverlatch.node.Event;
 import silverlatch.server.eventloop.Logs;
+import silverlatch.util.Threads;
 
 /** The duty that records a gateway's day: a few files of bounded size, the oldest given up first. */
 public final class Recorder {
@@ -27,7 +28,7 @@
 
     /** Starts the duty. */
     public void start() {
-        Thread.ofPlatform().daemon(true).name("recorder").start(this::run);
+        Threads.startDaemon("recorder", this::run);
     }
 
     /** Takes a line; it is dropped and counted when the ring is full, for tickets go first. */
--- a/server/src/main/java/silverlatch/server/transport/PeerConnection.java
+++ b/server/src/main/java/silverlatch/server/transport/PeerConnection.java
@@ -53,7 +53,7 @@
 
     /** Starts to send. */
     void start() {
-        Thread.ofVirtual().name("lane").start(this::run);
+        TransportThreads.start("peer-connection", this::run);
     }
 
     /** Queues a frame, or drops it when the queue is full. */
--- a/server/src/main/java/silverlatch/server/transport/Transport.java
+++ b/server/src/main/java/silverlatch/server/transport/Transport.java
@@ -18,6 +18,7 @@
 import silverlatch.node.Ship;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.eventloop.Logs;
+import silverlatch.util.Threads;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
 
@@ -61,7 +62,7 @@
         server.setReuseAddress(true);
         server.bind(place(address), 256);
         this.server = Optional.of(server);
-        Thread.ofPlatform().daemon(true).name("dock").start(() -> listen(server));
+        Threads.startDaemon("dock", () -> listen(server));
     }
 
     /** Sends a frame on its way; what can't go is dropped and counted. */
@@ -112,7 +113,7 @@
             try {
                 final Socket s = server.accept();
                 if (places.tryAcquire()) {
-                    Thread.ofVirtual().start(() -> read(s));
+                    TransportThreads.start("peer-reader", () -> read(s));
                 } else {
                     s.close();
                 }
--- a/server/src/main/java/silverlatch/server/workerclient/Lines.java
+++ b/server/src/main/java/silverlatch/server/workerclient/Lines.java
@@ -91,7 +91,7 @@
         if (s.faults().isEmpty()) {
             sink.accept(line);
         } else {
-            wrong(s.faults().getFirst());
+            wrong(s.faults().get(0));
         }
     }
 
--- a/server/src/test/java/silverlatch/server/controller/ControllerTest.java
+++ b/server/src/test/java/silverlatch/server/controller/ControllerTest.java
@@ -174,7 +174,7 @@
         assertThat(
                 ControllerTest.<CommandResult>get(t -> h.lay(lay(9, 3), t)), instanceOf(CommandResult.Applied.class));
         final ChainClient.Page page = get(h::paper);
-        assertThat(page.entries().getFirst().leaf(), is(List.of(new Value.ConfigurationDocument(9, "paper 9"))));
+        assertThat(page.entries().get(0).leaf(), is(List.of(new Value.ConfigurationDocument(9, "paper 9"))));
         assertThat(
                 ControllerTest.<CommandResult>get(t -> h.zone("z", true, t)), instanceOf(CommandResult.Applied.class));
         assertThat(call("GET", "/v1/charter", "", "operator-key", "*").body(), is("paper 9"));
--- a/server/src/test/java/silverlatch/server/controller/SchedulesTest.java
+++ b/server/src/test/java/silverlatch/server/controller/SchedulesTest.java
@@ -32,10 +32,10 @@
         assertThat(first.size(), is(1));
         assertThat(one.due(books, at("2026-12-02T02:30:01Z"), 4), is(List.of()));
         assertThat(
-                two.due(books, at("2026-12-02T02:30:20Z"), 5).getFirst().id(),
-                is(first.getFirst().id()));
+                two.due(books, at("2026-12-02T02:30:20Z"), 5).get(0).id(),
+                is(first.get(0).id()));
         assertThat(two.due(books, at("2026-12-02T02:45:00Z"), 5), is(List.of()));
-        one.forget(first.getFirst().id());
+        one.forget(first.get(0).id());
         assertThat(one.due(books, at("2026-12-02T02:30:30Z"), 4).size(), is(1));
     }
 
@@ -43,8 +43,8 @@
     void anImpossibleCalendarIsRejectedWithThePlaceOfEachFault() {
         final Schedules all = new Schedules();
         assertThat(all.faults(night("30 2 * * *")), is(List.of()));
-        assertThat(all.faults(night("0 0 31 2 *")).getFirst(), containsString("never comes"));
-        assertThat(all.faults(night("61 2 * * *")).getFirst(), containsString("$.cron"));
+        assertThat(all.faults(night("0 0 31 2 *")).get(0), containsString("never comes"));
+        assertThat(all.faults(night("61 2 * * *")).get(0), containsString("$.cron"));
         final List<String> two = all.faults(new Value.Schedule(
                 "x", "nonsense", List.of(new Command.Cell("*", "fare", "colour", "1")), "syros", true));
         assertThat(two.size(), is(3));
--- a/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
+++ b/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
@@ -43,6 +43,7 @@
 import silverlatch.state.Entry;
 import silverlatch.state.Policy;
 import silverlatch.state.Value;
+import silverlatch.util.Threads;
 
 /** The gate between scripted consumers and scripted workers. */
 final class ProxyServerTest {
@@ -66,14 +67,14 @@
         Peer(final Function<String, String> script) throws IOException {
             this.script = script;
             this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-            Thread.ofVirtual().start(this::run);
+            Threads.startDaemon("scripted-peer", this::run);
         }
 
         private void run() {
             while (!server.isClosed()) {
                 try {
                     final Socket s = server.accept();
-                    Thread.ofVirtual().start(() -> talk(s));
+                    Threads.startDaemon("scripted-peer", () -> talk(s));
                 } catch (final IOException e) {
                     return;
                 }
@@ -271,7 +272,7 @@
         assertThat(reply, containsString("X-Own: 1"));
         assertThat(reply, containsString("piece 2"));
         assertThat(reply.endsWith("0\r\n\r\n"), is(true));
-        final String asked = w.asked.getFirst();
+        final String asked = w.asked.get(0);
         assertThat(asked, startsWith("POST /once/a%20b?q=1&r=%2F HTTP/1.1\r\n"));
         assertThat(header(asked, "Host"), is("a"));
         assertThat(header(asked, "X-Other"), is("kept"));
@@ -333,7 +334,7 @@
                         1, 99, "w1", "127.0.0.1:" + other.server.getLocalPort(), 3_000_000, 0, false, true)));
         final String reply = ask("/again/x", "", "b");
         assertThat(one.asked.size(), is(1));
-        assertThat(header(other.asked.getFirst(), "Last-Event-Id"), is(""));
+        assertThat(header(other.asked.get(0), "Last-Event-Id"), is(""));
         assertThat(reply.split("piece 1\n", -1).length - 1, is(1));
         assertThat(reply.split("piece 2\n", -1).length - 1, is(1));
         assertThat(reply.split("piece 3\n", -1).length - 1, is(1));
--- a/server/src/test/java/silverlatch/server/transport/TransportTest.java
+++ b/server/src/test/java/silverlatch/server/transport/TransportTest.java
@@ -63,7 +63,7 @@
     private ServerSocket peer(final int port, final BlockingQueue<Socket> taken) throws IOException {
         final ServerSocket server = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         open.add(server);
-        Thread.ofVirtual().start(() -> {
+        TransportThreads.start("test", () -> {
             try {
                 while (true) {
                     taken.add(server.accept());
--- a/simulation/src/main/java/silverlatch/simulation/check/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/check/Main.java
@@ -89,7 +89,7 @@
                 wrong.add("ticket " + ticket + " ran " + ran.size() + " times");
             }
             if (outcome.equals("done")
-                    && (ran.size() != 1 || !ran.getFirst().text("prompt", 64).equals(r.text("prompt", 64)))) {
+                    && (ran.size() != 1 || !ran.get(0).text("prompt", 64).equals(r.text("prompt", 64)))) {
                 wrong.add("ticket " + ticket + " is done without its own run");
             }
             final String key = r.text("key", 128);
--- a/simulation/src/main/java/silverlatch/simulation/consumer/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/consumer/Main.java
@@ -28,6 +28,7 @@
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.workerclient.Lines;
 import silverlatch.simulation.worker.Speech;
+import silverlatch.util.Lists;
 
 /** A stand-in for all consumers: an open load of mixed kinds, each reply verified and put down in a file of receipts. */
 public final class Main {
@@ -126,8 +127,8 @@
             tally.forEach((k, v) -> System.out.println(k + " " + v));
             firsts.sort(Long::compare);
             if (!firsts.isEmpty()) {
-                System.out.println("first piece ms min/median/max " + firsts.getFirst() / 1000 + "/"
-                        + firsts.get(firsts.size() / 2) / 1000 + "/" + firsts.getLast() / 1000);
+                System.out.println("first piece ms min/median/max " + firsts.get(0) / 1000 + "/"
+                        + firsts.get(firsts.size() / 2) / 1000 + "/" + Lists.last(firsts) / 1000);
             }
             System.out.println("open " + open.get());
         }
@@ -205,7 +206,7 @@
                     if (hops > 3) {
                         end("rejected-hops", s);
                     } else {
-                        pick(s.texts("doors", 8, 64).getFirst(), hops + 1);
+                        pick(s.texts("doors", 8, 64).get(0), hops + 1);
                     }
                     return;
                 }
--- a/simulation/src/main/java/silverlatch/simulation/fleet/Fleet.java
+++ b/simulation/src/main/java/silverlatch/simulation/fleet/Fleet.java
@@ -205,7 +205,7 @@
 
     /** Asks a process to stop, and gives its exit code. */
     public int stop(final String name) throws InterruptedException {
-        final Process p = parts.get(name).process().getFirst();
+        final Process p = parts.get(name).process().get(0);
         p.destroy();
         if (!p.waitFor(15, TimeUnit.SECONDS)) {
             p.destroyForcibly();
@@ -216,7 +216,7 @@
 
     /** Freezes a process, or lets it go on. */
     public void freeze(final String name, final boolean on) throws IOException, InterruptedException {
-        final long id = parts.get(name).process().getFirst().pid();
+        final long id = parts.get(name).process().get(0).pid();
         new ProcessBuilder("kill", on ? "-STOP" : "-CONT", "" + id).start().waitFor();
     }
 
--- a/simulation/src/main/java/silverlatch/simulation/fleet/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/fleet/Main.java
@@ -74,7 +74,7 @@
                         "--receipts",
                         receipts.toString()));
         Thread.sleep(seconds * 500L);
-        final String kind = fleet.plan().kinds().getFirst().kind();
+        final String kind = fleet.plan().kinds().get(0).kind();
         final String changed = fleet.ask(
                         "controller-2",
                         "PATCH",
--- a/simulation/src/main/java/silverlatch/simulation/hollow/Hollow.java
+++ b/simulation/src/main/java/silverlatch/simulation/hollow/Hollow.java
@@ -23,6 +23,7 @@
 import silverlatch.replication.ChainReplica;
 import silverlatch.replication.Replica;
 import silverlatch.state.Command;
+import silverlatch.util.Numbers;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
 
@@ -84,7 +85,7 @@
 
     Hollow(final int daemons, final int workers, final long seed) {
         luck = new SplittableRandom(seed);
-        final int regions = Math.clamp(daemons / 12, 1, 14);
+        final int regions = Numbers.clamp(daemons / 12, 1, 14);
         final List<String> seeds = List.of(address(0), address(1), address(2));
         for (int i = 0; i < daemons; i++) {
             final boolean controller = i < HARBORS;
@@ -189,7 +190,7 @@
 
     /** Whether all daemons know so many workers, each other, and the page. */
     boolean settled() {
-        final long page = nodes.getFirst().deck.rumor().books().page();
+        final long page = nodes.get(0).deck.rumor().books().page();
         return nodes.stream()
                 .allMatch(n -> n.deck.rumor().workers().size() == hands.size()
                         && n.deck.crew().live().size() == nodes.size() - 1
--- a/simulation/src/main/java/silverlatch/simulation/hollow/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/hollow/Main.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import silverlatch.state.Command;
 import silverlatch.state.TableRules;
+import silverlatch.util.Lists;
 
 /** Takes the figures of docs/CAPACITY.md with daemons that share a process. */
 public final class Main {
@@ -107,8 +108,8 @@
         System.out.println(what + ", ms min/median/max: "
                 + (known.isEmpty()
                         ? "none"
-                        : known.getFirst() / 1000 + "/" + known.get(known.size() / 2) / 1000 + "/"
-                                + known.getLast() / 1000)
+                        : known.get(0) / 1000 + "/" + known.get(known.size() / 2) / 1000 + "/"
+                                + Lists.last(known) / 1000)
                 + ", not within a second: " + (times.size() - known.size()) + " of " + times.size());
     }
 }
--- a/simulation/src/main/java/silverlatch/simulation/sim/Blows.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Blows.java
@@ -132,7 +132,7 @@
     static void refounding(final World w, final long span) {
         final List<SimulatedNode> two =
                 w.controllers().subList(1, w.controllers().size());
-        final SimulatedNode third = w.controllers().getFirst();
+        final SimulatedNode third = w.controllers().get(0);
         w.tell("wipe " + two.stream().map(SimulatedNode::name).toList() + " with " + third.name() + " cut off");
         final Runnable heal = w.net().island(Set.of(third.name()));
         two.forEach(n -> {
@@ -163,7 +163,7 @@
             return;
         }
         if (w.settled()) {
-            final SimulatedNode n = left.removeFirst();
+            final SimulatedNode n = left.remove(0);
             w.tell("swap " + n.name() + " for " + w.swap(n).name());
         }
         w.later(3_000_000, () -> swap(w, left));
--- a/simulation/src/main/java/silverlatch/simulation/sim/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Main.java
@@ -107,7 +107,7 @@
                 default -> scripts.add(Day.Script.of(mine, named, load));
             }
         }
-        return sweep(read.getFirst(), scripts, guards);
+        return sweep(read.get(0), scripts, guards);
     }
 
     private int sweep(final Plan what, final List<Day.Script> scripts, final Safeguards guards) throws Exception {
@@ -153,7 +153,7 @@
 
     /** The day without each fault that is not needed for the mark it shows. */
     static Day.Script fewest(final Plan what, final Day.Came came, final Safeguards guards) {
-        final String mark = came.wrong().getFirst().split(" ")[0];
+        final String mark = came.wrong().get(0).split(" ")[0];
         Day.Script best = came.script();
         for (int i = best.faults().size() - 1; i >= 0; i--) {
             final List<Fault> less = new ArrayList<>(best.faults());
--- a/simulation/src/main/java/silverlatch/simulation/sim/Measure.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Measure.java
@@ -7,6 +7,7 @@
 import silverlatch.simulation.fleet.Plan;
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
+import silverlatch.util.Lists;
 
 /** Figures taken in simulated time: how fast a table spreads by the fleet's size, and how fast the chain is mended. */
 public final class Measure {
@@ -42,12 +43,12 @@
             for (int i = 0; i < 20; i++) {
                 final long[] got = {0, 0};
                 w.controllers()
-                        .getFirst()
+                        .get(0)
                         .wish(
                                 new Command.PatchTable(
                                         "m" + i,
                                         List.of(new Command.Cell(
-                                                "*", plan.kinds().getFirst().kind(), "rate", "" + (2_000 + i))),
+                                                "*", plan.kinds().get(0).kind(), "rate", "" + (2_000 + i))),
                                         -1),
                                 3 * SECOND,
                                 r -> {
@@ -82,11 +83,11 @@
             System.out.printf(
                     "| %d | %d/%d/%d | %d/%d | %.3f %% | %.0f |%n",
                     w.gateways().size() + 3,
-                    spans.getFirst(),
+                    spans.get(0),
                     spans.get(10),
-                    spans.getLast(),
+                    Lists.last(spans),
                     ages.get(ages.size() / 2),
-                    ages.getLast(),
+                    Lists.last(ages),
                     100.0 * old / ages.size(),
                     (w.net().counts()[0] - sent)
                             / (double) (w.gateways().size() + 3)
@@ -164,7 +165,7 @@
                         new Command.PatchTable(
                                 "m" + i,
                                 List.of(new Command.Cell(
-                                        "*", plan.kinds().getFirst().kind(), "rate", "2000")),
+                                        "*", plan.kinds().get(0).kind(), "rate", "2000")),
                                 -1),
                         20 * SECOND,
                         r -> got[0] = w.engine().now());
@@ -172,8 +173,8 @@
                 spans.add((got[0] - at) / 1000);
             }
             spans.sort(Long::compare);
-            System.out.println("| " + List.of("head", "middle", "tail").get(place) + " | " + spans.getFirst() + "/"
-                    + spans.get(6) + "/" + spans.getLast() + " |");
+            System.out.println("| " + List.of("head", "middle", "tail").get(place) + " | " + spans.get(0) + "/"
+                    + spans.get(6) + "/" + Lists.last(spans) + " |");
         }
         System.out.println("| region lost | done a second before, 5 s after the loss, 12 s after the return |");
         System.out.println("| --- | --- |");
--- a/simulation/src/main/java/silverlatch/simulation/sim/Office.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Office.java
@@ -51,7 +51,7 @@
 
     /** Gives the fleet its tenants and its first table. */
     void load() {
-        final SimulatedNode h = world.controllers().getFirst();
+        final SimulatedNode h = world.controllers().get(0);
         int i = 0;
         for (final World.Person p : world.people()) {
             i++;
@@ -284,7 +284,7 @@
         some().ifPresent(h -> h.wish(
                 new Command.PatchTable(
                         "last",
-                        List.of(new Command.Cell("*", world.sorts().getFirst().kind(), "rate", value(950))),
+                        List.of(new Command.Cell("*", world.sorts().get(0).kind(), "rate", value(950))),
                         -1),
                 4 * SECOND,
                 v -> kept = v instanceof CommandResult.Applied));
--- a/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
@@ -484,7 +484,11 @@
     private void aimed(final Act a) {
         switch (a) {
             case Act.Picked p -> world.step(Step.PICKED, this);
-            case Act.Claim c when c.wish() instanceof Command.Claim -> world.step(Step.CLAIMS, this);
+            case Act.Claim c -> {
+                if (c.wish() instanceof Command.Claim) {
+                    world.step(Step.CLAIMS, this);
+                }
+            }
             case Act.Run r -> world.step(Step.ASKS, this);
             default -> {}
         }
--- a/simulation/src/main/java/silverlatch/simulation/sim/Traveller.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Traveller.java
@@ -137,7 +137,7 @@
                 }
             }
             case Act.Pointed p -> {
-                final Optional<SimulatedNode> other = world.node(p.doors().getFirst());
+                final Optional<SimulatedNode> other = world.node(p.doors().get(0));
                 if (hops > 4 || other.isEmpty()) {
                     end("rejected");
                 } else {
--- a/simulation/src/main/java/silverlatch/simulation/sim/Ways.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Ways.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
+import silverlatch.util.Lists;
 
 /** What happens to the network and to clocks. */
 final class Ways {
@@ -50,7 +51,7 @@
     }
 
     static void tailCut(final World w, final long span) {
-        final String region = w.controllers().getLast().region();
+        final String region = Lists.last(w.controllers()).region();
         w.tell("cut off " + region + ", where the tail is");
         final Runnable heal = w.net().island(places(w, region));
         w.later(9_000_000, () -> {
@@ -117,7 +118,7 @@
         final long off = 60_000 + w.engine().luck().nextLong(60_000_000L);
         w.tell("restart " + all.stream().map(SimulatedNode::name).toList() + " with clocks ahead by "
                 + (same ? off / 1000 + " ms" : "as many spans"));
-        all.removeFirst();
+        all.remove(0);
         long at = 0;
         for (final SimulatedNode n : all) {
             final long mine = same ? off : off + w.engine().luck().nextLong(5_000_000L);
--- a/simulation/src/main/java/silverlatch/simulation/sim/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/World.java
@@ -282,7 +282,7 @@
                                         && n.facts()
                                                 .map(f -> f.row(
                                                                 "*",
-                                                                sorts.getFirst().kind())
+                                                                sorts.get(0).kind())
                                                         .isPresent())
                                                 .orElse(false));
                 i++) {
@@ -365,7 +365,7 @@
     void run(final SimulatedNode n, final Act.Run r, final Map<Long, Consumer<String>> jobs) {
         final Mill m = mills.get(r.worker());
         final long page = n.facts().map(f -> f.page()).orElse(0L);
-        final Known who = known.getOrDefault(r.ticket(), new Known(people.getFirst(), "", 0));
+        final Known who = known.getOrDefault(r.ticket(), new Known(people.get(0), "", 0));
         watch.tried(r.tenant(), who.key(), !r.run().endsWith(".1") || who.tries() > 0, engine.now());
         if (r.kind().equals(Office.GATE)) {
             watch.rules().passed(n.name(), true, "ticket " + r.ticket() + " was sent", engine.now());
@@ -470,7 +470,7 @@
     /** One tenant sends so many times as much as each other. */
     void greedy(final int times) {
         for (int i = 1; i < times; i++) {
-            people.add(people.getFirst());
+            people.add(people.get(0));
         }
     }
 
@@ -480,7 +480,7 @@
         }
         final Person who = some(people);
         int pick = engine.luck().nextInt(sorts.stream().mapToInt(Sort::weight).sum());
-        Sort sort = sorts.getFirst();
+        Sort sort = sorts.get(0);
         for (final Sort s : sorts) {
             pick -= s.weight();
             if (pick < 0) {
--- a/simulation/src/main/java/silverlatch/simulation/worker/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/worker/Main.java
@@ -64,8 +64,8 @@
 
     private final long life = System.currentTimeMillis() * 1000;
     private final long began = EventLoop.now();
-    private final ScheduledExecutorService work = Executors.newSingleThreadScheduledExecutor(
-            r -> Thread.ofPlatform().daemon(true).name("work").unstarted(r));
+    private final ScheduledExecutorService work =
+            Executors.newSingleThreadScheduledExecutor(task -> silverlatch.util.Threads.daemon("work", task));
     private final HttpClient http = new HttpClient();
     private final LinkedHashMap<Long, Boolean> kept = new LinkedHashMap<>(16, 0.75f, true);
     private final Deque<Runnable> line = new ArrayDeque<>();
--- a/simulation/src/test/java/silverlatch/simulation/fleet/FleetTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/fleet/FleetTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import silverlatch.simulation.check.Main;
+import silverlatch.util.Lists;
 
 /** The whole path on real processes; verdicts rest on receipts and records, never on how long something took. */
 final class FleetTest {
@@ -204,17 +205,17 @@
                                     "/v1/picks",
                                     "{\"tenant\":\"travellers\",\"kind\":\"fare\"}")
                             .body());
-                    wholes.add(fleet.as("key-travellers", "gateway-1", "POST", "/v1/tickets", body(picks.getLast())));
-                    return wholes.getLast();
+                    wholes.add(fleet.as("key-travellers", "gateway-1", "POST", "/v1/tickets", body(Lists.last(picks))));
+                    return Lists.last(wholes);
                 },
                 200,
                 "\"seal\"");
-        final String ticket = picks.getLast().replaceAll(".*\"ticket\":\"([^\"]*)\".*", "$1");
-        final String body = body(picks.getLast());
-        final java.net.http.HttpResponse<String> whole = wholes.getLast();
+        final String ticket = Lists.last(picks).replaceAll(".*\"ticket\":\"([^\"]*)\".*", "$1");
+        final String body = body(Lists.last(picks));
+        final java.net.http.HttpResponse<String> whole = Lists.last(wholes);
         final List<String> lines = whole.body().lines().toList();
         assertThat(lines.size(), is(7));
-        assertThat(lines.getLast(), containsString("\"seal\""));
+        assertThat(Lists.last(lines), containsString("\"seal\""));
         final java.net.http.HttpResponse<String> rest =
                 fleet.as("key-travellers", "gateway-1", "GET", "/v1/tickets/" + ticket + "?from=2", "");
         assertThat(rest.body().lines().toList(), is(lines.subList(2, 7)));
@@ -294,15 +295,15 @@
                 () -> {
                     try {
                         replies.add(ask.go());
-                        return replies.getLast().statusCode() == code
-                                && replies.getLast().body().contains(text);
+                        return Lists.last(replies).statusCode() == code
+                                && Lists.last(replies).body().contains(text);
                     } catch (final Exception e) {
                         return false;
                     }
                 },
                 60);
-        assertThat(replies.getLast().body(), replies.getLast().statusCode(), is(code));
-        assertThat(replies.getLast().body(), containsString(text));
+        assertThat(Lists.last(replies).body(), Lists.last(replies).statusCode(), is(code));
+        assertThat(Lists.last(replies).body(), containsString(text));
     }
 
     private static void rejects(final Fleet fleet) throws Exception {
--- a/simulation/src/test/java/silverlatch/simulation/fleet/RollTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/fleet/RollTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import silverlatch.simulation.check.Main;
+import silverlatch.util.Lists;
 
 /** The telecom's fleet of processes while it is operated: rolled, stopped and frozen mid-stream, swapped, a region lost, a disk full. */
 final class RollTest {
@@ -60,7 +61,7 @@
     /** Starts a long stream at a gateway, and waits until its first pieces came. */
     private static Stream stream(final Fleet fleet, final String gateway, final int pieces) throws Exception {
         final List<Stream> tries = new ArrayList<>();
-        final Plan.Tenant who = fleet.plan().tenants().getFirst();
+        final Plan.Tenant who = fleet.plan().tenants().get(0);
         assertThat(
                 fleet.until(
                         () -> {
@@ -71,10 +72,7 @@
                                         "POST",
                                         "/v1/picks",
                                         "{\"tenant\":\"" + who.name() + "\",\"kind\":\""
-                                                + fleet.plan()
-                                                        .kinds()
-                                                        .getFirst()
-                                                        .kind() + "\"}");
+                                                + fleet.plan().kinds().get(0).kind() + "\"}");
                                 if (!pick.body().contains("\"permit\"")) {
                                     return false;
                                 }
@@ -105,7 +103,7 @@
                         },
                         60),
                 is(true));
-        return tries.getLast();
+        return Lists.last(tries);
     }
 
     private static void gapless(final String reply) {
--- a/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
@@ -180,7 +180,7 @@
                 ferry.tenants(),
                 ferry.table());
         final List<Day.Came> days = all(idle, List.of(Day.Script.of(1, List.of(), RATE)), Safeguards.ALL);
-        assertThat(days.getFirst().wrong(), hasItem(startsWith("IDLE ")));
+        assertThat(days.get(0).wrong(), hasItem(startsWith("IDLE ")));
         assertThat(tried(days), is(not(empty())));
     }
 
