--- a/core/src/main/java/silverlatch/clock/ClockReading.java
+++ b/core/src/main/java/silverlatch/clock/ClockReading.java
@@ -3,7 +3,7 @@
 /** What came of asking the clock for a stamp. */
 public sealed interface ClockReading {
     /** The event has its stamp; the clock moves on to the given state. */
-    record Made(PwcClock tide, Stamp stamp) implements ClockReading {}
+    record Made(PwcClock clock, Stamp stamp) implements ClockReading {}
 
     /** A carry into the high bits would follow: wait this many microseconds and ask again. */
     record Wait(long micros) implements ClockReading {}
--- a/core/src/main/java/silverlatch/clock/ProcessClock.java
+++ b/core/src/main/java/silverlatch/clock/ProcessClock.java
@@ -12,7 +12,7 @@
     private static final long WINDOW = 10_000_000L;
     private static final int STORM = 64;
     private final Safeguards guards;
-    private PwcClock tide;
+    private PwcClock clock;
     private long waits;
     private long carries;
     private long fars;
@@ -22,30 +22,30 @@
     private long heard;
 
     /** Starts a clock above a floor. */
-    public ProcessClock(final PwcClock tide) {
-        this(tide, Safeguards.ALL);
+    public ProcessClock(final PwcClock clock) {
+        this(clock, Safeguards.ALL);
     }
 
     /** Starts a clock above a floor, under the guards that stand. */
-    public ProcessClock(final PwcClock tide, final Safeguards guards) {
+    public ProcessClock(final PwcClock clock, final Safeguards guards) {
         this.guards = guards;
-        this.tide = tide;
-        this.heard = tide.last();
+        this.clock = clock;
+        this.heard = clock.last();
     }
 
     /** The stamp of a local event; after an overflow that no wait could mend it carries on, counted. */
     public synchronized Stamp local(final long phys) {
-        if (tide.brim(phys)) {
+        if (clock.brim(phys)) {
             carries++;
         }
-        final ClockReading.Made made = tide.carry(phys);
-        tide = made.tide();
+        final ClockReading.Made made = clock.carry(phys);
+        clock = made.clock();
         return made.stamp();
     }
 
     /** The stamp of a send event, or how long to wait for it. */
     public synchronized ClockReading send(final long phys) {
-        return settle(tide.send(phys));
+        return settle(clock.send(phys));
     }
 
     /** The stamp of a receive event, or how long to wait, or that the message is from too far ahead. */
@@ -69,28 +69,28 @@
 
     /** Whether overflows came so often, or the clock stands so far out, that a rejoin is due. */
     public synchronized boolean due(final long phys) {
-        return storm >= STORM || tide.astray(phys);
+        return storm >= STORM || clock.astray(phys);
     }
 
     /** Starts again at the masked clock, but above all that was learned from peers in bounds. */
     public synchronized void reset(final long phys) {
-        tide = PwcClock.start(phys, tide.low(), tide.skew(), Math.min(heard, tide.top(phys)));
+        clock = PwcClock.start(phys, clock.low(), clock.skew(), Math.min(heard, clock.top(phys)));
         storm = 0;
     }
 
     /** Raises the clock above a floor learned at joining, unless the floor is out of bounds. */
     public synchronized Optional<Stamp> floor(final Stamp mark, final long phys) {
-        if (mark.bits() > tide.top(phys)) {
+        if (mark.bits() > clock.top(phys)) {
             return Optional.empty();
         }
         heard = Math.max(heard, mark.bits());
-        tide = new PwcClock(Math.max(tide.last(), mark.bits() + 1), tide.low(), tide.skew());
-        return Optional.of(new Stamp(tide.last()));
+        clock = new PwcClock(Math.max(clock.last(), mark.bits() + 1), clock.low(), clock.skew());
+        return Optional.of(new Stamp(clock.last()));
     }
 
     /** The newest stamp made. */
     public synchronized Stamp last() {
-        return new Stamp(tide.last());
+        return new Stamp(clock.last());
     }
 
     /** How often something happened: waits, carries of local events, far stamps, messages dropped. */
@@ -100,17 +100,17 @@
 
     private ClockReading taken(final Stamp mark, final long phys) {
         if (!guards.stands(Safeguard.ABOVE)) {
-            return tide.send(phys);
+            return clock.send(phys);
         }
-        final ClockReading step = tide.take(mark, phys);
+        final ClockReading step = clock.take(mark, phys);
         return step instanceof ClockReading.Far && !guards.stands(Safeguard.FAR)
-                ? new PwcClock(Math.max(tide.last(), mark.bits()), tide.low(), tide.skew()).send(phys)
+                ? new PwcClock(Math.max(clock.last(), mark.bits()), clock.low(), clock.skew()).send(phys)
                 : step;
     }
 
     private ClockReading settle(final ClockReading step) {
         switch (step) {
-            case ClockReading.Made made -> tide = made.tide();
+            case ClockReading.Made made -> clock = made.clock();
             case ClockReading.Wait wait -> waits++;
             case ClockReading.Far far -> fars++;
         }
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -43,10 +43,10 @@
     private final Optional<ChainReplica> quay;
     private final ProcessClock keeper;
     private final Map<String, Sample> samples = new HashMap<>();
-    private final Deque<Parked<Ship>> going = new ArrayDeque<>();
+    private final Deque<Parked<OutgoingFrame>> going = new ArrayDeque<>();
     private final Deque<Parked<Frame>> coming = new ArrayDeque<>();
     private final Deque<Effect> inner = new ArrayDeque<>();
-    private final List<Ship> ships = new ArrayList<>();
+    private final List<OutgoingFrame> ships = new ArrayList<>();
     private final List<Effect> out = new ArrayList<>();
     private final Map<String, Long> tally = new HashMap<>();
     private volatile PhysicalClock anchor;
@@ -276,8 +276,8 @@
     }
 
     /** Frames to be shipped; handed over once. */
-    public List<Ship> ships() {
-        final List<Ship> list = List.copyOf(ships);
+    public List<OutgoingFrame> ships() {
+        final List<OutgoingFrame> list = List.copyOf(ships);
         ships.clear();
         return list;
     }
@@ -416,9 +416,9 @@
         }
     }
 
-    private boolean stamp(final Ship s, final long now) {
+    private boolean stamp(final OutgoingFrame s, final long now) {
         if (keeper.send(anchor.phys(now)) instanceof ClockReading.Made made) {
-            ships.add(new Ship(
+            ships.add(new OutgoingFrame(
                     s.to(),
                     new Frame(
                             made.stamp(),
@@ -454,7 +454,7 @@
         }
         final Frame unstamped =
                 new Frame(new Stamp(1), 0, setup.me().id(), setup.me().address(), 0, send.body());
-        final Ship ship = new Ship(send.to(), unstamped);
+        final OutgoingFrame ship = new OutgoingFrame(send.to(), unstamped);
         if (!going.isEmpty() || !stamp(ship, now)) {
             going.add(new Parked<>(ship, now));
         }
--- a/core/src/main/java/silverlatch/node/Ship.java
+++ b/core/src/main/java/silverlatch/node/OutgoingFrame.java
@@ -3,4 +3,4 @@
 import silverlatch.wire.Frame;
 
 /** A stamped frame on its way to an address. */
-public record Ship(String to, Frame frame) {}
+public record OutgoingFrame(String to, Frame frame) {}
--- a/core/src/main/java/silverlatch/statemachine/TransitionTable.java
+++ b/core/src/main/java/silverlatch/statemachine/TransitionTable.java
@@ -13,7 +13,7 @@
 import java.util.Set;
 
 /**
- * A state chart read from a file and interpreted: states, the events each takes, and where they lead.
+ * A table of state transitions read from a file and interpreted: states, the events each takes, and where they lead.
  * The file is the only place where a move is allowed.
  */
 public final class TransitionTable {
@@ -33,18 +33,18 @@
         this.ends = ends;
     }
 
-    /** Reads the chart of the given name from the charts folder of the program. */
+    /** Reads the table of the given name from the folder of tables of the program. */
     public static TransitionTable load(final String name) {
         try (InputStream in = Optional.ofNullable(
                         TransitionTable.class.getResourceAsStream("/statemachines/" + name + ".json"))
-                .orElseThrow(() -> new IllegalArgumentException("no chart " + name))) {
+                .orElseThrow(() -> new IllegalArgumentException("no transition table " + name))) {
             return parse(new String(in.readAllBytes(), StandardCharsets.UTF_8));
         } catch (final IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
-    /** Reads a chart and checks that each state is reachable and each that takes no event is named as an end. */
+    /** Reads a table and checks that each state is reachable and each that takes no event is named as an end. */
     public static TransitionTable parse(final String text) {
         final Map<?, ?> root =
                 (Map<?, ?>) Jsonb.builder().build().type(Object.class).fromJson(text);
@@ -65,16 +65,16 @@
         boolean more = true;
         while (more) {
             more = false;
-            for (final String spot : List.copyOf(seen)) {
-                more |= seen.addAll(moves.getOrDefault(spot, Map.of()).values());
+            for (final String state : List.copyOf(seen)) {
+                more |= seen.addAll(moves.getOrDefault(state, Map.of()).values());
             }
         }
         if (!seen.containsAll(moves.keySet()) || !seen.containsAll(ends)) {
-            throw new IllegalArgumentException("a state can't be reached in chart " + root.get("name"));
+            throw new IllegalArgumentException("a state can't be reached in transition table " + root.get("name"));
         }
-        for (final String spot : seen) {
-            if (moves.containsKey(spot) == ends.contains(spot)) {
-                throw new IllegalArgumentException("state " + spot + " must either move or be an end");
+        for (final String state : seen) {
+            if (moves.containsKey(state) == ends.contains(state)) {
+                throw new IllegalArgumentException("state " + state + " must either move or be an end");
             }
         }
         return new TransitionTable((String) root.get("name"), first, moves, ends);
@@ -86,19 +86,19 @@
     }
 
     /** Where an event leads, or nothing when the state does not take it. */
-    public Optional<String> next(final String spot, final String event) {
-        return Optional.ofNullable(moves.getOrDefault(spot, Map.of()).get(event));
+    public Optional<String> next(final String state, final String event) {
+        return Optional.ofNullable(moves.getOrDefault(state, Map.of()).get(event));
     }
 
     /** Where an event leads; an event the state does not take is a fault of the program. */
-    public String move(final String spot, final String event) {
-        return next(spot, event)
-                .orElseThrow(
-                        () -> new IllegalStateException("chart " + name + ": " + spot + " does not take " + event));
+    public String move(final String state, final String event) {
+        return next(state, event)
+                .orElseThrow(() -> new IllegalStateException(
+                        "transition table " + name + ": " + state + " does not take " + event));
     }
 
     /** Whether nothing follows on this state. */
-    public boolean ended(final String spot) {
-        return ends.contains(spot);
+    public boolean ended(final String state) {
+        return ends.contains(state);
     }
 }
--- a/core/src/test/java/silverlatch/clock/PwcClockTest.java
+++ b/core/src/test/java/silverlatch/clock/PwcClockTest.java
@@ -43,7 +43,7 @@
                     if (step instanceof ClockReading.Made m) {
                         assertThat("seed " + seed, m.stamp().bits(), greaterThan(tides[j].last()));
                         unseen(tides[j].last(), m.stamp().bits(), real + off[j], seed);
-                        tides[j] = m.tide();
+                        tides[j] = m.clock();
                         mail.add(new Mail(at + 200 + luck.nextLong(20_000), luck.nextInt(nodes), m.stamp(), j));
                         made++;
                     } else {
@@ -61,7 +61,7 @@
                                 m.stamp().bits(),
                                 real + off[x.to()],
                                 seed);
-                        tides[x.to()] = m.tide();
+                        tides[x.to()] = m.clock();
                     } else {
                         assertThat("seed " + seed, step, instanceOf(ClockReading.Wait.class));
                         mail.add(new Mail(at + 200, x.to(), x.stamp(), x.root()));
--- a/server/src/main/java/silverlatch/server/eventloop/EventLoop.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoop.java
@@ -7,7 +7,7 @@
 import silverlatch.node.Event;
 import silverlatch.util.Threads;
 
-/** One thread with one duty: it takes continuations from a bounded ring, and beats at a steady period. */
+/** A thread that takes continuations from a bounded ring, and beats at a steady period. */
 public final class EventLoop {
     private final MpscBlockingConsumerArrayQueue<Runnable> ring;
     private final Thread thread;
@@ -15,7 +15,7 @@
     private final AtomicLong full = new AtomicLong();
     private volatile boolean over;
 
-    /** A duty with a ring of so many places and a beat each so many microseconds. */
+    /** An event loop with a ring of so many places and a beat each so many microseconds. */
     public EventLoop(final String name, final int size, final long period, final Runnable beat) {
         this.ring = new MpscBlockingConsumerArrayQueue<>(size);
         this.period = period;
--- a/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
@@ -7,61 +7,61 @@
 import java.util.function.Consumer;
 import silverlatch.node.Effect;
 import silverlatch.node.Node;
-import silverlatch.node.Ship;
+import silverlatch.node.OutgoingFrame;
 import silverlatch.state.Command;
 
-/** Runs a deck on its duty and does what it asks for. */
+/** Runs a node on its event loop and carries out its effects. */
 public final class EventLoopHandle {
-    private final Node deck;
-    private final Consumer<Ship> dock;
-    private final Consumer<Effect.Keep> ledger;
+    private final Node node;
+    private final Consumer<OutgoingFrame> transport;
+    private final Consumer<Effect.Keep> logWriter;
     private final Consumer<Node> after;
-    private final EventLoop duty;
+    private final EventLoop loop;
     private final AtomicLong tokens = new AtomicLong();
     private final Map<Long, Consumer<Object>> asked = new ConcurrentHashMap<>();
 
     /** A bridge that beats each so many microseconds; the last argument is called after each beat. */
     public EventLoopHandle(
-            final Node deck,
+            final Node node,
             final long beat,
-            final Consumer<Ship> dock,
-            final Consumer<Effect.Keep> ledger,
+            final Consumer<OutgoingFrame> transport,
+            final Consumer<Effect.Keep> logWriter,
             final Consumer<Node> after) {
-        this.deck = deck;
-        this.dock = dock;
-        this.ledger = ledger;
+        this.node = node;
+        this.transport = transport;
+        this.logWriter = logWriter;
         this.after = after;
-        this.duty = new EventLoop("deck", 16_384, beat, this::beat);
+        this.loop = new EventLoop("node", 16_384, beat, this::beat);
     }
 
-    /** Starts the duty. */
+    /** Starts the event loop. */
     public void start() {
-        duty.start();
+        loop.start();
     }
 
-    /** The duty. */
-    public EventLoop duty() {
-        return duty;
+    /** The event loop. */
+    public EventLoop eventLoop() {
+        return loop;
     }
 
-    /** Does something with the deck on its duty; false when the ring is full. */
+    /** Does something with the node on its event loop; false when the ring is full. */
     public boolean with(final Consumer<Node> job) {
-        return duty.post(() -> {
-            job.accept(deck);
+        return loop.post(() -> {
+            job.accept(node);
             flush();
         });
     }
 
-    /** Does something with the deck on its duty, and something else when all that came of it is on its way. */
+    /** Does something with the node on its event loop, and something else when all that came of it is on its way. */
     public boolean with(final Consumer<Node> job, final Runnable then) {
-        return duty.post(() -> {
-            job.accept(deck);
+        return loop.post(() -> {
+            job.accept(node);
             flush();
             then.run();
         });
     }
 
-    /** Sends a wish; the verdict comes back on the deck's duty before the span is over. False when the ring is full. */
+    /** Sends a command; the result comes back on the event loop before the span is over. False when the ring is full. */
     public boolean wish(final Command wish, final long span, final Consumer<Object> then) {
         final long token = tokens.incrementAndGet();
         final long end = EventLoop.now() + span;
@@ -71,7 +71,7 @@
         });
     }
 
-    /** Asks the tail; the page comes back on the deck's duty before the span is over. False when the ring is full. */
+    /** Asks the tail; the page comes back on the event loop before the span is over. False when the ring is full. */
     public boolean read(final String start, final long span, final Consumer<Object> then) {
         final long token = tokens.incrementAndGet();
         final long end = EventLoop.now() + span;
@@ -88,27 +88,27 @@
     }
 
     private void beat() {
-        deck.tick(EventLoop.now(), wall());
+        node.tick(EventLoop.now(), wall());
         flush();
-        after.accept(deck);
+        after.accept(node);
     }
 
     private void flush() {
-        deck.ships().forEach(dock);
-        final List<Effect> list = deck.drain();
+        node.ships().forEach(transport);
+        final List<Effect> list = node.drain();
         for (final Effect e : list) {
             switch (e) {
                 case Effect.Answer a ->
                     java.util.Optional.ofNullable(asked.remove(a.token())).ifPresent(c -> c.accept(a.reply()));
                 case Effect.Log l -> Logs.write(l.event(), l.text());
-                case Effect.Keep k -> ledger.accept(k);
-                case Effect.Send s -> throw new IllegalStateException("a send left the deck unstamped");
+                case Effect.Keep k -> logWriter.accept(k);
+                case Effect.Send s -> throw new IllegalStateException("a send left the node unstamped");
             }
         }
-        if (deck.parked()) {
-            duty.post(() -> {
+        if (node.parked()) {
+            loop.post(() -> {
                 java.util.concurrent.locks.LockSupport.parkNanos(200_000L);
-                deck.tick(EventLoop.now(), wall());
+                node.tick(EventLoop.now(), wall());
                 flush();
             });
         }
--- a/server/src/main/java/silverlatch/server/gateway/Gateway.java
+++ b/server/src/main/java/silverlatch/server/gateway/Gateway.java
@@ -526,7 +526,7 @@
                 d.tally().forEach((k, v) -> all.put("deck_" + k, v));
                 all.put("wire_bad", dock.bad());
                 all.put("wire_dropped", dock.dropped());
-                all.put("ring_full", duty.full() + bridge.duty().full());
+                all.put("ring_full", duty.full() + bridge.eventLoop().full());
                 c.text(all.entrySet().stream()
                                 .map(e -> "silverlatch_" + e.getKey() + " " + e.getValue())
                                 .collect(Collectors.joining("\n"))
--- a/server/src/main/java/silverlatch/server/transport/Transport.java
+++ b/server/src/main/java/silverlatch/server/transport/Transport.java
@@ -15,31 +15,31 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import silverlatch.node.Event;
-import silverlatch.node.Ship;
+import silverlatch.node.OutgoingFrame;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.eventloop.Logs;
 import silverlatch.util.Threads;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
 
-/** Frames over TCP: one lane out to each address, and whoever connects in. A bad frame ends its connection only. */
+/** Frames over TCP: one connection out to each address, and whoever connects in. A bad frame ends its connection only. */
 public final class Transport {
-    private static final int LANES = 1024;
+    private static final int MAX_CONNECTIONS = 1024;
     private static final int SILENT = 30_000;
     static final int PART = 64 << 10;
     private static final long TOLD = 200_000L;
     private final String address;
     private final Consumer<Frame> sink;
     private final PeerConnection.Times times;
-    private final Map<String, PeerConnection> lanes = new ConcurrentHashMap<>();
-    private final Semaphore places = new Semaphore(LANES);
+    private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
+    private final Semaphore places = new Semaphore(MAX_CONNECTIONS);
     private final AtomicLong bad = new AtomicLong();
     private final AtomicLong dropped = new AtomicLong();
     private final AtomicLong connects = new AtomicLong();
     private volatile Optional<ServerSocket> server = Optional.empty();
     private volatile boolean over;
 
-    /** A dock that hands what comes in to the sink. */
+    /** A transport that hands what comes in to the sink. */
     public Transport(final String address, final Consumer<Frame> sink) {
         this(address, sink, PeerConnection.Times.PLAIN);
     }
@@ -62,16 +62,16 @@
         server.setReuseAddress(true);
         server.bind(place(address), 256);
         this.server = Optional.of(server);
-        Threads.startDaemon("dock", () -> listen(server));
+        Threads.startDaemon("transport", () -> listen(server));
     }
 
     /** Sends a frame on its way; what can't go is dropped and counted. */
-    public void ship(final Ship ship) {
-        if (lanes.size() >= LANES && !lanes.containsKey(ship.to())) {
+    public void ship(final OutgoingFrame outgoing) {
+        if (connections.size() >= MAX_CONNECTIONS && !connections.containsKey(outgoing.to())) {
             dropped.incrementAndGet();
             return;
         }
-        lanes.computeIfAbsent(ship.to(), this::lane).offer(ship.frame());
+        connections.computeIfAbsent(outgoing.to(), this::connection).offer(outgoing.frame());
     }
 
     /** How many frames could not be read. */
@@ -92,7 +92,7 @@
     /** Ends. */
     public void stop() {
         over = true;
-        lanes.values().forEach(PeerConnection::stop);
+        connections.values().forEach(PeerConnection::stop);
         server.ifPresent(s -> {
             try {
                 s.close();
@@ -102,10 +102,10 @@
         });
     }
 
-    private PeerConnection lane(final String to) {
-        final PeerConnection lane = new PeerConnection(to, times, dropped, connects);
-        lane.start();
-        return lane;
+    private PeerConnection connection(final String to) {
+        final PeerConnection connection = new PeerConnection(to, times, dropped, connects);
+        connection.start();
+        return connection;
     }
 
     private void listen(final ServerSocket server) {
--- a/server/src/test/java/silverlatch/server/transport/TransportTest.java
+++ b/server/src/test/java/silverlatch/server/transport/TransportTest.java
@@ -22,7 +22,7 @@
 import org.junit.jupiter.api.Test;
 import silverlatch.clock.Stamp;
 import silverlatch.membership.Member;
-import silverlatch.node.Ship;
+import silverlatch.node.OutgoingFrame;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.wire.Frame;
 import silverlatch.wire.Msg;
@@ -54,10 +54,11 @@
         }
     }
 
-    private static Ship ship(final int port, final long number, final String pad) {
+    private static OutgoingFrame ship(final int port, final long number, final String pad) {
         final Member me =
                 new Member("p" + pad, "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", number, 4, "up", true);
-        return new Ship("127.0.0.1:" + port, new Frame(new Stamp(number), 5, "p", "127.0.0.1:1", 3, new Msg.Beat(me)));
+        return new OutgoingFrame(
+                "127.0.0.1:" + port, new Frame(new Stamp(number), 5, "p", "127.0.0.1:1", 3, new Msg.Beat(me)));
     }
 
     private ServerSocket peer(final int port, final BlockingQueue<Socket> taken) throws IOException {
--- a/simulation/src/main/java/silverlatch/simulation/measure/Bits.java
+++ b/simulation/src/main/java/silverlatch/simulation/measure/Bits.java
@@ -63,7 +63,7 @@
                 next += gap * (0.5 + luck.nextDouble());
             }
             if (step instanceof ClockReading.Made made) {
-                tides[node] = made.tide();
+                tides[node] = made.clock();
                 final int need = 64 - Long.numberOfLeadingZeros(made.stamp().bits() & (1L << WIDE) - 1);
                 count[need]++;
                 if (!take) {
--- a/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
@@ -23,7 +23,7 @@
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
 import silverlatch.node.Node;
-import silverlatch.node.Ship;
+import silverlatch.node.OutgoingFrame;
 import silverlatch.replication.ChainReplica;
 import silverlatch.replication.Replica;
 import silverlatch.state.Command;
@@ -376,7 +376,7 @@
                 facts = Optional.of(f);
                 c.facts(f, now());
             });
-            final List<Ship> ships = d.ships();
+            final List<OutgoingFrame> ships = d.ships();
             ships.forEach(s -> world.ship(this, s));
             final List<Effect> effects = d.drain();
             effects.forEach(this::effect);
--- a/simulation/src/main/java/silverlatch/simulation/sim/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/World.java
@@ -12,7 +12,7 @@
 import silverlatch.dispatch.Act;
 import silverlatch.dispatch.Line;
 import silverlatch.node.Effect;
-import silverlatch.node.Ship;
+import silverlatch.node.OutgoingFrame;
 import silverlatch.safeguard.Safeguards;
 import silverlatch.simulation.fleet.Plan;
 import silverlatch.wire.Codec;
@@ -329,7 +329,7 @@
         known.put(ticket, new Known(person, key, tries));
     }
 
-    void ship(final SimulatedNode from, final Ship s) {
+    void ship(final SimulatedNode from, final OutgoingFrame s) {
         from.spoke(s.frame());
         final Optional<SimulatedNode> to =
                 nodes.values().stream().filter(n -> n.address().equals(s.to())).findFirst();
