--- /dev/null
+++ b/core/src/main/java/silverlatch/wire/CodecPool.java
@@ -0,0 +1,62 @@
+package silverlatch.wire;
+
+import java.util.Optional;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Codecs shared by the threads of a process. A codec registers some hundred classes when it is made, which takes
+ * milliseconds in a process that has just started, and it serves one thread at a time: connections borrow one for each
+ * frame instead of owning one.
+ */
+public final class CodecPool {
+    /** Idle codecs that are kept; more are made while more threads encode or decode at once, and dropped afterwards. */
+    private static final int MAX_IDLE = 4;
+
+    private final ConcurrentLinkedQueue<Codec> idle = new ConcurrentLinkedQueue<>();
+    private final AtomicInteger idleCount = new AtomicInteger();
+    private final AtomicInteger made = new AtomicInteger();
+
+    /** The bytes of a frame or a record; see {@link Codec#write(Object)}. */
+    public byte[] write(final Object thing) {
+        final Codec codec = borrow();
+        try {
+            return codec.write(thing);
+        } finally {
+            giveBack(codec);
+        }
+    }
+
+    /** What the bytes say, or why they can't be read; see {@link Codec#read(byte[], Class)}. */
+    public <T> Codec.Read<T> read(final byte[] bytes, final Class<T> type) {
+        final Codec codec = borrow();
+        try {
+            return codec.read(bytes, type);
+        } finally {
+            giveBack(codec);
+        }
+    }
+
+    /** How many codecs were made so far. */
+    public int made() {
+        return made.get();
+    }
+
+    private Codec borrow() {
+        final Optional<Codec> kept = Optional.ofNullable(idle.poll());
+        if (kept.isPresent()) {
+            idleCount.decrementAndGet();
+            return kept.get();
+        }
+        made.incrementAndGet();
+        return new Codec();
+    }
+
+    private void giveBack(final Codec codec) {
+        if (idleCount.incrementAndGet() > MAX_IDLE) {
+            idleCount.decrementAndGet();
+            return;
+        }
+        idle.offer(codec);
+    }
+}
--- a/server/src/main/java/silverlatch/server/transport/PeerConnection.java
+++ b/server/src/main/java/silverlatch/server/transport/PeerConnection.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import jdk.net.ExtendedSocketOptions;
 import silverlatch.server.eventloop.EventLoop;
-import silverlatch.wire.Codec;
+import silverlatch.wire.CodecPool;
 import silverlatch.wire.Frame;
 
 /**
@@ -25,6 +25,7 @@
     private static final long FIRST = 50_000L;
     private static final long NEVER = Long.MAX_VALUE;
     private final String to;
+    private final CodecPool codecs;
     private final Times times;
     private final AtomicLong dropped;
     private final AtomicLong connects;
@@ -43,8 +44,14 @@
         static final Times PLAIN = new Times(256, 500_000L, 1_500_000L, 1_000_000L, 20_000_000L, 500_000L);
     }
 
-    PeerConnection(final String to, final Times times, final AtomicLong dropped, final AtomicLong connects) {
+    PeerConnection(
+            final String to,
+            final CodecPool codecs,
+            final Times times,
+            final AtomicLong dropped,
+            final AtomicLong connects) {
         this.to = to;
+        this.codecs = codecs;
         this.times = times;
         this.dropped = dropped;
         this.connects = connects;
@@ -74,7 +81,6 @@
     }
 
     private void run() {
-        final Codec codec = new Codec();
         while (!over) {
             try {
                 final Waiting first = queue.take();
@@ -83,7 +89,7 @@
                     continue;
                 }
                 try (Socket s = new Socket()) {
-                    send(s, codec, first);
+                    send(s, first);
                 } finally {
                     open = Optional.empty();
                     writing = false;
@@ -99,7 +105,7 @@
         }
     }
 
-    private void send(final Socket s, final Codec codec, final Waiting first) throws IOException, InterruptedException {
+    private void send(final Socket s, final Waiting first) throws IOException, InterruptedException {
         s.setTcpNoDelay(true);
         probe(s);
         s.connect(Transport.place(to), (int) (times.connect() / 1000));
@@ -110,7 +116,7 @@
         Optional<Waiting> next = Optional.of(first);
         while (!over && next.isPresent()) {
             if (!stale(next.get())) {
-                write(s, out, codec.write(next.get().frame()));
+                write(s, out, codecs.write(next.get().frame()));
             }
             next = Optional.ofNullable(queue.poll(times.idle(), TimeUnit.MICROSECONDS));
         }
--- a/server/src/main/java/silverlatch/server/transport/Transport.java
+++ b/server/src/main/java/silverlatch/server/transport/Transport.java
@@ -20,6 +20,7 @@
 import silverlatch.server.eventloop.Logs;
 import silverlatch.util.Threads;
 import silverlatch.wire.Codec;
+import silverlatch.wire.CodecPool;
 import silverlatch.wire.Frame;
 
 /** Frames over TCP: one connection out to each address, and whoever connects in. A bad frame ends its connection only. */
@@ -31,6 +32,7 @@
     private final String address;
     private final Consumer<Frame> sink;
     private final PeerConnection.Times times;
+    private final CodecPool codecs = new CodecPool();
     private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
     private final Semaphore places = new Semaphore(MAX_CONNECTIONS);
     private final AtomicLong bad = new AtomicLong();
@@ -103,7 +105,7 @@
     }
 
     private PeerConnection connection(final String to) {
-        final PeerConnection connection = new PeerConnection(to, times, dropped, connects);
+        final PeerConnection connection = new PeerConnection(to, codecs, times, dropped, connects);
         connection.start();
         return connection;
     }
@@ -124,7 +126,6 @@
     }
 
     private void read(final Socket socket) {
-        final Codec codec = new Codec();
         try (Socket s = socket;
                 DataInputStream in = new DataInputStream(new BufferedInputStream(s.getInputStream(), 64 << 10))) {
             s.setTcpNoDelay(true);
@@ -141,7 +142,7 @@
                 if (bytes.length < size) {
                     return;
                 }
-                switch (codec.read(bytes, Frame.class)) {
+                switch (codecs.read(bytes, Frame.class)) {
                     case Codec.Read.Good<Frame> good -> {
                         if (in.available() < Integer.BYTES || EventLoop.now() - told > TOLD) {
                             told = EventLoop.now();
