--- a/simulation/src/test/java/silverlatch/simulation/sim/BriefTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/BriefTest.java
@@ -50,7 +50,7 @@
     void theBriefsPageNamesEveryFaultGuardAndMarkAndNothingElse() throws IOException {
         final String page = Files.readString(ROOT.resolve("docs/brief.md"));
         assertThat(named(page, "`Fault\\.([A-Z_]+)`"), is(names(Fault.values())));
-        assertThat(named(page, "`Guard\\.([A-Z_]+)`"), is(names(Safeguard.values())));
+        assertThat(named(page, "`Safeguard\\.([A-Z_]+)`"), is(names(Safeguard.values())));
         assertThat(named(page, "`Mark\\.([A-Z_]+)`"), is(names(Mark.values())));
     }
 
@@ -69,17 +69,17 @@
     }
 
     @Test
-    void theProgramsKnowNoGuardLetDown() throws IOException {
+    void theProgramsDisableNoSafeguard() throws IOException {
         final List<String> found = new ArrayList<>();
-        for (final Path p : sources("core/src/main", "server/src/main")) {
-            if (Files.readString(p).contains("new Guards(") && !p.endsWith("guard/Guards.java")) {
+        for (final Path p : sources("core/src/main", "server/src/main", "platform/src/main")) {
+            if (Files.readString(p).contains("new Safeguards(") && !p.endsWith("safeguard/Safeguards.java")) {
                 found.add(p.toString());
             }
         }
         assertThat(found, is(empty()));
         assertThat(
-                Files.readString(ROOT.resolve("core/src/main/java/silverlatch/guard/Guards.java"))
-                        .split("new Guards\\(")
+                Files.readString(ROOT.resolve("core/src/main/java/silverlatch/safeguard/Safeguards.java"))
+                        .split("new Safeguards\\(")
                         .length,
                 is(2));
     }
