--- a/bin/env.sh
+++ b/bin/env.sh
@@ -1,22 +1,65 @@
-# Finds a JDK of at least 21: JAVA_HOME, or one that stands beside the default java. Sets JAVA_HOME or fails.
-good() { [ -x "$1/bin/javac" ] && [ "$("$1/bin/java" -XshowSettings:properties -version 2>&1 | sed -n 's/ *java.specification.version = //p')" -ge 21 ] 2>/dev/null; }
-if ! good "${JAVA_HOME:-/nowhere}"; then
-  home=$(java -XshowSettings:properties -version 2>&1 | sed -n 's/ *java.home = //p')
-  found=
-  for dir in "$home" "$(dirname "$home")"/*; do
-    if good "$dir"; then found=$dir; break; fi
-  done
-  if [ -z "$found" ]; then
-    echo "no JDK of at least 21 was found in JAVA_HOME, nor at or beside ${home:-the default java}" >&2
+# Sourced by the programs in bin/ and by .ci/run: finds a JDK, and sets JAVA_HOME, ROOT and what depends on the JDK.
+# JAVA_HOME, where it is set, names the JDK; otherwise the newest fitting one at or beside the default java, or under
+# /usr/lib/jvm, is taken. Fitting are 17 (patterns in switch as a preview) and 21 or above. Ends with code 1 and one
+# line when there is none.
+
+# Prints the specification version of the JDK in folder $1 (17, 21, 25, ...), or nothing where there is no JDK.
+jdk_version() {
+  if [ -x "$1/bin/javac" ] && [ -x "$1/bin/jlink" ] && [ -x "$1/bin/java" ]; then
+    "$1/bin/java" -XshowSettings:properties -version 2>&1 | sed -n 's/ *java.specification.version = //p'
+  fi
+}
+
+fits() { # fits VERSION
+  case $1 in
+    17) true ;;
+    '' | *[!0-9]*) false ;;
+    *) [ "$1" -ge 21 ] ;;
+  esac
+}
+
+# Prints a line "VERSION FOLDER" for each fitting JDK at or beside the default java and under /usr/lib/jvm, newest first.
+fitting_jdks() {
+  local home dir version
+  home=$(java -XshowSettings:properties -version 2>&1 | sed -n 's/ *java.home = //p') || true
+  for dir in "${home:-/usr/lib/jvm/default-java}" "$(dirname "${home:-/usr/lib/jvm/default-java}")"/* /usr/lib/jvm/*; do
+    if [ ! -L "$dir" ]; then
+      version=$(jdk_version "$dir")
+      if fits "$version"; then echo "$version $dir"; fi
+    fi
+  done | sort -u | sort -s -k1,1nr
+}
+
+# Prints the options that class files and libraries need on a JDK of version $1.
+jdk_options() {
+  if [ "$1" -lt 21 ]; then
+    echo --enable-preview
+  elif "$JAVA_HOME/bin/java" --sun-misc-unsafe-memory-access=allow -version >/dev/null 2>&1; then
+    echo --sun-misc-unsafe-memory-access=allow
+  fi
+}
+
+if [ -n "${JAVA_HOME:-}" ]; then
+  JDK_VERSION=$(jdk_version "$JAVA_HOME")
+  if ! fits "$JDK_VERSION"; then
+    echo "JAVA_HOME=$JAVA_HOME is no JDK of 17, or of 21 or above, with javac and jlink" >&2
+    exit 1
+  fi
+else
+  read -r JDK_VERSION JAVA_HOME < <(fitting_jdks) || true
+  if [ -z "${JAVA_HOME:-}" ]; then
+    echo "no JDK of 17, or of 21 or above, was found: install openjdk-17-jdk-headless or set JAVA_HOME" >&2
     exit 1
   fi
-  JAVA_HOME=$found
 fi
 export JAVA_HOME
+JDK_OPTIONS=$(jdk_options "$JDK_VERSION")
 ROOT=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
-UNSAFE=
-"$JAVA_HOME/bin/java" --sun-misc-unsafe-memory-access=allow -version >/dev/null 2>&1 && UNSAFE=--sun-misc-unsafe-memory-access=allow
-run() {
-  if [ ! -d "$ROOT/target/lib" ]; then echo "build first: mvn -B package" >&2; exit 1; fi
-  exec "$JAVA_HOME/bin/java" $UNSAFE $SILVERLATCH_JAVA -cp "$ROOT/target/lib/*" "$@"
+
+run() { # run CLASS ARGUMENT...: a program of the jars that Maven made
+  if [ ! -d "$ROOT/target/lib" ]; then
+    echo "build first: mvn -B package" >&2
+    exit 1
+  fi
+  exec "$JAVA_HOME/bin/java" $JDK_OPTIONS $SILVERLATCH_JAVA -cp "$ROOT/target/lib/*" "$@"
 }
