--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -88,6 +88,7 @@
     private long roof;
     private long swept;
     private boolean quit;
+    private final Set<String> informed = new HashSet<>();
     private boolean joining;
 
     /** A machine as its ledger left it. */
@@ -128,7 +129,6 @@
             long lease,
             long ask,
             long suspect,
-            long swap,
             long stall,
             int copies,
             int most,
@@ -141,23 +141,22 @@
 
         /** The times that hold when nothing is said. */
         public static Setup of(final Replica me, final List<String> seats) {
-            return new Setup(
-                    me, seats, 600_000L, 120_000L, 800_000L, 5_000_000L, 1_000_000L, 2, 3, true, Safeguards.ALL);
+            return new Setup(me, seats, 600_000L, 120_000L, 800_000L, 1_000_000L, 2, 3, true, Safeguards.ALL);
         }
 
         /** The same under the guards that stand. */
         public Setup under(final Safeguards standing) {
-            return new Setup(me, seats, lease, ask, suspect, swap, stall, copies, most, found, standing);
+            return new Setup(me, seats, lease, ask, suspect, stall, copies, most, found, standing);
         }
 
         /** The same with other counts of copies and of voters. */
         public Setup counts(final int synced, final int voters) {
-            return new Setup(me, seats, lease, ask, suspect, swap, stall, synced, voters, found, guards);
+            return new Setup(me, seats, lease, ask, suspect, stall, synced, voters, found, guards);
         }
 
         /** The same, where a first founding is allowed or not. */
         public Setup founds(final boolean allowed) {
-            return new Setup(me, seats, lease, ask, suspect, swap, stall, copies, most, allowed, guards);
+            return new Setup(me, seats, lease, ask, suspect, stall, copies, most, allowed, guards);
         }
     }
 
@@ -216,7 +215,7 @@
             case Msg.BootstrapAgreed m -> agreed(m, now);
             case Msg.LeaseRequest m -> lease(m, now);
             case Msg.LeaseGrant m -> grant(m, now);
-            case Msg.ViewDecided m -> adopt(m.view(), now);
+            case Msg.ViewDecided m -> viewDecided(m, home, now);
             case Msg.Prepare m -> prepare(m, home);
             case Msg.Promise m -> promise(m, now);
             case Msg.Accept m -> accept(m, home);
@@ -228,7 +227,7 @@
             case Msg.FetchEntries m -> reach(m, home);
             case Msg.CompareDigests m -> compare(m);
             case Msg.RepairRanges m -> mend(m);
-            case Msg.JoinRequest m -> joins.put(m.me().id(), m);
+            case Msg.JoinRequest m -> joinRequested(m, now);
             case Msg.WriteRequest m -> write(m);
             case Msg.ReadRequest m -> read(m, now);
             default -> {}
@@ -266,9 +265,21 @@
         quit = true;
     }
 
-    /** Whether the chain goes on without this machine, or would have too few copies if it did. */
+    /**
+     * Whether this machine may end, after {@link #leave()}: the chain goes on without it, and a majority of the voters
+     * that remain knows that. A member that the chain needs for its copies stays until its grace ends.
+     */
     public boolean gone() {
-        return view.place(setup.me().id()) < 0 || view.chain().size() <= setup.copies();
+        if (view.number() == 0 || broken()) {
+            return true;
+        }
+        if (view.place(setup.me().id()) >= 0) {
+            return view.voters().equals(List.of(setup.me())) && joins.isEmpty();
+        }
+        final long know = view.voters().stream()
+                .filter(v -> !v.equals(setup.me()) && informed.contains(v.address()))
+                .count();
+        return view.majority((int) know);
     }
 
     /** A clock event, a few each lease. */
@@ -293,6 +304,10 @@
             hunt(now);
             return;
         }
+        if (quit && !chained()) {
+            confirmLeft(now);
+            return;
+        }
         if (now - asked >= (view.votes(setup.me().id()) ? setup.ask() : RESEND) && !stalled) {
             ask(now);
         }
@@ -302,13 +317,40 @@
             if (!stalled) {
                 watch(now);
             }
-        } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled && !quit) {
+        } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled) {
             soughtAt = now;
             view.tail().ifPresent(t -> send(t.address(), compareOf()));
             seats.forEach(s -> send(s, new Msg.LeaseRequest(view.number(), now, setup.me(), false)));
         }
     }
 
+    /**
+     * A machine that has left tells the voters so until they show that they know. It no longer asks for leases, so that
+     * its silence counts. A prepare for a number that was decided is replied to with the view of whoever knows it.
+     */
+    private void confirmLeft(final long now) {
+        if (now - asked < setup.ask()) {
+            return;
+        }
+        asked = now;
+        view.voters().forEach(v -> {
+            send(v.address(), new Msg.ViewDecided(view));
+            send(v.address(), new Msg.Prepare(view.number(), 0));
+        });
+    }
+
+    private void viewDecided(final Msg.ViewDecided m, final String home, final long now) {
+        adopt(m.view(), now);
+        if (m.view().number() == view.number()) {
+            informed.add(home);
+        }
+    }
+
+    private void joinRequested(final Msg.JoinRequest m, final long now) {
+        joins.put(m.me().id(), m);
+        heard.put(m.me().id(), now);
+    }
+
     private void ask(final long now) {
         asked = now;
         view.voters()
@@ -465,6 +507,7 @@
         hush = 0;
         late.clear();
         joins.clear();
+        informed.clear();
         want = Optional.empty();
         joining = false;
         low = now;
@@ -514,7 +557,7 @@
         if (m.view() < view.number()) {
             send(m.me().address(), new Msg.ViewDecided(view));
         } else if (m.view() == view.number() && view.votes(setup.me().id())) {
-            if (view.votes(m.me().id())) {
+            if (view.votes(m.me().id()) || joins.containsKey(m.me().id())) {
                 heard.put(m.me().id(), now);
             }
             if (m.level()) {
@@ -1011,6 +1054,9 @@
     }
 
     private void join() {
+        if (quit) {
+            return;
+        }
         view.voters().forEach(b -> send(b.address(), new Msg.JoinRequest(view.number(), setup.me(), books.sequence())));
     }
 
--- a/core/src/main/java/silverlatch/replication/ViewPlanner.java
+++ b/core/src/main/java/silverlatch/replication/ViewPlanner.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import silverlatch.wire.Msg;
 
@@ -16,7 +18,7 @@
     private final ToLongFunction<String> silent;
     private final Set<String> level;
 
-    /** How long each voter was silent, in microseconds, and which members of the chain hold all that it has. */
+    /** How long each voter or newcomer was silent, in microseconds, and which members of the chain hold all that it has. */
     ViewPlanner(
             final ChainReplica.Setup setup,
             final View view,
@@ -38,15 +40,16 @@
         return view.chain().stream().filter(this::missed).toList();
     }
 
-    /** The next view, if there should be one: without the silent, else with one that came. */
-    Optional<View> next(final boolean quit, final Collection<Msg.JoinRequest> joins) {
-        return without(quit)
+    /** The next view, if there should be one: without the lost, else with a newcomer, else without dead votes. */
+    Optional<View> next(final boolean leaving, final Collection<Msg.JoinRequest> joins) {
+        return without(leaving)
                 .or(() -> joins.stream()
                         .filter(j -> j.view() == view.number() && view.place(j.me().id()) < 0)
+                        .filter(j -> !missed(j.me()))
                         .map(j -> with(j.me()))
                         .flatMap(Optional::stream)
                         .findFirst())
-                .or(this::fewer);
+                .or(this::withoutDeadVotes);
     }
 
     /** Whether all of a view's chain stand in the next one as they stood, so that none of them answers for the old one alone. */
@@ -56,63 +59,95 @@
     }
 
     /**
-     * The chain without the silent. Where one is missed, others that were silent for most of that time go with it. One
-     * that has everything stays, or what was acknowledged could be lost with those that go.
+     * The chain without the silent, and without this member if it leaves and enough of the others hold everything.
+     * Where one is missed, others that were silent for most of that time go with it. One that has everything stays, or
+     * what was acknowledged could be lost with those that go.
      */
-    private Optional<View> without(final boolean quit) {
+    private Optional<View> without(final boolean leaving) {
         final boolean late = view.chain().stream().anyMatch(this::missed);
         final long bound = Math.max(setup.suspect() / 2, setup.suspect() - 2 * setup.ask());
         final List<Replica> heard = view.chain().stream()
                 .filter(b -> !late || silent.applyAsLong(b.id()) <= bound)
                 .toList();
-        final List<Replica> rest = quit && heard.size() > setup.copies()
-                ? heard.stream().filter(b -> !b.id().equals(setup.me().id())).toList()
-                : heard;
-        final List<Replica> chain = rest.stream().anyMatch(b -> level.contains(b.id())) ? rest : heard;
+        final List<Replica> others =
+                heard.stream().filter(b -> !b.id().equals(setup.me().id())).toList();
+        final List<Replica> chain = leaving && heldByEnough(others) ? others : heard;
         if (chain.size() == view.chain().size() || chain.stream().noneMatch(b -> level.contains(b.id()))) {
             return Optional.empty();
         }
         final String holder = chain.stream().anyMatch(b -> b.id().equals(view.holder()))
                 ? view.holder()
                 : chain.get(0).id();
-        return Optional.of(new View(view.number() + 1, view.fleet(), view.voters(), chain, holder));
+        final List<Replica> gone = Stream.concat(view.chain().stream(), out().filter(this::missed))
+                .filter(b -> !chain.contains(b))
+                .toList();
+        return Optional.of(new View(view.number() + 1, view.fleet(), votersWithout(gone), chain, holder));
+    }
+
+    /** Whether these members would still be enough copies of all that was acknowledged. */
+    private boolean heldByEnough(final List<Replica> members) {
+        return members.stream().filter(b -> level.contains(b.id())).count() >= setup.copies();
     }
 
-    /** One more at the end of the chain: with its own vote, that of one that is lost, or a new one while there are few. */
-    private Optional<View> with(final Replica who) {
-        final Optional<Replica> old = Stream.of(
-                        view.voters().stream().filter(v -> v.id().equals(who.id())),
-                        out().filter(v -> v.address().equals(who.address())),
-                        out().filter(v -> silent.applyAsLong(v.id()) > setup.swap()))
+    /**
+     * One more at the end of the chain. It takes its own vote, that of the lost identity at its address, or that of a
+     * voter that is dead. A new vote is made only while every voter is heard: it must not widen the quorum while a dead
+     * voter counts, nor while it isn't known whether one died just now.
+     */
+    private Optional<View> with(final Replica newcomer) {
+        final Optional<Replica> replaced = Stream.of(
+                        view.voters().stream().filter(v -> v.id().equals(newcomer.id())),
+                        out().filter(v -> v.address().equals(newcomer.address())),
+                        out().filter(this::missed))
                 .flatMap(s -> s)
                 .findFirst();
         final List<Replica> voters = new ArrayList<>(view.voters());
-        if (old.isPresent()) {
-            voters.set(voters.indexOf(old.get()), who);
-        } else if (voters.size() < setup.most()) {
-            voters.add(who);
+        if (replaced.isPresent()) {
+            voters.set(voters.indexOf(replaced.get()), newcomer);
+        } else if (mayWiden(newcomer)) {
+            voters.add(newcomer);
         } else {
             return Optional.empty();
         }
         final List<Replica> chain = new ArrayList<>(view.chain());
-        chain.add(who);
+        chain.add(newcomer);
         return Optional.of(new View(view.number() + 1, view.fleet(), voters, chain, view.holder()));
     }
 
-    /** An even number of voters bears no more deaths than one fewer: one that stays silent loses its vote. */
-    private Optional<View> fewer() {
-        return out().filter(v -> view.voters().size() % 2 == 0
-                        && view.voters().size() > 2
-                        && silent.applyAsLong(v.id()) > 2 * setup.swap())
-                .findFirst()
-                .map(v -> new View(
-                        view.number() + 1,
-                        view.fleet(),
-                        view.voters().stream().filter(x -> !x.equals(v)).toList(),
-                        view.chain(),
-                        view.holder()));
+    private boolean mayWiden(final Replica newcomer) {
+        return view.voters().size() < setup.most()
+                && view.voters().stream()
+                        .allMatch(v -> silent.applyAsLong(v.id()) <= setup.suspect() / 2
+                                && !v.address().equals(newcomer.address()));
+    }
+
+    /** The same chain without the votes of dead machines, where fewer votes bear more losses. */
+    private Optional<View> withoutDeadVotes() {
+        final List<Replica> voters = votersWithout(out().filter(this::missed).toList());
+        return voters.size() == view.voters().size()
+                ? Optional.empty()
+                : Optional.of(new View(view.number() + 1, view.fleet(), voters, view.chain(), view.holder()));
+    }
+
+    /**
+     * The voters without as many of the gone as makes the majority smaller: down to the smallest odd number that is not
+     * below those that remain. One dead vote beside an even number of others costs nothing, and may come back; so of
+     * three voters with one dead all three stay, until a newcomer takes the dead one's vote.
+     */
+    private List<Replica> votersWithout(final List<Replica> gone) {
+        final long remaining =
+                view.voters().stream().filter(v -> !gone.contains(v)).count();
+        final long enough = remaining % 2 == 0 ? remaining + 1 : remaining;
+        final Set<Replica> dropped = view.voters().stream()
+                .filter(gone::contains)
+                .sorted(Comparator.comparingLong((Replica v) -> silent.applyAsLong(v.id()))
+                        .reversed())
+                .limit(Math.max(0, view.voters().size() - enough))
+                .collect(Collectors.toSet());
+        return view.voters().stream().filter(v -> !dropped.contains(v)).toList();
     }
 
+    /** The voters that are out of the chain. */
     private Stream<Replica> out() {
         return view.voters().stream().filter(v -> view.place(v.id()) < 0);
     }
--- /dev/null
+++ b/core/src/test/java/silverlatch/replication/MembershipTest.java
@@ -0,0 +1,246 @@
+package silverlatch.replication;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Losses and replacements one after the other, each as soon as the one before stops counting: {@code catchUpS} after
+ * the start of a successor or the return of a machine.
+ */
+final class MembershipTest {
+    private static final List<String> SEEDS = List.of("a", "b", "c");
+    private static final List<String> SIX = List.of("a", "b", "c", "d", "e", "f");
+    private static final long HOP = 35_000;
+    private static final long SECOND = 1_000_000;
+    private static final long CATCH_UP = 4 * SECOND;
+    private static final long GRACE = 8 * SECOND;
+    private static final long RECOVERY = 5 * SECOND;
+
+    private static ReplicaCluster three() {
+        final ReplicaCluster cluster = new ReplicaCluster(SEEDS, HOP, s -> s.counts(2, 5));
+        SEEDS.forEach(s -> cluster.start(s, true));
+        cluster.pass(3 * SECOND);
+        assertThat(voters(cluster), is(Set.copyOf(SEEDS)));
+        return cluster;
+    }
+
+    private static ReplicaCluster six() {
+        final ReplicaCluster cluster = new ReplicaCluster(SEEDS, HOP, s -> s.counts(3, 7));
+        SIX.forEach(s -> cluster.start(s, true));
+        assertThat(cluster.until(30 * SECOND, () -> voters(cluster).equals(Set.copyOf(SIX))) >= 0, is(true));
+        cluster.pass(2 * SECOND);
+        return cluster;
+    }
+
+    private static View view(final ReplicaCluster cluster) {
+        return cluster.up().stream()
+                .map(s -> cluster.quay(s).view())
+                .max(Comparator.comparingLong(View::number))
+                .orElseThrow();
+    }
+
+    private static Set<String> voters(final ReplicaCluster cluster) {
+        return view(cluster).voters().stream().map(Replica::address).collect(Collectors.toSet());
+    }
+
+    private static Set<String> chain(final ReplicaCluster cluster) {
+        return view(cluster).chain().stream().map(Replica::address).collect(Collectors.toSet());
+    }
+
+    private static void put(final ReplicaCluster cluster, final long number) {
+        final String at = cluster.up().stream().sorted().findFirst().orElseThrow();
+        final ReplicaCluster.Asked asked = cluster.lay(at, number, number - 1, RECOVERY);
+        cluster.until(RECOVERY + SECOND, () -> asked.span() > 0);
+        assertThat("put " + number + cluster, asked.kept(), is(true));
+    }
+
+    private static void lose(final ReplicaCluster cluster, final String seat) {
+        cluster.kill(seat);
+        cluster.wipe(seat);
+    }
+
+    /** SIGTERM, and SIGKILL when the grace ends. */
+    private static void remove(final ReplicaCluster cluster, final String seat) {
+        cluster.quay(seat).leave();
+        cluster.until(GRACE, () -> cluster.quay(seat).gone());
+        lose(cluster, seat);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {300_000, 1_100_000, 2_500_000, 6_000_000})
+    void theSuccessorOfALostVoterMayBeLostAsSoonAsItCounts(final long delay) {
+        final ReplicaCluster cluster = three();
+        put(cluster, 1);
+        lose(cluster, "c");
+        cluster.pass(delay);
+        cluster.start("g", false);
+        cluster.pass(CATCH_UP);
+        final Set<String> before = voters(cluster);
+        lose(cluster, "g");
+        put(cluster, 2);
+        assertThat("the dead vote was replaced", before, is(Set.of("a", "b", "g")));
+    }
+
+    @Test
+    void manyReplacementsInARowKeepTheNumberOfVoters() {
+        final ReplicaCluster cluster = three();
+        put(cluster, 1);
+        String lost = "c";
+        for (int i = 0; i < 8; i++) {
+            lose(cluster, lost);
+            cluster.pass(SECOND / 2 * (i % 4));
+            cluster.seeds(cluster.up().stream().sorted().toList());
+            cluster.start("successor-" + i, false);
+            cluster.pass(CATCH_UP);
+            assertThat("" + cluster, voters(cluster).size(), is(3));
+            assertThat("" + cluster, chain(cluster), is(voters(cluster)));
+            put(cluster, i + 2);
+            lost = cluster.up().stream().sorted().toList().get(i % 3);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aLossRightAfterAPlannedReplacementLeavesAMajority(final boolean terminated) {
+        for (final String next : List.of("a", "b", "g")) {
+            final ReplicaCluster cluster = three();
+            put(cluster, 1);
+            cluster.start("g", false);
+            cluster.pass(CATCH_UP);
+            assertThat(chain(cluster), hasItem("g"));
+            if (terminated) {
+                remove(cluster, "c");
+            } else {
+                lose(cluster, "c");
+                cluster.pass(2 * SECOND);
+            }
+            lose(cluster, next);
+            put(cluster, 2);
+            assertThat(chain(cluster), not(hasItem("c")));
+        }
+    }
+
+    @Test
+    void theLastCopiesStayUntilTheyAreHeldElsewhere() {
+        final ReplicaCluster cluster = three();
+        lose(cluster, "c");
+        cluster.pass(2 * SECOND);
+        put(cluster, 1);
+        cluster.quay("b").leave();
+        cluster.pass(SECOND);
+        assertThat("only one other holds it", cluster.quay("b").gone(), is(false));
+        cluster.start("g", false);
+        assertThat(
+                "ends once the successor holds it",
+                cluster.until(GRACE, () -> cluster.quay("b").gone()) >= 0,
+                is(true));
+        assertThat(cluster.quay("g").state(cluster.now()).level(), is(true));
+        lose(cluster, "b");
+        cluster.pass(2 * SECOND);
+        assertThat(cluster.held("g"), is(1L));
+    }
+
+    @Test
+    void aVoterThatComesBackAfterItWasReplacedJoinsAsANewcomer() {
+        for (long away = SECOND; away < 9 * SECOND; away += 700_000) {
+            final ReplicaCluster cluster = three();
+            put(cluster, 1);
+            cluster.kill("c");
+            cluster.pass(away / 2);
+            cluster.start("g", false);
+            cluster.pass(away / 2);
+            cluster.start("c", false);
+            cluster.pass(2 * CATCH_UP);
+            assertThat("" + cluster, voters(cluster), is(Set.of("a", "b", "c", "g")));
+            assertThat("" + cluster, chain(cluster), is(voters(cluster)));
+            lose(cluster, "a");
+            put(cluster, 2);
+            cluster.pass(CATCH_UP);
+            assertThat("" + cluster, voters(cluster), is(Set.of("b", "c", "g")));
+            lose(cluster, "g");
+            put(cluster, 3);
+        }
+    }
+
+    @Test
+    void aVoterCutOffForAWhileIsReplacedAndJoinsAgain() {
+        final ReplicaCluster cluster = three();
+        cluster.cut("c", "a", true);
+        cluster.cut("c", "b", true);
+        cluster.cut("c", "g", true);
+        cluster.pass(SECOND);
+        cluster.start("g", false);
+        cluster.pass(CATCH_UP);
+        put(cluster, 1);
+        cluster.heal();
+        cluster.pass(CATCH_UP);
+        assertThat("" + cluster, chain(cluster), is(Set.of("a", "b", "c", "g")));
+        lose(cluster, "b");
+        put(cluster, 2);
+    }
+
+    @Test
+    void twoOfSixAreLostAtOnceReplacedOneAfterTheOtherAndTwoMoreAreLost() {
+        final ReplicaCluster cluster = six();
+        put(cluster, 1);
+        lose(cluster, "e");
+        lose(cluster, "f");
+        cluster.pass(SECOND);
+        cluster.start("g", false);
+        cluster.pass(CATCH_UP);
+        lose(cluster, "a");
+        put(cluster, 2);
+        cluster.start("h", false);
+        cluster.start("i", false);
+        cluster.pass(2 * CATCH_UP);
+        assertThat("" + cluster, voters(cluster), is(Set.of("b", "c", "d", "g", "h", "i")));
+        lose(cluster, "g");
+        lose(cluster, "b");
+        put(cluster, 3);
+        assertThat(cluster.synced(3), greaterThanOrEqualTo(4L));
+    }
+
+    @Test
+    void successorsOfTwoLostVotersNeverWidenTheQuorum() {
+        final ReplicaCluster cluster = six();
+        lose(cluster, "e");
+        lose(cluster, "f");
+        cluster.pass(SECOND + SECOND / 10);
+        cluster.start("g", false);
+        cluster.start("h", false);
+        cluster.pass(CATCH_UP);
+        assertThat("" + cluster, voters(cluster), is(Set.of("a", "b", "c", "d", "g", "h")));
+        lose(cluster, "g");
+        lose(cluster, "h");
+        put(cluster, 1);
+    }
+
+    @Test
+    void aSuccessorLostInTheMiddleOfItsRepairChangesNothing() {
+        for (long span = 100_000; span < 3 * SECOND; span += 150_000) {
+            final ReplicaCluster cluster = three();
+            put(cluster, 1);
+            lose(cluster, "c");
+            cluster.pass(SECOND);
+            cluster.start("g", false);
+            cluster.pass(span);
+            lose(cluster, "g");
+            cluster.start("h", false);
+            cluster.pass(CATCH_UP);
+            assertThat("after " + span + cluster, voters(cluster), is(Set.of("a", "b", "h")));
+            lose(cluster, "a");
+            put(cluster, 2);
+        }
+    }
+}
