--- /dev/null
+++ b/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
@@ -0,0 +1,97 @@
+package silverlatch.wire;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import silverlatch.clock.Stamp;
+import silverlatch.log.LogRecord;
+import silverlatch.replication.LogEntry;
+import silverlatch.replication.Replica;
+import silverlatch.replication.View;
+import silverlatch.state.Command;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+
+/**
+ * Data folders of an older version are read. The fixture was written by the code before the memory of accepted
+ * configurations was added; with {@code -Dsilverlatch.fixture=FILE} the records are written to a file anew.
+ */
+final class CodecCompatibilityTest {
+    private static final String FIXTURE = "/silverlatch/wire/log-records-before-receipts.txt";
+
+    private static List<LogRecord> records() {
+        final Replica one = new Replica("id-a", "10.0.0.1:1");
+        final Replica two = new Replica("id-b", "10.0.0.2:1");
+        final View view = new View(7, 99, List.of(one, two), List.of(two, one), "id-a");
+        final Value.Route route = new Value.Route(
+                "rule",
+                "host",
+                "/path/",
+                true,
+                false,
+                true,
+                false,
+                1,
+                2,
+                3,
+                4,
+                5,
+                List.of("attica"),
+                List.of(new Value.WeightedBackend("pool", 6)));
+        final List<Value> values = List.of(
+                new Value.Tenant("acme", List.of("attica"), 0.5, "hash", "salt"),
+                new Value.Row("acme", "chat", 1, 2, 3, 4, 5, 6, 7, 8, 9, true, 1),
+                new Value.Evacuation("hall", true, new Stamp(5)),
+                new Value.Schedule("night", "0 0 * * *", List.of(new Command.Cell("a", "b", "c", "d")), "", false),
+                new Value.Claim("ticket", "carrier", "running", 11, 12),
+                new Value.Epoch(13),
+                route,
+                new Value.BackendPool("pool", "/health", 1, 2, 3, 4, 5, 6),
+                new Value.RoutingConfiguration(41, 1, 2, 3, 4),
+                new Value.ConfigurationDocument(41, "{\"revision\":41}"),
+                new Value.CommandOutcome(14, 422, List.of("a fault")));
+        final List<Entry> entries = new ArrayList<>();
+        for (int i = 0; i < values.size(); i++) {
+            entries.add(new Entry("key-" + i, i, List.of(values.get(i))));
+        }
+        entries.add(new Entry("gone", 15, List.of()));
+        final LogRecord appended = new LogRecord.Appended(new LogEntry(16, 7, new Stamp(17), entries));
+        return List.of(
+                new LogRecord.Snapshot(16, view, true, 18, 19, List.of(view), 20, entries),
+                appended,
+                new LogRecord.ViewInstalled(view, false),
+                new LogRecord.Promised(8, 21),
+                new LogRecord.Accepted(8, 22, view),
+                new LogRecord.Founding(view),
+                new LogRecord.Batch(List.of(appended, new LogRecord.Promised(8, 23))));
+    }
+
+    @Test
+    void recordsOfAnOlderVersionAreRead() throws IOException {
+        final Codec codec = new Codec();
+        final String file = System.getProperty("silverlatch.fixture", "");
+        if (!file.isEmpty()) {
+            Files.write(
+                    Path.of(file),
+                    records().stream()
+                            .map(r -> Base64.getEncoder().encodeToString(codec.write(r)))
+                            .toList());
+        }
+        try (var in = CodecCompatibilityTest.class.getResourceAsStream(FIXTURE)) {
+            final List<LogRecord> read = new String(in.readAllBytes(), StandardCharsets.US_ASCII)
+                    .lines()
+                    .map(line -> codec.read(Base64.getDecoder().decode(line), LogRecord.class))
+                    .map(r -> r instanceof Codec.Read.Good<LogRecord> good ? good.thing() : null)
+                    .toList();
+            assertThat(read, is(records()));
+        }
+    }
+}
