--- a/core/src/main/java/silverlatch/replication/ChainClient.java
+++ b/core/src/main/java/silverlatch/replication/ChainClient.java
@@ -13,6 +13,8 @@
 /** Carries wishes to the head and questions to the tail for one daemon, until they are decided or their time is up. */
 public final class ChainClient {
     private static final long AGAIN = 250_000L;
+    private static final int CONFLICT = 409;
+    private static final long UNCHANGED = 0;
     private final String home;
     private final Supplier<View> views;
     private final Map<Long, Open> open = new LinkedHashMap<>();
@@ -38,13 +40,16 @@
     /** Sends a wish; the outcome comes as an answer under the token, a verdict. */
     public void wish(final Command wish, final long token, final long now, final long expiry) {
         ask++;
-        open(ask, new Open(new Msg.WriteRequest(ask, home, wish), true, token, now, expiry), now);
+        final boolean onLatest =
+                wish instanceof Command.SetEvacuation order && order.match() == Command.SetEvacuation.LATEST;
+        final Command first = onLatest ? ((Command.SetEvacuation) wish).on(UNCHANGED) : wish;
+        open(ask, new Open(new Msg.WriteRequest(ask, home, first), true, token, now, expiry, onLatest), now);
     }
 
     /** Asks the tail; the outcome comes as an answer under the token, a page. */
     public void read(final String start, final long token, final long now, final long expiry) {
         ask++;
-        open(ask, new Open(new Msg.ReadRequest(ask, home, start), false, token, now, expiry), now);
+        open(ask, new Open(new Msg.ReadRequest(ask, home, start), false, token, now, expiry, false), now);
     }
 
     /** Takes a reply of the chain. */
@@ -52,7 +57,7 @@
         switch (msg) {
             case Msg.WriteReply m -> {
                 if (open.containsKey(m.ask()) && !(m.verdict() instanceof CommandResult.Unknown)) {
-                    out.add(new Effect.Answer(open.remove(m.ask()).token(), m.verdict()));
+                    decided(open.remove(m.ask()), m.verdict());
                 }
             }
             case Msg.ReadReply m -> {
@@ -64,6 +69,21 @@
         }
     }
 
+    /** Hands the result on; an order on top of the newest change that came too late for one goes on top of the next. */
+    private void decided(final Open o, final CommandResult result) {
+        if (o.onLatest()
+                && result instanceof CommandResult.Rejected r
+                && r.code() == CONFLICT
+                && o.msg() instanceof Msg.WriteRequest w
+                && w.wish() instanceof Command.SetEvacuation order) {
+            ask++;
+            final Msg next = new Msg.WriteRequest(ask, home, order.on(r.sequence()));
+            open(ask, new Open(next, true, o.token(), o.sent(), o.expiry(), true), o.sent());
+        } else {
+            out.add(new Effect.Answer(o.token(), result));
+        }
+    }
+
     /** A clock event: asks again, at once under another view, and ends what is past its expiry. */
     public void tick(final long now) {
         final boolean other = views.get().number() != number;
@@ -91,10 +111,10 @@
     }
 
     private void open(final long id, final Open o, final long now) {
-        open.put(id, new Open(o.msg(), o.write(), o.token(), now, o.expiry()));
+        open.put(id, new Open(o.msg(), o.write(), o.token(), now, o.expiry(), o.onLatest()));
         final View view = views.get();
         (o.write() ? view.head() : view.tail()).ifPresent(b -> out.add(new Effect.Send(b.address(), o.msg())));
     }
 
-    private record Open(Msg msg, boolean write, long token, long sent, long expiry) {}
+    private record Open(Msg msg, boolean write, long token, long sent, long expiry, boolean onLatest) {}
 }
--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -54,7 +54,7 @@
     private final Map<String, Long> heard = new HashMap<>();
     private final Map<String, Sought> sought = new TreeMap<>();
     private final Map<String, Msg.JoinRequest> joins = new TreeMap<>();
-    private final Map<Long, List<Msg.WriteRequest>> waits = new HashMap<>();
+    private final Map<Long, List<Waiting>> waits = new HashMap<>();
     private final List<Late> late = new ArrayList<>();
     private final List<Early> early = new ArrayList<>();
     private final Set<String> agreed = new HashSet<>();
@@ -247,12 +247,7 @@
             spot = chart.move(spot, "break");
             log(Event.DISK_BROKEN, why);
             held.clear();
-            waits.values()
-                    .forEach(l -> l.forEach(w -> send(
-                            w.home(),
-                            new Msg.WriteReply(
-                                    w.ask(), new CommandResult.Unknown(w.wish().id())))));
-            waits.clear();
+            abandonWaiting();
         }
     }
 
@@ -494,12 +489,7 @@
     }
 
     private void forget() {
-        waits.values()
-                .forEach(l -> l.forEach(w -> send(
-                        w.home(),
-                        new Msg.WriteReply(
-                                w.ask(), new CommandResult.Unknown(w.wish().id())))));
-        waits.clear();
+        abandonWaiting();
         pend.clear();
         overlay.clear();
         last = books.sequence();
@@ -787,29 +777,79 @@
             return;
         }
         switch (books.judge(m.wish(), overlay, last + 1, stamp)) {
-            case StateMachine.Judged.Over over -> {
-                final Optional<Entry> early =
-                        Optional.ofNullable(overlay.get("o/" + m.wish().id()));
-                if (early.isPresent()) {
-                    waits.computeIfAbsent(early.get().sequence(), s -> new ArrayList<>())
-                            .add(m);
-                } else if (over.verdict() instanceof CommandResult.Applied k && k.sequence() > books.sequence()) {
-                    waits.computeIfAbsent(k.sequence(), s -> new ArrayList<>()).add(m);
-                } else {
-                    if (over.verdict() instanceof CommandResult.Rejected r) {
-                        log(Event.CHANGE_REJECTED, m.wish().id() + " " + r.code());
-                    }
-                    send(m.home(), new Msg.WriteReply(m.ask(), over.verdict()));
-                }
-            }
+            case StateMachine.Judged.Over over -> decide(m, over.verdict(), stamp);
             case StateMachine.Judged.Let let -> {
                 final LogEntry c = new LogEntry(last + 1, view.number(), stamp, let.puts());
-                waits.computeIfAbsent(c.sequence(), s -> new ArrayList<>()).add(m);
+                await(c.sequence(), new Waiting(m, Optional.empty()));
                 append(List.of(c));
             }
         }
     }
 
+    /** Answers a write that needs no change of its own, once all that the answer rests on is committed. */
+    private void decide(final Msg.WriteRequest m, final CommandResult result, final Stamp stamp) {
+        final Optional<Entry> pending =
+                Optional.ofNullable(overlay.get("o/" + m.wish().id()));
+        if (pending.isPresent()) {
+            await(pending.get().sequence(), new Waiting(m, Optional.empty()));
+            return;
+        }
+        switch (result) {
+            case CommandResult.Applied applied -> {
+                if (applied.sequence() > books.sequence()) {
+                    await(applied.sequence(), new Waiting(m, Optional.empty()));
+                } else {
+                    reply(m, applied);
+                }
+            }
+            case CommandResult.Rejected rejected -> refuse(m, rejected, stamp);
+            case CommandResult.AlreadyClaimed claimed -> refuse(m, claimed, stamp);
+            case CommandResult.Unknown unknown -> reply(m, unknown);
+        }
+    }
+
+    /**
+     * Refuses a write at once where the committed state alone refuses it. Else the refusal rests on changes that a new
+     * view may drop, and is held until the newest of them is committed.
+     */
+    private void refuse(final Msg.WriteRequest m, final CommandResult refusal, final Stamp stamp) {
+        if (pend.isEmpty() || !setup.guards().stands(Safeguard.SETTLED)) {
+            reply(m, refusal);
+            return;
+        }
+        final StateMachine.Judged committed = books.judge(m.wish(), Map.of(), last + 1, stamp);
+        if (committed instanceof StateMachine.Judged.Over over && refuses(over.verdict())) {
+            reply(m, over.verdict());
+        } else {
+            await(last, new Waiting(m, Optional.of(refusal)));
+        }
+    }
+
+    private static boolean refuses(final CommandResult result) {
+        return result instanceof CommandResult.Rejected || result instanceof CommandResult.AlreadyClaimed;
+    }
+
+    private void await(final long sequence, final Waiting waiting) {
+        waits.computeIfAbsent(sequence, s -> new ArrayList<>()).add(waiting);
+    }
+
+    /** Those that wait for changes which this machine may drop are told that nothing is known. */
+    private void abandonWaiting() {
+        waits.values()
+                .forEach(l -> l.forEach(w -> {
+                    final Msg.WriteRequest m = w.request();
+                    reply(m, new CommandResult.Unknown(m.wish().id()));
+                }));
+        waits.clear();
+    }
+
+    private void reply(final Msg.WriteRequest m, final CommandResult result) {
+        if (result instanceof CommandResult.Rejected r) {
+            log(Event.CHANGE_REJECTED, m.wish().id() + " " + r.code());
+        }
+        send(m.home(), new Msg.WriteReply(m.ask(), result));
+    }
+
     private void reject(final Msg.WriteRequest m, final int code, final String why) {
         send(m.home(), new Msg.WriteReply(m.ask(), new CommandResult.Rejected(code, List.of(why), books.sequence())));
     }
@@ -920,16 +960,17 @@
         }
     }
 
-    private void decided(final Msg.WriteRequest w, final long sequence) {
-        final Optional<Value.CommandOutcome> deed = books.get("o/" + w.wish().id())
-                .map(e -> (Value.CommandOutcome) e.leaf().get(0));
-        final CommandResult verdict = deed.filter(d -> d.code() != 0)
-                .map(d -> (CommandResult) new CommandResult.Rejected(d.code(), d.faults(), d.sequence()))
+    private void decided(final Waiting waiting, final long sequence) {
+        final Msg.WriteRequest m = waiting.request();
+        reply(m, waiting.refusal().orElseGet(() -> outcome(m.wish().id(), sequence)));
+    }
+
+    private CommandResult outcome(final String id, final long sequence) {
+        return books.get("o/" + id)
+                .map(e -> (Value.CommandOutcome) e.leaf().get(0))
+                .filter(o -> o.code() != 0)
+                .map(o -> (CommandResult) new CommandResult.Rejected(o.code(), o.faults(), o.sequence()))
                 .orElse(new CommandResult.Applied(sequence));
-        if (verdict instanceof CommandResult.Rejected r) {
-            log(Event.CHANGE_REJECTED, w.wish().id() + " " + r.code());
-        }
-        send(w.home(), new Msg.WriteReply(w.ask(), verdict));
     }
 
     private void picture(final LongConsumer then) {
@@ -1051,6 +1092,9 @@
 
     private record Held(long at, LongConsumer then) {}
 
+    /** A write whose answer waits for a change to be committed; the refusal is there where that will be the answer. */
+    private record Waiting(Msg.WriteRequest request, Optional<CommandResult> refusal) {}
+
     private record Early(long at, Msg.WriteRequest msg) {}
 
     private record Late(long due, long number, String to, Msg msg) {}
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -40,6 +40,12 @@
     PAGE,
     /** A change against an older sequence is rejected. */
     MATCH,
+    /** A configuration that was accepted is known when it is sent again. */
+    TAKEN,
+    /** A refusal rests on committed changes only. */
+    SETTLED,
+    /** An order for a zone takes effect on top of the newest change that its caller knew of. */
+    NEWEST,
     /** A receipt is stamped above the message. */
     ABOVE,
     /** A stamp from too far ahead is not merged. */
--- /dev/null
+++ b/core/src/main/java/silverlatch/state/AcceptedConfigurations.java
@@ -0,0 +1,92 @@
+package silverlatch.state;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * The replicated memory of accepted configurations, by which an order that is sent again is known however many have
+ * followed it. It holds one {@link Value.AcceptedConfiguration} a number, as entries of the state machine: so it is in
+ * snapshots, in repairs by range and in every replica's log. It is no policy, and gateways don't have it.
+ */
+final class AcceptedConfigurations {
+    /** How the keys begin; the number follows in decimal with leading zeros, so that keys sort as numbers do. */
+    static final String KEYS = "a/";
+
+    /**
+     * How many are remembered, the oldest being forgotten. A day holds hundreds of changes and an order is sent again
+     * within the day, so 4,096 are several days'; at some 170 bytes each they take less than a megabyte of a disk of 64.
+     */
+    static final int REMEMBERED = 4_096;
+
+    private static final String REFUSALS = "o/refused-";
+
+    private AcceptedConfigurations() {}
+
+    /** The key of a number's entry. */
+    static String key(final long number) {
+        return KEYS + String.format("%019d", number);
+    }
+
+    /** The key under which the refusal of an order is kept, whatever id it comes with. */
+    static String refusalKey(final Command.PutConfiguration order) {
+        return REFUSALS + order.match() + "-" + order.charter().number() + "-" + digest(order.paper());
+    }
+
+    /**
+     * Whether an order is the one that was accepted: the same text, on top of the same number. The same text on top of
+     * another number is another order. One that asks for no comparison is known by its text.
+     */
+    static boolean same(final Value.AcceptedConfiguration accepted, final Command.PutConfiguration order) {
+        return (order.match() < 0 || order.match() == accepted.match())
+                && accepted.digest().equals(digest(order.paper()));
+    }
+
+    /**
+     * The highest number that may have been accepted and forgotten since; 0 where none was.
+     *
+     * @param held    the entries under {@link #KEYS}
+     * @param inForce the number in force
+     */
+    static long forgotten(final SortedMap<String, Entry> held, final long inForce) {
+        return held.isEmpty()
+                ? Math.max(0, inForce - 1)
+                : value(held.get(held.firstKey())).previous();
+    }
+
+    /** What accepting an order writes: its own entry, and the end of those beyond the bound. */
+    static List<Entry> puts(
+            final Command.PutConfiguration order,
+            final Map<String, Entry> remembered,
+            final long inForce,
+            final long sequence) {
+        final SortedMap<String, Entry> held = new TreeMap<>(remembered);
+        final List<Entry> puts = new ArrayList<>();
+        held.keySet().stream()
+                .limit(Math.max(0, held.size() + 1 - REMEMBERED))
+                .forEach(k -> puts.add(new Entry(k, sequence, List.of())));
+        final Value.AcceptedConfiguration accepted = new Value.AcceptedConfiguration(
+                order.charter().number(), order.match(), inForce, digest(order.paper()));
+        puts.add(new Entry(key(accepted.number()), sequence, List.of(accepted)));
+        return puts;
+    }
+
+    static Value.AcceptedConfiguration value(final Entry entry) {
+        return (Value.AcceptedConfiguration) entry.leaf().get(0);
+    }
+
+    private static String digest(final String text) {
+        try {
+            final byte[] sum = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+            return Base64.getUrlEncoder().withoutPadding().encodeToString(sum);
+        } catch (final NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+}
--- a/core/src/main/java/silverlatch/state/Command.java
+++ b/core/src/main/java/silverlatch/state/Command.java
@@ -30,7 +30,19 @@
     record RemoveTenant(String id, String tenant, long match) implements Command {}
 
     /** A zone to be emptied or given back. */
-    record SetEvacuation(String id, String zone, boolean on, long match) implements Command {}
+    record SetEvacuation(String id, String zone, boolean on, long match) implements Command {
+        /**
+         * The match of an order that is to take effect on top of the newest change of its zone. The client that carries
+         * it learns that change's sequence while the call lasts, so a copy that comes after the call, when another order
+         * has taken effect, does nothing.
+         */
+        public static final long LATEST = -2;
+
+        /** The same order on top of a change. */
+        public SetEvacuation on(final long sequence) {
+            return new SetEvacuation(id, zone, on, sequence);
+        }
+    }
 
     /** A key to be bound to a ticket. */
     record Claim(String id, String key, String ticket, String carrier, long at) implements Command {}
--- a/core/src/main/java/silverlatch/state/StateMachine.java
+++ b/core/src/main/java/silverlatch/state/StateMachine.java
@@ -212,7 +212,7 @@
                 matched(
                         look,
                         "z/" + w.zone(),
-                        w.match(),
+                        guards.stands(Safeguard.NEWEST) ? w.match() : -1,
                         () -> TableRules.word("zone", w.zone()),
                         w.id(),
                         seq,
@@ -391,30 +391,37 @@
             final Look look, final List<Entry> puts, final String id, final long seq, final Value.CommandOutcome deed) {
         final List<Entry> all = new ArrayList<>(puts);
         all.add(new Entry("o/" + id, seq, List.of(deed)));
-        final SortedMap<String, Entry> deeds = part("o/");
-        if (deeds.size() >= DEEDS) {
-            deeds.values().stream()
-                    .min(java.util.Comparator.comparingLong(Entry::sequence))
-                    .ifPresent(e -> all.add(new Entry(e.key(), seq, List.of())));
-        }
+        final Map<String, Entry> outcomes = look.under("o/");
+        final int fresh =
+                (int) all.stream().filter(e -> e.key().startsWith("o/")).count();
+        outcomes.values().stream()
+                .sorted(Comparator.comparingLong(Entry::sequence).thenComparing(Entry::key))
+                .limit(Math.max(0, outcomes.size() + fresh - DEEDS))
+                .forEach(e -> all.add(new Entry(e.key(), seq, List.of())));
         return new Judged.Let(all);
     }
 
     private Judged lay(final Command.PutConfiguration w, final Look look, final long seq) {
-        final Optional<Entry> held = look.at(ConfigurationValidator.CHARTER);
-        final long now = held.map(e -> ((Value.RoutingConfiguration) e.leaf().get(0)).number())
+        final long now = look.at(ConfigurationValidator.CHARTER)
+                .map(e -> ((Value.RoutingConfiguration) e.leaf().get(0)).number())
                 .orElse(0L);
-        final boolean same = now == w.charter().number()
-                && look.at(ConfigurationValidator.PAPER)
-                        .map(e -> ((Value.ConfigurationDocument) e.leaf().get(0))
-                                .text()
-                                .equals(w.paper()))
-                        .orElse(false);
-        if (same) {
-            return new Judged.Over(new CommandResult.Applied(look.sequence(ConfigurationValidator.CHARTER)));
+        final Optional<Entry> accepted = accepted(w, look, now);
+        if (accepted.isPresent()) {
+            return new Judged.Over(new CommandResult.Applied(accepted.get().sequence()));
+        }
+        final String refusalKey = AcceptedConfigurations.refusalKey(w);
+        final Optional<Value.CommandOutcome> refusal =
+                look.at(refusalKey).map(e -> (Value.CommandOutcome) e.leaf().get(0));
+        if (refusal.isPresent()) {
+            return new Judged.Over(new CommandResult.Rejected(
+                    refusal.get().code(), refusal.get().faults(), refusal.get().sequence()));
+        }
+        final Map<String, Entry> remembered = look.under(AcceptedConfigurations.KEYS);
+        if (forgotten(w, remembered, now)) {
+            return new Judged.Over(new CommandResult.Unknown(w.id()));
         }
         if (lost(w.match(), now)) {
-            return rejected(409, "the charter in force is number " + now, now);
+            return lostRace(w, look, refusalKey, now, seq);
         }
         final List<String> faults = ConfigurationValidator.faults(w, now);
         if (!faults.isEmpty()) {
@@ -422,7 +429,57 @@
         }
         final Map<String, Entry> old = look.under(ConfigurationValidator.RULES);
         old.putAll(look.under(ConfigurationValidator.POOLS));
-        return let(look, ConfigurationValidator.puts(w, old, seq), w.id(), seq);
+        final List<Entry> puts = new ArrayList<>(ConfigurationValidator.puts(w, old, seq));
+        puts.addAll(AcceptedConfigurations.puts(w, remembered, now, seq));
+        return let(look, puts, w.id(), seq);
+    }
+
+    /**
+     * The entry of an order's first acceptance, if it was accepted. The configuration in force is known by its own text
+     * where a folder of an older version holds no memory of it.
+     */
+    private Optional<Entry> accepted(final Command.PutConfiguration w, final Look look, final long now) {
+        final Optional<Entry> remembered = guards.stands(Safeguard.TAKEN)
+                ? look.at(AcceptedConfigurations.key(w.charter().number()))
+                : Optional.empty();
+        if (remembered.isPresent()) {
+            return remembered.filter(e -> AcceptedConfigurations.same(AcceptedConfigurations.value(e), w));
+        }
+        final boolean inForce = now == w.charter().number()
+                && w.match() < now
+                && look.at(ConfigurationValidator.PAPER)
+                        .map(e -> ((Value.ConfigurationDocument) e.leaf().get(0))
+                                .text()
+                                .equals(w.paper()))
+                        .orElse(false);
+        return look.at(ConfigurationValidator.CHARTER).filter(e -> inForce);
+    }
+
+    /** Whether an order that isn't remembered may have been accepted, so that a refusal could be wrong. */
+    private boolean forgotten(final Command.PutConfiguration w, final Map<String, Entry> remembered, final long now) {
+        final long number = w.charter().number();
+        return guards.stands(Safeguard.TAKEN)
+                && w.match() < number
+                && number <= AcceptedConfigurations.forgotten(new TreeMap<>(remembered), now)
+                && ConfigurationValidator.faults(w, 0).isEmpty();
+    }
+
+    /**
+     * A race lost to a higher number is lost for good, as numbers only rise. An order on top of a number that isn't in
+     * force yet could be accepted later, so its refusal is written: each copy that comes finds it.
+     */
+    private Judged lostRace(
+            final Command.PutConfiguration w,
+            final Look look,
+            final String refusalKey,
+            final long now,
+            final long seq) {
+        final List<String> faults = List.of("the charter in force is number " + now);
+        if (w.match() < now) {
+            return new Judged.Over(new CommandResult.Rejected(409, faults, now));
+        }
+        final Value.CommandOutcome refused = new Value.CommandOutcome(now, 409, faults);
+        return let(look, List.of(new Entry(refusalKey, seq, List.of(refused))), w.id(), seq, refused);
     }
 
     private static Judged rejected(final int code, final String why, final long now) {
--- a/core/src/main/java/silverlatch/state/Value.java
+++ b/core/src/main/java/silverlatch/state/Value.java
@@ -124,4 +124,14 @@
             faults = List.copyOf(faults);
         }
     }
+
+    /**
+     * That a configuration was accepted. It came with a later version; the codec numbers it after all others.
+     *
+     * @param number   its number
+     * @param match    the number it said it builds on; negative where it asked for no comparison
+     * @param previous the number that was in force before it, 0 where there was none
+     * @param digest   the SHA-256 of its text in base64 without padding
+     */
+    record AcceptedConfiguration(long number, long match, long previous, String digest) implements Value {}
 }
--- a/core/src/main/java/silverlatch/wire/Codec.java
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -26,6 +26,13 @@
     public static final int MOST = 16 << 20;
 
     private static final int DEPTH = 24;
+
+    /**
+     * Types that came after data folders were first written, in the order in which they came. They are numbered after
+     * all others, which so keep the numbers that they have in folders of an older version.
+     */
+    private static final List<Class<?>> ADDED = List.of(Value.AcceptedConfiguration.class);
+
     private final Kryo kryo = new Kryo();
 
     /** Makes a codec; it serves one thread. */
@@ -41,7 +48,7 @@
         kryo.register(List.of(1).getClass(), lists);
         kryo.register(ArrayList.class, lists);
         kryo.register(List.class, lists);
-        final Set<Class<?>> seen = new HashSet<>();
+        final Set<Class<?>> seen = new HashSet<>(ADDED);
         final Deque<Class<?>> open = new ArrayDeque<>(List.of(
                 Frame.class,
                 Msg.class,
@@ -80,6 +87,7 @@
                 }
             }
         }
+        ADDED.forEach(kryo::register);
     }
 
     /** The bytes of a frame or a note. */
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -32,6 +32,7 @@
     private final Map<String, List<LogRecord>> disks = new TreeMap<>();
     private final Map<String, String> names = new HashMap<>();
     private final Set<Set<String>> cuts = new HashSet<>();
+    private final Map<Set<String>, Long> slowLinks = new HashMap<>();
     private final PriorityQueue<Due> queue =
             new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::turn));
     private final Map<Long, Asked> asked = new LinkedHashMap<>();
@@ -60,6 +61,10 @@
             return reply.filter(r -> r instanceof CommandResult.Applied).isPresent();
         }
 
+        long at() {
+            return at;
+        }
+
         long span() {
             return end - at;
         }
@@ -137,9 +142,15 @@
         }
     }
 
+    /** What is sent between two machines from now on comes later by so much; what is sent after a heal overtakes it. */
+    void slow(final String one, final String other, final long extra) {
+        slowLinks.put(Set.of(one, other), extra);
+    }
+
     /** Every link is whole again. */
     void heal() {
         cuts.clear();
+        slowLinks.clear();
     }
 
     void pass(final long span) {
@@ -191,17 +202,27 @@
     }
 
     Asked lay(final String at, final long number, final long match, final long span) {
+        return order(at, charter(number, match), span);
+    }
+
+    /** Hands a command to the client of one machine. */
+    Asked order(final String at, final Command command, final long span) {
         final Asked a = new Asked(now);
         asked.put(++token, a);
-        clerks.get(at).wish(charter(number, match), token, now, now + span);
+        clerks.get(at).wish(command, token, now, now + span);
         flush(at, quays.get(at));
         return a;
     }
 
     Asked read(final String at, final long span) {
+        return read(at, ConfigurationValidator.PAPER, span);
+    }
+
+    /** Asks the tail for the entries whose keys start so. */
+    Asked read(final String at, final String start, final long span) {
         final Asked a = new Asked(now);
         asked.put(++token, a);
-        clerks.get(at).read(ConfigurationValidator.PAPER, token, now, now + span);
+        clerks.get(at).read(start, token, now, now + span);
         flush(at, quays.get(at));
         return a;
     }
@@ -265,7 +286,7 @@
                 if (s.to().equals(seat)) {
                     hand(seat, q, s.body(), seat);
                 } else if (!cuts.contains(Set.of(seat, s.to()))) {
-                    at(now + hop, () -> {
+                    at(now + hop + slowLinks.getOrDefault(Set.of(seat, s.to()), 0L), () -> {
                         if (quays.containsKey(s.to())) {
                             hand(s.to(), quays.get(s.to()), s.body(), seat);
                             flush(s.to(), quays.get(s.to()));
--- a/core/src/test/java/silverlatch/state/ConfigurationValidatorTest.java
+++ b/core/src/test/java/silverlatch/state/ConfigurationValidatorTest.java
@@ -75,10 +75,11 @@
     void onlyWhatDiffersIsWrittenAndWhatVanishedLeavesAMark() {
         assertThat(
                 let(lay(1, List.of(good("a"), good("b")), POOLS, 0)),
-                containsInAnyOrder("u/a|/", "u/b|/", "b/warm", "b/spare", "p/charter", "q/paper"));
+                containsInAnyOrder(
+                        "u/a|/", "u/b|/", "b/warm", "b/spare", "p/charter", "q/paper", "a/0000000000000000001"));
         assertThat(
                 let(lay(2, List.of(good("a"), good("c")), POOLS, 1)),
-                containsInAnyOrder("-u/b|/", "u/c|/", "p/charter", "q/paper"));
+                containsInAnyOrder("-u/b|/", "u/c|/", "p/charter", "q/paper", "a/0000000000000000002"));
         assertThat(books.get("u/b|/").isPresent(), is(false));
         assertThat(books.since(1).stream().map(Entry::key).toList(), containsInAnyOrder("u/b|/", "u/c|/", "p/charter"));
     }
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -118,7 +118,8 @@
 
     @Override
     public void zone(final String zone, final boolean on, final Consumer<CommandResult> then) {
-        wish(new Command.SetEvacuation(UUID.randomUUID().toString(), zone, on, -1), SOON, then);
+        final String id = UUID.randomUUID().toString();
+        wish(new Command.SetEvacuation(id, zone, on, Command.SetEvacuation.LATEST), SOON, then);
     }
 
     @Override
--- a/server/src/main/java/silverlatch/server/controller/Rows.java
+++ b/server/src/main/java/silverlatch/server/controller/Rows.java
@@ -100,6 +100,8 @@
             case Value.BackendPool p -> ConfigurationJson.write(p);
             case Value.RoutingConfiguration c -> Map.of("number", c.number(), "sequence", e.sequence());
             case Value.ConfigurationDocument p -> Map.of("number", p.number(), "paper", p.text());
+            case Value.AcceptedConfiguration a ->
+                Map.of("number", a.number(), "match", a.match(), "sequence", e.sequence());
             case Value.CommandOutcome d ->
                 Map.of(
                         "change",
