--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -75,6 +75,7 @@
         long run;
         String worker = "";
         boolean begunReply;
+        boolean mayHaveRun;
         final List<String> failed = new ArrayList<>();
 
         Open(final RoutedRequest fare, final Value.Route rule, final String pool, final long begun, final Stamp stamp) {
@@ -126,6 +127,11 @@
         return charters.number();
     }
 
+    /** What clients may send and how long they may rest, by the configuration in force here. */
+    public Optional<Value.RoutingConfiguration> limits() {
+        return charters.limits();
+    }
+
     /** Whether tickets are taken, or why not. */
     public Optional<String> unready() {
         return leaving || closing
@@ -230,6 +236,7 @@
                     && !places(o, now).isEmpty()
                     && budget.take(now)) {
                 count("again_ill");
+                o.mayHaveRun = true;
                 drop(o, true, now);
                 send(o, now);
             } else {
@@ -268,15 +275,17 @@
             }
             final boolean free =
                     point == FailurePoint.UNSENT || point == FailurePoint.NOT_RUN || point == FailurePoint.STRANGER;
+            o.mayHaveRun |= !free;
             final boolean may =
-                    (free || o.rule.again() && (point != FailurePoint.BEGUN || o.rule.resume())) && now < o.end;
+                    (free || o.rule.again() && (point != FailurePoint.BEGUN || o.rule.resume() && o.rule.stream()))
+                            && now < o.end;
             final boolean left =
                     point == FailurePoint.UNSENT && o.tries <= o.rule.tries() + 1 || o.tries < o.rule.tries();
             if (may && left && !places(o, now).isEmpty() && (point == FailurePoint.UNSENT || budget.take(now))) {
                 o.tries -= point == FailurePoint.UNSENT ? 1 : 0;
                 count("again");
                 send(o, now);
-            } else if (free && !o.begunReply) {
+            } else if (!o.mayHaveRun && !o.begunReply) {
                 close(o);
                 reject(o.fare.token(), 503, away(o), "no worker ran it");
             } else {
@@ -337,6 +346,7 @@
                     .toList();
             if (!others.isEmpty() && budget.take(now)) {
                 count("moved");
+                o.mayHaveRun = true;
                 o.failed.add(o.worker);
                 out.add(new RoutingEffect.Cut(o.run));
                 s.bad(now);
@@ -492,7 +502,7 @@
         if (pick.isEmpty()) {
             count("nowhere");
             close(o);
-            if (o.begunReply) {
+            if (o.begunReply || o.mayHaveRun) {
                 out.add(new RoutingEffect.Fail(o.fare.token(), 502, "no worker is allowed"));
             } else {
                 reject(o.fare.token(), 503, away(o), "no worker is allowed");
--- a/core/src/main/java/silverlatch/routing/RoutingTable.java
+++ b/core/src/main/java/silverlatch/routing/RoutingTable.java
@@ -15,7 +15,7 @@
     static final RoutingTable NONE = new RoutingTable(Policy.NONE);
     private final Map<String, List<Value.Route>> hosts = new HashMap<>();
     private final Map<String, Value.BackendPool> pools = new HashMap<>();
-    private long number;
+    private Optional<Value.RoutingConfiguration> limits = Optional.empty();
 
     RoutingTable(final Policy policy) {
         policy.leaves().forEach(l -> {
@@ -24,7 +24,7 @@
                     hosts.computeIfAbsent(r.host().toLowerCase(Locale.ROOT), h -> new ArrayList<>())
                             .add(r);
                 case Value.BackendPool p -> pools.put(p.name(), p);
-                case Value.RoutingConfiguration c -> number = c.number();
+                case Value.RoutingConfiguration c -> limits = Optional.of(c);
                 default -> {}
             }
         });
@@ -46,6 +46,10 @@
     }
 
     long number() {
-        return number;
+        return limits.map(Value.RoutingConfiguration::number).orElse(0L);
+    }
+
+    Optional<Value.RoutingConfiguration> limits() {
+        return limits;
     }
 }
--- a/core/src/test/java/silverlatch/routing/RouterTest.java
+++ b/core/src/test/java/silverlatch/routing/RouterTest.java
@@ -170,6 +170,32 @@
         assertThat(passage.drain(), is(empty()));
     }
 
+    @Test
+    void aRequestThatMayHaveRunEarlierIsNeverPromisedAfterALaterRefusal() {
+        worker("w", "west", 0, false, 1);
+        worker("v", "west", 0, false, 1);
+        final RoutingEffect.Send first = sent(arrive("/again/x", List.of()));
+        passage.failed(first.job(), FailurePoint.SENT, now);
+        final RoutingEffect.Send second = sent(passage.drain());
+        passage.failed(second.job(), FailurePoint.NOT_RUN, now);
+        final List<RoutingEffect> effects = passage.drain();
+        assertThat(
+                effects.stream().filter(RoutingEffect.Reject.class::isInstance).toList(), is(empty()));
+        assertThat(
+                effects.stream()
+                        .filter(RoutingEffect.Fail.class::isInstance)
+                        .map(e -> ((RoutingEffect.Fail) e).code())
+                        .toList(),
+                is(List.of(502)));
+    }
+
+    @Test
+    void theLimitsOfTheConfigurationInForceAreTold() {
+        assertThat(passage.limits().isPresent(), is(false));
+        worker("w", "west", 0, false, 1);
+        assertThat(passage.limits().map(Value.RoutingConfiguration::idle).orElse(0L), is(15 * S));
+    }
+
     @Test
     void whatSurelyDidNotRunGoesToAnotherWorkerOrIsPromised() {
         worker("w", "west", 0, false, 1);
