--- a/server/src/main/java/silverlatch/server/gateway/Gateway.java
+++ b/server/src/main/java/silverlatch/server/gateway/Gateway.java
@@ -93,7 +93,8 @@
             final WorkerHttpClient lighter = new WorkerHttpClient(WorkerHttpClient.Setup.PLAIN);
             lighter.start();
             final Doors doors = new Doors(THREADS);
-            doors.add(settings.gate().get(), HEAD, IDLE, gate(Fields.PLAIN, lighter));
+            final ProxyServer proxy = gate(Fields.PLAIN, lighter);
+            proxy.door(doors.add(settings.gate().get(), HEAD, IDLE, proxy));
             doors.start();
         }
     }
@@ -184,6 +185,7 @@
         post(() -> {
             carry.facts(facts, EventLoop.now());
             passage.facts(facts, EventLoop.now());
+            gate.ifPresent(g -> passage.limits().ifPresent(g::limits));
         });
     }
 
@@ -209,7 +211,7 @@
     }
 
     private void act() {
-        gate.ifPresent(g -> passage.drain().forEach(g::move));
+        gate.ifPresent(g -> passage.drain().forEach(g::apply));
         for (final Act a : carry.drain()) {
             switch (a) {
                 case Act.Picked p ->
--- /dev/null
+++ b/server/src/main/java/silverlatch/server/proxy/EndToEndHeaders.java
@@ -0,0 +1,43 @@
+package silverlatch.server.proxy;
+
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+
+/** The header fields that a proxy passes along: all but those that concern one connection only. */
+final class EndToEndHeaders {
+    private static final Set<String> HOP_BY_HOP = ignoringCase(List.of(
+            "Connection",
+            "Keep-Alive",
+            "Transfer-Encoding",
+            "TE",
+            "Trailer",
+            "Upgrade",
+            "Proxy-Connection",
+            "Proxy-Authenticate",
+            "Proxy-Authorization",
+            "Content-Length",
+            "Expect"));
+
+    private EndToEndHeaders() {}
+
+    /** Adds the fields to be passed along, without those that the caller sets itself. */
+    static void copy(final HttpFields from, final Set<String> except, final HttpFields.Mutable to) {
+        final Set<String> named = ignoringCase(from.getCSV(HttpHeader.CONNECTION, false));
+        for (final HttpField field : from) {
+            final String name = field.getName();
+            if (!HOP_BY_HOP.contains(name) && !named.contains(name) && !except.contains(name)) {
+                to.add(name, field.getValue());
+            }
+        }
+    }
+
+    private static Set<String> ignoringCase(final List<String> names) {
+        final Set<String> set = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+        set.addAll(names);
+        return set;
+    }
+}
--- a/server/src/main/java/silverlatch/server/proxy/EventStreamSplitter.java
+++ b/server/src/main/java/silverlatch/server/proxy/EventStreamSplitter.java
@@ -4,7 +4,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** Cuts a stream into whole events, and remembers the id of the last whole one. */
-final class Events {
+final class EventStreamSplitter {
     private final ByteArrayOutputStream part = new ByteArrayOutputStream();
     private String last = "";
 
--- a/server/src/main/java/silverlatch/server/proxy/Fields.java
+++ b/server/src/main/java/silverlatch/server/proxy/Fields.java
@@ -8,27 +8,27 @@
 import silverlatch.routing.Router;
 
 /**
- * The names of the header fields at the gate, towards consumers and towards workers.
+ * The names of the header fields of the proxy, towards clients and towards workers.
  *
- * @param ticket   the consumer's id of a try
- * @param expiry   how many milliseconds the consumer waits
- * @param parts    the parts of the prompt as ID:TOKENS, separated by commas, the ID in hexadecimal digits
- * @param tokens   the tokens of the prompt, and the most of the reply
- * @param seal     the worker's own seal on a reply
- * @param expect   the worker that a ticket is for
- * @param load     a worker's runs, waiting tickets and slots
- * @param none     says that a worker did not run the ticket
- * @param rank     how urgent a ticket is; 0 comes first
+ * @param attemptId      the client's id of one attempt, which the worker echoes
+ * @param deadline       how many milliseconds the client waits
+ * @param parts          the parts of the prompt as ID:TOKENS, separated by commas, the ID in hexadecimal digits
+ * @param tokens         the tokens of the prompt, and the most of the response
+ * @param seal           the worker's own seal on a response
+ * @param expectedWorker the worker that a request is for
+ * @param load           a worker's running requests, waiting requests and slots
+ * @param notExecuted    says that a worker did not execute the request
+ * @param rank           how urgent a request is; 0 comes first
  */
 public record Fields(
-        String ticket,
-        String expiry,
+        String attemptId,
+        String deadline,
         String parts,
         String tokens,
         String seal,
-        String expect,
+        String expectedWorker,
         String load,
-        String none,
+        String notExecuted,
         String rank) {
     /** The product's own names. */
     public static final Fields PLAIN = new Fields(
@@ -42,12 +42,12 @@
             "Silverlatch-Not-Run",
             "Silverlatch-Rank");
 
-    private static final int MOST = 256;
+    private static final int MAX_PARTS = 256;
 
-    /** The names that the gate sets itself on what it sends to a worker, in lower case. */
+    /** The names that the proxy sets itself on what it sends to a worker; letter case does not matter. */
     Set<String> own() {
         final Set<String> set = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
-        set.addAll(List.of(expiry, expect, rank));
+        set.addAll(List.of(deadline, expectedWorker, rank));
         return set;
     }
 
@@ -56,7 +56,7 @@
         final List<RoutedRequest.Part> list = new java.util.ArrayList<>();
         for (final String one : text.orElse("").split(",")) {
             final int colon = one.indexOf(':');
-            if (colon > 0 && list.size() < MOST) {
+            if (colon > 0 && list.size() < MAX_PARTS) {
                 final String name = one.substring(0, colon).strip();
                 final Optional<Long> tokens = whole(one.substring(colon + 1));
                 tokens.filter(t -> t <= Integer.MAX_VALUE)
--- a/server/src/main/java/silverlatch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxyServer.java
@@ -3,9 +3,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -15,30 +18,54 @@
 import silverlatch.routing.Router;
 import silverlatch.routing.RoutingEffect;
 import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.eventloop.Logs;
+import silverlatch.server.web.Doors;
+import silverlatch.state.Value;
 
-/** Where tickets come in by host and path: it takes them in whole, and does what passage decides. */
+/** Where requests come in by host and path: it reads them whole, and does what the router decides. */
 public final class ProxyServer extends Handler.Abstract.NonBlocking {
-    private final Fields words;
-    private final WorkerHttpClient lighter;
-    private final Consumer<Consumer<Router>> duty;
-    private final Map<Long, ProxiedRequest> voyages = new ConcurrentHashMap<>();
+    private static final int MAX_BODY_BYTES = 32 << 20;
+    private static final long DEFAULT_DEADLINE_MS = 60_000;
+    private static final long OVERLOAD_RETRY_MICROS = 500_000;
+    private static final int MAX_TOKENS = 10_000_000;
+    private final Fields names;
+    private final WorkerHttpClient workers;
+    private final Predicate<Consumer<Router>> router;
+    private final Map<Long, ProxiedRequest> requests = new ConcurrentHashMap<>();
     private final AtomicLong tokens = new AtomicLong();
-    private volatile int most = 4 << 20;
+    private volatile Optional<Doors.Door> door = Optional.empty();
+    private volatile Optional<Value.RoutingConfiguration> limits = Optional.empty();
+    private volatile int maxBodyBytes = 4 << 20;
     private volatile boolean closing;
 
-    /** A gate under these names; the duty runs what passage is to be told. */
-    public ProxyServer(final Fields words, final WorkerHttpClient lighter, final Consumer<Consumer<Router>> duty) {
-        this.words = words;
-        this.lighter = lighter;
-        this.duty = duty;
+    /** A proxy under these names; the router's event loop runs what the router is to be told, or says that it is full. */
+    public ProxyServer(final Fields names, final WorkerHttpClient workers, final Predicate<Consumer<Router>> router) {
+        this.names = names;
+        this.workers = workers;
+        this.router = router;
     }
 
     /** How large a body may be from now on. */
-    public void most(final int bytes) {
-        most = bytes;
+    public void maxBodyBytes(final int bytes) {
+        maxBodyBytes = bytes;
     }
 
-    /** From now on every reply ends its connection. */
+    /** The door at which clients come in; it follows the limits of the configuration in force. */
+    public void door(final Doors.Door at) {
+        door = Optional.of(at);
+        limits.ifPresent(now -> at.limits(now.head(), now.idle() / 1000));
+    }
+
+    /** Takes the limits of the configuration in force, also for connections that rest now. */
+    public void limits(final Value.RoutingConfiguration next) {
+        if (limits.filter(next::equals).isEmpty()) {
+            limits = Optional.of(next);
+            maxBodyBytes = Math.min(MAX_BODY_BYTES, next.body());
+            door.ifPresent(at -> at.limits(next.head(), next.idle() / 1000));
+        }
+    }
+
+    /** From now on every response ends its connection. */
     public void close() {
         closing = true;
     }
@@ -46,116 +73,137 @@
     @Override
     public boolean handle(final Request request, final Response response, final Callback callback) {
         final long size = request.getLength();
+        final int most = maxBodyBytes;
         if (size > most) {
-            tell(response, callback, 413, "larger than " + most + " bytes", true);
-            return true;
-        }
-        if (size == 0) {
+            refuse(response, callback, HttpStatus.PAYLOAD_TOO_LARGE_413, "larger than " + most + " bytes");
+        } else if (size == 0) {
             enter(request, response, callback, new byte[0]);
-            return true;
+        } else {
+            Content.Source.asByteArrayAsync(request, most).whenComplete((bytes, fault) -> {
+                if (fault == null) {
+                    enter(request, response, callback, bytes);
+                } else {
+                    unreadable(response, callback, most, fault);
+                }
+            });
         }
-        Content.Source.asByteArrayAsync(request, most).whenComplete((bytes, fault) -> {
-            if (fault == null) {
-                enter(request, response, callback, bytes);
-            } else if (fault instanceof java.util.concurrent.TimeoutException
-                    || fault.getCause() instanceof java.util.concurrent.TimeoutException) {
-                tell(response, callback, 408, "it came too slowly", true);
-            } else {
-                tell(
-                        response,
-                        callback,
-                        fault instanceof IllegalStateException ? 413 : 400,
-                        "larger than " + most + " bytes, or cut short",
-                        true);
-            }
-        });
         return true;
     }
 
-    /** Does what passage decided. */
-    public void move(final RoutingEffect move) {
-        switch (move) {
-            case RoutingEffect.Send s -> find(s.token()).ifPresent(v -> v.send(s));
-            case RoutingEffect.Reject r -> take(r.token()).ifPresent(v -> v.reject(r));
-            case RoutingEffect.Fail f -> take(f.token()).ifPresent(v -> v.fail(f));
-            case RoutingEffect.Pass p -> take(p.token()).ifPresent(v -> v.pass(p.job()));
-            case RoutingEffect.Cut c -> voyages.values().forEach(v -> v.cut(c.job()));
-            case RoutingEffect.Log l -> silverlatch.server.eventloop.Logs.write(l.event(), l.text());
+    private static void unreadable(
+            final Response response, final Callback callback, final int most, final Throwable fault) {
+        if (fault instanceof TimeoutException || fault.getCause() instanceof TimeoutException) {
+            refuse(response, callback, HttpStatus.REQUEST_TIMEOUT_408, "it came too slowly");
+        } else if (fault instanceof IllegalStateException) {
+            refuse(response, callback, HttpStatus.PAYLOAD_TOO_LARGE_413, "larger than " + most + " bytes");
+        } else {
+            refuse(response, callback, HttpStatus.BAD_REQUEST_400, "cut short or not understood");
+        }
+    }
+
+    /** Does what the router decided. */
+    public void apply(final RoutingEffect effect) {
+        switch (effect) {
+            case RoutingEffect.Send s -> find(s.token()).ifPresentOrElse(r -> r.send(s), () -> left(s.token()));
+            case RoutingEffect.Reject r -> take(r.token()).ifPresent(p -> p.reject(r));
+            case RoutingEffect.Fail f -> take(f.token()).ifPresent(p -> p.fail(f));
+            case RoutingEffect.Pass p -> take(p.token()).ifPresent(r -> r.pass(p.job()));
+            case RoutingEffect.Cut c -> requests.values().forEach(r -> r.cut(c.job()));
+            case RoutingEffect.Log l -> Logs.write(l.event(), l.text());
         }
     }
 
-    /** How many tickets are at the gate. */
+    /** How many requests are under way. */
     public int open() {
-        return voyages.size();
+        return requests.size();
     }
 
-    void gone(final long token) {
-        take(token).ifPresent(v -> duty.accept(p -> p.left(token, EventLoop.now())));
+    /** Forgets a request whose client is gone or was broken off. */
+    void abandon(final long token) {
+        take(token).ifPresent(gone -> left(token));
     }
 
+    /** Forgets a request whose response was written whole. */
     void done(final long token) {
-        voyages.remove(token);
+        requests.remove(token);
     }
 
-    void tell(final Consumer<Router> word) {
-        duty.accept(word);
+    /** Tells the router; where its event loop is full, the request's deadline ends what would be left over. */
+    boolean tell(final Consumer<Router> event) {
+        return router.test(event);
     }
 
     boolean closing() {
         return closing;
     }
 
-    Fields words() {
-        return words;
+    Fields names() {
+        return names;
+    }
+
+    WorkerHttpClient workers() {
+        return workers;
     }
 
-    WorkerHttpClient lighter() {
-        return lighter;
+    private void left(final long token) {
+        tell(r -> r.left(token, EventLoop.now()));
     }
 
     private Optional<ProxiedRequest> find(final long token) {
-        return Optional.ofNullable(voyages.get(token));
+        return Optional.ofNullable(requests.get(token));
     }
 
     private Optional<ProxiedRequest> take(final long token) {
-        return Optional.ofNullable(voyages.remove(token));
+        return Optional.ofNullable(requests.remove(token));
     }
 
     private void enter(final Request request, final Response response, final Callback callback, final byte[] body) {
+        final String attemptId = header(request, names.attemptId()).orElse("");
+        if (attemptId.isEmpty()) {
+            refuse(response, callback, HttpStatus.BAD_REQUEST_400, names.attemptId() + " is missing");
+            return;
+        }
         final long token = tokens.incrementAndGet();
-        final Optional<String> host = Optional.ofNullable(request.getHeaders().get(HttpHeader.HOST));
-        final String path = Request.getPathInContext(request);
-        final String[] tokensOf = text(request, words.tokens()).orElse("0,0").split(",");
-        final RoutedRequest fare = new RoutedRequest(
+        final RoutedRequest routed = routed(token, attemptId, request);
+        requests.put(token, new ProxiedRequest(this, token, attemptId, request, response, callback, body));
+        request.addIdleTimeoutListener(timeout -> false);
+        request.addFailureListener(fault -> abandon(token));
+        if (!tell(r -> r.arrive(routed, EventLoop.now()))) {
+            take(token)
+                    .ifPresent(r -> r.reject(new RoutingEffect.Reject(
+                            token,
+                            HttpStatus.SERVICE_UNAVAILABLE_503,
+                            OVERLOAD_RETRY_MICROS,
+                            "the event loop is full")));
+        }
+    }
+
+    private RoutedRequest routed(final long token, final String attemptId, final Request request) {
+        final String[] counts = header(request, names.tokens()).orElse("0,0").split(",");
+        return new RoutedRequest(
                 token,
-                host.orElse(""),
-                path,
-                text(request, words.ticket()).orElse(""),
-                text(request, words.expiry()).flatMap(Fields::whole).orElse(60_000L) * 1000,
-                Fields.parts(text(request, words.parts())),
-                count(tokensOf, 0),
-                count(tokensOf, 1));
-        voyages.put(token, new ProxiedRequest(this, token, fare, request, response, callback, body));
-        request.addFailureListener(f -> gone(token));
-        duty.accept(p -> p.arrive(fare, EventLoop.now()));
+                header(request, HttpHeader.HOST.asString()).orElse(""),
+                Request.getPathInContext(request),
+                attemptId,
+                header(request, names.deadline()).flatMap(Fields::whole).orElse(DEFAULT_DEADLINE_MS) * 1000,
+                Fields.parts(header(request, names.parts())),
+                count(counts, 0),
+                count(counts, 1));
     }
 
     private static int count(final String[] list, final int at) {
         return at < list.length
-                ? Fields.whole(list[at]).map(n -> (int) Math.min(n, 10_000_000)).orElse(0)
+                ? Fields.whole(list[at]).map(n -> (int) Math.min(n, MAX_TOKENS)).orElse(0)
                 : 0;
     }
 
-    private static Optional<String> text(final Request request, final String name) {
+    private static Optional<String> header(final Request request, final String name) {
         return Optional.ofNullable(request.getHeaders().get(name));
     }
 
-    private static void tell(
-            final Response response, final Callback callback, final int code, final String why, final boolean close) {
-        response.setStatus(code);
-        if (close) {
-            response.getHeaders().put(HttpHeader.CONNECTION, "close");
-        }
+    private static void refuse(final Response response, final Callback callback, final int status, final String why) {
+        response.setStatus(status);
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
         Content.Sink.write(response, true, why + "\n", callback);
     }
 }
--- /dev/null
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerConnection.java
@@ -0,0 +1,62 @@
+package silverlatch.server.proxy;
+
+import java.nio.ByteBuffer;
+import java.util.Map;
+import org.eclipse.jetty.client.transport.internal.HttpChannelOverHTTP;
+import org.eclipse.jetty.client.transport.internal.HttpConnectionOverHTTP;
+import org.eclipse.jetty.client.transport.internal.HttpReceiverOverHTTP;
+import org.eclipse.jetty.io.EndPoint;
+
+/**
+ * A connection to a worker that is never used again once bytes have followed a whole response on it. Jetty discards such
+ * bytes and puts the connection back into its pool; what is still to come of them would then be read as the response to
+ * the next request.
+ */
+final class WorkerConnection extends HttpConnectionOverHTTP {
+    private volatile boolean leftover;
+
+    WorkerConnection(final EndPoint endPoint, final Map<String, Object> context) {
+        super(endPoint, context);
+    }
+
+    @Override
+    protected HttpChannelOverHTTP newHttpChannel() {
+        return new Channel(this);
+    }
+
+    @Override
+    public void release() {
+        if (leftover) {
+            close();
+        } else {
+            super.release();
+        }
+    }
+
+    private static final class Channel extends HttpChannelOverHTTP {
+        Channel(final WorkerConnection connection) {
+            super(connection);
+        }
+
+        @Override
+        protected HttpReceiverOverHTTP newHttpReceiver() {
+            return new Receiver(this);
+        }
+    }
+
+    private static final class Receiver extends HttpReceiverOverHTTP {
+        Receiver(final Channel channel) {
+            super(channel);
+        }
+
+        @Override
+        public boolean messageComplete() {
+            final boolean handle = super.messageComplete();
+            final ByteBuffer rest = getResponseBuffer();
+            if (rest != null && rest.hasRemaining()) {
+                ((WorkerConnection) getHttpChannel().getHttpConnection()).leftover = true;
+            }
+            return handle;
+        }
+    }
+}
--- a/server/src/main/java/silverlatch/server/proxy/WorkerHttpClient.java
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerHttpClient.java
@@ -1,18 +1,34 @@
 package silverlatch.server.proxy;
 
 import java.net.URI;
+import java.util.Map;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.transport.HttpClientConnectionFactory;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import silverlatch.server.web.Abrupt;
 
-/** The client side of the gate: connections to workers by Jetty, kept for a short time only. */
+/**
+ * The HTTP client towards workers. Its connections are pooled for a short time only. It follows no redirect, answers no
+ * challenge, and sends a request that has begun to leave exactly once.
+ */
 public final class WorkerHttpClient {
+    private static final int MAX_RESPONSE_HEADER_BYTES = 16 << 10;
+    private static final int DESTINATION_IDLE_MS = 20_000;
     private final HttpClient http;
 
-    /** How the client is made; times in milliseconds. */
+    /**
+     * How the client is made.
+     *
+     * @param connect how long a new connection may take, in milliseconds
+     * @param idle    how long a pooled connection is kept, in milliseconds
+     * @param lines   how many connections, and how many queued requests, one worker may have at most
+     * @param threads how many threads serve all connections
+     */
     public record Setup(int connect, int idle, int lines, int threads) {
         /** What holds when nothing is said. */
         public static final Setup PLAIN = new Setup(400, 3_000, 64, 8);
@@ -21,22 +37,41 @@
     /** A client for workers. */
     public WorkerHttpClient(final Setup setup) {
         final QueuedThreadPool pool = new QueuedThreadPool(setup.threads(), 2);
-        pool.setName("lighter");
+        pool.setName("worker-http");
         pool.setDaemon(true);
         pool.setReservedThreads(0);
         final ClientConnector connector = new Abrupt();
         connector.setExecutor(pool);
         connector.setSelectors(1);
-        http = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        http = new HttpClient(new WorkerTransport(connector));
         http.setConnectTimeout(setup.connect());
         http.setAddressResolutionTimeout(setup.connect());
         http.setMaxConnectionsPerDestination(setup.lines());
         http.setMaxRequestsQueuedPerDestination(setup.lines());
         http.setIdleTimeout(setup.idle());
-        http.setDestinationIdleTimeout(20_000);
+        http.setDestinationIdleTimeout(DESTINATION_IDLE_MS);
         http.setFollowRedirects(false);
         http.setUserAgentField(null);
-        http.setMaxResponseHeadersSize(16 << 10);
+        http.setMaxResponseHeadersSize(MAX_RESPONSE_HEADER_BYTES);
+    }
+
+    /** HTTP/1.1 over connections that are dropped when bytes follow a response. */
+    private static final class WorkerTransport extends HttpClientTransportOverHTTP {
+        private final HttpClientConnectionFactory connections = new HttpClientConnectionFactory() {
+            @Override
+            public Connection newConnection(final EndPoint endPoint, final Map<String, Object> context) {
+                return customize(new WorkerConnection(endPoint, context), context);
+            }
+        };
+
+        WorkerTransport(final ClientConnector connector) {
+            super(connector);
+        }
+
+        @Override
+        public Connection newConnection(final EndPoint endPoint, final Map<String, Object> context) {
+            return connections.newConnection(endPoint, context);
+        }
     }
 
     /** Starts the client. */
@@ -59,7 +94,8 @@
         }
     }
 
-    Request ask(final String address, final String method, final String path) {
+    /** A request to the worker at this address; nothing is sent yet. */
+    Request newRequest(final String address, final String method, final String path) {
         return http.newRequest(URI.create("http://" + address)).method(method).path(path);
     }
 
--- /dev/null
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerResponseHead.java
@@ -0,0 +1,88 @@
+package silverlatch.server.proxy;
+
+import java.util.List;
+import java.util.Set;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+
+/**
+ * What the head of a worker's response means for the request that was sent. A head counts only if it echoes exactly the
+ * attempt id that was sent: on a pooled connection it may otherwise belong to an earlier request.
+ */
+sealed interface WorkerResponseHead {
+    /** A success that bears the worker's seal and whose body shows by itself whether it is whole. */
+    record Success() implements WorkerResponseHead {}
+
+    /** The worker's own failure, to be passed on with its own status and seal. */
+    record Failure() implements WorkerResponseHead {}
+
+    /** The worker says that it did not execute the request and never will. */
+    record NotExecuted() implements WorkerResponseHead {}
+
+    /** Another worker has the address; it did not execute the request. */
+    record Misdirected() implements WorkerResponseHead {}
+
+    /** Not a response to this request, or none that may be passed on; the request may have been executed. */
+    record Unusable(String reason) implements WorkerResponseHead {}
+
+    /** The statuses by which a client takes it that the request was not executed. */
+    Set<Integer> PROMISES = Set.of(
+            HttpStatus.REQUEST_TIMEOUT_408, HttpStatus.TOO_MANY_REQUESTS_429, HttpStatus.SERVICE_UNAVAILABLE_503);
+
+    /** Reads the head of a response to a request with this attempt id and method. */
+    static WorkerResponseHead read(
+            final Fields names,
+            final String attemptId,
+            final String method,
+            final int status,
+            final HttpFields headers) {
+        if (!headers.getValuesList(names.attemptId()).equals(List.of(attemptId))) {
+            return new Unusable("it does not echo the attempt id");
+        }
+        if (status < HttpStatus.OK_200) {
+            return new Unusable("an interim response");
+        }
+        final boolean notExecuted = headers.contains(names.notExecuted());
+        if (HttpStatus.isSuccess(status)) {
+            return success(names, method, status, headers, notExecuted);
+        }
+        if (status == HttpStatus.MISDIRECTED_REQUEST_421) {
+            return new Misdirected();
+        }
+        if (notExecuted && status != HttpStatus.BAD_REQUEST_400) {
+            return new NotExecuted();
+        }
+        return PROMISES.contains(status)
+                ? new Unusable("status " + status + " without the worker's word that it did not execute it")
+                : new Failure();
+    }
+
+    private static WorkerResponseHead success(
+            final Fields names,
+            final String method,
+            final int status,
+            final HttpFields headers,
+            final boolean notExecuted) {
+        if (notExecuted) {
+            return new Unusable("a success that was not executed");
+        }
+        if (headers.getValuesList(names.seal()).size() != 1) {
+            return new Unusable("a success without exactly one seal");
+        }
+        if (headers.contains(HttpHeader.CONTENT_ENCODING)) {
+            return new Unusable("an encoded body");
+        }
+        return framed(method, status, headers)
+                ? new Success()
+                : new Unusable("a body whose end cannot be told from a broken connection");
+    }
+
+    /** Whether a body that ends early can be told from a whole one. */
+    private static boolean framed(final String method, final int status, final HttpFields headers) {
+        final boolean length = headers.contains(HttpHeader.CONTENT_LENGTH);
+        final boolean coding = headers.contains(HttpHeader.TRANSFER_ENCODING);
+        final boolean bodiless = method.equals("HEAD") || status == HttpStatus.NO_CONTENT_204;
+        return length != coding || bodiless && !length;
+    }
+}
--- a/server/src/main/java/silverlatch/server/web/Doors.java
+++ b/server/src/main/java/silverlatch/server/web/Doors.java
@@ -49,13 +49,38 @@
         });
     }
 
+    /** A door whose limits can be changed while it is open. */
+    public static final class Door {
+        private static final int MAX_HEADER_BYTES = 64 << 10;
+        private static final long IDLE_SLACK_MS = 1_000;
+        private final HttpConfiguration config;
+        private final ServerConnector connector;
+        private final int least;
+
+        private Door(final HttpConfiguration config, final ServerConnector connector, final int least) {
+            this.config = config;
+            this.connector = connector;
+            this.least = least;
+        }
+
+        /**
+         * Takes the limits that hold from now on: the size of a request's head in bytes, for new connections, and how long
+         * a client may rest in milliseconds, for all connections. A connection is closed a little later than the client may
+         * take it up again.
+         */
+        public void limits(final int headBytes, final long idleMillis) {
+            config.setRequestHeaderSize(Math.min(MAX_HEADER_BYTES, Math.max(least, headBytes)));
+            connector.setIdleTimeout(idleMillis + IDLE_SLACK_MS);
+            connector.getConnectedEndPoints().forEach(e -> e.setIdleTimeout(idleMillis + IDLE_SLACK_MS));
+        }
+    }
+
     /** Adds a door; headers are bounded in bytes, and a connection may be idle for so many milliseconds. */
-    public void add(final String address, final int head, final long idle, final Handler handler) {
+    public Door add(final String address, final int head, final long idle, final Handler handler) {
         final HttpConfiguration config = new HttpConfiguration();
         config.setRequestHeaderSize(head);
         config.setSendServerVersion(false);
         config.setSendDateHeader(false);
-        config.setIdleTimeout(idle);
         final ServerConnector connector = new ServerConnector(server, 0, 1, new HttpConnectionFactory(config));
         final InetSocketAddress place = Transport.place(address);
         connector.setHost(place.getHostString());
@@ -64,6 +89,7 @@
         connector.setAcceptQueueSize(512);
         doors.put(connector, handler);
         server.addConnector(connector);
+        return new Door(config, connector, head);
     }
 
     /** Adds a door for whole calls, with bodies up to a bound. */
--- a/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
+++ b/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
@@ -62,6 +62,7 @@
     private final class Peer {
         private final ServerSocket server;
         private final List<String> asked = new CopyOnWriteArrayList<>();
+        private final AtomicInteger connections = new AtomicInteger();
         private final Function<String, String> script;
 
         Peer(final Function<String, String> script) throws IOException {
@@ -74,6 +75,7 @@
             while (!server.isClosed()) {
                 try {
                     final Socket s = server.accept();
+                    connections.incrementAndGet();
                     Threads.startDaemon("scripted-peer", () -> talk(s));
                 } catch (final IOException e) {
                     return;
@@ -152,10 +154,11 @@
             }
             duty.execute(() -> {
                 job.accept(passage);
-                passage.drain().forEach(gate.get()::move);
+                passage.drain().forEach(gate.get()::apply);
             });
+            return true;
         }));
-        gate.get().most(4_096);
+        gate.get().maxBodyBytes(4_096);
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             port = s.getLocalPort();
         }
@@ -330,7 +333,7 @@
         final Peer other = new Peer(r -> good(r) + CHUNKED + "\r\n" + event(1) + event(2) + event(3) + "0\r\n\r\n");
         peers.add(other);
         third.set(() -> gate.get()
-                .move(new RoutingEffect.Send(
+                .apply(new RoutingEffect.Send(
                         1, 99, "w1", "127.0.0.1:" + other.server.getLocalPort(), 3_000_000, 0, false, true)));
         final String reply = ask("/again/x", "", "b");
         assertThat(one.asked.size(), is(1));
@@ -343,12 +346,14 @@
 
     @Test
     void whatAWorkerDidNotRunGoesToAnotherAndElseComesBackAsAPromise() throws IOException {
-        final Peer full = worker(r -> "HTTP/1.1 503 Full\r\nSilverlatch-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        final Peer full = worker(r -> "HTTP/1.1 503 Full\r\nSilverlatch-Ticket: " + header(r, "Silverlatch-Ticket")
+                + "\r\nSilverlatch-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
         final String no = ask("/once/x", "", "b");
         assertThat(no, startsWith("HTTP/1.1 503"));
         assertThat(header(no, "Retry-After").isEmpty(), is(false));
         assertThat(full.asked.size(), is(1));
-        final Peer other = worker(r -> "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+        final Peer other = worker(r -> "HTTP/1.1 421 Other\r\nSilverlatch-Ticket: " + header(r, "Silverlatch-Ticket")
+                + "\r\nContent-Length: 0\r\n\r\n");
         assertThat(ask("/once/x", "", "b"), startsWith("HTTP/1.1 503"));
         assertThat(full.asked.size() + other.asked.size() <= 3, is(true));
     }
@@ -393,4 +398,199 @@
         assertThat(ask("/nowhere/x", "", "b"), startsWith("HTTP/1.1 404"));
         assertThat(w.asked.size(), is(0));
     }
+
+    private static String failure(final String request, final String status, final String more) {
+        return "HTTP/1.1 " + status + "\r\nSilverlatch-Ticket: " + header(request, "Silverlatch-Ticket")
+                + "\r\nSilverlatch-Seal: s\r\n" + more + "Content-Length: 0\r\n\r\n";
+    }
+
+    @Test
+    void anAnswerWithoutTheAttemptIdIsNoPromise() throws IOException {
+        final Peer worker =
+                worker(request -> "HTTP/1.1 503 Full\r\nSilverlatch-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        assertThat(ask("/once/x", "", "b"), startsWith("HTTP/1.1 502"));
+        assertThat(worker.asked.size(), is(1));
+    }
+
+    @Test
+    void aMisdirectedAnswerWithoutTheAttemptIdIsNoPromise() throws IOException {
+        final Function<String, String> script = request -> "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n";
+        final Peer first = worker(script);
+        final Peer second = worker(script);
+        assertThat(ask("/once/x", "", "b"), startsWith("HTTP/1.1 502"));
+        assertThat(first.asked.size() + second.asked.size(), is(1));
+    }
+
+    @Test
+    void anAnswerThatBearsTwoAttemptIdsBelongsToNobody() throws IOException {
+        worker(request -> good(request) + "Silverlatch-Ticket: other\r\nContent-Length: 6\r\n\r\nsecret");
+        final String reply = ask("/once/x", "", "b");
+        assertThat(reply, startsWith("HTTP/1.1 502"));
+        assertThat(reply, not(containsString("secret")));
+    }
+
+    @Test
+    void aRequestWithoutAnAttemptIdReachesNoWorker() throws IOException {
+        final Peer worker = worker(request -> good(request) + "Content-Length: 0\r\n\r\n");
+        assertThat(
+                raw("POST /once/x HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"),
+                startsWith("HTTP/1.1 400"));
+        assertThat(worker.asked.size(), is(0));
+    }
+
+    @Test
+    void aRetryStatusWithoutNotExecutedIsNotPassedOn() throws IOException {
+        for (final String status : List.of("503 Ill", "429 Ill", "408 Ill")) {
+            worker(request -> failure(request, status, ""));
+            final String reply = ask("/once/x", "", "b");
+            assertThat(reply, startsWith("HTTP/1.1 502"));
+            assertThat(reply, not(containsString("Silverlatch-Seal")));
+        }
+    }
+
+    @Test
+    void anAnswerThatBreaksBeforeItsFirstByteIsAFailureWithoutASeal() throws IOException {
+        worker(request -> good(request) + "Content-Length: 6\r\n\r\n|");
+        final String reply = ask("/once/x", "", "b");
+        assertThat(reply, startsWith("HTTP/1.1 502"));
+        assertThat(reply, not(containsString("Silverlatch-Seal")));
+    }
+
+    @Test
+    void anAnswerThatBreaksBeforeItsFirstByteGivesWayToTheNextWorkersSeal() throws IOException {
+        final AtomicInteger runs = new AtomicInteger();
+        final Function<String, String> script = request -> runs.incrementAndGet() == 1
+                ? good(request).replace("Seal: s", "Seal: first") + CHUNKED + "\r\n" + chunk("id: 1\ndata: torn") + "|"
+                : good(request).replace("Seal: s", "Seal: second") + CHUNKED + "\r\n" + event(1) + "0\r\n\r\n";
+        worker(script);
+        worker(script);
+        final String reply = ask("/again/x", "", "b");
+        assertThat(reply, containsString("Silverlatch-Seal: second"));
+        assertThat(reply, not(containsString("Silverlatch-Seal: first")));
+        assertThat(reply.endsWith("0\r\n\r\n"), is(true));
+    }
+
+    @Test
+    void aStreamWhoseEventsBearNoIdIsNotTakenUpElsewhere() throws IOException {
+        final Function<String, String> script =
+                request -> good(request) + CHUNKED + "\r\n" + chunk("data: piece 1\n\n") + "|";
+        final Peer first = worker(script);
+        final Peer second = worker(script);
+        final String reply = ask("/again/x", "", "b");
+        assertThat(reply.split("piece", -1).length - 1, is(1));
+        assertThat(reply, not(containsString("\r\n0\r\n\r\n")));
+        assertThat(first.asked.size() + second.asked.size(), is(1));
+    }
+
+    @Test
+    void aSuccessThatEndsWithItsConnectionIsNone() throws IOException {
+        worker(request -> good(request) + "Connection: close\r\n\r\nhalf a bo|");
+        final String reply = ask("/once/x", "", "b");
+        assertThat(reply, startsWith("HTTP/1.1 502"));
+        assertThat(reply, not(containsString("half")));
+    }
+
+    @Test
+    void aSuccessWithTwoFramingsIsNone() throws IOException {
+        worker(request ->
+                good(request) + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        assertThat(ask("/once/x", "", "b"), startsWith("HTTP/1.1 502"));
+    }
+
+    @Test
+    void aFailureWhoseBodyIsTooLargeIsReplacedWhole() throws IOException {
+        worker(request ->
+                "HTTP/1.1 500 Broken\r\nSilverlatch-Ticket: t-1\r\nSilverlatch-Seal: s\r\nContent-Length: 400000\r\n\r\n"
+                        + "x".repeat(400_000));
+        final String reply = ask("/once/x", "", "b");
+        assertThat(reply, startsWith("HTTP/1.1 502"));
+        assertThat(reply, not(containsString("Silverlatch-Seal")));
+    }
+
+    @Test
+    void interimAnswersAreNoAnswer() throws IOException {
+        worker(request -> "HTTP/1.1 100 Continue\r\nSilverlatch-Ticket: t-1\r\n\r\n" + good(request)
+                + "Content-Length: 4\r\n\r\nbody");
+        final String reply = ask("/once/x", "", "b");
+        assertThat(reply.startsWith("HTTP/1.1 200") || reply.startsWith("HTTP/1.1 502"), is(true));
+        worker(request -> "HTTP/1.1 101 Switching Protocols\r\nSilverlatch-Ticket: t-1\r\nUpgrade: x\r\n\r\n|");
+        assertThat(ask("/again/x", "", "b"), not(containsString("HTTP/1.1 101")));
+    }
+
+    @Test
+    void bytesBehindAnAnswerEndItsConnection() throws IOException {
+        final Peer worker =
+                worker(request -> good(request) + "Content-Length: 2\r\n\r\nok" + "HTTP/1.1 200 OK\r\nSilver");
+        assertThat(ask("/once/x", "", "b"), startsWith("HTTP/1.1 200"));
+        assertThat(ask("/once/y", "", "b"), startsWith("HTTP/1.1 200"));
+        assertThat(worker.connections.get(), is(2));
+    }
+
+    @Test
+    void aConnectionWithoutLeftoversIsUsedAgain() throws IOException {
+        final Peer worker = worker(request -> good(request) + "Content-Length: 2\r\n\r\nok");
+        assertThat(ask("/once/x", "", "b"), startsWith("HTTP/1.1 200"));
+        assertThat(ask("/once/y", "", "b"), startsWith("HTTP/1.1 200"));
+        assertThat(worker.connections.get(), is(1));
+    }
+
+    @Test
+    void aForgottenConnectionIsNoReasonToSendAgain() throws IOException {
+        final Peer worker = worker(request ->
+                header(request, "Content-Length").equals("1") ? good(request) + "Content-Length: 2\r\n\r\nok" : "|");
+        final Peer other = worker(request -> good(request) + "Content-Length: 2\r\n\r\nok");
+        for (int i = 0; i < 4; i++) {
+            ask("/once/x", "", "b");
+        }
+        final int before = worker.asked.size() + other.asked.size();
+        for (int i = 0; i < 4; i++) {
+            final String reply = ask("/once/x", "", "bb");
+            assertThat(reply.startsWith("HTTP/1.1 502") || reply.startsWith("HTTP/1.1 200"), is(true));
+        }
+        assertThat(worker.asked.size() + other.asked.size() - before, is(4));
+    }
+
+    @Test
+    void aWorkersSilenceDoesNotEndTheClientsConnection() throws Exception {
+        doors.stop();
+        doors = new Doors(8);
+        doors.add("127.0.0.1:" + port, 8_192, 300, gate.get());
+        doors.start();
+        worker(request -> {
+            try {
+                Thread.sleep(900);
+            } catch (final InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return good(request) + "Content-Length: 2\r\n\r\nok";
+        });
+        assertThat(ask("/once/x", "", "b"), startsWith("HTTP/1.1 200"));
+    }
+
+    @Test
+    void aConnectionMayRestAsLongAsTheLimitInForceAllows() throws Exception {
+        doors.stop();
+        doors = new Doors(8);
+        gate.get().door(doors.add("127.0.0.1:" + port, 8_192, 200, gate.get()));
+        doors.start();
+        worker(request -> good(request) + "Content-Length: 2\r\n\r\nok");
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(10_000);
+            assertThat(exchange(socket, "t-1"), startsWith("HTTP/1.1 200"));
+            gate.get().limits(new Value.RoutingConfiguration(2, 8_192, 4_096, 1_000_000, 4_000_000));
+            Thread.sleep(1_500);
+            assertThat(exchange(socket, "t-2"), startsWith("HTTP/1.1 200"));
+            gate.get().limits(new Value.RoutingConfiguration(3, 8_192, 4_096, 1_000_000, 100_000));
+            Thread.sleep(80);
+            assertThat(exchange(socket, "t-3"), startsWith("HTTP/1.1 200"));
+            assertThat(socket.getInputStream().read(), is(-1));
+        }
+    }
+
+    private static String exchange(final Socket socket, final String attemptId) throws IOException {
+        final String request = "POST /once/x HTTP/1.1\r\nHost: a\r\nSilverlatch-Ticket: " + attemptId
+                + "\r\nSilverlatch-Expiry-Ms: 4000\r\nContent-Length: 1\r\n\r\nb";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        return read(socket.getInputStream());
+    }
 }
