--- a/core/src/main/java/silverlatch/replication/ViewPlanner.java
+++ b/core/src/main/java/silverlatch/replication/ViewPlanner.java
@@ -91,8 +91,8 @@
 
     /**
      * One more at the end of the chain. It takes its own vote, that of the lost identity at its address, or that of a
-     * voter that is dead. A new vote is made only while every voter is heard: it must not widen the quorum while a dead
-     * voter counts, nor while it isn't known whether one died just now.
+     * voter that is dead. A new vote is made only while every voter is in the chain and heard: it must not widen the
+     * quorum while a dead voter counts, nor one that has left, nor while it isn't known whether one died just now.
      */
     private Optional<View> with(final Replica newcomer) {
         final Optional<Replica> replaced = Stream.of(
@@ -117,7 +117,8 @@
     private boolean mayWiden(final Replica newcomer) {
         return view.voters().size() < setup.most()
                 && view.voters().stream()
-                        .allMatch(v -> silent.applyAsLong(v.id()) <= setup.suspect() / 2
+                        .allMatch(v -> view.place(v.id()) >= 0
+                                && silent.applyAsLong(v.id()) <= setup.suspect() / 2
                                 && !v.address().equals(newcomer.address()));
     }
 
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -18,6 +18,7 @@
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
 import silverlatch.state.ConfigurationValidator;
+import silverlatch.state.Entry;
 import silverlatch.state.Value;
 import silverlatch.wire.Msg;
 
@@ -30,8 +31,11 @@
     private final Map<String, ChainReplica> quays = new TreeMap<>();
     private final Map<String, ChainClient> clerks = new HashMap<>();
     private final Map<String, List<LogRecord>> disks = new TreeMap<>();
+    private final Map<String, Long> newest = new HashMap<>();
     private final Map<String, String> names = new HashMap<>();
     private final Set<Set<String>> cuts = new HashSet<>();
+    private final Map<String, List<Runnable>> frozen = new TreeMap<>();
+    private long syncSpan = 2_000;
     private final PriorityQueue<Due> queue =
             new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::turn));
     private final Map<Long, Asked> asked = new LinkedHashMap<>();
@@ -120,8 +124,24 @@
         seats = List.copyOf(next);
     }
 
+    /** How long a sync takes from now on. */
+    void syncs(final long span) {
+        syncSpan = span;
+    }
+
+    /** The machine's process stands still: what comes meanwhile waits for it. */
+    void freeze(final String seat) {
+        frozen.putIfAbsent(seat, new ArrayList<>());
+    }
+
+    /** The machine's process goes on with what waits for it. */
+    void thaw(final String seat) {
+        Optional.ofNullable(frozen.remove(seat)).ifPresent(jobs -> jobs.forEach(Runnable::run));
+    }
+
     /** The machine's process ends, and its power with it. */
     void kill(final String seat) {
+        frozen.remove(seat);
         quays.remove(seat);
         clerks.remove(seat);
     }
@@ -129,6 +149,7 @@
     /** The disk is lost; the next start is under a new identity. */
     void wipe(final String seat) {
         disks.remove(seat);
+        newest.remove(seat);
         names.remove(seat);
     }
 
@@ -222,29 +243,50 @@
 
     /** On how many of the disks a charter is synced, as a change or within a picture. */
     long synced(final long number) {
-        return disks.values().stream()
-                .filter(d -> d.stream().anyMatch(n -> switch (n) {
-                    case LogRecord.Appended x ->
-                        x.change().puts().stream()
-                                .anyMatch(e -> e.key().equals(ConfigurationValidator.CHARTER) && at(e, number));
-                    case LogRecord.Snapshot p ->
-                        p.entries().stream()
-                                .anyMatch(e -> e.key().equals(ConfigurationValidator.CHARTER) && at(e, number));
-                    default -> false;
-                }))
-                .count();
+        return disks.keySet().stream().filter(seat -> synced(seat, number)).count();
+    }
+
+    /** Whether a charter, or a later one, is synced on the disk of one machine. */
+    boolean synced(final String seat, final long number) {
+        return newest.getOrDefault(seat, 0L) >= number;
     }
 
-    private static boolean at(final silverlatch.state.Entry e, final long number) {
-        return ((Value.RoutingConfiguration) e.leaf().get(0)).number() >= number;
+    /** The number of the newest charter of these entries, or 0. */
+    private static long newest(final List<Entry> entries) {
+        return entries.stream()
+                .filter(e -> e.key().equals(ConfigurationValidator.CHARTER))
+                .mapToLong(e -> ((Value.RoutingConfiguration) e.leaf().get(0)).number())
+                .max()
+                .orElse(0);
+    }
+
+    private void sync(final String seat, final LogRecord note) {
+        if (note instanceof LogRecord.Snapshot p) {
+            disks.get(seat).clear();
+            newest.put(seat, newest(p.entries()));
+        } else if (note instanceof LogRecord.Appended x) {
+            newest.merge(seat, newest(x.change().puts()), Math::max);
+        }
+        disks.get(seat).add(note);
     }
 
     private void at(final long when, final Runnable job) {
         queue.add(new Due(when, turn++, job));
     }
 
+    /** Does something on a machine, or when it thaws. */
+    private void at(final long when, final String seat, final Runnable job) {
+        at(when, () -> {
+            if (frozen.containsKey(seat)) {
+                frozen.get(seat).add(job);
+            } else {
+                job.run();
+            }
+        });
+    }
+
     private void beat(final String seat, final ChainReplica q) {
-        at(now + BEAT, () -> {
+        at(now + BEAT, seat, () -> {
             if (quays.get(seat) == q) {
                 q.tick(now);
                 clerks.get(seat).tick(now);
@@ -270,7 +312,7 @@
                 if (s.to().equals(seat)) {
                     hand(seat, q, s.body(), seat);
                 } else if (!cuts.contains(Set.of(seat, s.to()))) {
-                    at(now + hop, () -> {
+                    at(now + hop, s.to(), () -> {
                         if (quays.containsKey(s.to())) {
                             hand(s.to(), quays.get(s.to()), s.body(), seat);
                             flush(s.to(), quays.get(s.to()));
@@ -279,14 +321,9 @@
                 }
             }
             case Effect.Keep k ->
-                at(now + 2_000, () -> {
+                at(now + syncSpan, seat, () -> {
                     if (quays.get(seat) == q) {
-                        k.notes().forEach(n -> {
-                            if (n instanceof LogRecord.Snapshot) {
-                                disks.get(seat).clear();
-                            }
-                            disks.get(seat).add(n);
-                        });
+                        k.notes().forEach(n -> sync(seat, n));
                         q.kept(k.token(), now);
                         flush(seat, q);
                     }
