--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -647,14 +647,24 @@
                             : b;
                     bid = Optional.of(best);
                     if (view.majority(best.yes().size())) {
-                        bid = Optional.of(best.ask());
+                        final Bid chosen = free(best) ? best.better(0, withPromised(best)) : best;
+                        bid = Optional.of(chosen.ask());
                         view.voters()
-                                .forEach(v ->
-                                        send(v.address(), new Msg.Accept(best.number(), best.ballot(), best.view())));
+                                .forEach(v -> send(
+                                        v.address(), new Msg.Accept(chosen.number(), chosen.ballot(), chosen.view())));
                     }
                 });
     }
 
+    /** Whether no view that an earlier ballot may have decided binds this one. */
+    private static boolean free(final Bid bid) {
+        return bid.best() == 0;
+    }
+
+    private View withPromised(final Bid bid) {
+        return new ViewPlanner(setup, view, id -> silent(id, clock), levels).withPromised(bid.view(), bid.yes());
+    }
+
     private void accepted(final Msg.Accepted m, final long now) {
         bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && b.asking())
                 .ifPresent(b -> {
--- a/core/src/main/java/silverlatch/replication/ViewPlanner.java
+++ b/core/src/main/java/silverlatch/replication/ViewPlanner.java
@@ -75,13 +75,33 @@
         if (chain.size() == view.chain().size() || chain.stream().noneMatch(b -> level.contains(b.id()))) {
             return Optional.empty();
         }
+        return Optional.of(shortened(chain));
+    }
+
+    /** The next view with only these members of the chain, in their order. */
+    private View shortened(final List<Replica> chain) {
         final String holder = chain.stream().anyMatch(b -> b.id().equals(view.holder()))
                 ? view.holder()
                 : chain.get(0).id();
         final List<Replica> gone = Stream.concat(view.chain().stream(), out().filter(this::missed))
                 .filter(b -> !chain.contains(b))
                 .toList();
-        return Optional.of(new View(view.number() + 1, view.fleet(), votersWithout(gone), chain, holder));
+        return new View(view.number() + 1, view.fleet(), votersWithout(gone), chain, holder);
+    }
+
+    /**
+     * A proposed view with the members of the present chain that promised it and hold everything, where its own chain
+     * would be shorter than the copies that an acknowledgement needs. A member that was not heard for a while, and so
+     * was left out, may have been slow only; without it the next loss of a disk could leave no member at all.
+     */
+    View withPromised(final View proposed, final Set<String> promised) {
+        if (proposed.chain().size() >= setup.copies()) {
+            return proposed;
+        }
+        final List<Replica> kept = view.chain().stream()
+                .filter(b -> proposed.place(b.id()) >= 0 || promised.contains(b.id()) && level.contains(b.id()))
+                .toList();
+        return kept.size() > proposed.chain().size() ? shortened(kept) : proposed;
     }
 
     /** Whether these members would still be enough copies of all that was acknowledged. */
@@ -91,8 +111,8 @@
 
     /**
      * One more at the end of the chain. It takes its own vote, that of the lost identity at its address, or that of a
-     * voter that is dead. A new vote is made only while every voter is heard: it must not widen the quorum while a dead
-     * voter counts, nor while it isn't known whether one died just now.
+     * voter that is dead. A new vote is made only while every voter is in the chain and heard: it must not widen the
+     * quorum while a dead voter counts, nor one that has left, nor while it isn't known whether one died just now.
      */
     private Optional<View> with(final Replica newcomer) {
         final Optional<Replica> replaced = Stream.of(
@@ -117,7 +137,8 @@
     private boolean mayWiden(final Replica newcomer) {
         return view.voters().size() < setup.most()
                 && view.voters().stream()
-                        .allMatch(v -> silent.applyAsLong(v.id()) <= setup.suspect() / 2
+                        .allMatch(v -> view.place(v.id()) >= 0
+                                && silent.applyAsLong(v.id()) <= setup.suspect() / 2
                                 && !v.address().equals(newcomer.address()));
     }
 
