--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -710,13 +710,7 @@
             after.missed().forEach(b -> log(Event.CHAIN_SUSPECT, b.address()));
         }
         final List<Replica> able = after.able();
-        final int rank = Math.max(
-                0,
-                able.stream()
-                        .map(Replica::id)
-                        .filter(i -> view.place(i) >= 0)
-                        .toList()
-                        .indexOf(setup.me().id()));
+        final int rank = quit && after.missed().isEmpty() ? 0 : rank(able);
         final boolean others = hush > 0 && now - hush < setup.suspect() + rank * setup.suspect() / 2;
         if (others || now - doubt < rank * setup.suspect() || !view.majority(able.size())) {
             return;
@@ -736,6 +730,13 @@
         view.voters().forEach(b -> send(b.address(), new Msg.Prepare(mine.number(), mine.ballot())));
     }
 
+    /** This machine's place among the members that are heard: those with a higher one let the others propose first. */
+    private int rank(final List<Replica> able) {
+        final List<String> members =
+                able.stream().map(Replica::id).filter(i -> view.place(i) >= 0).toList();
+        return Math.max(0, members.indexOf(setup.me().id()));
+    }
+
     private void sweep(final long now) {
         if (duty(now).isEmpty()) {
             swept = now;
--- a/core/src/main/java/silverlatch/replication/ViewPlanner.java
+++ b/core/src/main/java/silverlatch/replication/ViewPlanner.java
@@ -13,6 +13,9 @@
 
 /** Which view should come after the one that stands, as one machine sees it. */
 final class ViewPlanner {
+    /** The fewest voters that bear a loss. */
+    private static final int FEWEST = 3;
+
     private final ChainReplica.Setup setup;
     private final View view;
     private final ToLongFunction<String> silent;
@@ -61,7 +64,8 @@
     /**
      * The chain without the silent, and without this member if it leaves and enough of the others hold everything.
      * Where one is missed, others that were silent for most of that time go with it. One that has everything stays, or
-     * what was acknowledged could be lost with those that go.
+     * what was acknowledged could be lost with those that go. A leaving one gives up its vote at once where three or
+     * more remain: the others hear it until it ends, and would let a newcomer in beside it or another one leave.
      */
     private Optional<View> without(final boolean leaving) {
         final boolean late = view.chain().stream().anyMatch(this::missed);
@@ -71,7 +75,8 @@
                 .toList();
         final List<Replica> others =
                 heard.stream().filter(b -> !b.id().equals(setup.me().id())).toList();
-        final List<Replica> chain = leaving && heldByEnough(others) ? others : heard;
+        final boolean leaves = leaving && heldByEnough(others);
+        final List<Replica> chain = leaves ? others : heard;
         if (chain.size() == view.chain().size() || chain.stream().noneMatch(b -> level.contains(b.id()))) {
             return Optional.empty();
         }
@@ -81,7 +86,12 @@
         final List<Replica> gone = Stream.concat(view.chain().stream(), out().filter(this::missed))
                 .filter(b -> !chain.contains(b))
                 .toList();
-        return Optional.of(new View(view.number() + 1, view.fleet(), votersWithout(gone), chain, holder));
+        final List<Replica> voters = leaves && view.voters().size() > FEWEST
+                ? view.voters().stream()
+                        .filter(v -> !v.id().equals(setup.me().id()))
+                        .toList()
+                : view.voters();
+        return Optional.of(new View(view.number() + 1, view.fleet(), without(voters, gone), chain, holder));
     }
 
     /** Whether these members would still be enough copies of all that was acknowledged. */
@@ -124,7 +134,8 @@
 
     /** The same chain without the votes of dead machines, where fewer votes bear more losses. */
     private Optional<View> withoutDeadVotes() {
-        final List<Replica> voters = votersWithout(out().filter(this::missed).toList());
+        final List<Replica> voters =
+                without(view.voters(), out().filter(this::missed).toList());
         return voters.size() == view.voters().size()
                 ? Optional.empty()
                 : Optional.of(new View(view.number() + 1, view.fleet(), voters, view.chain(), view.holder()));
@@ -135,17 +146,16 @@
      * below those that remain. One dead vote beside an even number of others costs nothing, and may come back; so of
      * three voters with one dead all three stay, until a newcomer takes the dead one's vote.
      */
-    private List<Replica> votersWithout(final List<Replica> gone) {
-        final long remaining =
-                view.voters().stream().filter(v -> !gone.contains(v)).count();
+    private List<Replica> without(final List<Replica> voters, final List<Replica> gone) {
+        final long remaining = voters.stream().filter(v -> !gone.contains(v)).count();
         final long enough = remaining % 2 == 0 ? remaining + 1 : remaining;
-        final Set<Replica> dropped = view.voters().stream()
+        final Set<Replica> dropped = voters.stream()
                 .filter(gone::contains)
                 .sorted(Comparator.comparingLong((Replica v) -> silent.applyAsLong(v.id()))
                         .reversed())
-                .limit(Math.max(0, view.voters().size() - enough))
+                .limit(Math.max(0, voters.size() - enough))
                 .collect(Collectors.toSet());
-        return view.voters().stream().filter(v -> !dropped.contains(v)).toList();
+        return voters.stream().filter(v -> !dropped.contains(v)).toList();
     }
 
     /** The voters that are out of the chain. */
--- a/core/src/test/java/silverlatch/replication/MembershipModelTest.java
+++ b/core/src/test/java/silverlatch/replication/MembershipModelTest.java
@@ -28,7 +28,9 @@
     private static final long SECOND = 1_000_000;
     private static final long STEP = SECOND / 10;
     private static final long CATCH_UP = 4 * SECOND;
-    private static final long GRACE = 8 * SECOND;
+    /** How long a controller that was told to end waits: three quarters of {@code gracePeriodS}. */
+    private static final long GRACE = 6 * SECOND;
+
     private static final long DETECTION = 2 * SECOND;
     private static final long OUTAGE = 5 * SECOND;
     private static final long NEVER = Long.MAX_VALUE;
@@ -251,7 +253,6 @@
             } else if (cluster.now() >= grace) {
                 tell("SIGKILL " + seat);
                 killedAtGrace++;
-                if (Boolean.getBoolean("DEBUG")) { System.out.println("GRACE " + text()); }
                 leaving.remove(seat);
                 finish(seat, then);
                 if (losses.stream().noneMatch(l -> l.seat.equals(seat)) && !members.contains(seat)) {
