--- a/core/src/test/java/silverlatch/replication/MembershipTest.java
+++ b/core/src/test/java/silverlatch/replication/MembershipTest.java
@@ -266,4 +266,30 @@
             put(cluster, 2);
         }
     }
+
+    /** A region with two of six machines is lost where one machine may be: five vote, and one waits for a vote. */
+    @Test
+    void aRegionOfTwoIsLostAndComesBackWithOrWithoutItsDisks() {
+        for (int i = 0; i < 15; i++) {
+            final ReplicaCluster cluster = new ReplicaCluster(SEEDS, HOP, s -> s.counts(2, 5));
+            SIX.forEach(s -> cluster.start(s, true));
+            cluster.until(30 * SECOND, () -> voters(cluster).size() == 5);
+            cluster.pass(2 * SECOND);
+            put(cluster, 1);
+            final List<String> region = List.of(SIX.get(i % 6), SIX.get((i + 1 + i / 6) % 6));
+            region.forEach(cluster::kill);
+            if (i % 2 == 0) {
+                region.forEach(cluster::wipe);
+            }
+            put(cluster, 2);
+            cluster.pass(i * 150_000L);
+            region.forEach(s -> cluster.start(s, false));
+            cluster.pass(CATCH_UP);
+            assertThat("" + cluster, voters(cluster).size(), is(5));
+            assertThat("" + cluster, chain(cluster), is(voters(cluster)));
+            final List<String> next = chain(cluster).stream().sorted().limit(2).toList();
+            next.forEach(s -> lose(cluster, s));
+            put(cluster, 3);
+        }
+    }
 }
