--- a/core/src/main/java/silverlatch/replication/ViewPlanner.java
+++ b/core/src/main/java/silverlatch/replication/ViewPlanner.java
@@ -9,10 +9,14 @@
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import silverlatch.safeguard.Safeguard;
 import silverlatch.wire.Msg;
 
 /** Which view should come after the one that stands, as one machine sees it. */
 final class ViewPlanner {
+    /** The fewest voters that bear a loss. */
+    private static final int FEWEST = 3;
+
     private final ChainReplica.Setup setup;
     private final View view;
     private final ToLongFunction<String> silent;
@@ -61,7 +65,8 @@
     /**
      * The chain without the silent, and without this member if it leaves and enough of the others hold everything.
      * Where one is missed, others that were silent for most of that time go with it. One that has everything stays, or
-     * what was acknowledged could be lost with those that go.
+     * what was acknowledged could be lost with those that go. A leaving one gives up its vote at once where three or
+     * more remain: the others hear it until it ends, and would let a newcomer in beside it or another one leave.
      */
     private Optional<View> without(final boolean leaving) {
         final boolean late = view.chain().stream().anyMatch(this::missed);
@@ -71,22 +76,28 @@
                 .toList();
         final List<Replica> others =
                 heard.stream().filter(b -> !b.id().equals(setup.me().id())).toList();
-        final List<Replica> chain = leaving && heldByEnough(others) ? others : heard;
+        final boolean leaves = leaving && heldByEnough(others);
+        final List<Replica> chain = leaves ? others : heard;
         if (chain.size() == view.chain().size() || chain.stream().noneMatch(b -> level.contains(b.id()))) {
             return Optional.empty();
         }
-        return Optional.of(shortened(chain));
+        return Optional.of(shortened(chain, leaves));
     }
 
-    /** The next view with only these members of the chain, in their order. */
-    private View shortened(final List<Replica> chain) {
+    /** The next view with only these members of the chain, in their order; a member that leaves gives up its vote. */
+    private View shortened(final List<Replica> chain, final boolean leaves) {
         final String holder = chain.stream().anyMatch(b -> b.id().equals(view.holder()))
                 ? view.holder()
                 : chain.get(0).id();
         final List<Replica> gone = Stream.concat(view.chain().stream(), out().filter(this::missed))
                 .filter(b -> !chain.contains(b))
                 .toList();
-        return new View(view.number() + 1, view.fleet(), votersWithout(gone), chain, holder);
+        final List<Replica> voters = leaves && view.voters().size() > FEWEST
+                ? view.voters().stream()
+                        .filter(v -> !v.id().equals(setup.me().id()))
+                        .toList()
+                : view.voters();
+        return new View(view.number() + 1, view.fleet(), without(voters, gone), chain, holder);
     }
 
     /**
@@ -101,12 +112,13 @@
         final List<Replica> kept = view.chain().stream()
                 .filter(b -> proposed.place(b.id()) >= 0 || promised.contains(b.id()) && level.contains(b.id()))
                 .toList();
-        return kept.size() > proposed.chain().size() ? shortened(kept) : proposed;
+        return kept.size() > proposed.chain().size() ? shortened(kept, false) : proposed;
     }
 
     /** Whether these members would still be enough copies of all that was acknowledged. */
     private boolean heldByEnough(final List<Replica> members) {
-        return members.stream().filter(b -> level.contains(b.id())).count() >= setup.copies();
+        return members.stream().filter(b -> level.contains(b.id())).count() >= setup.copies()
+                || !setup.guards().stands(Safeguard.HANDOVER);
     }
 
     /**
@@ -118,7 +130,7 @@
         final Optional<Replica> replaced = Stream.of(
                         view.voters().stream().filter(v -> v.id().equals(newcomer.id())),
                         out().filter(v -> v.address().equals(newcomer.address())),
-                        out().filter(this::missed))
+                        out().filter(v -> missed(v) && setup.guards().stands(Safeguard.DEAD_VOTES)))
                 .flatMap(s -> s)
                 .findFirst();
         final List<Replica> voters = new ArrayList<>(view.voters());
@@ -135,16 +147,17 @@
     }
 
     private boolean mayWiden(final Replica newcomer) {
-        return view.voters().size() < setup.most()
-                && view.voters().stream()
-                        .allMatch(v -> view.place(v.id()) >= 0
-                                && silent.applyAsLong(v.id()) <= setup.suspect() / 2
-                                && !v.address().equals(newcomer.address()));
+        final boolean sound = view.voters().stream()
+                .allMatch(v -> view.place(v.id()) >= 0
+                        && silent.applyAsLong(v.id()) <= setup.suspect() / 2
+                        && !v.address().equals(newcomer.address()));
+        return view.voters().size() < setup.most() && (sound || !setup.guards().stands(Safeguard.DEAD_VOTES));
     }
 
     /** The same chain without the votes of dead machines, where fewer votes bear more losses. */
     private Optional<View> withoutDeadVotes() {
-        final List<Replica> voters = votersWithout(out().filter(this::missed).toList());
+        final List<Replica> voters =
+                without(view.voters(), out().filter(this::missed).toList());
         return voters.size() == view.voters().size()
                 ? Optional.empty()
                 : Optional.of(new View(view.number() + 1, view.fleet(), voters, view.chain(), view.holder()));
@@ -155,17 +168,19 @@
      * below those that remain. One dead vote beside an even number of others costs nothing, and may come back; so of
      * three voters with one dead all three stay, until a newcomer takes the dead one's vote.
      */
-    private List<Replica> votersWithout(final List<Replica> gone) {
-        final long remaining =
-                view.voters().stream().filter(v -> !gone.contains(v)).count();
+    private List<Replica> without(final List<Replica> voters, final List<Replica> gone) {
+        if (!setup.guards().stands(Safeguard.DEAD_VOTES)) {
+            return voters;
+        }
+        final long remaining = voters.stream().filter(v -> !gone.contains(v)).count();
         final long enough = remaining % 2 == 0 ? remaining + 1 : remaining;
-        final Set<Replica> dropped = view.voters().stream()
+        final Set<Replica> dropped = voters.stream()
                 .filter(gone::contains)
                 .sorted(Comparator.comparingLong((Replica v) -> silent.applyAsLong(v.id()))
                         .reversed())
-                .limit(Math.max(0, view.voters().size() - enough))
+                .limit(Math.max(0, voters.size() - enough))
                 .collect(Collectors.toSet());
-        return view.voters().stream().filter(v -> !dropped.contains(v)).toList();
+        return voters.stream().filter(v -> !dropped.contains(v)).toList();
     }
 
     /** The voters that are out of the chain. */
