--- a/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
@@ -199,7 +199,7 @@
     }
 
     private void clearHead() {
-        if (headed && !committed) {
+        if (headed && !committed && !proxy.down().contains(ProxySafeguard.WHOLE_HEAD)) {
             response.reset();
             headed = false;
         }
--- a/server/src/main/java/silverlatch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxyServer.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
@@ -31,6 +32,7 @@
     private final Fields names;
     private final WorkerHttpClient workers;
     private final Predicate<Consumer<Router>> router;
+    private final Set<ProxySafeguard> down;
     private final Map<Long, ProxiedRequest> requests = new ConcurrentHashMap<>();
     private final AtomicLong tokens = new AtomicLong();
     private volatile Optional<Doors.Door> door = Optional.empty();
@@ -40,9 +42,18 @@
 
     /** A proxy under these names; the router's event loop runs what the router is to be told, or says that it is full. */
     public ProxyServer(final Fields names, final WorkerHttpClient workers, final Predicate<Consumer<Router>> router) {
+        this(names, workers, router, ProxySafeguard.NONE_DOWN);
+    }
+
+    ProxyServer(
+            final Fields names,
+            final WorkerHttpClient workers,
+            final Predicate<Consumer<Router>> router,
+            final Set<ProxySafeguard> down) {
         this.names = names;
         this.workers = workers;
         this.router = router;
+        this.down = Set.copyOf(down);
     }
 
     /** How large a body may be from now on. */
@@ -133,6 +144,10 @@
         return router.test(event);
     }
 
+    Set<ProxySafeguard> down() {
+        return down;
+    }
+
     boolean closing() {
         return closing;
     }
--- a/server/src/main/java/silverlatch/server/proxy/WorkerConnection.java
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerConnection.java
@@ -13,10 +13,12 @@
  * the next request.
  */
 final class WorkerConnection extends HttpConnectionOverHTTP {
+    private final boolean closeOnLeftover;
     private volatile boolean leftover;
 
-    WorkerConnection(final EndPoint endPoint, final Map<String, Object> context) {
+    WorkerConnection(final EndPoint endPoint, final Map<String, Object> context, final boolean closeOnLeftover) {
         super(endPoint, context);
+        this.closeOnLeftover = closeOnLeftover;
     }
 
     @Override
@@ -26,7 +28,7 @@
 
     @Override
     public void release() {
-        if (leftover) {
+        if (leftover && closeOnLeftover) {
             close();
         } else {
             super.release();
--- a/server/src/main/java/silverlatch/server/proxy/WorkerExchange.java
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerExchange.java
@@ -105,7 +105,7 @@
     private void head(final Response from) {
         response = Optional.of(from);
         head = WorkerResponseHead.read(
-                proxy.names(), owner.attemptId(), owner.method(), from.getStatus(), from.getHeaders());
+                proxy.down(), proxy.names(), owner.attemptId(), owner.method(), from.getStatus(), from.getHeaders());
         if (head instanceof WorkerResponseHead.Unusable unusable) {
             from.abort(new CancellationException(unusable.reason()));
             return;
@@ -174,7 +174,8 @@
 
     private void broken() {
         final FailurePoint sent = owner.committed() ? FailurePoint.BEGUN : FailurePoint.SENT;
-        failed(begun.get() ? sent : FailurePoint.UNSENT);
+        final boolean known = begun.get() && !proxy.down().contains(ProxySafeguard.SENT_MAY_HAVE_RUN);
+        failed(known ? sent : FailurePoint.UNSENT);
     }
 
     private void failed(final FailurePoint point) {
--- a/server/src/main/java/silverlatch/server/proxy/WorkerHttpClient.java
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerHttpClient.java
@@ -2,6 +2,7 @@
 
 import java.net.URI;
 import java.util.Map;
+import java.util.Set;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.transport.HttpClientConnectionFactory;
@@ -36,6 +37,10 @@
 
     /** A client for workers. */
     public WorkerHttpClient(final Setup setup) {
+        this(setup, ProxySafeguard.NONE_DOWN);
+    }
+
+    WorkerHttpClient(final Setup setup, final Set<ProxySafeguard> down) {
         final QueuedThreadPool pool = new QueuedThreadPool(setup.threads(), 2);
         pool.setName("worker-http");
         pool.setDaemon(true);
@@ -43,7 +48,7 @@
         final ClientConnector connector = new Abrupt();
         connector.setExecutor(pool);
         connector.setSelectors(1);
-        http = new HttpClient(new WorkerTransport(connector));
+        http = new HttpClient(new WorkerTransport(connector, !down.contains(ProxySafeguard.LEFTOVER_BYTES)));
         http.setConnectTimeout(setup.connect());
         http.setAddressResolutionTimeout(setup.connect());
         http.setMaxConnectionsPerDestination(setup.lines());
@@ -57,15 +62,16 @@
 
     /** HTTP/1.1 over connections that are dropped when bytes follow a response. */
     private static final class WorkerTransport extends HttpClientTransportOverHTTP {
-        private final HttpClientConnectionFactory connections = new HttpClientConnectionFactory() {
-            @Override
-            public Connection newConnection(final EndPoint endPoint, final Map<String, Object> context) {
-                return customize(new WorkerConnection(endPoint, context), context);
-            }
-        };
+        private final HttpClientConnectionFactory connections;
 
-        WorkerTransport(final ClientConnector connector) {
+        WorkerTransport(final ClientConnector connector, final boolean closeOnLeftover) {
             super(connector);
+            connections = new HttpClientConnectionFactory() {
+                @Override
+                public Connection newConnection(final EndPoint endPoint, final Map<String, Object> context) {
+                    return customize(new WorkerConnection(endPoint, context, closeOnLeftover), context);
+                }
+            };
         }
 
         @Override
--- a/server/src/main/java/silverlatch/server/proxy/WorkerResponseHead.java
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerResponseHead.java
@@ -32,12 +32,14 @@
 
     /** Reads the head of a response to a request with this attempt id and method. */
     static WorkerResponseHead read(
+            final Set<ProxySafeguard> down,
             final Fields names,
             final String attemptId,
             final String method,
             final int status,
             final HttpFields headers) {
-        if (!headers.getValuesList(names.attemptId()).equals(List.of(attemptId))) {
+        if (!down.contains(ProxySafeguard.ATTEMPT_ID_ECHO)
+                && !headers.getValuesList(names.attemptId()).equals(List.of(attemptId))) {
             return new Unusable("it does not echo the attempt id");
         }
         if (status < HttpStatus.OK_200) {
@@ -45,7 +47,7 @@
         }
         final boolean notExecuted = headers.contains(names.notExecuted());
         if (HttpStatus.isSuccess(status)) {
-            return success(names, method, status, headers, notExecuted);
+            return success(down, names, method, status, headers, notExecuted);
         }
         if (status == HttpStatus.MISDIRECTED_REQUEST_421) {
             return new Misdirected();
@@ -53,12 +55,13 @@
         if (notExecuted && status != HttpStatus.BAD_REQUEST_400) {
             return new NotExecuted();
         }
-        return PROMISES.contains(status)
+        return PROMISES.contains(status) && !down.contains(ProxySafeguard.NOT_EXECUTED_WORD)
                 ? new Unusable("status " + status + " without the worker's word that it did not execute it")
                 : new Failure();
     }
 
     private static WorkerResponseHead success(
+            final Set<ProxySafeguard> down,
             final Fields names,
             final String method,
             final int status,
@@ -67,13 +70,14 @@
         if (notExecuted) {
             return new Unusable("a success that was not executed");
         }
-        if (headers.getValuesList(names.seal()).size() != 1) {
+        if (!down.contains(ProxySafeguard.SEAL)
+                && headers.getValuesList(names.seal()).size() != 1) {
             return new Unusable("a success without exactly one seal");
         }
         if (headers.contains(HttpHeader.CONTENT_ENCODING)) {
             return new Unusable("an encoded body");
         }
-        return framed(method, status, headers)
+        return framed(method, status, headers) || down.contains(ProxySafeguard.SELF_DELIMITED_BODY)
                 ? new Success()
                 : new Unusable("a body whose end cannot be told from a broken connection");
     }
--- /dev/null
+++ b/server/src/test/java/silverlatch/server/proxy/ExchangeLog.java
@@ -0,0 +1,68 @@
+package silverlatch.server.proxy;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** All that scripted clients and workers sent and received, for the checker. */
+final class ExchangeLog {
+    final Map<String, Attempt> attempts = new ConcurrentHashMap<>();
+    final Map<String, Run> runsBySeal = new ConcurrentHashMap<>();
+    final List<Run> runs = new CopyOnWriteArrayList<>();
+    final List<Received> responses = new CopyOnWriteArrayList<>();
+    final List<String> violations = new CopyOnWriteArrayList<>();
+
+    /** How often a request may run, and what its response is. */
+    enum Kind {
+        /** A stream that may run once. */
+        ONCE("/once/", false, true),
+        /** A whole response that may run again. */
+        AGAIN("/again/", true, false),
+        /** A stream that may be resumed. */
+        RESUMABLE("/resume/", true, true);
+
+        final String prefix;
+        final boolean repeatable;
+        final boolean stream;
+
+        Kind(final String prefix, final boolean repeatable, final boolean stream) {
+            this.prefix = prefix;
+            this.repeatable = repeatable;
+            this.stream = stream;
+        }
+    }
+
+    /** What a client sends, and whether it sends it whole. */
+    record Attempt(String id, Kind kind, String path, String body, boolean whole) {}
+
+    /**
+     * A request that a worker has read whole.
+     *
+     * @param seal     the seal of the response, unlike any other
+     * @param executed whether the worker ran it
+     * @param status   the status that the worker gives
+     * @param body     the whole body that the worker means to give
+     * @param whole    whether it lets the body get through whole
+     */
+    record Run(
+            String worker,
+            String attemptId,
+            String path,
+            String requestBody,
+            String lastEventId,
+            String seal,
+            ScriptedWorker.Behaviour behaviour,
+            boolean executed,
+            int status,
+            String body,
+            boolean whole) {}
+
+    /** A response as a client has read it, or why it is none. */
+    record Received(Attempt attempt, HttpResponseReader.Message message) {}
+
+    void run(final Run run) {
+        runsBySeal.put(run.seal(), run);
+        runs.add(run);
+    }
+}
--- /dev/null
+++ b/server/src/test/java/silverlatch/server/proxy/HttpResponseReader.java
@@ -0,0 +1,130 @@
+package silverlatch.server.proxy;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Reads responses as a strict HTTP/1.1 client does, and says whether they look complete. */
+final class HttpResponseReader {
+    private HttpResponseReader() {}
+
+    /** How a response ended. */
+    enum End {
+        /** By its length or its last chunk. */
+        COMPLETE,
+        /** Before its end. */
+        CUT,
+        /** No byte of it came. */
+        NOTHING,
+        /** It is no response in the protocol. */
+        GARBAGE
+    }
+
+    /** A response. */
+    record Message(End end, int status, List<String> headers, String body, String raw) {
+        /** All values of a header field. */
+        List<String> values(final String name) {
+            final String start = name.toLowerCase(Locale.ROOT) + ":";
+            return headers.stream()
+                    .filter(h -> h.toLowerCase(Locale.ROOT).startsWith(start))
+                    .map(h -> h.substring(start.length()).strip())
+                    .toList();
+        }
+
+        /** Whether the connection ends with it. */
+        boolean closes() {
+            return end != End.COMPLETE || values("Connection").contains("close");
+        }
+    }
+
+    /** Reads one response. */
+    static Message read(final InputStream in) {
+        final ByteArrayOutputStream raw = new ByteArrayOutputStream();
+        final List<String> headers = new ArrayList<>();
+        final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        int status = 0;
+        try {
+            final String first = line(in, raw);
+            if (!first.matches("HTTP/1\\.1 [1-5]\\d\\d( .*)?")) {
+                return new Message(End.GARBAGE, 0, headers, "", text(raw));
+            }
+            status = Integer.parseInt(first.substring(9, 12));
+            String header = line(in, raw);
+            while (!header.isEmpty()) {
+                headers.add(header);
+                header = line(in, raw);
+            }
+            final Message head = new Message(End.CUT, status, headers, "", "");
+            if (status == 204 || status == 304) {
+                return new Message(End.COMPLETE, status, headers, "", text(raw));
+            }
+            if (head.values("Transfer-Encoding").contains("chunked")) {
+                chunks(in, raw, body);
+            } else if (!head.values("Content-Length").isEmpty()) {
+                bytes(
+                        in,
+                        raw,
+                        body,
+                        Integer.parseInt(head.values("Content-Length").get(0)));
+            } else {
+                rest(in, raw, body);
+            }
+            return new Message(End.COMPLETE, status, headers, text(body), text(raw));
+        } catch (final IOException | NumberFormatException e) {
+            return new Message(raw.size() == 0 ? End.NOTHING : End.CUT, status, headers, text(body), text(raw));
+        }
+    }
+
+    private static void chunks(final InputStream in, final ByteArrayOutputStream raw, final ByteArrayOutputStream body)
+            throws IOException {
+        int size = Integer.parseInt(line(in, raw), 16);
+        while (size > 0) {
+            bytes(in, raw, body, size);
+            line(in, raw);
+            size = Integer.parseInt(line(in, raw), 16);
+        }
+        line(in, raw);
+    }
+
+    private static void bytes(
+            final InputStream in, final ByteArrayOutputStream raw, final ByteArrayOutputStream body, final int count)
+            throws IOException {
+        for (int i = 0; i < count; i++) {
+            body.write(one(in, raw));
+        }
+    }
+
+    private static void rest(final InputStream in, final ByteArrayOutputStream raw, final ByteArrayOutputStream body)
+            throws IOException {
+        for (int b = in.read(); b >= 0; b = in.read()) {
+            raw.write(b);
+            body.write(b);
+        }
+    }
+
+    private static String line(final InputStream in, final ByteArrayOutputStream raw) throws IOException {
+        final StringBuilder line = new StringBuilder();
+        while (line.length() < 2 || line.charAt(line.length() - 1) != '\n') {
+            line.append((char) one(in, raw));
+        }
+        return line.substring(0, line.length() - 2);
+    }
+
+    private static int one(final InputStream in, final ByteArrayOutputStream raw) throws IOException {
+        final int b = in.read();
+        if (b < 0) {
+            throw new EOFException();
+        }
+        raw.write(b);
+        return b;
+    }
+
+    private static String text(final ByteArrayOutputStream bytes) {
+        return bytes.toString(StandardCharsets.ISO_8859_1);
+    }
+}
--- /dev/null
+++ b/server/src/test/java/silverlatch/server/proxy/ScriptedClient.java
@@ -0,0 +1,146 @@
+package silverlatch.server.proxy;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** A client on real sockets that keeps connections, pipelines, closes its half, and goes away, drawn by seed. */
+final class ScriptedClient implements Runnable {
+    private static final int DEADLINE_MS = 700;
+    private final String name;
+    private final int port;
+    private final int rounds;
+    private final SplittableRandom random;
+    private final ExchangeLog log;
+    private int sent;
+
+    ScriptedClient(final String name, final int port, final int rounds, final long seed, final ExchangeLog log) {
+        this.name = name;
+        this.port = port;
+        this.rounds = rounds;
+        this.random = new SplittableRandom(seed);
+        this.log = log;
+    }
+
+    @Override
+    public void run() {
+        for (int i = 0; i < rounds; i++) {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.setSoTimeout(10_000);
+                switch (random.nextInt(6)) {
+                    case 0 -> pipeline(socket);
+                    case 1 -> goAway(socket);
+                    case 2 -> halfRequest(socket);
+                    case 3 -> halfClose(socket);
+                    default -> keepAlive(socket);
+                }
+            } catch (final IOException e) {
+                Thread.yield();
+            }
+        }
+    }
+
+    private void keepAlive(final Socket socket) throws IOException {
+        final InputStream in = new BufferedInputStream(socket.getInputStream());
+        final int count = 1 + random.nextInt(4);
+        for (int i = 0; i < count; i++) {
+            final ExchangeLog.Attempt attempt = attempt(true);
+            write(socket, request(attempt));
+            if (receive(attempt, in).closes()) {
+                break;
+            }
+        }
+        nothingMore(socket, in);
+    }
+
+    private void pipeline(final Socket socket) throws IOException {
+        final List<ExchangeLog.Attempt> attempts = new ArrayList<>();
+        final StringBuilder text = new StringBuilder();
+        final int count = 2 + random.nextInt(2);
+        for (int i = 0; i < count; i++) {
+            final ExchangeLog.Attempt attempt = attempt(true);
+            attempts.add(attempt);
+            text.append(request(attempt));
+        }
+        write(socket, text.toString());
+        final InputStream in = new BufferedInputStream(socket.getInputStream());
+        for (final ExchangeLog.Attempt attempt : attempts) {
+            if (receive(attempt, in).closes()) {
+                return;
+            }
+        }
+        nothingMore(socket, in);
+    }
+
+    private void goAway(final Socket socket) throws IOException {
+        write(socket, request(attempt(true)));
+        try {
+            Thread.sleep(random.nextInt(8));
+        } catch (final InterruptedException e) {
+            throw new IOException(e);
+        }
+        socket.setSoLinger(random.nextBoolean(), 0);
+    }
+
+    private void halfRequest(final Socket socket) throws IOException {
+        final String text = request(attempt(false));
+        write(socket, text.substring(0, text.length() - 1 - random.nextInt(text.length() - 2)));
+    }
+
+    private void halfClose(final Socket socket) throws IOException {
+        final ExchangeLog.Attempt attempt = attempt(true);
+        write(socket, request(attempt));
+        socket.shutdownOutput();
+        final InputStream in = new BufferedInputStream(socket.getInputStream());
+        if (!receive(attempt, in).closes()) {
+            expectEnd(in);
+        }
+    }
+
+    private void nothingMore(final Socket socket, final InputStream in) throws IOException {
+        socket.shutdownOutput();
+        expectEnd(in);
+    }
+
+    private void expectEnd(final InputStream in) throws IOException {
+        if (in.read() >= 0) {
+            log.violations.add("MIXED: " + name + " got bytes while no request waited");
+        }
+    }
+
+    private HttpResponseReader.Message receive(final ExchangeLog.Attempt attempt, final InputStream in) {
+        final HttpResponseReader.Message message = HttpResponseReader.read(in);
+        log.responses.add(new ExchangeLog.Received(attempt, message));
+        return message;
+    }
+
+    private ExchangeLog.Attempt attempt(final boolean whole) {
+        final ExchangeLog.Kind[] kinds = ExchangeLog.Kind.values();
+        final ExchangeLog.Kind kind = kinds[random.nextInt(kinds.length)];
+        final String id = name + "-" + sent++;
+        final ExchangeLog.Attempt attempt = new ExchangeLog.Attempt(
+                id, kind, kind.prefix + id + "?q=" + id, "body of " + id + "y".repeat(random.nextInt(300)), whole);
+        log.attempts.put(id, attempt);
+        return attempt;
+    }
+
+    private static String request(final ExchangeLog.Attempt attempt) {
+        final String head = "POST " + attempt.path() + " HTTP/1.1\r\nHost: a\r\nSilverlatch-Ticket: " + attempt.id()
+                + "\r\nSilverlatch-Expiry-Ms: " + DEADLINE_MS + "\r\n";
+        final String body = attempt.body();
+        return attempt.id().hashCode() % 3 == 0
+                ? head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + body
+                        + "\r\n0\r\n\r\n"
+                : head + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static void write(final Socket socket, final String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+}
--- /dev/null
+++ b/server/src/test/java/silverlatch/server/proxy/ScriptedWorker.java
@@ -0,0 +1,327 @@
+package silverlatch.server.proxy;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import silverlatch.util.Threads;
+
+/** A worker on a real socket whose behaviour is drawn for each request, by seed. */
+final class ScriptedWorker implements Closeable {
+    private static final AtomicInteger SEALS = new AtomicInteger();
+    private static final String STRAY =
+            "HTTP/1.1 200 OK\r\nSilverlatch-Ticket: %s\r\nSilverlatch-Seal: forged\r\nContent-Length: 6\r\n\r\nFORGED";
+    final String id;
+    private final long seed;
+    private final ExchangeLog log;
+    private final ServerSocket server;
+    private final AtomicReference<String> earlier = new AtomicReference<>("none");
+
+    /** What a worker does with a request that it has read. */
+    enum Behaviour {
+        GOOD,
+        STRAY_BEHIND,
+        STRAY_LATER,
+        HALF_STRAY_BEHIND,
+        DOUBLED,
+        EARLIER_FIRST,
+        OTHER_ID,
+        TWO_IDS,
+        UNSEALED,
+        REFUSAL_WITHOUT_ID_FIRST,
+        REFUSAL_WITHOUT_ID,
+        MISDIRECTED_WITHOUT_ID,
+        NOT_EXECUTED,
+        MISDIRECTED,
+        RETRY_STATUS,
+        FAILURE,
+        EMPTY_FAILURE_CUT,
+        REDIRECT,
+        HALF_HEAD,
+        RESET_BEFORE,
+        HEAD_ONLY,
+        RESET_MIDWAY,
+        END_MIDWAY,
+        CLOSE_DELIMITED,
+        TWO_FRAMINGS,
+        INTERIM_FIRST,
+        GARBAGE,
+        LARGE_HEAD,
+        SILENT,
+        FORGET
+    }
+
+    ScriptedWorker(final String id, final long seed, final ExchangeLog log) throws IOException {
+        this.id = id;
+        this.seed = seed;
+        this.log = log;
+        this.server = new ServerSocket(0, 200, InetAddress.getByName("127.0.0.1"));
+        Threads.startDaemon("scripted-worker", this::accept);
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                final Socket socket = server.accept();
+                Threads.startDaemon("scripted-worker-connection", () -> serve(socket));
+            } catch (final IOException e) {
+                return;
+            }
+        }
+    }
+
+    private record Asked(String method, String path, String head, String body) {
+        String header(final String name) {
+            return head.lines()
+                    .filter(l -> l.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":"))
+                    .map(l -> l.substring(name.length() + 1).strip())
+                    .findFirst()
+                    .orElse("");
+        }
+    }
+
+    private void serve(final Socket socket) {
+        try (socket) {
+            final InputStream in = new BufferedInputStream(socket.getInputStream());
+            boolean leftover = false;
+            while (true) {
+                final Asked asked = read(in);
+                if (leftover) {
+                    log.violations.add("REUSED: " + id + " got " + asked.header("Silverlatch-Ticket")
+                            + " on a connection on which bytes had followed a response");
+                }
+                final Behaviour behaviour = draw(asked.header("Silverlatch-Ticket"));
+                leftover = behaviour == Behaviour.STRAY_BEHIND
+                        || behaviour == Behaviour.HALF_STRAY_BEHIND
+                        || behaviour == Behaviour.DOUBLED;
+                if (!answer(socket, asked, behaviour)) {
+                    return;
+                }
+                earlier.set(asked.header("Silverlatch-Ticket"));
+                if (behaviour == Behaviour.FORGET) {
+                    in.mark(1);
+                    if (in.read() >= 0) {
+                        socket.setSoLinger(true, 0);
+                    }
+                    return;
+                }
+            }
+        } catch (final IOException e) {
+            Thread.yield();
+        }
+    }
+
+    /** Good in half of all cases; the same for the same request at the same worker. */
+    private Behaviour draw(final String attemptId) {
+        final SplittableRandom random = new SplittableRandom(seed * 31 + (id + attemptId).hashCode());
+        random.nextLong();
+        final Behaviour[] all = Behaviour.values();
+        return random.nextInt(2) == 0 ? Behaviour.GOOD : all[random.nextInt(all.length)];
+    }
+
+    private boolean answer(final Socket socket, final Asked asked, final Behaviour behaviour) throws IOException {
+        final String attemptId = asked.header("Silverlatch-Ticket");
+        final String seal = "seal-" + SEALS.incrementAndGet() + "-";
+        final String after = asked.header("Last-Event-Id");
+        final String body = asked.path().startsWith("/again/")
+                ? attemptId + " " + seal + " " + "x".repeat(1 + Math.abs(attemptId.hashCode() % 3_000))
+                : events(attemptId, seal, after.isEmpty() ? 0 : Integer.parseInt(after));
+        final boolean executed = behaviour != Behaviour.NOT_EXECUTED && behaviour != Behaviour.MISDIRECTED;
+        final int status = status(behaviour);
+        final boolean whole = !(behaviour == Behaviour.RESET_MIDWAY
+                || behaviour == Behaviour.END_MIDWAY
+                || behaviour == Behaviour.CLOSE_DELIMITED
+                || behaviour == Behaviour.HEAD_ONLY);
+        final String given = status == 200 ? body : "failure " + seal;
+        log.run(new ExchangeLog.Run(
+                id, attemptId, asked.path(), asked.body(), after, seal, behaviour, executed, status, given, whole));
+        return reply(socket, attemptId, seal, given, behaviour);
+    }
+
+    /** The number of pieces in a request's stream. */
+    static int pieces(final String attemptId) {
+        return 2 + Math.abs(attemptId.hashCode() % 6);
+    }
+
+    private static String events(final String attemptId, final String seal, final int after) {
+        final StringBuilder text = new StringBuilder();
+        for (int i = after + 1; i <= pieces(attemptId); i++) {
+            text.append("id: ").append(i).append("\ndata: ").append(attemptId).append(' ');
+            text.append(seal).append(" piece ").append(i).append("\n\n");
+        }
+        return text.toString();
+    }
+
+    private static int status(final Behaviour behaviour) {
+        return switch (behaviour) {
+            case REFUSAL_WITHOUT_ID, NOT_EXECUTED, RETRY_STATUS -> 503;
+            case MISDIRECTED_WITHOUT_ID, MISDIRECTED -> 421;
+            case FAILURE, EMPTY_FAILURE_CUT -> 500;
+            case REDIRECT -> 302;
+            default -> 200;
+        };
+    }
+
+    private static String head(final int status, final String attemptId, final String seal) {
+        return "HTTP/1.1 " + status + " Text\r\n"
+                + (attemptId.isEmpty() ? "" : "Silverlatch-Ticket: " + attemptId + "\r\n")
+                + (seal.isEmpty() ? "" : "Silverlatch-Seal: " + seal + "\r\n");
+    }
+
+    private static String length(final String body) {
+        return "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static String chunks(final String body) {
+        final StringBuilder text = new StringBuilder("Transfer-Encoding: chunked\r\n\r\n");
+        final int step = 1 + body.length() / 5;
+        for (int from = 0; from < body.length(); from += step) {
+            final String part = body.substring(from, Math.min(body.length(), from + step));
+            text.append(Integer.toHexString(part.length()))
+                    .append("\r\n")
+                    .append(part)
+                    .append("\r\n");
+        }
+        return text.append("0\r\n\r\n").toString();
+    }
+
+    /** Writes what the behaviour wants; false if the connection ends. */
+    private boolean reply(
+            final Socket socket,
+            final String attemptId,
+            final String seal,
+            final String body,
+            final Behaviour behaviour)
+            throws IOException {
+        final OutputStream out = socket.getOutputStream();
+        final boolean chunked = attemptId.hashCode() % 2 == 0;
+        final String good = head(200, attemptId, seal) + (chunked ? chunks(body) : length(body));
+        final String stray = String.format(STRAY, earlier.get());
+        switch (behaviour) {
+            case GOOD, FORGET -> write(out, good);
+            case STRAY_BEHIND -> write(out, good + stray);
+            case HALF_STRAY_BEHIND -> write(out, good + stray.substring(0, stray.length() / 2));
+            case DOUBLED -> write(out, good + good);
+            case STRAY_LATER -> {
+                write(out, good);
+                pause(2);
+                write(out, stray);
+            }
+            case EARLIER_FIRST -> write(out, stray + good);
+            case OTHER_ID -> write(out, head(200, "somebody-elses", seal) + length("FORGED"));
+            case TWO_IDS -> write(out, head(200, attemptId, seal) + "Silverlatch-Ticket: x\r\n" + length("FORGED"));
+            case UNSEALED -> write(out, head(200, attemptId, "") + length("FORGED"));
+            case REFUSAL_WITHOUT_ID_FIRST ->
+                write(out, head(503, "", "") + "Silverlatch-Not-Run: 1\r\n" + length("") + good);
+            case REFUSAL_WITHOUT_ID -> write(out, head(503, "", seal) + "Silverlatch-Not-Run: 1\r\n" + length(body));
+            case MISDIRECTED_WITHOUT_ID -> write(out, head(421, "", seal) + length(body));
+            case NOT_EXECUTED -> write(out, head(503, attemptId, seal) + "Silverlatch-Not-Run: 1\r\n" + length(body));
+            case MISDIRECTED -> write(out, head(421, attemptId, seal) + length(body));
+            case RETRY_STATUS -> write(out, head(503, attemptId, seal) + length(body));
+            case FAILURE -> write(out, head(500, attemptId, seal) + length(body));
+            case EMPTY_FAILURE_CUT -> {
+                write(out, head(500, attemptId, seal) + "Content-Length: 50\r\n\r\n" + body);
+                return false;
+            }
+            case REDIRECT ->
+                write(out, head(302, attemptId, seal) + "Location: http://127.0.0.1:1/\r\n" + length(body));
+            case HALF_HEAD -> {
+                write(out, good.substring(0, 30));
+                return end(socket, attemptId);
+            }
+            case RESET_BEFORE -> {
+                return end(socket, "");
+            }
+            case HEAD_ONLY -> {
+                write(out, good.substring(0, good.indexOf("\r\n\r\n") + 4));
+                pause(5);
+                return end(socket, attemptId);
+            }
+            case RESET_MIDWAY, END_MIDWAY -> {
+                final int start = good.indexOf("\r\n\r\n") + 4;
+                write(out, good.substring(0, start + (good.length() - start) / 2));
+                pause(5);
+                return behaviour == Behaviour.END_MIDWAY ? false : end(socket, "");
+            }
+            case CLOSE_DELIMITED -> {
+                write(out, head(200, attemptId, seal) + "\r\n" + body.substring(0, body.length() / 2));
+                return false;
+            }
+            case TWO_FRAMINGS -> write(out, head(200, attemptId, seal) + "Content-Length: 3\r\n" + chunks(body));
+            case INTERIM_FIRST -> write(out, "HTTP/1.1 100 Continue\r\n\r\n" + good);
+            case GARBAGE -> {
+                write(out, "FORGED bytes of no protocol\r\n\r\n");
+                return false;
+            }
+            case LARGE_HEAD ->
+                write(out, head(200, attemptId, seal) + "X-Large: " + "x".repeat(40_000) + "\r\n" + length(body));
+            case SILENT -> {
+                socket.setSoTimeout(10_000);
+                return socket.getInputStream().read() >= 0;
+            }
+        }
+        return true;
+    }
+
+    private static boolean end(final Socket socket, final String hash) throws IOException {
+        if (hash.hashCode() % 2 == 0) {
+            socket.setSoLinger(true, 0);
+        }
+        return false;
+    }
+
+    private static void pause(final long millis) throws IOException {
+        try {
+            Thread.sleep(millis);
+        } catch (final InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    private static void write(final OutputStream out, final String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+    }
+
+    private static Asked read(final InputStream in) throws IOException {
+        final ByteArrayOutputStream all = new ByteArrayOutputStream();
+        int newlines = 0;
+        while (newlines < 2) {
+            final int b = in.read();
+            if (b < 0) {
+                throw new EOFException();
+            }
+            all.write(b);
+            newlines = b == '\n' ? newlines + 1 : b == '\r' ? newlines : 0;
+        }
+        final String head = all.toString(StandardCharsets.ISO_8859_1);
+        final String[] first = head.substring(0, head.indexOf('\r')).split(" ");
+        final Asked asked = new Asked(first[0], first[1], head, "");
+        final String size = asked.header("Content-Length");
+        final byte[] body = in.readNBytes(size.isEmpty() ? 0 : Integer.parseInt(size));
+        if (!size.isEmpty() && body.length < Integer.parseInt(size)) {
+            throw new EOFException();
+        }
+        return new Asked(first[0], first[1], head, new String(body, StandardCharsets.ISO_8859_1));
+    }
+}
--- /dev/null
+++ b/server/src/test/java/silverlatch/server/proxy/ScriptedWorkersTest.java
@@ -0,0 +1,210 @@
+package silverlatch.server.proxy;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import silverlatch.clock.Stamp;
+import silverlatch.dispatch.Facts;
+import silverlatch.gossip.Gossip;
+import silverlatch.gossip.Worker;
+import silverlatch.membership.Member;
+import silverlatch.routing.Router;
+import silverlatch.routing.RoutingEffect;
+import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.web.Doors;
+import silverlatch.state.Entry;
+import silverlatch.state.Policy;
+import silverlatch.state.Value;
+import silverlatch.util.Threads;
+
+/**
+ * Scripted clients and workers around the proxy, drawn by seed, and a checker that knows what each of them sent. More seeds
+ * run with {@code -Dsilverlatch.scripted.seeds=N}.
+ */
+final class ScriptedWorkersTest {
+    private static final int WORKERS = 6;
+    private static final int CLIENTS = 12;
+    private static final int ROUNDS = 12;
+    private static final int MAX_ATTEMPTS = 2;
+    private static final int SEEDS = Integer.getInteger("silverlatch.scripted.seeds", 3);
+    private static final int MUTANT_SEEDS = 20;
+
+    @Test
+    void noResponseReachesAnotherCallerAndNothingRunsTwice() throws Exception {
+        final Set<ScriptedWorker.Behaviour> met = EnumSet.noneOf(ScriptedWorker.Behaviour.class);
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            final ExchangeLog log = play(seed, ProxySafeguard.NONE_DOWN);
+            assertThat("seed " + seed, new ExchangeChecker(log, MAX_ATTEMPTS).check(), is(empty()));
+            assertThat("successes of seed " + seed, successes(log), greaterThan(log.attempts.size() / 5L));
+            log.runs.forEach(run -> met.add(run.behaviour()));
+        }
+        assertThat(met, is(EnumSet.allOf(ScriptedWorker.Behaviour.class)));
+    }
+
+    @ParameterizedTest
+    @EnumSource(ProxySafeguard.class)
+    void theCheckerNoticesASafeguardThatIsLetDown(final ProxySafeguard safeguard) throws Exception {
+        List<String> broken = List.of();
+        for (int seed = 1; seed <= MUTANT_SEEDS && broken.isEmpty(); seed++) {
+            broken = new ExchangeChecker(play(seed, Set.of(safeguard)), MAX_ATTEMPTS).check();
+        }
+        assertThat(broken.isEmpty(), is(false));
+    }
+
+    private static long successes(final ExchangeLog log) {
+        return log.responses.stream()
+                .map(ExchangeLog.Received::message)
+                .filter(m -> m.end() == HttpResponseReader.End.COMPLETE && m.status() == 200)
+                .count();
+    }
+
+    private static ExchangeLog play(final long seed, final Set<ProxySafeguard> down) throws Exception {
+        final ExchangeLog log = new ExchangeLog();
+        final List<ScriptedWorker> workers = new ArrayList<>();
+        for (int i = 0; i < WORKERS; i++) {
+            workers.add(new ScriptedWorker("w" + i, seed, log));
+        }
+        final WorkerHttpClient client = new WorkerHttpClient(WorkerHttpClient.Setup.PLAIN, down);
+        client.start();
+        final ScheduledExecutorService loop = Executors.newSingleThreadScheduledExecutor();
+        final Router router = new Router(
+                new Router.Setup(2_048, 1, Long.MAX_VALUE),
+                facts(workers),
+                () -> new Stamp(1),
+                new SplittableRandom(seed));
+        router.facts(facts(workers), EventLoop.now());
+        final AtomicReference<ProxyServer> proxy = new AtomicReference<>();
+        final Runnable drain = () -> router.drain().stream()
+                .filter(effect -> !(effect instanceof RoutingEffect.Log))
+                .forEach(proxy.get()::apply);
+        proxy.set(new ProxyServer(
+                Fields.PLAIN,
+                client,
+                event -> {
+                    loop.execute(() -> {
+                        event.accept(router);
+                        drain.run();
+                    });
+                    return true;
+                },
+                down));
+        loop.scheduleAtFixedRate(
+                () -> {
+                    router.tick(EventLoop.now());
+                    drain.run();
+                },
+                10,
+                10,
+                TimeUnit.MILLISECONDS);
+        final int port = freePort();
+        final Doors doors = new Doors(16);
+        doors.add("127.0.0.1:" + port, 8_192, 5_000, proxy.get());
+        doors.start();
+        try {
+            clients(port, seed, log);
+        } finally {
+            doors.stop();
+            client.stop();
+            loop.shutdownNow();
+            for (final ScriptedWorker worker : workers) {
+                worker.close();
+            }
+        }
+        return log;
+    }
+
+    private static void clients(final int port, final long seed, final ExchangeLog log) throws InterruptedException {
+        final SplittableRandom random = new SplittableRandom(seed);
+        final List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            threads.add(Threads.startDaemon(
+                    "scripted-client", new ScriptedClient("s" + seed + "c" + i, port, ROUNDS, random.nextLong(), log)));
+        }
+        for (final Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    private static int freePort() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static Facts facts(final List<ScriptedWorker> workers) {
+        final Map<String, Gossip.Heard> heard = new HashMap<>();
+        for (final ScriptedWorker worker : workers) {
+            heard.put(
+                    worker.id,
+                    new Gossip.Heard(
+                            new Worker(
+                                    worker.id,
+                                    "127.0.0.1:" + worker.port(),
+                                    "z",
+                                    "r",
+                                    1,
+                                    1,
+                                    0,
+                                    0,
+                                    8,
+                                    List.of(),
+                                    false,
+                                    0,
+                                    "pool",
+                                    0,
+                                    0),
+                            Optional.of(EventLoop.now())));
+        }
+        final List<Entry> entries = new ArrayList<>();
+        entries.add(new Entry(
+                "p/charter", 1, List.of(new Value.RoutingConfiguration(1, 8_192, 65_536, 1_000_000, 4_000_000))));
+        entries.add(new Entry("b/pool", 1, List.of(new Value.BackendPool("pool", "/health", 99, 0, 9, 8, 1_000, 5))));
+        for (final ExchangeLog.Kind kind : ExchangeLog.Kind.values()) {
+            entries.add(new Entry("u/a|" + kind.prefix, 1, List.of(route(kind))));
+        }
+        return new Facts(
+                new Member("me", "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", 1, 0, "up", true),
+                1,
+                Optional.of(1L),
+                Policy.of(entries),
+                heard,
+                List.of());
+    }
+
+    private static Value.Route route(final ExchangeLog.Kind kind) {
+        return new Value.Route(
+                kind.prefix,
+                "a",
+                kind.prefix,
+                kind != ExchangeLog.Kind.AGAIN,
+                kind.stream,
+                kind == ExchangeLog.Kind.RESUMABLE,
+                false,
+                5_000_000,
+                200_000,
+                100_000,
+                0,
+                MAX_ATTEMPTS,
+                List.of(),
+                List.of(new Value.WeightedBackend("pool", 1)));
+    }
+}
