--- a/bin/env.sh
+++ b/bin/env.sh
@@ -1,7 +1,9 @@
-# Sourced by the programs in bin/ and by .ci/run: finds a JDK, and sets JAVA_HOME, ROOT and what depends on the JDK.
-# JAVA_HOME, where it is set, names the JDK; otherwise the newest fitting one at or beside the default java, or under
-# /usr/lib/jvm, is taken. Fitting are 17 (patterns in switch as a preview) and 21 or above. Ends with code 1 and one
-# line when there is none.
+# Sourced by the programs in bin/ and by .ci/run: finds a JDK, and sets JDK_VERSION, JAVA_HOME, ROOT and JDK_OPTIONS.
+# JAVA_HOME is used where it names a fitting JDK: 17 (patterns in switch as a preview), or 21 or above. Otherwise it is
+# the newest fitting one at or beside the default java, or in JDK_DIRECTORY (/usr/lib/jvm unless it is set). Ends with
+# code 1 and one line when there is none.
+
+JDK_DIRECTORY=${JDK_DIRECTORY:-/usr/lib/jvm}
 
 # Prints the specification version of the JDK in folder $1 (17, 21, 25, ...), or nothing where there is no JDK.
 jdk_version() {
@@ -18,11 +20,12 @@
   esac
 }
 
-# Prints a line "VERSION FOLDER" for each fitting JDK at or beside the default java and under /usr/lib/jvm, newest first.
+# Prints a line "VERSION FOLDER" for each fitting JDK at or beside the default java and in JDK_DIRECTORY, newest first.
 fitting_jdks() {
   local home dir version
   home=$(java -XshowSettings:properties -version 2>&1 | sed -n 's/ *java.home = //p') || true
-  for dir in "${home:-/usr/lib/jvm/default-java}" "$(dirname "${home:-/usr/lib/jvm/default-java}")"/* /usr/lib/jvm/*; do
+  home=${home:-$JDK_DIRECTORY/default-java}
+  for dir in "$home" "$(dirname "$home")"/* "$JDK_DIRECTORY"/*; do
     if [ ! -L "$dir" ]; then
       version=$(jdk_version "$dir")
       if fits "$version"; then echo "$version $dir"; fi
@@ -39,16 +42,13 @@
   fi
 }
 
-if [ -n "${JAVA_HOME:-}" ]; then
-  JDK_VERSION=$(jdk_version "$JAVA_HOME")
-  if ! fits "$JDK_VERSION"; then
-    echo "JAVA_HOME=$JAVA_HOME is no JDK of 17, or of 21 or above, with javac and jlink" >&2
-    exit 1
-  fi
-else
+JDK_VERSION=$(jdk_version "${JAVA_HOME:-}")
+if ! fits "$JDK_VERSION"; then
+  unfit=${JAVA_HOME:+" (JAVA_HOME=$JAVA_HOME is none)"}
+  JAVA_HOME=
   read -r JDK_VERSION JAVA_HOME < <(fitting_jdks) || true
-  if [ -z "${JAVA_HOME:-}" ]; then
-    echo "no JDK of 17, or of 21 or above, was found: install openjdk-17-jdk-headless or set JAVA_HOME" >&2
+  if [ -z "$JAVA_HOME" ]; then
+    echo "no JDK of 17, or of 21 or above, was found$unfit: install openjdk-17-jdk-headless or set JAVA_HOME" >&2
     exit 1
   fi
 fi
@@ -61,5 +61,5 @@
     echo "build first: mvn -B package" >&2
     exit 1
   fi
-  exec "$JAVA_HOME/bin/java" $JDK_OPTIONS $SILVERLATCH_JAVA -cp "$ROOT/target/lib/*" "$@"
+  exec "$JAVA_HOME/bin/java" $JDK_OPTIONS ${SILVERLATCH_JAVA:-} -cp "$ROOT/target/lib/*" "$@"
 }
--- /dev/null
+++ b/core/src/main/java/silverlatch/util/ChildJvm.java
@@ -0,0 +1,27 @@
+package silverlatch.util;
+
+import java.util.List;
+
+/** What a process has to say to a JVM of its own version that it starts on its own class path. */
+public final class ChildJvm {
+    /** From this JDK on, patterns in switch are no preview any more. */
+    private static final int PATTERNS_FINAL = 21;
+
+    /** From this JDK on, libraries that use sun.misc.Unsafe cause a warning unless they are allowed to. */
+    private static final int UNSAFE_WARNS = 23;
+
+    private ChildJvm() {}
+
+    /** The options with which this JVM's version loads and runs our classes. */
+    public static List<String> options() {
+        return optionsOf(Runtime.version().feature());
+    }
+
+    /** The options with which a JDK of the version loads and runs classes that it compiled. */
+    static List<String> optionsOf(final int version) {
+        if (version < PATTERNS_FINAL) {
+            return List.of("--enable-preview");
+        }
+        return version < UNSAFE_WARNS ? List.of() : List.of("--sun-misc-unsafe-memory-access=allow");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/silverlatch/util/ChildJvmTest.java
@@ -0,0 +1,35 @@
+package silverlatch.util;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Each JDK gets options that it knows. */
+final class ChildJvmTest {
+    @Test
+    void eachVersionGetsWhatItNeeds() {
+        assertThat(ChildJvm.optionsOf(17), contains("--enable-preview"));
+        assertThat(ChildJvm.optionsOf(21), empty());
+        assertThat(ChildJvm.optionsOf(25), contains("--sun-misc-unsafe-memory-access=allow"));
+    }
+
+    @Test
+    void thisJvmKnowsItsOptions() throws IOException, InterruptedException {
+        final List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(ChildJvm.options());
+        command.add("-version");
+        final Process process = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
+        assertThat(process.waitFor(), is(0));
+    }
+}
--- a/simulation/src/main/java/silverlatch/simulation/fleet/Fleet.java
+++ b/simulation/src/main/java/silverlatch/simulation/fleet/Fleet.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import silverlatch.json.JsonDocument;
+import silverlatch.util.ChildJvm;
 
 /** A whole fleet of processes on this machine, for drills and tests; it ends what it started. */
 public final class Fleet implements AutoCloseable {
@@ -153,11 +154,9 @@
                 "-Xmx160m",
                 "-Xss512k",
                 "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "--sun-misc-unsafe-memory-access=allow",
-                "-cp",
-                classes,
-                p.main()));
+                "-XX:TieredStopAtLevel=1"));
+        words.addAll(ChildJvm.options());
+        words.addAll(List.of("-cp", classes, p.main()));
         words.addAll(p.args());
         p.process().clear();
         p.process()
@@ -327,13 +326,9 @@
     /** Starts a program of ours, its output into a file. */
     public Process begin(final String main, final Path out, final List<String> args) throws IOException {
         final List<String> words = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx512m",
-                "-XX:+UseSerialGC",
-                "--sun-misc-unsafe-memory-access=allow",
-                "-cp",
-                classes,
-                main));
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx512m", "-XX:+UseSerialGC"));
+        words.addAll(ChildJvm.options());
+        words.addAll(List.of("-cp", classes, main));
         words.addAll(args);
         final Process p = new ProcessBuilder(words)
                 .redirectErrorStream(true)
