--- a/core/src/main/java/silverlatch/log/LogRecord.java
+++ b/core/src/main/java/silverlatch/log/LogRecord.java
@@ -46,5 +46,18 @@
             nod = List.copyOf(nod);
             entries = List.copyOf(entries);
         }
+
+        /** The same with other entries. */
+        Snapshot withEntries(final List<Entry> others) {
+            return new Snapshot(sequence, view, level, ballot, nodded, nod, roof, others);
+        }
+    }
+
+    /** Some of the entries of the snapshot whose file this is a part of; an empty one ends the file. */
+    record SnapshotPart(List<Entry> entries) implements LogRecord {
+        /** Copies the entries. */
+        public SnapshotPart {
+            entries = List.copyOf(entries);
+        }
     }
 }
--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -359,6 +359,7 @@
             }
             case LogRecord.Founding b -> birth = Optional.of(b.view());
             case LogRecord.Batch b -> b.notes().forEach(this::recall);
+            case LogRecord.SnapshotPart p -> throw new IllegalArgumentException("a part without its snapshot");
         }
     }
 
--- a/core/src/main/java/silverlatch/wire/Codec.java
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -12,12 +12,17 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import silverlatch.clock.Stamp;
 import silverlatch.log.LogRecord;
 import silverlatch.replication.LogEntry;
 import silverlatch.replication.Replica;
+import silverlatch.replication.View;
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
+import silverlatch.state.Entry;
 import silverlatch.state.Value;
 
 /** Turns frames and notes into bytes and back: registered classes only, every size bounded by the bytes at hand. */
@@ -26,10 +31,53 @@
     public static final int MOST = 16 << 20;
 
     private static final int DEPTH = 24;
+    private static final int LOG_PARTS = 50;
+    private static final int LOG_RECORDS = 100;
+    private static final int LOG_VALUES = 200;
     private final Kryo kryo = new Kryo();
 
-    /** Makes a codec; it serves one thread. */
+    /** Makes a codec of frames; it serves one thread. */
     public Codec() {
+        registerBasics();
+        registerFrames();
+    }
+
+    private Codec(final Map<Integer, List<Class<?>>> numbered) {
+        registerBasics();
+        numbered.forEach((first, types) -> {
+            for (int i = 0; i < types.size(); i++) {
+                kryo.register(types.get(i), first + i);
+            }
+        });
+    }
+
+    /**
+     * Makes a codec of the records in a data folder. Its types have numbers of their own, so that a new message leaves
+     * the folders as they are; a new type of record or value goes last among its kind.
+     */
+    public static Codec forLog() {
+        return new Codec(logTypes());
+    }
+
+    /** The types that are written to data folders, by the number of the first of each kind. */
+    public static Map<Integer, List<Class<?>>> logTypes() {
+        final Map<Integer, List<Class<?>>> types = new TreeMap<>();
+        types.put(
+                LOG_PARTS,
+                List.of(
+                        Stamp.class,
+                        Entry.class,
+                        LogEntry.class,
+                        Replica.class,
+                        View.class,
+                        Command.Cell.class,
+                        Value.WeightedBackend.class));
+        types.put(LOG_RECORDS, List.of(LogRecord.class.getPermittedSubclasses()));
+        types.put(LOG_VALUES, List.of(Value.class.getPermittedSubclasses()));
+        return types;
+    }
+
+    private void registerBasics() {
         kryo.setRegistrationRequired(true);
         kryo.setReferences(false);
         kryo.setMaxDepth(DEPTH);
@@ -41,6 +89,9 @@
         kryo.register(List.of(1).getClass(), lists);
         kryo.register(ArrayList.class, lists);
         kryo.register(List.class, lists);
+    }
+
+    private void registerFrames() {
         final Set<Class<?>> seen = new HashSet<>();
         final Deque<Class<?>> open = new ArrayDeque<>(List.of(
                 Frame.class,
@@ -71,12 +122,12 @@
                             Msg.RangeEntries.class,
                             Command.Cell.class,
                             Value.WeightedBackend.class,
-                            silverlatch.state.Entry.class,
+                            Entry.class,
                             silverlatch.gossip.Worker.class,
                             silverlatch.gossip.WorkerReport.class,
                             Msg.Ranges.class,
                             Msg.Beats.class,
-                            silverlatch.replication.View.class));
+                            View.class));
                 }
             }
         }
--- a/server/src/main/java/silverlatch/server/controller/Main.java
+++ b/server/src/main/java/silverlatch/server/controller/Main.java
@@ -64,6 +64,10 @@
                             System.exit(4);
                         }
                     }
+                    case WriteAheadLog.Opened.Unsupported u -> {
+                        Logs.write(Event.DAMAGED, u.why());
+                        System.exit(4);
+                    }
                     case WriteAheadLog.Opened.Good g -> {
                         Logs.write(
                                 Event.RECOVERED,
