--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -40,7 +40,7 @@
     private final Membership crew;
     private final Gossip rumor;
     private final ChainClient clerk;
-    private final Optional<ChainReplica> quay;
+    private Optional<ChainReplica> quay;
     private final ProcessClock keeper;
     private final Map<String, Sample> samples = new HashMap<>();
     private final Deque<Parked<Ship>> going = new ArrayDeque<>();
@@ -238,6 +238,13 @@
         settle(now);
     }
 
+    /** The disk takes writes again: the chain's replica begins anew from what the log holds, as after a restart. */
+    public void recovered(final List<LogRecord> records, final long now) {
+        step(now);
+        quay = quay.map(q -> q.recovered(records, now));
+        settle(now);
+    }
+
     /** Whether this daemon takes tickets, as the others shall know it. */
     public void ready(final boolean open) {
         crew.ready(open);
--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -92,6 +92,16 @@
 
     /** A machine as its ledger left it. */
     public ChainReplica(final Setup setup, final List<LogRecord> notes, final Supplier<Stamp> stamps, final long now) {
+        this(setup, notes, stamps, now, 0);
+    }
+
+    private ChainReplica(
+            final Setup setup,
+            final List<LogRecord> notes,
+            final Supplier<Stamp> stamps,
+            final long now,
+            final long token) {
+        this.token = token;
         this.setup = setup;
         this.stamps = stamps;
         this.seats = setup.seats();
@@ -241,7 +251,18 @@
         Optional.ofNullable(held.remove(done)).ifPresent(h -> h.then().accept(now));
     }
 
-    /** The disk failed: this machine takes no part any more. */
+    /**
+     * This machine after its disk failed and takes writes again: as a restarted process would be, from what its log
+     * holds. Tokens of writes go on from the old ones, so that no late word of an old write is taken for a new one's.
+     */
+    public ChainReplica recovered(final List<LogRecord> records, final long now) {
+        final ChainReplica next = new ChainReplica(setup, records, stamps, now, token);
+        next.seats = seats;
+        next.quit = quit;
+        return next;
+    }
+
+    /** The disk failed: this machine takes no part until it has recovered. */
     public void broke(final String why) {
         if (!broken()) {
             spot = chart.move(spot, "break");
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import silverlatch.gossip.Worker;
+import silverlatch.log.LogRecord;
 import silverlatch.log.WriteAheadLog;
 import silverlatch.membership.Member;
 import silverlatch.node.Effect;
@@ -55,15 +56,21 @@
         this.settings = settings;
         this.deck = deck;
         this.dock = new Transport(settings.address(), this::frame);
-        this.scribe = ledger.map(l -> new LogWriter(l, new LogWriter.Told() {
+        this.scribe = ledger.map(log -> new LogWriter(log, new LogWriter.Listener() {
             @Override
-            public void kept(final List<Long> tokens) {
-                tell(d -> tokens.forEach(t -> d.kept(t, EventLoop.now())));
+            public void synced(final List<Long> tokens) {
+                tell(d -> tokens.forEach(t -> d.kept(t, EventLoop.now())), () -> {});
             }
 
             @Override
-            public void broke(final String why) {
-                tell(d -> d.broke(why, EventLoop.now()));
+            public void failed(final String why, final Runnable fenced) {
+                tell(d -> d.broke(why, EventLoop.now()), fenced);
+            }
+
+            @Override
+            public void recovered(final List<LogRecord> records) {
+                Logs.write(Event.RECOVERED, records.size() + " records, after the disk had failed");
+                tell(d -> d.recovered(records, EventLoop.now()), () -> {});
             }
         }));
         this.roster = settings.data().map(d -> new WorkerRoster(java.nio.file.Path.of(d)));
@@ -201,8 +208,8 @@
         scribe.ifPresent(s -> s.write(k));
     }
 
-    private void tell(final Consumer<Node> job) {
-        while (!bridge.with(job)) {
+    private void tell(final Consumer<Node> job, final Runnable then) {
+        while (!bridge.with(job, then)) {
             Thread.onSpinWait();
         }
     }
--- a/server/src/main/java/silverlatch/server/controller/LogWriter.java
+++ b/server/src/main/java/silverlatch/server/controller/LogWriter.java
@@ -4,45 +4,107 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import silverlatch.log.LogRecord;
 import silverlatch.log.WriteAheadLog;
 import silverlatch.node.Effect;
 import silverlatch.util.Threads;
 
-/** The duty that writes the ledger: all that waits goes in one batch with one sync. */
+/**
+ * The thread that writes the log: all that waits goes in one batch with one sync. After a failed write it drops what
+ * waits, as none of it was promised to anybody, and opens the folder again until the disk takes writes.
+ */
 public final class LogWriter {
     private static final int MOST = 1_024;
     private static final long HEAVY = 4L << 20;
-    private final BlockingQueue<Effect.Keep> ring = new LinkedBlockingQueue<>(16_384);
-    private final WriteAheadLog ledger;
-    private final Told told;
+    private static final long FIRST_PAUSE_MS = 1_000;
+    private static final long LONGEST_PAUSE_MS = 8_000;
+    private static final long CALM_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private final BlockingQueue<Effect.Keep> queue = new LinkedBlockingQueue<>(16_384);
+    private final Listener listener;
+    private final long firstPauseMs;
+    private WriteAheadLog log;
+    private long pauseMs;
+    private long recoveredAt;
+    private volatile boolean overflowed;
 
-    /** Who is told. */
-    public interface Told {
+    /** Who is told; all calls but that of an overflow come from the writer's thread. */
+    public interface Listener {
         /** These tokens are synced. */
-        void kept(List<Long> tokens);
+        void synced(List<Long> tokens);
 
-        /** The disk failed. */
-        void broke(String why);
+        /** The disk failed; {@code fenced} is to be run once no more writes come that were made before. */
+        void failed(String why, Runnable fenced);
+
+        /** The disk takes writes again, and this is what the log holds; writes made from now on are taken. */
+        void recovered(List<LogRecord> records);
+    }
+
+    /** A writer of a log. */
+    public LogWriter(final WriteAheadLog log, final Listener listener) {
+        this(log, listener, FIRST_PAUSE_MS);
     }
 
-    /** A scribe for a ledger. */
-    public LogWriter(final WriteAheadLog ledger, final Told told) {
-        this.ledger = ledger;
-        this.told = told;
+    LogWriter(final WriteAheadLog log, final Listener listener, final long firstPauseMs) {
+        this.log = log;
+        this.listener = listener;
+        this.firstPauseMs = firstPauseMs;
+        this.pauseMs = firstPauseMs;
     }
 
-    /** Starts the duty. */
+    /** Starts the thread. */
     public void start() {
+        recoveredAt = System.nanoTime();
         Threads.startDaemon("scribe", this::run);
     }
 
     /** Takes a write. */
     public void write(final Effect.Keep keep) {
-        if (!ring.offer(keep)) {
-            told.broke("the ledger's ring is full");
+        if (!queue.offer(keep)) {
+            overflowed = true;
+        }
+    }
+
+    private void run() {
+        while (true) {
+            try {
+                writeBatches();
+            } catch (final InterruptedException e) {
+                return;
+            } catch (final IOException | RuntimeException e) {
+                try {
+                    recover(e.getClass().getSimpleName() + " " + e.getMessage());
+                } catch (final InterruptedException stopped) {
+                    return;
+                }
+            }
+        }
+    }
+
+    private void writeBatches() throws IOException, InterruptedException {
+        while (true) {
+            final List<Effect.Keep> batch = nextBatch();
+            final List<LogRecord> records = new ArrayList<>();
+            batch.forEach(k -> records.addAll(k.notes()));
+            log.write(records);
+            if (overflowed) {
+                throw new IOException("too many writes wait");
+            }
+            listener.synced(batch.stream().map(Effect.Keep::token).toList());
+        }
+    }
+
+    private List<Effect.Keep> nextBatch() throws InterruptedException {
+        final List<Effect.Keep> batch = new ArrayList<>();
+        batch.add(queue.take());
+        long sum = weight(batch.get(0));
+        while (batch.size() < MOST && !queue.isEmpty() && sum + weight(queue.peek()) <= HEAVY) {
+            sum += weight(queue.peek());
+            batch.add(queue.take());
         }
+        return batch;
     }
 
     private static long weight(final Effect.Keep keep) {
@@ -51,25 +113,19 @@
                 .sum();
     }
 
-    private void run() {
-        final List<Effect.Keep> batch = new ArrayList<>();
+    private void recover(final String why) throws InterruptedException {
+        final CountDownLatch fenced = new CountDownLatch(1);
+        listener.failed(why, fenced::countDown);
+        fenced.await();
+        queue.clear();
+        overflowed = false;
+        pauseMs = System.nanoTime() - recoveredAt > CALM_NANOS ? firstPauseMs : Math.min(LONGEST_PAUSE_MS, 2 * pauseMs);
         while (true) {
-            try {
-                batch.clear();
-                batch.add(ring.take());
-                long sum = weight(batch.get(0));
-                while (batch.size() < MOST && !ring.isEmpty() && sum + weight(ring.peek()) <= HEAVY) {
-                    sum += weight(ring.peek());
-                    batch.add(ring.take());
-                }
-                final List<LogRecord> notes = new ArrayList<>();
-                batch.forEach(k -> notes.addAll(k.notes()));
-                ledger.write(notes);
-                told.kept(batch.stream().map(Effect.Keep::token).toList());
-            } catch (final InterruptedException e) {
-                return;
-            } catch (final IOException | RuntimeException e) {
-                told.broke(e.getClass().getSimpleName() + " " + e.getMessage());
+            TimeUnit.MILLISECONDS.sleep(pauseMs);
+            if (log.reopen() instanceof WriteAheadLog.Opened.Good good) {
+                log = good.ledger();
+                recoveredAt = System.nanoTime();
+                listener.recovered(good.notes());
                 return;
             }
         }
--- a/simulation/src/main/java/silverlatch/simulation/sim/Disk.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Disk.java
@@ -123,6 +123,19 @@
         full = on;
     }
 
+    /** Whether writes are refused. */
+    public boolean full() {
+        return full;
+    }
+
+    /** All that was synced, after a failed write; what was still under way is given up. */
+    public List<LogRecord> reopen() {
+        epoch++;
+        afloat.clear();
+        waiting.clear();
+        return notes();
+    }
+
     /** The disk takes so many times as long. */
     public void limp(final long times) {
         slow = times;
--- a/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
@@ -44,6 +44,7 @@
     private final String address;
     private final List<String> seeds;
     private final Optional<Disk> disk;
+    private boolean recovering;
     private final long skew;
     private final Map<Long, Consumer<Object>> asked = new HashMap<>();
     private final Map<Long, Consumer<Act>> calls = new HashMap<>();
@@ -202,6 +203,7 @@
             return;
         }
         epoch++;
+        recovering = false;
         deck = Optional.empty();
         carry = Optional.empty();
         ready = false;
@@ -460,6 +462,7 @@
                         why -> post(() -> {
                             deck.ifPresent(d -> d.broke(why, now()));
                             flush();
+                            recover(mine);
                         })));
             }
             case Effect.Log l -> {
@@ -472,6 +475,29 @@
         }
     }
 
+    /** Opens the log again each second after a failed write, until the disk takes writes. */
+    private void recover(final long life) {
+        if (recovering) {
+            return;
+        }
+        recovering = true;
+        world.engine().in(1_000_000, () -> {
+            recovering = false;
+            if (life != epoch) {
+                return;
+            }
+            if (disk.map(Disk::full).orElse(true)) {
+                recover(life);
+                return;
+            }
+            final List<LogRecord> records = disk.get().reopen();
+            post(() -> {
+                deck.ifPresent(d -> d.recovered(records, now()));
+                flush();
+            });
+        });
+    }
+
     private void synced(final Node d) {
         final String id = disk.map(Disk::identity).orElse("");
         if (d.view().head().map(b -> b.id().equals(id)).orElse(false)) {
