--- a/core/src/main/java/silverlatch/replication/ChainClient.java
+++ b/core/src/main/java/silverlatch/replication/ChainClient.java
@@ -13,6 +13,15 @@
 /** Carries wishes to the head and questions to the tail for one daemon, until they are decided or their time is up. */
 public final class ChainClient {
     private static final long AGAIN = 250_000L;
+
+    /**
+     * A document is sent again later the longer it is, in microseconds a character, and each time twice
+     * as late: its first copy may still be under way.
+     */
+    private static final long AGAIN_PER_CHARACTER = 4;
+
+    private static final int MOST_DOUBLINGS = 6;
+
     private final String home;
     private final Supplier<View> views;
     private final Map<Long, Open> open = new LinkedHashMap<>();
@@ -38,13 +47,13 @@
     /** Sends a wish; the outcome comes as an answer under the token, a verdict. */
     public void wish(final Command wish, final long token, final long now, final long expiry) {
         ask++;
-        open(ask, new Open(new Msg.WriteRequest(ask, home, wish), true, token, now, expiry), now);
+        open(ask, new Open(new Msg.WriteRequest(ask, home, wish), true, token, now, expiry, 0), now);
     }
 
     /** Asks the tail; the outcome comes as an answer under the token, a page. */
     public void read(final String start, final long token, final long now, final long expiry) {
         ask++;
-        open(ask, new Open(new Msg.ReadRequest(ask, home, start), false, token, now, expiry), now);
+        open(ask, new Open(new Msg.ReadRequest(ask, home, start), false, token, now, expiry, 0), now);
     }
 
     /** Takes a reply of the chain. */
@@ -77,12 +86,18 @@
                         o.msg() instanceof Msg.WriteRequest w
                                 ? new CommandResult.Unknown(w.wish().id())
                                 : new Page(false, 0, List.of())));
-            } else if (other || now - o.sent() >= AGAIN) {
-                open(e.getKey(), o, now);
+            } else if (other || now - o.sent() >= pause(o)) {
+                open(e.getKey(), o.again(), now);
             }
         }
     }
 
+    private static long pause(final Open o) {
+        return o.msg() instanceof Msg.WriteRequest w && w.wish() instanceof Command.PutConfiguration put
+                ? AGAIN + (AGAIN_PER_CHARACTER * put.paper().length() << Math.min(o.resent(), MOST_DOUBLINGS))
+                : AGAIN;
+    }
+
     /** What is to be done; it is handed over once. */
     public List<Effect> drain() {
         final List<Effect> list = List.copyOf(out);
@@ -91,10 +106,14 @@
     }
 
     private void open(final long id, final Open o, final long now) {
-        open.put(id, new Open(o.msg(), o.write(), o.token(), now, o.expiry()));
+        open.put(id, new Open(o.msg(), o.write(), o.token(), now, o.expiry(), o.resent()));
         final View view = views.get();
         (o.write() ? view.head() : view.tail()).ifPresent(b -> out.add(new Effect.Send(b.address(), o.msg())));
     }
 
-    private record Open(Msg msg, boolean write, long token, long sent, long expiry) {}
+    private record Open(Msg msg, boolean write, long token, long sent, long expiry, int resent) {
+        Open again() {
+            return new Open(msg, write, token, sent, expiry, resent + 1);
+        }
+    }
 }
--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -34,9 +34,12 @@
  */
 public final class ChainReplica {
     private static final int RANGES = 64;
-    private static final long RECENT = 32L << 20;
+    private static final long RECENT_BYTES = 8L << 20;
+    private static final int RECENT_ENTRIES = 10_000;
+    private static final long SNAPSHOT_BYTES = 8L << 20;
+    private static final int SNAPSHOT_ENTRIES = 10_000;
     private static final int BATCH = 512;
-    private static final long HEAVY = 4L << 20;
+    private static final long REPAIR_PAUSE = 900_000L;
     private static final int PENDING = 4_096;
     private static final int EARLY = 64;
     private static final long RESEND = 300_000L;
@@ -58,6 +61,10 @@
     private final List<Late> late = new ArrayList<>();
     private final List<Early> early = new ArrayList<>();
     private final Set<String> agreed = new HashSet<>();
+    private final ReplicationWindow window = new ReplicationWindow();
+    private final Map<String, RepairSource> repairSources = new HashMap<>();
+    private Optional<RepairProgress> repair = Optional.empty();
+    private long repairAskedAt;
     private List<String> seats;
     private String spot;
     private View view = View.NONE;
@@ -75,7 +82,9 @@
     private long last;
     private long kept;
     private long token;
-    private long heavy;
+    private long recentBytes;
+    private long loggedBytes;
+    private int loggedEntries;
     private long asked;
     private long sentAt;
     private long soughtAt;
@@ -237,7 +246,9 @@
             case Msg.CatchUpTarget m -> level(m);
             case Msg.FetchEntries m -> reach(m, home);
             case Msg.CompareDigests m -> compare(m);
-            case Msg.RepairRanges m -> mend(m);
+            case Msg.RepairRanges m -> mend(m, home);
+            case Msg.RepairNext m -> sendPiece(m);
+            case Msg.ReplicateAck m -> received(m);
             case Msg.JoinRequest m -> joins.put(m.me().id(), m);
             case Msg.WriteRequest m -> write(m);
             case Msg.ReadRequest m -> read(m, now);
@@ -325,7 +336,7 @@
             }
         } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled && !quit) {
             soughtAt = now;
-            view.tail().ifPresent(t -> send(t.address(), compareOf()));
+            view.tail().ifPresent(t -> askRepair(t.address(), now));
             seats.forEach(s -> send(s, new Msg.LeaseRequest(view.number(), now, setup.me(), false)));
         }
     }
@@ -490,6 +501,10 @@
         want = Optional.empty();
         joining = false;
         low = now;
+        repair = Optional.empty();
+        repairSources.clear();
+        repairAskedAt = 0;
+        window.begin(books.sequence(), now);
         levels.clear();
         heard.keySet().retainAll(view.voters().stream().map(Replica::id).toList());
         view.voters().forEach(b -> {
@@ -749,19 +764,21 @@
             if (level) {
                 send(b.address(), new Msg.CatchUpTarget(view.number(), last));
             }
-            final List<LogEntry> first = LogEntry.batch(pend.stream().filter(c -> c.sequence() <= kept), BATCH, HEAVY);
-            if (!first.isEmpty()) {
-                send(b.address(), new Msg.Replicate(view.number(), first));
+            if (!pend.isEmpty() && pend.peek().sequence() <= kept && window.due(now)) {
+                window.restart(books.sequence(), now);
             }
+            sendNext();
         });
         if (!level) {
-            view.before(setup.me().id())
-                    .ifPresent(b -> send(
+            view.before(setup.me().id()).ifPresent(b -> {
+                if (now - low > 4 * RESEND) {
+                    askRepair(b.address(), now);
+                } else {
+                    send(
                             b.address(),
-                            now - low > 4 * RESEND
-                                    ? compareOf()
-                                    : new Msg.FetchEntries(
-                                            view.number(), setup.me().id(), last)));
+                            new Msg.FetchEntries(view.number(), setup.me().id(), last));
+                }
+            });
         }
         if (tail() && level) {
             settle(now);
@@ -850,13 +867,46 @@
         keep(list.stream().map(c -> (LogRecord) new LogRecord.Appended(c)).toList(), t -> {
             if (mine == epoch && chained()) {
                 kept = Math.max(kept, end);
-                view.after(setup.me().id()).ifPresent(b -> send(b.address(), new Msg.Replicate(view.number(), list)));
+                sendNext();
                 rise(t);
                 settle(t);
             }
         });
     }
 
+    /** Sends the entries that the successor lacks and that are synced here, as far as the window admits them. */
+    private void sendNext() {
+        final Optional<Replica> successor = view.after(setup.me().id());
+        if (successor.isEmpty() || window.sent() >= kept) {
+            return;
+        }
+        final Stream<LogEntry> committed = window.sent() < books.sequence() ? recent.stream() : Stream.empty();
+        final List<LogEntry> entries = new ArrayList<>();
+        for (final LogEntry entry : (Iterable<LogEntry>) Stream.concat(committed, pend.stream())::iterator) {
+            if (entry.sequence() <= window.sent()) {
+                continue;
+            }
+            final boolean next = entry.sequence() == window.sent() + 1 && entry.sequence() <= kept;
+            if (!next || entries.size() >= BATCH || !window.admits(entry)) {
+                break;
+            }
+            window.add(entry);
+            entries.add(entry);
+        }
+        if (!entries.isEmpty()) {
+            send(successor.get().address(), new Msg.Replicate(view.number(), entries));
+        }
+    }
+
+    private void received(final Msg.ReplicateAck m) {
+        final boolean successor =
+                view.after(setup.me().id()).map(b -> b.id().equals(m.id())).orElse(false);
+        if (m.view() == view.number() && chained() && successor) {
+            window.progress(m.sequence(), clock);
+            sendNext();
+        }
+    }
+
     private void pass(final Msg.Replicate m, final long now) {
         if (m.view() != view.number() || !chained() || view.place(setup.me().id()) == 0) {
             return;
@@ -875,6 +925,10 @@
                 break;
             }
         }
+        view.before(setup.me().id())
+                .ifPresent(b -> send(
+                        b.address(),
+                        new Msg.ReplicateAck(view.number(), setup.me().id(), last + fresh.size())));
         if (!fresh.isEmpty()) {
             append(fresh);
         } else if (tail() && level) {
@@ -907,16 +961,13 @@
         if (m.view() != view.number() || !chained() || !level) {
             return;
         }
-        final List<LogEntry> list = LogEntry.batch(
-                Stream.concat(
-                        recent.stream().filter(c -> c.sequence() > m.sequence()),
-                        pend.stream().filter(c -> c.sequence() > m.sequence() && c.sequence() <= kept)),
-                BATCH,
-                HEAVY);
         send(home, new Msg.CatchUpTarget(view.number(), last));
-        if (!list.isEmpty() && list.get(0).sequence() == m.sequence() + 1) {
-            send(home, new Msg.Replicate(view.number(), list));
+        if (m.sequence() < window.received() || m.sequence() > window.sent()) {
+            window.restart(m.sequence(), clock);
+        } else {
+            window.progress(m.sequence(), clock);
         }
+        sendNext();
     }
 
     private void commit(final long upto) {
@@ -924,8 +975,7 @@
             final LogEntry c = pend.poll();
             books.apply(c.sequence(), c.puts());
             c.puts().forEach(e -> overlay.remove(e.key(), e));
-            recent.add(c);
-            heavy += c.weight();
+            remember(c);
             if (c.puts().stream().anyMatch(Entry::policy)) {
                 log(
                         Event.CHANGED,
@@ -933,12 +983,20 @@
                                 + c.stamp().bits());
             }
             Optional.ofNullable(waits.remove(c.sequence())).ifPresent(l -> l.forEach(w -> decided(w, c.sequence())));
-            if (heavy > RECENT || recent.size() > 10_000) {
-                while (recent.size() > 1 && (heavy > RECENT * 3 / 4 || recent.size() > 8_000)) {
-                    heavy -= recent.poll().weight();
-                }
-                picture(t -> {});
-            }
+        }
+        if (loggedBytes > SNAPSHOT_BYTES || loggedEntries > SNAPSHOT_ENTRIES) {
+            picture(t -> {});
+        }
+    }
+
+    /** Keeps a committed entry for a successor that lacks it, within bounds. */
+    private void remember(final LogEntry entry) {
+        recent.add(entry);
+        recentBytes += entry.weight();
+        loggedBytes += entry.weight();
+        loggedEntries++;
+        while (recent.size() > 1 && (recentBytes > RECENT_BYTES || recent.size() > RECENT_ENTRIES)) {
+            recentBytes -= recent.poll().weight();
         }
     }
 
@@ -955,6 +1013,8 @@
     }
 
     private void picture(final LongConsumer then) {
+        loggedBytes = 0;
+        loggedEntries = 0;
         final List<LogRecord> notes = new ArrayList<>();
         notes.add(new LogRecord.Snapshot(
                 books.sequence(), view, level, promised, nodded, nod.stream().toList(), roof, books.all()));
@@ -977,45 +1037,77 @@
         if (m.sequence() > books.sequence()) {
             commit(Math.min(m.sequence(), kept));
         }
-        final long[] mine = books.digests(RANGES);
-        final List<Msg.RangeEntries> spans = new ArrayList<>();
-        long sum = 0;
-        boolean whole = true;
-        for (int i = 0; i < RANGES; i++) {
-            if (mine[i] != m.digests()[i]) {
-                if (sum > HEAVY) {
-                    whole = false;
-                    break;
-                }
-                final Msg.RangeEntries span = new Msg.RangeEntries(i, books.range(i, RANGES));
-                sum += span.entries().stream().mapToLong(Entry::weight).sum();
-                spans.add(span);
-            }
+        final RepairSource source = RepairSource.of(books, m.digests());
+        repairSources.put(m.me().id(), source);
+        sendPiece(new Msg.RepairNext(m.view(), m.me(), source.sequence(), 0));
+    }
+
+    private void sendPiece(final Msg.RepairNext m) {
+        final Optional<RepairSource> source = Optional.ofNullable(repairSources.get(m.me().id()))
+                .filter(s -> s.sequence() == m.sequence() && m.piece() >= 0)
+                .filter(s -> m.piece() < s.pieces().size());
+        if (m.view() != view.number() || source.isEmpty()) {
+            return;
+        }
+        final int pieces = source.get().pieces().size();
+        send(
+                m.me().address(),
+                new Msg.RepairRanges(
+                        view.number(),
+                        m.sequence(),
+                        m.piece(),
+                        pieces,
+                        source.get().pieces().get(m.piece())));
+        if (m.piece() == pieces - 1 && pieces == 1) {
+            repairSources.remove(m.me().id());
         }
-        send(m.me().address(), new Msg.RepairRanges(view.number(), books.sequence(), spans, whole));
     }
 
-    private void mend(final Msg.RepairRanges m) {
+    /** Asks for a repair, or for the next piece of the one under way, a pause after the last word of it. */
+    private void askRepair(final String source, final long now) {
+        if (now - Math.max(repairAskedAt, repair.map(RepairProgress::at).orElse(0L)) < REPAIR_PAUSE) {
+            return;
+        }
+        final boolean lost = repair.map(r -> now - r.at() > 3 * REPAIR_PAUSE).orElse(true);
+        repairAskedAt = now;
+        if (lost) {
+            repair = Optional.empty();
+            send(source, compareOf());
+        } else {
+            repair.ifPresent(r -> send(r.source(), r.question(view.number(), setup.me())));
+        }
+    }
+
+    private void mend(final Msg.RepairRanges m, final String home) {
         if (m.view() != view.number() || chained() && level || m.sequence() < books.sequence()) {
             return;
         }
         if (joining
                 && held.isEmpty()
-                && m.whole()
+                && m.pieces() == 1
                 && m.spans().isEmpty()
                 && m.sequence() == books.sequence()
                 && !chained()) {
             join();
             return;
         }
-        m.spans().forEach(s -> books.mend(s.range(), RANGES, s.entries()));
-        if (!m.whole()) {
-            (chained() ? view.before(setup.me().id()) : view.tail()).ifPresent(t -> send(t.address(), compareOf()));
+        if (m.piece() == 0) {
+            repair = Optional.of(new RepairProgress(m, home));
+        }
+        if (repair.isEmpty() || !repair.get().take(m, home, clock)) {
+            return;
+        }
+        final RepairProgress taken = repair.get();
+        if (!taken.whole()) {
+            send(home, taken.question(view.number(), setup.me()));
             return;
         }
+        repair = Optional.empty();
+        taken.ranges().forEach((range, entries) -> books.mend(range, RANGES, entries));
         books.level(m.sequence());
         recent.clear();
-        heavy = 0;
+        recentBytes = 0;
+        window.begin(m.sequence(), clock);
         pend.clear();
         overlay.clear();
         last = m.sequence();
--- /dev/null
+++ b/core/src/main/java/silverlatch/replication/RepairProgress.java
@@ -0,0 +1,62 @@
+package silverlatch.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import silverlatch.state.Entry;
+import silverlatch.wire.Msg;
+
+/** The pieces of a repair that have come in. The state stays as it is until the last is there. */
+final class RepairProgress {
+    private final long sequence;
+    private final int pieces;
+    private final String source;
+    private final Map<Integer, List<Entry>> ranges = new TreeMap<>();
+    private int next;
+    private long at;
+
+    RepairProgress(final Msg.RepairRanges first, final String source) {
+        this.sequence = first.sequence();
+        this.pieces = first.pieces();
+        this.source = source;
+    }
+
+    /** Takes a piece, if it is the one that comes next. */
+    boolean take(final Msg.RepairRanges piece, final String from, final long now) {
+        if (piece.sequence() != sequence || piece.piece() != next || !from.equals(source)) {
+            return false;
+        }
+        piece.spans()
+                .forEach(s -> ranges.computeIfAbsent(s.range(), r -> new ArrayList<>())
+                        .addAll(s.entries()));
+        next++;
+        at = now;
+        return true;
+    }
+
+    /** Whether all pieces are there. */
+    boolean whole() {
+        return next == pieces;
+    }
+
+    /** The entries of each range that differed. */
+    Map<Integer, List<Entry>> ranges() {
+        return ranges;
+    }
+
+    /** The question for the next piece. */
+    Msg.RepairNext question(final long view, final Replica me) {
+        return new Msg.RepairNext(view, me, sequence, next);
+    }
+
+    /** Whom to ask. */
+    String source() {
+        return source;
+    }
+
+    /** When the last piece came. */
+    long at() {
+        return at;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/silverlatch/replication/RepairSource.java
@@ -0,0 +1,54 @@
+package silverlatch.replication;
+
+import java.util.ArrayList;
+import java.util.List;
+import silverlatch.state.Entry;
+import silverlatch.state.StateMachine;
+import silverlatch.wire.Msg;
+
+/**
+ * What one member is repaired with: the ranges in which its digests differ, as they are at one sequence, cut into
+ * pieces that leave room on the link for leases and votes. Entries don't change, so holding on to them costs only what
+ * is replaced in the meantime.
+ *
+ * @param sequence the sequence that the pieces together stand for
+ * @param pieces   the pieces in order, one at least
+ */
+record RepairSource(long sequence, List<List<Msg.RangeEntries>> pieces) {
+    /** How many bytes a piece has; one entry may be larger. */
+    static final long PIECE_BYTES = 64L << 10;
+
+    /** Copies the pieces. */
+    RepairSource {
+        pieces = List.copyOf(pieces);
+    }
+
+    /** The ranges of a state whose digests differ from the given ones. */
+    static RepairSource of(final StateMachine state, final long[] digests) {
+        final int ranges = digests.length;
+        final long[] mine = state.digests(ranges);
+        final List<List<Msg.RangeEntries>> pieces = new ArrayList<>();
+        List<Msg.RangeEntries> piece = new ArrayList<>();
+        long bytes = 0;
+        for (int range = 0; range < ranges; range++) {
+            if (mine[range] == digests[range]) {
+                continue;
+            }
+            List<Entry> part = new ArrayList<>();
+            for (final Entry entry : state.range(range, ranges)) {
+                if (bytes > 0 && bytes + entry.weight() > PIECE_BYTES) {
+                    piece.add(new Msg.RangeEntries(range, part));
+                    pieces.add(piece);
+                    piece = new ArrayList<>();
+                    part = new ArrayList<>();
+                    bytes = 0;
+                }
+                part.add(entry);
+                bytes += entry.weight();
+            }
+            piece.add(new Msg.RangeEntries(range, part));
+        }
+        pieces.add(piece);
+        return new RepairSource(state.sequence(), pieces);
+    }
+}
--- a/core/src/main/java/silverlatch/wire/Msg.java
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -182,8 +182,8 @@
     /** A member to be mended sends its digests. */
     record CompareDigests(long view, Replica me, long sequence, long[] digests) implements Msg {}
 
-    /** The ranges that differ, at a sequence; whole tells that no other range differs. */
-    record RepairRanges(long view, long sequence, List<RangeEntries> spans, boolean whole) implements Msg {
+    /** One piece of the ranges that differ, at the sequence that all pieces stand for; pieces count from 0. */
+    record RepairRanges(long view, long sequence, int piece, int pieces, List<RangeEntries> spans) implements Msg {
         /** Copies the list. */
         public RepairRanges {
             spans = List.copyOf(spans);
@@ -220,4 +220,27 @@
 
     /** The sender is told that its stamp was rejected as too far ahead, and the physical time here. */
     record Astray(long units, long phys) implements Msg {}
+
+    /** A member under repair has the pieces before this one. */
+    record RepairNext(long view, Replica me, long sequence, int piece) implements Msg {}
+
+    /** A successor has all entries up to a sequence in memory; it says nothing of its disk. */
+    record ReplicateAck(long view, String id, long sequence) implements Msg {}
+
+    /** Whether a message is short and others wait for it by a lease or a vote, so that it goes before large ones. */
+    static boolean urgent(final Msg msg) {
+        return msg instanceof LeaseRequest
+                || msg instanceof LeaseGrant
+                || msg instanceof ViewDecided
+                || msg instanceof Prepare
+                || msg instanceof Promise
+                || msg instanceof Accept
+                || msg instanceof Accepted
+                || msg instanceof Preempted
+                || msg instanceof JoinRequest
+                || msg instanceof CommitNotice
+                || msg instanceof ReplicateAck
+                || msg instanceof Beat
+                || msg instanceof Pulse;
+    }
 }
--- /dev/null
+++ b/core/src/test/java/silverlatch/replication/BandwidthLinks.java
@@ -0,0 +1,127 @@
+package silverlatch.replication;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.ObjLongConsumer;
+
+/**
+ * Links of machines with a bandwidth each: one connection a pair and direction, whose frames go in
+ * order, urgent ones before those that have not begun, as the transport sends them; a machine's
+ * connections take turns, a packet each, and the receiver's link passes packets as they come.
+ */
+final class BandwidthLinks {
+    private static final long PACKET_BYTES = 16 << 10;
+    private final long bytesPerSecond;
+    private final long delay;
+    private final ObjLongConsumer<Runnable> scheduler;
+    private final Map<String, Map<String, Deque<Outgoing>>> connections = new HashMap<>();
+    private final Map<String, Boolean> sending = new HashMap<>();
+    private final Map<String, Long> receiverFree = new HashMap<>();
+    private final Map<String, Long> received = new HashMap<>();
+
+    /** Links of so many bytes a second and a delay in microseconds; the scheduler runs a job at a time. */
+    BandwidthLinks(final long bytesPerSecond, final long delay, final ObjLongConsumer<Runnable> scheduler) {
+        this.bytesPerSecond = bytesPerSecond;
+        this.delay = delay;
+        this.scheduler = scheduler;
+    }
+
+    /** Sends a frame; it is delivered when its last packet has passed the receiver's link. */
+    void send(
+            final String from,
+            final String to,
+            final long bytes,
+            final boolean urgent,
+            final long now,
+            final Runnable deliver) {
+        final Deque<Outgoing> queue = connections
+                .computeIfAbsent(from, f -> new LinkedHashMap<>())
+                .computeIfAbsent(to, t -> new ArrayDeque<>());
+        final Deque<Outgoing> behind = new ArrayDeque<>();
+        while (urgent && !queue.isEmpty() && !queue.peekLast().urgent && !queue.peekLast().begun) {
+            behind.addFirst(queue.pollLast());
+        }
+        queue.add(new Outgoing(bytes, urgent, deliver));
+        queue.addAll(behind);
+        if (!sending.getOrDefault(from, false)) {
+            sending.put(from, true);
+            sendPacket(from, now);
+        }
+    }
+
+    /** How many bytes a machine has received. */
+    long received(final String seat) {
+        return received.getOrDefault(seat, 0L);
+    }
+
+    /** How many bytes wait at a machine. */
+    long waiting(final String from) {
+        return connections.getOrDefault(from, Map.of()).values().stream()
+                .flatMap(Deque::stream)
+                .mapToLong(f -> f.left)
+                .sum();
+    }
+
+    /** What a machine has not sent is lost with it. */
+    void drop(final String from) {
+        connections.remove(from);
+    }
+
+    private void sendPacket(final String from, final long now) {
+        final Map<String, Deque<Outgoing>> queues = connections.getOrDefault(from, Map.of());
+        queues.values().removeIf(Deque::isEmpty);
+        if (queues.isEmpty()) {
+            sending.put(from, false);
+            return;
+        }
+        final Iterator<Map.Entry<String, Deque<Outgoing>>> first =
+                queues.entrySet().iterator();
+        final Map.Entry<String, Deque<Outgoing>> turn = first.next();
+        final String to = turn.getKey();
+        final Deque<Outgoing> queue = turn.getValue();
+        first.remove();
+        queues.put(to, queue);
+        final Outgoing frame = queue.peek();
+        final long bytes = Math.min(PACKET_BYTES, frame.left);
+        frame.begun = true;
+        frame.left -= bytes;
+        final boolean last = frame.left == 0;
+        if (last) {
+            queue.poll();
+        }
+        final long end = now + span(bytes);
+        scheduler.accept(() -> sendPacket(from, end), end);
+        scheduler.accept(() -> receive(to, bytes, end + delay, last, frame.deliver), end + delay);
+    }
+
+    private void receive(
+            final String to, final long bytes, final long now, final boolean last, final Runnable deliver) {
+        final long end = Math.max(now, receiverFree.getOrDefault(to, 0L)) + span(bytes);
+        receiverFree.put(to, end);
+        received.merge(to, bytes, Long::sum);
+        if (last) {
+            scheduler.accept(deliver, end);
+        }
+    }
+
+    private long span(final long bytes) {
+        return bytes * 1_000_000 / bytesPerSecond;
+    }
+
+    private static final class Outgoing {
+        private final boolean urgent;
+        private final Runnable deliver;
+        private long left;
+        private boolean begun;
+
+        Outgoing(final long bytes, final boolean urgent, final Runnable deliver) {
+            this.urgent = urgent;
+            this.left = bytes;
+            this.deliver = deliver;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/silverlatch/replication/CatchUpTest.java
@@ -0,0 +1,143 @@
+package silverlatch.replication;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import silverlatch.node.Event;
+import silverlatch.state.Command;
+import silverlatch.state.Value;
+
+/** Hundreds of large changes over links of 7 Mbit/s and disks of 64 MB at 5 ms a sync, with a member away for them. */
+final class CatchUpTest {
+    private static final long SECOND = 1_000_000;
+    private static final long LINK = 7_000_000 / 8;
+    private static final long SYNC = 5_000;
+    private static final long DISK = 64L << 20;
+    private static final List<String> SIX = List.of("a", "b", "c", "d", "e", "f");
+    private static final int ROUTES = 500;
+    private static final int DOCUMENT = 150_000;
+
+    private static ReplicaCluster cluster(final int members) {
+        final List<String> seats = SIX.subList(0, 3);
+        final ReplicaCluster cluster =
+                new ReplicaCluster(seats, 1_000, s -> s.counts(2, members)).limited(LINK, SYNC, DISK);
+        SIX.subList(0, members).forEach(s -> cluster.start(s, true));
+        cluster.until(60 * SECOND, () -> whole(cluster, members));
+        assertThat("the chain is whole" + cluster, whole(cluster, members), is(true));
+        return cluster;
+    }
+
+    private static boolean whole(final ReplicaCluster cluster, final int members) {
+        return cluster.up().size() == members
+                && cluster.up().stream().allMatch(s -> {
+                    final ChainReplica.State state = cluster.quay(s).state(cluster.now());
+                    return state.level()
+                            && state.leased()
+                            && state.view().chain().size() == members;
+                });
+    }
+
+    /** A document of some 150 KB and 500 routes; all routes of an odd one differ from those of the one before. */
+    private static Command.PutConfiguration document(final long number) {
+        final List<Value.Route> routes = new ArrayList<>();
+        for (int i = 0; i < ROUTES; i++) {
+            final long aim = number % 2 == 1 || i == number % ROUTES ? number : 0;
+            routes.add(new Value.Route(
+                    "route-" + i,
+                    "host-" + i + ".tenant.example",
+                    "/v1/completions/" + i + "/",
+                    false,
+                    false,
+                    false,
+                    false,
+                    1,
+                    1_000 + aim,
+                    0,
+                    0,
+                    1,
+                    List.of(),
+                    List.of(new Value.WeightedBackend("pool", 1))));
+        }
+        return new Command.PutConfiguration(
+                "document-" + number,
+                new Value.RoutingConfiguration(number, 1, 1, 1, 1),
+                routes,
+                List.of(new Value.BackendPool("pool", "/", 1, 0, 1, 1, 0, 1)),
+                "x".repeat(DOCUMENT - 20) + number,
+                -1);
+    }
+
+    private static void put(final ReplicaCluster cluster, final String at, final long number) {
+        final ReplicaCluster.Asked asked = cluster.wish(at, document(number), 20 * SECOND);
+        cluster.until(20 * SECOND, () -> asked.answer().isPresent());
+        assertThat("document " + number + " at " + at + " " + asked.answer() + cluster, asked.kept(), is(true));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {3, 6})
+    void aMemberThatWasAwayForHundredsOfDocumentsCatchesUpInABoundedTime(final int members) {
+        final ReplicaCluster cluster = cluster(members);
+        final String away = SIX.get(members - 1);
+        put(cluster, "a", 1);
+        cluster.kill(away);
+        cluster.pass(3 * SECOND);
+        final int count = Integer.getInteger("silverlatch.documents", 60);
+        for (int number = 2; number <= count; number++) {
+            put(cluster, "a", number);
+        }
+        final long before = cluster.links().received(away);
+        final long views = cluster.logged(Event.CHAIN_SUSPECT);
+        cluster.start(away, false);
+        final long span = cluster.until(60 * SECOND, () -> whole(cluster, members));
+        final long bytes = cluster.links().received(away) - before;
+        System.out.println(
+                "catch up: members " + members + " documents " + count + " us " + span + " bytes " + bytes + " disk "
+                        + SIX.subList(0, members).stream()
+                                .mapToLong(s -> cluster.modelDisk(s).peakBytes())
+                                .max()
+                                .getAsLong());
+        assertThat("it is back" + cluster, span, greaterThan(0L));
+        assertThat("in a bounded time", span, lessThan(4 * SECOND));
+        assertThat("with bounded bytes", bytes, lessThan(2L << 20));
+        assertThat("nobody was taken for dead", cluster.logged(Event.CHAIN_SUSPECT), is(views));
+        SIX.subList(0, members - 2).forEach(cluster::kill);
+        cluster.pass(SECOND);
+        assertThat(cluster.held(away), is((long) count));
+    }
+
+    @Test
+    void aMemberCatchesUpWhileEightLargeDocumentsAreUnderWayAtOnce() {
+        final ReplicaCluster cluster = cluster(3);
+        put(cluster, "a", 1);
+        cluster.kill("c");
+        cluster.pass(3 * SECOND);
+        long number = 1;
+        for (int i = 0; i < 10; i++) {
+            put(cluster, "a", ++number);
+        }
+        final long suspected = cluster.logged(Event.CHAIN_SUSPECT);
+        cluster.start("c", false);
+        boolean back = false;
+        for (int round = 0; round < 10; round++) {
+            final List<ReplicaCluster.Asked> asked = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                asked.add(cluster.wish(i % 2 == 0 ? "a" : "b", document(++number), 30 * SECOND));
+            }
+            final long span = cluster.until(
+                    30 * SECOND, () -> asked.stream().allMatch(a -> a.answer().isPresent()));
+            System.out.println("eight at once took us " + span + " back " + whole(cluster, 3) + " waiting "
+                    + cluster.links().waiting("a") + " " + cluster.links().waiting("b") + " "
+                    + cluster.links().waiting("c"));
+            back |= whole(cluster, 3);
+        }
+        assertThat("it is back while the writes go on" + cluster, back, is(true));
+        assertThat("nobody was taken for dead" + cluster, cluster.logged(Event.CHAIN_SUSPECT), is(suspected));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/silverlatch/replication/ModelDisk.java
@@ -0,0 +1,74 @@
+package silverlatch.replication;
+
+import java.util.List;
+import silverlatch.log.LogRecord;
+import silverlatch.wire.Codec;
+
+/** What a small disk takes: how long a sync is, how many bytes fit; it can be full, or stalled until a time. */
+final class ModelDisk {
+    private static final long HEAD_BYTES = 16;
+    private final Codec codec = Codec.forLog();
+    private final long sync;
+    private final long capacity;
+    private long logBytes;
+    private long snapshotBytes;
+    private long peakBytes;
+    private long free;
+    private long stalledUntil;
+    private boolean full;
+
+    /** A disk with so many microseconds a sync and so many bytes. */
+    ModelDisk(final long sync, final long capacity) {
+        this.sync = sync;
+        this.capacity = capacity;
+    }
+
+    /** When a write that begins now is synced. */
+    long due(final long now, final List<LogRecord> records) {
+        final boolean snapshot = records.stream().anyMatch(LogRecord.Snapshot.class::isInstance);
+        free = Math.max(Math.max(free, stalledUntil), now) + (snapshot ? 4 * sync : sync);
+        return free;
+    }
+
+    /** Takes a write, as the log does: a snapshot stands beside the older files until it is synced; false when full. */
+    boolean write(final List<LogRecord> records) {
+        long snapshot = 0;
+        long others = 0;
+        for (final LogRecord record : records) {
+            final long bytes = HEAD_BYTES + codec.write(record, Integer.MAX_VALUE - 8).length;
+            if (record instanceof LogRecord.Snapshot) {
+                snapshot += bytes;
+            } else {
+                others += bytes;
+            }
+        }
+        final long whole = logBytes + snapshotBytes + snapshot + others;
+        if (full || whole > capacity) {
+            return false;
+        }
+        peakBytes = Math.max(peakBytes, whole);
+        logBytes = snapshot > 0 ? others : logBytes + others;
+        snapshotBytes = snapshot > 0 ? snapshot : snapshotBytes;
+        return true;
+    }
+
+    /** The most that was on the disk at once. */
+    long peakBytes() {
+        return peakBytes;
+    }
+
+    /** Refuses every write, or takes them again. */
+    void full(final boolean on) {
+        full = on;
+    }
+
+    /** Whether it refuses writes. */
+    boolean full() {
+        return full;
+    }
+
+    /** Hangs until a time. */
+    void stall(final long until) {
+        stalledUntil = until;
+    }
+}
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -35,6 +35,11 @@
     private final PriorityQueue<Due> queue =
             new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::turn));
     private final Map<Long, Asked> asked = new LinkedHashMap<>();
+    private final Map<String, ModelDisk> modelDisks = new HashMap<>();
+    private final Map<silverlatch.node.Event, Long> logged = new HashMap<>();
+    private final silverlatch.wire.Codec frames = new silverlatch.wire.Codec();
+    private Optional<BandwidthLinks> links = Optional.empty();
+    private Optional<java.util.function.Supplier<ModelDisk>> diskModel = Optional.empty();
     private long now = 1_000_000;
     private long turn;
     private long stamp = 1_000;
@@ -46,6 +51,33 @@
         this.setup = setup;
     }
 
+    /** Gives every machine a link of so many bytes a second and a disk with a time for each sync and a capacity. */
+    ReplicaCluster limited(final long bytesPerSecond, final long sync, final long diskBytes) {
+        links = Optional.of(new BandwidthLinks(bytesPerSecond, hop, (job, when) -> at(when, job)));
+        diskModel = Optional.of(() -> new ModelDisk(sync, diskBytes));
+        return this;
+    }
+
+    /** The links, where there is a limit. */
+    BandwidthLinks links() {
+        return links.orElseThrow();
+    }
+
+    /** The model of a machine's disk, where there is a limit. */
+    ModelDisk modelDisk(final String seat) {
+        return modelDisks.get(seat);
+    }
+
+    /** What a machine has on its disk. */
+    List<LogRecord> disk(final String seat) {
+        return disks.get(seat);
+    }
+
+    /** How often an event was logged by any machine. */
+    long logged(final silverlatch.node.Event event) {
+        return logged.getOrDefault(event, 0L);
+    }
+
     /** What came of a wish or a question, and when. */
     static final class Asked {
         private final long at;
@@ -103,6 +135,7 @@
     /** Starts a machine: from its disk, or empty under a new identity. */
     void start(final String seat, final boolean found) {
         final List<LogRecord> disk = disks.computeIfAbsent(seat, s -> new ArrayList<>());
+        diskModel.ifPresent(model -> modelDisks.computeIfAbsent(seat, s -> model.get()));
         final String name = names.computeIfAbsent(seat, s -> "id-" + s + "-" + ++turn);
         final ChainReplica q = new ChainReplica(
                 setup.apply(ChainReplica.Setup.of(new Replica(name, seat), seats))
@@ -119,11 +152,13 @@
     void kill(final String seat) {
         quays.remove(seat);
         clerks.remove(seat);
+        links.ifPresent(l -> l.drop(seat));
     }
 
     /** The disk is lost; the next start is under a new identity. */
     void wipe(final String seat) {
         disks.remove(seat);
+        modelDisks.remove(seat);
         names.remove(seat);
     }
 
@@ -191,9 +226,13 @@
     }
 
     Asked lay(final String at, final long number, final long match, final long span) {
+        return wish(at, charter(number, match), span);
+    }
+
+    Asked wish(final String at, final Command command, final long span) {
         final Asked a = new Asked(now);
         asked.put(++token, a);
-        clerks.get(at).wish(charter(number, match), token, now, now + span);
+        clerks.get(at).wish(command, token, now, now + span);
         flush(at, quays.get(at));
         return a;
     }
@@ -265,7 +304,7 @@
                 if (s.to().equals(seat)) {
                     hand(seat, q, s.body(), seat);
                 } else if (!cuts.contains(Set.of(seat, s.to()))) {
-                    at(now + hop, () -> {
+                    deliver(seat, s, () -> {
                         if (quays.containsKey(s.to())) {
                             hand(s.to(), quays.get(s.to()), s.body(), seat);
                             flush(s.to(), quays.get(s.to()));
@@ -273,26 +312,58 @@
                     });
                 }
             }
-            case Effect.Keep k ->
-                at(now + 2_000, () -> {
-                    if (quays.get(seat) == q) {
-                        k.notes().forEach(n -> {
-                            if (n instanceof LogRecord.Snapshot) {
-                                disks.get(seat).clear();
-                            }
-                            disks.get(seat).add(n);
-                        });
-                        q.kept(k.token(), now);
-                        flush(seat, q);
-                    }
-                });
+            case Effect.Keep k -> keep(seat, q, k);
             case Effect.Answer a ->
                 Optional.ofNullable(asked.remove(a.token())).ifPresent(x -> {
                     x.reply = Optional.of(a.reply());
                     x.end = now;
                 });
-            case Effect.Log l -> {}
+            case Effect.Log l -> logged.merge(l.event(), 1L, Long::sum);
+        }
+    }
+
+    private void deliver(final String from, final Effect.Send send, final Runnable job) {
+        links.ifPresentOrElse(
+                l -> l.send(from, send.to(), frames.write(send.body()).length, Msg.urgent(send.body()), now, job),
+                () -> at(now + hop, job));
+    }
+
+    private void keep(final String seat, final ChainReplica q, final Effect.Keep k) {
+        final Optional<ModelDisk> disk = Optional.ofNullable(modelDisks.get(seat));
+        at(disk.map(d -> d.due(now, k.notes())).orElse(now + 2_000), () -> {
+            if (quays.get(seat) != q) {
+                return;
+            }
+            if (!disk.map(d -> d.write(k.notes())).orElse(true)) {
+                q.broke("no space left");
+                flush(seat, q);
+                at(now + 1_000_000, () -> recover(seat, q));
+                return;
+            }
+            k.notes().forEach(n -> {
+                if (n instanceof LogRecord.Snapshot) {
+                    disks.get(seat).clear();
+                }
+                disks.get(seat).add(n);
+            });
+            q.kept(k.token(), now);
+            flush(seat, q);
+        });
+    }
+
+    /** Opens the log again each second after a failed write, as the log's writer does. */
+    private void recover(final String seat, final ChainReplica broken) {
+        if (quays.get(seat) != broken) {
+            return;
+        }
+        if (modelDisks.get(seat).full()) {
+            at(now + 1_000_000, () -> recover(seat, broken));
+            return;
         }
+        final ChainReplica next = broken.recovered(List.copyOf(disks.get(seat)), now);
+        quays.put(seat, next);
+        clerks.put(seat, new ChainClient(seat, next::view, turn++ * 1_000_000));
+        beat(seat, next);
     }
 
     private void hand(final String seat, final ChainReplica q, final Msg msg, final String home) {
--- a/server/src/main/java/silverlatch/server/transport/PeerConnection.java
+++ b/server/src/main/java/silverlatch/server/transport/PeerConnection.java
@@ -6,15 +6,17 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketOption;
+import java.util.Comparator;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.PriorityBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import jdk.net.ExtendedSocketOptions;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.wire.Codec;
 import silverlatch.wire.Frame;
+import silverlatch.wire.Msg;
 
 /**
  * Frames to one address. Nothing here is promised: what waited too long for a connection is dropped. The peer acknowledges what it read
@@ -28,7 +30,8 @@
     private final Times times;
     private final AtomicLong dropped;
     private final AtomicLong connects;
-    private final ArrayBlockingQueue<Waiting> queue;
+    private final PriorityBlockingQueue<Waiting> queue;
+    private final AtomicLong offered = new AtomicLong();
     private volatile Optional<Socket> open = Optional.empty();
     private volatile long unheard = NEVER;
     private volatile boolean writing;
@@ -48,7 +51,8 @@
         this.times = times;
         this.dropped = dropped;
         this.connects = connects;
-        this.queue = new ArrayBlockingQueue<>(times.queue());
+        this.queue = new PriorityBlockingQueue<>(
+                16, Comparator.comparing(Waiting::bulk).thenComparingLong(Waiting::turn));
     }
 
     /** Starts to send. */
@@ -62,9 +66,11 @@
         if (now - times.silent() > unheard && now > grace) {
             open.filter(s -> !heard(s)).ifPresent(PeerConnection::close);
         }
-        if (!queue.offer(new Waiting(f, now))) {
+        if (queue.size() >= times.queue()) {
             dropped.incrementAndGet();
+            return;
         }
+        queue.add(new Waiting(f, now, !Msg.urgent(f.body()), offered.incrementAndGet()));
     }
 
     /** Ends. */
@@ -191,5 +197,6 @@
         }
     }
 
-    private record Waiting(Frame frame, long at) {}
+    /** A frame that waits since a time; urgent ones go first, and otherwise those that came first. */
+    private record Waiting(Frame frame, long at, boolean bulk, long turn) {}
 }
