--- a/core/src/main/java/silverlatch/replication/ChainClient.java
+++ b/core/src/main/java/silverlatch/replication/ChainClient.java
@@ -93,9 +93,16 @@
     }
 
     private static long pause(final Open o) {
-        return o.msg() instanceof Msg.WriteRequest w && w.wish() instanceof Command.PutConfiguration put
-                ? AGAIN + (AGAIN_PER_CHARACTER * put.paper().length() << Math.min(o.resent(), MOST_DOUBLINGS))
-                : AGAIN;
+        final int doublings = Math.min(o.resent(), MOST_DOUBLINGS);
+        return switch (o.msg()) {
+            case Msg.ReadRequest read -> AGAIN << doublings;
+            case Msg.WriteRequest write -> AGAIN + (AGAIN_PER_CHARACTER * characters(write.wish()) << doublings);
+            default -> AGAIN;
+        };
+    }
+
+    private static long characters(final Command command) {
+        return command instanceof Command.PutConfiguration put ? put.paper().length() : 0;
     }
 
     /** What is to be done; it is handed over once. */
--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -98,6 +98,7 @@
     private long swept;
     private boolean quit;
     private boolean joining;
+    private boolean forgetful;
 
     /** A machine as its ledger left it. */
     public ChainReplica(final Setup setup, final List<LogRecord> notes, final Supplier<Stamp> stamps, final long now) {
@@ -226,7 +227,7 @@
     /** Takes a message. */
     public void on(final Msg msg, final String home, final long now) {
         clock = now;
-        if (broken()) {
+        if (broken() || forgetful && !(msg instanceof Msg.ViewDecided)) {
             return;
         }
         switch (msg) {
@@ -325,6 +326,10 @@
             hunt(now);
             return;
         }
+        if (forgetful) {
+            askForLaterView(now);
+            return;
+        }
         if (now - asked >= (view.votes(setup.me().id()) ? setup.ask() : RESEND) && !stalled) {
             ask(now);
         }
@@ -486,6 +491,7 @@
         given.values().removeIf(t -> t <= now);
         floor = Set.copyOf(view.voters()).equals(Set.copyOf(next.voters())) ? floor : now + setup.lease();
         view = next;
+        forgetful = false;
         level = in && (was && level || born);
         birth = Optional.empty();
         granted.clear();
@@ -563,13 +569,17 @@
                 given.put(m.me().id(), now + setup.lease());
                 send(
                         m.me().address(),
-                        new Msg.LeaseGrant(view.number(), m.at(), setup.me().id()));
+                        new Msg.LeaseGrant(view.number(), m.at(), setup.me().id(), books.sequence()));
             }
         }
     }
 
     private void grant(final Msg.LeaseGrant m, final long now) {
         if (m.view() == view.number() && view.votes(m.voter())) {
+            if (chained() && level && m.committed() > last) {
+                fenceForgetful(m);
+                return;
+            }
             granted.merge(m.voter(), m.at(), Math::max);
             if (!early.isEmpty() && leased(now)) {
                 final List<Early> due = List.copyOf(early);
@@ -579,6 +589,27 @@
         }
     }
 
+    /**
+     * What is acknowledged has been synced by each member that has caught up; this one lacks some of it, so its folder is
+     * not the one that it had. It neither asks, grants nor votes until a later view, in which it is repaired.
+     */
+    private void fenceForgetful(final Msg.LeaseGrant m) {
+        log(Event.DAMAGED, "the log ends at " + last + ", but " + m.committed() + " was acknowledged with it");
+        forgetful = true;
+        level = false;
+        granted.clear();
+        forget();
+    }
+
+    /** Asks under the view before this one: the reply is the view as it is now, and the asker counts as silent. */
+    private void askForLaterView(final long now) {
+        if (now - soughtAt >= RESEND) {
+            soughtAt = now;
+            view.voters()
+                    .forEach(v -> send(v.address(), new Msg.LeaseRequest(view.number() - 1, now, setup.me(), false)));
+        }
+    }
+
     private boolean leased(final long now) {
         final long span = setup.lease() * 9 / 10;
         return view.majority(
--- a/core/src/main/java/silverlatch/wire/Msg.java
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -136,8 +136,8 @@
     /** A member asks a voter that its view still holds, and says whether it has all that its chain has. */
     record LeaseRequest(long view, long at, Replica me, boolean level) implements Msg {}
 
-    /** A voter says that the view holds. */
-    record LeaseGrant(long view, long at, String voter) implements Msg {}
+    /** A voter says that the view holds, and up to where it knows changes to be acknowledged. */
+    record LeaseGrant(long view, long at, String voter, long committed) implements Msg {}
 
     /** A decided view. */
     record ViewDecided(View view) implements Msg {}
--- a/core/src/test/java/silverlatch/replication/ModelDisk.java
+++ b/core/src/test/java/silverlatch/replication/ModelDisk.java
@@ -8,7 +8,7 @@
 final class ModelDisk {
     private static final long HEAD_BYTES = 16;
     private final Codec codec = Codec.forLog();
-    private final long sync;
+    private long sync;
     private final long capacity;
     private long logBytes;
     private long snapshotBytes;
@@ -16,6 +16,7 @@
     private long free;
     private long stalledUntil;
     private boolean full;
+    private boolean fullAtSnapshot;
 
     /** A disk with so many microseconds a sync and so many bytes. */
     ModelDisk(final long sync, final long capacity) {
@@ -43,6 +44,8 @@
             }
         }
         final long whole = logBytes + snapshotBytes + snapshot + others;
+        full |= fullAtSnapshot && snapshot > 0;
+        fullAtSnapshot &= snapshot == 0;
         if (full || whole > capacity) {
             return false;
         }
@@ -67,6 +70,16 @@
         return full;
     }
 
+    /** The disk is full from the next snapshot on. */
+    void fullAtSnapshot() {
+        fullAtSnapshot = true;
+    }
+
+    /** A sync takes so many microseconds from now on. */
+    void sync(final long span) {
+        sync = span;
+    }
+
     /** Hangs until a time. */
     void stall(final long until) {
         stalledUntil = until;
