--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -597,7 +597,7 @@
      * the old view alone: what the new one acknowledges has passed them.
      */
     private long due(final View next) {
-        return ViewPlanner.grown(view, next)
+        return ViewPlanner.grown(view, next) || !setup.guards().stands(Safeguard.LEASE_WAIT)
                 ? 0
                 : view.chain().stream()
                         .filter(b -> next.place(b.id()) < 0)
@@ -715,7 +715,12 @@
 
     /** Whether the chain is long enough for an acknowledgement. */
     private boolean enough() {
-        return view.chain().size() >= setup.copies();
+        return view.chain().size() >= setup.copies() || !setup.guards().stands(Safeguard.COPIES);
+    }
+
+    /** Whether a replication message is of another view than the one held here, and so must not be taken. */
+    private boolean fenced(final long number) {
+        return number != view.number() && setup.guards().stands(Safeguard.FENCE);
     }
 
     private void again(final long now) {
@@ -836,7 +841,7 @@
     }
 
     private void pass(final Msg.Replicate m, final long now) {
-        if (m.view() != view.number() || !chained() || view.place(setup.me().id()) == 0) {
+        if (fenced(m.view()) || !chained() || view.place(setup.me().id()) == 0) {
             return;
         }
         final List<LogEntry> fresh = new ArrayList<>();
@@ -861,7 +866,7 @@
     }
 
     private void acked(final Msg.CommitNotice m) {
-        if (m.view() == view.number() && chained()) {
+        if (!fenced(m.view()) && chained()) {
             commit(Math.min(m.sequence(), kept));
         }
     }
@@ -986,7 +991,9 @@
             join();
             return;
         }
-        m.spans().forEach(s -> books.mend(s.range(), RANGES, s.entries()));
+        if (setup.guards().stands(Safeguard.DIGEST)) {
+            m.spans().forEach(s -> books.mend(s.range(), RANGES, s.entries()));
+        }
         if (!m.whole()) {
             (chained() ? view.before(setup.me().id()) : view.tail()).ifPresent(t -> send(t.address(), compareOf()));
             return;
@@ -1037,7 +1044,12 @@
 
     private void keep(final List<LogRecord> notes, final LongConsumer then) {
         token++;
-        held.put(token, new Held(clock, then));
+        final boolean early = !setup.guards().stands(Safeguard.PROMISE)
+                && (notes.get(0) instanceof LogRecord.Promised || notes.get(0) instanceof LogRecord.Accepted);
+        if (early) {
+            then.accept(clock);
+        }
+        held.put(token, new Held(clock, early ? t -> {} : then));
         out.add(new Effect.Keep(token, notes));
     }
 
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -45,5 +45,15 @@
     /** A stamp from too far ahead is not merged. */
     FAR,
     /** A chain that lost a machine is mended. */
-    MEND
+    MEND,
+    /** A voter accepts a successor only when the leases it granted to those that go have run out. */
+    LEASE_WAIT,
+    /** Replication messages of another view are rejected. */
+    FENCE,
+    /** A promise or an acceptance is synced before it is sent. */
+    PROMISE,
+    /** A chain shorter than the required copies acknowledges nothing. */
+    COPIES,
+    /** A replica that was out takes over the ranges in which its digests differ before it joins. */
+    DIGEST
 }
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Documents.java
@@ -0,0 +1,73 @@
+package silverlatch.simulation.explore;
+
+import java.util.Collection;
+import java.util.List;
+import silverlatch.state.Command;
+import silverlatch.state.ConfigurationValidator;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+
+/** The configurations that operators put, as small as they can be, and how they are read back. */
+final class Documents {
+    /** How the keys of evacuations begin. */
+    static final String ZONES = "z/";
+
+    private static final String POOL = "pool";
+
+    private Documents() {}
+
+    /** The command of a put. */
+    static Command put(final String id, final Operation operation) {
+        final Value.BackendPool pool = new Value.BackendPool(POOL, "/", 1, 0, 1, 1, 0, 1);
+        final Value.Route route = new Value.Route(
+                "route",
+                "host" + operation.number(),
+                "/",
+                false,
+                false,
+                false,
+                false,
+                1,
+                0,
+                0,
+                0,
+                1,
+                List.of(),
+                List.of(new Value.WeightedBackend(POOL, 1)));
+        return new Command.PutConfiguration(
+                id,
+                new Value.RoutingConfiguration(operation.number(), 1, 1, 1, 1),
+                List.of(route),
+                List.of(pool),
+                operation.text(),
+                operation.match());
+    }
+
+    /** What a read of the configuration or of the zone tells. */
+    static String value(final Action.Kind kind, final Collection<Entry> entries) {
+        String value = kind == Action.Kind.READ ? "" : "false";
+        for (final Entry entry : entries) {
+            if (!entry.gone()) {
+                value = text(entry);
+            }
+        }
+        return value;
+    }
+
+    /** The text of a document, or whether a zone is evacuated. */
+    static String text(final Entry entry) {
+        return entry.leaf().get(0) instanceof Value.ConfigurationDocument document
+                ? document.text()
+                : Boolean.toString(entry.leaf().get(0) instanceof Value.Evacuation evacuation && evacuation.on());
+    }
+
+    /** The number of a document, 0 where there is none. */
+    static int number(final String text) {
+        return text.isEmpty() ? 0 : Integer.parseInt(text.substring(0, text.indexOf('/')));
+    }
+
+    /** Whether an entry is what a property looks at: the document or an evacuation. */
+    static boolean watched(final Entry entry) {
+        return entry.key().equals(ConfigurationValidator.PAPER) || entry.key().startsWith(ZONES);
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/History.java
@@ -0,0 +1,65 @@
+package silverlatch.simulation.explore;
+
+import java.util.ArrayList;
+import java.util.List;
+import silverlatch.replication.ChainClient;
+import silverlatch.state.CommandResult;
+
+/** The operations of all operators in the order they began; an operation's token is its place. */
+final class History {
+    private final List<Operation> operations = new ArrayList<>();
+
+    /** Notes the beginning of an operation and gives its token. */
+    long begin(final Operation operation) {
+        operations.add(operation);
+        return operations.size() - 1L;
+    }
+
+    /** Notes an answer. One that tells that the outcome is unknown leaves the operation without an end. */
+    void answered(final long token, final Object reply, final long step) {
+        final Operation operation = operation(token);
+        switch (reply) {
+            case CommandResult.Applied applied -> end(token, new Operation.Outcome.Acknowledged(step));
+            case CommandResult.Rejected rejected -> end(token, new Operation.Outcome.Refused(step, rejected.code()));
+            case ChainClient.Page page -> {
+                if (page.ok()) {
+                    end(token, new Operation.Outcome.Value(step, Documents.value(operation.kind(), page.entries())));
+                }
+            }
+            default -> {}
+        }
+    }
+
+    private void end(final long token, final Operation.Outcome outcome) {
+        operations.set((int) token, operation(token).ended(outcome));
+    }
+
+    Operation operation(final long token) {
+        return operations.get((int) token);
+    }
+
+    List<Operation> operations() {
+        return operations;
+    }
+
+    /** The puts in the order they began. */
+    List<Operation> puts() {
+        return operations.stream()
+                .filter(operation -> operation.kind() == Action.Kind.PUT)
+                .toList();
+    }
+
+    /** The operations on the configuration. */
+    List<Operation> configuration() {
+        return operations.stream()
+                .filter(operation -> operation.kind() == Action.Kind.PUT || operation.kind() == Action.Kind.READ)
+                .toList();
+    }
+
+    /** The operations on the zone. */
+    List<Operation> zone() {
+        return operations.stream()
+                .filter(operation -> operation.kind() != Action.Kind.PUT && operation.kind() != Action.Kind.READ)
+                .toList();
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/LongHashSet.java
@@ -0,0 +1,65 @@
+package silverlatch.simulation.explore;
+
+import java.util.Arrays;
+
+/** A set of longs for several threads: open addressing in shards, each with its own lock. */
+final class LongHashSet {
+    private static final int SHARDS = 64;
+    private static final int FIRST = 1 << 10;
+    private final Shard[] shards = new Shard[SHARDS];
+
+    LongHashSet() {
+        Arrays.setAll(shards, i -> new Shard());
+    }
+
+    /** Adds a value; whether it was not there before. */
+    boolean add(final long value) {
+        return shards[(int) (value >>> 58)].add(value == 0 ? 1 : value);
+    }
+
+    /** How many values it holds. */
+    long size() {
+        return Arrays.stream(shards).mapToLong(Shard::size).sum();
+    }
+
+    /** One table; 0 marks a free place. */
+    private static final class Shard {
+        private long[] table = new long[FIRST];
+        private int count;
+
+        synchronized int size() {
+            return count;
+        }
+
+        synchronized boolean add(final long value) {
+            if (count * 2 > table.length) {
+                grow();
+            }
+            final int place = place(table, value);
+            if (table[place] == value) {
+                return false;
+            }
+            table[place] = value;
+            count++;
+            return true;
+        }
+
+        private void grow() {
+            final long[] next = new long[table.length * 2];
+            for (final long value : table) {
+                if (value != 0) {
+                    next[place(next, value)] = value;
+                }
+            }
+            table = next;
+        }
+
+        private static int place(final long[] table, final long value) {
+            int place = (int) value & table.length - 1;
+            while (table[place] != 0 && table[place] != value) {
+                place = place + 1 & table.length - 1;
+            }
+            return place;
+        }
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/RandomWalk.java
@@ -0,0 +1,206 @@
+package silverlatch.simulation.explore;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+/**
+ * One seeded walk through the states of a world. Every channel and disk has a priority; the highest that has something to do
+ * is next, and the clock advances when none has. Only at the few steps of the {@link WalkPlan} does something else happen.
+ * So long delays of one channel, and hence old messages, are as likely as they are unlikely when each step is drawn alone.
+ */
+final class RandomWalk {
+    private static final int LOWEST = 1_000;
+    private static final int[] SPANS = {20, 50, 100, 300};
+    private static final int LONG_JUMP = 700;
+    private static final int NO_MATCH = -1;
+    private static final int MOST_OPERATIONS = 40;
+    private final Random random;
+    private final World world;
+    private final WalkPlan plan;
+    private final int size;
+    private final int[] priorities;
+    private final int span;
+    private final List<Action> actions = new ArrayList<>();
+    private int nextNumber = 1;
+
+    RandomWalk(final WorldOptions options, final long seed, final int steps) {
+        this.random = new Random(seed * 0x9E3779B97F4A7C15L);
+        this.world = new World(options);
+        this.plan = WalkPlan.draw(random, steps);
+        this.size = options.replicas();
+        this.priorities = new int[size * size + size];
+        this.span = SPANS[random.nextInt(SPANS.length)];
+        Arrays.setAll(priorities, i -> random.nextInt(LOWEST - 1));
+    }
+
+    /** Walks to the end or to the first violation; every fourth step of the seed also checks that the world recovers. */
+    World run(final boolean recovers) {
+        settle();
+        for (int step = 0; step < plan.steps() && world.violation().isEmpty(); step++) {
+            if (plan.troubles().contains(step)) {
+                trouble(plan.kinds().get(random.nextInt(plan.kinds().size())));
+            }
+            if (plan.work().contains(step)) {
+                operation();
+            }
+            proceed();
+        }
+        if (recovers && world.violation().isEmpty()) {
+            actions.addAll(Recovery.run(world));
+        }
+        world.checkHistory();
+        return world;
+    }
+
+    /** What was done, for a schedule. */
+    List<Action> actions() {
+        return actions;
+    }
+
+    private boolean act(final Action action) {
+        final boolean possible = world.apply(action);
+        if (possible) {
+            actions.add(action);
+        }
+        return possible;
+    }
+
+    /** Leases are granted before anything goes wrong. */
+    private void settle() {
+        act(Action.tick(SPANS[0]));
+        for (int i = 0; i < 3; i++) {
+            act(Action.of(Action.Kind.ROUND));
+        }
+    }
+
+    private void proceed() {
+        int best = LOWEST;
+        int chosen = -1;
+        for (int i = 0; i < priorities.length; i++) {
+            if (priorities[i] < best && runnable(i)) {
+                best = priorities[i];
+                chosen = i;
+            }
+        }
+        if (chosen < 0) {
+            act(Action.tick(span));
+        } else if (chosen >= size * size) {
+            act(Action.of(Action.Kind.SYNC, chosen - size * size));
+        } else {
+            act(Action.of(Action.Kind.DELIVER, chosen / size, chosen % size));
+        }
+    }
+
+    private boolean runnable(final int source) {
+        if (source >= size * size) {
+            final Machine machine = world.machines().get(source - size * size);
+            return machine.handles() && !machine.pending().isEmpty();
+        }
+        return !world.network().channel(source / size, source % size).isEmpty()
+                && !world.machines().get(source % size).frozen();
+    }
+
+    private void trouble(final WalkPlan.Trouble kind) {
+        final int machine = random.nextInt(size);
+        switch (kind) {
+            case DELAY -> priorities[random.nextInt(priorities.length)] = LOWEST;
+            case RELEASE -> release(machine);
+            case DROP -> onMessage(Action.Kind.DROP);
+            case DUPLICATE -> onMessage(Action.Kind.DUPLICATE);
+            case REORDER -> onMessage(Action.Kind.DELIVER);
+            case CRASH -> act(Action.of(Action.Kind.CRASH, machine, random.nextInt(3)));
+            case CRASH_ALL ->
+                IntStream.range(0, size).forEach(i -> act(Action.of(Action.Kind.CRASH, i, random.nextInt(2))));
+            case LOSE_DISK -> act(Action.of(Action.Kind.LOSE_DISK, machine));
+            case FREEZE -> act(Action.of(Action.Kind.FREEZE, machine));
+            case ISOLATE -> act(Action.of(Action.Kind.ISOLATE, machine, 1 + random.nextInt(3)));
+            case JUMP -> act(Action.tick(LONG_JUMP));
+        }
+    }
+
+    /** One thing that stood still goes on, or everything does. */
+    private void release(final int machine) {
+        if (random.nextInt(2) == 0) {
+            act(Action.of(Action.Kind.HEAL));
+            for (int i = 0; i < priorities.length; i++) {
+                priorities[i] = priorities[i] == LOWEST ? random.nextInt(LOWEST - 1) : priorities[i];
+            }
+        }
+        for (int i = 0; i < size; i++) {
+            if (i == machine || random.nextInt(2) == 0) {
+                act(Action.of(Action.Kind.THAW, i));
+                act(Action.of(Action.Kind.RESTART, i));
+            }
+        }
+    }
+
+    private void onMessage(final Action.Kind kind) {
+        final List<int[]> channels = new ArrayList<>();
+        for (int i = 0; i < size * size; i++) {
+            if (!world.network().channel(i / size, i % size).isEmpty()) {
+                channels.add(new int[] {i / size, i % size});
+            }
+        }
+        if (!channels.isEmpty()) {
+            final int[] channel = channels.get(random.nextInt(channels.size()));
+            final int position = random.nextInt(
+                    world.network().channel(channel[0], channel[1]).size());
+            act(new Action(kind, channel[0], channel[1], position));
+        }
+    }
+
+    private void operation() {
+        final int machine = random.nextInt(size);
+        if (world.history().operations().size() >= MOST_OPERATIONS) {
+            return;
+        }
+        switch (random.nextInt(10)) {
+            case 0, 1, 2 -> put(machine);
+            case 3 -> race(machine);
+            case 4, 5, 6 -> act(Action.of(Action.Kind.READ, machine));
+            case 7 -> resend(machine);
+            case 8 ->
+                act(Action.of(random.nextBoolean() ? Action.Kind.EVACUATE : Action.Kind.TAKE_BACK, machine));
+            default -> act(Action.of(Action.Kind.READ_ZONE, machine));
+        }
+    }
+
+    /** A put on top of what was acknowledged last, on something older, or on anything. */
+    private void put(final int machine) {
+        final int known = known();
+        final int match =
+                switch (random.nextInt(4)) {
+                    case 0 -> NO_MATCH;
+                    case 1 -> random.nextInt(known + 1);
+                    default -> known;
+                };
+        act(new Action(Action.Kind.PUT, machine, Math.max(nextNumber++, known + 1), match));
+    }
+
+    /** Two operators put different documents under one number, each at another machine. */
+    private void race(final int machine) {
+        final int number = Math.max(nextNumber++, known() + 1);
+        act(new Action(Action.Kind.PUT, machine, number, known()));
+        act(new Action(Action.Kind.PUT, random.nextInt(size), number, NO_MATCH));
+    }
+
+    private void resend(final int machine) {
+        final int puts = world.history().puts().size();
+        if (puts > 0) {
+            act(Action.of(Action.Kind.RESEND, machine, random.nextInt(puts)));
+        }
+    }
+
+    private int known() {
+        return world.history().puts().stream()
+                .filter(put -> put.outcome()
+                        .map(outcome -> outcome instanceof Operation.Outcome.Acknowledged)
+                        .orElse(false))
+                .mapToInt(Operation::number)
+                .max()
+                .orElse(0);
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Recovery.java
@@ -0,0 +1,82 @@
+package silverlatch.simulation.explore;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** The end of a walk: all faults are over, and within a bound of time a put must be acknowledged at every machine. */
+final class Recovery {
+    /** How long the machines may take after the last fault, in milliseconds. */
+    static final int BOUND = 40_000;
+
+    private static final int SPAN = 100;
+    private static final int ROUNDS = 3;
+    private static final int ATTEMPT = 2_000;
+
+    private final World world;
+    private final List<Action> actions = new ArrayList<>();
+
+    private Recovery(final World world) {
+        this.world = world;
+    }
+
+    /** Ends all faults and waits; what was done. */
+    static List<Action> run(final World world) {
+        final Recovery recovery = new Recovery(world);
+        recovery.mend();
+        recovery.wait(BOUND);
+        return recovery.actions;
+    }
+
+    private void act(final Action action) {
+        if (world.apply(action)) {
+            actions.add(action);
+        }
+    }
+
+    private void mend() {
+        act(Action.of(Action.Kind.HEAL));
+        for (int i = 0; i < world.machines().size(); i++) {
+            act(Action.of(Action.Kind.THAW, i));
+            act(Action.of(Action.Kind.RESTART, i));
+        }
+    }
+
+    private void wait(final int bound) {
+        final int number = 1
+                + world.history().puts().stream()
+                        .mapToInt(Operation::number)
+                        .max()
+                        .orElse(0);
+        int attempts = 0;
+        for (int passed = 0; passed < bound; passed += SPAN) {
+            if (passed % ATTEMPT == 0) {
+                act(new Action(Action.Kind.PUT, attempts % world.machines().size(), number + attempts, -1));
+                attempts++;
+            }
+            act(Action.tick(SPAN));
+            for (int i = 0; i < ROUNDS; i++) {
+                act(Action.of(Action.Kind.ROUND));
+            }
+            if (world.violation().isPresent() || whole() && acknowledged(number)) {
+                return;
+            }
+        }
+        world.notRecovered();
+    }
+
+    private boolean whole() {
+        return world.machines().stream().allMatch(machine -> {
+            final silverlatch.replication.ChainReplica.State state =
+                    machine.process().orElseThrow().replica().state(machine.clock(world.now()));
+            return state.level() && state.view().place(machine.identity().id()) >= 0;
+        });
+    }
+
+    private boolean acknowledged(final int least) {
+        return world.history().puts().stream()
+                .anyMatch(put -> put.number() >= least
+                        && put.outcome()
+                                .map(outcome -> outcome instanceof Operation.Outcome.Acknowledged)
+                                .orElse(false));
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/StateDigest.java
@@ -0,0 +1,154 @@
+package silverlatch.simulation.explore;
+
+import java.lang.reflect.Field;
+import java.lang.reflect.Modifier;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import silverlatch.replication.ChainClient;
+import silverlatch.replication.ChainReplica;
+
+/**
+ * A 64-bit digest of everything in a {@link World} that can make a difference later: the fields of each replica and client
+ * by reflection, disks, unsynced writes, messages in flight, cut links, clock and history. Sets and maps count without
+ * order. Functions (continuations of writes) count by their class; what they capture is in the unsynced write they wait for.
+ */
+final class StateDigest {
+    private static final long SEED = 0x9E3779B97F4A7C15L;
+    private static final Map<Class<?>, List<Field>> FIELDS = new ConcurrentHashMap<>();
+
+    private StateDigest() {}
+
+    /** The digest of a world. */
+    static long of(final World world) {
+        long sum = mix(world.now());
+        for (final Machine machine : world.machines()) {
+            sum = mix(sum ^ digest(machine.disk()));
+            sum = mix(sum ^ digest(machine.pending()));
+            sum = mix(sum + (machine.frozen() ? 1 : 0) + (machine.replaced() ? 2 : 0));
+            sum = mix(sum ^ machine.process().map(StateDigest::digest).orElse(SEED));
+        }
+        for (int from = 0; from < world.machines().size(); from++) {
+            for (int to = 0; to < world.machines().size(); to++) {
+                sum = mix(sum ^ digest(world.network().channel(from, to)));
+                sum = mix(sum + (world.network().isCut(from, to) ? 1 : 0));
+            }
+        }
+        return mix(sum ^ history(world.history()));
+    }
+
+    /** Operations by their outcome; of their times, only the order of beginnings and ends counts. */
+    private static long history(final History history) {
+        final List<Operation> operations = history.operations();
+        long sum = operations.size();
+        for (final Operation operation : operations) {
+            sum = mix(sum ^ operation.kind().ordinal() ^ operation.text().hashCode());
+            sum = mix(sum ^ outcome(operation));
+            for (final Operation other : operations) {
+                sum = mix(sum + (other.end() < operation.start() ? 1 : 0));
+            }
+        }
+        return sum;
+    }
+
+    private static long outcome(final Operation operation) {
+        return operation
+                .outcome()
+                .map(outcome -> switch (outcome) {
+                    case Operation.Outcome.Acknowledged done -> 1L;
+                    case Operation.Outcome.Refused done -> 2L;
+                    case Operation.Outcome.Value value ->
+                        3L + value.value().hashCode();
+                })
+                .orElse(0L);
+    }
+
+    private static long digest(final Object value) {
+        if (value instanceof Number number) {
+            return mix(number.longValue());
+        }
+        if (value instanceof String || value instanceof Boolean) {
+            return mix(value.hashCode());
+        }
+        if (value instanceof Enum<?> constant) {
+            return mix(constant.ordinal());
+        }
+        if (value instanceof Optional<?> optional) {
+            return optional.isPresent() ? mix(digest(optional.get()) + 1) : SEED;
+        }
+        if (value instanceof Map<?, ?> map) {
+            return map(map);
+        }
+        if (value instanceof Collection<?> collection) {
+            return collection(collection);
+        }
+        if (value instanceof long[] numbers) {
+            return mix(java.util.Arrays.hashCode(numbers));
+        }
+        return object(value);
+    }
+
+    private static long map(final Map<?, ?> map) {
+        long sum = map.size();
+        for (final Map.Entry<?, ?> entry : map.entrySet()) {
+            sum += mix(digest(entry.getKey()) * 3 + digest(entry.getValue()));
+        }
+        return mix(sum);
+    }
+
+    private static long collection(final Collection<?> collection) {
+        long sum = collection.size();
+        for (final Object element : collection) {
+            sum = collection instanceof Set ? sum + mix(digest(element)) : mix(sum ^ digest(element));
+        }
+        return mix(sum);
+    }
+
+    private static long object(final Object value) {
+        long sum = value.getClass().getSimpleName().hashCode();
+        for (final Field field : FIELDS.computeIfAbsent(value.getClass(), StateDigest::fields)) {
+            sum = mix(sum ^ digest(read(field, value)));
+        }
+        return sum;
+    }
+
+    private static Object read(final Field field, final Object value) {
+        try {
+            return field.get(value);
+        } catch (final IllegalAccessException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** The fields that count: none of functions, and of a replica or client none that never changes. */
+    private static List<Field> fields(final Class<?> type) {
+        final List<Field> fields = new ArrayList<>();
+        final boolean own = type.getName().startsWith("silverlatch.") && !type.isHidden() && !type.isSynthetic();
+        for (final Field field : own ? type.getDeclaredFields() : new Field[0]) {
+            final boolean fixed =
+                    field.getType().getName().startsWith("java.util.function.") || Modifier.isStatic(field.getModifiers());
+            if (!fixed && !constant(type, field)) {
+                field.setAccessible(true);
+                fields.add(field);
+            }
+        }
+        return List.copyOf(fields);
+    }
+
+    private static boolean constant(final Class<?> type, final Field field) {
+        final boolean part = type == ChainReplica.class || type == ChainClient.class;
+        return part
+                && (field.getType() == ChainReplica.Setup.class
+                        || field.getType().getName().contains("TransitionTable"));
+    }
+
+    private static long mix(final long seed) {
+        final long a = (seed ^ seed >>> 30) * 0xBF58476D1CE4E5B9L;
+        final long b = (a ^ a >>> 27) * 0x94D049BB133111EBL;
+        return b ^ b >>> 31;
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/World.java
@@ -0,0 +1,361 @@
+package silverlatch.simulation.explore;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import silverlatch.clock.Stamp;
+import silverlatch.log.LogRecord;
+import silverlatch.node.Effect;
+import silverlatch.replication.ChainClient;
+import silverlatch.replication.ChainReplica;
+import silverlatch.replication.Replica;
+import silverlatch.replication.View;
+import silverlatch.state.Command;
+import silverlatch.state.ConfigurationValidator;
+import silverlatch.wire.Msg;
+
+/**
+ * Some machines with replicas and clients, a network and a clock, that do nothing by themselves: each {@link Action} is one
+ * step. The same actions give the same world. Times are microseconds.
+ */
+final class World {
+    private static final long MILLISECOND = 1_000;
+    private static final long EPOCH = 10_000_000;
+    private static final long OPERATION_TIME = 900_000;
+    private static final long FLEET = 7;
+    private static final int INBOUND = 1;
+    private static final int OUTBOUND = 2;
+    private static final String ZONE = "zone";
+    private final WorldOptions options;
+    private final List<Machine> machines = new ArrayList<>();
+    private final List<String> addresses = new ArrayList<>();
+    private final Network network;
+    private final History history = new History();
+    private final PropertyMonitor monitor;
+    private long now = EPOCH;
+    private long stamp;
+    private long starts;
+    private long requests;
+    private long step;
+
+    /** A world in which the first view stands and every machine has just started with it. */
+    World(final WorldOptions options) {
+        this.options = options;
+        this.network = new Network(options.replicas());
+        for (int i = 0; i < options.replicas(); i++) {
+            machines.add(new Machine(i, (i % 3 - 1) * options.drift()));
+            addresses.add(Machine.address(i));
+        }
+        this.monitor = new PropertyMonitor(options, machines, history);
+        final List<Replica> members = machines.stream().map(Machine::identity).toList();
+        final View first = new View(1, FLEET, members, members, members.get(0).id());
+        machines.forEach(machine -> machine.write(List.of(new LogRecord.ViewInstalled(first, true))));
+        machines.forEach(this::start);
+    }
+
+    WorldOptions options() {
+        return options;
+    }
+
+    List<Machine> machines() {
+        return machines;
+    }
+
+    Network network() {
+        return network;
+    }
+
+    History history() {
+        return history;
+    }
+
+    long now() {
+        return now;
+    }
+
+    /** The property that was broken first. */
+    Optional<Violation> violation() {
+        return monitor.violation();
+    }
+
+    /** Whether another disk may be lost: fewer are lost and not repaired than there are copies to spare. */
+    boolean mayLoseDisk() {
+        return machines.stream().filter(Machine::replaced).count() < options.copies() - 1;
+    }
+
+    /** Whether something stands in the way of the machines: one is down or frozen, or a link is cut. */
+    boolean disturbed() {
+        return network.anyCut() || machines.stream().anyMatch(machine -> !machine.handles());
+    }
+
+    /** Checks that the history so far is linearizable. */
+    void checkHistory() {
+        monitor.checkHistory();
+    }
+
+    /** The machines didn't recover in time after the last fault. */
+    void notRecovered() {
+        final List<ChainReplica.State> states = machines.stream()
+                .map(machine -> machine.process().orElseThrow().replica().state(machine.clock(now)))
+                .toList();
+        monitor.broken(Property.RECOVERS, "not within " + Recovery.BOUND + " ms: " + states);
+    }
+
+    /** Takes one step; whether the action was possible. */
+    boolean apply(final Action action) {
+        step++;
+        try {
+            return taken(action);
+        } catch (final IllegalStateException | IllegalArgumentException | IndexOutOfBoundsException e) {
+            monitor.broken(Property.NO_EXCEPTION, e.toString());
+            return true;
+        }
+    }
+
+    private boolean taken(final Action action) {
+        final Machine machine = machines.get(action.first());
+        return switch (action.kind()) {
+            case DELIVER -> deliver(action.first(), action.second(), action.third());
+            case DROP -> removed(action).isPresent();
+            case DUPLICATE -> duplicate(action);
+            case SYNC -> sync(machine);
+            case TICK -> tick(action.second() * MILLISECOND);
+            case ROUND -> round();
+            case CRASH -> crash(machine, action.second());
+            case RESTART -> restart(machine);
+            case LOSE_DISK -> loseDisk(machine);
+            case FREEZE -> freeze(machine, true);
+            case THAW -> freeze(machine, false);
+            case ISOLATE -> isolate(action.first(), action.second());
+            case HEAL -> heal();
+            case PUT -> put(machine, action.second(), action.third());
+            case RESEND -> resend(machine, action.second());
+            case READ, READ_ZONE -> read(machine, action.kind());
+            case EVACUATE, TAKE_BACK -> evacuate(machine, action.kind());
+        };
+    }
+
+    private void start(final Machine machine) {
+        starts++;
+        final ChainReplica.Setup setup = ChainReplica.Setup.of(machine.identity(), addresses)
+                .counts(options.copies(), options.replicas())
+                .founds(false)
+                .under(options.mutant().safeguards());
+        final ChainReplica replica = new ChainReplica(
+                setup, List.copyOf(machine.disk()), () -> new Stamp(++stamp), machine.clock(now));
+        machine.start(new Machine.Process(replica, new ChainClient(machine.address(), replica::view, starts << 32)));
+        flush(machine);
+    }
+
+    private Optional<Msg> removed(final Action action) {
+        final List<Msg> channel = network.channel(action.first(), action.second());
+        return action.third() < channel.size() ? Optional.of(channel.remove(action.third())) : Optional.empty();
+    }
+
+    private boolean duplicate(final Action action) {
+        final List<Msg> channel = network.channel(action.first(), action.second());
+        return action.third() < channel.size() && channel.add(channel.get(action.third()));
+    }
+
+    private boolean deliver(final int from, final int to, final int position) {
+        final List<Msg> channel = network.channel(from, to);
+        final Machine machine = machines.get(to);
+        if (position >= channel.size() || machine.frozen()) {
+            return false;
+        }
+        final Msg message = channel.remove(position);
+        if (machine.process().isPresent()) {
+            hand(machine, message, Machine.address(from));
+            flush(machine);
+        }
+        return true;
+    }
+
+    private void hand(final Machine machine, final Msg message, final String sender) {
+        final Machine.Process process = machine.process().orElseThrow();
+        if (message instanceof Msg.WriteReply || message instanceof Msg.ReadReply) {
+            process.client().on(message);
+        } else {
+            process.replica().on(message, sender, machine.clock(now));
+        }
+    }
+
+    private boolean sync(final Machine machine) {
+        if (machine.pending().isEmpty() || !machine.handles()) {
+            return false;
+        }
+        final Effect.Keep write = machine.pending().poll();
+        machine.write(write.notes());
+        if (options.mutant() != Mutant.SYNC) {
+            machine.process().orElseThrow().replica().kept(write.token(), machine.clock(now));
+        }
+        flush(machine);
+        monitor.diskChanged();
+        return true;
+    }
+
+    private boolean tick(final long span) {
+        now += span;
+        for (final Machine machine : machines) {
+            if (machine.handles()) {
+                final Machine.Process process = machine.process().orElseThrow();
+                process.replica().tick(machine.clock(now));
+                process.client().tick(machine.clock(now));
+                flush(machine);
+            }
+        }
+        return true;
+    }
+
+    /** Delivers what was in flight as the round began, and syncs what is pending. */
+    private boolean round() {
+        final int size = machines.size();
+        final int[] counts = new int[size * size];
+        for (int channel = 0; channel < counts.length; channel++) {
+            counts[channel] = network.channel(channel / size, channel % size).size();
+        }
+        boolean any = false;
+        for (int channel = 0; channel < counts.length; channel++) {
+            for (int i = 0; i < counts[channel]; i++) {
+                any |= deliver(channel / size, channel % size, 0);
+            }
+        }
+        for (final Machine machine : machines) {
+            for (int left = machine.pending().size(); left > 0; left--) {
+                any |= sync(machine);
+            }
+        }
+        return any;
+    }
+
+    private boolean crash(final Machine machine, final int kept) {
+        if (machine.process().isEmpty()) {
+            return false;
+        }
+        machine.crash(kept);
+        monitor.diskChanged();
+        return true;
+    }
+
+    private boolean restart(final Machine machine) {
+        if (machine.process().isPresent()) {
+            return false;
+        }
+        start(machine);
+        return true;
+    }
+
+    private boolean loseDisk(final Machine machine) {
+        if (machine.replaced() || !mayLoseDisk()) {
+            return false;
+        }
+        machine.loseDisk();
+        monitor.diskChanged();
+        return true;
+    }
+
+    private boolean freeze(final Machine machine, final boolean on) {
+        if (machine.frozen() == on || machine.process().isEmpty()) {
+            return false;
+        }
+        machine.freeze(on);
+        return true;
+    }
+
+    private boolean isolate(final int who, final int directions) {
+        for (int other = 0; other < machines.size(); other++) {
+            if (other != who && (directions & INBOUND) != 0) {
+                network.cut(other, who);
+            }
+            if (other != who && (directions & OUTBOUND) != 0) {
+                network.cut(who, other);
+            }
+        }
+        return true;
+    }
+
+    private boolean heal() {
+        final boolean any = network.anyCut();
+        network.heal();
+        return any;
+    }
+
+    private boolean put(final Machine machine, final int number, final int match) {
+        return machine.handles() && write(machine, new Operation(Action.Kind.PUT, number, match, step, Optional.empty()));
+    }
+
+    private boolean resend(final Machine machine, final int order) {
+        final List<Operation> puts = history.puts();
+        return order < puts.size()
+                && put(machine, puts.get(order).number(), puts.get(order).match());
+    }
+
+    private boolean evacuate(final Machine machine, final Action.Kind kind) {
+        return machine.handles() && write(machine, new Operation(kind, 0, -1, step, Optional.empty()));
+    }
+
+    private boolean write(final Machine machine, final Operation operation) {
+        final long token = history.begin(operation);
+        final Command command = command(operation, "order-" + ++requests);
+        final long clock = machine.clock(now);
+        machine.process().orElseThrow().client().wish(command, token, clock, clock + OPERATION_TIME);
+        flush(machine);
+        return true;
+    }
+
+    private static Command command(final Operation operation, final String id) {
+        return operation.kind() == Action.Kind.PUT
+                ? Documents.put(id, operation)
+                : new Command.SetEvacuation(id, ZONE, operation.kind() == Action.Kind.EVACUATE, -1);
+    }
+
+    private boolean read(final Machine machine, final Action.Kind kind) {
+        if (!machine.handles()) {
+            return false;
+        }
+        final long token = history.begin(new Operation(kind, 0, -1, step, Optional.empty()));
+        final long clock = machine.clock(now);
+        final String start = kind == Action.Kind.READ ? ConfigurationValidator.PAPER : Documents.ZONES;
+        machine.process().orElseThrow().client().read(start, token, clock, clock + OPERATION_TIME);
+        flush(machine);
+        return true;
+    }
+
+    private void flush(final Machine machine) {
+        final Machine.Process process = machine.process().orElseThrow();
+        boolean more = true;
+        while (more) {
+            final List<Effect> effects = new ArrayList<>(process.replica().drain());
+            effects.addAll(process.client().drain());
+            more = !effects.isEmpty();
+            effects.forEach(effect -> perform(machine, effect));
+        }
+        monitor.replicaChanged(machine, now);
+    }
+
+    private void perform(final Machine machine, final Effect effect) {
+        switch (effect) {
+            case Effect.Send send -> send(machine, send);
+            case Effect.Keep keep -> {
+                machine.pending().add(keep);
+                if (options.mutant() == Mutant.SYNC) {
+                    machine.process().orElseThrow().replica().kept(keep.token(), machine.clock(now));
+                }
+            }
+            case Effect.Answer answer -> {
+                history.answered(answer.token(), answer.reply(), step);
+                monitor.answered(answer.token());
+            }
+            case Effect.Log log -> {}
+        }
+    }
+
+    private void send(final Machine machine, final Effect.Send send) {
+        monitor.replied(machine, send.body());
+        if (send.to().equals(machine.address())) {
+            hand(machine, send.body(), machine.address());
+        } else {
+            network.send(machine.index(), Machine.index(send.to()), send.body());
+        }
+    }
+}
