--- a/simulation/src/main/java/silverlatch/simulation/explore/Action.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Action.java
@@ -27,6 +27,8 @@
         TICK,
         /** Delivers all that is in flight and syncs all that is pending, once. */
         ROUND,
+        /** {@code second} milliseconds pass, and then four rounds: all goes as it should. */
+        PERIOD,
         /** A machine's process ends; so many of its unsynced writes are on the disk all the same. */
         CRASH,
         /** A machine starts from its disk. */
@@ -75,6 +77,10 @@
         return new Action(Kind.TICK, 0, milliseconds, 0);
     }
 
+    static Action period(final int milliseconds) {
+        return new Action(Kind.PERIOD, 0, milliseconds, 0);
+    }
+
     /** Reads the form that {@link #toString} writes. */
     static Action parse(final String line) {
         final String[] words = line.trim().split("\\s+");
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Counters.java
@@ -0,0 +1,53 @@
+package silverlatch.simulation.explore;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/** How much a search has seen. */
+final class Counters {
+    private final LongAdder walks = new LongAdder();
+    private final LongAdder steps = new LongAdder();
+    private final LongAdder states = new LongAdder();
+    private final LongAdder operations = new LongAdder();
+    private final LongAdder answered = new LongAdder();
+
+    /** Counts a walk of so many steps, and its operations. */
+    void walk(final long taken, final World world) {
+        walks.increment();
+        steps.add(taken);
+        operations.add(world.history().operations().size());
+        answered.add(world.history().operations().stream()
+                .filter(operation -> operation.outcome().isPresent())
+                .count());
+    }
+
+    /** Counts a state that was not seen before, and the steps of its replay. */
+    void state(final long taken) {
+        states.increment();
+        steps.add(taken);
+    }
+
+    /** Counts the steps of a replay to a state seen before. */
+    void seenAgain(final long taken) {
+        steps.add(taken);
+    }
+
+    long walks() {
+        return walks.sum();
+    }
+
+    long steps() {
+        return steps.sum();
+    }
+
+    long states() {
+        return states.sum();
+    }
+
+    long operations() {
+        return operations.sum();
+    }
+
+    long answered() {
+        return answered.sum();
+    }
+}
--- a/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
@@ -7,30 +7,37 @@
 /** A variant of the replica with one safeguard let down, which the explorer must catch. */
 public enum Mutant {
     /** All safeguards stand. */
-    NONE(Set.of()),
+    NONE(Set.of(), Set.of()),
     /** A tail answers reads without a lease. */
-    LEASE(Set.of(Safeguard.LEASE)),
+    LEASE(Set.of(Safeguard.LEASE), Set.of(Property.FRESH_READ, Property.LINEARIZABLE, Property.VIEW_FENCED)),
     /** A voter accepts a successor before the leases it granted have run out. */
-    LEASE_WAIT(Set.of(Safeguard.LEASE_WAIT)),
+    LEASE_WAIT(Set.of(Safeguard.LEASE_WAIT), Set.of(Property.FRESH_READ, Property.LINEARIZABLE, Property.VIEW_FENCED)),
     /** Replication messages of other views are accepted. */
-    FENCE(Set.of(Safeguard.FENCE)),
+    FENCE(Set.of(Safeguard.FENCE), Set.of(Property.VIEW_FENCED, Property.LINEARIZABLE, Property.ONE_HISTORY, Property.DURABLE)),
     /** A promise or an acceptance is sent before it is synced. */
-    PROMISE(Set.of(Safeguard.PROMISE)),
+    PROMISE(Set.of(Safeguard.PROMISE), Set.of(Property.ONE_VIEW)),
     /** A write that lost a race is taken all the same. */
-    MATCH(Set.of(Safeguard.MATCH)),
+    MATCH(Set.of(Safeguard.MATCH), Set.of(Property.LINEARIZABLE)),
     /** A chain shorter than the required copies acknowledges. */
-    COPIES(Set.of(Safeguard.COPIES)),
+    COPIES(Set.of(Safeguard.COPIES), Set.of(Property.DURABLE)),
     /** A replica joins without the ranges in which its digests differ. */
-    DIGEST(Set.of(Safeguard.DIGEST)),
+    DIGEST(Set.of(Safeguard.DIGEST), Set.of(Property.ONE_HISTORY)),
     /** A chain that lost a replica is not repaired. */
-    MEND(Set.of(Safeguard.MEND)),
+    MEND(Set.of(Safeguard.MEND), Set.of(Property.RECOVERS)),
     /** A write to the log is reported as synced before it is; the harness does this, not the replica. */
-    SYNC(Set.of());
+    SYNC(Set.of(), Set.of(Property.DURABLE));
 
     private final Set<Safeguard> down;
+    private final Set<Property> expected;
 
-    Mutant(final Set<Safeguard> down) {
+    Mutant(final Set<Safeguard> down, final Set<Property> expected) {
         this.down = down;
+        this.expected = expected;
+    }
+
+    /** The properties by which it must be caught; another one doesn't count. */
+    Set<Property> expected() {
+        return expected;
     }
 
     /** The safeguards that stand. */
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/SearchLimits.java
@@ -0,0 +1,22 @@
+package silverlatch.simulation.explore;
+
+/**
+ * When a search ends.
+ *
+ * @param threads  how many threads it uses
+ * @param states   how many states a breadth-first search visits at most
+ * @param deadline when it ends whatever is left, in nanoseconds of {@link System#nanoTime()}
+ */
+record SearchLimits(int threads, long states, long deadline) {
+    private static final long NANOSECONDS = 1_000_000_000L;
+
+    /** Limits that end after so many seconds. */
+    static SearchLimits within(final int threads, final long states, final long seconds) {
+        return new SearchLimits(threads, states, System.nanoTime() + seconds * NANOSECONDS);
+    }
+
+    /** Whether the time is over. */
+    boolean over() {
+        return System.nanoTime() - deadline >= 0;
+    }
+}
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/WalkSearch.java
@@ -0,0 +1,41 @@
+package silverlatch.simulation.explore;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Random walks by the seeds of a range, on several threads. */
+final class WalkSearch {
+    private static final int RECOVERY_EVERY = 8;
+    private final WorldOptions options;
+    private final int steps;
+    private final Counters counters;
+    private final Findings findings;
+
+    WalkSearch(final WorldOptions options, final int steps, final Counters counters, final Findings findings) {
+        this.options = options;
+        this.steps = steps;
+        this.counters = counters;
+        this.findings = findings;
+    }
+
+    /** Walks by each seed from the first until the count is reached or the time is over. */
+    void run(final long firstSeed, final long count, final SearchLimits limits) {
+        final AtomicLong next = new AtomicLong(firstSeed);
+        Workers.run(limits.threads(), () -> {
+            long seed = next.getAndIncrement();
+            while (seed < firstSeed + count && !limits.over()) {
+                walk(seed);
+                seed = next.getAndIncrement();
+            }
+        });
+    }
+
+    /** One walk, every eighth with a recovery at its end. */
+    void walk(final long seed) {
+        final RandomWalk walk = new RandomWalk(options, seed, steps);
+        final World world = walk.run(seed % RECOVERY_EVERY == 0);
+        counters.walk(walk.actions().size(), world);
+        world.violation()
+                .ifPresent(violation ->
+                        findings.add(new Finding(violation, new Schedule(options, walk.actions()))));
+    }
+}
--- a/simulation/src/main/java/silverlatch/simulation/explore/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/World.java
@@ -23,6 +23,7 @@
     private static final long EPOCH = 10_000_000;
     private static final long OPERATION_TIME = 900_000;
     private static final long FLEET = 7;
+    private static final int ROUNDS_OF_PERIOD = 4;
     private static final int INBOUND = 1;
     private static final int OUTBOUND = 2;
     private static final String ZONE = "zone";
@@ -121,6 +122,7 @@
             case SYNC -> sync(machine);
             case TICK -> tick(action.second() * MILLISECOND);
             case ROUND -> round();
+            case PERIOD -> period(action.second() * MILLISECOND);
             case CRASH -> crash(machine, action.second());
             case RESTART -> restart(machine);
             case LOSE_DISK -> loseDisk(machine);
@@ -229,6 +231,14 @@
         return any;
     }
 
+    private boolean period(final long span) {
+        tick(span);
+        for (int i = 0; i < ROUNDS_OF_PERIOD; i++) {
+            round();
+        }
+        return true;
+    }
+
     private boolean crash(final Machine machine, final int kept) {
         if (machine.process().isEmpty()) {
             return false;
