--- a/simulation/src/main/java/silverlatch/simulation/explore/Action.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Action.java
@@ -41,6 +41,8 @@
         THAW,
         /** Nothing reaches a machine any more (1), nothing leaves it (2), or both (3). */
         ISOLATE,
+        /** Nothing goes from one machine to another any more. */
+        CUT,
         /** All links are whole again. */
         HEAL,
         /** All faults end, and a write must be acknowledged in time; see {@link Recovery}. */
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Main.java
@@ -0,0 +1,136 @@
+package silverlatch.simulation.explore;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+
+/** Explores the replicated part. Ends with 0, with 1 when a property broke or a mutant survived, with 2 on wrong use. */
+public final class Main {
+    private static final int SHRINK_REPLAYS = 2_000;
+    private static final int SHRINK_REPLAYS_RECOVERY = 400;
+    private static final int SECONDS = 60;
+    private static final int BREADTH_FIRST_PART = 3;
+    private static final int MUTANT_SECONDS = 120;
+    private static final int FAULTS = 2;
+    private static final int OPERATIONS = 3;
+    private static final double NANOSECONDS = 1e9;
+
+    private final Arguments arguments = new Arguments();
+
+    private Main() {}
+
+    /** Runs the program. */
+    public static void main(final String[] args) throws IOException {
+        System.exit(new Main().run(args));
+    }
+
+    /** Runs the program without ending the process; the exit code. */
+    static int code(final String... args) throws IOException {
+        return new Main().run(args);
+    }
+
+    private int run(final String... args) throws IOException {
+        final CmdLineParser parser = new CmdLineParser(arguments);
+        try {
+            parser.parseArgument(args);
+        } catch (final CmdLineException e) {
+            System.err.println(e.getMessage());
+            System.err.print("usage: explore");
+            parser.printSingleLineUsage(System.err);
+            System.err.println();
+            return 2;
+        }
+        final Arguments.Checked checked = arguments.check();
+        if (!arguments.wrong().isEmpty()) {
+            arguments.wrong().forEach(System.err::println);
+            return 2;
+        }
+        if (!arguments.replay().isEmpty()) {
+            return replay(Path.of(arguments.replay()));
+        }
+        return arguments.mutants() ? mutants(checked) : explore(checked);
+    }
+
+    private int replay(final Path file) throws IOException {
+        final Schedule schedule;
+        try {
+            schedule = Schedule.parse(Files.readString(file));
+        } catch (final IllegalArgumentException e) {
+            System.err.println("--replay: " + file + ": " + e.getMessage());
+            return 2;
+        }
+        final World world = schedule.replay();
+        System.out.println(schedule.actions().size() + " actions, "
+                + world.violation()
+                        .map(violation -> violation.property() + ": " + violation.detail())
+                        .orElse("no property broke"));
+        return world.violation().isPresent() ? 1 : 0;
+    }
+
+    private int mutants(final Arguments.Checked checked) {
+        final List<MutantTable.Row> rows = new ArrayList<>();
+        for (final Mutant mutant : Mutant.values()) {
+            if (mutant != Mutant.NONE) {
+                final SearchLimits limits = SearchLimits.within(checked.threads(), checked.states(), MUTANT_SECONDS);
+                rows.add(new MutantTable(checked.steps(), checked.firstSeed(), checked.seeds(), limits).row(mutant));
+            }
+        }
+        System.out.println(MutantTable.text(rows));
+        return rows.stream().allMatch(row -> row.caught().isPresent()) ? 0 : 1;
+    }
+
+    private int explore(final Arguments.Checked checked) throws IOException {
+        final long begin = System.nanoTime();
+        final WorldOptions options = WorldOptions.of(checked.replicas(), checked.mutant());
+        final Counters counters = new Counters();
+        final Findings findings = new Findings();
+        final int seconds = checked.minutes() * SECONDS;
+        final int depth = new BreadthFirstSearch(options, new Moves(FAULTS, OPERATIONS), counters, findings)
+                .run(
+                        checked.depth(),
+                        SearchLimits.within(checked.threads(), checked.states(), seconds / BREADTH_FIRST_PART));
+        System.out.printf(
+                Locale.ROOT,
+                "breadth first: %d machines, whole to depth %d of %d, %d states, %d steps, %.1f s%n",
+                checked.replicas(),
+                depth,
+                checked.depth(),
+                counters.states(),
+                counters.steps(),
+                (System.nanoTime() - begin) / NANOSECONDS);
+        final SearchLimits rest =
+                new SearchLimits(checked.threads(), checked.states(), begin + (long) (seconds * NANOSECONDS));
+        new WalkSearch(options, checked.steps(), counters, findings).run(checked.firstSeed(), checked.seeds(), rest);
+        System.out.printf(
+                Locale.ROOT,
+                "in all: %d walks, %d states and steps, %d operations of which %d ended, %.1f s%n",
+                counters.walks(),
+                counters.states() + counters.steps(),
+                counters.operations(),
+                counters.answered(),
+                (System.nanoTime() - begin) / NANOSECONDS);
+        return report(findings);
+    }
+
+    private int report(final Findings findings) throws IOException {
+        for (final Finding finding : findings.all()) {
+            final Property property = finding.violation().property();
+            final int replays = property == Property.RECOVERS ? SHRINK_REPLAYS_RECOVERY : SHRINK_REPLAYS;
+            final Schedule shrunk = ScheduleShrinker.shrink(finding.schedule(), property, replays);
+            final Path file = arguments.out().resolve(property.name().toLowerCase(Locale.ROOT) + ".schedule");
+            Files.createDirectories(arguments.out());
+            Files.writeString(file, shrunk.text());
+            System.out.println(property + " broke " + findings.count(property) + " times: "
+                    + finding.violation().detail());
+            System.out.println("shrunk from " + finding.schedule().actions().size() + " to "
+                    + shrunk.actions().size() + " actions, in " + file + ":");
+            System.out.print(shrunk.text());
+        }
+        return findings.all().isEmpty() ? 0 : 1;
+    }
+}
--- a/simulation/src/main/java/silverlatch/simulation/explore/Moves.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Moves.java
@@ -19,7 +19,10 @@
     /** What every path begins with: leases are granted, and a first configuration is acknowledged. */
     List<Action> start() {
         return List.of(
-                Action.period(SETTLE), new Action(Action.Kind.PUT, 0, 1, 0), Action.period(SETTLE), Action.period(SETTLE));
+                Action.period(SETTLE),
+                new Action(Action.Kind.PUT, 0, 1, 0),
+                Action.period(SETTLE),
+                Action.period(SETTLE));
     }
 
     /** The actions that can be taken after a path that led to a world. */
--- a/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
@@ -13,7 +13,9 @@
     /** A voter accepts a successor before the leases it granted have run out. */
     LEASE_WAIT(Set.of(Safeguard.LEASE_WAIT), Set.of(Property.FRESH_READ, Property.LINEARIZABLE, Property.VIEW_FENCED)),
     /** Replication messages of other views are accepted. */
-    FENCE(Set.of(Safeguard.FENCE), Set.of(Property.VIEW_FENCED, Property.LINEARIZABLE, Property.ONE_HISTORY, Property.DURABLE)),
+    FENCE(
+            Set.of(Safeguard.FENCE),
+            Set.of(Property.VIEW_FENCED, Property.LINEARIZABLE, Property.ONE_HISTORY, Property.DURABLE)),
     /** A promise or an acceptance is sent before it is synced. */
     PROMISE(Set.of(Safeguard.PROMISE), Set.of(Property.ONE_VIEW)),
     /** A write that lost a race is taken all the same. */
--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/explore/MutantTable.java
@@ -0,0 +1,86 @@
+package silverlatch.simulation.explore;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Lets down one safeguard at a time and walks until a property breaks that the mutant is expected to break, by a schedule
+ * that breaks nothing when all safeguards stand.
+ */
+final class MutantTable {
+    private static final int RECOVERY_EVERY = 8;
+    private static final int SIZES = 3;
+    private static final double NANOSECONDS = 1e9;
+    private final int steps;
+    private final long firstSeed;
+    private final long seeds;
+    private final SearchLimits each;
+
+    /** A row: which property caught the mutant by which schedule, after how many seconds and walks; none if it survived. */
+    record Row(Mutant mutant, Optional<Finding> caught, double seconds, long walks) {}
+
+    /** Walks of so many steps; the limits hold for each mutant, counted from when the row begins. */
+    MutantTable(final int steps, final long firstSeed, final long seeds, final SearchLimits each) {
+        this.steps = steps;
+        this.firstSeed = firstSeed;
+        this.seeds = seeds;
+        this.each = each;
+    }
+
+    /** Hunts one mutant. */
+    Row row(final Mutant mutant) {
+        final long begin = System.nanoTime();
+        final AtomicLong next = new AtomicLong(firstSeed);
+        final AtomicReference<Optional<Finding>> caught = new AtomicReference<>(Optional.empty());
+        Workers.run(each.threads(), () -> {
+            long seed = next.getAndIncrement();
+            while (seed < firstSeed + seeds && caught.get().isEmpty() && !each.over()) {
+                catches(mutant, seed)
+                        .ifPresent(finding -> caught.compareAndSet(Optional.empty(), Optional.of(finding)));
+                seed = next.getAndIncrement();
+            }
+        });
+        final double seconds = (System.nanoTime() - begin) / NANOSECONDS;
+        return new Row(mutant, caught.get(), seconds, Math.min(next.get() - firstSeed, seeds));
+    }
+
+    /** What the walk of a seed finds of a mutant, with 3 to 5 machines in turn. */
+    Optional<Finding> catches(final Mutant mutant, final long seed) {
+        final int replicas = WorldOptions.FEWEST + (int) (seed % SIZES);
+        final WorldOptions options = WorldOptions.of(replicas, mutant);
+        final RandomWalk walk = new RandomWalk(options, seed, steps);
+        return walk.run(seed % RECOVERY_EVERY == 0)
+                .violation()
+                .filter(violation -> mutant.expected().contains(violation.property()))
+                .map(violation -> new Finding(violation, new Schedule(options, walk.actions())))
+                .filter(finding -> harmless(replicas, finding.schedule().actions()));
+    }
+
+    private static boolean harmless(final int replicas, final List<Action> actions) {
+        return new Schedule(WorldOptions.of(replicas, Mutant.NONE), actions)
+                .replay()
+                .violation()
+                .isEmpty();
+    }
+
+    /** The rows as a table of a page. */
+    static String text(final List<Row> rows) {
+        final List<String> lines = new ArrayList<>();
+        lines.add("| mutant | caught by | seconds | walks |");
+        lines.add("| --- | --- | --- | --- |");
+        rows.forEach(row -> lines.add(String.format(
+                Locale.ROOT,
+                "| `%s` | %s | %.2f | %d |",
+                row.mutant(),
+                row.caught()
+                        .map(finding -> "`" + finding.violation().property() + "`")
+                        .orElse("**survived**"),
+                row.seconds(),
+                row.walks())));
+        return String.join("\n", lines);
+    }
+}
--- a/simulation/src/main/java/silverlatch/simulation/explore/PropertyMonitor.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/PropertyMonitor.java
@@ -58,7 +58,8 @@
     void replicaChanged(final Machine machine, final long now) {
         final ChainReplica replica = machine.process().orElseThrow().replica();
         final ChainReplica.State state = replica.state(machine.clock(now));
-        final boolean level = state.level() && state.view().place(machine.identity().id()) >= 0;
+        final boolean level =
+                state.level() && state.view().place(machine.identity().id()) >= 0;
         final Seen next = new Seen(replica, state.view(), state.sequence(), level);
         final Seen last = seen.put(machine.index(), next);
         if (next.equals(last)) {
@@ -119,7 +120,8 @@
         if (view < newestView && !applied.map(this::committedElsewhere).orElse(false)) {
             broken(
                     Property.VIEW_FENCED,
-                    machine.address() + " answers under view " + view + " after an acknowledgement under " + newestView);
+                    machine.address() + " answers under view " + view + " after an acknowledgement under "
+                            + newestView);
         }
         applied.ifPresent(sequence -> {
             newestView = Math.max(newestView, view);
@@ -207,7 +209,9 @@
         }
         refused.add(operation.text());
         if (effective.contains(operation.text())) {
-            broken(Property.REFUSED_ORDER, "the order " + operation.text() + " took effect and was refused: " + operation);
+            broken(
+                    Property.REFUSED_ORDER,
+                    "the order " + operation.text() + " took effect and was refused: " + operation);
         }
     }
 
@@ -233,8 +237,7 @@
         }
     }
 
-    private void linearizable(
-            final String what, final SequentialRegister register, final List<Operation> operations) {
+    private void linearizable(final String what, final SequentialRegister register, final List<Operation> operations) {
         if (!LinearizabilityChecker.linearizable(register, operations)) {
             broken(Property.LINEARIZABLE, "the history of the " + what + " is not linearizable: " + operations);
         }
--- a/simulation/src/main/java/silverlatch/simulation/explore/RandomWalk.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/RandomWalk.java
@@ -112,15 +112,34 @@
             case DUPLICATE -> onMessage(Action.Kind.DUPLICATE);
             case REORDER -> onMessage(Action.Kind.DELIVER);
             case CRASH -> act(Action.of(Action.Kind.CRASH, machine, random.nextInt(3)));
+            case CRASH_UNSYNCED -> crashUnsynced();
             case CRASH_ALL ->
                 IntStream.range(0, size).forEach(i -> act(Action.of(Action.Kind.CRASH, i, random.nextInt(2))));
             case LOSE_DISK -> act(Action.of(Action.Kind.LOSE_DISK, machine));
             case FREEZE -> act(Action.of(Action.Kind.FREEZE, machine));
             case ISOLATE -> act(Action.of(Action.Kind.ISOLATE, machine, 1 + random.nextInt(3)));
+            case CUT_LINK -> {
+                final int other = (machine + 1 + random.nextInt(size - 1)) % size;
+                act(Action.of(Action.Kind.CUT, machine, other));
+                act(Action.of(Action.Kind.CUT, other, machine));
+            }
             case JUMP -> act(Action.tick(LONG_JUMP));
         }
     }
 
+    private void crashUnsynced() {
+        final List<Machine> writing = world.machines().stream()
+                .filter(machine -> !machine.pending().isEmpty())
+                .toList();
+        if (!writing.isEmpty()) {
+            final int machine = writing.get(random.nextInt(writing.size())).index();
+            act(Action.of(Action.Kind.CRASH, machine));
+            if (random.nextBoolean()) {
+                act(Action.of(Action.Kind.RESTART, machine));
+            }
+        }
+    }
+
     /** One thing that stood still goes on, or everything does. */
     private void release(final int machine) {
         if (random.nextInt(2) == 0) {
@@ -162,8 +181,7 @@
             case 3 -> race(machine);
             case 4, 5, 6 -> act(Action.of(Action.Kind.READ, machine));
             case 7 -> resend(machine);
-            case 8 ->
-                act(Action.of(random.nextBoolean() ? Action.Kind.EVACUATE : Action.Kind.TAKE_BACK, machine));
+            case 8 -> act(Action.of(random.nextBoolean() ? Action.Kind.EVACUATE : Action.Kind.TAKE_BACK, machine));
             default -> act(Action.of(Action.Kind.READ_ZONE, machine));
         }
     }
@@ -171,12 +189,11 @@
     /** A put on top of what was acknowledged last, on something older, or on anything. */
     private void put(final int machine) {
         final int known = known();
-        final int match =
-                switch (random.nextInt(4)) {
-                    case 0 -> NO_MATCH;
-                    case 1 -> random.nextInt(known + 1);
-                    default -> known;
-                };
+        final int match = switch (random.nextInt(4)) {
+            case 0 -> NO_MATCH;
+            case 1 -> random.nextInt(known + 1);
+            default -> known;
+        };
         act(new Action(Action.Kind.PUT, machine, Math.max(nextNumber++, known + 1), match));
     }
 
--- a/simulation/src/main/java/silverlatch/simulation/explore/SequentialRegister.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/SequentialRegister.java
@@ -32,8 +32,10 @@
                         && value.value().equals(current);
                 return seen ? Optional.of(state) : Optional.empty();
             }
-            final boolean refused =
-                    operation.outcome().map(o -> o instanceof Operation.Outcome.Refused).orElse(false);
+            final boolean refused = operation
+                    .outcome()
+                    .map(o -> o instanceof Operation.Outcome.Refused)
+                    .orElse(false);
             final boolean taken = state.contains(SEPARATOR + operation.text() + SEPARATOR);
             final boolean fits = matches(current, operation);
             if (refused) {
@@ -76,11 +78,11 @@
                         && value.value().equals(state);
                 return seen ? Optional.of(state) : Optional.empty();
             }
-            final boolean refused =
-                    operation.outcome().map(o -> o instanceof Operation.Outcome.Refused).orElse(false);
-            return refused
-                    ? Optional.empty()
-                    : Optional.of(Boolean.toString(operation.kind() == Action.Kind.EVACUATE));
+            final boolean refused = operation
+                    .outcome()
+                    .map(o -> o instanceof Operation.Outcome.Refused)
+                    .orElse(false);
+            return refused ? Optional.empty() : Optional.of(Boolean.toString(operation.kind() == Action.Kind.EVACUATE));
         }
     };
 }
--- a/simulation/src/main/java/silverlatch/simulation/explore/StateDigest.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/StateDigest.java
@@ -61,8 +61,7 @@
                 .map(outcome -> switch (outcome) {
                     case Operation.Outcome.Acknowledged done -> 1L;
                     case Operation.Outcome.Refused done -> 2L;
-                    case Operation.Outcome.Value value ->
-                        3L + value.value().hashCode();
+                    case Operation.Outcome.Value value -> 3L + value.value().hashCode();
                 })
                 .orElse(0L);
     }
@@ -129,8 +128,8 @@
         final List<Field> fields = new ArrayList<>();
         final boolean own = type.getName().startsWith("silverlatch.") && !type.isHidden() && !type.isSynthetic();
         for (final Field field : own ? type.getDeclaredFields() : new Field[0]) {
-            final boolean fixed =
-                    field.getType().getName().startsWith("java.util.function.") || Modifier.isStatic(field.getModifiers());
+            final boolean fixed = field.getType().getName().startsWith("java.util.function.")
+                    || Modifier.isStatic(field.getModifiers());
             if (!fixed && !constant(type, field)) {
                 field.setAccessible(true);
                 fields.add(field);
--- a/simulation/src/main/java/silverlatch/simulation/explore/WalkPlan.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/WalkPlan.java
@@ -30,6 +30,8 @@
         REORDER,
         /** A process ends, with or without its unsynced writes. */
         CRASH,
+        /** A process that has unsynced writes ends without them, and may start again at once. */
+        CRASH_UNSYNCED,
         /** All processes end at once. */
         CRASH_ALL,
         /** A disk is lost. */
@@ -38,10 +40,17 @@
         FREEZE,
         /** A machine is cut off, in one direction or both. */
         ISOLATE,
+        /** Two machines don't hear each other, though others hear both. */
+        CUT_LINK,
         /** Some time passes, whatever is in flight. */
         JUMP
     }
 
+    /** What makes several machines propose different views at once, and forget. */
+    private static final Set<Trouble> ELECTION =
+            EnumSet.of(Trouble.CUT_LINK, Trouble.CRASH_UNSYNCED, Trouble.DELAY, Trouble.JUMP, Trouble.RELEASE);
+
+    private static final int ELECTION_WALKS = 4;
     private static final int MOST_TROUBLES = 14;
     private static final int MOST_OPERATIONS = 16;
     private static final int FEWEST_OPERATIONS = 4;
@@ -53,17 +62,21 @@
 
     /** Draws a plan of so many steps. */
     static WalkPlan draw(final Random random, final int steps) {
-        final Set<Trouble> kinds = EnumSet.noneOf(Trouble.class);
+        final Set<Trouble> kinds = random.nextInt(ELECTION_WALKS) == 0 ? ELECTION : some(random);
+        final Set<Integer> troubles = places(random, steps, 1 + random.nextInt(MOST_TROUBLES));
+        final Set<Integer> work =
+                places(random, steps, FEWEST_OPERATIONS + random.nextInt(MOST_OPERATIONS - FEWEST_OPERATIONS));
+        return new WalkPlan(steps, troubles, work, new ArrayList<>(kinds));
+    }
+
+    private static Set<Trouble> some(final Random random) {
+        final Set<Trouble> kinds = EnumSet.of(Trouble.RELEASE);
         for (final Trouble kind : Trouble.values()) {
             if (random.nextInt(2) == 0) {
                 kinds.add(kind);
             }
         }
-        kinds.add(Trouble.RELEASE);
-        final Set<Integer> troubles = places(random, steps, 1 + random.nextInt(MOST_TROUBLES));
-        final Set<Integer> work =
-                places(random, steps, FEWEST_OPERATIONS + random.nextInt(MOST_OPERATIONS - FEWEST_OPERATIONS));
-        return new WalkPlan(steps, troubles, work, new ArrayList<>(kinds));
+        return kinds;
     }
 
     private static Set<Integer> places(final Random random, final int steps, final int count) {
--- a/simulation/src/main/java/silverlatch/simulation/explore/WalkSearch.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/WalkSearch.java
@@ -35,7 +35,6 @@
         final World world = walk.run(seed % RECOVERY_EVERY == 0);
         counters.walk(walk.actions().size(), world);
         world.violation()
-                .ifPresent(violation ->
-                        findings.add(new Finding(violation, new Schedule(options, walk.actions()))));
+                .ifPresent(violation -> findings.add(new Finding(violation, new Schedule(options, walk.actions()))));
     }
 }
--- a/simulation/src/main/java/silverlatch/simulation/explore/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/World.java
@@ -129,6 +129,7 @@
             case FREEZE -> freeze(machine, true);
             case THAW -> freeze(machine, false);
             case ISOLATE -> isolate(action.first(), action.second());
+            case CUT -> cut(action.first(), action.second());
             case HEAL -> heal();
             case RECOVER -> Recovery.run(this);
             case PUT -> put(machine, action.second(), action.third());
@@ -144,8 +145,8 @@
                 .counts(options.copies(), options.replicas())
                 .founds(false)
                 .under(options.mutant().safeguards());
-        final ChainReplica replica = new ChainReplica(
-                setup, List.copyOf(machine.disk()), () -> new Stamp(++stamp), machine.clock(now));
+        final ChainReplica replica =
+                new ChainReplica(setup, List.copyOf(machine.disk()), () -> new Stamp(++stamp), machine.clock(now));
         machine.start(new Machine.Process(replica, new ChainClient(machine.address(), replica::view, starts << 32)));
         flush(machine);
     }
@@ -285,6 +286,14 @@
         return true;
     }
 
+    private boolean cut(final int from, final int to) {
+        final boolean whole = from != to && !network.isCut(from, to);
+        if (whole) {
+            network.cut(from, to);
+        }
+        return whole;
+    }
+
     private boolean heal() {
         final boolean any = network.anyCut();
         network.heal();
@@ -292,7 +301,8 @@
     }
 
     private boolean put(final Machine machine, final int number, final int match) {
-        return machine.handles() && write(machine, new Operation(Action.Kind.PUT, number, match, step, Optional.empty()));
+        return machine.handles()
+                && write(machine, new Operation(Action.Kind.PUT, number, match, step, Optional.empty()));
     }
 
     private boolean resend(final Machine machine, final int order) {
--- /dev/null
+++ b/simulation/src/test/java/silverlatch/simulation/explore/ExploreMainTest.java
@@ -0,0 +1,59 @@
+package silverlatch.simulation.explore;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The exit codes of the program. */
+final class ExploreMainTest {
+    @TempDir
+    private Path folder;
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "--replicas 2",
+                "--replicas 7",
+                "--seeds -1",
+                "--seeds many",
+                "--depth 101",
+                "--minutes 0",
+                "--threads 0",
+                "--steps 0",
+                "--mutant NOBODY",
+                "--mutants --mutant LEASE",
+                "--replay /nowhere/at/all",
+                "--wings"
+            })
+    void wrongValuesEndWithTwo(final String line) throws IOException {
+        assertThat(Main.code(line.split(" ")), is(2));
+    }
+
+    @Test
+    void aFileThatIsNoScheduleEndsWithTwo() throws IOException {
+        final Path file = Files.writeString(folder.resolve("text"), "world 3\n");
+        assertThat(Main.code("--replay", file.toString()), is(2));
+    }
+
+    @Test
+    void aMutantsRunEndsWithOneAndItsScheduleToo() throws IOException {
+        final String out = folder.toString();
+        assertThat(
+                Main.code("--mutant", "SYNC", "--seeds", "10", "--depth", "0", "--threads", "1", "--out", out), is(1));
+        assertThat(Main.code("--replay", folder.resolve("durable.schedule").toString()), is(1));
+    }
+
+    @Test
+    void aScheduleThatBreaksNothingEndsWithZero() throws IOException {
+        final Schedule schedule = new Schedule(WorldOptions.of(3, Mutant.NONE), new Moves(0, 0).start());
+        final Path file = Files.writeString(folder.resolve("good"), schedule.text());
+        assertThat(Main.code("--replay", file.toString()), is(0));
+    }
+}
--- /dev/null
+++ b/simulation/src/test/java/silverlatch/simulation/explore/FoundScheduleTest.java
@@ -0,0 +1,34 @@
+package silverlatch.simulation.explore;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Schedules that the explorer found and shrunk, each of which broke a property once; none does now. */
+final class FoundScheduleTest {
+    private static Schedule schedule(final String name) throws IOException {
+        try (InputStream in = FoundScheduleTest.class.getResourceAsStream("/schedules/" + name + ".schedule")) {
+            return Schedule.parse(new String(in.readAllBytes(), StandardCharsets.UTF_8));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "repair-drops-acknowledged",
+                "last-of-chain-lost-3",
+                "last-of-chain-lost-4",
+                "last-of-chain-lost-5",
+                "resent-order-refused",
+                "refused-by-uncommitted"
+            })
+    void holds(final String name) throws IOException {
+        assertThat(schedule(name).replay().violation(), is(Optional.empty()));
+    }
+}
