--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -54,7 +54,7 @@
     private final Map<String, Long> heard = new HashMap<>();
     private final Map<String, Sought> sought = new TreeMap<>();
     private final Map<String, Msg.JoinRequest> joins = new TreeMap<>();
-    private final Map<Long, List<Msg.WriteRequest>> waits = new HashMap<>();
+    private final Map<Long, List<Waiting>> waits = new HashMap<>();
     private final List<Late> late = new ArrayList<>();
     private final List<Early> early = new ArrayList<>();
     private final Set<String> agreed = new HashSet<>();
@@ -88,6 +88,7 @@
     private long roof;
     private long swept;
     private boolean quit;
+    private final Set<String> informed = new HashSet<>();
     private boolean joining;
 
     /** A machine as its ledger left it. */
@@ -128,7 +129,6 @@
             long lease,
             long ask,
             long suspect,
-            long swap,
             long stall,
             int copies,
             int most,
@@ -141,23 +141,22 @@
 
         /** The times that hold when nothing is said. */
         public static Setup of(final Replica me, final List<String> seats) {
-            return new Setup(
-                    me, seats, 600_000L, 120_000L, 800_000L, 5_000_000L, 1_000_000L, 2, 3, true, Safeguards.ALL);
+            return new Setup(me, seats, 600_000L, 120_000L, 800_000L, 1_000_000L, 2, 3, true, Safeguards.ALL);
         }
 
         /** The same under the guards that stand. */
         public Setup under(final Safeguards standing) {
-            return new Setup(me, seats, lease, ask, suspect, swap, stall, copies, most, found, standing);
+            return new Setup(me, seats, lease, ask, suspect, stall, copies, most, found, standing);
         }
 
         /** The same with other counts of copies and of voters. */
         public Setup counts(final int synced, final int voters) {
-            return new Setup(me, seats, lease, ask, suspect, swap, stall, synced, voters, found, guards);
+            return new Setup(me, seats, lease, ask, suspect, stall, synced, voters, found, guards);
         }
 
         /** The same, where a first founding is allowed or not. */
         public Setup founds(final boolean allowed) {
-            return new Setup(me, seats, lease, ask, suspect, swap, stall, copies, most, allowed, guards);
+            return new Setup(me, seats, lease, ask, suspect, stall, copies, most, allowed, guards);
         }
     }
 
@@ -216,7 +215,7 @@
             case Msg.BootstrapAgreed m -> agreed(m, now);
             case Msg.LeaseRequest m -> lease(m, now);
             case Msg.LeaseGrant m -> grant(m, now);
-            case Msg.ViewDecided m -> adopt(m.view(), now);
+            case Msg.ViewDecided m -> viewDecided(m, home, now);
             case Msg.Prepare m -> prepare(m, home);
             case Msg.Promise m -> promise(m, now);
             case Msg.Accept m -> accept(m, home);
@@ -228,7 +227,7 @@
             case Msg.FetchEntries m -> reach(m, home);
             case Msg.CompareDigests m -> compare(m);
             case Msg.RepairRanges m -> mend(m);
-            case Msg.JoinRequest m -> joins.put(m.me().id(), m);
+            case Msg.JoinRequest m -> joinRequested(m, now);
             case Msg.WriteRequest m -> write(m);
             case Msg.ReadRequest m -> read(m, now);
             default -> {}
@@ -247,12 +246,7 @@
             spot = chart.move(spot, "break");
             log(Event.DISK_BROKEN, why);
             held.clear();
-            waits.values()
-                    .forEach(l -> l.forEach(w -> send(
-                            w.home(),
-                            new Msg.WriteReply(
-                                    w.ask(), new CommandResult.Unknown(w.wish().id())))));
-            waits.clear();
+            abandonWaiting();
         }
     }
 
@@ -266,9 +260,21 @@
         quit = true;
     }
 
-    /** Whether the chain goes on without this machine, or would have too few copies if it did. */
+    /**
+     * Whether this machine may end, after {@link #leave()}: the chain goes on without it, and a majority of the voters
+     * that remain knows that. A member that the chain needs for its copies stays until its grace ends.
+     */
     public boolean gone() {
-        return view.place(setup.me().id()) < 0 || view.chain().size() <= setup.copies();
+        if (view.number() == 0 || broken()) {
+            return true;
+        }
+        if (view.place(setup.me().id()) >= 0) {
+            return view.voters().equals(List.of(setup.me())) && joins.isEmpty();
+        }
+        final long know = view.voters().stream()
+                .filter(v -> !v.equals(setup.me()) && informed.contains(v.address()))
+                .count();
+        return view.majority((int) know);
     }
 
     /** A clock event, a few each lease. */
@@ -293,6 +299,10 @@
             hunt(now);
             return;
         }
+        if (quit && !chained()) {
+            confirmLeft(now);
+            return;
+        }
         if (now - asked >= (view.votes(setup.me().id()) ? setup.ask() : RESEND) && !stalled) {
             ask(now);
         }
@@ -302,13 +312,40 @@
             if (!stalled) {
                 watch(now);
             }
-        } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled && !quit) {
+        } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled) {
             soughtAt = now;
             view.tail().ifPresent(t -> send(t.address(), compareOf()));
             seats.forEach(s -> send(s, new Msg.LeaseRequest(view.number(), now, setup.me(), false)));
         }
     }
 
+    /**
+     * A machine that has left tells the voters so until they show that they know. It no longer asks for leases, so that
+     * its silence counts. A prepare for a number that was decided is replied to with the view of whoever knows it.
+     */
+    private void confirmLeft(final long now) {
+        if (now - asked < setup.ask()) {
+            return;
+        }
+        asked = now;
+        view.voters().forEach(v -> {
+            send(v.address(), new Msg.ViewDecided(view));
+            send(v.address(), new Msg.Prepare(view.number(), 0));
+        });
+    }
+
+    private void viewDecided(final Msg.ViewDecided m, final String home, final long now) {
+        adopt(m.view(), now);
+        if (m.view().number() == view.number()) {
+            informed.add(home);
+        }
+    }
+
+    private void joinRequested(final Msg.JoinRequest m, final long now) {
+        joins.put(m.me().id(), m);
+        heard.put(m.me().id(), now);
+    }
+
     private void ask(final long now) {
         asked = now;
         view.voters()
@@ -465,6 +502,7 @@
         hush = 0;
         late.clear();
         joins.clear();
+        informed.clear();
         want = Optional.empty();
         joining = false;
         low = now;
@@ -494,12 +532,7 @@
     }
 
     private void forget() {
-        waits.values()
-                .forEach(l -> l.forEach(w -> send(
-                        w.home(),
-                        new Msg.WriteReply(
-                                w.ask(), new CommandResult.Unknown(w.wish().id())))));
-        waits.clear();
+        abandonWaiting();
         pend.clear();
         overlay.clear();
         last = books.sequence();
@@ -514,7 +547,7 @@
         if (m.view() < view.number()) {
             send(m.me().address(), new Msg.ViewDecided(view));
         } else if (m.view() == view.number() && view.votes(setup.me().id())) {
-            if (view.votes(m.me().id())) {
+            if (view.votes(m.me().id()) || joins.containsKey(m.me().id())) {
                 heard.put(m.me().id(), now);
             }
             if (m.level()) {
@@ -792,29 +825,79 @@
             return;
         }
         switch (books.judge(m.wish(), overlay, last + 1, stamp)) {
-            case StateMachine.Judged.Over over -> {
-                final Optional<Entry> early =
-                        Optional.ofNullable(overlay.get("o/" + m.wish().id()));
-                if (early.isPresent()) {
-                    waits.computeIfAbsent(early.get().sequence(), s -> new ArrayList<>())
-                            .add(m);
-                } else if (over.verdict() instanceof CommandResult.Applied k && k.sequence() > books.sequence()) {
-                    waits.computeIfAbsent(k.sequence(), s -> new ArrayList<>()).add(m);
-                } else {
-                    if (over.verdict() instanceof CommandResult.Rejected r) {
-                        log(Event.CHANGE_REJECTED, m.wish().id() + " " + r.code());
-                    }
-                    send(m.home(), new Msg.WriteReply(m.ask(), over.verdict()));
-                }
-            }
+            case StateMachine.Judged.Over over -> decide(m, over.verdict(), stamp);
             case StateMachine.Judged.Let let -> {
                 final LogEntry c = new LogEntry(last + 1, view.number(), stamp, let.puts());
-                waits.computeIfAbsent(c.sequence(), s -> new ArrayList<>()).add(m);
+                await(c.sequence(), new Waiting(m, Optional.empty()));
                 append(List.of(c));
             }
         }
     }
 
+    /** Answers a write that needs no change of its own, once all that the answer rests on is committed. */
+    private void decide(final Msg.WriteRequest m, final CommandResult result, final Stamp stamp) {
+        final Optional<Entry> pending =
+                Optional.ofNullable(overlay.get("o/" + m.wish().id()));
+        if (pending.isPresent()) {
+            await(pending.get().sequence(), new Waiting(m, Optional.empty()));
+            return;
+        }
+        switch (result) {
+            case CommandResult.Applied applied -> {
+                if (applied.sequence() > books.sequence()) {
+                    await(applied.sequence(), new Waiting(m, Optional.empty()));
+                } else {
+                    reply(m, applied);
+                }
+            }
+            case CommandResult.Rejected rejected -> refuse(m, rejected, stamp);
+            case CommandResult.AlreadyClaimed claimed -> refuse(m, claimed, stamp);
+            case CommandResult.Unknown unknown -> reply(m, unknown);
+        }
+    }
+
+    /**
+     * Refuses a write at once where the committed state alone refuses it. Else the refusal rests on changes that a new
+     * view may drop, and is held until the newest of them is committed.
+     */
+    private void refuse(final Msg.WriteRequest m, final CommandResult refusal, final Stamp stamp) {
+        if (pend.isEmpty() || !setup.guards().stands(Safeguard.SETTLED)) {
+            reply(m, refusal);
+            return;
+        }
+        final StateMachine.Judged committed = books.judge(m.wish(), Map.of(), last + 1, stamp);
+        if (committed instanceof StateMachine.Judged.Over over && refuses(over.verdict())) {
+            reply(m, over.verdict());
+        } else {
+            await(last, new Waiting(m, Optional.of(refusal)));
+        }
+    }
+
+    private static boolean refuses(final CommandResult result) {
+        return result instanceof CommandResult.Rejected || result instanceof CommandResult.AlreadyClaimed;
+    }
+
+    private void await(final long sequence, final Waiting waiting) {
+        waits.computeIfAbsent(sequence, s -> new ArrayList<>()).add(waiting);
+    }
+
+    /** Those that wait for changes which this machine may drop are told that nothing is known. */
+    private void abandonWaiting() {
+        waits.values()
+                .forEach(l -> l.forEach(w -> {
+                    final Msg.WriteRequest m = w.request();
+                    reply(m, new CommandResult.Unknown(m.wish().id()));
+                }));
+        waits.clear();
+    }
+
+    private void reply(final Msg.WriteRequest m, final CommandResult result) {
+        if (result instanceof CommandResult.Rejected r) {
+            log(Event.CHANGE_REJECTED, m.wish().id() + " " + r.code());
+        }
+        send(m.home(), new Msg.WriteReply(m.ask(), result));
+    }
+
     private void reject(final Msg.WriteRequest m, final int code, final String why) {
         send(m.home(), new Msg.WriteReply(m.ask(), new CommandResult.Rejected(code, List.of(why), books.sequence())));
     }
@@ -925,16 +1008,17 @@
         }
     }
 
-    private void decided(final Msg.WriteRequest w, final long sequence) {
-        final Optional<Value.CommandOutcome> deed = books.get("o/" + w.wish().id())
-                .map(e -> (Value.CommandOutcome) e.leaf().get(0));
-        final CommandResult verdict = deed.filter(d -> d.code() != 0)
-                .map(d -> (CommandResult) new CommandResult.Rejected(d.code(), d.faults(), d.sequence()))
+    private void decided(final Waiting waiting, final long sequence) {
+        final Msg.WriteRequest m = waiting.request();
+        reply(m, waiting.refusal().orElseGet(() -> outcome(m.wish().id(), sequence)));
+    }
+
+    private CommandResult outcome(final String id, final long sequence) {
+        return books.get("o/" + id)
+                .map(e -> (Value.CommandOutcome) e.leaf().get(0))
+                .filter(o -> o.code() != 0)
+                .map(o -> (CommandResult) new CommandResult.Rejected(o.code(), o.faults(), o.sequence()))
                 .orElse(new CommandResult.Applied(sequence));
-        if (verdict instanceof CommandResult.Rejected r) {
-            log(Event.CHANGE_REJECTED, w.wish().id() + " " + r.code());
-        }
-        send(w.home(), new Msg.WriteReply(w.ask(), verdict));
     }
 
     private void picture(final LongConsumer then) {
@@ -1018,6 +1102,9 @@
     }
 
     private void join() {
+        if (quit) {
+            return;
+        }
         view.voters().forEach(b -> send(b.address(), new Msg.JoinRequest(view.number(), setup.me(), books.sequence())));
     }
 
@@ -1063,6 +1150,9 @@
 
     private record Held(long at, LongConsumer then) {}
 
+    /** A write whose answer waits for a change to be committed; the refusal is there where that will be the answer. */
+    private record Waiting(Msg.WriteRequest request, Optional<CommandResult> refusal) {}
+
     private record Early(long at, Msg.WriteRequest msg) {}
 
     private record Late(long due, long number, String to, Msg msg) {}
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -24,7 +24,7 @@
 /** Machines with ledgers and clerks on a fake clock: frames take a time, syncs take a time, and a power cut loses what wasn't synced. */
 final class ReplicaCluster {
     static final long BEAT = 20_000;
-    private final List<String> seats;
+    private List<String> seats;
     private final long hop;
     private final UnaryOperator<ChainReplica.Setup> setup;
     private final Map<String, ChainReplica> quays = new TreeMap<>();
@@ -32,6 +32,7 @@
     private final Map<String, List<LogRecord>> disks = new TreeMap<>();
     private final Map<String, String> names = new HashMap<>();
     private final Set<Set<String>> cuts = new HashSet<>();
+    private final Map<Set<String>, Long> slowLinks = new HashMap<>();
     private final PriorityQueue<Due> queue =
             new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::turn));
     private final Map<Long, Asked> asked = new LinkedHashMap<>();
@@ -60,6 +61,10 @@
             return reply.filter(r -> r instanceof CommandResult.Applied).isPresent();
         }
 
+        long at() {
+            return at;
+        }
+
         long span() {
             return end - at;
         }
@@ -115,6 +120,11 @@
         beat(seat, q);
     }
 
+    /** The seeds that machines started from now on are given. */
+    void seeds(final List<String> next) {
+        seats = List.copyOf(next);
+    }
+
     /** The machine's process ends, and its power with it. */
     void kill(final String seat) {
         quays.remove(seat);
@@ -137,9 +147,15 @@
         }
     }
 
+    /** What is sent between two machines from now on comes later by so much; what is sent after a heal overtakes it. */
+    void slow(final String one, final String other, final long extra) {
+        slowLinks.put(Set.of(one, other), extra);
+    }
+
     /** Every link is whole again. */
     void heal() {
         cuts.clear();
+        slowLinks.clear();
     }
 
     void pass(final long span) {
@@ -191,17 +207,27 @@
     }
 
     Asked lay(final String at, final long number, final long match, final long span) {
+        return order(at, charter(number, match), span);
+    }
+
+    /** Hands a command to the client of one machine. */
+    Asked order(final String at, final Command command, final long span) {
         final Asked a = new Asked(now);
         asked.put(++token, a);
-        clerks.get(at).wish(charter(number, match), token, now, now + span);
+        clerks.get(at).wish(command, token, now, now + span);
         flush(at, quays.get(at));
         return a;
     }
 
     Asked read(final String at, final long span) {
+        return read(at, ConfigurationValidator.PAPER, span);
+    }
+
+    /** Asks the tail for the entries whose keys start so. */
+    Asked read(final String at, final String start, final long span) {
         final Asked a = new Asked(now);
         asked.put(++token, a);
-        clerks.get(at).read(ConfigurationValidator.PAPER, token, now, now + span);
+        clerks.get(at).read(start, token, now, now + span);
         flush(at, quays.get(at));
         return a;
     }
@@ -265,7 +291,7 @@
                 if (s.to().equals(seat)) {
                     hand(seat, q, s.body(), seat);
                 } else if (!cuts.contains(Set.of(seat, s.to()))) {
-                    at(now + hop, () -> {
+                    at(now + hop + slowLinks.getOrDefault(Set.of(seat, s.to()), 0L), () -> {
                         if (quays.containsKey(s.to())) {
                             hand(s.to(), quays.get(s.to()), s.body(), seat);
                             flush(s.to(), quays.get(s.to()));
