--- a/core/src/main/java/silverlatch/statemachine/TransitionTable.java
+++ b/core/src/main/java/silverlatch/statemachine/TransitionTable.java
@@ -11,12 +11,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * A table of state transitions read from a file and interpreted: states, the events each takes, and where they lead.
  * The file is the only place where a move is allowed.
  */
 public final class TransitionTable {
+    private static final Map<String, TransitionTable> LOADED = new ConcurrentHashMap<>();
     private final String name;
     private final String start;
     private final Map<String, Map<String, String>> moves;
@@ -35,6 +37,10 @@
 
     /** Reads the table of the given name from the folder of tables of the program. */
     public static TransitionTable load(final String name) {
+        return LOADED.computeIfAbsent(name, TransitionTable::read);
+    }
+
+    private static TransitionTable read(final String name) {
         try (InputStream in = Optional.ofNullable(
                         TransitionTable.class.getResourceAsStream("/statemachines/" + name + ".json"))
                 .orElseThrow(() -> new IllegalArgumentException("no transition table " + name))) {
--- a/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
@@ -20,6 +20,10 @@
     PROMISE(Set.of(Safeguard.PROMISE), Set.of(Property.ONE_VIEW)),
     /** A write that lost a race is taken all the same. */
     MATCH(Set.of(Safeguard.MATCH), Set.of(Property.LINEARIZABLE)),
+    /** What was taken and followed by another configuration is forgotten. */
+    TAKEN(Set.of(Safeguard.TAKEN), Set.of(Property.REFUSED_ORDER, Property.LINEARIZABLE)),
+    /** A refusal rests on what may never be committed. */
+    SETTLED(Set.of(Safeguard.SETTLED), Set.of(Property.REFUSED_ORDER, Property.LINEARIZABLE)),
     /** A chain shorter than the required copies acknowledges. */
     COPIES(Set.of(Safeguard.COPIES), Set.of(Property.DURABLE)),
     /** A replica joins without the ranges in which its digests differ. */
--- a/simulation/src/main/java/silverlatch/simulation/explore/PropertyMonitor.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/PropertyMonitor.java
@@ -117,7 +117,7 @@
             return;
         }
         final long view = machine.process().orElseThrow().replica().view().number();
-        if (view < newestView && !applied.map(this::committedElsewhere).orElse(false)) {
+        if (view < newestView && (read || !appliedJustNow(machine))) {
             broken(
                     Property.VIEW_FENCED,
                     machine.address() + " answers under view " + view + " after an acknowledgement under "
@@ -129,12 +129,17 @@
         });
     }
 
-    /** Whether a replica in the newest view that acknowledged has applied a sequence; then its outcome stands. */
-    private boolean committedElsewhere(final long sequence) {
-        return machines.stream()
-                .flatMap(machine -> machine.process().stream())
+    /** Whether a replica has applied something in this step that is applied in the newest view too, and tells of that. */
+    private boolean appliedJustNow(final Machine machine) {
+        final long sequence = machine.process().orElseThrow().replica().books().sequence();
+        final boolean elsewhere = machines.stream()
+                .flatMap(other -> other.process().stream())
                 .anyMatch(process -> process.replica().view().number() >= newestView
                         && process.replica().books().sequence() >= sequence);
+        return elsewhere
+                && Optional.ofNullable(seen.get(machine.index()))
+                        .map(last -> last.sequence() < sequence)
+                        .orElse(false);
     }
 
     private void acknowledged(final Machine machine, final long sequence) {
--- a/simulation/src/main/java/silverlatch/simulation/explore/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/World.java
@@ -27,6 +27,7 @@
     private static final int INBOUND = 1;
     private static final int OUTBOUND = 2;
     private static final String ZONE = "zone";
+    private static final long LATEST = Command.SetEvacuation.LATEST;
     private final WorldOptions options;
     private final List<Machine> machines = new ArrayList<>();
     private final List<String> addresses = new ArrayList<>();
@@ -327,7 +328,7 @@
     private static Command command(final Operation operation, final String id) {
         return operation.kind() == Action.Kind.PUT
                 ? Documents.put(id, operation)
-                : new Command.SetEvacuation(id, ZONE, operation.kind() == Action.Kind.EVACUATE, -1);
+                : new Command.SetEvacuation(id, ZONE, operation.kind() == Action.Kind.EVACUATE, LATEST);
     }
 
     private boolean read(final Machine machine, final Action.Kind kind) {
