--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -701,7 +701,7 @@
      * the old view alone: what the new one acknowledges has passed them.
      */
     private long due(final View next) {
-        return ViewPlanner.grown(view, next)
+        return ViewPlanner.grown(view, next) || !setup.guards().stands(Safeguard.LEASE_WAIT)
                 ? 0
                 : view.chain().stream()
                         .filter(b -> next.place(b.id()) < 0)
@@ -830,7 +830,12 @@
 
     /** Whether the chain is long enough for an acknowledgement. */
     private boolean enough() {
-        return view.chain().size() >= setup.copies();
+        return view.chain().size() >= setup.copies() || !setup.guards().stands(Safeguard.COPIES);
+    }
+
+    /** Whether a replication message is of another view than the one held here, and so must not be taken. */
+    private boolean fenced(final long number) {
+        return number != view.number() && setup.guards().stands(Safeguard.FENCE);
     }
 
     private void again(final long now) {
@@ -1036,7 +1041,7 @@
     }
 
     private void pass(final Msg.Replicate m, final long now) {
-        if (m.view() != view.number() || !chained() || view.place(setup.me().id()) == 0) {
+        if (fenced(m.view()) || !chained() || view.place(setup.me().id()) == 0) {
             return;
         }
         final List<LogEntry> fresh = new ArrayList<>();
@@ -1065,7 +1070,7 @@
     }
 
     private void acked(final Msg.CommitNotice m) {
-        if (m.view() == view.number() && chained()) {
+        if (!fenced(m.view()) && chained()) {
             commit(Math.min(m.sequence(), kept));
         }
     }
@@ -1166,11 +1171,21 @@
         if (m.sequence() > books.sequence()) {
             commit(Math.min(m.sequence(), kept));
         }
-        final RepairSource source = RepairSource.of(books, m.digests());
+        final RepairSource source = RepairSource.of(books, m.digests(), syncedPending());
         repairSources.put(m.me().id(), source);
         sendPiece(new Msg.RepairNext(m.view(), m.me(), source.sequence(), 0));
     }
 
+    /**
+     * The changes that are synced here but not known to be committed. One of them may have been acknowledged before
+     * this machine restarted, so a machine that is repaired from here keeps them too.
+     */
+    private List<LogEntry> syncedPending() {
+        return setup.guards().stands(Safeguard.REPAIR_PENDING)
+                ? pend.stream().filter(c -> c.sequence() <= kept).toList()
+                : List.of();
+    }
+
     private void sendPiece(final Msg.RepairNext m) {
         final Optional<RepairSource> source = Optional.ofNullable(repairSources.get(m.me().id()))
                 .filter(s -> s.sequence() == m.sequence() && m.piece() >= 0)
@@ -1186,7 +1201,8 @@
                         m.sequence(),
                         m.piece(),
                         pieces,
-                        source.get().pieces().get(m.piece())));
+                        source.get().pieces().get(m.piece()),
+                        m.piece() == pieces - 1 ? source.get().pending() : List.of()));
         if (m.piece() == pieces - 1 && pieces == 1) {
             repairSources.remove(m.me().id());
         }
@@ -1216,6 +1232,7 @@
                 && m.pieces() == 1
                 && m.spans().isEmpty()
                 && m.sequence() == books.sequence()
+                && m.pending().equals(List.copyOf(pend))
                 && !chained()) {
             join();
             return;
@@ -1232,7 +1249,9 @@
             return;
         }
         repair = Optional.empty();
-        taken.ranges().forEach((range, entries) -> books.mend(range, RANGES, entries));
+        if (setup.guards().stands(Safeguard.DIGEST)) {
+            taken.ranges().forEach((range, entries) -> books.mend(range, RANGES, entries));
+        }
         books.level(m.sequence());
         recent.clear();
         recentBytes = 0;
@@ -1240,13 +1259,23 @@
         pend.clear();
         overlay.clear();
         last = m.sequence();
-        kept = last;
+        m.pending().forEach(this::enter);
         epoch++;
         low = clock;
         joining = true;
         final long number = view.number();
+        final long end = last;
+        final long mine = epoch;
+        kept = 0;
         picture(t -> {
-            if (number == view.number() && !chained()) {
+            if (mine != epoch) {
+                return;
+            }
+            kept = Math.max(kept, end);
+            if (chained()) {
+                rise(t);
+                settle(t);
+            } else if (number == view.number()) {
                 log(Event.MENDED, "sequence " + m.sequence());
                 join();
             }
@@ -1283,7 +1312,12 @@
 
     private void keep(final List<LogRecord> notes, final LongConsumer then) {
         token++;
-        held.put(token, new Held(clock, then));
+        final boolean early = !setup.guards().stands(Safeguard.PROMISE)
+                && (notes.get(0) instanceof LogRecord.Promised || notes.get(0) instanceof LogRecord.Accepted);
+        if (early) {
+            then.accept(clock);
+        }
+        held.put(token, new Held(clock, early ? t -> {} : then));
         out.add(new Effect.Keep(token, notes));
     }
 
--- a/core/src/main/java/silverlatch/replication/RepairSource.java
+++ b/core/src/main/java/silverlatch/replication/RepairSource.java
@@ -13,18 +13,20 @@
  *
  * @param sequence the sequence that the pieces together stand for
  * @param pieces   the pieces in order, one at least
+ * @param pending  the changes after that sequence which are synced at the source, in order; sent with the last piece
  */
-record RepairSource(long sequence, List<List<Msg.RangeEntries>> pieces) {
+record RepairSource(long sequence, List<List<Msg.RangeEntries>> pieces, List<LogEntry> pending) {
     /** How many bytes a piece has; one entry may be larger. */
     static final long PIECE_BYTES = 64L << 10;
 
     /** Copies the pieces. */
     RepairSource {
         pieces = List.copyOf(pieces);
+        pending = List.copyOf(pending);
     }
 
     /** The ranges of a state whose digests differ from the given ones. */
-    static RepairSource of(final StateMachine state, final long[] digests) {
+    static RepairSource of(final StateMachine state, final long[] digests, final List<LogEntry> pending) {
         final int ranges = digests.length;
         final long[] mine = state.digests(ranges);
         final List<List<Msg.RangeEntries>> pieces = new ArrayList<>();
@@ -49,6 +51,6 @@
             piece.add(new Msg.RangeEntries(range, part));
         }
         pieces.add(piece);
-        return new RepairSource(state.sequence(), pieces);
+        return new RepairSource(state.sequence(), pieces, pending);
     }
 }
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -55,5 +55,17 @@
     /** A dead voter is replaced, or loses its vote, before the quorum is widened. */
     DEAD_VOTES,
     /** A member that leaves ends only when enough others hold everything and the voters know that it left. */
-    HANDOVER
+    HANDOVER,
+    /** A voter accepts a successor only when the leases it granted to those that go have run out. */
+    LEASE_WAIT,
+    /** Replication messages of another view are rejected. */
+    FENCE,
+    /** A promise or an acceptance is synced before it is sent. */
+    PROMISE,
+    /** A chain shorter than the required copies acknowledges nothing. */
+    COPIES,
+    /** A replica that was out takes over the ranges in which its digests differ before it joins. */
+    DIGEST,
+    /** A replica under repair takes over what its source has synced and doesn't know to be committed. */
+    REPAIR_PENDING
 }
--- a/core/src/main/java/silverlatch/wire/Msg.java
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -182,11 +182,17 @@
     /** A member to be mended sends its digests. */
     record CompareDigests(long view, Replica me, long sequence, long[] digests) implements Msg {}
 
-    /** One piece of the ranges that differ, at the sequence that all pieces stand for; pieces count from 0. */
-    record RepairRanges(long view, long sequence, int piece, int pieces, List<RangeEntries> spans) implements Msg {
-        /** Copies the list. */
+    /**
+     * One piece of the ranges that differ, at the sequence that all pieces stand for; pieces count from 0. The last one
+     * brings the changes after that sequence which the source has synced and doesn't know to be committed.
+     */
+    record RepairRanges(
+            long view, long sequence, int piece, int pieces, List<RangeEntries> spans, List<LogEntry> pending)
+            implements Msg {
+        /** Copies the lists. */
         public RepairRanges {
             spans = List.copyOf(spans);
+            pending = List.copyOf(pending);
         }
     }
 
