--- a/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
+++ b/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
@@ -25,7 +25,7 @@
  * configurations was added; with {@code -Dsilverlatch.fixture=FILE} the records are written to a file anew.
  */
 final class CodecCompatibilityTest {
-    private static final String FIXTURE = "/silverlatch/wire/log-records-before-receipts.txt";
+    private static final String FIXTURE = "log-records-1.txt";
 
     private static List<LogRecord> records() {
         final Replica one = new Replica("id-a", "10.0.0.1:1");
@@ -56,7 +56,7 @@
                 route,
                 new Value.BackendPool("pool", "/health", 1, 2, 3, 4, 5, 6),
                 new Value.RoutingConfiguration(41, 1, 2, 3, 4),
-                new Value.ConfigurationDocument(41, "{\"revision\":41}"),
+                new Value.ConfigurationDocument(41, "the text of 41"),
                 new Value.CommandOutcome(14, 422, List.of("a fault")));
         final List<Entry> entries = new ArrayList<>();
         for (int i = 0; i < values.size(); i++) {
