--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -350,8 +350,8 @@
             case Msg.Tell m -> rumor.on(m, home, now);
             case Msg.Marks m -> rumor.on(m, home, now);
             case Msg.Bodies m -> rumor.on(m, home, now);
-            case Msg.WriteReply m -> clerk.on(m);
-            case Msg.ReadReply m -> clerk.on(m);
+            case Msg.WriteReply m -> clerk.on(m, now);
+            case Msg.ReadReply m -> clerk.on(m, now);
             case Msg.Astray m -> {
                 out.add(new Effect.Log(Event.ASTRAY, home + " says by " + Ntp.micros(m.units()) + " us too many"));
                 samples.put(home, new Sample(m.phys() - phys, now));
--- a/core/src/main/java/silverlatch/replication/ChainClient.java
+++ b/core/src/main/java/silverlatch/replication/ChainClient.java
@@ -53,11 +53,11 @@
     }
 
     /** Takes a reply of the chain. */
-    public void on(final Msg msg) {
+    public void on(final Msg msg, final long now) {
         switch (msg) {
             case Msg.WriteReply m -> {
                 if (open.containsKey(m.ask()) && !(m.verdict() instanceof CommandResult.Unknown)) {
-                    decided(open.remove(m.ask()), m.verdict());
+                    decided(open.remove(m.ask()), m.verdict(), now);
                 }
             }
             case Msg.ReadReply m -> {
@@ -70,7 +70,7 @@
     }
 
     /** Hands the result on; an order on top of the newest change that came too late for one goes on top of the next. */
-    private void decided(final Open o, final CommandResult result) {
+    private void decided(final Open o, final CommandResult result, final long now) {
         if (o.onLatest()
                 && result instanceof CommandResult.Rejected r
                 && r.code() == CONFLICT
@@ -78,7 +78,7 @@
                 && w.wish() instanceof Command.SetEvacuation order) {
             ask++;
             final Msg next = new Msg.WriteRequest(ask, home, order.on(r.sequence()));
-            open(ask, new Open(next, true, o.token(), o.sent(), o.expiry(), true), o.sent());
+            open(ask, new Open(next, true, o.token(), now, o.expiry(), true), now);
         } else {
             out.add(new Effect.Answer(o.token(), result));
         }
@@ -90,14 +90,7 @@
         number = views.get().number();
         for (final Map.Entry<Long, Open> e : List.copyOf(open.entrySet())) {
             final Open o = e.getValue();
-            if (now >= o.expiry()) {
-                open.remove(e.getKey());
-                out.add(new Effect.Answer(
-                        o.token(),
-                        o.msg() instanceof Msg.WriteRequest w
-                                ? new CommandResult.Unknown(w.wish().id())
-                                : new Page(false, 0, List.of())));
-            } else if (other || now - o.sent() >= AGAIN) {
+            if (now >= o.expiry() || other || now - o.sent() >= AGAIN) {
                 open(e.getKey(), o, now);
             }
         }
@@ -110,7 +103,17 @@
         return list;
     }
 
+    /** Sends while the call lasts, also where this process was frozen meanwhile; else the call ends. */
     private void open(final long id, final Open o, final long now) {
+        if (now >= o.expiry()) {
+            open.remove(id);
+            out.add(new Effect.Answer(
+                    o.token(),
+                    o.msg() instanceof Msg.WriteRequest w
+                            ? new CommandResult.Unknown(w.wish().id())
+                            : new Page(false, 0, List.of())));
+            return;
+        }
         open.put(id, new Open(o.msg(), o.write(), o.token(), now, o.expiry(), o.onLatest()));
         final View view = views.get();
         (o.write() ? view.head() : view.tail()).ifPresent(b -> out.add(new Effect.Send(b.address(), o.msg())));
--- a/core/src/test/java/silverlatch/replication/ChainClientTest.java
+++ b/core/src/test/java/silverlatch/replication/ChainClientTest.java
@@ -28,7 +28,7 @@
         view = new View(2, 1, List.of(), List.of(new Replica("b", "b")), "b");
         clerk.tick(300_000);
         assertThat(sent(), is(List.of("b")));
-        clerk.on(new Msg.WriteReply(11, new CommandResult.Unknown("order-1")));
+        clerk.on(new Msg.WriteReply(11, new CommandResult.Unknown("order-1")), 1_000);
         assertThat(clerk.drain(), is(List.of()));
         clerk.tick(1_000_000);
         assertThat(clerk.drain(), is(List.of((Effect) new Effect.Answer(5, new CommandResult.Unknown("order-1")))));
@@ -38,14 +38,26 @@
     void anOrderOnTopOfTheNewestChangeLearnsItDuringTheCallAndIsNeverRefusedForARace() {
         clerk.wish(new Command.SetEvacuation("order-1", "z", true, Command.SetEvacuation.LATEST), 5, 0, 1_000_000);
         assertThat(matches(), is(List.of(0L)));
-        clerk.on(new Msg.WriteReply(11, new CommandResult.Rejected(409, List.of("changed"), 7)));
+        clerk.on(new Msg.WriteReply(11, new CommandResult.Rejected(409, List.of("changed"), 7)), 1_000);
         assertThat(matches(), is(List.of(7L)));
-        clerk.on(new Msg.WriteReply(11, new CommandResult.Rejected(409, List.of("a late reply"), 6)));
+        clerk.on(new Msg.WriteReply(11, new CommandResult.Rejected(409, List.of("a late reply"), 6)), 1_000);
         assertThat(clerk.drain(), is(List.of()));
-        clerk.on(new Msg.WriteReply(12, new CommandResult.Applied(9)));
+        clerk.on(new Msg.WriteReply(12, new CommandResult.Applied(9)), 1_000);
         assertThat(clerk.drain(), is(List.of((Effect) new Effect.Answer(5, new CommandResult.Applied(9)))));
     }
 
+    @Test
+    void nothingIsSentForACallWhoseTimeIsUp() {
+        clerk.wish(new Command.SetEvacuation("order-1", "z", true, Command.SetEvacuation.LATEST), 5, 0, 1_000_000);
+        clerk.drain();
+        clerk.on(new Msg.WriteReply(11, new CommandResult.Rejected(409, List.of("changed"), 7)), 20_000_000);
+        final Effect unknown = new Effect.Answer(5, new CommandResult.Unknown("order-1"));
+        assertThat("a reply after the process was frozen", clerk.drain(), is(List.of(unknown)));
+        clerk.wish(new Command.SetEvacuation("order-2", "z", true, -1), 6, 30_000_000, 25_000_000);
+        final Effect late = new Effect.Answer(6, new CommandResult.Unknown("order-2"));
+        assertThat("a call that waited while it was frozen", clerk.drain(), is(List.of(late)));
+    }
+
     private List<Long> matches() {
         return clerk.drain().stream()
                 .map(e -> ((Command.SetEvacuation) ((Msg.WriteRequest) ((Effect.Send) e).body()).wish()).match())
@@ -56,9 +68,9 @@
     void aQuestionGoesToTheTailAndAReplyThatIsNotSureIsNoReply() {
         clerk.read("r/", 6, 0, 1_000_000);
         assertThat(sent(), is(List.of("b")));
-        clerk.on(new Msg.ReadReply(11, false, 0, List.of()));
+        clerk.on(new Msg.ReadReply(11, false, 0, List.of()), 1_000);
         assertThat(clerk.drain(), is(List.of()));
-        clerk.on(new Msg.ReadReply(11, true, 9, List.of()));
+        clerk.on(new Msg.ReadReply(11, true, 9, List.of()), 1_000);
         assertThat(clerk.drain(), is(List.of((Effect) new Effect.Answer(6, new ChainClient.Page(true, 9, List.of())))));
     }
 }
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -318,8 +318,8 @@
 
     private void hand(final String seat, final ChainReplica q, final Msg msg, final String home) {
         switch (msg) {
-            case Msg.WriteReply m -> clerks.get(seat).on(m);
-            case Msg.ReadReply m -> clerks.get(seat).on(m);
+            case Msg.WriteReply m -> clerks.get(seat).on(m, now);
+            case Msg.ReadReply m -> clerks.get(seat).on(m, now);
             default -> q.on(msg, home, now);
         }
     }
