--- a/core/src/test/java/silverlatch/replication/OrderStorm.java
+++ b/core/src/test/java/silverlatch/replication/OrderStorm.java
@@ -25,7 +25,7 @@
     private static final List<String> SIX = List.of("a", "b", "c", "d", "e", "f");
     private static final long SECOND = 1_000_000;
     private static final long CALL = 880_000;
-    private static final int STEPS = 200;
+    private static final int STEPS = 260;
     private static final int UNDER_WAY = 8;
     private static final int LOST_IN_TEN = 7;
     private static final List<String> ZONES = List.of("hall", "quay", "yard", "mole");
@@ -42,6 +42,7 @@
             ZONES.stream().map(ZoneOperator::new).toList();
     private Optional<String> troubled = Optional.empty();
     private int wiped;
+    private long thaw;
     private long callNumber;
 
     OrderStorm(final long seed, final int copies, final Safeguards standing) {
@@ -134,12 +135,12 @@
         }
         switch (random.nextInt(18)) {
             case 0, 1 -> {
-                if (cluster.up().size() > 4) {
+                if (mayLoseOne()) {
                     cluster.kill(one);
                 }
             }
             case 2 -> {
-                if (cluster.up().contains(one) && cluster.up().size() > 4 && wiped < copies - 1) {
+                if (cluster.up().contains(one) && mayLoseOne() && wiped < copies - 1) {
                     wiped++;
                     cluster.kill(one);
                     cluster.wipe(one);
@@ -157,7 +158,16 @@
                 });
             case 5 -> isolate(random.nextBoolean() ? one : head().orElse(one));
             case 13 -> split();
-            case 6, 7, 14, 15 -> {
+            case 16 -> {
+                final String frozen = random.nextBoolean() ? one : head().orElse(one);
+                if (cluster.up().contains(frozen) && cluster.now() >= thaw && mayLoseOne()) {
+                    troubled = Optional.of(frozen);
+                    final long span = 200_000 + random.nextInt(20_000_000);
+                    thaw = cluster.now() + span;
+                    cluster.freeze(frozen, span);
+                }
+            }
+            case 6, 7, 14, 15, 17 -> {
                 cluster.heal();
                 troubled = Optional.empty();
             }
@@ -179,8 +189,13 @@
         return cluster.quay(up()).view().head().map(Replica::address).filter(cluster.up()::contains);
     }
 
+    /** At most two machines are down or frozen at a time. */
+    private boolean mayLoseOne() {
+        return cluster.up().size() - (cluster.now() < thaw ? 1 : 0) > 4;
+    }
+
     private void killTheHead() {
-        head().filter(h -> cluster.up().size() > 4).ifPresent(cluster::kill);
+        head().filter(h -> mayLoseOne()).ifPresent(cluster::kill);
     }
 
     /** Two parts that don't hear each other. */
--- a/core/src/test/java/silverlatch/replication/OrdersTest.java
+++ b/core/src/test/java/silverlatch/replication/OrdersTest.java
@@ -191,8 +191,8 @@
     @CsvSource({
         "MATCH, 1, both acknowledged",
         "TAKEN, 1, acknowledged and refused",
-        "SETTLED, 5, acknowledged and refused",
-        "NEWEST, 11, the zone stands at"
+        "SETTLED, 5, refused",
+        "NEWEST, 53, the zone stands at"
     })
     void theCheckerNoticesASafeguardLetDown(final Safeguard safeguard, final long seed, final String told) {
         final Safeguards standing = new Safeguards(Set.of(safeguard));
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -33,6 +33,7 @@
     private final Map<String, String> names = new HashMap<>();
     private final Set<Set<String>> cuts = new HashSet<>();
     private final Map<Set<String>, Long> slowLinks = new HashMap<>();
+    private final Map<String, Long> thaws = new HashMap<>();
     private final PriorityQueue<Due> queue =
             new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::turn));
     private final Map<Long, Asked> asked = new LinkedHashMap<>();
@@ -122,10 +123,26 @@
 
     /** The machine's process ends, and its power with it. */
     void kill(final String seat) {
+        thaws.remove(seat);
         quays.remove(seat);
         clerks.remove(seat);
     }
 
+    /** The machine's process stands still for so long; what comes meanwhile waits for it. */
+    void freeze(final String seat, final long span) {
+        thaws.put(seat, now + span);
+    }
+
+    /** Does something as a machine's process would: at once, or when it thaws. */
+    private void by(final String seat, final Runnable job) {
+        final long thaw = thaws.getOrDefault(seat, 0L);
+        if (thaw > now) {
+            at(thaw, () -> by(seat, job));
+        } else {
+            job.run();
+        }
+    }
+
     /** The disk is lost; the next start is under a new identity. */
     void wipe(final String seat) {
         disks.remove(seat);
@@ -209,8 +226,15 @@
     Asked order(final String at, final Command command, final long span) {
         final Asked a = new Asked(now);
         asked.put(++token, a);
-        clerks.get(at).wish(command, token, now, now + span);
-        flush(at, quays.get(at));
+        final long mine = token;
+        final long end = now + span;
+        final ChainReplica called = quays.get(at);
+        by(at, () -> {
+            if (quays.get(at) == called) {
+                clerks.get(at).wish(command, mine, now, end);
+                flush(at, called);
+            }
+        });
         return a;
     }
 
@@ -222,8 +246,15 @@
     Asked read(final String at, final String start, final long span) {
         final Asked a = new Asked(now);
         asked.put(++token, a);
-        clerks.get(at).read(start, token, now, now + span);
-        flush(at, quays.get(at));
+        final long mine = token;
+        final long end = now + span;
+        final ChainReplica called = quays.get(at);
+        by(at, () -> {
+            if (quays.get(at) == called) {
+                clerks.get(at).read(start, mine, now, end);
+                flush(at, called);
+            }
+        });
         return a;
     }
 
@@ -260,14 +291,16 @@
     }
 
     private void beat(final String seat, final ChainReplica q) {
-        at(now + BEAT, () -> {
-            if (quays.get(seat) == q) {
-                q.tick(now);
-                clerks.get(seat).tick(now);
-                flush(seat, q);
-                beat(seat, q);
-            }
-        });
+        at(
+                now + BEAT,
+                () -> by(seat, () -> {
+                    if (quays.get(seat) == q) {
+                        q.tick(now);
+                        clerks.get(seat).tick(now);
+                        flush(seat, q);
+                        beat(seat, q);
+                    }
+                }));
     }
 
     private void flush(final String seat, final ChainReplica q) {
@@ -286,12 +319,14 @@
                 if (s.to().equals(seat)) {
                     hand(seat, q, s.body(), seat);
                 } else if (!cuts.contains(Set.of(seat, s.to()))) {
-                    at(now + hop + slowLinks.getOrDefault(Set.of(seat, s.to()), 0L), () -> {
-                        if (quays.containsKey(s.to())) {
-                            hand(s.to(), quays.get(s.to()), s.body(), seat);
-                            flush(s.to(), quays.get(s.to()));
-                        }
-                    });
+                    at(
+                            now + hop + slowLinks.getOrDefault(Set.of(seat, s.to()), 0L),
+                            () -> by(s.to(), () -> {
+                                if (quays.containsKey(s.to())) {
+                                    hand(s.to(), quays.get(s.to()), s.body(), seat);
+                                    flush(s.to(), quays.get(s.to()));
+                                }
+                            }));
                 }
             }
             case Effect.Keep k ->
@@ -303,8 +338,12 @@
                             }
                             disks.get(seat).add(n);
                         });
-                        q.kept(k.token(), now);
-                        flush(seat, q);
+                        by(seat, () -> {
+                            if (quays.get(seat) == q) {
+                                q.kept(k.token(), now);
+                                flush(seat, q);
+                            }
+                        });
                     }
                 });
             case Effect.Answer a ->
