--- a/core/src/test/java/silverlatch/state/AcceptedConfigurationsTest.java
+++ b/core/src/test/java/silverlatch/state/AcceptedConfigurationsTest.java
@@ -56,19 +56,19 @@
     }
 
     private CommandResult result(final Command command) {
-        switch (judge(command)) {
-            case StateMachine.Judged.Over over -> {
-                return over.verdict();
-            }
-            case StateMachine.Judged.Let let -> {
-                state.apply(state.sequence() + 1, let.puts());
-                final Value.CommandOutcome outcome = (Value.CommandOutcome)
-                        state.get("o/" + command.id()).orElseThrow().leaf().get(0);
-                return outcome.code() == 0
-                        ? new CommandResult.Applied(state.sequence())
-                        : new CommandResult.Rejected(outcome.code(), outcome.faults(), outcome.sequence());
-            }
-        }
+        return switch (judge(command)) {
+            case StateMachine.Judged.Over over -> over.verdict();
+            case StateMachine.Judged.Let let -> committed(command, let);
+        };
+    }
+
+    private CommandResult committed(final Command command, final StateMachine.Judged.Let let) {
+        state.apply(state.sequence() + 1, let.puts());
+        final Value.CommandOutcome outcome = (Value.CommandOutcome)
+                state.get("o/" + command.id()).orElseThrow().leaf().get(0);
+        return outcome.code() == 0
+                ? new CommandResult.Applied(state.sequence())
+                : new CommandResult.Rejected(outcome.code(), outcome.faults(), outcome.sequence());
     }
 
     private static int code(final CommandResult result) {
