--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -1202,7 +1203,8 @@
                         m.piece(),
                         pieces,
                         source.get().pieces().get(m.piece()),
-                        m.piece() == pieces - 1 ? source.get().pending() : List.of()));
+                        m.piece() == pieces - 1 ? source.get().pending() : List.of(),
+                        m.piece() == pieces - 1 ? source.get().digests() : new long[0]));
         if (m.piece() == pieces - 1 && pieces == 1) {
             repairSources.remove(m.me().id());
         }
@@ -1233,6 +1235,7 @@
                 && m.spans().isEmpty()
                 && m.sequence() == books.sequence()
                 && m.pending().equals(List.copyOf(pend))
+                && sameDigests(m)
                 && !chained()) {
             join();
             return;
@@ -1252,6 +1255,9 @@
         if (setup.guards().stands(Safeguard.DIGEST)) {
             taken.ranges().forEach((range, entries) -> books.mend(range, RANGES, entries));
         }
+        if (!sameDigests(m)) {
+            return;
+        }
         books.level(m.sequence());
         recent.clear();
         recentBytes = 0;
@@ -1282,6 +1288,15 @@
         });
     }
 
+    /**
+     * Whether the state here is that of the source. It is not when a late repair answers a question that this machine
+     * asked before it restarted, with other entries: then it asks again.
+     */
+    private boolean sameDigests(final Msg.RepairRanges m) {
+        return Arrays.equals(m.digests(), books.digests(RANGES))
+                || !setup.guards().stands(Safeguard.DIGEST);
+    }
+
     private void join() {
         if (quit) {
             return;
--- a/core/src/main/java/silverlatch/replication/RepairSource.java
+++ b/core/src/main/java/silverlatch/replication/RepairSource.java
@@ -14,8 +14,9 @@
  * @param sequence the sequence that the pieces together stand for
  * @param pieces   the pieces in order, one at least
  * @param pending  the changes after that sequence which are synced at the source, in order; sent with the last piece
+ * @param digests  the digests of all ranges at that sequence
  */
-record RepairSource(long sequence, List<List<Msg.RangeEntries>> pieces, List<LogEntry> pending) {
+record RepairSource(long sequence, List<List<Msg.RangeEntries>> pieces, List<LogEntry> pending, long[] digests) {
     /** How many bytes a piece has; one entry may be larger. */
     static final long PIECE_BYTES = 64L << 10;
 
@@ -51,6 +52,6 @@
             piece.add(new Msg.RangeEntries(range, part));
         }
         pieces.add(piece);
-        return new RepairSource(state.sequence(), pieces, pending);
+        return new RepairSource(state.sequence(), pieces, pending, mine);
     }
 }
--- a/core/src/main/java/silverlatch/replication/ViewPlanner.java
+++ b/core/src/main/java/silverlatch/replication/ViewPlanner.java
@@ -14,9 +14,6 @@
 
 /** Which view should come after the one that stands, as one machine sees it. */
 final class ViewPlanner {
-    /** The fewest voters that bear a loss. */
-    private static final int FEWEST = 3;
-
     private final ChainReplica.Setup setup;
     private final View view;
     private final ToLongFunction<String> silent;
@@ -92,7 +89,7 @@
         final List<Replica> gone = Stream.concat(view.chain().stream(), out().filter(this::missed))
                 .filter(b -> !chain.contains(b))
                 .toList();
-        final List<Replica> voters = leaves && view.voters().size() > FEWEST
+        final List<Replica> voters = leaves && view.voters().size() > fewestVoters()
                 ? view.voters().stream()
                         .filter(v -> !v.id().equals(setup.me().id()))
                         .toList()
@@ -165,7 +162,7 @@
 
     /**
      * The voters without as many of the gone as makes the majority smaller: down to the smallest odd number that is not
-     * below those that remain. One dead vote beside an even number of others costs nothing, and may come back; so of
+     * below those that remain, nor below the fewest that bear the losses. One dead vote beside an even number of others costs nothing, and may come back; so of
      * three voters with one dead all three stay, until a newcomer takes the dead one's vote.
      */
     private List<Replica> without(final List<Replica> voters, final List<Replica> gone) {
@@ -173,7 +170,8 @@
             return voters;
         }
         final long remaining = voters.stream().filter(v -> !gone.contains(v)).count();
-        final long enough = remaining % 2 == 0 ? remaining + 1 : remaining;
+        final long odd = remaining % 2 == 0 ? remaining + 1 : remaining;
+        final long enough = Math.max(odd, fewestVoters());
         final Set<Replica> dropped = voters.stream()
                 .filter(gone::contains)
                 .sorted(Comparator.comparingLong((Replica v) -> silent.applyAsLong(v.id()))
@@ -183,6 +181,14 @@
         return voters.stream().filter(v -> !dropped.contains(v)).toList();
     }
 
+    /**
+     * The fewest voters of which as many may be lost as there are copies to spare. Votes are never taken below it: a
+     * voter may have been slow only, and the next losses must leave a majority.
+     */
+    private int fewestVoters() {
+        return Math.max(3, 2 * setup.copies() - 1);
+    }
+
     /** The voters that are out of the chain. */
     private Stream<Replica> out() {
         return view.voters().stream().filter(v -> view.place(v.id()) < 0);
--- a/core/src/main/java/silverlatch/wire/Msg.java
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -184,10 +184,17 @@
 
     /**
      * One piece of the ranges that differ, at the sequence that all pieces stand for; pieces count from 0. The last one
-     * brings the changes after that sequence which the source has synced and doesn't know to be committed.
+     * brings the changes after that sequence which the source has synced and doesn't know to be committed, and the
+     * digests of all ranges: the repaired state must have the same, or the pieces answered an older question.
      */
     record RepairRanges(
-            long view, long sequence, int piece, int pieces, List<RangeEntries> spans, List<LogEntry> pending)
+            long view,
+            long sequence,
+            int piece,
+            int pieces,
+            List<RangeEntries> spans,
+            List<LogEntry> pending,
+            long[] digests)
             implements Msg {
         /** Copies the lists. */
         public RepairRanges {
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -185,6 +185,12 @@
         links.ifPresent(l -> l.drop(seat));
     }
 
+    /** The machine's process stands still for so long; what comes meanwhile waits for it. */
+    void freeze(final String seat, final long span) {
+        freeze(seat);
+        at(now + span, () -> thaw(seat));
+    }
+
     /** The disk is lost; the next start is under a new identity. */
     void wipe(final String seat) {
         disks.remove(seat);
@@ -270,8 +276,15 @@
     Asked order(final String at, final Command command, final long span) {
         final Asked a = new Asked(now);
         asked.put(++token, a);
-        clerks.get(at).wish(command, token, now, now + span);
-        flush(at, quays.get(at));
+        final long mine = token;
+        final long end = now + span;
+        final ChainReplica called = quays.get(at);
+        whenThawed(at, () -> {
+            if (quays.get(at) == called) {
+                clerks.get(at).wish(command, mine, now, end);
+                flush(at, called);
+            }
+        });
         return a;
     }
 
@@ -283,8 +296,15 @@
     Asked read(final String at, final String start, final long span) {
         final Asked a = new Asked(now);
         asked.put(++token, a);
-        clerks.get(at).read(start, token, now, now + span);
-        flush(at, quays.get(at));
+        final long mine = token;
+        final long end = now + span;
+        final ChainReplica called = quays.get(at);
+        whenThawed(at, () -> {
+            if (quays.get(at) == called) {
+                clerks.get(at).read(start, mine, now, end);
+                flush(at, called);
+            }
+        });
         return a;
     }
 
@@ -435,8 +455,8 @@
 
     private void hand(final String seat, final ChainReplica q, final Msg msg, final String home) {
         switch (msg) {
-            case Msg.WriteReply m -> clerks.get(seat).on(m);
-            case Msg.ReadReply m -> clerks.get(seat).on(m);
+            case Msg.WriteReply m -> clerks.get(seat).on(m, now);
+            case Msg.ReadReply m -> clerks.get(seat).on(m, now);
             default -> q.on(msg, home, now);
         }
     }
--- a/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
+++ b/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
@@ -56,7 +56,7 @@
                 route,
                 new Value.BackendPool("pool", "/health", 1, 2, 3, 4, 5, 6),
                 new Value.RoutingConfiguration(41, 1, 2, 3, 4),
-                new Value.ConfigurationDocument(41, "{\"revision\":41}"),
+                new Value.ConfigurationDocument(41, "the text of 41"),
                 new Value.CommandOutcome(14, 422, List.of("a fault")),
                 new Value.AcceptedConfiguration(41, 40, 39, "digest"));
         final List<Entry> entries = new ArrayList<>();
--- a/simulation/src/main/java/silverlatch/simulation/explore/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/World.java
@@ -179,7 +179,7 @@
     private void hand(final Machine machine, final Msg message, final String sender) {
         final Machine.Process process = machine.process().orElseThrow();
         if (message instanceof Msg.WriteReply || message instanceof Msg.ReadReply) {
-            process.client().on(message);
+            process.client().on(message, machine.clock(now));
         } else {
             process.replica().on(message, sender, machine.clock(now));
         }
