--- a/bin/env.sh
+++ b/bin/env.sh
@@ -7,7 +7,7 @@
 
 # Prints the specification version of the JDK in folder $1 (17, 21, 25, ...), or nothing where there is no JDK.
 jdk_version() {
-  if [ -x "$1/bin/javac" ] && [ -x "$1/bin/jlink" ] && [ -x "$1/bin/java" ]; then
+  if [ -n "$1" ] && [ -x "$1/bin/javac" ] && [ -x "$1/bin/jlink" ] && [ -x "$1/bin/java" ]; then
     "$1/bin/java" -XshowSettings:properties -version 2>&1 | sed -n 's/ *java.specification.version = //p'
   fi
 }
