--- a/core/src/test/java/silverlatch/replication/CatchUpTest.java
+++ b/core/src/test/java/silverlatch/replication/CatchUpTest.java
@@ -118,7 +118,7 @@
         assertThat("it is back" + cluster, span, greaterThan(0L));
         assertThat("in a bounded time", span, lessThan(4 * SECOND));
         assertThat("with bounded bytes", bytes, lessThan(2L << 20));
-        assertThat("in half of the disk", disk, lessThan(DISK / 2));
+        assertThat("in an eighth of the disk", disk, lessThan(DISK / 8));
         assertThat("nobody was taken for dead", cluster.logged(Event.CHAIN_SUSPECT), is(views));
         SIX.subList(0, members - 2).forEach(cluster::kill);
         cluster.pass(SECOND);
