--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -52,6 +52,7 @@
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final Map<String, Long> granted = new HashMap<>();
     private final Map<String, Long> heard = new HashMap<>();
+    private final Map<String, Long> received = new HashMap<>();
     private final Map<String, Sought> sought = new TreeMap<>();
     private final Map<String, Msg.JoinRequest> joins = new TreeMap<>();
     private final Map<Long, List<Msg.WriteRequest>> waits = new HashMap<>();
@@ -305,15 +306,28 @@
         } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled && !quit) {
             soughtAt = now;
             view.tail().ifPresent(t -> send(t.address(), compareOf()));
-            seats.forEach(s -> send(s, new Msg.LeaseRequest(view.number(), now, setup.me(), false)));
+            seats.forEach(s -> send(s, new Msg.LeaseRequest(view.number(), now, setup.me(), false, contact(now))));
         }
     }
 
     private void ask(final long now) {
         asked = now;
         view.voters()
-                .forEach(b ->
-                        send(b.address(), new Msg.LeaseRequest(view.number(), now, setup.me(), chained() && level)));
+                .forEach(b -> send(
+                        b.address(),
+                        new Msg.LeaseRequest(view.number(), now, setup.me(), chained() && level, contact(now))));
+    }
+
+    /** Whether a majority of the voters, this one among them, was heard of late. */
+    private boolean contact(final long now) {
+        final long heardVoters = view.voters().stream()
+                .map(Replica::id)
+                .filter(id -> id.equals(setup.me().id())
+                        || Optional.ofNullable(received.get(id))
+                                .filter(at -> now - at <= setup.suspect() / 2)
+                                .isPresent())
+                .count();
+        return view.majority((int) heardVoters);
     }
 
     private void recall(final LogRecord note) {
@@ -470,6 +484,7 @@
         low = now;
         levels.clear();
         heard.keySet().retainAll(view.voters().stream().map(Replica::id).toList());
+        received.keySet().retainAll(heard.keySet());
         view.voters().forEach(b -> {
             if (was) {
                 heard.putIfAbsent(b.id(), now);
@@ -515,7 +530,10 @@
             send(m.me().address(), new Msg.ViewDecided(view));
         } else if (m.view() == view.number() && view.votes(setup.me().id())) {
             if (view.votes(m.me().id())) {
-                heard.put(m.me().id(), now);
+                received.put(m.me().id(), now);
+                if (m.contact()) {
+                    heard.put(m.me().id(), now);
+                }
             }
             if (m.level()) {
                 levels.add(m.me().id());
--- a/core/src/main/java/silverlatch/wire/Msg.java
+++ b/core/src/main/java/silverlatch/wire/Msg.java
@@ -133,8 +133,16 @@
     /** A founding agreed to and synced. */
     record BootstrapAgreed(long fleet, Replica me) implements Msg {}
 
-    /** A member asks a voter that its view still holds, and says whether it has all that its chain has. */
-    record LeaseRequest(long view, long at, Replica me, boolean level) implements Msg {}
+    /**
+     * A member asks a voter that its view still holds.
+     *
+     * @param view    the number of the member's view
+     * @param at      when it asks, by its own monotonic clock; the lease is dated from here
+     * @param me      the member
+     * @param level   whether it has all that its chain has
+     * @param contact whether it hears a majority of the voters; one that doesn't is as good as silent
+     */
+    record LeaseRequest(long view, long at, Replica me, boolean level, boolean contact) implements Msg {}
 
     /** A voter says that the view holds. */
     record LeaseGrant(long view, long at, String voter) implements Msg {}
