--- a/core/src/main/java/silverlatch/membership/Membership.java
+++ b/core/src/main/java/silverlatch/membership/Membership.java
@@ -16,6 +16,9 @@
 public final class Membership {
     private static final int WATCHERS = 3;
     private static final long SOON = 200_000L;
+    /** For so long after its death was noticed a member is called again: it may only have been cut off. */
+    private static final long RECONNECT = 600_000_000L;
+
     private final Times times;
     private List<String> seeds;
     private final TransitionTable chart = TransitionTable.load("member");
@@ -35,6 +38,7 @@
     private boolean fresh = true;
     private long version;
     private long count;
+    private int reconnects;
 
     /**
      * Times in microseconds; every so many heartbeats one tells the whole of the daemon, the others only its life. Where
@@ -190,6 +194,7 @@
                                     .noneMatch(m ->
                                             m.address().equals(s) && m.state().equals("up")))
                     .forEach(s -> out.add(new Effect.Send(s, new Msg.Hail(me, now))));
+            reconnect(now).ifPresent(m -> out.add(new Effect.Send(m.address(), new Msg.Hail(me, now))));
         }
         if (now - beatAt >= times.beat()) {
             beatAt = now;
@@ -199,6 +204,19 @@
         look(now);
     }
 
+    /**
+     * The next member to call of those thought dead, each in its turn. Two sides of a cut bury each other; where all the
+     * seeds lie on one's own side, nothing else would bring them together again.
+     */
+    private Optional<Member> reconnect(final long now) {
+        final List<Member> dead = members.values().stream()
+                .filter(m -> m.state().equals("dead") && now - since.getOrDefault(m.id(), now) < RECONNECT)
+                .filter(m -> !seeds.contains(m.address()))
+                .filter(m -> live().stream().noneMatch(l -> l.address().equals(m.address())))
+                .toList();
+        return dead.isEmpty() ? Optional.empty() : Optional.of(dead.get(reconnects++ % dead.size()));
+    }
+
     /** Word to be passed on; it is handed over once. */
     public List<Member> news() {
         final List<Member> list = List.copyOf(news);
