--- a/core/src/main/java/silverlatch/gossip/Gossip.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -126,6 +126,11 @@
         return page > books.page() ? Long.MAX_VALUE : sure.map(t -> now - t).orElse(Long.MAX_VALUE);
     }
 
+    /** Whether the books here were surely the newest at some moment since this one. */
+    public boolean confirmedSince(final long since) {
+        return sure.filter(at -> at >= since).isPresent();
+    }
+
     /** The workers heard of. */
     public Map<String, Heard> workers() {
         if (words.isPresent()) {
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -55,6 +55,8 @@
     private long slewed;
     private boolean mustered;
     private Optional<Stamp> floor;
+    private final long started;
+    private boolean confirmed;
     private Policy policy = Policy.NONE;
     private long policyPage;
 
@@ -95,6 +97,7 @@
         this.setup = setup;
         this.anchor = anchor;
         this.begun = now;
+        this.started = now;
         final long phys = anchor.phys(now);
         final PwcClock tide = PwcClock.start(phys, setup.low(), Ntp.span(setup.skew()), 0);
         this.keeper = new ProcessClock(tide, setup.guards());
@@ -165,8 +168,22 @@
         return !going.isEmpty() || !coming.isEmpty();
     }
 
-    /** A copy of what is known, for the duty that carries tickets. */
+    /**
+     * A copy of what is known, for the event loop that routes requests. A configuration is told only once one was confirmed
+     * as the newest as of a moment after this process started: it then goes behind nothing that an earlier process of this
+     * machine routed by.
+     */
     public Facts facts() {
+        confirmed = confirmed || rumor.confirmedSince(started);
+        if (!confirmed) {
+            return new Facts(
+                    crew.me(),
+                    0,
+                    Optional.empty(),
+                    Policy.NONE,
+                    rumor.workers(),
+                    crew.live().stream().filter(Member::gateway).toList());
+        }
         if (policyPage != rumor.books().page()) {
             final boolean on = policyPage > 0 && policyPage < rumor.books().page();
             policy = (on ? policy : Policy.NONE).with(rumor.books().since(on ? policyPage : 0));
