--- a/core/src/test/java/silverlatch/node/NodeCluster.java
+++ b/core/src/test/java/silverlatch/node/NodeCluster.java
@@ -205,11 +205,22 @@
 
     /** Reads the number of the newest configuration through a machine; empty where it can't tell within the caller's time. */
     Optional<Long> read(final String at) {
+        final List<Object> answers = ask(at);
+        pass(SECOND);
+        return number(answers);
+    }
+
+    /** Starts a read; its answer is added to the list when it comes. */
+    List<Object> ask(final String at) {
         final List<Object> answers = new ArrayList<>();
         final long mine = ++token;
         machines.get(at).open.put(mine, answers::add);
         machines.get(at).step(n -> n.read(ConfigurationValidator.CHARTER, mine, now, now + ORDER_TIMEOUT));
-        pass(SECOND);
+        return answers;
+    }
+
+    /** The number that a read was answered, if it was. */
+    static Optional<Long> number(final List<Object> answers) {
         return answers.stream()
                 .map(a -> (silverlatch.replication.ChainClient.Page) a)
                 .filter(p -> p.ok())
--- a/core/src/test/java/silverlatch/node/PartitionTest.java
+++ b/core/src/test/java/silverlatch/node/PartitionTest.java
@@ -141,6 +141,35 @@
         assertThat(cluster.violations(), empty());
     }
 
+    @Test
+    void aControllerThatOnlyItsCallersReachDecidesNothing() {
+        for (int place = 0; place < 3; place++) {
+            final NodeCluster cluster = new NodeCluster(3, 2, 21 + place);
+            acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
+            cluster.pass(SECOND);
+            final String victim = place(cluster, place);
+            final List<String> rest = new ArrayList<>(others(cluster, victim));
+            rest.addAll(cluster.gateways());
+            cluster.cut(List.of(victim), rest);
+            final long end = cluster.now() + OUTAGE;
+            cluster.pass(SECOND);
+            acknowledge(cluster, others(cluster, victim), 2, 8 * SECOND);
+            final List<NodeCluster.Order> there = new ArrayList<>();
+            while (cluster.now() < end) {
+                there.add(cluster.put(victim, 3, 2));
+                there.add(cluster.put(victim, 3, 0));
+                there.add(cluster.put(victim, 1, 1));
+                assertThat(cluster.read(victim), is(Optional.empty()));
+            }
+            assertThat(
+                    there.stream().filter(o -> o.acknowledged() || o.refused()).toList(), empty());
+            cluster.heal();
+            cluster.pass(10 * SECOND);
+            assertThat(cluster.read(victim), is(Optional.of(2L)));
+            assertThat(cluster.violations(), empty());
+        }
+    }
+
     @Test
     void aGatewayThatStartsBesideACutOffControllerTakesNoRequestBeforeItHeardAMajority() {
         for (int place = 0; place < 3; place++) {
@@ -263,6 +292,27 @@
         }
     }
 
+    @Test
+    void aTailThatThawsWithOldGrantsInItsQueueAnswersNoReadUnderThem() {
+        for (int i = 0; i < 13; i++) {
+            final NodeCluster cluster = new NodeCluster(3, 2, 100);
+            acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
+            final String tail = place(cluster, 2);
+            final List<String> rest = new ArrayList<>(others(cluster, tail));
+            rest.addAll(cluster.gateways());
+            cluster.pass(i * 10_000L);
+            cluster.freeze(tail);
+            cluster.pass(30_000);
+            cluster.cut(List.of(tail), rest);
+            acknowledge(cluster, others(cluster, tail), 2, 8 * SECOND);
+            final List<Object> answers = cluster.ask(tail);
+            cluster.thaw(tail);
+            cluster.pass(SECOND);
+            assertThat(NodeCluster.number(answers), is(Optional.empty()));
+            assertThat(cluster.violations(), empty());
+        }
+    }
+
     private static Worker worker(final long sequence, final boolean leaving) {
         return new Worker("w", "10.0.0.9:1", "z0", "r0", 1, sequence, 3, 1, 8, List.of(4L), leaving, 0, "pool", 0, 0);
     }
