--- a/core/src/test/java/silverlatch/node/PartitionTest.java
+++ b/core/src/test/java/silverlatch/node/PartitionTest.java
@@ -196,6 +196,20 @@
         }
     }
 
+    @Test
+    void aGatewayThatStartsInCalmTimesIsReadySoon() {
+        final NodeCluster cluster = new NodeCluster(3, 4, 17);
+        acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
+        cluster.pass(SECOND);
+        for (int i = 0; i < 20; i++) {
+            cluster.kill("g0");
+            cluster.pass(500_000 + i * 70_000L);
+            cluster.start("g0", cluster.controllers());
+            final long took = cluster.until(5 * SECOND, () -> cluster.ready("g0"));
+            assertThat(took, both(greaterThanOrEqualTo(0L)).and(lessThanOrEqualTo(300_000L)));
+        }
+    }
+
     @Test
     void aGatewayThatStartsAndReachesBothSidesBeginsWithTheNewest() {
         for (int seed = 0; seed < 12; seed++) {
@@ -313,6 +327,19 @@
         }
     }
 
+    @Test
+    void aMemberThatMissesCommitNoticesDoesNotCallItsStateTheNewest() {
+        final NodeCluster cluster = new NodeCluster(3, 2, 18);
+        acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
+        cluster.pass(SECOND);
+        cluster.cutOneWay(List.of(place(cluster, 2)), List.of(place(cluster, 1)));
+        final NodeCluster.Order order = cluster.put(place(cluster, 0), 2, 1);
+        cluster.pass(500_000);
+        assertThat(order.acknowledged(), is(true));
+        cluster.pass(5 * SECOND);
+        assertThat(cluster.violations(), empty());
+    }
+
     private static Worker worker(final long sequence, final boolean leaving) {
         return new Worker("w", "10.0.0.9:1", "z0", "r0", 1, sequence, 3, 1, 8, List.of(4L), leaving, 0, "pool", 0, 0);
     }
