--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -35,6 +35,10 @@
  */
 public final class ChainReplica {
     private static final int RANGES = 64;
+
+    /** The low bits of a ballot name its proposer's place among the voters, the others count its rounds. */
+    private static final int BALLOT_SEAT_BITS = 8;
+
     private static final long RECENT_BYTES = 8L << 20;
     private static final int RECENT_ENTRIES = 10_000;
     private static final long SNAPSHOT_BYTES = 8L << 20;
@@ -56,6 +60,7 @@
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final Map<String, Long> granted = new HashMap<>();
     private final Map<String, Long> heard = new HashMap<>();
+    private final Map<String, Long> received = new HashMap<>();
     private final Map<String, Sought> sought = new TreeMap<>();
     private final Map<String, Msg.JoinRequest> joins = new TreeMap<>();
     private final Map<Long, List<Waiting>> waits = new HashMap<>();
@@ -356,7 +361,7 @@
         } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled) {
             soughtAt = now;
             view.tail().ifPresent(t -> askRepair(t.address(), now));
-            seats.forEach(s -> send(s, new Msg.LeaseRequest(view.number(), now, setup.me(), false)));
+            seats.forEach(s -> send(s, new Msg.LeaseRequest(view.number(), now, setup.me(), false, contact(now))));
         }
     }
 
@@ -390,8 +395,21 @@
     private void ask(final long now) {
         asked = now;
         view.voters()
-                .forEach(b ->
-                        send(b.address(), new Msg.LeaseRequest(view.number(), now, setup.me(), chained() && level)));
+                .forEach(b -> send(
+                        b.address(),
+                        new Msg.LeaseRequest(view.number(), now, setup.me(), chained() && level, contact(now))));
+    }
+
+    /** Whether a majority of the voters, this one among them, was heard of late. */
+    private boolean contact(final long now) {
+        final long heardVoters = view.voters().stream()
+                .map(Replica::id)
+                .filter(id -> id.equals(setup.me().id())
+                        || Optional.ofNullable(received.get(id))
+                                .filter(at -> now - at <= setup.suspect() / 2)
+                                .isPresent())
+                .count();
+        return view.majority((int) heardVoters);
     }
 
     private void recall(final LogRecord note) {
@@ -555,6 +573,7 @@
         window.begin(books.sequence(), now);
         levels.clear();
         heard.keySet().retainAll(view.voters().stream().map(Replica::id).toList());
+        received.keySet().retainAll(heard.keySet());
         view.voters().forEach(b -> {
             if (was) {
                 heard.putIfAbsent(b.id(), now);
@@ -594,9 +613,15 @@
         if (m.view() < view.number()) {
             send(m.me().address(), new Msg.ViewDecided(view));
         } else if (m.view() == view.number() && view.votes(setup.me().id())) {
-            if (view.votes(m.me().id()) || joins.containsKey(m.me().id())) {
+            if (joins.containsKey(m.me().id())) {
                 heard.put(m.me().id(), now);
             }
+            if (view.votes(m.me().id())) {
+                received.put(m.me().id(), now);
+                if (m.contact()) {
+                    heard.put(m.me().id(), now);
+                }
+            }
             if (m.level()) {
                 levels.add(m.me().id());
             } else {
@@ -643,7 +668,8 @@
         if (now - soughtAt >= RESEND) {
             soughtAt = now;
             view.voters()
-                    .forEach(v -> send(v.address(), new Msg.LeaseRequest(view.number() - 1, now, setup.me(), false)));
+                    .forEach(v ->
+                            send(v.address(), new Msg.LeaseRequest(view.number() - 1, now, setup.me(), false, false)));
         }
     }
 
@@ -710,6 +736,10 @@
                         .reduce(floor, Math::max);
     }
 
+    /**
+     * Takes a promise. The proposer's own must be among the majority: it is synced, so a ballot is not used again for
+     * another view after a restart.
+     */
     private void promise(final Msg.Promise m, final long now) {
         bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && !b.asking())
                 .ifPresent(b -> {
@@ -718,7 +748,8 @@
                             ? b.better(m.nodded(), m.nod().get(0))
                             : b;
                     bid = Optional.of(best);
-                    if (view.majority(best.yes().size())) {
+                    if (view.majority(best.yes().size())
+                            && best.yes().contains(setup.me().id())) {
                         final Bid chosen = free(best) ? best.better(0, withPromised(best)) : best;
                         bid = Optional.of(chosen.ask());
                         view.voters()
@@ -755,7 +786,7 @@
     }
 
     private void outbid(final Msg.Preempted m) {
-        round = Math.max(round, m.ballot() >> 8);
+        round = Math.max(round, m.ballot() >> BALLOT_SEAT_BITS);
         hush = clock;
         bid = bid.filter(b -> b.number() != m.number());
     }
@@ -787,13 +818,19 @@
         if (others || now - doubt < rank * setup.suspect() || !view.majority(able.size())) {
             return;
         }
-        round++;
+        round = Math.max(round, promised >> BALLOT_SEAT_BITS) + 1;
         final int seat = view.voters().stream()
                 .map(Replica::id)
                 .toList()
                 .indexOf(setup.me().id());
         final Bid mine = new Bid(
-                view.number() + 1, round << 8 | seat, next.or(() -> nod).orElse(view), 0, false, new HashSet<>(), now);
+                view.number() + 1,
+                round << BALLOT_SEAT_BITS | seat,
+                next.or(() -> nod).orElse(view),
+                0,
+                false,
+                new HashSet<>(),
+                now);
         bid = Optional.of(mine);
         log(
                 Event.PROPOSED,
--- a/core/src/test/java/silverlatch/wire/CodecPoolTest.java
+++ b/core/src/test/java/silverlatch/wire/CodecPoolTest.java
@@ -68,7 +68,7 @@
 
     private static Frame frame(final int number) {
         final Replica sender = new Replica("id-" + number, "10.0.0.1:7300");
-        final Msg body = new Msg.LeaseRequest(number, number * 10L, sender, false);
+        final Msg body = new Msg.LeaseRequest(number, number * 10L, sender, false, true);
         return new Frame(new Stamp(number + 1L), number, sender.id(), sender.address(), 0, body);
     }
 }
