--- a/core/src/main/java/silverlatch/replication/ChainClient.java
+++ b/core/src/main/java/silverlatch/replication/ChainClient.java
@@ -15,6 +15,15 @@
     private static final long AGAIN = 250_000L;
     private static final int CONFLICT = 409;
     private static final long UNCHANGED = 0;
+
+    /**
+     * A document is sent again later the longer it is, in microseconds a character, and each time twice
+     * as late: its first copy may still be under way.
+     */
+    private static final long AGAIN_PER_CHARACTER = 4;
+
+    private static final int MOST_DOUBLINGS = 6;
+
     private final String home;
     private final Supplier<View> views;
     private final Map<Long, Open> open = new LinkedHashMap<>();
@@ -43,13 +52,13 @@
         final boolean onLatest =
                 wish instanceof Command.SetEvacuation order && order.match() == Command.SetEvacuation.LATEST;
         final Command first = onLatest ? ((Command.SetEvacuation) wish).on(UNCHANGED) : wish;
-        open(ask, new Open(new Msg.WriteRequest(ask, home, first), true, token, now, expiry, onLatest), now);
+        open(ask, new Open(new Msg.WriteRequest(ask, home, first), true, token, now, expiry, onLatest, 0), now);
     }
 
     /** Asks the tail; the outcome comes as an answer under the token, a page. */
     public void read(final String start, final long token, final long now, final long expiry) {
         ask++;
-        open(ask, new Open(new Msg.ReadRequest(ask, home, start), false, token, now, expiry, false), now);
+        open(ask, new Open(new Msg.ReadRequest(ask, home, start), false, token, now, expiry, false, 0), now);
     }
 
     /** Takes a reply of the chain. */
@@ -78,7 +87,7 @@
                 && w.wish() instanceof Command.SetEvacuation order) {
             ask++;
             final Msg next = new Msg.WriteRequest(ask, home, order.on(r.sequence()));
-            open(ask, new Open(next, true, o.token(), o.sent(), o.expiry(), true), o.sent());
+            open(ask, new Open(next, true, o.token(), o.sent(), o.expiry(), true, 0), o.sent());
         } else {
             out.add(new Effect.Answer(o.token(), result));
         }
@@ -97,12 +106,25 @@
                         o.msg() instanceof Msg.WriteRequest w
                                 ? new CommandResult.Unknown(w.wish().id())
                                 : new Page(false, 0, List.of())));
-            } else if (other || now - o.sent() >= AGAIN) {
-                open(e.getKey(), o, now);
+            } else if (other || now - o.sent() >= pause(o)) {
+                open(e.getKey(), o.again(), now);
             }
         }
     }
 
+    private static long pause(final Open o) {
+        final int doublings = Math.min(o.resent(), MOST_DOUBLINGS);
+        return switch (o.msg()) {
+            case Msg.ReadRequest read -> AGAIN << doublings;
+            case Msg.WriteRequest write -> AGAIN + (AGAIN_PER_CHARACTER * characters(write.wish()) << doublings);
+            default -> AGAIN;
+        };
+    }
+
+    private static long characters(final Command command) {
+        return command instanceof Command.PutConfiguration put ? put.paper().length() : 0;
+    }
+
     /** What is to be done; it is handed over once. */
     public List<Effect> drain() {
         final List<Effect> list = List.copyOf(out);
@@ -111,10 +133,14 @@
     }
 
     private void open(final long id, final Open o, final long now) {
-        open.put(id, new Open(o.msg(), o.write(), o.token(), now, o.expiry(), o.onLatest()));
+        open.put(id, new Open(o.msg(), o.write(), o.token(), now, o.expiry(), o.onLatest(), o.resent()));
         final View view = views.get();
         (o.write() ? view.head() : view.tail()).ifPresent(b -> out.add(new Effect.Send(b.address(), o.msg())));
     }
 
-    private record Open(Msg msg, boolean write, long token, long sent, long expiry, boolean onLatest) {}
+    private record Open(Msg msg, boolean write, long token, long sent, long expiry, boolean onLatest, int resent) {
+        Open again() {
+            return new Open(msg, write, token, sent, expiry, onLatest, resent + 1);
+        }
+    }
 }
--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -34,9 +34,12 @@
  */
 public final class ChainReplica {
     private static final int RANGES = 64;
-    private static final long RECENT = 32L << 20;
+    private static final long RECENT_BYTES = 8L << 20;
+    private static final int RECENT_ENTRIES = 10_000;
+    private static final long SNAPSHOT_BYTES = 8L << 20;
+    private static final int SNAPSHOT_ENTRIES = 10_000;
     private static final int BATCH = 512;
-    private static final long HEAVY = 4L << 20;
+    private static final long REPAIR_PAUSE = 900_000L;
     private static final int PENDING = 4_096;
     private static final int EARLY = 64;
     private static final long RESEND = 300_000L;
@@ -58,6 +61,10 @@
     private final List<Late> late = new ArrayList<>();
     private final List<Early> early = new ArrayList<>();
     private final Set<String> agreed = new HashSet<>();
+    private final ReplicationWindow window = new ReplicationWindow();
+    private final Map<String, RepairSource> repairSources = new HashMap<>();
+    private Optional<RepairProgress> repair = Optional.empty();
+    private long repairAskedAt;
     private List<String> seats;
     private String spot;
     private View view = View.NONE;
@@ -75,7 +82,9 @@
     private long last;
     private long kept;
     private long token;
-    private long heavy;
+    private long recentBytes;
+    private long loggedBytes;
+    private int loggedEntries;
     private long asked;
     private long sentAt;
     private long soughtAt;
@@ -90,9 +99,20 @@
     private boolean quit;
     private final Set<String> informed = new HashSet<>();
     private boolean joining;
+    private boolean forgetful;
 
     /** A machine as its ledger left it. */
     public ChainReplica(final Setup setup, final List<LogRecord> notes, final Supplier<Stamp> stamps, final long now) {
+        this(setup, notes, stamps, now, 0);
+    }
+
+    private ChainReplica(
+            final Setup setup,
+            final List<LogRecord> notes,
+            final Supplier<Stamp> stamps,
+            final long now,
+            final long token) {
+        this.token = token;
         this.setup = setup;
         this.stamps = stamps;
         this.seats = setup.seats();
@@ -206,7 +226,7 @@
     /** Takes a message. */
     public void on(final Msg msg, final String home, final long now) {
         clock = now;
-        if (broken()) {
+        if (broken() || forgetful && !(msg instanceof Msg.ViewDecided)) {
             return;
         }
         switch (msg) {
@@ -226,7 +246,9 @@
             case Msg.CatchUpTarget m -> level(m);
             case Msg.FetchEntries m -> reach(m, home);
             case Msg.CompareDigests m -> compare(m);
-            case Msg.RepairRanges m -> mend(m);
+            case Msg.RepairRanges m -> mend(m, home);
+            case Msg.RepairNext m -> sendPiece(m);
+            case Msg.ReplicateAck m -> received(m);
             case Msg.JoinRequest m -> joinRequested(m, now);
             case Msg.WriteRequest m -> write(m);
             case Msg.ReadRequest m -> read(m, now);
@@ -240,7 +262,18 @@
         Optional.ofNullable(held.remove(done)).ifPresent(h -> h.then().accept(now));
     }
 
-    /** The disk failed: this machine takes no part any more. */
+    /**
+     * This machine after its disk failed and takes writes again: as a restarted process would be, from what its log
+     * holds. Tokens of writes go on from the old ones, so that no late word of an old write is taken for a new one's.
+     */
+    public ChainReplica recovered(final List<LogRecord> records, final long now) {
+        final ChainReplica next = new ChainReplica(setup, records, stamps, now, token);
+        next.seats = seats;
+        next.quit = quit;
+        return next;
+    }
+
+    /** The disk failed: this machine takes no part until it has recovered. */
     public void broke(final String why) {
         if (!broken()) {
             spot = chart.move(spot, "break");
@@ -271,6 +304,9 @@
         if (view.place(setup.me().id()) >= 0) {
             return view.voters().equals(List.of(setup.me())) && joins.isEmpty();
         }
+        if (!setup.guards().stands(Safeguard.HANDOVER)) {
+            return true;
+        }
         final long know = view.voters().stream()
                 .filter(v -> !v.equals(setup.me()) && informed.contains(v.address()))
                 .count();
@@ -299,6 +335,10 @@
             hunt(now);
             return;
         }
+        if (forgetful) {
+            askForLaterView(now);
+            return;
+        }
         if (quit && !chained()) {
             confirmLeft(now);
             return;
@@ -314,7 +354,7 @@
             }
         } else if (now - soughtAt >= (joining ? 5 * RESEND : RESEND) && !stalled) {
             soughtAt = now;
-            view.tail().ifPresent(t -> send(t.address(), compareOf()));
+            view.tail().ifPresent(t -> askRepair(t.address(), now));
             seats.forEach(s -> send(s, new Msg.LeaseRequest(view.number(), now, setup.me(), false)));
         }
     }
@@ -396,6 +436,7 @@
             }
             case LogRecord.Founding b -> birth = Optional.of(b.view());
             case LogRecord.Batch b -> b.notes().forEach(this::recall);
+            case LogRecord.SnapshotPart p -> throw new IllegalArgumentException("a part without its snapshot");
         }
     }
 
@@ -490,6 +531,7 @@
         given.values().removeIf(t -> t <= now);
         floor = Set.copyOf(view.voters()).equals(Set.copyOf(next.voters())) ? floor : now + setup.lease();
         view = next;
+        forgetful = false;
         level = in && (was && level || born);
         birth = Optional.empty();
         granted.clear();
@@ -506,6 +548,10 @@
         want = Optional.empty();
         joining = false;
         low = now;
+        repair = Optional.empty();
+        repairSources.clear();
+        repairAskedAt = 0;
+        window.begin(books.sequence(), now);
         levels.clear();
         heard.keySet().retainAll(view.voters().stream().map(Replica::id).toList());
         view.voters().forEach(b -> {
@@ -559,13 +605,17 @@
                 given.put(m.me().id(), now + setup.lease());
                 send(
                         m.me().address(),
-                        new Msg.LeaseGrant(view.number(), m.at(), setup.me().id()));
+                        new Msg.LeaseGrant(view.number(), m.at(), setup.me().id(), books.sequence()));
             }
         }
     }
 
     private void grant(final Msg.LeaseGrant m, final long now) {
         if (m.view() == view.number() && view.votes(m.voter())) {
+            if (chained() && level && m.committed() > last) {
+                fenceForgetful(m);
+                return;
+            }
             granted.merge(m.voter(), m.at(), Math::max);
             if (!early.isEmpty() && leased(now)) {
                 final List<Early> due = List.copyOf(early);
@@ -575,6 +625,27 @@
         }
     }
 
+    /**
+     * What is acknowledged has been synced by each member that has caught up; this one lacks some of it, so its folder is
+     * not the one that it had. It neither asks, grants nor votes until a later view, in which it is repaired.
+     */
+    private void fenceForgetful(final Msg.LeaseGrant m) {
+        log(Event.DAMAGED, "the log ends at " + last + ", but " + m.committed() + " was acknowledged with it");
+        forgetful = true;
+        level = false;
+        granted.clear();
+        forget();
+    }
+
+    /** Asks under the view before this one: the reply is the view as it is now, and the asker counts as silent. */
+    private void askForLaterView(final long now) {
+        if (now - soughtAt >= RESEND) {
+            soughtAt = now;
+            view.voters()
+                    .forEach(v -> send(v.address(), new Msg.LeaseRequest(view.number() - 1, now, setup.me(), false)));
+        }
+    }
+
     private boolean leased(final long now) {
         final long span = setup.lease() * 9 / 10;
         return view.majority(
@@ -647,14 +718,24 @@
                             : b;
                     bid = Optional.of(best);
                     if (view.majority(best.yes().size())) {
-                        bid = Optional.of(best.ask());
+                        final Bid chosen = free(best) ? best.better(0, withPromised(best)) : best;
+                        bid = Optional.of(chosen.ask());
                         view.voters()
-                                .forEach(v ->
-                                        send(v.address(), new Msg.Accept(best.number(), best.ballot(), best.view())));
+                                .forEach(v -> send(
+                                        v.address(), new Msg.Accept(chosen.number(), chosen.ballot(), chosen.view())));
                     }
                 });
     }
 
+    /** Whether no view that an earlier ballot may have decided binds this one. */
+    private static boolean free(final Bid bid) {
+        return bid.best() == 0;
+    }
+
+    private View withPromised(final Bid bid) {
+        return new ViewPlanner(setup, view, id -> silent(id, clock), levels).withPromised(bid.view(), bid.yes());
+    }
+
     private void accepted(final Msg.Accepted m, final long now) {
         bid.filter(b -> b.number() == m.number() && b.ballot() == m.ballot() && b.asking())
                 .ifPresent(b -> {
@@ -700,13 +781,7 @@
             after.missed().forEach(b -> log(Event.CHAIN_SUSPECT, b.address()));
         }
         final List<Replica> able = after.able();
-        final int rank = Math.max(
-                0,
-                able.stream()
-                        .map(Replica::id)
-                        .filter(i -> view.place(i) >= 0)
-                        .toList()
-                        .indexOf(setup.me().id()));
+        final int rank = quit && after.missed().isEmpty() ? 0 : rank(able);
         final boolean others = hush > 0 && now - hush < setup.suspect() + rank * setup.suspect() / 2;
         if (others || now - doubt < rank * setup.suspect() || !view.majority(able.size())) {
             return;
@@ -726,6 +801,13 @@
         view.voters().forEach(b -> send(b.address(), new Msg.Prepare(mine.number(), mine.ballot())));
     }
 
+    /** This machine's place among the members that are heard: those with a higher one let the others propose first. */
+    private int rank(final List<Replica> able) {
+        final List<String> members =
+                able.stream().map(Replica::id).filter(i -> view.place(i) >= 0).toList();
+        return Math.max(0, members.indexOf(setup.me().id()));
+    }
+
     private void sweep(final long now) {
         if (duty(now).isEmpty()) {
             swept = now;
@@ -765,19 +847,21 @@
             if (level) {
                 send(b.address(), new Msg.CatchUpTarget(view.number(), last));
             }
-            final List<LogEntry> first = LogEntry.batch(pend.stream().filter(c -> c.sequence() <= kept), BATCH, HEAVY);
-            if (!first.isEmpty()) {
-                send(b.address(), new Msg.Replicate(view.number(), first));
+            if (!pend.isEmpty() && pend.peek().sequence() <= kept && window.due(now)) {
+                window.restart(books.sequence(), now);
             }
+            sendNext();
         });
         if (!level) {
-            view.before(setup.me().id())
-                    .ifPresent(b -> send(
+            view.before(setup.me().id()).ifPresent(b -> {
+                if (now - low > 4 * RESEND) {
+                    askRepair(b.address(), now);
+                } else {
+                    send(
                             b.address(),
-                            now - low > 4 * RESEND
-                                    ? compareOf()
-                                    : new Msg.FetchEntries(
-                                            view.number(), setup.me().id(), last)));
+                            new Msg.FetchEntries(view.number(), setup.me().id(), last));
+                }
+            });
         }
         if (tail() && level) {
             settle(now);
@@ -916,13 +1000,46 @@
         keep(list.stream().map(c -> (LogRecord) new LogRecord.Appended(c)).toList(), t -> {
             if (mine == epoch && chained()) {
                 kept = Math.max(kept, end);
-                view.after(setup.me().id()).ifPresent(b -> send(b.address(), new Msg.Replicate(view.number(), list)));
+                sendNext();
                 rise(t);
                 settle(t);
             }
         });
     }
 
+    /** Sends the entries that the successor lacks and that are synced here, as far as the window admits them. */
+    private void sendNext() {
+        final Optional<Replica> successor = view.after(setup.me().id());
+        if (successor.isEmpty() || window.sent() >= kept) {
+            return;
+        }
+        final Stream<LogEntry> committed = window.sent() < books.sequence() ? recent.stream() : Stream.empty();
+        final List<LogEntry> entries = new ArrayList<>();
+        for (final LogEntry entry : (Iterable<LogEntry>) Stream.concat(committed, pend.stream())::iterator) {
+            if (entry.sequence() <= window.sent()) {
+                continue;
+            }
+            final boolean next = entry.sequence() == window.sent() + 1 && entry.sequence() <= kept;
+            if (!next || entries.size() >= BATCH || !window.admits(entry)) {
+                break;
+            }
+            window.add(entry);
+            entries.add(entry);
+        }
+        if (!entries.isEmpty()) {
+            send(successor.get().address(), new Msg.Replicate(view.number(), entries));
+        }
+    }
+
+    private void received(final Msg.ReplicateAck m) {
+        final boolean successor =
+                view.after(setup.me().id()).map(b -> b.id().equals(m.id())).orElse(false);
+        if (m.view() == view.number() && chained() && successor) {
+            window.progress(m.sequence(), clock);
+            sendNext();
+        }
+    }
+
     private void pass(final Msg.Replicate m, final long now) {
         if (fenced(m.view()) || !chained() || view.place(setup.me().id()) == 0) {
             return;
@@ -941,6 +1058,10 @@
                 break;
             }
         }
+        view.before(setup.me().id())
+                .ifPresent(b -> send(
+                        b.address(),
+                        new Msg.ReplicateAck(view.number(), setup.me().id(), last + fresh.size())));
         if (!fresh.isEmpty()) {
             append(fresh);
         } else if (tail() && level) {
@@ -973,16 +1094,13 @@
         if (m.view() != view.number() || !chained() || !level) {
             return;
         }
-        final List<LogEntry> list = LogEntry.batch(
-                Stream.concat(
-                        recent.stream().filter(c -> c.sequence() > m.sequence()),
-                        pend.stream().filter(c -> c.sequence() > m.sequence() && c.sequence() <= kept)),
-                BATCH,
-                HEAVY);
         send(home, new Msg.CatchUpTarget(view.number(), last));
-        if (!list.isEmpty() && list.get(0).sequence() == m.sequence() + 1) {
-            send(home, new Msg.Replicate(view.number(), list));
+        if (m.sequence() < window.received() || m.sequence() > window.sent()) {
+            window.restart(m.sequence(), clock);
+        } else {
+            window.progress(m.sequence(), clock);
         }
+        sendNext();
     }
 
     private void commit(final long upto) {
@@ -990,8 +1108,7 @@
             final LogEntry c = pend.poll();
             books.apply(c.sequence(), c.puts());
             c.puts().forEach(e -> overlay.remove(e.key(), e));
-            recent.add(c);
-            heavy += c.weight();
+            remember(c);
             if (c.puts().stream().anyMatch(Entry::policy)) {
                 log(
                         Event.CHANGED,
@@ -999,12 +1116,20 @@
                                 + c.stamp().bits());
             }
             Optional.ofNullable(waits.remove(c.sequence())).ifPresent(l -> l.forEach(w -> decided(w, c.sequence())));
-            if (heavy > RECENT || recent.size() > 10_000) {
-                while (recent.size() > 1 && (heavy > RECENT * 3 / 4 || recent.size() > 8_000)) {
-                    heavy -= recent.poll().weight();
-                }
-                picture(t -> {});
-            }
+        }
+        if (loggedBytes > SNAPSHOT_BYTES || loggedEntries > SNAPSHOT_ENTRIES) {
+            picture(t -> {});
+        }
+    }
+
+    /** Keeps a committed entry for a successor that lacks it, within bounds. */
+    private void remember(final LogEntry entry) {
+        recent.add(entry);
+        recentBytes += entry.weight();
+        loggedBytes += entry.weight();
+        loggedEntries++;
+        while (recent.size() > 1 && (recentBytes > RECENT_BYTES || recent.size() > RECENT_ENTRIES)) {
+            recentBytes -= recent.poll().weight();
         }
     }
 
@@ -1022,6 +1147,8 @@
     }
 
     private void picture(final LongConsumer then) {
+        loggedBytes = 0;
+        loggedEntries = 0;
         final List<LogRecord> notes = new ArrayList<>();
         notes.add(new LogRecord.Snapshot(
                 books.sequence(), view, level, promised, nodded, nod.stream().toList(), roof, books.all()));
@@ -1044,57 +1171,111 @@
         if (m.sequence() > books.sequence()) {
             commit(Math.min(m.sequence(), kept));
         }
-        final long[] mine = books.digests(RANGES);
-        final List<Msg.RangeEntries> spans = new ArrayList<>();
-        long sum = 0;
-        boolean whole = true;
-        for (int i = 0; i < RANGES; i++) {
-            if (mine[i] != m.digests()[i]) {
-                if (sum > HEAVY) {
-                    whole = false;
-                    break;
-                }
-                final Msg.RangeEntries span = new Msg.RangeEntries(i, books.range(i, RANGES));
-                sum += span.entries().stream().mapToLong(Entry::weight).sum();
-                spans.add(span);
-            }
+        final RepairSource source = RepairSource.of(books, m.digests(), syncedPending());
+        repairSources.put(m.me().id(), source);
+        sendPiece(new Msg.RepairNext(m.view(), m.me(), source.sequence(), 0));
+    }
+
+    /**
+     * The changes that are synced here but not known to be committed. One of them may have been acknowledged before
+     * this machine restarted, so a machine that is repaired from here keeps them too.
+     */
+    private List<LogEntry> syncedPending() {
+        return setup.guards().stands(Safeguard.REPAIR_PENDING)
+                ? pend.stream().filter(c -> c.sequence() <= kept).toList()
+                : List.of();
+    }
+
+    private void sendPiece(final Msg.RepairNext m) {
+        final Optional<RepairSource> source = Optional.ofNullable(repairSources.get(m.me().id()))
+                .filter(s -> s.sequence() == m.sequence() && m.piece() >= 0)
+                .filter(s -> m.piece() < s.pieces().size());
+        if (m.view() != view.number() || source.isEmpty()) {
+            return;
+        }
+        final int pieces = source.get().pieces().size();
+        send(
+                m.me().address(),
+                new Msg.RepairRanges(
+                        view.number(),
+                        m.sequence(),
+                        m.piece(),
+                        pieces,
+                        source.get().pieces().get(m.piece()),
+                        m.piece() == pieces - 1 ? source.get().pending() : List.of()));
+        if (m.piece() == pieces - 1 && pieces == 1) {
+            repairSources.remove(m.me().id());
+        }
+    }
+
+    /** Asks for a repair, or for the next piece of the one under way, a pause after the last word of it. */
+    private void askRepair(final String source, final long now) {
+        if (now - Math.max(repairAskedAt, repair.map(RepairProgress::at).orElse(0L)) < REPAIR_PAUSE) {
+            return;
+        }
+        final boolean lost = repair.map(r -> now - r.at() > 3 * REPAIR_PAUSE).orElse(true);
+        repairAskedAt = now;
+        if (lost) {
+            repair = Optional.empty();
+            send(source, compareOf());
+        } else {
+            repair.ifPresent(r -> send(r.source(), r.question(view.number(), setup.me())));
         }
-        send(m.me().address(), new Msg.RepairRanges(view.number(), books.sequence(), spans, whole));
     }
 
-    private void mend(final Msg.RepairRanges m) {
+    private void mend(final Msg.RepairRanges m, final String home) {
         if (m.view() != view.number() || chained() && level || m.sequence() < books.sequence()) {
             return;
         }
         if (joining
                 && held.isEmpty()
-                && m.whole()
+                && m.pieces() == 1
                 && m.spans().isEmpty()
                 && m.sequence() == books.sequence()
+                && m.pending().equals(List.copyOf(pend))
                 && !chained()) {
             join();
             return;
         }
-        if (setup.guards().stands(Safeguard.DIGEST)) {
-            m.spans().forEach(s -> books.mend(s.range(), RANGES, s.entries()));
+        if (m.piece() == 0) {
+            repair = Optional.of(new RepairProgress(m, home));
+        }
+        if (repair.isEmpty() || !repair.get().take(m, home, clock)) {
+            return;
         }
-        if (!m.whole()) {
-            (chained() ? view.before(setup.me().id()) : view.tail()).ifPresent(t -> send(t.address(), compareOf()));
+        final RepairProgress taken = repair.get();
+        if (!taken.whole()) {
+            send(home, taken.question(view.number(), setup.me()));
             return;
         }
+        repair = Optional.empty();
+        if (setup.guards().stands(Safeguard.DIGEST)) {
+            taken.ranges().forEach((range, entries) -> books.mend(range, RANGES, entries));
+        }
         books.level(m.sequence());
         recent.clear();
-        heavy = 0;
+        recentBytes = 0;
+        window.begin(m.sequence(), clock);
         pend.clear();
         overlay.clear();
         last = m.sequence();
-        kept = last;
+        m.pending().forEach(this::enter);
         epoch++;
         low = clock;
         joining = true;
         final long number = view.number();
+        final long end = last;
+        final long mine = epoch;
+        kept = 0;
         picture(t -> {
-            if (number == view.number() && !chained()) {
+            if (mine != epoch) {
+                return;
+            }
+            kept = Math.max(kept, end);
+            if (chained()) {
+                rise(t);
+                settle(t);
+            } else if (number == view.number()) {
                 log(Event.MENDED, "sequence " + m.sequence());
                 join();
             }
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -52,6 +52,10 @@
     FAR,
     /** A chain that lost a machine is mended. */
     MEND,
+    /** A dead voter is replaced, or loses its vote, before the quorum is widened. */
+    DEAD_VOTES,
+    /** A member that leaves ends only when enough others hold everything and the voters know that it left. */
+    HANDOVER,
     /** A voter accepts a successor only when the leases it granted to those that go have run out. */
     LEASE_WAIT,
     /** Replication messages of another view are rejected. */
@@ -61,5 +65,7 @@
     /** A chain shorter than the required copies acknowledges nothing. */
     COPIES,
     /** A replica that was out takes over the ranges in which its digests differ before it joins. */
-    DIGEST
+    DIGEST,
+    /** A replica under repair takes over what its source has synced and doesn't know to be committed. */
+    REPAIR_PENDING
 }
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -18,6 +18,7 @@
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
 import silverlatch.state.ConfigurationValidator;
+import silverlatch.state.Entry;
 import silverlatch.state.Value;
 import silverlatch.wire.Msg;
 
@@ -30,12 +31,20 @@
     private final Map<String, ChainReplica> quays = new TreeMap<>();
     private final Map<String, ChainClient> clerks = new HashMap<>();
     private final Map<String, List<LogRecord>> disks = new TreeMap<>();
+    private final Map<String, Long> newest = new HashMap<>();
     private final Map<String, String> names = new HashMap<>();
     private final Set<Set<String>> cuts = new HashSet<>();
     private final Map<Set<String>, Long> slowLinks = new HashMap<>();
+    private final Map<String, List<Runnable>> frozen = new TreeMap<>();
+    private long syncSpan = 2_000;
     private final PriorityQueue<Due> queue =
             new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::turn));
     private final Map<Long, Asked> asked = new LinkedHashMap<>();
+    private final Map<String, ModelDisk> modelDisks = new HashMap<>();
+    private final Map<silverlatch.node.Event, Long> logged = new HashMap<>();
+    private final silverlatch.wire.Codec frames = new silverlatch.wire.Codec();
+    private Optional<BandwidthLinks> links = Optional.empty();
+    private Optional<java.util.function.Supplier<ModelDisk>> diskModel = Optional.empty();
     private long now = 1_000_000;
     private long turn;
     private long stamp = 1_000;
@@ -47,6 +56,33 @@
         this.setup = setup;
     }
 
+    /** Gives every machine a link of so many bytes a second and a disk with a time for each sync and a capacity. */
+    ReplicaCluster limited(final long bytesPerSecond, final long sync, final long diskBytes) {
+        links = Optional.of(new BandwidthLinks(bytesPerSecond, hop, (job, when) -> at(when, job)));
+        diskModel = Optional.of(() -> new ModelDisk(sync, diskBytes));
+        return this;
+    }
+
+    /** The links, where there is a limit. */
+    BandwidthLinks links() {
+        return links.orElseThrow();
+    }
+
+    /** The model of a machine's disk, where there is a limit. */
+    ModelDisk modelDisk(final String seat) {
+        return modelDisks.get(seat);
+    }
+
+    /** What a machine has on its disk. */
+    List<LogRecord> disk(final String seat) {
+        return disks.get(seat);
+    }
+
+    /** How often an event was logged by any machine. */
+    long logged(final silverlatch.node.Event event) {
+        return logged.getOrDefault(event, 0L);
+    }
+
     /** What came of a wish or a question, and when. */
     static final class Asked {
         private final long at;
@@ -108,6 +144,7 @@
     /** Starts a machine: from its disk, or empty under a new identity. */
     void start(final String seat, final boolean found) {
         final List<LogRecord> disk = disks.computeIfAbsent(seat, s -> new ArrayList<>());
+        diskModel.ifPresent(model -> modelDisks.computeIfAbsent(seat, s -> model.get()));
         final String name = names.computeIfAbsent(seat, s -> "id-" + s + "-" + ++turn);
         final ChainReplica q = new ChainReplica(
                 setup.apply(ChainReplica.Setup.of(new Replica(name, seat), seats))
@@ -125,15 +162,34 @@
         seats = List.copyOf(next);
     }
 
+    /** How long a sync takes from now on. */
+    void syncs(final long span) {
+        syncSpan = span;
+    }
+
+    /** The machine's process stands still: what comes meanwhile waits for it. */
+    void freeze(final String seat) {
+        frozen.putIfAbsent(seat, new ArrayList<>());
+    }
+
+    /** The machine's process goes on with what waits for it. */
+    void thaw(final String seat) {
+        Optional.ofNullable(frozen.remove(seat)).ifPresent(jobs -> jobs.forEach(Runnable::run));
+    }
+
     /** The machine's process ends, and its power with it. */
     void kill(final String seat) {
+        frozen.remove(seat);
         quays.remove(seat);
         clerks.remove(seat);
+        links.ifPresent(l -> l.drop(seat));
     }
 
     /** The disk is lost; the next start is under a new identity. */
     void wipe(final String seat) {
         disks.remove(seat);
+        newest.remove(seat);
+        modelDisks.remove(seat);
         names.remove(seat);
     }
 
@@ -243,29 +299,52 @@
 
     /** On how many of the disks a charter is synced, as a change or within a picture. */
     long synced(final long number) {
-        return disks.values().stream()
-                .filter(d -> d.stream().anyMatch(n -> switch (n) {
-                    case LogRecord.Appended x ->
-                        x.change().puts().stream()
-                                .anyMatch(e -> e.key().equals(ConfigurationValidator.CHARTER) && at(e, number));
-                    case LogRecord.Snapshot p ->
-                        p.entries().stream()
-                                .anyMatch(e -> e.key().equals(ConfigurationValidator.CHARTER) && at(e, number));
-                    default -> false;
-                }))
-                .count();
+        return disks.keySet().stream().filter(seat -> synced(seat, number)).count();
+    }
+
+    /** Whether a charter, or a later one, is synced on the disk of one machine. */
+    boolean synced(final String seat, final long number) {
+        return newest.getOrDefault(seat, 0L) >= number;
+    }
+
+    /** The number of the newest charter of these entries, or 0. */
+    private static long newest(final List<Entry> entries) {
+        return entries.stream()
+                .filter(e -> e.key().equals(ConfigurationValidator.CHARTER))
+                .mapToLong(e -> ((Value.RoutingConfiguration) e.leaf().get(0)).number())
+                .max()
+                .orElse(0);
     }
 
-    private static boolean at(final silverlatch.state.Entry e, final long number) {
-        return ((Value.RoutingConfiguration) e.leaf().get(0)).number() >= number;
+    private void sync(final String seat, final LogRecord note) {
+        if (note instanceof LogRecord.Snapshot p) {
+            disks.get(seat).clear();
+            newest.put(seat, newest(p.entries()));
+        } else if (note instanceof LogRecord.Appended x) {
+            newest.merge(seat, newest(x.change().puts()), Math::max);
+        }
+        disks.get(seat).add(note);
     }
 
     private void at(final long when, final Runnable job) {
         queue.add(new Due(when, turn++, job));
     }
 
+    /** Does something on a machine, or when it thaws. */
+    private void at(final long when, final String seat, final Runnable job) {
+        at(when, () -> whenThawed(seat, job));
+    }
+
+    private void whenThawed(final String seat, final Runnable job) {
+        if (frozen.containsKey(seat)) {
+            frozen.get(seat).add(job);
+        } else {
+            job.run();
+        }
+    }
+
     private void beat(final String seat, final ChainReplica q) {
-        at(now + BEAT, () -> {
+        at(now + BEAT, seat, () -> {
             if (quays.get(seat) == q) {
                 q.tick(now);
                 clerks.get(seat).tick(now);
@@ -291,7 +370,7 @@
                 if (s.to().equals(seat)) {
                     hand(seat, q, s.body(), seat);
                 } else if (!cuts.contains(Set.of(seat, s.to()))) {
-                    at(now + hop + slowLinks.getOrDefault(Set.of(seat, s.to()), 0L), () -> {
+                    deliver(seat, s, () -> {
                         if (quays.containsKey(s.to())) {
                             hand(s.to(), quays.get(s.to()), s.body(), seat);
                             flush(s.to(), quays.get(s.to()));
@@ -299,26 +378,59 @@
                     });
                 }
             }
-            case Effect.Keep k ->
-                at(now + 2_000, () -> {
-                    if (quays.get(seat) == q) {
-                        k.notes().forEach(n -> {
-                            if (n instanceof LogRecord.Snapshot) {
-                                disks.get(seat).clear();
-                            }
-                            disks.get(seat).add(n);
-                        });
-                        q.kept(k.token(), now);
-                        flush(seat, q);
-                    }
-                });
+            case Effect.Keep k -> keep(seat, q, k);
             case Effect.Answer a ->
                 Optional.ofNullable(asked.remove(a.token())).ifPresent(x -> {
                     x.reply = Optional.of(a.reply());
                     x.end = now;
                 });
-            case Effect.Log l -> {}
+            case Effect.Log l -> logged.merge(l.event(), 1L, Long::sum);
+        }
+    }
+
+    private void deliver(final String from, final Effect.Send send, final Runnable job) {
+        links.ifPresentOrElse(
+                l -> l.send(
+                        from,
+                        send.to(),
+                        frames.write(send.body()).length,
+                        Msg.urgent(send.body()),
+                        now,
+                        () -> whenThawed(send.to(), job)),
+                () -> at(now + hop + slowLinks.getOrDefault(Set.of(from, send.to()), 0L), send.to(), job));
+    }
+
+    private void keep(final String seat, final ChainReplica q, final Effect.Keep k) {
+        final Optional<ModelDisk> disk = Optional.ofNullable(modelDisks.get(seat));
+        at(disk.map(d -> d.due(now, k.notes())).orElse(now + syncSpan), seat, () -> {
+            if (quays.get(seat) != q) {
+                return;
+            }
+            if (!disk.map(d -> d.write(k.notes())).orElse(true)) {
+                q.broke("no space left");
+                flush(seat, q);
+                at(now + 1_000_000, () -> recover(seat, q));
+                return;
+            }
+            k.notes().forEach(n -> sync(seat, n));
+            q.kept(k.token(), now);
+            flush(seat, q);
+        });
+    }
+
+    /** Opens the log again each second after a failed write, as the log's writer does. */
+    private void recover(final String seat, final ChainReplica broken) {
+        if (quays.get(seat) != broken) {
+            return;
+        }
+        if (modelDisks.get(seat).full()) {
+            at(now + 1_000_000, () -> recover(seat, broken));
+            return;
         }
+        final ChainReplica next = broken.recovered(List.copyOf(disks.get(seat)), now);
+        quays.put(seat, next);
+        clerks.put(seat, new ChainClient(seat, next::view, turn++ * 1_000_000));
+        beat(seat, next);
     }
 
     private void hand(final String seat, final ChainReplica q, final Msg msg, final String home) {
--- a/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
+++ b/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
@@ -21,11 +21,11 @@
 import silverlatch.state.Value;
 
 /**
- * Data folders of an older version are read. The fixture was written by the code before the memory of accepted
- * configurations was added; with {@code -Dsilverlatch.fixture=FILE} the records are written to a file anew.
+ * Data folders of format 2 are read, whatever was added since (folders of format 1 are refused). The fixture holds one
+ * record of each kind; with {@code -Dsilverlatch.fixture=FILE} the records are written to a file anew.
  */
 final class CodecCompatibilityTest {
-    private static final String FIXTURE = "/silverlatch/wire/log-records-before-receipts.txt";
+    private static final String FIXTURE = "/silverlatch/wire/log-records-format-2.txt";
 
     private static List<LogRecord> records() {
         final Replica one = new Replica("id-a", "10.0.0.1:1");
@@ -57,7 +57,8 @@
                 new Value.BackendPool("pool", "/health", 1, 2, 3, 4, 5, 6),
                 new Value.RoutingConfiguration(41, 1, 2, 3, 4),
                 new Value.ConfigurationDocument(41, "{\"revision\":41}"),
-                new Value.CommandOutcome(14, 422, List.of("a fault")));
+                new Value.CommandOutcome(14, 422, List.of("a fault")),
+                new Value.AcceptedConfiguration(41, 40, 39, "digest"));
         final List<Entry> entries = new ArrayList<>();
         for (int i = 0; i < values.size(); i++) {
             entries.add(new Entry("key-" + i, i, List.of(values.get(i))));
@@ -76,7 +77,7 @@
 
     @Test
     void recordsOfAnOlderVersionAreRead() throws IOException {
-        final Codec codec = new Codec();
+        final Codec codec = Codec.forLog();
         final String file = System.getProperty("silverlatch.fixture", "");
         if (!file.isEmpty()) {
             Files.write(
