--- /dev/null
+++ b/simulation/src/main/java/silverlatch/simulation/sim/ConfigurationHistory.java
@@ -0,0 +1,80 @@
+package silverlatch.simulation.sim;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What operators were answered to configurations, each answer held against those before it: one document a revision and
+ * one a version built on, an answer that never turns, and reads no older than any acknowledgement that came before them.
+ */
+final class ConfigurationHistory {
+    private final Watch watch;
+    private final Map<Long, String> byRevision = new HashMap<>();
+    private final Map<Long, String> byMatch = new HashMap<>();
+    private final Set<String> acknowledged = new HashSet<>();
+    private final Set<String> refused = new HashSet<>();
+    private long newest;
+
+    ConfigurationHistory(final Watch watch) {
+        this.watch = watch;
+    }
+
+    /** The highest revision that was acknowledged. */
+    long newest() {
+        return newest;
+    }
+
+    /** Whether a document was acknowledged. */
+    boolean acknowledged(final String document) {
+        return acknowledged.contains(document);
+    }
+
+    /** A document was acknowledged under its revision, on top of the version that it matched. */
+    void acknowledge(final String document, final long revision, final long match) {
+        watch.count("configurations-acknowledged");
+        if (!acknowledged.add(document)) {
+            watch.count("configurations-acknowledged-again");
+        }
+        newest = Math.max(newest, revision);
+        only(byRevision, revision, document, "under revision ");
+        only(byMatch, match, document, "on top of revision ");
+        if (refused.contains(document)) {
+            watch.fault(Mark.LOSER, document + " was refused, and acknowledged when it was sent again");
+        }
+    }
+
+    /** A document was refused. */
+    void refuse(final String document) {
+        watch.count("configurations-refused");
+        watch.probe(Mark.LOSER);
+        refused.add(document);
+        if (acknowledged.contains(document)) {
+            watch.fault(Mark.LOSER, document + " was acknowledged, and refused when it was sent again");
+        }
+    }
+
+    /** A document was read back; the read began when {@code before} was the highest revision acknowledged. */
+    void read(final String document, final long revision, final long before) {
+        watch.count("configurations-read");
+        if (revision < before) {
+            watch.fault(Mark.READ, document + " was read back after revision " + before + " was acknowledged");
+        }
+        if (refused.contains(document)) {
+            watch.fault(Mark.LOSER, document + " was refused and is in force");
+        }
+        Optional.ofNullable(byRevision.get(revision))
+                .filter(d -> !d.equals(document))
+                .ifPresent(d -> watch.fault(Mark.LOSER, d + " was acknowledged, but " + document + " is in force"));
+    }
+
+    private void only(final Map<Long, String> held, final long key, final String document, final String what) {
+        final String old = held.getOrDefault(key, document);
+        held.putIfAbsent(key, document);
+        if (!old.equals(document)) {
+            watch.fault(Mark.LOSER, old + " and " + document + " were both acknowledged " + what + key);
+        }
+    }
+}
--- a/simulation/src/main/java/silverlatch/simulation/sim/Fault.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Fault.java
@@ -84,6 +84,8 @@
     MIX_SWINGS(Loads::mixSwings),
     /** Two operators race on a zone, again and again. */
     OPERATORS_RACE(Orders::operatorsRace),
+    /** Operators race on configurations, eight orders under way at once, answers lost, orders sent again late. */
+    CONFIGURATIONS_RACE(Orders::configurationsRace),
     /** Tenants' homes change, and a tenant is taken away, while tickets queue, run and are kept; then it is as before. */
     TENANTS_MOVE(Orders::tenantsMove),
     /** The table grows by thousands of rows. */
--- a/simulation/src/main/java/silverlatch/simulation/sim/Office.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Office.java
@@ -28,6 +28,7 @@
     private static final long PAUSE = 7 * SECOND;
     private final World world;
     private final Watch watch;
+    private final ConfigurationOperators configurations;
     private final Map<String, Deque<Runnable>> lines = new HashMap<>();
     private long values = 1_000;
     private long turns;
@@ -38,6 +39,12 @@
     Office(final World world) {
         this.world = world;
         this.watch = world.watch();
+        this.configurations = new ConfigurationOperators(world);
+    }
+
+    /** The operators of routing configurations. */
+    ConfigurationOperators configurations() {
+        return configurations;
     }
 
     /** The value of a marked cell. */
@@ -275,6 +282,7 @@
     /** Reads the table back through every controller that is up, and changes it once more, at the end of a day. */
     void last() {
         final long before = watch.rules().acked();
+        configurations.readBack();
         world.controllers().stream()
                 .filter(SimulatedNode::alive)
                 .forEach(h -> read(h, "r/", p -> {
--- a/simulation/src/main/java/silverlatch/simulation/sim/Orders.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Orders.java
@@ -36,6 +36,12 @@
         });
     }
 
+    /** Some three hundred configurations, with whatever else goes on. */
+    static void configurationsRace(final World w, final long span) {
+        w.tell("operators race on configurations");
+        w.office().configurations().run(span + 20_000_000);
+    }
+
     static void tableGrows(final World w, final long span) {
         w.office().grow(3_000);
     }
--- a/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
@@ -135,6 +135,7 @@
                 new Trip(Mark.TABLE, Set.of(Safeguard.SURE), Fault.NEWS_CUT, 60, 4),
                 new Trip(Mark.BACK, Set.of(Safeguard.PAGE), Fault.NEWS_CUT, 60, 8),
                 new Trip(Mark.LOSER, Set.of(Safeguard.MATCH), Fault.CONSUMERS_MOVE, 60, 2),
+                new Trip(Mark.LOSER, Set.of(Safeguard.MATCH), Fault.CONFIGURATIONS_RACE, 60, 2),
                 new Trip(Mark.READ, Set.of(Safeguard.LEASE), Fault.TAIL_CUT, 60, 4),
                 new Trip(Mark.DRAIN, Set.of(Safeguard.ZONE), Fault.ZONE_DRAINED, 60, 2),
                 new Trip(Mark.TRIES, Set.of(Safeguard.TRIES), Fault.WORKERS_DENY, 60, 2),
