--- a/simulation/src/test/java/silverlatch/simulation/explore/FoundScheduleTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/explore/FoundScheduleTest.java
@@ -23,7 +23,6 @@
     @ValueSource(
             strings = {
                 "two-identities-at-one-address",
-                "repair-answers-old-digests",
                 "repair-takes-pending",
                 "repair-drops-acknowledged",
                 "repair-drops-acknowledged-3",
@@ -41,4 +40,14 @@
     void aMajorityIsLeftAfterTwoLossesOfFiveWhenTwoOthersWereSlow() throws IOException {
         assertThat(schedule("slow-members-lose-votes").replay().violation(), is(Optional.empty()));
     }
+
+    @Test
+    void aRepairTakesNoAnswerToDigestsSentBeforeARestart() throws IOException {
+        assertThat(schedule("repair-answers-old-digests").replay().violation(), is(Optional.empty()));
+    }
+
+    @Test
+    void theFleetRecoversWhenTheOnlyMemberOfAChainIsLostBesideAJoiner() throws IOException {
+        assertThat(schedule("last-of-chain-lost-beside-joiner").replay().violation(), is(Optional.empty()));
+    }
 }
