--- a/simulation/src/main/java/silverlatch/simulation/explore/Main.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Main.java
@@ -38,8 +38,8 @@
         final CmdLineParser parser = new CmdLineParser(arguments);
         try {
             parser.parseArgument(args);
-        } catch (final CmdLineException e) {
-            System.err.println(e.getMessage());
+        } catch (final CmdLineException failure) {
+            System.err.println(failure.getMessage());
             System.err.print("usage: explore");
             parser.printSingleLineUsage(System.err);
             System.err.println();
@@ -60,8 +60,8 @@
         final Schedule schedule;
         try {
             schedule = Schedule.parse(Files.readString(file));
-        } catch (final IllegalArgumentException e) {
-            System.err.println("--replay: " + file + ": " + e.getMessage());
+        } catch (final IllegalArgumentException failure) {
+            System.err.println("--replay: " + file + ": " + failure.getMessage());
             return 2;
         }
         final World world = schedule.replay();
--- a/simulation/src/main/java/silverlatch/simulation/explore/StateDigest.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/StateDigest.java
@@ -118,8 +118,8 @@
     private static Object read(final Field field, final Object value) {
         try {
             return field.get(value);
-        } catch (final IllegalAccessException e) {
-            throw new IllegalStateException(e);
+        } catch (final IllegalAccessException failure) {
+            throw new IllegalStateException(failure);
         }
     }
 
@@ -146,8 +146,8 @@
     }
 
     private static long mix(final long seed) {
-        final long a = (seed ^ seed >>> 30) * 0xBF58476D1CE4E5B9L;
-        final long b = (a ^ a >>> 27) * 0x94D049BB133111EBL;
-        return b ^ b >>> 31;
+        final long first = (seed ^ seed >>> 30) * 0xBF58476D1CE4E5B9L;
+        final long second = (first ^ first >>> 27) * 0x94D049BB133111EBL;
+        return second ^ second >>> 31;
     }
 }
--- a/simulation/src/main/java/silverlatch/simulation/explore/Workers.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Workers.java
@@ -25,8 +25,8 @@
             for (final Future<?> one : all) {
                 one.get();
             }
-        } catch (final InterruptedException | ExecutionException e) {
-            throw new IllegalStateException(e);
+        } catch (final InterruptedException | ExecutionException failure) {
+            throw new IllegalStateException(failure);
         } finally {
             pool.shutdown();
         }
--- a/simulation/src/main/java/silverlatch/simulation/explore/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/World.java
@@ -108,8 +108,8 @@
         step++;
         try {
             return taken(action);
-        } catch (final IllegalStateException | IllegalArgumentException | IndexOutOfBoundsException e) {
-            monitor.broken(Property.NO_EXCEPTION, e.toString());
+        } catch (final IllegalStateException | IllegalArgumentException | IndexOutOfBoundsException failure) {
+            monitor.broken(Property.NO_EXCEPTION, failure.toString());
             return true;
         }
     }
