--- a/core/src/main/java/silverlatch/replication/ViewPlanner.java
+++ b/core/src/main/java/silverlatch/replication/ViewPlanner.java
@@ -41,17 +41,27 @@
         return view.chain().stream().filter(this::missed).toList();
     }
 
-    /** The next view, if there should be one: without the lost, else with a newcomer, else without dead votes. */
+    /**
+     * The next view, if there should be one: without the lost, else with a newcomer, else without dead votes. A repaired
+     * newcomer goes first where the chain without the lost would be shorter than the copies.
+     */
     Optional<View> next(final boolean leaving, final Collection<Msg.JoinRequest> joins) {
-        return without(leaving)
-                .or(() -> joins.stream()
-                        .filter(j -> j.view() == view.number() && view.place(j.me().id()) < 0)
-                        .filter(j -> !missed(j.me()))
-                        .filter(j -> !addressInChain(j.me().address()))
-                        .map(j -> with(j.me()))
-                        .flatMap(Optional::stream)
-                        .findFirst())
-                .or(this::withoutDeadVotes);
+        final Optional<View> shortened = without(leaving);
+        final Optional<View> joined = withNewcomer(joins);
+        if (shortened.map(v -> v.chain().size() < setup.copies()).orElse(false) && joined.isPresent()) {
+            return joined;
+        }
+        return shortened.or(() -> joined).or(this::withoutDeadVotes);
+    }
+
+    private Optional<View> withNewcomer(final Collection<Msg.JoinRequest> joins) {
+        return joins.stream()
+                .filter(j -> j.view() == view.number() && view.place(j.me().id()) < 0)
+                .filter(j -> !missed(j.me()))
+                .filter(j -> !addressInChain(j.me().address()))
+                .map(j -> with(j.me()))
+                .flatMap(Optional::stream)
+                .findFirst();
     }
 
     /** Whether all of a view's chain stand in the next one as they stood, so that none of them answers for the old one alone. */
--- a/core/src/main/java/silverlatch/state/AcceptedConfigurations.java
+++ b/core/src/main/java/silverlatch/state/AcceptedConfigurations.java
@@ -85,8 +85,8 @@
         try {
             final byte[] sum = MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
             return Base64.getUrlEncoder().withoutPadding().encodeToString(sum);
-        } catch (final NoSuchAlgorithmException e) {
-            throw new IllegalStateException("every Java platform has SHA-256", e);
+        } catch (final NoSuchAlgorithmException missing) {
+            throw new IllegalStateException("every Java platform has SHA-256", missing);
         }
     }
 }
