--- a/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
+++ b/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
@@ -25,7 +25,7 @@
  * record of each kind; with {@code -Dsilverlatch.fixture=FILE} the records are written to a file anew.
  */
 final class CodecCompatibilityTest {
-    private static final String FIXTURE = "/silverlatch/wire/log-records-format-2.txt";
+    private static final String FIXTURE = "log-records-format-2.txt";
 
     private static List<LogRecord> records() {
         final Replica one = new Replica("id-a", "10.0.0.1:1");
