--- /dev/null
+++ b/core/src/test/java/silverlatch/replication/RepairOfPendingTest.java
@@ -0,0 +1,119 @@
+package silverlatch.replication;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import silverlatch.clock.Stamp;
+import silverlatch.log.LogRecord;
+import silverlatch.node.Effect;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
+import silverlatch.state.Entry;
+import silverlatch.state.Value;
+
+/**
+ * A change was acknowledged; then all machines restarted, so that none knows it as committed. One of them is the only
+ * member of a chain too short to commit it, and repairs the others. They must keep the change on their disks.
+ */
+final class RepairOfPendingTest {
+    private static final Replica SOURCE = new Replica("id-a", "a");
+    private static final Replica REPAIRED = new Replica("id-b", "b");
+    private static final Replica ABSENT = new Replica("id-c", "c");
+    private static final long START = 1_000_000;
+    private static final long TICK = 50_000;
+    private static final int TICKS = 40;
+
+    private final LogEntry acknowledged = new LogEntry(
+            1,
+            1,
+            new Stamp(10),
+            List.of(new Entry("z/hall", 1, List.of(new Value.Evacuation("hall", true, new Stamp(10))))));
+    private final List<LogRecord> written = new ArrayList<>();
+
+    @Test
+    void aRepairedReplicaKeepsWhatItsSourceHasSynced() {
+        repair(Safeguards.ALL);
+        assertThat("the change stands on the repaired disk", holdsTheChange(), is(true));
+    }
+
+    @Test
+    void withoutTheSafeguardTheChangeIsDropped() {
+        repair(new Safeguards(Set.of(Safeguard.REPAIR_PENDING)));
+        assertThat("a snapshot was written", written.isEmpty(), is(false));
+        assertThat("the change stands on the repaired disk", holdsTheChange(), is(false));
+    }
+
+    /** Whether the log, read from its last snapshot on, holds the change. */
+    private boolean holdsTheChange() {
+        boolean holds = false;
+        for (final LogRecord entry : written) {
+            if (entry instanceof LogRecord.Snapshot snapshot) {
+                holds = snapshot.sequence() >= 1;
+            } else if (entry instanceof LogRecord.Appended appended) {
+                holds |= appended.change().equals(acknowledged);
+            }
+        }
+        return holds;
+    }
+
+    private static boolean replacesTheLog(final Effect.Keep keep) {
+        return keep.notes().stream().anyMatch(LogRecord.Snapshot.class::isInstance);
+    }
+
+    /** Repairs until the log of the repaired replica has been replaced once, synced in one piece. */
+    private void repair(final Safeguards standing) {
+        final View view = new View(2, 7, List.of(SOURCE, REPAIRED, ABSENT), List.of(SOURCE), SOURCE.id());
+        final ChainReplica source = replica(SOURCE, view, true, standing);
+        final ChainReplica repaired = replica(REPAIRED, view, false, standing);
+        long now = START;
+        for (int i = 0; i < TICKS && written.isEmpty(); i++) {
+            now += TICK;
+            source.tick(now);
+            repaired.tick(now);
+            exchange(source, repaired, now);
+        }
+    }
+
+    private ChainReplica replica(final Replica me, final View view, final boolean level, final Safeguards standing) {
+        final List<LogRecord> records =
+                List.of(new LogRecord.ViewInstalled(view, level), new LogRecord.Appended(acknowledged));
+        final ChainReplica.Setup setup =
+                ChainReplica.Setup.of(me, List.of("a", "b", "c")).under(standing);
+        return new ChainReplica(setup, records, () -> new Stamp(START), START);
+    }
+
+    /** Hands messages to and fro, and syncs what is written, until nothing is left to do. */
+    private void exchange(final ChainReplica source, final ChainReplica repaired, final long now) {
+        boolean more = true;
+        while (more) {
+            more = perform(source, SOURCE, repaired, REPAIRED, now);
+            more |= perform(repaired, REPAIRED, source, SOURCE, now);
+        }
+    }
+
+    private boolean perform(
+            final ChainReplica from,
+            final Replica sender,
+            final ChainReplica to,
+            final Replica receiver,
+            final long now) {
+        final List<Effect> effects = from.drain();
+        for (final Effect effect : effects) {
+            if (effect instanceof Effect.Keep keep) {
+                if (sender.equals(REPAIRED) && written.isEmpty() && replacesTheLog(keep)) {
+                    written.addAll(keep.notes());
+                }
+                from.kept(keep.token(), now);
+            } else if (effect instanceof Effect.Send send && send.to().equals(receiver.address())) {
+                to.on(send.body(), sender.address(), now);
+            } else if (effect instanceof Effect.Send send && send.to().equals(sender.address())) {
+                from.on(send.body(), sender.address(), now);
+            }
+        }
+        return !effects.isEmpty();
+    }
+}
