--- a/core/src/main/java/silverlatch/wire/Codec.java
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -9,6 +9,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
@@ -34,6 +35,33 @@
     private static final int LOG_PARTS = 50;
     private static final int LOG_RECORDS = 100;
     private static final int LOG_VALUES = 200;
+
+    /** The records of a data folder in the order of their numbers; compilers differ in the order of permitted types. */
+    private static final List<Class<?>> RECORD_TYPES = List.of(
+            LogRecord.Appended.class,
+            LogRecord.ViewInstalled.class,
+            LogRecord.Promised.class,
+            LogRecord.Accepted.class,
+            LogRecord.Founding.class,
+            LogRecord.Batch.class,
+            LogRecord.Snapshot.class,
+            LogRecord.SnapshotPart.class);
+
+    /** The values in a data folder in the order of their numbers. */
+    private static final List<Class<?>> VALUE_TYPES = List.of(
+            Value.Tenant.class,
+            Value.Row.class,
+            Value.Evacuation.class,
+            Value.Schedule.class,
+            Value.Claim.class,
+            Value.Epoch.class,
+            Value.Route.class,
+            Value.BackendPool.class,
+            Value.RoutingConfiguration.class,
+            Value.ConfigurationDocument.class,
+            Value.CommandOutcome.class,
+            Value.AcceptedConfiguration.class);
+
     private final Kryo kryo = new Kryo();
 
     /** Makes a codec of frames; it serves one thread. */
@@ -72,8 +100,8 @@
                         View.class,
                         Command.Cell.class,
                         Value.WeightedBackend.class));
-        types.put(LOG_RECORDS, List.of(LogRecord.class.getPermittedSubclasses()));
-        types.put(LOG_VALUES, List.of(Value.class.getPermittedSubclasses()));
+        types.put(LOG_RECORDS, RECORD_TYPES);
+        types.put(LOG_VALUES, VALUE_TYPES);
         return types;
     }
 
@@ -108,7 +136,9 @@
                 continue;
             }
             if (type.isSealed()) {
-                Arrays.stream(type.getPermittedSubclasses()).forEach(open::add);
+                Arrays.stream(type.getPermittedSubclasses())
+                        .sorted(Comparator.comparing(Class::getName))
+                        .forEach(open::add);
             } else if (type.isRecord()) {
                 kryo.register(type);
                 Arrays.stream(type.getRecordComponents())
--- a/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
+++ b/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
@@ -9,7 +9,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import silverlatch.clock.Stamp;
 import silverlatch.log.LogRecord;
@@ -95,4 +98,15 @@
             assertThat(read, is(records()));
         }
     }
+
+    /** Types are numbered by hand, since compilers differ in the order of permitted types; none may be left out. */
+    @Test
+    void everyTypeOfRecordAndValueHasANumber() {
+        final Set<Class<?>> numbered =
+                Codec.logTypes().values().stream().flatMap(List::stream).collect(Collectors.toSet());
+        final Set<Class<?>> all = new HashSet<>(List.of(LogRecord.class.getPermittedSubclasses()));
+        all.addAll(List.of(Value.class.getPermittedSubclasses()));
+        all.removeAll(numbered);
+        assertThat(all, is(Set.of()));
+    }
 }
