--- a/core/src/main/java/silverlatch/node/ClusterSnapshotBuilder.java
+++ b/core/src/main/java/silverlatch/node/ClusterSnapshotBuilder.java
@@ -1,5 +1,7 @@
 package silverlatch.node;
 
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import silverlatch.dispatch.ClusterSnapshot;
 import silverlatch.gossip.Gossip;
@@ -12,6 +14,8 @@
  *
  * <p>The configuration is given only once it was confirmed as the newest as of a moment after this process started: so it is
  * never older than one by which an earlier process of this machine routed.
+ *
+ * <p>While nothing changes the same snapshot is returned, so that a caller can tell by identity that there is nothing new.
  */
 final class ClusterSnapshotBuilder {
     private final Membership membership;
@@ -20,6 +24,9 @@
     private boolean isStateConfirmed;
     private Policy policy = Policy.NONE;
     private long policyRevision;
+    private List<Member> peers = List.of();
+    private long peersVersion = -1;
+    private Optional<ClusterSnapshot> last = Optional.empty();
 
     ClusterSnapshotBuilder(final Membership membership, final Gossip gossip, final long startedAt) {
         this.membership = membership;
@@ -52,12 +59,26 @@
 
     private ClusterSnapshot snapshot(
             final long revision, final Optional<Long> confirmedAt, final Policy confirmedPolicy) {
-        return new ClusterSnapshot(
-                membership.self(),
-                revision,
-                confirmedAt,
-                confirmedPolicy,
-                gossip.workers(),
-                membership.liveMembers().stream().filter(Member::isGateway).toList());
+        final Map<String, Gossip.ObservedWorker> workers = gossip.workers();
+        final Member self = membership.self();
+        final Optional<ClusterSnapshot> unchanged = last.filter(snapshot -> snapshot.self() == self
+                && snapshot.revision() == revision
+                && snapshot.confirmedAt().equals(confirmedAt)
+                && snapshot.policy() == confirmedPolicy
+                && snapshot.workers() == workers
+                && peersVersion == membership.version());
+        if (unchanged.isEmpty()) {
+            last = Optional.of(
+                    new ClusterSnapshot(self, revision, confirmedAt, confirmedPolicy, workers, currentPeers()));
+        }
+        return last.get();
+    }
+
+    private List<Member> currentPeers() {
+        if (peersVersion != membership.version()) {
+            peersVersion = membership.version();
+            peers = membership.liveMembers().stream().filter(Member::isGateway).toList();
+        }
+        return peers;
     }
 }
--- a/core/src/main/java/silverlatch/routing/LatencyPredictor.java
+++ b/core/src/main/java/silverlatch/routing/LatencyPredictor.java
@@ -11,7 +11,7 @@
  * Predicts when a worker would send the first event of a request: the network both ways, what it still has to prefill for
  * others, what it has to prefill of this prompt (a token costs the more the more stand before it), and how full it is.
  * While a worker prefills a long prompt the streams that it decodes pause, so each stream there is counted against it.
- * Pure functions; times in microseconds.
+ * It keeps no state; times in microseconds.
  */
 final class LatencyPredictor {
     private static final double PREFILL_MICROS_PER_TOKEN = 27;
@@ -34,7 +34,12 @@
     private static final int OVERDUE_PENALTY_FACTOR = 2;
     private static final int MIN_SHARED_TOKENS = 512;
 
-    private LatencyPredictor() {}
+    private final RoutingPolicies policies;
+
+    /** A predictor that takes into account what the policies in force say. */
+    LatencyPredictor(final RoutingPolicies policies) {
+        this.policies = policies;
+    }
 
     /**
      * What is predicted for a request at a worker.
@@ -51,7 +56,7 @@
      * @param prefixOwners  the worker that is to keep each shared part of the prompt, by the part's digest
      * @param decodeWorkers the ids of workers that long prompts are kept away from
      */
-    static Prediction predict(
+    Prediction predict(
             final RoutedRequest request,
             final Value.Route route,
             final WorkerState worker,
@@ -66,20 +71,30 @@
                 (double) worker.attemptCount() / worker.slots());
         final long queue = hasLoadReport ? worker.waiting() * MICROS_PER_WAITING_REQUEST : 0;
         final long latency = Math.round(networkMicros(worker, gateway)
-                + BASE_MICROS * worker.latencyFactor()
+                + BASE_MICROS * latencyFactor(worker)
                 + prefillMicros(request, worker, tokensToPrefill)
                 + queue
                 + utilization * FULL_WORKER_MICROS
                 + Math.max(0, utilization - OVERLOAD_UTILIZATION) * OVERLOAD_MICROS);
         final int streams = Math.max(hasLoadReport ? worker.running() : 0, worker.attemptCount());
-        final long penalty = (isRemote(worker, gateway) ? CROSS_REGION_PENALTY_MICROS : 0)
+        final long penalty = given(
+                        RoutingPolicy.CROSS_REGION_PENALTY, isRemote(worker, gateway) ? CROSS_REGION_PENALTY_MICROS : 0)
                 + (mixesTraffic(request, worker, decodeWorkers) ? MIXED_TRAFFIC_PENALTY_MICROS : 0)
-                + pausePenalty(request, tokensToPrefill, streams)
-                + Math.max(0, worker.maxOverdue(now)) * OVERDUE_PENALTY_FACTOR
-                + (worker.isWarmingUp(now) ? route.latencyTargetMicros() / 2 : 0);
+                + given(RoutingPolicy.PAUSE_PENALTY, pausePenalty(request, tokensToPrefill, streams))
+                + given(RoutingPolicy.OVERDUE_PENALTY, Math.max(0, worker.maxOverdue(now)) * OVERDUE_PENALTY_FACTOR)
+                + given(RoutingPolicy.WARMUP_PENALTY, worker.isWarmingUp(now) ? route.latencyTargetMicros() / 2 : 0);
         return new Prediction(latency, latency + penalty, tokensToPrefill);
     }
 
+    /** What a policy adds, or nothing where it isn't in force. */
+    private long given(final RoutingPolicy policy, final long micros) {
+        return policies.isEnabled(policy) ? micros : 0;
+    }
+
+    private double latencyFactor(final WorkerState worker) {
+        return policies.isEnabled(RoutingPolicy.LATENCY_FACTOR) ? worker.latencyFactor() : 1;
+    }
+
     private static boolean isRemote(final WorkerState worker, final Member gateway) {
         return !worker.worker().region().equals(gateway.region());
     }
@@ -91,12 +106,13 @@
         return worker.worker().zone().equals(gateway.zone()) ? 0 : CROSS_ZONE_MICROS;
     }
 
-    private static double prefillMicros(
-            final RoutedRequest request, final WorkerState worker, final int tokensToPrefill) {
+    private double prefillMicros(final RoutedRequest request, final WorkerState worker, final int tokensToPrefill) {
         final double microsPerToken = PREFILL_MICROS_PER_TOKEN
                 + ATTENTION_MICROS_PER_TOKEN_PAIR * (request.promptTokens() - tokensToPrefill / 2.0);
-        final double pending = worker.pendingPrefillTokens() * PREFILL_MICROS_PER_TOKEN;
-        return (tokensToPrefill * microsPerToken + pending) * worker.latencyFactor();
+        final double pending = policies.isEnabled(RoutingPolicy.PREFILL_BACKLOG)
+                ? worker.pendingPrefillTokens() * PREFILL_MICROS_PER_TOKEN
+                : 0;
+        return (tokensToPrefill * microsPerToken + pending) * latencyFactor(worker);
     }
 
     /** Whether the request is a long prompt at a worker that decodes, or a short one at a worker that prefills. */
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -36,6 +36,7 @@
     private final GatewayCountWindow gatewayCount = new GatewayCountWindow();
     private final RoutingOutput output = new RoutingOutput();
     private final RetryBudget retryBudget;
+    private final RoutingPolicies policies;
     private final WorkerSelector selector;
     private final AttemptSender sender;
     private RoutingTable routingTable = RoutingTable.NONE;
@@ -49,10 +50,21 @@
      * @param maxOpenRequests how many requests may be open at once
      * @param retryRatio      the part of the requests that may be retried
      * @param maxReportAge    the age beyond which a report of a worker does not count, in microseconds
+     * @param policies        the routing policies in force
      */
-    public record Settings(int maxOpenRequests, double retryRatio, long maxReportAge) {
+    public record Settings(int maxOpenRequests, double retryRatio, long maxReportAge, RoutingPolicies policies) {
         /** What holds when nothing is said. */
         public static final Settings DEFAULT = new Settings(2_048, 0.1, Long.MAX_VALUE);
+
+        /** Settings with all policies in force. */
+        public Settings(final int maxOpenRequests, final double retryRatio, final long maxReportAge) {
+            this(maxOpenRequests, retryRatio, maxReportAge, RoutingPolicies.ALL);
+        }
+
+        /** The same with other policies in force. */
+        public Settings withPolicies(final RoutingPolicies inForce) {
+            return new Settings(maxOpenRequests, retryRatio, maxReportAge, inForce);
+        }
     }
 
     /**
@@ -75,8 +87,9 @@
         this.random = random;
         this.requests = new OpenRequestTable(settings.maxOpenRequests());
         this.retryBudget = new RetryBudget(settings.retryRatio(), 2);
-        this.selector = new WorkerSelector(
-                cluster, workers, traffic, new WarmupLimiter(gatewayCount), settings.maxReportAge(), random);
+        this.policies = settings.policies();
+        this.selector =
+                new WorkerSelector(cluster, workers, traffic, new WarmupLimiter(gatewayCount), settings, random);
         this.sender = new AttemptSender(requests, workers, selector, random, output);
     }
 
@@ -296,7 +309,8 @@
         }
         final WorkerState worker = workers.get(open.worker());
         final WorkerState.Attempt attempt = worker.attempt(open.attemptId());
-        if (RetryPolicy.allowsAfterSilence(open, attempt, now)) {
+        if (policies.isEnabled(RoutingPolicy.RETRY_AFTER_SILENCE)
+                && RetryPolicy.allowsAfterSilence(open, attempt, now)) {
             output.log(Event.RUN_BROKE, open.worker() + " silent for " + (now - attempt.lastEventAt()) / 1000 + " ms");
             if (hasOtherCandidate(open, now) && retryBudget.tryAcquire(now)) {
                 moveFromSilentWorker(open, worker, now);
--- a/core/src/main/java/silverlatch/routing/WorkerSelector.java
+++ b/core/src/main/java/silverlatch/routing/WorkerSelector.java
@@ -34,25 +34,29 @@
     private final PrefixOwners prefixOwners;
     private final WarmupLimiter warmupLimiter;
     private final WeightedScorers constraints;
+    private final RoutingPolicies policies;
+    private final LatencyPredictor predictor;
     private final RandomGenerator random;
     private final Map<String, Value.Tenant> tenantsByRoute = new HashMap<>();
     private RoutingTable routingTable = RoutingTable.NONE;
     private ClusterSnapshot cluster;
 
-    /** A selector for which a worker's report counts for so many microseconds. */
+    /** A selector for which a worker's report counts for as long as the settings say. */
     WorkerSelector(
             final ClusterSnapshot cluster,
             final WorkerTable workers,
             final TrafficStatistics traffic,
             final WarmupLimiter warmupLimiter,
-            final long maxReportAge,
+            final Router.Settings settings,
             final RandomGenerator random) {
         this.cluster = cluster;
         this.workers = workers;
         this.traffic = traffic;
         this.prefixOwners = new PrefixOwners(traffic);
         this.warmupLimiter = warmupLimiter;
-        this.constraints = WeightedScorers.constraints(maxReportAge, Safeguards.ALL);
+        this.constraints = WeightedScorers.constraints(settings.maxReportAge(), Safeguards.ALL);
+        this.policies = settings.policies();
+        this.predictor = new LatencyPredictor(policies);
         this.random = random;
     }
 
@@ -87,8 +91,11 @@
         if (eligible.isEmpty()) {
             return List.of();
         }
-        final Set<String> decodeWorkers = traffic.decodeWorkers(inPool, now);
-        final Map<Long, String> owners = prefixOwners.of(open.request(), eligible, decodeWorkers, cluster);
+        final Set<String> decodeWorkers =
+                policies.isEnabled(RoutingPolicy.TRAFFIC_SEPARATION) ? traffic.decodeWorkers(inPool, now) : Set.of();
+        final Map<Long, String> owners = policies.isEnabled(RoutingPolicy.PREFIX_OWNERS)
+                ? prefixOwners.of(open.request(), eligible, decodeWorkers, cluster)
+                : Map.of();
         final Map<String, Boolean> unreachableRegions = new HashMap<>();
         final List<Candidate> candidates = new ArrayList<>(eligible.size());
         for (final WorkerState worker : eligible) {
@@ -137,12 +144,14 @@
             final Set<String> decodeWorkers,
             final boolean isUnreachable,
             final long now) {
-        final LatencyPredictor.Prediction prediction = LatencyPredictor.predict(
-                open.request(), open.route(), worker, cluster.self(), owners, decodeWorkers, now);
-        final boolean isEjected = worker.isEjected(now);
+        final LatencyPredictor.Prediction prediction =
+                predictor.predict(open.request(), open.route(), worker, cluster.self(), owners, decodeWorkers, now);
+        final boolean isEjected = policies.isEnabled(RoutingPolicy.OUTLIER_EJECTION) && worker.isEjected(now);
         final long target = open.route().latencyTargetMicros();
         final long rankCost = prediction.cost()
-                + (isUnreachable ? target * UNREACHABLE_PENALTY_TARGETS : 0)
+                + (isUnreachable && policies.isEnabled(RoutingPolicy.UNREACHABLE_REGIONS)
+                        ? target * UNREACHABLE_PENALTY_TARGETS
+                        : 0)
                 + (isEjected ? target * EJECTED_PENALTY_TARGETS : 0);
         return new Candidate(worker, prediction, isEjected, rankCost);
     }
@@ -153,7 +162,8 @@
             return Optional.empty();
         }
         final Candidate best = candidates.get(0);
-        if (LatencyPredictor.hasLargeSharedPrefix(open.request().promptParts())) {
+        if (LatencyPredictor.hasLargeSharedPrefix(open.request().promptParts())
+                || !policies.isEnabled(RoutingPolicy.NEAR_BEST_DRAW)) {
             return Optional.of(best);
         }
         final List<Candidate> leastLoaded = candidates.stream()
--- a/core/src/test/java/silverlatch/routing/WorkerSelectorTest.java
+++ b/core/src/test/java/silverlatch/routing/WorkerSelectorTest.java
@@ -31,7 +31,7 @@
             workers,
             new TrafficStatistics(),
             new WarmupLimiter(new GatewayCountWindow()),
-            Long.MAX_VALUE,
+            Router.Settings.DEFAULT,
             new SplittableRandom(5));
 
     private ClusterSnapshot clusterSnapshot() {
--- a/server/src/main/java/silverlatch/server/eventloop/EventLoop.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoop.java
@@ -3,20 +3,24 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import org.jctools.queues.MpscBlockingConsumerArrayQueue;
 import silverlatch.node.Event;
 import silverlatch.util.Threads;
 
 /**
- * A thread that runs tasks from a bounded queue in their order, and a tick at a steady interval. What it owns needs no locks. A task
+ * A thread that runs tasks from a bounded queue in their order, and a tick from time to time. What it owns needs no locks. A task
  * that fails is logged and the loop goes on; an {@link Error} ends the process, as state may be half changed.
+ *
+ * <p>The interval of the ticks may depend on what the loop has to do: it is asked for after each tick and each task, and the next
+ * tick comes no later than that from then on. So an idle loop wakes up seldom, and a busy one is as precise as it needs to be.
  */
 public final class EventLoop {
     private static final long NANOS_PER_MICRO = 1_000;
     private static final int EXIT_CODE = 3;
     private final MpscBlockingConsumerArrayQueue<Runnable> queue;
     private final Thread thread;
-    private final long tickMicros;
+    private final LongSupplier tickInterval;
     private final AtomicLong rejectedTasks = new AtomicLong();
 
     /**
@@ -28,8 +32,20 @@
      * @param onTick     what is run at each tick, on the loop's thread
      */
     public EventLoop(final String name, final int capacity, final long tickMicros, final Runnable onTick) {
+        this(name, capacity, () -> tickMicros, onTick);
+    }
+
+    /**
+     * An event loop that isn't started yet, whose interval varies.
+     *
+     * @param name         the thread's name
+     * @param capacity     how many tasks may be queued
+     * @param tickInterval the microseconds to the next tick as things stand; called on the loop's thread
+     * @param onTick       what is run at each tick, on the loop's thread
+     */
+    public EventLoop(final String name, final int capacity, final LongSupplier tickInterval, final Runnable onTick) {
         this.queue = new MpscBlockingConsumerArrayQueue<>(capacity);
-        this.tickMicros = tickMicros;
+        this.tickInterval = tickInterval;
         this.thread = Threads.daemon(name, () -> run(onTick));
     }
 
@@ -63,12 +79,15 @@
             try {
                 final long untilTick = nextTickAt - nowMicros();
                 if (untilTick <= 0) {
-                    nextTickAt = nowMicros() + tickMicros;
+                    nextTickAt = nowMicros() + tickInterval.getAsLong();
                     onTick.run();
                     continue;
                 }
-                Optional.ofNullable(queue.poll(untilTick, TimeUnit.MICROSECONDS))
-                        .ifPresent(Runnable::run);
+                final Optional<Runnable> task = Optional.ofNullable(queue.poll(untilTick, TimeUnit.MICROSECONDS));
+                if (task.isPresent()) {
+                    task.get().run();
+                    nextTickAt = Math.min(nextTickAt, nowMicros() + tickInterval.getAsLong());
+                }
             } catch (final InterruptedException interrupted) {
                 return;
             } catch (final RuntimeException failure) {
--- a/server/src/main/java/silverlatch/server/gateway/DispatchLoop.java
+++ b/server/src/main/java/silverlatch/server/gateway/DispatchLoop.java
@@ -17,6 +17,10 @@
  */
 final class DispatchLoop {
     private static final int QUEUE_CAPACITY = 16_384;
+
+    /** While no request is open nothing can time out, and only readiness has to be looked at. */
+    private static final long IDLE_TICK_MICROS = 250_000L;
+
     private final Dispatcher dispatcher;
     private final Router router;
     private final EventLoop eventLoop;
@@ -24,14 +28,18 @@
     private Runnable afterTick = () -> {};
     private volatile Optional<ProxyServer> proxy = Optional.empty();
 
-    /** An event loop with a tick each so many microseconds; it does not run yet. */
+    /** An event loop with a tick each so many microseconds while requests are open; it does not run yet. */
     DispatchLoop(final Dispatcher dispatcher, final Router router, final long tickMicros) {
         this.dispatcher = dispatcher;
         this.router = router;
-        this.eventLoop = new EventLoop("dispatch", QUEUE_CAPACITY, tickMicros, this::tick);
+        this.eventLoop = new EventLoop(
+                "dispatch",
+                QUEUE_CAPACITY,
+                () -> openRequestsOfLoop() > 0 ? tickMicros : Math.max(tickMicros, IDLE_TICK_MICROS),
+                this::tick);
     }
 
-    /** Starts the thread, once. Both arguments are called on it: one for each effect, the other after each tick. */
+    /** Starts the thread, once. Both arguments are called on it: one for each effect, the other after each tick and update. */
     void start(final Consumer<DispatchEffect> onEffect, final Runnable onTick) {
         effectHandler = onEffect;
         afterTick = onTick;
@@ -78,6 +86,7 @@
             dispatcher.update(snapshot, EventLoop.nowMicros());
             router.update(snapshot, EventLoop.nowMicros());
             proxy.ifPresent(server -> router.limits().ifPresent(server::updateLimits));
+            afterTick.run();
         });
     }
 
@@ -91,6 +100,10 @@
         return dispatcher.openRequests() + proxy.map(ProxyServer::openRequests).orElse(0);
     }
 
+    private int openRequestsOfLoop() {
+        return dispatcher.openRequests() + router.openRequests();
+    }
+
     /** How many tasks were dropped because the queue was full. */
     long rejectedTasks() {
         return eventLoop.rejectedTasks();
--- a/server/src/main/java/silverlatch/server/gateway/Gateway.java
+++ b/server/src/main/java/silverlatch/server/gateway/Gateway.java
@@ -30,8 +30,8 @@
 
 /**
  * The process of the data plane: its parts, and how they start and stop. Two event loops own the state: the node's (clock,
- * membership, gossip) and the {@link DispatchLoop} (dispatcher and router). After each tick of the node the second one gets a
- * snapshot of what the first one knows. Public methods may be called from any thread.
+ * membership, gossip) and the {@link DispatchLoop} (dispatcher and router). After a tick of the node that changed
+ * something the second one gets a snapshot of what the first one knows. Public methods may be called from any thread.
  */
 @Singleton
 public final class Gateway implements DaemonProcess.Daemon {
@@ -52,6 +52,7 @@
     private Optional<ApiServer> apiServer = Optional.empty();
     private volatile Optional<String> unreadyReason = Optional.of("starting");
     private volatile List<Member> readyGateways = List.of();
+    private Optional<ClusterSnapshot> published = Optional.empty();
 
     /** Connects the parts; nothing is started. The node must not be used elsewhere, nor the dispatcher and the router. */
     @Inject
@@ -195,9 +196,13 @@
         nodeLoop.execute(node -> node.onFrame(frame, EventLoop.nowMicros()));
     }
 
-    /** Called on the node's event loop. */
+    /** Hands on what the node knows where that has changed since the last time. Called on the node's event loop. */
     private void publish(final Node node) {
         final ClusterSnapshot snapshot = node.clusterSnapshot();
+        if (published.filter(last -> last == snapshot).isPresent()) {
+            return;
+        }
+        published = Optional.of(snapshot);
         readyGateways = Stream.concat(Stream.of(snapshot.self()), snapshot.peers().stream())
                 .filter(Member::ready)
                 .toList();
--- a/server/src/main/java/silverlatch/server/gateway/GatewayModule.java
+++ b/server/src/main/java/silverlatch/server/gateway/GatewayModule.java
@@ -12,6 +12,7 @@
 import silverlatch.dispatch.permit.PermitSigner;
 import silverlatch.node.Node;
 import silverlatch.routing.Router;
+import silverlatch.routing.RoutingPolicies;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.eventloop.EventLoopHandle;
 import silverlatch.server.settings.Settings;
@@ -56,7 +57,8 @@
     @Singleton
     static Router router(final Node node, final SplittableRandom random) {
         return new Router(
-                Router.Settings.DEFAULT,
+                Router.Settings.DEFAULT.withPolicies(
+                        RoutingPolicies.withDisabled(System.getProperty(RoutingPolicies.DISABLED_PROPERTY, ""))),
                 node.clusterSnapshot(),
                 () -> node.localStamp(EventLoop.nowMicros()),
                 random.split());
--- a/server/src/main/java/silverlatch/server/settings/Intervals.java
+++ b/server/src/main/java/silverlatch/server/settings/Intervals.java
@@ -21,6 +21,13 @@
     public static final Intervals LARGE_FLEET =
             new Intervals(Membership.Settings.LARGE_FLEET, Gossip.Settings.LARGE_FLEET, 50_000L, 50_000L);
 
+    /**
+     * The defaults of a gateway in a large cluster: what it has to do of its own comes half a second apart or more, and what others
+     * ask of it is not bound to its tick, so it wakes up less often.
+     */
+    public static final Intervals LARGE_FLEET_GATEWAY =
+            new Intervals(Membership.Settings.LARGE_FLEET, Gossip.Settings.LARGE_FLEET, 100_000L, 50_000L);
+
     private static final String EVERYWHERE = "everywhere";
     private static final String CONTROLLERS = "controllers";
     private static final int MAX_WORD_LENGTH = 16;
--- /dev/null
+++ b/server/src/test/java/silverlatch/server/eventloop/EventLoopTest.java
@@ -0,0 +1,52 @@
+package silverlatch.server.eventloop;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+/** The ticks of an event loop: seldom while it is idle, and on time once a task gives it something to watch. */
+final class EventLoopTest {
+    private static final long SHORT_MICROS = 10_000L;
+    private static final long LONG_MICROS = 60_000_000L;
+
+    @Test
+    void aTaskThatShortensTheIntervalBringsTheNextTickForward() throws InterruptedException {
+        final AtomicLong interval = new AtomicLong(LONG_MICROS);
+        final CountDownLatch ticks = new CountDownLatch(4);
+        final EventLoop loop = new EventLoop("test-loop", 16, interval::get, ticks::countDown);
+        loop.start();
+        loop.post(() -> interval.set(SHORT_MICROS));
+        assertThat("three more ticks come soon", ticks.await(20, TimeUnit.SECONDS), is(true));
+    }
+
+    @Test
+    void anIdleLoopTicksSeldom() throws InterruptedException {
+        final AtomicInteger ticks = new AtomicInteger();
+        final EventLoop loop = new EventLoop("test-loop", 16, () -> LONG_MICROS, ticks::incrementAndGet);
+        loop.start();
+        TimeUnit.MILLISECONDS.sleep(200);
+        assertThat("only the one at its start", ticks.get(), is(lessThanOrEqualTo(1)));
+    }
+
+    @Test
+    void tasksDoNotPutATickOff() throws InterruptedException {
+        final AtomicInteger ticks = new AtomicInteger();
+        final EventLoop loop = new EventLoop("test-loop", 16, () -> 4 * SHORT_MICROS, ticks::incrementAndGet);
+        loop.start();
+        final long end = EventLoop.nowMicros() + 100 * SHORT_MICROS;
+        while (EventLoop.nowMicros() < end) {
+            loop.post(() -> {});
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
+        assertThat(ticks.get(), is(greaterThanOrEqualTo(5)));
+        assertThat(ticks.get(), is(lessThan(60)));
+    }
+}
