--- /dev/null
+++ b/core/src/test/java/silverlatch/gossip/PullScheduleTest.java
@@ -0,0 +1,51 @@
+package silverlatch.gossip;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import silverlatch.membership.Member;
+import silverlatch.membership.Membership;
+import silverlatch.replication.View;
+
+/** From how many controllers a gateway pulls: from one of its region, and from two of anywhere while what it has is old. */
+final class PullScheduleTest {
+    private static final long SECOND = 1_000_000L;
+    private final Membership membership =
+            new Membership(member("me", "gateway", "west"), List.of("10.0.0.9:1"), Membership.Settings.LARGE_FLEET);
+    private final PullSchedule schedule = new PullSchedule(
+            Gossip.Settings.LARGE_FLEET, membership, new PeerSelector(membership, new SplittableRandom(3)));
+
+    private static Member member(final String id, final String role, final String region) {
+        return new Member(id, role, region + "1", region, id + ":1", id + ":2", 1, 0, "up", true);
+    }
+
+    @BeforeEach
+    void learnControllers() {
+        for (final String region : List.of("west", "north", "east")) {
+            membership.learn(member("controller-" + region, "controller", region), SECOND);
+        }
+    }
+
+    @Test
+    void withFreshStateOneControllerOfTheOwnRegionIsAsked() {
+        final List<Member> asked = schedule.controllersToPull(View.NONE, () -> false, 10 * SECOND);
+        assertThat(asked.stream().map(Member::region).toList(), is(List.of("west")));
+    }
+
+    @Test
+    void withOldStateTwoControllersAreAsked() {
+        assertThat(schedule.controllersToPull(View.NONE, () -> true, 10 * SECOND), hasSize(2));
+    }
+
+    @Test
+    void nobodyIsAskedBeforeTheIntervalIsOver() {
+        schedule.controllersToPull(View.NONE, () -> true, 10 * SECOND);
+        assertThat(schedule.controllersToPull(View.NONE, () -> true, 10 * SECOND + 100_000L), is(empty()));
+    }
+}
--- a/core/src/test/java/silverlatch/routing/RouterTest.java
+++ b/core/src/test/java/silverlatch/routing/RouterTest.java
@@ -2,8 +2,10 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
@@ -198,4 +200,19 @@
         assertThat(rejectionIn(bare.drainEffects()).statusCode(), is(503));
         assertThat(bare.unreadyReason().isPresent(), is(true));
     }
+
+    @Test
+    void aClientThatComesBeforeTheFirstConfigurationIsAskedToWaitForAStart() {
+        final Router bare = new Router(
+                Router.Settings.DEFAULT,
+                new ClusterSnapshot(gateway("me"), 0, Optional.empty(), Policy.NONE, Map.of(), List.of()),
+                () -> new Stamp(1),
+                new SplittableRandom(1));
+        for (int i = 1; i <= 50; i++) {
+            bare.requestArrived(new RoutedRequest(i, "a", "/once/x", "t" + i, SECOND, List.of(), 1, 1), now);
+            final long retryAfter = rejectionIn(bare.drainEffects()).retryAfter();
+            assertThat(retryAfter, is(greaterThanOrEqualTo(5 * SECOND / 2)));
+            assertThat(retryAfter, is(lessThan(7 * SECOND / 2)));
+        }
+    }
 }
