Learn fixed part, prefill time and round trips of each pool from its first events

Cause: LatencyPredictor carried one engine's figures as constants, and adapted one factor a worker only.

--- a/core/src/main/java/silverlatch/routing/LatencyPredictor.java
+++ b/core/src/main/java/silverlatch/routing/LatencyPredictor.java
@@ -1,5 +1,6 @@
 package silverlatch.routing;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,20 +12,19 @@
  * Predicts when a worker would send the first event of a request: the network both ways, what it still has to prefill for
  * others, what it has to prefill of this prompt (a token costs the more the more stand before it), and how full it is.
  * While a worker prefills a long prompt the streams that it decodes pause, so each stream there is counted against it.
- * It keeps no state; times in microseconds.
+ * What it has learnt of each pool is in a {@link PoolLatencyModel}. Owned by the routing event loop; times in microseconds.
  */
 final class LatencyPredictor {
-    private static final double PREFILL_MICROS_PER_TOKEN = 27;
-    private static final double ATTENTION_MICROS_PER_TOKEN_PAIR = 0.0012;
+    /** How much longer a token takes for each token before it, as a part of a token's time. */
+    private static final double ATTENTION_PER_TOKEN = 4.4e-5;
+
     private static final double PREFILL_PAUSE_MICROS = 60_000;
     private static final double FULL_PAUSE_TOKENS = 8_000;
     private static final int MAX_PAUSED_STREAMS = 16;
-    private static final long BASE_MICROS = 55_000;
     private static final long MICROS_PER_WAITING_REQUEST = 30_000;
     private static final long FULL_WORKER_MICROS = 60_000;
     private static final long OVERLOAD_MICROS = 2_000_000;
     private static final double OVERLOAD_UTILIZATION = 0.8;
-    private static final long CROSS_REGION_MICROS = 72_000;
     private static final long CROSS_ZONE_MICROS = 1_500;
     private static final double CACHED_RATIO_AT_OWNER = 0.9;
     private static final double CACHED_RATIO_ELSEWHERE = 0.15;
@@ -35,6 +35,7 @@
     private static final int MIN_SHARED_TOKENS = 512;
 
     private final RoutingPolicies policies;
+    private final Map<String, PoolLatencyModel> modelsByPool = new HashMap<>();
 
     /** A predictor that takes into account what the policies in force say. */
     LatencyPredictor(final RoutingPolicies policies) {
@@ -47,8 +48,9 @@
      * @param latency         microseconds until its first event comes
      * @param cost            the latency and what the choice costs beside it, in microseconds
      * @param tokensToPrefill the tokens of its prompt that the worker's cache likely doesn't hold
+     * @param features        what the latency was predicted from
      */
-    record Prediction(long latency, long cost, int tokensToPrefill) {}
+    record Prediction(long latency, long cost, int tokensToPrefill, PoolLatencyModel.Features features) {}
 
     /**
      * The prediction for a request at a worker as seen from a gateway.
@@ -70,12 +72,16 @@
                 hasLoadReport ? (double) worker.running() / worker.slots() : 0,
                 (double) worker.attemptCount() / worker.slots());
         final long queue = hasLoadReport ? worker.waiting() * MICROS_PER_WAITING_REQUEST : 0;
-        final long latency = Math.round(networkMicros(worker, gateway)
-                + BASE_MICROS * latencyFactor(worker)
-                + prefillMicros(request, worker, tokensToPrefill)
-                + queue
-                + utilization * FULL_WORKER_MICROS
-                + Math.max(0, utilization - OVERLOAD_UTILIZATION) * OVERLOAD_MICROS);
+        final PoolLatencyModel model = modelOf(worker);
+        final PoolLatencyModel.Features features = new PoolLatencyModel.Features(
+                latencyFactor(worker),
+                prefillTokens(request, worker, tokensToPrefill),
+                isRemote(worker, gateway),
+                crossZoneMicros(worker, gateway)
+                        + queue
+                        + utilization * FULL_WORKER_MICROS
+                        + Math.max(0, utilization - OVERLOAD_UTILIZATION) * OVERLOAD_MICROS);
+        final long latency = Math.round(model.predictMicros(features));
         final int streams = Math.max(hasLoadReport ? worker.running() : 0, worker.attemptCount());
         final long penalty = given(
                         RoutingPolicy.CROSS_REGION_PENALTY, isRemote(worker, gateway) ? CROSS_REGION_PENALTY_MICROS : 0)
@@ -83,7 +89,7 @@
                 + given(RoutingPolicy.PAUSE_PENALTY, pausePenalty(request, tokensToPrefill, streams))
                 + given(RoutingPolicy.OVERDUE_PENALTY, Math.max(0, worker.maxOverdue(now)) * OVERDUE_PENALTY_FACTOR)
                 + given(RoutingPolicy.WARMUP_PENALTY, worker.isWarmingUp(now) ? route.latencyTargetMicros() / 2 : 0);
-        return new Prediction(latency, latency + penalty, tokensToPrefill);
+        return new Prediction(latency, latency + penalty, tokensToPrefill, features);
     }
 
     /** What a policy adds, or nothing where it isn't in force. */
@@ -99,20 +105,28 @@
         return !worker.worker().region().equals(gateway.region());
     }
 
-    private static long networkMicros(final WorkerState worker, final Member gateway) {
-        if (isRemote(worker, gateway)) {
-            return CROSS_REGION_MICROS;
+    private static long crossZoneMicros(final WorkerState worker, final Member gateway) {
+        final boolean isNear =
+                isRemote(worker, gateway) || worker.worker().zone().equals(gateway.zone());
+        return isNear ? 0 : CROSS_ZONE_MICROS;
+    }
+
+    /** Learns from the first event of an attempt, which came so long after it was sent. */
+    void observe(final WorkerState worker, final WorkerState.Attempt attempt, final long now) {
+        if (policies.isEnabled(RoutingPolicy.OBSERVED_LATENCY) && !worker.isWarmingUp(now)) {
+            modelOf(worker).observe(attempt.features(), now - attempt.startedAt());
         }
-        return worker.worker().zone().equals(gateway.zone()) ? 0 : CROSS_ZONE_MICROS;
     }
 
-    private double prefillMicros(final RoutedRequest request, final WorkerState worker, final int tokensToPrefill) {
-        final double microsPerToken = PREFILL_MICROS_PER_TOKEN
-                + ATTENTION_MICROS_PER_TOKEN_PAIR * (request.promptTokens() - tokensToPrefill / 2.0);
-        final double pending = policies.isEnabled(RoutingPolicy.PREFILL_BACKLOG)
-                ? worker.pendingPrefillTokens() * PREFILL_MICROS_PER_TOKEN
-                : 0;
-        return (tokensToPrefill * microsPerToken + pending) * latencyFactor(worker);
+    private PoolLatencyModel modelOf(final WorkerState worker) {
+        return modelsByPool.computeIfAbsent(worker.worker().pool(), pool -> new PoolLatencyModel());
+    }
+
+    /** The tokens before the first event, each counted by how long it takes beside one that has none before it. */
+    private double prefillTokens(final RoutedRequest request, final WorkerState worker, final int tokensToPrefill) {
+        final double attention = 1 + ATTENTION_PER_TOKEN * (request.promptTokens() - tokensToPrefill / 2.0);
+        final long pending = policies.isEnabled(RoutingPolicy.PREFILL_BACKLOG) ? worker.pendingPrefillTokens() : 0;
+        return tokensToPrefill * attention + pending;
     }
 
     /** Whether the request is a long prompt at a worker that decodes, or a short one at a worker that prefills. */
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -203,6 +203,7 @@
             workers.reachabilityOf(worker).heard(now);
             if (attempt.eventSeen(now)) {
                 worker.recordSuccess(attempt, now);
+                selector.firstEventSeen(worker, attempt, now);
             }
         });
     }
--- a/core/src/main/java/silverlatch/routing/RoutingPolicy.java
+++ b/core/src/main/java/silverlatch/routing/RoutingPolicy.java
@@ -19,6 +19,8 @@
     UNREACHABLE_REGIONS,
     /** A worker is taken last for a while after an attempt failed there. */
     OUTLIER_EJECTION,
+    /** Fixed part, prefill and round trips are learnt from first events; without, the first guesses hold. */
+    OBSERVED_LATENCY,
     /** How slow a worker is compared with its prediction is learnt from its first events. */
     LATENCY_FACTOR,
     /** A retryable request is moved from a worker that is silent. */
--- a/core/src/main/java/silverlatch/routing/WorkerSelector.java
+++ b/core/src/main/java/silverlatch/routing/WorkerSelector.java
@@ -108,6 +108,11 @@
         return candidates;
     }
 
+    /** Learns from the first event of an attempt at a worker. */
+    void firstEventSeen(final WorkerState worker, final WorkerState.Attempt attempt, final long now) {
+        predictor.observe(worker, attempt, now);
+    }
+
     private List<WorkerState> eligible(final OpenRequest open, final List<WorkerState> inPool, final long now) {
         final PlacementContext context = context(open);
         return inPool.stream()
--- a/core/src/main/java/silverlatch/routing/WorkerState.java
+++ b/core/src/main/java/silverlatch/routing/WorkerState.java
@@ -86,7 +86,7 @@
 
     /** An attempt begins that has to prefill so many tokens and is predicted to take so long to its first event. */
     void startAttempt(final long attemptId, final LatencyPredictor.Prediction prediction, final long now) {
-        attempts.put(attemptId, new Attempt(now, prediction.tokensToPrefill(), prediction.latency()));
+        attempts.put(attemptId, new Attempt(now, prediction));
         lastSentAt = now;
     }
 
@@ -203,13 +203,15 @@
         private final long startedAt;
         private final int tokensToPrefill;
         private final long predictedLatency;
+        private final PoolLatencyModel.Features features;
         private boolean firstEventSeen;
         private long lastEventAt;
 
-        private Attempt(final long startedAt, final int tokensToPrefill, final long predictedLatency) {
+        private Attempt(final long startedAt, final LatencyPredictor.Prediction prediction) {
             this.startedAt = startedAt;
-            this.tokensToPrefill = tokensToPrefill;
-            this.predictedLatency = predictedLatency;
+            this.tokensToPrefill = prediction.tokensToPrefill();
+            this.predictedLatency = prediction.latency();
+            this.features = prediction.features();
             this.lastEventAt = startedAt;
         }
 
@@ -223,6 +225,11 @@
             return predictedLatency;
         }
 
+        /** What its latency was predicted from. */
+        PoolLatencyModel.Features features() {
+            return features;
+        }
+
         /** Whether its first event came. */
         boolean firstEventSeen() {
             return firstEventSeen;
--- a/core/src/test/java/silverlatch/routing/ReachabilityTest.java
+++ b/core/src/test/java/silverlatch/routing/ReachabilityTest.java
@@ -45,8 +45,8 @@
     @Test
     void anOverdueFirstEventMakesItsRegionUnreachableUntilAnAnswer() {
         final WorkerState here = worker("west");
-        final LatencyPredictor.Prediction prediction =
-                new LatencyPredictor.Prediction(100 * MILLISECOND, 100 * MILLISECOND, 0);
+        final LatencyPredictor.Prediction prediction = new LatencyPredictor.Prediction(
+                100 * MILLISECOND, 100 * MILLISECOND, 0, new PoolLatencyModel.Features(1, 0, false, 0));
         here.startAttempt(1, prediction, START);
         final long overdue = START + 350 * MILLISECOND + 1;
         assertThat(west.isUnreachable(List.of(here), overdue - 1), is(false));
--- a/core/src/test/java/silverlatch/routing/WorkerSelectorTest.java
+++ b/core/src/test/java/silverlatch/routing/WorkerSelectorTest.java
@@ -126,7 +126,8 @@
         for (final String id : List.of("idle1", "idle2", "loaded")) {
             worker(id, "a", 0);
         }
-        final LatencyPredictor.Prediction prediction = new LatencyPredictor.Prediction(SECOND, SECOND, 0);
+        final LatencyPredictor.Prediction prediction =
+                new LatencyPredictor.Prediction(SECOND, SECOND, 0, new PoolLatencyModel.Features(1, 0, false, 0));
         workers.get("loaded").startAttempt(1, prediction, NOW);
         final Set<String> chosen = new HashSet<>();
         for (int i = 0; i < 50; i++) {
@@ -142,7 +143,12 @@
     void aWorkerThatWarmsUpIsACandidateAtItsPoolsRateOnly() {
         worker("new", "a", 60 * SECOND);
         assertThat(selector.candidates(open("a"), NOW).size(), is(1));
-        workers.get("new").startAttempt(1, new LatencyPredictor.Prediction(SECOND, SECOND, 0), NOW);
+        workers.get("new")
+                .startAttempt(
+                        1,
+                        new LatencyPredictor.Prediction(
+                                SECOND, SECOND, 0, new PoolLatencyModel.Features(1, 0, false, 0)),
+                        NOW);
         assertThat(selector.candidates(open("a"), NOW + SECOND - 1).size(), is(0));
         assertThat(selector.candidates(open("a"), NOW + SECOND).size(), is(1));
     }
--- a/core/src/test/java/silverlatch/routing/WorkerStateTest.java
+++ b/core/src/test/java/silverlatch/routing/WorkerStateTest.java
@@ -14,8 +14,8 @@
 final class WorkerStateTest {
     private static final long SECOND = 1_000_000;
     private static final long START = 100 * SECOND;
-    private static final LatencyPredictor.Prediction PREDICTION =
-            new LatencyPredictor.Prediction(SECOND / 10, SECOND / 10, 700);
+    private static final LatencyPredictor.Prediction PREDICTION = new LatencyPredictor.Prediction(
+            SECOND / 10, SECOND / 10, 700, new PoolLatencyModel.Features(1, 0, false, 0));
 
     private static Gossip.ObservedWorker report(final long incarnation, final long warmupRemaining) {
         final Worker worker = new Worker(
