--- a/core/src/main/java/silverlatch/gossip/Gossip.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -230,7 +230,7 @@
     public void tick(final long now) {
         reports.ifPresent(r -> r.tick(peerSelector.isController(), peerSelector.otherControllers(), now));
         pushChanges(now);
-        pullSchedule.gatewaysToPull(now).forEach(m -> send(m.address(), pullRequest(now)));
+        pullSchedule.gatewaysToPull(() -> isStale(now), now).forEach(m -> send(m.address(), pullRequest(now)));
         pullSchedule
                 .controllersToPull(state.view(), () -> isStale(now), now)
                 .forEach(m -> send(m.address(), pullRequest(now)));
--- a/core/src/main/java/silverlatch/gossip/PullSchedule.java
+++ b/core/src/main/java/silverlatch/gossip/PullSchedule.java
@@ -11,6 +11,12 @@
     /** A gateway whose state or reports are old asks more than one: some may not be able to confirm anything themselves. */
     private static final int CONTROLLERS_WHEN_STALE = 2;
 
+    /**
+     * While controllers confirm what a gateway has, it pulls from gateways only once in so many intervals: they hardly ever know
+     * more, and each pull wakes up two processes.
+     */
+    private static final int INTERVALS_WHEN_FRESH = 4;
+
     private final Gossip.Settings settings;
     private final Membership membership;
     private final PeerSelector peerSelector;
@@ -25,9 +31,13 @@
         this.workersAnnounceToControllers = settings.reporting() instanceof WorkerReporting.ToControllers;
     }
 
-    /** Returns the gateways to pull from now; none where no pull is due. */
-    List<Member> gatewaysToPull(final long now) {
-        final boolean isDue = now - lastGatewayPull >= settings.gatewayPullInterval();
+    /**
+     * Returns the gateways to pull from now; none where no pull is due.
+     *
+     * @param isStale whether this node's state or reports are old
+     */
+    List<Member> gatewaysToPull(final BooleanSupplier isStale, final long now) {
+        final boolean isDue = now - lastGatewayPull >= gatewayPullInterval(isStale);
         if (!isDue || workersAnnounceToControllers && peerSelector.isController()) {
             return List.of();
         }
@@ -37,6 +47,11 @@
         return peerSelector.sample(gateways, workersAnnounceToControllers ? 1 : 2);
     }
 
+    private long gatewayPullInterval(final BooleanSupplier isStale) {
+        final boolean isSparing = workersAnnounceToControllers && !isStale.getAsBoolean();
+        return settings.gatewayPullInterval() * (isSparing ? INTERVALS_WHEN_FRESH : 1);
+    }
+
     /**
      * Returns the controllers to pull from now; none where no pull is due.
      *
--- a/core/src/test/java/silverlatch/gossip/PullScheduleTest.java
+++ b/core/src/test/java/silverlatch/gossip/PullScheduleTest.java
@@ -43,6 +43,15 @@
         assertThat(schedule.controllersToPull(View.NONE, () -> true, 10 * SECOND), hasSize(2));
     }
 
+    @Test
+    void gatewaysAreAskedSeldomWhileControllersConfirmAndOftenElse() {
+        membership.learn(member("other", "gateway", "west"), SECOND);
+        assertThat(schedule.gatewaysToPull(() -> false, 10 * SECOND), hasSize(1));
+        assertThat(schedule.gatewaysToPull(() -> false, 13 * SECOND), is(empty()));
+        assertThat(schedule.gatewaysToPull(() -> true, 13 * SECOND), hasSize(1));
+        assertThat(schedule.gatewaysToPull(() -> false, 17 * SECOND), hasSize(1));
+    }
+
     @Test
     void nobodyIsAskedBeforeTheIntervalIsOver() {
         schedule.controllersToPull(View.NONE, () -> true, 10 * SECOND);
