--- a/server/src/main/java/silverlatch/server/tool/Main.java
+++ b/server/src/main/java/silverlatch/server/tool/Main.java
@@ -7,12 +7,14 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.UUID;
+import java.util.function.UnaryOperator;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.Option;
 import silverlatch.server.settings.ProgramOptions;
 
 /** The operators' command: reads its command line and runs one command. Exit codes: {@link ExitCode}. */
 public final class Main extends ProgramOptions {
+    private static final String KEY_VARIABLE = "SILVERLATCH_KEY";
     private static final String USAGE = """
             silverlatch [flags] COMMAND
               table get                              show the table
@@ -46,8 +48,7 @@
             Optional.ofNullable(System.getenv("SILVERLATCH_DOOR")).orElse("127.0.0.1:8001");
 
     @Option(name = "--key", metaVar = "KEY", usage = "the operator's key (or SILVERLATCH_KEY)")
-    private String operatorKey =
-            Optional.ofNullable(System.getenv("SILVERLATCH_KEY")).orElse("");
+    private String operatorKey = "";
 
     @Option(name = "--match", metaVar = "SEQUENCE", usage = "change it only if it still is at this sequence")
     private String expectedRevision = "*";
@@ -61,16 +62,21 @@
     @Argument(metaVar = "COMMAND")
     private List<String> words = new ArrayList<>();
 
-    private Main() {
+    private final UnaryOperator<String> environment;
+
+    /** A command line whose environment variables are looked up by their names; null where there is none. */
+    Main(final UnaryOperator<String> environment) {
         super("silverlatch", USAGE);
+        this.environment = environment;
     }
 
     /** Runs one command. */
     public static void main(final String[] args) {
-        System.exit(new Main().run(args, System.out, System.err));
+        System.exit(new Main(System::getenv).run(args, System.out, System.err));
     }
 
-    private int run(final String[] args, final PrintStream out, final PrintStream err) {
+    /** Runs one command; gives the exit code. */
+    int run(final String[] args, final PrintStream out, final PrintStream err) {
         final OptionalInt ended = parse(args, out, err);
         if (ended.isPresent()) {
             return ended.getAsInt();
@@ -89,9 +95,16 @@
         }
     }
 
+    /** The key is no default of its option, since the help shows the defaults. */
+    private String key() {
+        return operatorKey.isEmpty()
+                ? Optional.ofNullable(environment.apply(KEY_VARIABLE)).orElse("")
+                : operatorKey;
+    }
+
     private ExitCode run(final ToolCommand command, final Console console) {
         final ApiClient.Options options =
-                new ApiClient.Options(List.of(endpoints.split(",")), operatorKey, commandId, expectedRevision);
+                new ApiClient.Options(List.of(endpoints.split(",")), key(), commandId, expectedRevision);
         try (ApiClient client = new ApiClient(options, console.err())) {
             return command.run(client, console);
         }
