--- a/core/src/main/java/silverlatch/gossip/PullSchedule.java
+++ b/core/src/main/java/silverlatch/gossip/PullSchedule.java
@@ -8,9 +8,6 @@
 
 /** When a node pulls, and from whom. Each call that returns members counts as a pull from them. */
 final class PullSchedule {
-    /** A gateway whose state or reports are old asks more than one: some may not be able to confirm anything themselves. */
-    private static final int CONTROLLERS_WHEN_STALE = 2;
-
     /**
      * While controllers confirm what a gateway has, it pulls from gateways only once in so many intervals: they hardly ever know
      * more, and each pull wakes up two processes.
@@ -69,8 +66,6 @@
         if (peerSelector.isController()) {
             return peerSelector.nextInTurn(controllers, 3);
         }
-        return isStale.getAsBoolean()
-                ? peerSelector.sample(controllers, CONTROLLERS_WHEN_STALE)
-                : peerSelector.sample(peerSelector.preferOwnRegion(controllers), 1);
+        return peerSelector.sample(isStale.getAsBoolean() ? controllers : peerSelector.preferOwnRegion(controllers), 1);
     }
 }
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -23,13 +23,6 @@
  */
 public final class Router {
     private static final long SECOND = 1_000_000L;
-    /**
-     * A first guess of what a gateway that just started still needs to its first configuration, less half of the spread: it can't
-     * have observed that. A client that comes back too early is refused once more, and most retry once only.
-     */
-    private static final long CONFIGURATION_WAIT_MICROS = 2_500_000L;
-
-    private static final long CONFIGURATION_WAIT_SPREAD_MICROS = SECOND;
     private static final long REFUSED_EJECTION_MICROS = 150_000L;
     private static final int NOT_FOUND = 404;
     private static final int BAD_GATEWAY = 502;
@@ -167,7 +160,7 @@
             return;
         }
         if (configurationNumber() == 0) {
-            final long retryAfter = CONFIGURATION_WAIT_MICROS + random.nextLong(CONFIGURATION_WAIT_SPREAD_MICROS);
+            final long retryAfter = SECOND + random.nextLong(SECOND / 2);
             output.reject(request.callId(), UNAVAILABLE, retryAfter, "no charter is known here yet");
             return;
         }
