Two schedules that never recovered: forgotten views, and the only member of a chain lost

Cause of the one with three replicas: a member told its successor how far its log goes under a view that was not on its disk yet, restarted into the view before, took and committed one more entry there, and its successor counted as caught up without it. The successor was then fenced as outdated, and with one more disk lost no majority was left. A member now says how far its log goes only once the view is on its disk (Safeguard VIEW_SYNC).

Cause of the one with six: a chain shrank to one member, which can acknowledge nothing, and was lost; another replica held all that was ever acknowledged, but nothing let it go on. A replica that held everything when a chain too short to acknowledge began, or was repaired under it, is a standby now: it keeps its pending entries, and a voter that is one takes over by the same vote as every view where all members of the chain are silent (Safeguard TAKEOVER).

Ruled out: a chain never shorter than the copies. Newcomers would have to be repaired from members that are not the tail, whose pending entries need not be in their later predecessor.

ReplicaRoleTest: one assertion used a chain of one, under which a replica stays a standby now; it asserts the same of a chain of two, and five new tests the rest.

--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -7,6 +7,7 @@
 import silverlatch.log.LogRecord;
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
+import silverlatch.safeguard.Safeguard;
 import silverlatch.state.StateMachine;
 import silverlatch.wire.ChainClientMessage;
 import silverlatch.wire.Message;
@@ -81,7 +82,7 @@
         readAdmission = new ReadAdmission(settings, role, lease, log, effects);
         committer = new Committer(settings, role, log, effects);
         catchUp = new CatchUpProgress(role, log, effects);
-        successorLink = new SuccessorLink(role, log, effects);
+        successorLink = new SuccessorLink(settings, role, log, effects);
         predecessorLink = new PredecessorLink(settings, role, log, catchUp, committer, effects);
         repairRequester =
                 new RepairRequester(settings, role, log, successorLink, catchUp, committer, departure, effects);
@@ -116,7 +117,7 @@
     private void finishReplay(final long now) {
         role.finishReplay();
         if (role.hasView()) {
-            if (!role.isInChain()) {
+            if (!role.isInChain() && !role.isStandby()) {
                 dropPending();
             }
             failureDetector.start(now);
@@ -279,6 +280,7 @@
             }
         } else if (!isStalled) {
             seekPlace(now);
+            takeOver(now);
         }
     }
 
@@ -292,6 +294,16 @@
         }
     }
 
+    /** A standby whose repair is on disk proposes itself where all members of the chain are lost. */
+    private void takeOver(final long now) {
+        if (role.isStandby()
+                && effects.isAllSynced()
+                && !departure.isLeaving()
+                && settings.safeguards().isEnabled(Safeguard.TAKEOVER)) {
+            proposer.proposeTakeover(now);
+        }
+    }
+
     private void requestLease(final long now) {
         lease.request(failureDetector.hearsMajority(now), now);
     }
@@ -373,16 +385,28 @@
         repairResponder.installView();
         successorLink.reset(log.committedSequence(), now);
         failureDetector.installView(wasInChain, now);
-        effects.persist(List.of(new LogRecord.ViewInstalled(next, role.isCaughtUp())), now);
+        effects.persist(
+                List.of(new LogRecord.ViewInstalled(next, role.isCaughtUp())),
+                now,
+                syncedAt -> viewSynced(next.number(), syncedAt));
         effects.log(Event.VIEW, "view " + next.number() + " chain " + next.chainAddresses());
         requestLease(now);
         if (role.isInChain()) {
             replication.restart(now);
+        } else if (role.isStandby()) {
+            waitingWrites.abandon();
         } else {
             dropPending();
         }
     }
 
+    private void viewSynced(final long number, final long now) {
+        role.syncView(number);
+        if (role.isInChain()) {
+            replication.restart(now);
+        }
+    }
+
     private void entriesSynced(final long now) {
         replication.entriesSynced(now);
     }
--- a/core/src/main/java/silverlatch/replication/RepairRequester.java
+++ b/core/src/main/java/silverlatch/replication/RepairRequester.java
@@ -140,6 +140,7 @@
         successorLink.reset(lastPiece.sequence(), now);
         catchUp.restart(now);
         joining = true;
+        role.repaired();
         final long viewNumber = role.view().number();
         log.completeRepair(
                 lastPiece.sequence(),
--- a/core/src/main/java/silverlatch/replication/ReplicaLog.java
+++ b/core/src/main/java/silverlatch/replication/ReplicaLog.java
@@ -138,7 +138,7 @@
                 .map(entry -> (LogRecord) new LogRecord.Appended(entry))
                 .toList();
         effects.persist(records, now, syncedAt -> {
-            if (begun == generation && role.isInChain()) {
+            if (begun == generation) {
                 syncedSequence = Math.max(syncedSequence, lastAppended);
                 onAppended.accept(syncedAt);
             }
--- a/core/src/main/java/silverlatch/replication/ReplicaRole.java
+++ b/core/src/main/java/silverlatch/replication/ReplicaRole.java
@@ -6,9 +6,15 @@
 
 /**
  * Where a replica stands: its installed view, its {@link ReplicaState}, and whether it has caught up. Every part of a replica reads
- * it. {@link ChainReplica} alone installs views and moves the state; {@link CatchUpProgress} says when it has caught up.
+ * it. {@link ChainReplica} alone installs views and moves the state; {@link CatchUpProgress} and {@link RepairRequester} say when it has
+ * caught up.
  *
- * <p>Invariants: numbers of views only rise, and all views are of one cluster; a replica whose log is outdated has not caught up.
+ * <p>A chain shorter than the required copies acknowledges nothing. So a replica that held everything when such a view began, or was
+ * repaired under it, holds everything still, in the chain or out of it: it is a standby, and may take over where all members of the
+ * chain are lost.
+ *
+ * <p>Invariants: numbers of views only rise, and all views are of one cluster; a replica whose log is outdated has not caught up; one
+ * that is out of a chain of enough copies has not caught up.
  */
 final class ReplicaRole {
     private final ReplicaSettings settings;
@@ -16,6 +22,8 @@
     private ReplicaState state = ReplicaState.EMPTY;
     private boolean caughtUp;
     private boolean logOutdated;
+    /** Whether the installed view is on disk here, so that a restart doesn't fall back to the one before. */
+    private boolean viewSynced = true;
 
     ReplicaRole(final ReplicaSettings settings) {
         this.settings = settings;
@@ -51,11 +59,21 @@
         return state == ReplicaState.DISK_FAILED;
     }
 
-    /** Whether the replica holds all that its chain holds. */
+    /** Whether the replica holds all that was acknowledged, and all that its chain held when the view began. */
     boolean isCaughtUp() {
         return caughtUp;
     }
 
+    /** Whether the replica is out of the chain and may take over where all of its members are lost. */
+    boolean isStandby() {
+        return state == ReplicaState.OUTSIDE_CHAIN && caughtUp;
+    }
+
+    /** Whether the installed view is on disk here. */
+    boolean isViewSynced() {
+        return viewSynced;
+    }
+
     /** Whether the log lacks what was acknowledged with it. */
     boolean isLogOutdated() {
         return logOutdated;
@@ -93,8 +111,11 @@
 
     /** Whether the chain is long enough for an acknowledgement. */
     boolean hasRequiredCopies() {
-        return view.chain().size() >= settings.minInSyncReplicas()
-                || !settings.safeguards().isEnabled(Safeguard.COPIES);
+        return hasRequiredCopies(view) || !settings.safeguards().isEnabled(Safeguard.COPIES);
+    }
+
+    private boolean hasRequiredCopies(final View of) {
+        return of.chain().size() >= settings.minInSyncReplicas();
     }
 
     /** Whether a message of this view must not be taken, as another view is installed. */
@@ -107,20 +128,42 @@
         return next.number() > view.number() && (view.fleet() == 0 || next.fleet() == view.fleet());
     }
 
-    /** Installs a decided view; a founder has caught up from the start, others stay so while they stay in the chain. */
+    /** Installs a decided view; a founder has caught up from the start. */
     void install(final View next, final boolean isFounded) {
-        final boolean wasNamedInChain = isNamedInChain();
+        caughtUp = isFounded && isNamedInChainOf(next) || caughtUp && staysCaughtUp(next);
         view = next;
+        viewSynced = false;
         logOutdated = false;
-        caughtUp = isNamedInChain() && (wasNamedInChain && caughtUp || isFounded);
         state = state.afterView(isNamedInChain());
     }
 
+    /**
+     * A member of the chain stays caught up while it stays there. A standby does so under the very next view, whether that puts it into
+     * the chain, or leaves it out of one that can acknowledge nothing: no view that it doesn't know acknowledged anything in between.
+     */
+    private boolean staysCaughtUp(final View next) {
+        if (isNamedInChainOf(next) && isNamedInChain()) {
+            return true;
+        }
+        final boolean isVeryNext = next.number() == view.number() + 1;
+        return isVeryNext && (isNamedInChainOf(next) || !hasRequiredCopies(next));
+    }
+
+    /** The installed view is on disk here. */
+    void syncView(final long number) {
+        viewSynced |= number == view.number();
+    }
+
     /** The replica holds all that its predecessor held when the view began. */
     void catchUp() {
         caughtUp = true;
     }
 
+    /** The replica was repaired under the installed view by a member that holds everything; under a short one it is a standby now. */
+    void repaired() {
+        caughtUp |= state == ReplicaState.OUTSIDE_CHAIN && !hasRequiredCopies(view);
+    }
+
     /** What was acknowledged with this log isn't in it: the replica takes no part until a later view. */
     void fenceOutdatedLog() {
         logOutdated = true;
@@ -154,4 +197,8 @@
     private int position() {
         return view.positionOf(settings.self().id());
     }
+
+    private boolean isNamedInChainOf(final View next) {
+        return next.positionOf(settings.self().id()) >= 0;
+    }
 }
--- a/core/src/main/java/silverlatch/replication/SuccessorLink.java
+++ b/core/src/main/java/silverlatch/replication/SuccessorLink.java
@@ -4,6 +4,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import silverlatch.safeguard.Safeguard;
 import silverlatch.wire.ReplicationMessage;
 
 /**
@@ -12,12 +13,15 @@
  */
 final class SuccessorLink {
     private static final int MAX_BATCH_ENTRIES = 512;
+    private final ReplicaSettings settings;
     private final ReplicaRole role;
     private final ReplicaLog log;
     private final EffectQueue effects;
     private final ReplicationWindow window = new ReplicationWindow();
 
-    SuccessorLink(final ReplicaRole role, final ReplicaLog log, final EffectQueue effects) {
+    SuccessorLink(
+            final ReplicaSettings settings, final ReplicaRole role, final ReplicaLog log, final EffectQueue effects) {
+        this.settings = settings;
         this.role = role;
         this.log = log;
         this.effects = effects;
@@ -75,7 +79,14 @@
         });
     }
 
+    /**
+     * Says how far the log goes, once the view is on disk here. A member that told its target earlier could fall back to the view before
+     * by a restart, and take further entries under it, which the successor would lack.
+     */
     private void sendTarget(final String address) {
+        if (!role.isViewSynced() && settings.safeguards().isEnabled(Safeguard.VIEW_SYNC)) {
+            return;
+        }
         effects.send(address, new ReplicationMessage.CatchUpTarget(role.view().number(), log.lastSequence()));
     }
 
--- a/core/src/main/java/silverlatch/replication/ViewPlanner.java
+++ b/core/src/main/java/silverlatch/replication/ViewPlanner.java
@@ -62,6 +62,14 @@
         return shortened.or(() -> joined).or(this::withoutDeadVotes);
     }
 
+    /** The view in which this replica alone takes over, where all members of a chain that can acknowledge nothing are silent. */
+    Optional<View> takeover() {
+        final boolean isShort = view.chain().size() < settings.minInSyncReplicas();
+        return isShort && view.chain().stream().allMatch(this::suspected)
+                ? Optional.of(shortened(List.of(settings.self()), false))
+                : Optional.empty();
+    }
+
     private Optional<View> withNewcomer(final Collection<ReplicationMessage.JoinRequest> joinRequests) {
         return joinRequests.stream()
                 .filter(request -> request.view() == view.number()
--- a/core/src/main/java/silverlatch/replication/ViewProposer.java
+++ b/core/src/main/java/silverlatch/replication/ViewProposer.java
@@ -8,13 +8,14 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import silverlatch.node.Event;
 import silverlatch.safeguard.Safeguard;
 import silverlatch.wire.ReplicationMessage;
 
 /**
- * The proposer of single-decree Paxos for the number after the installed view. Each tick of a member of the chain asks it whether the
- * chain should change; {@link ViewPlanner} says how.
+ * The proposer of single-decree Paxos for the number after the installed view. Each tick of a member of the chain, or of a
+ * standby, asks it whether the chain should change; {@link ViewPlanner} says how.
  *
  * <p>Legal transitions of a proposal: none, preparing (collects promises), accepting (collects acceptances), none, once it is decided,
  * preempted, or too old. Members with a higher rank propose later, and one that was preempted holds back, so that proposers don't preempt
@@ -75,29 +76,50 @@
 
     /** Proposes the next view where the chain should change and no other proposer is to go first. */
     void proposeNextView(final boolean isLeaving, final long now) {
-        if (proposal.isPresent() && now - proposal.get().startedAt() < proposalTimeoutMicros()) {
-            return;
-        }
-        proposal = Optional.empty();
-        if (!role.isVoter() || !settings.safeguards().isEnabled(Safeguard.CHAIN_REPAIR)) {
+        if (!mayBegin(now)) {
             return;
         }
         if (role.isCaughtUp()) {
             failureDetector.addSelfAsCaughtUp();
         }
         final ViewPlanner planner = planner(now);
-        final Optional<View> next = planner.next(isLeaving, joinRequests.values());
-        if (next.isEmpty() && acceptor.acceptedView().isEmpty()) {
-            suspectedSince = 0;
+        final Optional<View> next =
+                planner.next(isLeaving, joinRequests.values()).or(acceptor::acceptedView);
+        noteSuspicion(next.isPresent(), planner, now);
+        final int rank = isLeaving && planner.suspected().isEmpty()
+                ? 0
+                : rankAmong(planner.reachableVoters().stream()
+                        .filter(voter -> role.view().positionOf(voter.id()) >= 0));
+        next.filter(view -> mayPropose(planner, rank, now)).ifPresent(view -> prepare(view, now));
+    }
+
+    /** Proposes this replica, a standby, as the only member of the chain where all others are lost. */
+    void proposeTakeover(final long now) {
+        if (!mayBegin(now)) {
             return;
         }
-        if (suspectedSince == 0) {
+        final ViewPlanner planner = planner(now);
+        final Optional<View> next = planner.takeover();
+        noteSuspicion(next.isPresent(), planner, now);
+        final int rank = rankAmong(planner.reachableVoters().stream());
+        next.filter(view -> mayPropose(planner, rank, now)).ifPresent(view -> prepare(view, now));
+    }
+
+    private boolean mayBegin(final long now) {
+        if (proposal.isPresent() && now - proposal.get().startedAt() < proposalTimeoutMicros()) {
+            return false;
+        }
+        proposal = Optional.empty();
+        return role.isVoter() && settings.safeguards().isEnabled(Safeguard.CHAIN_REPAIR);
+    }
+
+    private void noteSuspicion(final boolean isChangeDue, final ViewPlanner planner, final long now) {
+        if (!isChangeDue) {
+            suspectedSince = 0;
+        } else if (suspectedSince == 0) {
             suspectedSince = now;
             planner.suspected().forEach(member -> effects.log(Event.CHAIN_SUSPECT, member.address()));
         }
-        if (mayPropose(planner, isLeaving, now)) {
-            prepare(next.or(acceptor::acceptedView).orElse(role.view()), now);
-        }
     }
 
     private long proposalTimeoutMicros() {
@@ -112,23 +134,18 @@
                 failureDetector.caughtUpMembers());
     }
 
-    private boolean mayPropose(final ViewPlanner planner, final boolean isLeaving, final long now) {
-        final List<Replica> reachable = planner.reachableVoters();
+    private boolean mayPropose(final ViewPlanner planner, final int rank, final long now) {
         final long suspicion = settings.suspicionMicros();
-        final int rank = isLeaving && planner.suspected().isEmpty() ? 0 : rankAmong(reachable);
         final boolean othersPropose = preemptedAt > 0 && now - preemptedAt < suspicion + rank * suspicion / 2;
         return !othersPropose
                 && now - suspectedSince >= rank * suspicion
-                && role.view().isMajority(reachable.size());
+                && role.view().isMajority(planner.reachableVoters().size());
     }
 
-    /** This replica's index among the members that are heard: those with a higher one let the others propose first. */
-    private int rankAmong(final List<Replica> reachable) {
-        final List<String> members = reachable.stream()
-                .map(Replica::id)
-                .filter(id -> role.view().positionOf(id) >= 0)
-                .toList();
-        return Math.max(0, members.indexOf(settings.self().id()));
+    /** This replica's index among those that may propose: those with a higher one let the others go first. */
+    private int rankAmong(final Stream<Replica> proposers) {
+        final List<String> ids = proposers.map(Replica::id).toList();
+        return Math.max(0, ids.indexOf(settings.self().id()));
     }
 
     private void prepare(final View next, final long now) {
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -71,5 +71,9 @@
     /** A replica that was out takes over the ranges in which its digests differ before it joins. */
     REPAIR_DIGEST,
     /** A replica under repair takes over what its source has synced and doesn't know to be committed. */
-    REPAIR_PENDING
+    REPAIR_PENDING,
+    /** A member tells its successor how far its log goes only when its view is on disk. */
+    VIEW_SYNC,
+    /** A replica that holds everything takes over where all members of a chain that acknowledges nothing are lost. */
+    TAKEOVER
 }
--- a/core/src/test/java/silverlatch/replication/ReplicaParts.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaParts.java
@@ -66,9 +66,10 @@
         return new ReplicaLog(parts.role, snapshots, parts.effects, stateMachine, onAppended, onCommitted);
     }
 
-    /** A part that stands in this view as a member that has caught up, or outside of it. */
+    /** A part that stands in this view, which is on disk, as a member that has caught up, or outside of it. */
     ReplicaParts in(final View view) {
         role.install(view, true);
+        role.syncView(view.number());
         return this;
     }
 
--- a/core/src/test/java/silverlatch/replication/ReplicaRoleTest.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaRoleTest.java
@@ -31,14 +31,72 @@
         assertThat(role.isActive(), is(true));
         role.install(view(2, SELF), false);
         assertThat("it stayed in the chain", role.isActive(), is(true));
-        role.install(view(3, SECOND), false);
+        role.install(view(3, SECOND, THIRD), false);
         assertThat(role.isCaughtUp(), is(false));
-        role.install(view(4, SECOND, SELF), false);
+        role.install(view(4, SECOND, THIRD, SELF), false);
         assertThat("it came back and may lack entries", role.isCaughtUp(), is(false));
         role.catchUp();
         assertThat(role.isActiveTail(), is(true));
     }
 
+    @Test
+    void aMemberThatLeavesForAShortChainIsAStandbyUntilAChainCanAcknowledge() {
+        role.install(view(1, SELF, SECOND), true);
+        role.install(view(2, SECOND), false);
+        assertThat(role.isStandby(), is(true));
+        assertThat(role.isActive(), is(false));
+        role.install(view(3, THIRD), false);
+        assertThat("the very next view is short too", role.isStandby(), is(true));
+        role.install(view(4, SECOND, THIRD), false);
+        assertThat("this one acknowledges", role.isCaughtUp(), is(false));
+        role.install(view(5, SECOND), false);
+        assertThat("it may lack what was acknowledged", role.isCaughtUp(), is(false));
+    }
+
+    @Test
+    void aStandbyThatMissedAViewHoldsNothingForSure() {
+        role.install(view(1, SELF, SECOND), true);
+        role.install(view(2, SECOND), false);
+        role.install(view(4, THIRD), false);
+        assertThat("the view in between may have acknowledged", role.isStandby(), is(false));
+        role.install(view(5, SELF), false);
+        assertThat(role.isActive(), is(false));
+    }
+
+    @Test
+    void aStandbyHoldsEverythingAsTheOnlyMemberOfTheVeryNextView() {
+        role.install(view(1, SELF, SECOND), true);
+        role.install(view(2, SECOND), false);
+        role.install(view(3, SELF), false);
+        assertThat(role.isActiveTail(), is(true));
+    }
+
+    @Test
+    void aRepairMakesAStandbyOnlyUnderAShortChain() {
+        role.install(view(1, SECOND), false);
+        role.repaired();
+        assertThat(role.isStandby(), is(true));
+        final ReplicaRole full = new ReplicaParts().role;
+        full.install(view(1, SECOND, THIRD), false);
+        full.repaired();
+        assertThat("this chain goes on acknowledging", full.isCaughtUp(), is(false));
+        final ReplicaRole member = new ReplicaParts().role;
+        member.install(view(1, SECOND, SELF), false);
+        member.repaired();
+        assertThat("a member catches up with its predecessor", member.isCaughtUp(), is(false));
+    }
+
+    @Test
+    void aViewIsOnDiskOnceItsOwnRecordIsSynced() {
+        role.install(view(1, SELF, SECOND), true);
+        assertThat(role.isViewSynced(), is(false));
+        role.install(view(2, SELF, SECOND), false);
+        role.syncView(1);
+        assertThat("the record of the view before", role.isViewSynced(), is(false));
+        role.syncView(2);
+        assertThat(role.isViewSynced(), is(true));
+    }
+
     @Test
     void thePlaceInTheChainDecidesWhoComesBeforeAndAfter() {
         role.install(view(1, SECOND, SELF, THIRD), true);
--- a/core/src/test/java/silverlatch/replication/SuccessorLinkTest.java
+++ b/core/src/test/java/silverlatch/replication/SuccessorLinkTest.java
@@ -26,7 +26,7 @@
     private static final long BACKOFF = 600_000;
     private final ReplicaParts parts = new ReplicaParts().in(view(2, SELF, SECOND));
     private final ReplicaLog log = ReplicaParts.log(parts, syncedAt -> {}, sequence -> {});
-    private final SuccessorLink link = new SuccessorLink(parts.role, log, parts.effects);
+    private final SuccessorLink link = new SuccessorLink(parts.settings, parts.role, log, parts.effects);
 
     private void append(final long... sequences) {
         for (final long sequence : sequences) {
@@ -57,6 +57,17 @@
         assertThat(parts.sent(), is(List.of()));
     }
 
+    @Test
+    void theTargetIsToldOnlyOnceTheViewIsOnDisk() {
+        parts.role.install(view(3, SELF, SECOND), false);
+        link.retry(START + BACKOFF);
+        link.handleFetchEntries(new ReplicationMessage.FetchEntries(3, SECOND.id(), 0), SECOND.address(), START);
+        assertThat(parts.sent(), is(List.of()));
+        parts.role.syncView(3);
+        link.retry(START + 2 * BACKOFF);
+        assertThat(parts.sent(), is(List.of(new ReplicationMessage.CatchUpTarget(3, 0))));
+    }
+
     @Test
     void whatIsNotAcknowledgedIsSentAgainAfterTheBackoff() {
         link.reset(0, START);
--- a/core/src/test/java/silverlatch/replication/ViewPlannerTest.java
+++ b/core/src/test/java/silverlatch/replication/ViewPlannerTest.java
@@ -71,6 +71,17 @@
         assertThat(planner(view(voters, copies), id -> HEARD, copies).next(true, List.of()), is(Optional.empty()));
     }
 
+    @Test
+    void aTakeoverIsPlannedOnlyWhereAllMembersOfAShortChainAreSilent() {
+        final View lost = new View(5, 1, replicas(5), List.of(replica(4), replica(3)), "id-4");
+        final View next = planner(lost, silentFrom(3), 3).takeover().orElseThrow();
+        assertThat(next.number(), is(6L));
+        assertThat(next.chain(), is(List.of(replica(0))));
+        assertThat(next.singletonOwner(), is("id-0"));
+        assertThat("one is heard", planner(lost, silentFrom(4), 3).takeover(), is(Optional.empty()));
+        assertThat("it may acknowledge", planner(lost, silentFrom(3), 2).takeover(), is(Optional.empty()));
+    }
+
     @Test
     void aNewcomerReplacesADeadVoterAndIsAddedOnlyWhereAllAreHeardAndInTheChain() {
         final ReplicationMessage.JoinRequest join =
--- a/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
@@ -30,6 +30,12 @@
     REPAIR_DIGEST(Set.of(Safeguard.REPAIR_DIGEST), Set.of(Property.ONE_HISTORY)),
     /** A replica under repair drops what its source has synced and doesn't know to be committed. */
     REPAIR_PENDING(Set.of(Safeguard.REPAIR_PENDING), Set.of(Property.DURABLE)),
+    /** A member tells how far its log goes before its view is on disk. */
+    VIEW_SYNC(
+            Set.of(Safeguard.VIEW_SYNC),
+            Set.of(Property.RECOVERS, Property.FRESH_READ, Property.LINEARIZABLE, Property.ONE_HISTORY)),
+    /** Nobody takes over where all members of a short chain are lost. */
+    TAKEOVER(Set.of(Safeguard.TAKEOVER), Set.of(Property.RECOVERS)),
     /** A chain that lost a replica is not repaired. */
     CHAIN_REPAIR(Set.of(Safeguard.CHAIN_REPAIR), Set.of(Property.RECOVERS)),
     /** A write to the log is reported as synced before it is; the harness does this, not the replica. */
--- a/simulation/src/test/java/silverlatch/simulation/explore/FoundScheduleTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/explore/FoundScheduleTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Schedules that the explorer found and shrunk, each of which broke a property once; none does now. */
@@ -30,12 +31,26 @@
                 "last-of-chain-lost-4",
                 "last-of-chain-lost-5",
                 "resent-order-refused",
-                "refused-by-uncommitted"
+                "refused-by-uncommitted",
+                "restart-forgets-view",
+                "only-member-lost-beside-standby"
             })
     void holds(final String name) throws IOException {
         assertThat(schedule(name).replay().violation(), is(Optional.empty()));
     }
 
+    /** Walks reach these too rarely for {@link MutantTest}. */
+    @ParameterizedTest
+    @CsvSource({"restart-forgets-view,VIEW_SYNC", "only-member-lost-beside-standby,TAKEOVER"})
+    void isWhatItsSafeguardPrevents(final String name, final Mutant mutant) throws IOException {
+        final Schedule found = schedule(name);
+        final WorldOptions options = found.options();
+        final WorldOptions mutated = new WorldOptions(options.replicas(), options.copies(), options.drift(), mutant);
+        final Optional<Violation> violation =
+                new Schedule(mutated, found.actions()).replay().violation();
+        assertThat(mutant.expected().contains(violation.orElseThrow().property()), is(true));
+    }
+
     @Test
     void aMajorityIsLeftAfterTwoLossesOfFiveWhenTwoOthersWereSlow() throws IOException {
         assertThat(schedule("slow-members-lose-votes").replay().violation(), is(Optional.empty()));
--- a/simulation/src/test/java/silverlatch/simulation/explore/MutantTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/explore/MutantTest.java
@@ -10,7 +10,8 @@
 
 /**
  * Each safeguard that is let down is noticed by name, by a schedule that breaks nothing while it stands. Walks are too rare
- * that need {@code REPAIR_PENDING}: {@code RepairOfPendingTest} lets that one down with two replicas.
+ * that need {@code REPAIR_PENDING}, {@code VIEW_SYNC} or {@code TAKEOVER}: {@code RepairOfPendingTest} lets the first down with
+ * two replicas, and {@link FoundScheduleTest} replays a schedule under each of the others.
  */
 final class MutantTest {
     private static final int STEPS = 700;
@@ -22,7 +23,7 @@
     @ParameterizedTest
     @EnumSource(
             mode = EnumSource.Mode.EXCLUDE,
-            names = {"NONE", "REPAIR_PENDING"})
+            names = {"NONE", "REPAIR_PENDING", "VIEW_SYNC", "TAKEOVER"})
     void isCaught(final Mutant mutant) {
         final SearchLimits limits = SearchLimits.within(THREADS, Long.MAX_VALUE, HOUR);
         final MutantTable.Row row = new MutantTable(STEPS, FIRST_SEED, SEEDS, limits).row(mutant);
