Notice a client that closes its connection while its worker is silent

Cause: nothing was read from a client while its request ran, so a close showed only when bytes were written, and workers went on for nobody. The server's connections can be watched now: the worker's exchange is cancelled, and no further attempt is made. A client that half-closes with its request is served; a request that may not be repeated and is at a worker runs to its end. What a client sends ahead while it is watched is kept for the next request.

Ruled out: probing by writing (interim responses are bytes that no client asked for).

--- a/core/src/main/java/silverlatch/routing/OpenRequest.java
+++ b/core/src/main/java/silverlatch/routing/OpenRequest.java
@@ -24,6 +24,7 @@
     private String worker = "";
     private boolean responseStarted;
     private boolean mayHaveRun;
+    private boolean clientLeft;
 
     /** A request that just came, for which a pool was drawn. */
     OpenRequest(
@@ -127,6 +128,16 @@
         return responseStarted;
     }
 
+    /** The client has left: no further attempt is made. */
+    void markClientLeft() {
+        clientLeft = true;
+    }
+
+    /** Whether the client has left. */
+    boolean hasClientLeft() {
+        return clientLeft;
+    }
+
     /** An attempt may have run. */
     void markMayHaveRun() {
         mayHaveRun = true;
--- a/core/src/main/java/silverlatch/routing/RetryPolicy.java
+++ b/core/src/main/java/silverlatch/routing/RetryPolicy.java
@@ -13,6 +13,7 @@
     /** Whether it may be retried after a worker's complete response with this status, which wasn't passed on. */
     static boolean allowsAfterResponse(final OpenRequest open, final int statusCode, final long now) {
         return statusCode >= SERVER_ERROR
+                && !open.hasClientLeft()
                 && open.route().isRetryable()
                 && hasAttemptsLeft(open)
                 && now < open.deadline();
@@ -30,7 +31,7 @@
         final boolean hasAttemptsLeft = hasAttemptsLeft(open)
                 || point == FailurePoint.UNSENT
                         && open.attempts() <= open.route().maxAttempts() + 1;
-        return mayRunAgain && hasAttemptsLeft && now < open.deadline();
+        return mayRunAgain && hasAttemptsLeft && !open.hasClientLeft() && now < open.deadline();
     }
 
     /** Whether it may be moved from a worker that has been silent for too long. */
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -290,6 +290,11 @@
         });
     }
 
+    /** The client has left; an attempt that may not be repeated runs to its end, but no further one is made. */
+    public void clientLeft(final long callId) {
+        requests.byCall(callId).ifPresent(OpenRequest::markClientLeft);
+    }
+
     /** A timer event, several times a second. */
     public void tick(final long now) {
         requests.forEach(open -> checkTimeouts(open, now));
--- a/server/src/main/java/silverlatch/server/proxy/ClientResponse.java
+++ b/server/src/main/java/silverlatch/server/proxy/ClientResponse.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import silverlatch.server.web.ClientDisconnects;
 
 /**
  * The response to a client. Until it is committed, which is when its first bytes are handed to the client's connection, its head may
@@ -65,12 +66,16 @@
     /** Writes a part of the body; the callback is called once, maybe on another thread. */
     void write(final byte[] bytes, final boolean isLast, final Callback onWritten) {
         committed = true;
+        if (isLast) {
+            ClientDisconnects.unwatch(response.getRequest());
+        }
         response.write(isLast, ByteBuffer.wrap(bytes), onWritten);
     }
 
     /** Replies with a worker's failure as it is, and completes the response. */
     void forwardFailure(final org.eclipse.jetty.client.Response failure, final byte[] body) {
         committed = true;
+        ClientDisconnects.unwatch(response.getRequest());
         setHead(failure.getStatus(), failure.getHeaders());
         setContentLength(failure, body.length);
         response.write(true, ByteBuffer.wrap(body), callback);
@@ -80,6 +85,7 @@
     void replyText(final int status, final long retryAfterMicros, final String text) {
         resetHead();
         committed = true;
+        ClientDisconnects.unwatch(response.getRequest());
         response.setStatus(status);
         final HttpFields.Mutable headers = response.getHeaders();
         if (retryAfterMicros > 0) {
--- a/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.Callback;
 import silverlatch.routing.RoutingEffect;
@@ -16,6 +17,12 @@
  * lock guards its state.
  */
 final class ProxiedRequest {
+    /**
+     * A client that closes its side this soon after its request has half-closed the connection, as some do that send no second
+     * request, and still reads the response. One that gives up waits for longer. In microseconds.
+     */
+    private static final long HALF_CLOSE_MICROS = 25_000;
+
     private final ProxyServer proxy;
     private final long callId;
     private final String requestId;
@@ -23,6 +30,7 @@
     private final ClientResponse response;
     private final byte[] body;
     private final Deque<PendingWrite> pendingWrites = new ArrayDeque<>();
+    private final long arrivedAt = EventLoop.nowMicros();
     private Optional<WorkerExchange> exchange = Optional.empty();
     private boolean writeInProgress;
     private boolean ended;
@@ -192,6 +200,28 @@
         }
     }
 
+    /**
+     * The client has closed its side of the connection while the request runs. Nothing more is done for it, but that a request which
+     * may not be repeated and is at a worker runs to its end: its client may only have half-closed the connection, and could
+     * never learn the outcome otherwise.
+     */
+    void clientClosed(final boolean isReset) {
+        if (!isReset && EventLoop.nowMicros() - arrivedAt < HALF_CLOSE_MICROS) {
+            return;
+        }
+        final boolean hasEnded;
+        final boolean runsOn;
+        synchronized (this) {
+            hasEnded = ended;
+            runsOn = exchange.filter(WorkerExchange::mustRunToItsEnd).isPresent();
+        }
+        if (runsOn) {
+            proxy.endAttempts(callId);
+        } else if (!hasEnded) {
+            clientFailed(new EofException("the client has left"));
+        }
+    }
+
     private void clientFailed(final Throwable failure) {
         synchronized (this) {
             ended = true;
--- a/server/src/main/java/silverlatch/server/proxy/ProxyServer.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxyServer.java
@@ -20,6 +20,7 @@
 import silverlatch.routing.RoutingEffect;
 import silverlatch.server.eventloop.EventLog;
 import silverlatch.server.eventloop.EventLoop;
+import silverlatch.server.web.ClientDisconnects;
 import silverlatch.server.web.MultiListenerServer;
 import silverlatch.state.Value;
 
@@ -152,9 +153,11 @@
         final long callId = lastCallId.incrementAndGet();
         final RoutedRequest routed = routedRequests.read(callId, requestId.get(), request);
         final ClientResponse clientResponse = new ClientResponse(response, callback, () -> closing, disabledSafeguards);
-        requestsByCallId.put(callId, new ProxiedRequest(this, callId, requestId.get(), request, clientResponse, body));
+        final ProxiedRequest proxied = new ProxiedRequest(this, callId, requestId.get(), request, clientResponse, body);
+        requestsByCallId.put(callId, proxied);
         request.addIdleTimeoutListener(timeout -> false);
         request.addFailureListener(failure -> abandon(callId));
+        ClientDisconnects.watch(request, proxied::clientClosed);
         if (!postToRouter(router -> router.requestArrived(routed, EventLoop.nowMicros()))) {
             rejectAsOverloaded(callId);
         }
@@ -215,6 +218,11 @@
         return workerRequests;
     }
 
+    /** Tells the router that no further attempt is to be made, as a client has left; the one in flight goes on. */
+    void endAttempts(final long callId) {
+        postToRouter(router -> router.clientLeft(callId));
+    }
+
     private void postClientGone(final long callId) {
         postToRouter(router -> router.clientDisconnected(callId, EventLoop.nowMicros()));
     }
--- a/server/src/main/java/silverlatch/server/proxy/WorkerExchange.java
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerExchange.java
@@ -68,6 +68,11 @@
         }
     }
 
+    /** Whether the request may have reached its worker and can't be repeated, nor is it a stream that its client reads as it comes. */
+    boolean mustRunToItsEnd() {
+        return requestStarted.get() && attempt.once() && !attempt.stream();
+    }
+
     /** The worker's response; present once its head has come. */
     Optional<Response> response() {
         return response;
--- a/server/src/main/java/silverlatch/server/web/Connectors.java
+++ b/server/src/main/java/silverlatch/server/web/Connectors.java
@@ -1,6 +1,10 @@
 package silverlatch.server.web;
 
 import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -21,8 +25,7 @@
             final HttpConfiguration config,
             final String address,
             final long idleTimeoutMillis) {
-        final ServerConnector connector =
-                new ServerConnector(server, acceptors, selectors, new HttpConnectionFactory(config));
+        final ServerConnector connector = new ClientConnector(server, acceptors, selectors, config);
         final InetSocketAddress socketAddress = Transport.parseAddress(address);
         connector.setHost(socketAddress.getHostString());
         connector.setPort(socketAddress.getPort());
@@ -30,4 +33,19 @@
         connector.setAcceptQueueSize(ACCEPT_QUEUE_SIZE);
         return connector;
     }
+
+    /** A connector whose connections can be watched for their client's closing. */
+    private static final class ClientConnector extends ServerConnector {
+        ClientConnector(final Server server, final int acceptors, final int selectors, final HttpConfiguration config) {
+            super(server, acceptors, selectors, new HttpConnectionFactory(config));
+        }
+
+        @Override
+        protected SocketChannelEndPoint newEndPoint(
+                final SocketChannel channel, final ManagedSelector selector, final SelectionKey key) {
+            final ClientEndPoint endPoint = new ClientEndPoint(channel, selector, key, getScheduler(), getExecutor());
+            endPoint.setIdleTimeout(getIdleTimeout());
+            return endPoint;
+        }
+    }
 }
--- /dev/null
+++ b/server/src/test/java/silverlatch/server/proxy/ClientDisconnectTest.java
@@ -0,0 +1,213 @@
+package silverlatch.server.proxy;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+import static silverlatch.server.proxy.HttpText.CHUNKED;
+import static silverlatch.server.proxy.HttpText.event;
+import static silverlatch.server.proxy.HttpText.failure;
+import static silverlatch.server.proxy.HttpText.good;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import silverlatch.util.Threads;
+
+/** What becomes of a request whose client closes its connection while the worker is silent. */
+final class ClientDisconnectTest extends ProxyFixture {
+    /** The platform counts work that goes on for longer than this after the client has left. */
+    private static final long NOTICE_LIMIT_MS = 500;
+
+    private static final long BEYOND_HALF_CLOSE_MS = 150;
+    private static final long WAIT_MS = 5_000;
+    private SilentWorker silent;
+
+    /** A worker that hands over each connection once it has read a request on it, and writes nothing by itself. */
+    private static final class SilentWorker {
+        private final ServerSocket server;
+        private final BlockingQueue<Socket> connections = new LinkedBlockingQueue<>();
+        private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+
+        SilentWorker() throws IOException {
+            server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+            Threads.startDaemon("silent-worker", this::accept);
+        }
+
+        private void accept() {
+            while (!server.isClosed()) {
+                try {
+                    final Socket socket = server.accept();
+                    requests.add(HttpText.read(socket.getInputStream()));
+                    connections.add(socket);
+                } catch (final IOException failure) {
+                    Thread.yield();
+                }
+            }
+        }
+
+        Socket nextConnection() throws InterruptedException, IOException {
+            final Socket socket = connections.poll(WAIT_MS, TimeUnit.MILLISECONDS);
+            if (socket == null) {
+                throw new IOException("no request came");
+            }
+            return socket;
+        }
+    }
+
+    @BeforeEach
+    void startSilentWorker() throws IOException {
+        silent = new SilentWorker();
+    }
+
+    @AfterEach
+    void stopSilentWorker() throws IOException {
+        silent.server.close();
+    }
+
+    /** The silent worker is the only one that the router knows. */
+    private void useSilentWorker() throws Exception {
+        startWorkerAt(silent.server.getLocalPort());
+    }
+
+    private Socket send(final String path) throws IOException {
+        final Socket client = new Socket("127.0.0.1", port);
+        client.setSoTimeout((int) WAIT_MS);
+        write(client, request(path, "t-1", ""));
+        return client;
+    }
+
+    private static String request(final String path, final String id, final String more) {
+        return "POST " + path + " HTTP/1.1\r\nHost: a\r\nSilverlatch-Ticket: " + id
+                + "\r\nSilverlatch-Expiry-Ms: 4000\r\n" + more + "Content-Length: 1\r\n\r\nb";
+    }
+
+    private static void write(final Socket socket, final String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** How long until the proxy ended its connection to the worker, in milliseconds. */
+    private static long millisUntilEnd(final Socket worker) throws IOException {
+        final long begin = System.nanoTime();
+        worker.setSoTimeout((int) WAIT_MS);
+        try {
+            assertThat(worker.getInputStream().read(), is(-1));
+        } catch (final java.net.SocketException reset) {
+            Thread.yield();
+        }
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begin);
+    }
+
+    private static String readAll(final Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
+    @Test
+    void theWorkersConnectionEndsSoonAfterTheClientHasClosedItsOwn() throws Exception {
+        useSilentWorker();
+        final Socket client = send("/again/x");
+        final Socket worker = silent.nextConnection();
+        Thread.sleep(BEYOND_HALF_CLOSE_MS);
+        client.close();
+        assertThat(millisUntilEnd(worker) < NOTICE_LIMIT_MS, is(true));
+        awaitNoOpenRequest();
+    }
+
+    @Test
+    void aStreamThatHasBegunEndsToo() throws Exception {
+        useSilentWorker();
+        final Socket client = send("/once/x");
+        final Socket worker = silent.nextConnection();
+        write(worker, good(silent.requests.take()) + CHUNKED + "\r\n" + event(1));
+        assertThat(HttpText.read(client.getInputStream()), startsWith("HTTP/1.1 200"));
+        Thread.sleep(BEYOND_HALF_CLOSE_MS);
+        client.close();
+        assertThat(millisUntilEnd(worker) < NOTICE_LIMIT_MS, is(true));
+        awaitNoOpenRequest();
+    }
+
+    @Test
+    void aClientThatHalfClosesWithItsRequestIsServed() throws Exception {
+        useSilentWorker();
+        try (Socket client = send("/again/x")) {
+            client.shutdownOutput();
+            final Socket worker = silent.nextConnection();
+            Thread.sleep(BEYOND_HALF_CLOSE_MS);
+            write(worker, good(silent.requests.take()) + "Content-Length: 2\r\n\r\nok");
+            assertThat(readAll(client), containsString("\r\n\r\nok"));
+        }
+    }
+
+    @Test
+    void aRequestThatMayNotBeRepeatedRunsToItsEnd() throws Exception {
+        useSilentWorker();
+        try (Socket client = send("/plain/x")) {
+            final Socket worker = silent.nextConnection();
+            Thread.sleep(BEYOND_HALF_CLOSE_MS);
+            client.shutdownOutput();
+            Thread.sleep(BEYOND_HALF_CLOSE_MS);
+            write(worker, good(silent.requests.take()) + "Content-Length: 2\r\n\r\nok");
+            assertThat(readAll(client), containsString("\r\n\r\nok"));
+        }
+    }
+
+    @Test
+    void noFurtherWorkerIsAskedOnceTheClientHasLeft() throws Exception {
+        useSilentWorker();
+        final Socket client = send("/plain/x");
+        final Socket worker = silent.nextConnection();
+        final StubWorker other = startWorker(request -> good(request) + "Content-Length: 2\r\n\r\nok");
+        Thread.sleep(BEYOND_HALF_CLOSE_MS);
+        client.shutdownOutput();
+        Thread.sleep(BEYOND_HALF_CLOSE_MS);
+        write(worker, failure(silent.requests.take(), "503 Full", "Silverlatch-Not-Run: 1\r\n"));
+        assertThat(readAll(client), startsWith("HTTP/1.1 503"));
+        assertThat(other.received.size(), is(0));
+    }
+
+    @Test
+    void aRequestSentAheadIsServedAfterTheOneThatRuns() throws Exception {
+        useSilentWorker();
+        try (Socket client = send("/again/x")) {
+            final Socket worker = silent.nextConnection();
+            write(client, request("/again/y", "t-2", "Connection: close\r\n"));
+            Thread.sleep(BEYOND_HALF_CLOSE_MS);
+            write(worker, good(silent.requests.take()) + "Connection: close\r\nContent-Length: 5\r\n\r\nfirst");
+            worker.shutdownOutput();
+            final Socket next = silent.nextConnection();
+            write(next, good(silent.requests.take()) + "Content-Length: 6\r\n\r\nsecond");
+            final String replies = readAll(client);
+            assertThat(replies, containsString("\r\n\r\nfirst"));
+            assertThat(replies, containsString("\r\n\r\nsecond"));
+            assertThat(replies.indexOf("first") < replies.indexOf("second"), is(true));
+        }
+    }
+
+    @Test
+    void aClientThatClosesBehindARequestSentAheadIsNoticedToo() throws Exception {
+        useSilentWorker();
+        final Socket client = send("/again/x");
+        final Socket worker = silent.nextConnection();
+        write(client, request("/again/y", "t-2", ""));
+        Thread.sleep(BEYOND_HALF_CLOSE_MS);
+        client.close();
+        assertThat(millisUntilEnd(worker) < NOTICE_LIMIT_MS, is(true));
+    }
+
+    private void awaitNoOpenRequest() throws InterruptedException {
+        final long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
+        while (proxy.get().openRequests() > 0 && System.nanoTime() < deadline) {
+            Thread.sleep(1);
+        }
+        assertThat(proxy.get().openRequests(), is(0));
+    }
+}
--- a/server/src/test/java/silverlatch/server/proxy/ProxyFixture.java
+++ b/server/src/test/java/silverlatch/server/proxy/ProxyFixture.java
@@ -36,6 +36,7 @@
 
     final ExecutorService routerLoop = Executors.newSingleThreadExecutor(task -> Threads.daemon("router-loop", task));
     final List<StubWorker> stubWorkers = new ArrayList<>();
+    private final List<Integer> workerPorts = new ArrayList<>();
     final AtomicInteger postedEvents = new AtomicInteger();
     final AtomicReference<Runnable> beforeThirdEvent = new AtomicReference<>(() -> {});
     final AtomicReference<ProxyServer> proxy = new AtomicReference<>();
@@ -82,23 +83,27 @@
     StubWorker startWorker(final Function<String, String> script) throws IOException {
         final StubWorker started = new StubWorker(script);
         stubWorkers.add(started);
-        final ClusterSnapshot next = snapshot(stubWorkers.size() + 1);
-        routerLoop.execute(() -> router.update(next, EventLoop.nowMicros()));
+        startWorkerAt(started.port());
         return started;
     }
 
+    /** Has the router know a worker that the test runs itself. */
+    void startWorkerAt(final int workerPort) {
+        workerPorts.add(workerPort);
+        final ClusterSnapshot next = snapshot(workerPorts.size() + 1);
+        routerLoop.execute(() -> router.update(next, EventLoop.nowMicros()));
+    }
+
     ClusterSnapshot snapshot(final long revision) {
         final Map<String, Gossip.ObservedWorker> observed = new HashMap<>();
-        for (int i = 0; i < stubWorkers.size(); i++) {
-            observed.put(
-                    "w" + i,
-                    ProxySnapshots.observedWorker("w" + i, stubWorkers.get(i).port()));
+        for (int i = 0; i < workerPorts.size(); i++) {
+            observed.put("w" + i, ProxySnapshots.observedWorker("w" + i, workerPorts.get(i)));
         }
         return ProxySnapshots.of(
                 revision,
                 new Value.RoutingConfiguration(1, 8_192, 4_096, 1_000_000, 1_000_000),
                 ProxySnapshots.pool(10),
-                List.of(route("/once/", false), route("/again/", true)),
+                List.of(route("/once/", false), route("/again/", true), plainRoute("/plain/")),
                 observed);
     }
 
@@ -127,6 +132,25 @@
                 List.of(new Value.WeightedBackend("pool", 1)));
     }
 
+    /** A route whose requests are neither streams nor may be repeated. */
+    static Value.Route plainRoute(final String path) {
+        return new Value.Route(
+                path,
+                "a",
+                path,
+                true,
+                false,
+                false,
+                true,
+                5_000_000,
+                600_000,
+                400_000,
+                0,
+                2,
+                List.of(),
+                List.of(new Value.WeightedBackend("pool", 1)));
+    }
+
     String post(final String path, final String more, final String body) throws IOException {
         return sendRaw("POST " + path
                 + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nSilverlatch-Ticket: t-1\r\nSilverlatch-Expiry-Ms: 4000\r\n"
