Acknowledge a worker's drain only once a majority of the controllers holds it

Cause: a controller that was cut off acknowledged that a worker drains or is gone, and gateways of the other side learnt it when the cut ended; the acknowledgement binds them from the first. Plain heartbeats need nobody.

Ruled out: a lease alone (a cut may begin right after it was counted on); the replicated log (a write and tombstones for each worker); gateways that distrust reports of one side.

--- a/core/src/main/java/silverlatch/gossip/AnnouncedWorkers.java
+++ b/core/src/main/java/silverlatch/gossip/AnnouncedWorkers.java
@@ -30,6 +30,7 @@
     private final Consumer<Effect> effects;
     private final Map<String, Gossip.ObservedWorker> workers = new TreeMap<>();
     private final Map<String, AnnouncementEcho> echoes = new HashMap<>();
+    private final Map<String, Long> confirmedIncarnations = new HashMap<>();
     private final List<Worker> newlyDraining = new ArrayList<>();
     private Map<String, Gossip.ObservedWorker> snapshot = Map.of();
 
@@ -78,6 +79,15 @@
         return drained;
     }
 
+    /** Returns whether this was called before for the present incarnation of a worker. */
+    boolean wasConfirmed(final String id) {
+        final Optional<Long> incarnation =
+                find(id).map(Gossip.ObservedWorker::worker).map(Worker::incarnation);
+        return incarnation
+                .filter(present -> present.equals(confirmedIncarnations.put(id, present)))
+                .isPresent();
+    }
+
     /** Returns the versions of the announcements held. */
     List<ReportVersion> versions() {
         return workers.values().stream().map(w -> versionOf(w.worker())).toList();
@@ -125,6 +135,7 @@
             snapshot = Map.of();
         }
         echoes.keySet().retainAll(workers.keySet());
+        confirmedIncarnations.keySet().retainAll(workers.keySet());
     }
 
     /** Forgets how old the announcements are. */
--- a/core/src/main/java/silverlatch/gossip/Gossip.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -38,6 +38,9 @@
     private final AnnouncedWorkers announcedWorkers;
     private final Optional<WorkerReports> reports;
     private final Optional<AntiEntropy> antiEntropy;
+    private final Optional<ReportQuorum> reportQuorum;
+    /** The tokens of callers that are answered once the next tick has pushed what was announced. */
+    private final List<Long> tokensUntilTick = new ArrayList<>();
     private final List<Effect> effects = new ArrayList<>();
 
     /**
@@ -102,6 +105,11 @@
                 ? Optional.of(new WorkerReports(reporting))
                 : Optional.empty();
         this.antiEntropy = reports.map(r -> new AntiEntropy(r, peerSelector, memberVersions, membership));
+        this.reportQuorum = reports.map(r -> new ReportQuorum(
+                r,
+                () -> peerSelector.controllerAddresses(state.view()),
+                membership.self().address(),
+                safeguards));
     }
 
     /** Returns this node's copy of the replicated state; the caller doesn't change it. */
@@ -210,6 +218,23 @@
         return isKnown;
     }
 
+    /**
+     * Answers by {@link Effect.Respond} whether the newest report on a worker will reach every node that a majority of the controllers
+     * reaches, whatever partition follows; at the deadline at last. Where workers announce to any node, once it is pushed.
+     */
+    public void confirmReport(final String workerId, final long token, final long now, final long deadline) {
+        reportQuorum.ifPresentOrElse(
+                quorum -> quorum.confirm(workerId, token, now, deadline), () -> confirmForwarded(workerId, token));
+    }
+
+    private void confirmForwarded(final String workerId, final long token) {
+        if (announcedWorkers.wasConfirmed(workerId)) {
+            effects.add(new Effect.Respond(token, true));
+        } else {
+            tokensUntilTick.add(token);
+        }
+    }
+
     /** Takes a message of the gossip protocol; any other is ignored. */
     public void onMessage(final Message message, final String sender, final long now) {
         switch (message) {
@@ -217,10 +242,12 @@
             case GossipMessage.GossipPullReply reply -> onPullReply(reply, sender, now);
             case GossipMessage.ReportVersions versions ->
                 antiEntropy.ifPresent(a -> send(sender, a.missingReports(versions, now)));
-            case GossipMessage.MissingReports missing ->
+            case GossipMessage.MissingReports missing -> {
                 antiEntropy
                         .flatMap(a -> a.onMissingReports(missing, sender, now))
                         .ifPresent(answer -> send(sender, answer));
+                reportQuorum.ifPresent(quorum -> quorum.onMissingReports(missing, sender));
+            }
             case GossipMessage.GossipPush push -> onPush(push, sender, now);
             default -> {}
         }
@@ -235,10 +262,14 @@
                 .controllersToPull(state.view(), () -> isStale(now), now)
                 .forEach(m -> send(m.address(), pullRequest(now)));
         announcedWorkers.expire(now);
+        reportQuorum.ifPresent(quorum -> quorum.tick(now));
+        tokensUntilTick.forEach(token -> effects.add(new Effect.Respond(token, true)));
+        tokensUntilTick.clear();
     }
 
     /** Returns what is to be sent and logged; each effect is handed out once. */
     public List<Effect> drain() {
+        reportQuorum.ifPresent(quorum -> effects.addAll(quorum.drain()));
         final List<Effect> drained = List.copyOf(effects);
         effects.clear();
         return drained;
--- a/core/src/main/java/silverlatch/gossip/PeerSelector.java
+++ b/core/src/main/java/silverlatch/gossip/PeerSelector.java
@@ -1,7 +1,9 @@
 package silverlatch.gossip;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import silverlatch.membership.Member;
 import silverlatch.membership.MemberState;
@@ -43,6 +45,15 @@
         return otherControllers().stream().anyMatch(m -> m.address().equals(address));
     }
 
+    /** Returns the addresses of the controllers that vote in a view, and of all others that live; this node's own among them. */
+    Set<String> controllerAddresses(final View view) {
+        final Set<String> addresses = new HashSet<>();
+        addresses.add(membership.self().address());
+        view.voters().forEach(voter -> addresses.add(voter.address()));
+        membership.liveMembers().stream().filter(m -> !m.isGateway()).forEach(m -> addresses.add(m.address()));
+        return addresses;
+    }
+
     /** Returns so many of the candidates, drawn at random; all where there are no more. */
     <T> List<T> sample(final List<T> candidates, final int count) {
         final List<T> remaining = new ArrayList<>(candidates);
--- /dev/null
+++ b/core/src/main/java/silverlatch/gossip/ReportQuorum.java
@@ -0,0 +1,152 @@
+package silverlatch.gossip;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import silverlatch.node.Effect;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
+import silverlatch.wire.GossipMessage;
+
+/**
+ * Says when a majority of the controllers holds the report that a worker drains or is gone, so that the worker may be told so. Whatever
+ * partition follows, a gateway that reaches a majority of the controllers then reaches one that holds it.
+ *
+ * <p>The report is pushed to the other controllers, which are then asked for what they hold of the worker, until enough of them hold it
+ * or the deadline has passed. It takes one round trip where nothing is lost. That a worker stays in service needs no majority, and
+ * nor does a drain that a majority has held before.
+ *
+ * <p>Times are microseconds of this node's monotonic clock; the node's event loop alone calls this class.
+ */
+final class ReportQuorum {
+    private static final long RESEND_MICROS = 150_000L;
+
+    private final WorkerReports reports;
+    private final Supplier<Set<String>> controllers;
+    private final String ownAddress;
+    private final Safeguards safeguards;
+    /** The last incarnation of each worker of which a majority was found to hold that it drains or is gone. */
+    private final Map<String, Long> heldIncarnations = new HashMap<>();
+
+    private final Map<Long, Question> questions = new HashMap<>();
+    private final List<Effect> effects = new ArrayList<>();
+    private long lastQuestion;
+    private long lastAskedAt;
+
+    /** A caller that waits for an answer, and who holds the report as far as is known. */
+    private record Question(ReportVersion version, long token, long deadline, Set<String> holders) {}
+
+    /**
+     * A quorum over the controllers whose addresses the supplier gives at any time, this one's among them.
+     *
+     * @param ownAddress the address of this controller
+     */
+    ReportQuorum(
+            final WorkerReports reports,
+            final Supplier<Set<String>> controllers,
+            final String ownAddress,
+            final Safeguards safeguards) {
+        this.reports = reports;
+        this.controllers = controllers;
+        this.ownAddress = ownAddress;
+        this.safeguards = safeguards;
+    }
+
+    /** Answers by {@link Effect.Respond} whether a majority holds the newest report on a worker; at the deadline at last. */
+    void confirm(final String workerId, final long token, final long now, final long deadline) {
+        final Optional<ReportVersion> version = reports.versionOf(workerId);
+        if (version.isEmpty()) {
+            respond(token, false);
+        } else if (isHeld(version.get())) {
+            respond(token, true);
+        } else {
+            ask(version.get(), token, now, deadline);
+        }
+    }
+
+    private boolean isHeld(final ReportVersion version) {
+        return heldIncarnations.getOrDefault(version.id(), Long.MIN_VALUE) == version.incarnation()
+                || !safeguards.isEnabled(Safeguard.REPORT_QUORUM);
+    }
+
+    private void ask(final ReportVersion version, final long token, final long now, final long deadline) {
+        lastQuestion++;
+        final Question question = new Question(version, token, deadline, new HashSet<>(Set.of(ownAddress)));
+        questions.put(lastQuestion, question);
+        pushReport(question, now);
+        send(lastQuestion, question);
+        finishIfHeld(lastQuestion, question);
+        lastAskedAt = now;
+    }
+
+    /** Takes the reply to a question; any other reply is ignored. */
+    void onMissingReports(final GossipMessage.MissingReports reply, final String sender) {
+        final long number = -reply.askedAt();
+        final Optional<Question> question = Optional.ofNullable(questions.get(number));
+        question.filter(asked -> !reply.newerWorkers().contains(asked.version().id()))
+                .ifPresent(asked -> {
+                    asked.holders().add(sender);
+                    finishIfHeld(number, asked);
+                });
+    }
+
+    /** Ends the questions whose time is up, and asks again those who didn't reply. */
+    void tick(final long now) {
+        List.copyOf(questions.entrySet()).stream()
+                .filter(entry -> now >= entry.getValue().deadline())
+                .forEach(entry -> {
+                    questions.remove(entry.getKey());
+                    respond(entry.getValue().token(), false);
+                });
+        if (now - lastAskedAt >= RESEND_MICROS) {
+            lastAskedAt = now;
+            questions.forEach(this::send);
+        }
+        heldIncarnations.keySet().removeIf(id -> reports.versionOf(id).isEmpty());
+    }
+
+    /** Returns what is to be sent and answered; each effect is handed out once. */
+    List<Effect> drain() {
+        final List<Effect> drained = List.copyOf(effects);
+        effects.clear();
+        return drained;
+    }
+
+    private void finishIfHeld(final long number, final Question question) {
+        final Set<String> all = controllers.get();
+        final long holders = question.holders().stream().filter(all::contains).count();
+        if (holders * 2 > all.size()) {
+            questions.remove(number);
+            heldIncarnations.put(question.version().id(), question.version().incarnation());
+            respond(question.token(), true);
+        }
+    }
+
+    private void pushReport(final Question question, final long now) {
+        final List<WorkerReport> report =
+                reports.reportsOf(List.of(question.version().id()), now);
+        toOthers(question, new GossipMessage.GossipPush(List.of(), List.of(), report, 0));
+    }
+
+    /** Asks with the versions held here; who lacks some of them names their workers in its reply, and is sent them. */
+    private void send(final long number, final Question question) {
+        final long range = 1L << VersionDigests.rangeOf(question.version().id());
+        toOthers(question, new GossipMessage.ReportVersions(-number, range, 0, reports.versions(range), List.of()));
+    }
+
+    private void toOthers(final Question question, final GossipMessage message) {
+        controllers.get().stream()
+                .filter(address -> !question.holders().contains(address))
+                .sorted()
+                .forEach(address -> effects.add(new Effect.Send(address, message)));
+    }
+
+    private void respond(final long token, final boolean isHeldByMajority) {
+        effects.add(new Effect.Respond(token, isHeldByMajority));
+    }
+}
--- a/core/src/main/java/silverlatch/gossip/WorkerReports.java
+++ b/core/src/main/java/silverlatch/gossip/WorkerReports.java
@@ -125,6 +125,11 @@
                 .toList();
     }
 
+    /** Returns the version of the report on a worker. */
+    Optional<ReportVersion> versionOf(final String id) {
+        return find(id).map(t -> t.report().version());
+    }
+
     /** Returns the versions of the reports in some ranges. */
     List<ReportVersion> versions(final long rangeBits) {
         return tracked.values().stream()
--- a/core/src/main/java/silverlatch/node/Effect.java
+++ b/core/src/main/java/silverlatch/node/Effect.java
@@ -26,10 +26,10 @@
     record Persist(long token, List<LogRecord> records) implements Effect {}
 
     /**
-     * Answer the caller of {@link Node#submit} or {@link Node#read}.
+     * Answer the caller of {@link Node#submit}, {@link Node#read} or {@link Node#confirmReport}.
      *
      * @param token    the token of that call
-     * @param response a {@link silverlatch.state.CommandResult} or {@link silverlatch.replication.ChainClient.ReadResult}
+     * @param response a {@link silverlatch.state.CommandResult}, a {@link silverlatch.replication.ChainClient.ReadResult} or a Boolean
      */
     record Respond(long token, Object response) implements Effect {}
 
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -206,6 +206,16 @@
         return isKnown;
     }
 
+    /**
+     * Answers by {@link Effect.Respond} with a boolean whether a majority of the controllers holds the newest report on a worker; at the
+     * deadline at last.
+     */
+    public void confirmReport(final String workerId, final long token, final long now, final long deadline) {
+        advanceTime(now);
+        gossip.confirmReport(workerId, token, now, deadline);
+        processEffects(now);
+    }
+
     /** Submits a command to the chain; its result comes as {@link Effect.Respond} with the token, at the deadline at last. */
     public void submit(final Command command, final long token, final long now, final long deadline) {
         advanceTime(now);
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -31,7 +31,7 @@
     private final Supplier<Stamp> timestamps;
     private final RandomGenerator random;
     private final OpenRequestTable requests;
-    private final WorkerTable workers = new WorkerTable();
+    private final WorkerTable workers;
     private final TrafficStatistics traffic = new TrafficStatistics();
     private final GatewayCountWindow gatewayCount = new GatewayCountWindow();
     private final RoutingOutput output = new RoutingOutput();
@@ -50,20 +50,34 @@
      * @param maxOpenRequests how many requests may be open at once
      * @param retryRatio      the part of the requests that may be retried
      * @param maxReportAge    the age beyond which a report of a worker does not count, in microseconds
+     * @param prefixLifetime  for how long after its last use a part of a prompt counts as cached at a worker, in microseconds
      * @param policies        the routing policies in force
      */
-    public record Settings(int maxOpenRequests, double retryRatio, long maxReportAge, RoutingPolicies policies) {
+    public record Settings(
+            int maxOpenRequests,
+            double retryRatio,
+            long maxReportAge,
+            long prefixLifetime,
+            RoutingPolicies policies) {
+        /** How long a part of a prompt counts as cached when nothing is said. */
+        public static final long DEFAULT_PREFIX_LIFETIME = 45 * SECOND;
+
         /** What holds when nothing is said. */
         public static final Settings DEFAULT = new Settings(2_048, 0.1, Long.MAX_VALUE);
 
         /** Settings with all policies in force. */
         public Settings(final int maxOpenRequests, final double retryRatio, final long maxReportAge) {
-            this(maxOpenRequests, retryRatio, maxReportAge, RoutingPolicies.ALL);
+            this(maxOpenRequests, retryRatio, maxReportAge, DEFAULT_PREFIX_LIFETIME, RoutingPolicies.ALL);
         }
 
         /** The same with other policies in force. */
         public Settings withPolicies(final RoutingPolicies inForce) {
-            return new Settings(maxOpenRequests, retryRatio, maxReportAge, inForce);
+            return new Settings(maxOpenRequests, retryRatio, maxReportAge, prefixLifetime, inForce);
+        }
+
+        /** The same with another time for which a part of a prompt counts as cached, in microseconds. */
+        public Settings withPrefixLifetime(final long lifetime) {
+            return new Settings(maxOpenRequests, retryRatio, maxReportAge, lifetime, policies);
         }
     }
 
@@ -88,6 +102,7 @@
         this.requests = new OpenRequestTable(settings.maxOpenRequests());
         this.retryBudget = new RetryBudget(settings.retryRatio(), 2);
         this.policies = settings.policies();
+        this.workers = new WorkerTable(settings.prefixLifetime());
         this.selector =
                 new WorkerSelector(cluster, workers, traffic, new WarmupLimiter(gatewayCount), settings, random);
         this.sender = new AttemptSender(requests, workers, selector, random, output);
--- a/core/src/main/java/silverlatch/routing/WorkerState.java
+++ b/core/src/main/java/silverlatch/routing/WorkerState.java
@@ -14,7 +14,6 @@
  */
 final class WorkerState {
     private static final int MAX_CACHED_PARTS = 512;
-    private static final long CACHE_LIFETIME_MICROS = 45_000_000L;
     private static final long INITIAL_EJECTION_MICROS = 500_000L;
     private static final long MAX_EJECTION_MICROS = 8_000_000L;
     private static final int MAX_EJECTION_DOUBLINGS = 5;
@@ -22,6 +21,7 @@
     private static final double SMOOTHING = 0.2;
     private static final long NEVER = Long.MIN_VALUE / 2;
 
+    private final long prefixLifetime;
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private final LinkedHashMap<Long, Long> cachedParts = new LinkedHashMap<>(64, 0.75f, true);
     private Worker worker;
@@ -36,8 +36,9 @@
     private boolean isSilent;
     private double latencyFactor = 1;
 
-    /** A worker that was just heard of. */
-    WorkerState(final Gossip.ObservedWorker report, final long now) {
+    /** A worker that was just heard of, whose cache is taken to hold a part of a prompt for so long after its last use. */
+    WorkerState(final Gossip.ObservedWorker report, final long prefixLifetime, final long now) {
+        this.prefixLifetime = prefixLifetime;
         this.worker = report.worker();
         this.slots = report.worker().slots();
         this.warmingUpUntil = now + report.warmupRemaining(now);
@@ -138,7 +139,7 @@
     /** Whether its cache likely holds a part of a prompt, because one with this part went there lately. */
     boolean hasCached(final long partDigest, final long now) {
         final Long lastUsedAt = cachedParts.get(partDigest);
-        return lastUsedAt != null && now - lastUsedAt < CACHE_LIFETIME_MICROS;
+        return lastUsedAt != null && now - lastUsedAt < prefixLifetime;
     }
 
     /** A prompt with this part goes there. */
--- a/core/src/main/java/silverlatch/routing/WorkerTable.java
+++ b/core/src/main/java/silverlatch/routing/WorkerTable.java
@@ -10,12 +10,18 @@
 
 /** The workers that are known, ordered by id, and which of their regions can be reached. Owned by the routing event loop. */
 final class WorkerTable {
+    private final long prefixLifetime;
     private final Map<String, WorkerState> workers = new TreeMap<>();
     private final Map<String, Reachability> reachabilityByRegion = new HashMap<>();
 
+    /** A table without workers; their caches are taken to hold a part of a prompt for so long after its last use. */
+    WorkerTable(final long prefixLifetime) {
+        this.prefixLifetime = prefixLifetime;
+    }
+
     /** Takes the newest reports; workers without one are forgotten when no attempt is in flight there. */
     void update(final Map<String, Gossip.ObservedWorker> reports, final long now) {
-        reports.forEach((id, report) -> workers.computeIfAbsent(id, added -> new WorkerState(report, now))
+        reports.forEach((id, report) -> workers.computeIfAbsent(id, added -> new WorkerState(report, prefixLifetime, now))
                 .update(report, now));
         workers.values().removeIf(worker -> worker.attemptCount() == 0 && !reports.containsKey(worker.id()));
     }
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -74,6 +74,8 @@
     REPAIR_PENDING,
     /** A member tells its successor how far its log goes only when its view is on disk. */
     VIEW_SYNC,
+    /** A worker's drain is acknowledged only once a majority of the controllers holds it. */
+    REPORT_QUORUM,
     /** A replica that holds everything takes over where all members of a chain that acknowledges nothing are lost. */
     TAKEOVER
 }
--- a/core/src/test/java/silverlatch/node/NodeCluster.java
+++ b/core/src/test/java/silverlatch/node/NodeCluster.java
@@ -36,6 +36,7 @@
     /** How long a caller waits for the answer to a command. */
     static final long COMMAND_TIMEOUT = 900_000L;
 
+    private static final long CONFIRMATION_TIMEOUT = 860_000L;
     private static final long TICK_INTERVAL = 20_000L;
     private static final long NETWORK_DELAY = 10_000L;
     private static final long DISK_SYNC_DELAY = 2_000L;
@@ -153,6 +154,19 @@
         machines.get(at).step(n -> n.onAnnouncement(report, 0, now()));
     }
 
+    void workerGone(final String at, final String workerId) {
+        machines.get(at).step(n -> n.onWorkerGone(workerId, now()));
+    }
+
+    /** Asks a controller whether a majority holds its newest report on a worker. */
+    PendingConfirmation confirmReport(final String at, final String workerId) {
+        final PendingConfirmation pending = new PendingConfirmation(now());
+        final long token = ++lastToken;
+        machines.get(at).pendingResponses.put(token, r -> pending.complete((Boolean) r, now()));
+        machines.get(at).step(n -> n.confirmReport(workerId, token, now(), now() + CONFIRMATION_TIMEOUT));
+        return pending;
+    }
+
     PendingCommand put(final String at, final long number, final long match) {
         return put(at, Configurations.configuration("order-" + number + "-" + match, number, match));
     }
--- a/core/src/test/java/silverlatch/routing/WorkerSelectorTest.java
+++ b/core/src/test/java/silverlatch/routing/WorkerSelectorTest.java
@@ -25,7 +25,7 @@
     private static final long SECOND = 1_000_000;
     private static final long NOW = 100 * SECOND;
     private final Map<String, Gossip.ObservedWorker> reports = new HashMap<>();
-    private final WorkerTable workers = new WorkerTable();
+    private final WorkerTable workers = new WorkerTable(Router.Settings.DEFAULT_PREFIX_LIFETIME);
     private final WorkerSelector selector = new WorkerSelector(
             clusterSnapshot(),
             workers,
--- a/core/src/test/java/silverlatch/routing/WorkerStateTest.java
+++ b/core/src/test/java/silverlatch/routing/WorkerStateTest.java
@@ -23,7 +23,7 @@
         return new Gossip.ObservedWorker(worker, Optional.of(START));
     }
 
-    private final WorkerState worker = new WorkerState(report(1, 0), START);
+    private final WorkerState worker = new WorkerState(report(1, 0), Router.Settings.DEFAULT_PREFIX_LIFETIME, START);
 
     @Test
     void eachFailureInARowEjectsForTwiceAsLongAndASuccessEndsIt() {
--- a/server/src/main/java/silverlatch/server/controller/ControlService.java
+++ b/server/src/main/java/silverlatch/server/controller/ControlService.java
@@ -30,9 +30,12 @@
      */
     void setEvacuation(String zone, boolean isEvacuated, Consumer<CommandResult> onResult);
 
-    /** Takes a worker's report on itself; true once it is accepted and on its way to the other nodes. */
+    /**
+     * Takes a worker's report on itself; true once it is accepted and on its way to the other nodes. That it drains is accepted only once
+     * a majority of the controllers holds it, and not where that takes too long.
+     */
     void announce(Worker worker, Consumer<Boolean> onResult);
 
-    /** Takes note that a worker is gone; true once that is on its way to the other nodes, false where it isn't known here. */
+    /** Takes note that a worker is gone; true once a majority of the controllers holds that, false where it isn't known here. */
     void workerLeft(String workerId, Consumer<Boolean> onResult);
 }
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -67,7 +67,7 @@
         this.logWriter = writeAheadLog.map(log -> new LogWriter(log, new LogEvents(eventLoop)));
         this.roster = settings.dataFolder().map(folder -> new WorkerRoster(Path.of(folder)));
         this.readiness = new Readiness(settings.name());
-        this.announcements = new WorkerAnnouncements(eventLoop);
+        this.announcements = new WorkerAnnouncements(eventLoop, SERVICE_TIMEOUT_MICROS);
         final CronScheduler scheduler = new CronScheduler();
         this.schedules = new ScheduleRunner(scheduler, eventLoop);
         this.apiServer = new ApiServer(
@@ -187,7 +187,6 @@
     /** Called on the event loop. */
     private void afterTick(final Node ticked) {
         final long now = EventLoop.nowMicros();
-        announcements.afterTick();
         liveControllers = Stream.concat(
                         Stream.of(ticked.membership().self()), ticked.membership().liveMembers().stream())
                 .filter(member -> !member.isGateway() && member.is(MemberState.UP))
--- a/server/src/main/java/silverlatch/server/controller/WorkerAnnouncements.java
+++ b/server/src/main/java/silverlatch/server/controller/WorkerAnnouncements.java
@@ -1,69 +1,55 @@
 package silverlatch.server.controller;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Function;
+import java.util.function.Predicate;
 import silverlatch.gossip.Worker;
 import silverlatch.node.Node;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.eventloop.EventLoopHandle;
 
 /**
- * Takes what workers report on themselves, and replies. That a worker began to drain is acknowledged only after the next tick, with
- * which it is pushed to other nodes at the latest; all else is acknowledged at once. Callable from any thread; replies come on
+ * Takes what workers report on themselves, and replies. That a worker is in service is acknowledged at once. That it drains or is gone
+ * binds all gateways from the acknowledgement on, also where this controller is partitioned off right after it: so it is acknowledged
+ * once a majority of the controllers holds it, and refused where that isn't known in time. Callable from any thread; replies come on
  * the event loop.
  */
 final class WorkerAnnouncements {
     private final EventLoopHandle eventLoop;
+    private final long timeoutMicros;
 
-    /** Owned by the event loop. */
-    private final List<Runnable> delayedReplies = new ArrayList<>();
-
-    private record Outcome(boolean isAccepted, boolean startsDraining) {}
-
-    WorkerAnnouncements(final EventLoopHandle eventLoop) {
+    /** Announcements to a controller whose callers wait for so many microseconds at most. */
+    WorkerAnnouncements(final EventLoopHandle eventLoop, final long timeoutMicros) {
         this.eventLoop = eventLoop;
+        this.timeoutMicros = timeoutMicros;
     }
 
     /** Takes a worker's report; the reply is whether it was accepted. */
     void announce(final Worker worker, final Consumer<Boolean> onResult) {
         execute(
+                worker.id(),
                 node -> {
-                    final boolean wasDraining = isDraining(node, worker.id());
                     node.onAnnouncement(worker, 0, EventLoop.nowMicros());
-                    return new Outcome(
-                            node.gossip().workers().containsKey(worker.id()),
-                            !wasDraining && isDraining(node, worker.id()));
+                    return node.gossip().workers().containsKey(worker.id());
                 },
                 onResult);
     }
 
     /** Takes note that a worker is gone; the reply is whether it was known. */
     void workerLeft(final String workerId, final Consumer<Boolean> onResult) {
-        execute(
-                node -> {
-                    final boolean isKnown = node.onWorkerGone(workerId, EventLoop.nowMicros());
-                    return new Outcome(isKnown, isKnown);
-                },
-                onResult);
+        execute(workerId, node -> node.onWorkerGone(workerId, EventLoop.nowMicros()), onResult);
     }
 
-    /** Sends the replies that waited for a tick. Called on the event loop after each. */
-    void afterTick() {
-        final List<Runnable> replies = List.copyOf(delayedReplies);
-        delayedReplies.clear();
-        replies.forEach(Runnable::run);
-    }
-
-    private void execute(final Function<Node, Outcome> report, final Consumer<Boolean> onResult) {
-        final Outcome[] outcome = {new Outcome(false, false)};
-        final boolean isPosted = eventLoop.execute(node -> outcome[0] = report.apply(node), () -> {
-            if (outcome[0].startsDraining()) {
-                delayedReplies.add(() -> onResult.accept(outcome[0].isAccepted()));
+    /** Takes a report, and replies once it is held by as many as it has to be; false where it isn't accepted. */
+    private void execute(
+            final String workerId, final Predicate<Node> takeReport, final Consumer<Boolean> onResult) {
+        final boolean isPosted = eventLoop.execute(node -> {
+            if (!takeReport.test(node)) {
+                onResult.accept(false);
+            } else if (isInService(node, workerId)) {
+                onResult.accept(true);
             } else {
-                onResult.accept(outcome[0].isAccepted());
+                confirm(workerId, onResult);
             }
         });
         if (!isPosted) {
@@ -71,9 +57,15 @@
         }
     }
 
-    private static boolean isDraining(final Node node, final String workerId) {
+    private void confirm(final String workerId, final Consumer<Boolean> onResult) {
+        if (!eventLoop.confirmReport(workerId, timeoutMicros, onResult)) {
+            onResult.accept(false);
+        }
+    }
+
+    private static boolean isInService(final Node node, final String workerId) {
         return Optional.ofNullable(node.gossip().workers().get(workerId))
-                .map(observed -> observed.worker().draining())
-                .orElse(false);
+                .filter(observed -> !observed.worker().draining())
+                .isPresent();
     }
 }
--- a/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
@@ -108,6 +108,19 @@
         });
     }
 
+    /**
+     * Asks whether a majority of the controllers holds the newest report on a worker. The result comes on the event loop before the
+     * timeout is over; false, and none comes, where the loop's queue is full.
+     */
+    public boolean confirmReport(final String workerId, final long timeoutMicros, final Consumer<Boolean> onResult) {
+        final long token = tokens.incrementAndGet();
+        final long deadline = EventLoop.nowMicros() + timeoutMicros;
+        return execute(target -> {
+            pendingReplies.put(token, response -> onResult.accept((Boolean) response));
+            target.confirmReport(workerId, token, EventLoop.nowMicros(), deadline);
+        });
+    }
+
     /** The wall clock in nanoseconds since the Unix epoch. */
     public static long wallClockNanos() {
         final Instant instant = Instant.now();
--- a/server/src/main/java/silverlatch/server/gateway/GatewayModule.java
+++ b/server/src/main/java/silverlatch/server/gateway/GatewayModule.java
@@ -55,10 +55,12 @@
 
     @Provides
     @Singleton
-    static Router router(final Node node, final SplittableRandom random) {
+    static Router router(final Settings settings, final Node node, final SplittableRandom random) {
         return new Router(
-                Router.Settings.DEFAULT.withPolicies(
-                        RoutingPolicies.withDisabled(System.getProperty(RoutingPolicies.DISABLED_PROPERTY, ""))),
+                Router.Settings.DEFAULT
+                        .withPrefixLifetime(settings.prefixLifetime())
+                        .withPolicies(RoutingPolicies.withDisabled(
+                                System.getProperty(RoutingPolicies.DISABLED_PROPERTY, ""))),
                 node.clusterSnapshot(),
                 () -> node.localStamp(EventLoop.nowMicros()),
                 random.split());
--- a/server/src/main/java/silverlatch/server/proxy/EventStreamSplitter.java
+++ b/server/src/main/java/silverlatch/server/proxy/EventStreamSplitter.java
@@ -3,12 +3,23 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
 
-/** Splits an event stream (text/event-stream) after complete events, and remembers the id of the last one. Used by one thread at a time. */
+/**
+ * Splits an event stream (text/event-stream) after complete events, and remembers the id of the last one and the version of the weights
+ * that made it. Used by one thread at a time.
+ */
 final class EventStreamSplitter {
     private static final String ID_FIELD = "id:";
+    private final String weightField;
     private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
-    private String lastEventId = "";
+    private StreamPosition position = StreamPosition.START;
+
+    /** A splitter of a stream in which an event names a changed version of weights in a field of this name, whatever its case. */
+    EventStreamSplitter(final String weightVersionName) {
+        this.weightField = weightVersionName.toLowerCase(Locale.ROOT) + ":";
+    }
 
     /** Takes bytes of the stream and returns all up to the end of the last complete event; empty if none is complete. */
     byte[] split(final byte[] bytes) {
@@ -20,13 +31,15 @@
         }
         pending.reset();
         pending.write(all, end, all.length - end);
-        readLastEventId(new String(all, 0, end, StandardCharsets.ISO_8859_1));
+        final String events = new String(all, 0, end, StandardCharsets.ISO_8859_1);
+        position = position.advancedTo(
+                new StreamPosition(lastField(events, ID_FIELD), lastField(events, weightField)));
         return Arrays.copyOf(all, end);
     }
 
-    /** The id of the last complete event that has one, or empty. */
-    String lastEventId() {
-        return lastEventId;
+    /** The position after the last complete event, as far as this stream's events tell. */
+    StreamPosition position() {
+        return position;
     }
 
     /** What came after the last complete event. */
@@ -34,12 +47,15 @@
         return pending.toByteArray();
     }
 
-    private void readLastEventId(final String events) {
-        final int afterNewline = events.lastIndexOf("\n" + ID_FIELD) + 1;
-        if (afterNewline > 0 || events.startsWith(ID_FIELD)) {
-            final int value = afterNewline + ID_FIELD.length();
-            lastEventId = events.substring(value, events.indexOf('\n', value)).strip();
+    /** The value of the last line that has this field, if one has. */
+    private static Optional<String> lastField(final String events, final String field) {
+        final int afterNewline = events.lastIndexOf("\n" + field) + 1;
+        if (afterNewline == 0 && !events.startsWith(field)) {
+            return Optional.empty();
         }
+        final int value = afterNewline + field.length();
+        return Optional.of(events.substring(value, events.indexOf('\n', value)).strip())
+                .filter(text -> !text.isEmpty());
     }
 
     /** The position after the last empty line, or 0; lines end with LF or CR LF. */
--- a/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
@@ -34,7 +34,7 @@
     private Optional<WorkerExchange> exchange = Optional.empty();
     private boolean writeInProgress;
     private boolean ended;
-    private String lastEventId = "";
+    private StreamPosition position = StreamPosition.START;
 
     /** A request that was read whole and has no attempt yet; the response has no head. */
     ProxiedRequest(
@@ -77,13 +77,13 @@
             proxy.postToRouter(router -> router.clientDisconnected(callId, EventLoop.nowMicros()));
             return;
         }
-        if (response.isCommitted() && lastEventId.isEmpty()) {
+        if (response.isCommitted() && !position.isResumable()) {
             proxy.abandon(callId);
             abort("the stream cannot be resumed");
             return;
         }
         response.resetHead();
-        final WorkerExchange next = new WorkerExchange(proxy, this, attempt, request, body, lastEventId);
+        final WorkerExchange next = new WorkerExchange(proxy, this, attempt, request, body, position);
         exchange = Optional.of(next);
         next.start();
     }
@@ -136,19 +136,21 @@
             return false;
         }
         response.forwardHead(status, headers);
+        position = position.withWeights(
+                Optional.ofNullable(headers.get(proxy.headerNames().weightVersion())));
         return true;
     }
 
     /**
-     * Forwards a part of the body, and notes the id of its last event. Returns false, without calling back, if the attempt no longer
+     * Forwards a part of the body, after which the stream is at a position. Returns false, without calling back, if the attempt no longer
      * feeds the response.
      */
     synchronized boolean forwardBody(
-            final WorkerExchange from, final byte[] bytes, final String eventId, final Runnable onWritten) {
+            final WorkerExchange from, final byte[] bytes, final StreamPosition reached, final Runnable onWritten) {
         if (!isCurrent(from)) {
             return false;
         }
-        lastEventId = eventId.isEmpty() ? lastEventId : eventId;
+        position = position.advancedTo(reached);
         enqueueWrite(bytes, false, onWritten);
         return true;
     }
--- a/server/src/main/java/silverlatch/server/proxy/ProxyHeaderNames.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxyHeaderNames.java
@@ -16,6 +16,9 @@
  * @param workerLoad     a worker's running requests, queued requests and slots
  * @param notExecuted    says that a worker did not execute the request
  * @param priority       the priority of a request, 0 to 9; 0 comes first
+ * @param weightVersion  the version of a worker's weights, on its response; in lower case also the first line of an event at
+ *                       which the version changes
+ * @param expectedWeights the version of weights that a worker needs to run a request
  */
 public record ProxyHeaderNames(
         String requestId,
@@ -26,7 +29,9 @@
         String expectedWorker,
         String workerLoad,
         String notExecuted,
-        String priority) {
+        String priority,
+        String weightVersion,
+        String expectedWeights) {
     /** The product's own names. */
     public static final ProxyHeaderNames DEFAULT = new ProxyHeaderNames(
             "Silverlatch-Ticket",
@@ -37,7 +42,9 @@
             "Silverlatch-Worker",
             "Silverlatch-Load",
             "Silverlatch-Not-Run",
-            "Silverlatch-Rank");
+            "Silverlatch-Rank",
+            "Silverlatch-Weights",
+            "Silverlatch-Expected-Weights");
 
     /** The names that the proxy sets itself on what it sends to a worker; letter case does not matter. */
     Set<String> namesSetByProxy() {
--- a/server/src/main/java/silverlatch/server/proxy/WorkerExchange.java
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerExchange.java
@@ -26,26 +26,27 @@
     private final AtomicBoolean requestStarted = new AtomicBoolean();
     private final AtomicBoolean finished = new AtomicBoolean();
     private final ByteArrayOutputStream failureBody = new ByteArrayOutputStream();
-    private final EventStreamSplitter eventSplitter = new EventStreamSplitter();
+    private final EventStreamSplitter eventSplitter;
     private final Request request;
     private Optional<Response> response = Optional.empty();
     private WorkerResponseHead responseHead = new WorkerResponseHead.Unusable("no head yet");
     private boolean failureBodyTooLarge;
 
-    /** An attempt that is not sent yet; the last event id is empty unless a stream is resumed. */
+    /** An attempt that is not sent yet; a stream goes on from the position. */
     WorkerExchange(
             final ProxyServer proxy,
             final ProxiedRequest owner,
             final RoutingEffect.StartAttempt attempt,
             final org.eclipse.jetty.server.Request clientRequest,
             final byte[] body,
-            final String lastEventId) {
+            final StreamPosition position) {
         this.proxy = proxy;
         this.owner = owner;
         this.attempt = attempt;
+        this.eventSplitter = new EventStreamSplitter(proxy.headerNames().weightVersion());
         this.splitsEvents = attempt.stream() && !attempt.once();
         this.request = proxy.workerRequests()
-                .create(attempt, clientRequest, body, lastEventId)
+                .create(attempt, clientRequest, body, position)
                 .onRequestBegin(sent -> requestStarted.set(true))
                 .onResponseHeaders(this::onHead)
                 .onResponseContentAsync((from, chunk, demandMore) -> onContent(chunk, demandMore));
@@ -123,7 +124,7 @@
             return;
         }
         proxy.postToRouter(router -> router.eventForwarded(attemptId(), EventLoop.nowMicros()));
-        if (!owner.forwardBody(this, ready, eventSplitter.lastEventId(), demandMore)) {
+        if (!owner.forwardBody(this, ready, eventSplitter.position(), demandMore)) {
             demandMore.run();
         }
     }
--- a/server/src/main/java/silverlatch/server/proxy/WorkerRequests.java
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerRequests.java
@@ -27,19 +27,19 @@
         this.namesSetByProxy = headerNames.namesSetByProxy();
     }
 
-    /** A request that is not sent yet; one that resumes a stream names the last event that was forwarded, else the id is empty. */
+    /** A request that is not sent yet; one that resumes a stream names the last event that was forwarded, and the weights that made it. */
     Request create(
             final RoutingEffect.StartAttempt attempt,
             final org.eclipse.jetty.server.Request clientRequest,
             final byte[] body,
-            final String lastEventId) {
+            final StreamPosition position) {
         final HttpFields clientHeaders = clientRequest.getHeaders();
         final long timeLeftMs = attempt.timeout() / MICROS_PER_MILLI;
         final Request request = client.newRequest(
                         attempt.address(),
                         clientRequest.getMethod(),
                         clientRequest.getHttpURI().getPathQuery())
-                .headers(headers -> setHeaders(headers, clientHeaders, attempt, lastEventId))
+                .headers(headers -> setHeaders(headers, clientHeaders, attempt, position))
                 .timeout(timeLeftMs + TIMEOUT_SLACK_MS, TimeUnit.MILLISECONDS)
                 .idleTimeout(timeLeftMs + TIMEOUT_SLACK_MS, TimeUnit.MILLISECONDS);
         if (hasBody(clientHeaders, body)) {
@@ -52,15 +52,16 @@
             final HttpFields.Mutable headers,
             final HttpFields clientHeaders,
             final RoutingEffect.StartAttempt attempt,
-            final String lastEventId) {
+            final StreamPosition position) {
         headers.clear();
         EndToEndHeaders.copy(clientHeaders, namesSetByProxy, headers);
         headers.put(headerNames.deadline(), "" + Math.max(1, attempt.timeout() / MICROS_PER_MILLI));
         headers.put(headerNames.expectedWorker(), attempt.worker());
         headers.put(headerNames.priority(), "" + Math.min(LOWEST_PRIORITY, attempt.rank()));
-        if (!lastEventId.isEmpty()) {
-            headers.put(LAST_EVENT_ID, lastEventId);
-        }
+        position.lastEventId().ifPresent(id -> {
+            headers.put(LAST_EVENT_ID, id);
+            position.weightVersion().ifPresent(version -> headers.put(headerNames.expectedWeights(), version));
+        });
     }
 
     /** An empty body is framed as one where the client's was. */
--- a/server/src/main/java/silverlatch/server/settings/Settings.java
+++ b/server/src/main/java/silverlatch/server/settings/Settings.java
@@ -31,6 +31,7 @@
  * @param voterCount        how many controllers with a data folder vote, where so many are there
  * @param intervals         how often processes speak to each other
  * @param proxyAddress      IP:PORT at which a gateway takes requests by host and path
+ * @param prefixLifetime    for how long after its last use a gateway takes a part of a prompt for cached at a worker
  */
 public record Settings(
         String name,
@@ -54,7 +55,8 @@
         int minInSyncReplicas,
         int voterCount,
         Intervals intervals,
-        Optional<String> proxyAddress) {
+        Optional<String> proxyAddress,
+        long prefixLifetime) {
     private static final long NANOS_PER_MICRO = 1_000;
 
     /** Copies the seeds. */
--- a/server/src/main/java/silverlatch/server/settings/SettingsReader.java
+++ b/server/src/main/java/silverlatch/server/settings/SettingsReader.java
@@ -10,12 +10,14 @@
 import java.util.Map;
 import java.util.Optional;
 import silverlatch.dispatch.DispatcherSettings;
+import silverlatch.routing.Router;
 import silverlatch.json.JsonDocument;
 import silverlatch.state.TableRules;
 
 /** Reads settings from JSON, with a default for each key that need not be there, and lists everything that is wrong with them. */
 final class SettingsReader {
     private static final int MAX_FILE_BYTES = 64 << 10;
+    private static final long MAX_PREFIX_LIFETIME = 3_600_000_000L;
     private static final int MAX_NAME_LENGTH = 64;
     private static final int MAX_KEY_LENGTH = 256;
     private static final int MAX_PATH_LENGTH = 4096;
@@ -83,7 +85,9 @@
                 (int) document.integer("copies", 1, 7, 2),
                 (int) document.integer("voters", 1, 9, 3),
                 Intervals.read(document, faults),
-                optional("gate", MAX_NAME_LENGTH));
+                optional("gate", MAX_NAME_LENGTH),
+                document.integer(
+                        "prefixLifetime", 0, MAX_PREFIX_LIFETIME, Router.Settings.DEFAULT_PREFIX_LIFETIME));
     }
 
     private DispatcherSettings readDispatch() {
--- a/server/src/test/java/silverlatch/server/controller/WorkerAnnouncementsTest.java
+++ b/server/src/test/java/silverlatch/server/controller/WorkerAnnouncementsTest.java
@@ -19,7 +19,7 @@
     private static final long AN_HOUR_MICROS = 3_600_000_000L;
     private final EventLoopHandle eventLoop = new EventLoopHandle(
             LoneNode.create(EventLoop.nowMicros()), AN_HOUR_MICROS, frame -> {}, write -> {}, node -> {});
-    private final WorkerAnnouncements announcements = new WorkerAnnouncements(eventLoop);
+    private final WorkerAnnouncements announcements = new WorkerAnnouncements(eventLoop, AN_HOUR_MICROS);
     private final BlockingQueue<Boolean> replies = new LinkedBlockingQueue<>();
 
     private static Worker worker(final long sequence, final boolean isDraining) {
@@ -31,7 +31,7 @@
     }
 
     private void tick() {
-        eventLoop.execute(node -> announcements.afterTick());
+        eventLoop.execute(node -> node.tick(EventLoop.nowMicros(), EventLoopHandle.wallClockNanos()));
     }
 
     @BeforeEach
