Ended workers stay ended; a controller that left its chain stops; late records of a failed attempt

- A controller or gateway that was partitioned off for longer than others remember an ended worker brought it back for up to 5 s.
Reports in service carry for how long the worker may have been silent unnoticed; one older than the retention is ignored, and dropped by who holds it.
- A controller told to stop waited its whole grace (20.1 s seen), as nobody looked any more whether its replica had left the chain.
- A record for an attempt that failed unstarted, and whose request was queued again, made the dispatcher's state machine throw: the operation ends with the attempt now.
- RollTest failed once under load, a stream of a stopped gateway without its lost line: the gateway slept 150 ms between ending its streams and its own end, whether the line was written or not.
It now waits until no request and no reply is open, 0.4 s at most, and then as before.

Each has a test that fails without it, but the last, which only a machine under load shows.

--- a/core/src/main/java/silverlatch/dispatch/AttemptMonitor.java
+++ b/core/src/main/java/silverlatch/dispatch/AttemptMonitor.java
@@ -88,6 +88,7 @@
         if (isRunning) {
             request.forgetStart();
         }
+        requests.endOperation(request);
         usage.eject(request.worker(), now);
         lifecycle.releaseWorkerSlot(request);
         if (mayRetry(request, now)) {
--- a/core/src/main/java/silverlatch/dispatch/RequestTable.java
+++ b/core/src/main/java/silverlatch/dispatch/RequestTable.java
@@ -77,6 +77,11 @@
         return lastOperationId;
     }
 
+    /** The operation that a request waits for is over; what still comes of it is ignored. */
+    void endOperation(final DispatchedRequest request) {
+        handlesByOperation.remove(request.operationId());
+    }
+
     /** The request that waits for an operation. */
     Optional<DispatchedRequest> byOperation(final long operationId) {
         return Optional.ofNullable(handlesByOperation.get(operationId))
--- a/core/src/main/java/silverlatch/gossip/AntiEntropy.java
+++ b/core/src/main/java/silverlatch/gossip/AntiEntropy.java
@@ -99,6 +99,7 @@
             final GossipMessage.MissingReports missing, final String sender, final long now) {
         missing.members().forEach(member -> membership.learnWithoutForwarding(member, now));
         missing.reports().forEach(report -> reports.merge(report, false, now));
+        reports.forgetExpired(missing.newerWorkers(), now);
         pendingPull
                 .filter(pull ->
                         pull.askedAt() == missing.askedAt() && pull.address().equals(sender))
--- a/core/src/main/java/silverlatch/gossip/Gossip.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -102,7 +102,7 @@
         this.state = new StateCopy(safeguards);
         this.announcedWorkers = new AnnouncedWorkers(random, effects::add);
         this.reports = settings.reporting() instanceof WorkerReporting.ToControllers reporting
-                ? Optional.of(new WorkerReports(reporting))
+                ? Optional.of(new WorkerReports(reporting, peerSelector.isController()))
                 : Optional.empty();
         this.antiEntropy = reports.map(r -> new AntiEntropy(r, peerSelector, memberVersions, membership));
         this.reportQuorum = reports.map(r -> new ReportQuorum(
@@ -144,7 +144,7 @@
 
     /** Returns the workers known, by name. */
     public Map<String, ObservedWorker> workers() {
-        return reports.map(r -> r.workers(peerSelector.isController())).orElseGet(announcedWorkers::snapshot);
+        return reports.map(r -> r.workers()).orElseGet(announcedWorkers::snapshot);
     }
 
     /**
@@ -153,7 +153,7 @@
      */
     public long reportsAge(final long now) {
         final int controllerCount = peerSelector.otherControllers().size() + 1;
-        return reports.flatMap(r -> r.confirmedAt(peerSelector.isController(), controllerCount, now))
+        return reports.flatMap(r -> r.confirmedAt(controllerCount, now))
                 .map(time -> Math.max(0, now - time))
                 .orElse(Long.MAX_VALUE);
     }
@@ -255,7 +255,7 @@
 
     /** Pushes what has changed and pulls where that is due; called some twenty times a second. */
     public void tick(final long now) {
-        reports.ifPresent(r -> r.tick(peerSelector.isController(), peerSelector.otherControllers(), now));
+        reports.ifPresent(r -> r.tick(peerSelector.otherControllers(), now));
         pushChanges(now);
         pullSchedule.gatewaysToPull(() -> isStale(now), now).forEach(m -> send(m.address(), pullRequest(now)));
         pullSchedule
--- a/core/src/main/java/silverlatch/gossip/WorkerReport.java
+++ b/core/src/main/java/silverlatch/gossip/WorkerReport.java
@@ -11,7 +11,8 @@
  * @param worker the worker as it announced itself when something about it last changed
  * @param silent whether no controller has heard from it for the silence time-out
  * @param gone   whether this incarnation of it is over; it doesn't come back
- * @param age    how long it has been silent or gone, in microseconds; 0 while it is neither
+ * @param age    how long it has been silent or gone, in microseconds; while it is neither, for how long it may have been silent
+ *               unnoticed as far as the sender knows
  */
 public record WorkerReport(Worker worker, boolean silent, boolean gone, long age) {
     /** Sequences above this share one precedence, so that doubling them doesn't overflow. */
@@ -74,6 +75,11 @@
         return new ReportVersion(id(), worker.incarnation(), precedence());
     }
 
+    /** Returns the same report with another age, in microseconds. */
+    WorkerReport withAge(final long micros) {
+        return new WorkerReport(worker, silent, gone, micros);
+    }
+
     /** Returns this report so many microseconds later. */
     public WorkerReport agedBy(final long elapsed) {
         return new WorkerReport(worker.agedBy(elapsed), silent, gone, isActive() ? 0 : age + elapsed);
--- a/core/src/main/java/silverlatch/gossip/WorkerReports.java
+++ b/core/src/main/java/silverlatch/gossip/WorkerReports.java
@@ -28,6 +28,7 @@
     static final int MAX_WORKERS = 4_096;
 
     private final WorkerReporting.ToControllers reporting;
+    private final boolean isController;
     private final Map<String, TrackedReport> tracked = new TreeMap<>();
     private final Set<String> changedIds = new LinkedHashSet<>();
     private final List<Effect> logs = new ArrayList<>();
@@ -39,8 +40,10 @@
     private Map<String, Gossip.ObservedWorker> workersSnapshot = Map.of();
     private boolean isSnapshotStale;
 
-    WorkerReports(final WorkerReporting.ToControllers reporting) {
+    /** Makes an empty table of a controller, or of a gateway. */
+    WorkerReports(final WorkerReporting.ToControllers reporting, final boolean isController) {
         this.reporting = reporting;
+        this.isController = isController;
         this.silenceDetector = new SilenceDetector(reporting.silenceTimeout());
         this.agePacker = new HeartbeatAgePacker(reporting.silenceTimeout());
     }
@@ -77,13 +80,14 @@
 
     /**
      * Takes a report from another node unless it is outdated. A report of silence on a worker that this node hears is
-     * refuted: the worker stays active under the highest sequence known, which supersedes the wrong report everywhere.
+     * refuted: the worker stays active under the highest sequence known, which supersedes the wrong report everywhere. A report that is
+     * older than others remember an ended worker is ignored, so that nobody who was partitioned off brings one back.
      *
      * @param forward whether the report came by push and is to be forwarded
      */
     void merge(final WorkerReport report, final boolean forward, final long now) {
         final Optional<TrackedReport> known = find(report.id());
-        final boolean isExpired = !report.isActive() && report.age() > reporting.retention();
+        final boolean isExpired = report.age() > reporting.retention();
         final boolean isOutdated =
                 known.filter(t -> !report.isNewerThan(t.report())).isPresent();
         if (isFullFor(known) || isExpired || isOutdated) {
@@ -113,7 +117,7 @@
     List<WorkerReport> activeReports(final long now) {
         return tracked.values().stream()
                 .filter(TrackedReport::isActive)
-                .map(t -> t.reportAt(now))
+                .map(t -> outgoing(t, now))
                 .toList();
     }
 
@@ -121,10 +125,17 @@
     List<WorkerReport> reportsOf(final Collection<String> ids, final long now) {
         return ids.stream()
                 .flatMap(id -> find(id).stream())
-                .map(t -> t.reportAt(now))
+                .map(t -> outgoing(t, now))
                 .toList();
     }
 
+    /** Returns a report as of now; with an active one goes for how long its worker may have been silent as far as is known here. */
+    private WorkerReport outgoing(final TrackedReport known, final long now) {
+        final WorkerReport report = known.reportAt(now);
+        final long asOf = isController ? known.heardAt() : freshness.confirmedAt().orElse(now);
+        return report.isActive() ? report.withAge(Math.max(0, now - asOf)) : report;
+    }
+
     /** Returns the version of the report on a worker. */
     Optional<ReportVersion> versionOf(final String id) {
         return find(id).map(t -> t.report().version());
@@ -146,7 +157,7 @@
                 .filter(t -> Optional.ofNullable(knownById.get(t.id()))
                         .map(t.report()::isNewerThan)
                         .orElse(true))
-                .map(t -> t.reportAt(now))
+                .map(t -> outgoing(t, now))
                 .toList();
     }
 
@@ -171,7 +182,7 @@
     }
 
     /** Returns as of when the reports here were surely the newest; at a controller a majority has to confirm that. */
-    Optional<Long> confirmedAt(final boolean isController, final int controllerCount, final long now) {
+    Optional<Long> confirmedAt(final int controllerCount, final long now) {
         return isController ? freshness.majorityConfirmedAt(controllerCount, now) : freshness.confirmedAt();
     }
 
@@ -196,16 +207,17 @@
     }
 
     /**
-     * Forgets workers that have been silent or gone for long, and at a controller reports those that became silent.
+     * Forgets workers that have been silent or gone for long, or that no controller can have heard for long, and at a controller reports
+     * those that became silent.
      *
      * @param controllers all other controllers that are known
      */
-    void tick(final boolean isController, final List<Member> controllers, final long now) {
+    void tick(final List<Member> controllers, final long now) {
         if (!silenceDetector.startScan(now)) {
             return;
         }
         tracked.values().stream()
-                .filter(t -> !t.isActive() && t.inactiveFor(now) > reporting.retention())
+                .filter(t -> isForgotten(t, now))
                 .toList()
                 .forEach(this::remove);
         if (isController && silenceDetector.isAwake(now)) {
@@ -217,6 +229,22 @@
         }
     }
 
+    /** A gateway keeps the workers that it knows while it reaches no controller; a controller only those that one of them hears. */
+    private boolean isForgotten(final TrackedReport known, final long now) {
+        return known.isActive()
+                ? isController && now - known.heardAt() > reporting.retention()
+                : known.inactiveFor(now) > reporting.retention();
+    }
+
+    /** Forgets those of some workers that another node doesn't know, if they may have ended before that node has forgotten them. */
+    void forgetExpired(final Collection<String> unknownElsewhere, final long now) {
+        unknownElsewhere.stream()
+                .flatMap(id -> find(id).stream())
+                .filter(t -> outgoing(t, now).age() > reporting.retention())
+                .toList()
+                .forEach(this::remove);
+    }
+
     /** Forgets how fresh the reports are, as after a rejoin; the reports stay. */
     void resetFreshness() {
         freshness.reset();
@@ -228,10 +256,10 @@
      * Returns the workers that are not gone: at a controller as of when any controller heard them, at a gateway as of when
      * the reports were confirmed.
      */
-    Map<String, Gossip.ObservedWorker> workers(final boolean isController) {
+    Map<String, Gossip.ObservedWorker> workers() {
         if (isSnapshotStale) {
             final Map<String, Gossip.ObservedWorker> observed = new HashMap<>();
-            present().forEach(t -> observed.put(t.id(), observe(t, isController)));
+            present().forEach(t -> observed.put(t.id(), observe(t)));
             workersSnapshot = Map.copyOf(observed);
             isSnapshotStale = false;
         }
@@ -245,7 +273,7 @@
         return drained;
     }
 
-    private Gossip.ObservedWorker observe(final TrackedReport known, final boolean isController) {
+    private Gossip.ObservedWorker observe(final TrackedReport known) {
         return new Gossip.ObservedWorker(
                 known.report().worker(),
                 isController ? Optional.of(known.heardAt()) : freshness.confirmedAt(),
@@ -269,7 +297,7 @@
                 accepted,
                 now,
                 received.isActive()
-                        ? now
+                        ? now - received.age()
                         : sameIncarnation.map(TrackedReport::heardAt).orElse(now),
                 sameIncarnation.map(TrackedReport::announcedHereAt).orElse(TrackedReport.NEVER),
                 Math.max(knownSequence, accepted.worker().sequence()));
--- a/core/src/test/java/silverlatch/dispatch/DispatcherAttemptTest.java
+++ b/core/src/test/java/silverlatch/dispatch/DispatcherAttemptTest.java
@@ -71,6 +71,23 @@
         assertThat(retries, lessThan(13));
     }
 
+    @Test
+    void whatStillComesOfAnAttemptThatFailedUnstartedIsIgnored() {
+        submit("one", place("one", "ask", "").permit());
+        final DispatchEffect.StartAttempt failed = lastAttempt();
+        dispatcher.attemptFailed(failed.operationId(), false, "denied", now);
+        dispatcher.recordReceived(
+                failed.operationId(), new StreamRecord.Chunk(failed.requestId(), failed.attemptId(), 0, "late"), now);
+        dispatcher.attemptStarted(failed.operationId());
+        dispatcher.attemptFailed(failed.operationId(), true, "again", now);
+        now += 1_100_000;
+        refreshReports();
+        dispatcher.tick(now);
+        collectEffects();
+        final DispatchEffect.StartAttempt retry = lastAttempt();
+        assertThat("it was queued and is tried once more", retry.operationId() > failed.operationId(), is(true));
+    }
+
     @Test
     void aClientThatReconnectsReadsOnFromItsChunk() {
         final long callId = submit("one", place("one", "ask", "").permit());
--- a/core/src/test/java/silverlatch/gossip/WorkerSilenceTest.java
+++ b/core/src/test/java/silverlatch/gossip/WorkerSilenceTest.java
@@ -36,6 +36,25 @@
         cluster.ids().forEach(id -> assertThat(id, cluster.observedAt(id).isPresent(), is(false)));
     }
 
+    @Test
+    void aWorkerThatEndedLongAgoIsNotBroughtBackByNodesThatWerePartitionedOff() {
+        final GossipCluster cluster = new GossipCluster(9);
+        cluster.sendHeartbeats("c0", 1, 5);
+        final List<String> side = List.of("c1", "g4", "g7");
+        cluster.partitioned().addAll(side);
+        cluster.advance(50 * SECOND);
+        assertThat("nobody tells this side", cluster.observedAt("c1").orElseThrow().silent(), is(false));
+        cluster.advance(25 * SECOND);
+        final List<String> others =
+                cluster.ids().stream().filter(id -> !side.contains(id)).toList();
+        others.forEach(id -> assertThat(id, cluster.observedAt(id).isPresent(), is(false)));
+        cluster.partitioned().clear();
+        for (int i = 0; i < 100; i++) {
+            cluster.advance(100_000);
+            others.forEach(id -> assertThat(id, cluster.observedAt(id).isPresent(), is(false)));
+        }
+    }
+
     @Test
     void partitionMarksNoWorkerSilentThatMayBeHeardOnTheOtherSide() {
         final GossipCluster cluster = new GossipCluster(9);
--- a/server/src/main/java/silverlatch/server/controller/Readiness.java
+++ b/server/src/main/java/silverlatch/server/controller/Readiness.java
@@ -30,10 +30,7 @@
         return unreadyReason;
     }
 
-    /**
-     * Whether the process may end without harm to the chain. Not followed any more once the controller stops: a stop that was
-     * asked for while others needed the replica waits for the end of its grace period.
-     */
+    /** Whether the process may end without harm to the chain; followed until it does. */
     boolean hasLeftChain() {
         return hasLeftChain;
     }
@@ -45,6 +42,7 @@
 
     /** Follows the node, and tells it and the log of a change. Called on the event loop. */
     void update(final Node node, final long now) {
+        node.chainReplica().ifPresent(replica -> hasLeftChain = replica.hasLeft());
         final Optional<String> reason = reason(node, now);
         if (reason.isPresent() != unreadyReason.isPresent()) {
             EventLog.write(
@@ -60,10 +58,7 @@
             return Optional.of("stopping");
         }
         return node.chainReplica()
-                .map(replica -> {
-                    hasLeftChain = replica.hasLeft();
-                    return reason(replica.status(now));
-                })
+                .map(replica -> reason(replica.status(now)))
                 .orElseGet(() -> node.gossip().stateAge(now) < MAX_STATE_AGE_MICROS
                         ? Optional.empty()
                         : Optional.of("the state held here is not confirmed"));
--- a/server/src/main/java/silverlatch/server/gateway/Gateway.java
+++ b/server/src/main/java/silverlatch/server/gateway/Gateway.java
@@ -41,12 +41,17 @@
     private static final long UNREADY_PERIOD_WITHOUT_PROXY_MICROS = 200_000L;
     private static final long MAX_UNREADY_PERIOD_MICROS = 2_500_000L;
     private static final long DRAIN_POLL_MS = 20;
+
+    /** For the last responses to be handed to their connections, and for the last frames and responses to leave. */
+    private static final long FAREWELL_LIMIT_MICROS = 400_000L;
+
     private static final long FAREWELL_MS = 150;
     private final Settings settings;
     private final Transport transport;
     private final EventLoopHandle nodeLoop;
     private final DispatchLoop dispatchLoop;
     private final DispatchEffectHandler effectHandler;
+    private final PendingExchanges exchanges = new PendingExchanges();
     private final ApiRouter apiRouter;
     private final Optional<Recorder> recorder;
     private Optional<ApiServer> apiServer = Optional.empty();
@@ -64,7 +69,6 @@
         this.dispatchLoop =
                 new DispatchLoop(dispatcher, router, settings.intervals().dispatchTick());
         this.recorder = settings.recordFolder().map(Recorder::new);
-        final PendingExchanges exchanges = new PendingExchanges();
         this.effectHandler = new DispatchEffectHandler(
                 exchanges, new WorkerRuns(settings, dispatchLoop), nodeLoop, dispatchLoop, recorder);
         final OperatorApi operatorApi =
@@ -165,10 +169,19 @@
         }
     }
 
+    private void awaitReplies(final long deadlineMicros) throws InterruptedException {
+        while (EventLoop.nowMicros() < deadlineMicros && !exchanges.isEmpty()) {
+            TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MS);
+        }
+    }
+
     private void endOpenRequests() throws InterruptedException {
         dispatchLoop.withDispatcher(dispatcher -> dispatcher.shutdown(EventLoop.nowMicros()));
         dispatchLoop.withRouter(router -> router.shutdown(EventLoop.nowMicros()));
         nodeLoop.execute(node -> node.leave(EventLoop.nowMicros()));
+        final long farewellEnd = EventLoop.nowMicros() + FAREWELL_LIMIT_MICROS;
+        awaitOpenRequests(farewellEnd);
+        awaitReplies(farewellEnd);
         TimeUnit.MILLISECONDS.sleep(FAREWELL_MS);
     }
 
--- a/server/src/main/java/silverlatch/server/gateway/PendingExchanges.java
+++ b/server/src/main/java/silverlatch/server/gateway/PendingExchanges.java
@@ -28,6 +28,11 @@
         return Optional.ofNullable(exchangesByCallId.get(callId));
     }
 
+    /** Whether no exchange waits. */
+    boolean isEmpty() {
+        return exchangesByCallId.isEmpty();
+    }
+
     /** Removes an exchange; empty if it had left before. */
     Optional<HttpExchange> remove(final long callId) {
         return Optional.ofNullable(exchangesByCallId.remove(callId));
--- a/server/src/test/java/silverlatch/server/controller/ReadinessTest.java
+++ b/server/src/test/java/silverlatch/server/controller/ReadinessTest.java
@@ -19,6 +19,17 @@
         assertThat(readiness.hasLeftChain(), is(false));
     }
 
+    @Test
+    void aStopEndsAsSoonAsTheChainNeedsTheReplicaNoLonger() {
+        final Node node = LoneNode.createWithReplica(NOW);
+        final Readiness readiness = new Readiness("one");
+        readiness.stop();
+        assertThat(readiness.hasLeftChain(), is(false));
+        node.leave(NOW);
+        readiness.update(node, NOW);
+        assertThat("no chain has it", readiness.hasLeftChain(), is(true));
+    }
+
     @Test
     void aControllerThatStopsIsUnreadyForGood() {
         final Node node = LoneNode.create(NOW);
