Serve from the start: a gateway may follow an unconfirmed configuration for a bounded time

Cause: after a loss of all power no request was answered for 4.3 to 5.1 s, although gateways listened after 1.0 to 1.6 s, as each waited for a controller's majority to confirm a configuration.

Off: startupGrace 0.

Log lines and replies lose the words charter and ticket.

--- a/core/src/main/java/silverlatch/dispatch/AttemptMonitor.java
+++ b/core/src/main/java/silverlatch/dispatch/AttemptMonitor.java
@@ -54,7 +54,7 @@
         markRunning(request);
         final Optional<String> violation = checker.violation(request, received);
         if (violation.isPresent()) {
-            output.log(Event.WORKER_BROKE, request.worker() + " ticket " + request.id() + " " + violation.get());
+            output.log(Event.WORKER_BROKE, request.worker() + " request " + request.id() + " " + violation.get());
             cancel(request, "the worker broke the stream: " + violation.get(), now);
         } else if (received instanceof StreamRecord.Chunk chunk) {
             append(request, chunk, now);
--- a/core/src/main/java/silverlatch/dispatch/ClaimCoordinator.java
+++ b/core/src/main/java/silverlatch/dispatch/ClaimCoordinator.java
@@ -82,7 +82,7 @@
 
     private static Rejection refusal(final Value.Claim claim) {
         return claim.state().equals(RequestState.REJECTED.label())
-                ? Rejection.brieflyUnavailable("the key was claimed by a ticket that was rejected")
+                ? Rejection.brieflyUnavailable("the key was claimed by a request that was rejected")
                 : Rejection.keyTaken(
                         "the key is taken", claim.state() + " at " + claim.gatewayId() + " as " + claim.requestId());
     }
--- a/core/src/main/java/silverlatch/dispatch/Dispatcher.java
+++ b/core/src/main/java/silverlatch/dispatch/Dispatcher.java
@@ -149,7 +149,7 @@
         if (found.isEmpty()
                 || firstRecord < 0
                 || firstRecord > found.get().response().size()) {
-            output.reject(callId, "", Rejection.permanent(Rejection.NOT_FOUND, "no such ticket or piece"));
+            output.reject(callId, "", Rejection.permanent(Rejection.NOT_FOUND, "no such request or chunk"));
             return;
         }
         if (!cluster.isConfirmed(now) && isEnabled(Safeguard.RETENTION_HOME_REGION)) {
--- a/core/src/main/java/silverlatch/dispatch/PlacementHandler.java
+++ b/core/src/main/java/silverlatch/dispatch/PlacementHandler.java
@@ -133,7 +133,7 @@
                 && !retryBudget.tryAcquire(now)
                 && settings.safeguards().isEnabled(Safeguard.RETRY_BUDGET)) {
             return Optional.of(Rejection.retryable(
-                    Rejection.TOO_MANY_REQUESTS, "too many tickets are tried again", 2 * Rejection.SECOND));
+                    Rejection.TOO_MANY_REQUESTS, "too many requests are retried", 2 * Rejection.SECOND));
         }
         return Optional.empty();
     }
--- a/core/src/main/java/silverlatch/dispatch/ResponseChecker.java
+++ b/core/src/main/java/silverlatch/dispatch/ResponseChecker.java
@@ -28,7 +28,7 @@
     private Optional<String> violation(final DispatchedRequest request, final StreamRecord.Chunk chunk) {
         if (safeguards.isEnabled(Safeguard.STREAM_IDENTITY)
                 && !chunk.requestId().equals(request.id())) {
-            return Optional.of("a piece of another ticket");
+            return Optional.of("a chunk of another request");
         }
         if (safeguards.isEnabled(Safeguard.STREAM_IDENTITY)
                 && !chunk.attemptId().equals(request.attemptId())) {
@@ -45,7 +45,7 @@
         if (!trailer.requestId().equals(request.id())
                 || !trailer.attemptId().equals(request.attemptId())
                 || !trailer.worker().equals(request.worker())) {
-            return Optional.of("a seal of another ticket, run or worker");
+            return Optional.of("a seal of another request, run or worker");
         }
         final int chunks = request.response().size();
         if (trailer.chunkCount() != chunks) {
--- a/core/src/main/java/silverlatch/dispatch/SubmissionHandler.java
+++ b/core/src/main/java/silverlatch/dispatch/SubmissionHandler.java
@@ -76,12 +76,12 @@
 
     private Optional<Rejection> permitRefusal(final Permit permit, final long now) {
         if (spentPermits.contains(permit.requestId()) && isEnabled(Safeguard.PERMIT_ONCE)) {
-            return Optional.of(Rejection.permanent(Rejection.CONFLICT, "the ticket was handed over before"));
+            return Optional.of(Rejection.permanent(Rejection.CONFLICT, "the request was submitted before"));
         }
         if (!permit.gateway().equals(cluster.snapshot().self().id())
                 || isEnabled(Safeguard.PERMIT_INCARNATION) && isOfAnotherTime(permit, now)) {
             return Optional.of(Rejection.permanent(
-                    Rejection.GONE, "the permit is of another time; whether its ticket ran is not known here"));
+                    Rejection.GONE, "the permit is of another time; whether its request ran is not known here"));
         }
         return now >= permit.expiry() && isEnabled(Safeguard.PERMIT_INCARNATION)
                 ? Optional.of(Rejection.brieflyUnavailable("the permit is stale"))
--- a/core/src/main/java/silverlatch/gossip/Gossip.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -29,6 +29,7 @@
     private static final int PUSH_FANOUT = 3;
     private static final long STALE_AGE_MICROS = 1_000_000L;
     private static final long UNKNOWN_AGE = -1;
+    private static final long GREETING_PULL_INTERVAL_MICROS = 100_000L;
 
     private final Membership membership;
     private final PeerSelector peerSelector;
@@ -41,7 +42,9 @@
     private final Optional<ReportQuorum> reportQuorum;
     /** The tokens of callers that are answered once the next tick has pushed what was announced. */
     private final List<Long> tokensUntilTick = new ArrayList<>();
+
     private final List<Effect> effects = new ArrayList<>();
+    private long lastGreetingPull;
 
     /**
      * How often a node pulls, and how reports on workers spread.
@@ -173,6 +176,24 @@
         reports.ifPresent(r -> restored.forEach(report -> r.merge(report, false, now)));
     }
 
+    /** Returns the state to be kept over a restart of this node. */
+    public GossipMessage.GossipPullReply stateToSave() {
+        return state.toSave();
+    }
+
+    /** Takes the state that was kept over a restart, before the first tick; it is not confirmed by that. */
+    public void restoreState(final GossipMessage.GossipPullReply saved) {
+        state.restore(saved);
+    }
+
+    /** A node that was greeted has replied: while the state here was never confirmed, it is asked for its own at once. */
+    public void onGreetingAnswered(final String address, final long now) {
+        if (stateAge(now) == Long.MAX_VALUE && now - lastGreetingPull >= GREETING_PULL_INTERVAL_MICROS) {
+            lastGreetingPull = now;
+            send(address, pullRequest(now));
+        }
+    }
+
     /** Forgets how fresh everything is, as a rejoin does; what is known stays. */
     public void resetFreshness() {
         reports.ifPresent(WorkerReports::resetFreshness);
--- a/core/src/main/java/silverlatch/gossip/StateCopy.java
+++ b/core/src/main/java/silverlatch/gossip/StateCopy.java
@@ -18,6 +18,8 @@
  * the copy has no age. Times are microseconds of this node's monotonic clock.
  */
 final class StateCopy {
+    private static final long UNKNOWN_AGE = -1;
+
     private final Safeguards safeguards;
     private final StateMachine stateMachine = new StateMachine();
     private Optional<Long> confirmedAt = Optional.empty();
@@ -62,6 +64,24 @@
                 : confirmedAt.map(time -> now - time).orElse(Long.MAX_VALUE);
     }
 
+    /** Returns the copy as the answer to a node that holds nothing; it says nothing of its age. */
+    GossipMessage.GossipPullReply toSave() {
+        return new GossipMessage.GossipPullReply(
+                0,
+                revision(),
+                UNKNOWN_AGE,
+                fleet,
+                stateMachine.policySince(0),
+                List.of(),
+                new GossipMessage.PullContent.FullContent(List.of(), List.of(), List.of()));
+    }
+
+    /** Takes a copy that was saved before this node started; it was committed, and may be older than others. */
+    void restore(final GossipMessage.GossipPullReply saved) {
+        fleet = saved.fleet();
+        stateMachine.apply(saved.revision(), saved.entries());
+    }
+
     /** Returns whether the copy was surely the newest at some moment at or after the given one. */
     boolean confirmedSince(final long since) {
         return confirmedAt.filter(time -> time >= since).isPresent();
--- a/core/src/main/java/silverlatch/gossip/WorkerReports.java
+++ b/core/src/main/java/silverlatch/gossip/WorkerReports.java
@@ -132,7 +132,8 @@
     /** Returns a report as of now; with an active one goes for how long its worker may have been silent as far as is known here. */
     private WorkerReport outgoing(final TrackedReport known, final long now) {
         final WorkerReport report = known.reportAt(now);
-        final long asOf = isController ? known.heardAt() : freshness.confirmedAt().orElse(now);
+        final long asOf =
+                isController ? known.heardAt() : freshness.confirmedAt().orElse(now);
         return report.isActive() ? report.withAge(Math.max(0, now - asOf)) : report;
     }
 
@@ -216,10 +217,7 @@
         if (!silenceDetector.startScan(now)) {
             return;
         }
-        tracked.values().stream()
-                .filter(t -> isForgotten(t, now))
-                .toList()
-                .forEach(this::remove);
+        tracked.values().stream().filter(t -> isForgotten(t, now)).toList().forEach(this::remove);
         if (isController && silenceDetector.isAwake(now)) {
             tracked.values().stream()
                     .filter(t -> silenceDetector.isSilent(t, controllers, now))
--- a/core/src/main/java/silverlatch/node/ClusterSnapshotBuilder.java
+++ b/core/src/main/java/silverlatch/node/ClusterSnapshotBuilder.java
@@ -7,17 +7,20 @@
 import silverlatch.gossip.Gossip;
 import silverlatch.membership.Member;
 import silverlatch.membership.Membership;
+import silverlatch.safeguard.Safeguard;
 import silverlatch.state.Policy;
 
 /**
  * Copies what a node knows for the event loop that routes requests.
  *
- * <p>The configuration is given only once it was confirmed as the newest as of a moment after this process started: so it is
- * never older than one by which an earlier process of this machine routed.
+ * <p>The configuration is given once it was confirmed as the newest as of a moment after this process started: so it is never older
+ * than one by which an earlier process of this machine routed. Before that, and only for a bounded time after the start, one that
+ * nobody has confirmed is given too where the settings allow it: it was committed, but may be older.
  *
  * <p>While nothing changes the same snapshot is returned, so that a caller can tell by identity that there is nothing new.
  */
 final class ClusterSnapshotBuilder {
+    private final Node.Settings settings;
     private final Membership membership;
     private final Gossip gossip;
     private final long startedAt;
@@ -28,7 +31,9 @@
     private long peersVersion = -1;
     private Optional<ClusterSnapshot> last = Optional.empty();
 
-    ClusterSnapshotBuilder(final Membership membership, final Gossip gossip, final long startedAt) {
+    ClusterSnapshotBuilder(
+            final Node.Settings settings, final Membership membership, final Gossip gossip, final long startedAt) {
+        this.settings = settings;
         this.membership = membership;
         this.gossip = gossip;
         this.startedAt = startedAt;
@@ -37,7 +42,7 @@
     /** Returns a snapshot as of now; without a moment of confirmation while the node hasn't joined. */
     ClusterSnapshot build(final boolean hasJoined, final long now) {
         isStateConfirmed = isStateConfirmed || gossip.confirmedSince(startedAt);
-        if (!isStateConfirmed) {
+        if (!isStateConfirmed && !isWithinStartupGrace(now)) {
             return snapshot(0, Optional.empty(), Policy.NONE);
         }
         updatePolicy();
@@ -46,6 +51,12 @@
         return snapshot(policyRevision, isConfirmed ? Optional.of(now - age) : Optional.empty(), policy);
     }
 
+    private boolean isWithinStartupGrace(final long now) {
+        final long grace = settings.startupGrace();
+        final boolean isBounded = settings.safeguards().isEnabled(Safeguard.STARTUP_GRACE);
+        return grace > 0 && (now - startedAt < grace || !isBounded);
+    }
+
     private void updatePolicy() {
         final long revision = gossip.stateMachine().policyRevision();
         if (policyRevision == revision) {
--- a/core/src/main/java/silverlatch/node/MessageDispatcher.java
+++ b/core/src/main/java/silverlatch/node/MessageDispatcher.java
@@ -52,7 +52,7 @@
     void dispatch(final Message message, final String sender, final long now) {
         switch (message) {
             case MembershipMessage.JoinGreeting greeting -> toMembership(greeting, now);
-            case MembershipMessage.MemberList list -> onMemberList(list, now);
+            case MembershipMessage.MemberList list -> onMemberList(list, sender, now);
             case MembershipMessage.LivenessHeartbeat heartbeat -> toMembership(heartbeat, now);
             case MembershipMessage.Heartbeat heartbeat -> toMembership(heartbeat, now);
             case GossipMessage.GossipPush push -> gossip.onMessage(push, sender, now);
@@ -83,10 +83,11 @@
                 message, now, clock.physicalTime(now), clock.processClock().last());
     }
 
-    private void onMemberList(final MembershipMessage.MemberList list, final long now) {
+    private void onMemberList(final MembershipMessage.MemberList list, final String sender, final long now) {
         hasJoined = true;
         clock.processClock().raiseAbove(list.stampFloor(), clock.physicalTime(now));
         toMembership(list, now);
+        gossip.onGreetingAnswered(sender, now);
     }
 
     private void onStampRejected(final Message.StampRejected rejected, final String sender, final long now) {
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -63,6 +63,8 @@
      * @param maxClockSkew by how many microseconds a clock may differ from the others
      * @param membership   time-outs and intervals of the membership
      * @param gossip       intervals of the gossip
+     * @param startupGrace for how long after its start a gateway may route by a configuration that nobody has confirmed, in
+     *                     microseconds; 0 where it may not
      * @param safeguards   the checks that are enabled; all of them but in tests
      */
     public record Settings(
@@ -72,13 +74,14 @@
             long maxClockSkew,
             Membership.Settings membership,
             Gossip.Settings gossip,
+            long startupGrace,
             Safeguards safeguards) {
         /** Copies the seeds. */
         public Settings {
             seeds = List.copyOf(seeds);
         }
 
-        /** Makes settings with all safeguards enabled. */
+        /** Makes settings with all safeguards enabled, by which only confirmed configurations are followed. */
         public Settings(
                 final Member self,
                 final List<String> seeds,
@@ -86,7 +89,12 @@
                 final long maxClockSkew,
                 final Membership.Settings membership,
                 final Gossip.Settings gossip) {
-            this(self, seeds, stampLowBits, maxClockSkew, membership, gossip, Safeguards.ALL);
+            this(self, seeds, stampLowBits, maxClockSkew, membership, gossip, 0, Safeguards.ALL);
+        }
+
+        /** The same with another time for which a gateway may route by an unconfirmed configuration, in microseconds. */
+        public Settings withStartupGrace(final long micros) {
+            return new Settings(self, seeds, stampLowBits, maxClockSkew, membership, gossip, micros, safeguards);
         }
     }
 
@@ -118,7 +126,7 @@
         this.receiver = new FrameReceiver(
                 clock, gossip::fleet, dispatcher::dispatch, pendingEffects::add, effects::add, counters);
         this.sender = new FrameSender(clock, membership, gossip::fleet);
-        this.snapshotBuilder = new ClusterSnapshotBuilder(membership, gossip, now);
+        this.snapshotBuilder = new ClusterSnapshotBuilder(settings, membership, gossip, now);
         this.chainReplica.ifPresent(
                 replica -> gossip.adoptReplicaState(replica.stateMachine(), replica.view(), false, now));
     }
--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -402,7 +402,7 @@
 
     private void viewSynced(final long number, final long now) {
         role.syncView(number);
-        if (role.isInChain()) {
+        if (role.isInChain() && settings.safeguards().isEnabled(Safeguard.VIEW_SYNC)) {
             replication.restart(now);
         }
     }
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -54,11 +54,7 @@
      * @param policies        the routing policies in force
      */
     public record Settings(
-            int maxOpenRequests,
-            double retryRatio,
-            long maxReportAge,
-            long prefixLifetime,
-            RoutingPolicies policies) {
+            int maxOpenRequests, double retryRatio, long maxReportAge, long prefixLifetime, RoutingPolicies policies) {
         /** How long a part of a prompt counts as cached when nothing is said. */
         public static final long DEFAULT_PREFIX_LIFETIME = 45 * SECOND;
 
@@ -134,7 +130,7 @@
         if (draining || stopping) {
             return Optional.of("stopping");
         }
-        return configurationNumber() == 0 ? Optional.of("no charter is known here yet") : Optional.empty();
+        return configurationNumber() == 0 ? Optional.of("no configuration is known here yet") : Optional.empty();
     }
 
     /** This gateway is about to stop: it is no longer ready, but still takes what comes. */
@@ -176,7 +172,7 @@
         }
         if (configurationNumber() == 0) {
             final long retryAfter = SECOND + random.nextLong(SECOND / 2);
-            output.reject(request.callId(), UNAVAILABLE, retryAfter, "no charter is known here yet");
+            output.reject(request.callId(), UNAVAILABLE, retryAfter, "no configuration is known here yet");
             return;
         }
         final Optional<Value.Route> route = routingTable.route(request.host(), request.path());
--- a/core/src/main/java/silverlatch/routing/WorkerTable.java
+++ b/core/src/main/java/silverlatch/routing/WorkerTable.java
@@ -21,8 +21,9 @@
 
     /** Takes the newest reports; workers without one are forgotten when no attempt is in flight there. */
     void update(final Map<String, Gossip.ObservedWorker> reports, final long now) {
-        reports.forEach((id, report) -> workers.computeIfAbsent(id, added -> new WorkerState(report, prefixLifetime, now))
-                .update(report, now));
+        reports.forEach(
+                (id, report) -> workers.computeIfAbsent(id, added -> new WorkerState(report, prefixLifetime, now))
+                        .update(report, now));
         workers.values().removeIf(worker -> worker.attemptCount() == 0 && !reports.containsKey(worker.id()));
     }
 
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -76,6 +76,8 @@
     VIEW_SYNC,
     /** A worker's drain is acknowledged only once a majority of the controllers holds it. */
     REPORT_QUORUM,
+    /** A gateway routes by a configuration that nobody has confirmed for a bounded time after its start only. */
+    STARTUP_GRACE,
     /** A replica that holds everything takes over where all members of a chain that acknowledges nothing are lost. */
     TAKEOVER
 }
--- a/core/src/main/java/silverlatch/state/ClaimManager.java
+++ b/core/src/main/java/silverlatch/state/ClaimManager.java
@@ -68,7 +68,7 @@
                     context);
         }
         if (existing.isEmpty() || !isOf(existing.get(), command.requestId())) {
-            return RejectionCause.CONFLICT.reply("the claim is not this ticket's", context.committedSequence());
+            return RejectionCause.CONFLICT.reply("the claim is not this request's", context.committedSequence());
         }
         return isRunning(existing.get())
                 ? write(command.key(), existing.get().withState(command.state()), context)
--- a/core/src/main/java/silverlatch/state/RoutingConfigurationManager.java
+++ b/core/src/main/java/silverlatch/state/RoutingConfigurationManager.java
@@ -112,7 +112,7 @@
      */
     private static Evaluation rejectConflict(
             final Command.PutConfiguration command, final EvaluationContext context, final long currentNumber) {
-        final String fault = "the charter in force is number " + currentNumber;
+        final String fault = "the configuration in force is number " + currentNumber;
         if (command.expectedRevision() < currentNumber) {
             return RejectionCause.CONFLICT.reply(fault, currentNumber);
         }
--- a/core/src/test/java/silverlatch/node/NodeCluster.java
+++ b/core/src/test/java/silverlatch/node/NodeCluster.java
@@ -25,6 +25,7 @@
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
 import silverlatch.state.ConfigurationValidator;
+import silverlatch.wire.GossipMessage;
 
 /**
  * Whole nodes on one simulated clock: controllers named {@code c0, c1, ...} with a disk each, and gateways named
@@ -41,7 +42,9 @@
     private static final long NETWORK_DELAY = 10_000L;
     private static final long DISK_SYNC_DELAY = 2_000L;
     private static final long UNIX_EPOCH = 1_700_000_000_000_000L;
+    private static final int GATEWAYS_WITH_DISK = 2;
     private final Safeguards safeguards;
+    private final long startupGrace;
     private final Map<String, Machine> machines = new TreeMap<>();
     private final Set<Link> cutLinks = new HashSet<>();
     private final Map<String, Long> addedDelays = new HashMap<>();
@@ -55,6 +58,20 @@
     }
 
     NodeCluster(final int controllers, final int gateways, final long seed, final Safeguards safeguards) {
+        this(controllers, gateways, seed, safeguards, 0);
+    }
+
+    /**
+     * The same where gateways may route by an unconfirmed configuration for a time after their start, and the first two of them keep
+     * what they follow over a restart.
+     */
+    NodeCluster(
+            final int controllers,
+            final int gateways,
+            final long seed,
+            final Safeguards safeguards,
+            final long startupGrace) {
+        this.startupGrace = startupGrace;
         this.random = new SplittableRandom(seed);
         this.safeguards = safeguards;
         for (int i = 0; i < controllers; i++) {
@@ -220,6 +237,7 @@
         private final List<Runnable> waiting = new ArrayList<>();
         private final Map<Long, Consumer<Object>> pendingResponses = new HashMap<>();
         private String identity;
+        private Optional<GossipMessage.GossipPullReply> saved = Optional.empty();
         private Optional<Node> node = Optional.empty();
         private Optional<Router> router = Optional.empty();
         private boolean isFrozen;
@@ -246,6 +264,7 @@
             pendingResponses.clear();
             node = Optional.of(newNode(seeds));
             isFirstStart = false;
+            saved.ifPresent(state -> node.get().gossip().restoreState(state));
             router = isController() ? Optional.empty() : Optional.of(newRouter(node.get()));
             tick(processNumber);
         }
@@ -263,6 +282,7 @@
                             50_000,
                             Membership.Settings.LARGE_FLEET,
                             Gossip.Settings.LARGE_FLEET,
+                            startupGrace,
                             safeguards),
                     chain,
                     List.copyOf(disk),
@@ -343,6 +363,9 @@
             running.drain().forEach(this::handleEffect);
             running.drainFrames().forEach(this::sendFrame);
             monitor.checkConfirmedState(name, running, now());
+            if (startupGrace > 0 && !isController() && index < GATEWAYS_WITH_DISK) {
+                saved = Optional.of(running.gossip().stateToSave());
+            }
             router.ifPresent(r -> {
                 r.update(running.clusterSnapshot(), now());
                 final long served = servedRevision();
--- a/server/src/main/java/silverlatch/server/controller/ConfigurationResource.java
+++ b/server/src/main/java/silverlatch/server/controller/ConfigurationResource.java
@@ -29,7 +29,8 @@
                         .ifPresentOrElse(
                                 document -> exchange.replyText(
                                         "application/json", document.text(), StateApi.etag(document.number())),
-                                () -> ApiReplies.reject(exchange, ApiReplies.NOT_FOUND, "there is no charter yet")));
+                                () -> ApiReplies.reject(
+                                        exchange, ApiReplies.NOT_FOUND, "there is no configuration yet")));
     }
 
     /** Replies with the routes in force. */
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -21,6 +21,7 @@
 import silverlatch.server.eventloop.EventLog;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.server.persistence.WorkerRoster;
 import silverlatch.server.process.DaemonProcess;
 import silverlatch.server.settings.Settings;
 import silverlatch.server.transport.Transport;
--- a/server/src/main/java/silverlatch/server/controller/WorkerAnnouncements.java
+++ b/server/src/main/java/silverlatch/server/controller/WorkerAnnouncements.java
@@ -41,8 +41,7 @@
     }
 
     /** Takes a report, and replies once it is held by as many as it has to be; false where it isn't accepted. */
-    private void execute(
-            final String workerId, final Predicate<Node> takeReport, final Consumer<Boolean> onResult) {
+    private void execute(final String workerId, final Predicate<Node> takeReport, final Consumer<Boolean> onResult) {
         final boolean isPosted = eventLoop.execute(node -> {
             if (!takeReport.test(node)) {
                 onResult.accept(false);
--- a/server/src/main/java/silverlatch/server/gateway/Gateway.java
+++ b/server/src/main/java/silverlatch/server/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -54,6 +55,7 @@
     private final PendingExchanges exchanges = new PendingExchanges();
     private final ApiRouter apiRouter;
     private final Optional<Recorder> recorder;
+    private final Optional<SavedState> savedState;
     private Optional<ApiServer> apiServer = Optional.empty();
     private volatile Optional<String> unreadyReason = Optional.of("starting");
     private volatile List<Member> readyGateways = List.of();
@@ -69,6 +71,7 @@
         this.dispatchLoop =
                 new DispatchLoop(dispatcher, router, settings.intervals().dispatchTick());
         this.recorder = settings.recordFolder().map(Recorder::new);
+        this.savedState = settings.dataFolder().map(folder -> new SavedState(Path.of(folder), node));
         this.effectHandler = new DispatchEffectHandler(
                 exchanges, new WorkerRuns(settings, dispatchLoop), nodeLoop, dispatchLoop, recorder);
         final OperatorApi operatorApi =
@@ -102,6 +105,7 @@
      */
     public void startEventLoops() throws IOException {
         recorder.ifPresent(Recorder::start);
+        savedState.ifPresent(SavedState::restore);
         transport.start();
         nodeLoop.start();
         dispatchLoop.start(effectHandler, this::updateReadiness);
@@ -216,6 +220,7 @@
             return;
         }
         published = Optional.of(snapshot);
+        savedState.ifPresent(SavedState::saveIfChanged);
         readyGateways = Stream.concat(Stream.of(snapshot.self()), snapshot.peers().stream())
                 .filter(Member::ready)
                 .toList();
--- a/server/src/main/java/silverlatch/server/gateway/OperatorApi.java
+++ b/server/src/main/java/silverlatch/server/gateway/OperatorApi.java
@@ -58,7 +58,7 @@
                     .or(() -> router.traces().get(requestId))
                     .ifPresentOrElse(
                             trace -> exchange.reply(200, RequestTraceJson.write(trace)),
-                            () -> ApiReplies.reject(exchange, 404, List.of("no such ticket here"))));
+                            () -> ApiReplies.reject(exchange, 404, List.of("no such request here"))));
         }
     }
 
--- a/server/src/main/java/silverlatch/server/proxy/EventStreamSplitter.java
+++ b/server/src/main/java/silverlatch/server/proxy/EventStreamSplitter.java
@@ -32,8 +32,7 @@
         pending.reset();
         pending.write(all, end, all.length - end);
         final String events = new String(all, 0, end, StandardCharsets.ISO_8859_1);
-        position = position.advancedTo(
-                new StreamPosition(lastField(events, ID_FIELD), lastField(events, weightField)));
+        position = position.advancedTo(new StreamPosition(lastField(events, ID_FIELD), lastField(events, weightField)));
         return Arrays.copyOf(all, end);
     }
 
--- a/server/src/main/java/silverlatch/server/settings/Settings.java
+++ b/server/src/main/java/silverlatch/server/settings/Settings.java
@@ -15,7 +15,8 @@
  * @param peerAddress       IP:PORT for frames of other processes
  * @param httpAddress       IP:PORT for the HTTP API
  * @param seeds             one to three addresses of controllers
- * @param dataFolder        where a controller keeps its log; a controller without one has no replica
+ * @param dataFolder        where a controller keeps its log, and a gateway what it starts with; a controller without one has no
+ *                          replica
  * @param recordFolder      where a gateway records its placements
  * @param clusterKey        signs permits, salts tenants' keys
  * @param operatorKey       the bearer token of operators
@@ -31,6 +32,8 @@
  * @param voterCount        how many controllers with a data folder vote, where so many are there
  * @param intervals         how often processes speak to each other
  * @param proxyAddress      IP:PORT at which a gateway takes requests by host and path
+ * @param startupGrace      for how long after its start a gateway may route by a configuration that nobody has confirmed; 0 where it
+ *                          may not
  * @param prefixLifetime    for how long after its last use a gateway takes a part of a prompt for cached at a worker
  */
 public record Settings(
@@ -56,6 +59,7 @@
         int voterCount,
         Intervals intervals,
         Optional<String> proxyAddress,
+        long startupGrace,
         long prefixLifetime) {
     private static final long NANOS_PER_MICRO = 1_000;
 
@@ -94,6 +98,7 @@
     public Node.Settings nodeSettings(final String role, final long wallNanos) {
         final Member self =
                 Member.starting(name, role, zone, region, peerAddress, httpAddress, wallNanos / NANOS_PER_MICRO);
-        return new Node.Settings(self, seeds, stampLowBits, maxClockSkew, intervals.membership(), intervals.gossip());
+        return new Node.Settings(self, seeds, stampLowBits, maxClockSkew, intervals.membership(), intervals.gossip())
+                .withStartupGrace(startupGrace);
     }
 }
--- a/server/src/main/java/silverlatch/server/settings/SettingsReader.java
+++ b/server/src/main/java/silverlatch/server/settings/SettingsReader.java
@@ -10,13 +10,14 @@
 import java.util.Map;
 import java.util.Optional;
 import silverlatch.dispatch.DispatcherSettings;
-import silverlatch.routing.Router;
 import silverlatch.json.JsonDocument;
+import silverlatch.routing.Router;
 import silverlatch.state.TableRules;
 
 /** Reads settings from JSON, with a default for each key that need not be there, and lists everything that is wrong with them. */
 final class SettingsReader {
     private static final int MAX_FILE_BYTES = 64 << 10;
+    private static final long MAX_STARTUP_GRACE = 60_000_000L;
     private static final long MAX_PREFIX_LIFETIME = 3_600_000_000L;
     private static final int MAX_NAME_LENGTH = 64;
     private static final int MAX_KEY_LENGTH = 256;
@@ -86,8 +87,8 @@
                 (int) document.integer("voters", 1, 9, 3),
                 Intervals.read(document, faults),
                 optional("gate", MAX_NAME_LENGTH),
-                document.integer(
-                        "prefixLifetime", 0, MAX_PREFIX_LIFETIME, Router.Settings.DEFAULT_PREFIX_LIFETIME));
+                document.integer("startupGrace", 0, MAX_STARTUP_GRACE, 0),
+                document.integer("prefixLifetime", 0, MAX_PREFIX_LIFETIME, Router.Settings.DEFAULT_PREFIX_LIFETIME));
     }
 
     private DispatcherSettings readDispatch() {
@@ -137,8 +138,8 @@
     }
 
     private void checkRole(final Settings settings) {
-        if (!isController && settings.dataFolder().isPresent()) {
-            faults.add("data: a gateway keeps no data folder");
+        if (!isController && settings.dataFolder().isPresent() && settings.startupGrace() == 0) {
+            faults.add("data: a gateway keeps no data folder without startupGrace");
         }
         if (isController && settings.proxyAddress().isPresent()) {
             faults.add("gate: a controller takes no requests");
--- a/server/src/test/java/silverlatch/server/controller/WorkerRosterTest.java
+++ b/server/src/test/java/silverlatch/server/persistence/WorkerRosterTest.java
@@ -1,4 +1,4 @@
-package silverlatch.server.controller;
+package silverlatch.server.persistence;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
