--- a/core/src/test/java/silverlatch/dispatch/ResponseCheckerTest.java
+++ b/core/src/test/java/silverlatch/dispatch/ResponseCheckerTest.java
@@ -49,7 +49,7 @@
 
     @Test
     void aChunkOfAnotherRequestOrAttemptOrPlaceDoesNotFit() {
-        assertThat(violation(new StreamRecord.Chunk("r2", "r1.1", 1, "b")), containsString("ticket"));
+        assertThat(violation(new StreamRecord.Chunk("r2", "r1.1", 1, "b")), containsString("request"));
         assertThat(violation(new StreamRecord.Chunk("r1", "r1.2", 1, "b")), containsString("run"));
         assertThat(violation(new StreamRecord.Chunk("r1", "r1.1", 0, "b")), containsString("0 where 1"));
         assertThat(violation(new StreamRecord.Chunk("r1", "r1.1", 2, "b")), containsString("2 where 1"));
@@ -59,7 +59,7 @@
     void aTrailerOfAnotherWorkerCountOrTextDoesNotFit() {
         final String sha256 = Digests.sha256Hex("a\u00fc");
         assertThat(violation(new StreamRecord.Trailer("w2", "r1", "r1.1", 1, sha256)), containsString("worker"));
-        assertThat(violation(new StreamRecord.Trailer("w1", "r2", "r1.1", 1, sha256)), containsString("ticket"));
+        assertThat(violation(new StreamRecord.Trailer("w1", "r2", "r1.1", 1, sha256)), containsString("request"));
         assertThat(violation(new StreamRecord.Trailer("w1", "r1", "r1.2", 1, sha256)), containsString("run"));
         assertThat(violation(new StreamRecord.Trailer("w1", "r1", "r1.1", 2, sha256)), containsString("1 came"));
         assertThat(
