--- a/core/src/main/java/silverlatch/dispatch/Dispatcher.java
+++ b/core/src/main/java/silverlatch/dispatch/Dispatcher.java
@@ -30,6 +30,9 @@
  * a client's HTTP call at this gateway, an operation id a claim or an attempt.
  */
 public final class Dispatcher {
+    /** The reason of a rejection of a permit that was used before: it says nothing of what became of its request. */
+    public static final String ALREADY_SUBMITTED = "the request was submitted before";
+
     private final DispatcherSettings settings;
     private final ClusterView cluster;
     private final GatewayReadiness readiness;
--- a/core/src/main/java/silverlatch/dispatch/SubmissionHandler.java
+++ b/core/src/main/java/silverlatch/dispatch/SubmissionHandler.java
@@ -76,7 +76,7 @@
 
     private Optional<Rejection> permitRefusal(final Permit permit, final long now) {
         if (spentPermits.contains(permit.requestId()) && isEnabled(Safeguard.PERMIT_ONCE)) {
-            return Optional.of(Rejection.permanent(Rejection.CONFLICT, "the request was submitted before"));
+            return Optional.of(Rejection.permanent(Rejection.CONFLICT, Dispatcher.ALREADY_SUBMITTED));
         }
         if (!permit.gateway().equals(cluster.snapshot().self().id())
                 || isEnabled(Safeguard.PERMIT_INCARNATION) && isOfAnotherTime(permit, now)) {
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -81,6 +81,18 @@
             seeds = List.copyOf(seeds);
         }
 
+        /** Makes settings by which only confirmed configurations are followed. */
+        public Settings(
+                final Member self,
+                final List<String> seeds,
+                final int stampLowBits,
+                final long maxClockSkew,
+                final Membership.Settings membership,
+                final Gossip.Settings gossip,
+                final Safeguards safeguards) {
+            this(self, seeds, stampLowBits, maxClockSkew, membership, gossip, 0, safeguards);
+        }
+
         /** Makes settings with all safeguards enabled, by which only confirmed configurations are followed. */
         public Settings(
                 final Member self,
@@ -89,7 +101,7 @@
                 final long maxClockSkew,
                 final Membership.Settings membership,
                 final Gossip.Settings gossip) {
-            this(self, seeds, stampLowBits, maxClockSkew, membership, gossip, 0, Safeguards.ALL);
+            this(self, seeds, stampLowBits, maxClockSkew, membership, gossip, Safeguards.ALL);
         }
 
         /** The same with another time for which a gateway may route by an unconfirmed configuration, in microseconds. */
--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -7,7 +7,6 @@
 import silverlatch.log.LogRecord;
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
-import silverlatch.safeguard.Safeguard;
 import silverlatch.state.StateMachine;
 import silverlatch.wire.ChainClientMessage;
 import silverlatch.wire.Message;
@@ -82,7 +81,7 @@
         readAdmission = new ReadAdmission(settings, role, lease, log, effects);
         committer = new Committer(settings, role, log, effects);
         catchUp = new CatchUpProgress(role, log, effects);
-        successorLink = new SuccessorLink(settings, role, log, effects);
+        successorLink = new SuccessorLink(role, log, effects);
         predecessorLink = new PredecessorLink(settings, role, log, catchUp, committer, effects);
         repairRequester =
                 new RepairRequester(settings, role, log, successorLink, catchUp, committer, departure, effects);
@@ -117,7 +116,7 @@
     private void finishReplay(final long now) {
         role.finishReplay();
         if (role.hasView()) {
-            if (!role.isInChain() && !role.isStandby()) {
+            if (!role.isInChain()) {
                 dropPending();
             }
             failureDetector.start(now);
@@ -280,7 +279,7 @@
             }
         } else if (!isStalled) {
             seekPlace(now);
-            takeOver(now);
+            proposer.proposeTakeover(departure.isLeaving(), now);
         }
     }
 
@@ -294,16 +293,6 @@
         }
     }
 
-    /** A standby whose repair is on disk proposes itself where all members of the chain are lost. */
-    private void takeOver(final long now) {
-        if (role.isStandby()
-                && effects.isAllSynced()
-                && !departure.isLeaving()
-                && settings.safeguards().isEnabled(Safeguard.TAKEOVER)) {
-            proposer.proposeTakeover(now);
-        }
-    }
-
     private void requestLease(final long now) {
         lease.request(failureDetector.hearsMajority(now), now);
     }
@@ -385,34 +374,29 @@
         repairResponder.installView();
         successorLink.reset(log.committedSequence(), now);
         failureDetector.installView(wasInChain, now);
-        effects.persist(
-                List.of(new LogRecord.ViewInstalled(next, role.isCaughtUp())),
-                now,
-                syncedAt -> viewSynced(next.number(), syncedAt));
+        effects.persist(List.of(new LogRecord.ViewInstalled(next, role.isCaughtUp())), now, syncedAt -> {
+            if (role.syncView(next.number()) && role.isInChain()) {
+                replication.restart(syncedAt);
+            }
+        });
         effects.log(Event.VIEW, "view " + next.number() + " chain " + next.chainAddresses());
         requestLease(now);
         if (role.isInChain()) {
             replication.restart(now);
-        } else if (role.isStandby()) {
-            waitingWrites.abandon();
         } else {
             dropPending();
         }
     }
 
-    private void viewSynced(final long number, final long now) {
-        role.syncView(number);
-        if (role.isInChain() && settings.safeguards().isEnabled(Safeguard.VIEW_SYNC)) {
-            replication.restart(now);
-        }
-    }
-
     private void entriesSynced(final long now) {
         replication.entriesSynced(now);
     }
 
+    /** Out of the chain only a standby keeps what is pending. */
     private void dropPending() {
         waitingWrites.abandon();
-        log.dropPending();
+        if (!role.isStandby()) {
+            log.dropPending();
+        }
     }
 }
--- a/core/src/main/java/silverlatch/replication/ReplicaRole.java
+++ b/core/src/main/java/silverlatch/replication/ReplicaRole.java
@@ -71,7 +71,7 @@
 
     /** Whether the installed view is on disk here. */
     boolean isViewSynced() {
-        return viewSynced;
+        return viewSynced || !settings.safeguards().isEnabled(Safeguard.VIEW_SYNC);
     }
 
     /** Whether the log lacks what was acknowledged with it. */
@@ -149,9 +149,11 @@
         return isVeryNext && (isNamedInChainOf(next) || !hasRequiredCopies(next));
     }
 
-    /** The installed view is on disk here. */
-    void syncView(final long number) {
+    /** The view of this number is on disk here; whether that is the installed one, and news. */
+    boolean syncView(final long number) {
+        final boolean isNews = number == view.number() && !isViewSynced();
         viewSynced |= number == view.number();
+        return isNews;
     }
 
     /** The replica holds all that its predecessor held when the view began. */
--- a/core/src/main/java/silverlatch/replication/SuccessorLink.java
+++ b/core/src/main/java/silverlatch/replication/SuccessorLink.java
@@ -4,7 +4,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
-import silverlatch.safeguard.Safeguard;
 import silverlatch.wire.ReplicationMessage;
 
 /**
@@ -13,15 +12,12 @@
  */
 final class SuccessorLink {
     private static final int MAX_BATCH_ENTRIES = 512;
-    private final ReplicaSettings settings;
     private final ReplicaRole role;
     private final ReplicaLog log;
     private final EffectQueue effects;
     private final ReplicationWindow window = new ReplicationWindow();
 
-    SuccessorLink(
-            final ReplicaSettings settings, final ReplicaRole role, final ReplicaLog log, final EffectQueue effects) {
-        this.settings = settings;
+    SuccessorLink(final ReplicaRole role, final ReplicaLog log, final EffectQueue effects) {
         this.role = role;
         this.log = log;
         this.effects = effects;
@@ -84,7 +80,7 @@
      * by a restart, and take further entries under it, which the successor would lack.
      */
     private void sendTarget(final String address) {
-        if (!role.isViewSynced() && settings.safeguards().isEnabled(Safeguard.VIEW_SYNC)) {
+        if (!role.isViewSynced()) {
             return;
         }
         effects.send(address, new ReplicationMessage.CatchUpTarget(role.view().number(), log.lastSequence()));
--- a/core/src/main/java/silverlatch/replication/ViewProposer.java
+++ b/core/src/main/java/silverlatch/replication/ViewProposer.java
@@ -93,9 +93,13 @@
         next.filter(view -> mayPropose(planner, rank, now)).ifPresent(view -> prepare(view, now));
     }
 
-    /** Proposes this replica, a standby, as the only member of the chain where all others are lost. */
-    void proposeTakeover(final long now) {
-        if (!mayBegin(now)) {
+    /** Proposes this replica as the only member where all of a chain are lost, if it is a standby whose repair is on disk. */
+    void proposeTakeover(final boolean isLeaving, final long now) {
+        final boolean mayTakeOver = role.isStandby()
+                && effects.isAllSynced()
+                && !isLeaving
+                && settings.safeguards().isEnabled(Safeguard.TAKEOVER);
+        if (!mayTakeOver || !mayBegin(now)) {
             return;
         }
         final ViewPlanner planner = planner(now);
--- a/core/src/test/java/silverlatch/node/DrainAcknowledgementTest.java
+++ b/core/src/test/java/silverlatch/node/DrainAcknowledgementTest.java
@@ -116,7 +116,7 @@
             }
             final PendingConfirmation reply = cluster.confirmReport(victim, "w");
             cluster.advance(delay);
-            cluster.partition(List.of(victim, "g0"), reached(cluster, victim));
+            cluster.links().partition(List.of(victim, "g0"), reached(cluster, victim));
             cluster.advance(REPLY_LIMIT);
             assertThat("delay " + delay, reply.isAnswered(), is(true));
             assertThat(reply.endedAt() - reply.sentAt(), lessThanOrEqualTo(REPLY_LIMIT));
@@ -139,10 +139,10 @@
 
         void isolate(final NodeCluster cluster, final String victim, final List<String> others) {
             switch (this) {
-                case BOTH_WAYS -> cluster.partition(List.of(victim), others);
-                case RECEIVES_NOTHING -> cluster.partitionOneWay(others, List.of(victim));
-                case SENDS_NOTHING -> cluster.partitionOneWay(List.of(victim), others);
-                case SLOW -> cluster.slow(victim, 2 * SECOND);
+                case BOTH_WAYS -> cluster.links().partition(List.of(victim), others);
+                case RECEIVES_NOTHING -> cluster.links().partitionOneWay(others, List.of(victim));
+                case SENDS_NOTHING -> cluster.links().partitionOneWay(List.of(victim), others);
+                case SLOW -> cluster.links().slow(victim, 2 * SECOND);
             }
         }
     }
--- a/core/src/test/java/silverlatch/node/GatewayPropagationTest.java
+++ b/core/src/test/java/silverlatch/node/GatewayPropagationTest.java
@@ -44,7 +44,7 @@
             final List<String> side = List.of(victim, "g0", "g1");
             final List<String> others = new ArrayList<>(others(cluster, victim));
             others.add("g2");
-            cluster.partition(side, others);
+            cluster.links().partition(side, others);
             acknowledge(cluster, others(cluster, victim), 2, 8 * SECOND);
             cluster.kill("g0");
             cluster.advance(SECOND);
@@ -54,7 +54,7 @@
                 assertThat("at " + i, cluster.isReady("g0"), is(false));
             }
             assertThat(cluster.servedRevision("g1"), is(1L));
-            cluster.heal();
+            cluster.links().heal();
             assertThat(cluster.advanceUntil(5 * SECOND, () -> cluster.isReady("g0")), greaterThanOrEqualTo(0L));
             assertThat(cluster.servedRevision("g0"), is(2L));
             assertThat(cluster.violations(), empty());
@@ -81,7 +81,7 @@
             final NodeCluster cluster = new NodeCluster(3, 3, 40 + seed);
             acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
             final String victim = addressAt(cluster, seed % 3);
-            cluster.partition(List.of(victim), others(cluster, victim));
+            cluster.links().partition(List.of(victim), others(cluster, victim));
             acknowledge(cluster, others(cluster, victim), 2, 8 * SECOND);
             cluster.kill("g0");
             cluster.advance(SECOND);
@@ -114,12 +114,12 @@
         acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
         cluster.announceWorker("c1", worker(1, false));
         cluster.advance(2 * SECOND);
-        cluster.partition(List.of("c0", "g0"), List.of("c1", "c2", "g1", "g2", "g3"));
+        cluster.links().partition(List.of("c0", "g0"), List.of("c1", "c2", "g1", "g2", "g3"));
         cluster.advance(SECOND);
         cluster.announceWorker("c0", worker(2, true));
         assertThat(cluster.advanceUntil(SECOND, () -> isDraining(cluster, "g0")), greaterThanOrEqualTo(0L));
         cluster.advance(OUTAGE);
-        cluster.heal();
+        cluster.links().heal();
         assertThat(
                 cluster.advanceUntil(
                         PROPAGATION_LIMIT, () -> cluster.gateways().stream().allMatch(g -> isDraining(cluster, g))),
@@ -132,7 +132,7 @@
         acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
         cluster.announceWorker("c1", worker(1, false));
         cluster.advance(2 * SECOND);
-        cluster.partition(List.of("c0"), List.of("c1", "c2"));
+        cluster.links().partition(List.of("c0"), List.of("c1", "c2"));
         cluster.advance(3 * SECOND);
         cluster.announceWorker("c0", worker(2, true));
         assertThat(
@@ -146,14 +146,14 @@
         acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
         final List<String> small = List.of("c0", "g0", "g1");
         final List<String> large = List.of("c1", "c2", "g2", "g3");
-        cluster.partition(small, large);
+        cluster.links().partition(small, large);
         small.forEach(n -> cluster.node(n).membership().setSeeds(List.of("c0")));
         large.forEach(n -> cluster.node(n).membership().setSeeds(List.of("c1", "c2")));
         cluster.advance(OUTAGE);
         cluster.announceWorker("c1", worker(1, false));
         cluster.announceWorker("c1", worker(2, true));
         acknowledge(cluster, List.of("c1", "c2"), 2, 8 * SECOND);
-        cluster.heal();
+        cluster.links().heal();
         assertThat(cluster.advanceUntil(PROPAGATION_LIMIT, () -> allServe(cluster, 2)), greaterThanOrEqualTo(0L));
         assertThat(
                 cluster.advanceUntil(
@@ -167,7 +167,7 @@
         acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
         final List<String> small = List.of("c0", "g0", "g1");
         final List<String> large = List.of("c1", "c2", "g2", "g3");
-        cluster.partition(small, large);
+        cluster.links().partition(small, large);
         cluster.advance(3 * SECOND);
         for (final String name : List.of("c0", "g0")) {
             cluster.kill(name);
@@ -179,7 +179,7 @@
         }
         acknowledge(cluster, List.of("c1", "c2"), 2, 10 * SECOND);
         cluster.advance(OUTAGE);
-        cluster.heal();
+        cluster.links().heal();
         assertThat(
                 cluster.advanceUntil(PROPAGATION_LIMIT + SECOND, () -> allServe(cluster, 2)), greaterThanOrEqualTo(0L));
         assertThat(cluster.violations(), empty());
--- a/core/src/test/java/silverlatch/node/GatewayStartupTest.java
+++ b/core/src/test/java/silverlatch/node/GatewayStartupTest.java
@@ -92,7 +92,7 @@
             final List<String> side = List.of(victim, "g0", "g1");
             final List<String> rest = new ArrayList<>(others(cluster, victim));
             rest.addAll(List.of("g2", "g3"));
-            cluster.partition(side, rest);
+            cluster.links().partition(side, rest);
             acknowledge(cluster, others(cluster, victim), 2, 8 * SECOND);
             cluster.kill("g0");
             cluster.advance(SECOND);
@@ -101,7 +101,7 @@
                 cluster.advance(STEP);
                 last = cluster.isReady("g0") ? Math.max(last, passed) : last;
             }
-            cluster.heal();
+            cluster.links().heal();
             cluster.advanceUntil(5 * SECOND, () -> cluster.servedRevision("g0") == 2);
             assertThat(cluster.servedRevision("g0"), is(2L));
             assertThat(cluster.violations(), empty());
--- a/core/src/test/java/silverlatch/node/NodeCluster.java
+++ b/core/src/test/java/silverlatch/node/NodeCluster.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
@@ -46,8 +44,7 @@
     private final Safeguards safeguards;
     private final long startupGrace;
     private final Map<String, Machine> machines = new TreeMap<>();
-    private final Set<Link> cutLinks = new HashSet<>();
-    private final Map<String, Long> addedDelays = new HashMap<>();
+    private final ClusterLinks links = new ClusterLinks();
     private final ConsistencyMonitor monitor = new ConsistencyMonitor();
     private final SplittableRandom random;
     private final SimulatedClock clock = new SimulatedClock(100 * SECOND);
@@ -118,25 +115,9 @@
         return node(name).gossip().stateAge(now());
     }
 
-    /** Cuts all links between the two groups, in both directions. */
-    void partition(final List<String> group, final List<String> others) {
-        partitionOneWay(group, others);
-        partitionOneWay(others, group);
-    }
-
-    /** Cuts all links from one group to the other; frames the other way still pass. */
-    void partitionOneWay(final List<String> from, final List<String> to) {
-        from.forEach(f -> to.stream().filter(t -> !t.equals(f)).forEach(t -> cutLinks.add(new Link(f, t))));
-    }
-
-    void heal() {
-        cutLinks.clear();
-        addedDelays.clear();
-    }
-
-    /** Each frame from and to the machine takes so much longer. */
-    void slow(final String name, final long delay) {
-        addedDelays.put(name, delay);
+    /** The links between the machines. */
+    ClusterLinks links() {
+        return links;
     }
 
     /** All frames under way from and to the machine are lost. */
@@ -227,8 +208,6 @@
         return clock.advanceUntil(limit, condition);
     }
 
-    private record Link(String from, String to) {}
-
     /** A machine with its disk, its process if one runs, and what waits while that is frozen. */
     private final class Machine {
         private final String name;
@@ -402,8 +381,7 @@
             final Machine to = machines.get(outgoing.to());
             final int here = connection;
             final int there = to.connection;
-            final long delay =
-                    NETWORK_DELAY + addedDelays.getOrDefault(name, 0L) + addedDelays.getOrDefault(to.name, 0L);
+            final long delay = NETWORK_DELAY + links.addedDelay(name, to.name);
             clock.schedule(now() + delay, () -> deliverFrame(outgoing, to, here, there));
         }
 
@@ -412,7 +390,7 @@
                 waiting.add(() -> deliverFrame(outgoing, to, here, there));
             } else if (here == connection
                     && there == to.connection
-                    && !cutLinks.contains(new Link(name, to.name))
+                    && !links.isCut(name, to.name)
                     && to.node.isPresent()) {
                 to.step(n -> n.onFrame(outgoing.frame(), now()));
             }
--- a/core/src/test/java/silverlatch/node/PartitionTest.java
+++ b/core/src/test/java/silverlatch/node/PartitionTest.java
@@ -38,11 +38,11 @@
     private static void injectFault(final NodeCluster cluster, final Fault fault, final String victim) {
         final List<String> others = others(cluster, victim);
         switch (fault) {
-            case CUT -> cluster.partition(List.of(victim), others);
-            case DEAF -> cluster.partitionOneWay(others, List.of(victim));
-            case MUTE -> cluster.partitionOneWay(List.of(victim), others);
+            case CUT -> cluster.links().partition(List.of(victim), others);
+            case DEAF -> cluster.links().partitionOneWay(others, List.of(victim));
+            case MUTE -> cluster.links().partitionOneWay(List.of(victim), others);
             case FROZEN -> cluster.freeze(victim);
-            case SLOWED -> cluster.slow(victim, 2 * SECOND);
+            case SLOWED -> cluster.links().slow(victim, 2 * SECOND);
             case RESET -> cluster.resetConnections(victim);
         }
     }
@@ -118,7 +118,7 @@
         if (fault == Fault.CUT || fault == Fault.DEAF) {
             assertThat(cluster.read(victim), is(Optional.empty()));
         }
-        cluster.heal();
+        cluster.links().heal();
         cluster.thaw(victim);
         cluster.advance(15 * SECOND);
         final Optional<Long> read = cluster.read(victim);
@@ -136,7 +136,7 @@
             final String victim = addressAt(cluster, position);
             final List<String> rest = new ArrayList<>(others(cluster, victim));
             rest.addAll(cluster.gateways());
-            cluster.partition(List.of(victim), rest);
+            cluster.links().partition(List.of(victim), rest);
             final long end = cluster.now() + OUTAGE;
             cluster.advance(SECOND);
             acknowledge(cluster, others(cluster, victim), 2, 8 * SECOND);
@@ -148,7 +148,7 @@
                 assertThat(cluster.read(victim), is(Optional.empty()));
             }
             assertUnanswered(sentToVictim);
-            cluster.heal();
+            cluster.links().heal();
             cluster.advance(10 * SECOND);
             assertThat(cluster.read(victim), is(Optional.of(2L)));
             assertThat(cluster.violations(), empty());
@@ -160,7 +160,7 @@
         final NodeCluster cluster = new NodeCluster(3, 3, 3);
         acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
         final String head = addressAt(cluster, 0);
-        cluster.partition(List.of(head), others(cluster, head));
+        cluster.links().partition(List.of(head), others(cluster, head));
         final PendingCommand lost = cluster.put(head, 77, -1);
         cluster.advance(2 * SECOND);
         assertThat(lost.isAcknowledged() || lost.isRejected(), is(false));
@@ -172,7 +172,7 @@
             cluster.gateways().forEach(g -> seen.add(cluster.servedRevision(g)));
         }
         acknowledge(cluster, others(cluster, head), 2, 8 * SECOND);
-        cluster.heal();
+        cluster.links().heal();
         for (int i = 0; i < 100; i++) {
             cluster.advance(100_000);
             cluster.gateways().forEach(g -> seen.add(cluster.servedRevision(g)));
@@ -187,11 +187,11 @@
             final NodeCluster cluster = new NodeCluster(3, 2, 60 + i);
             acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
             final String victim = addressAt(cluster, i % 3);
-            cluster.partition(List.of(victim), others(cluster, victim));
+            cluster.links().partition(List.of(victim), others(cluster, victim));
             cluster.advance(5 * SECOND);
             final PendingCommand sentToVictim = cluster.put(victim, 2, 1);
             cluster.advance(i * 70_000L);
-            cluster.heal();
+            cluster.links().heal();
             cluster.advance(10 * SECOND);
             final long read = cluster.read("c0").orElseThrow();
             assertThat(sentToVictim.isRejected(), is(false));
@@ -233,7 +233,7 @@
             cluster.advance(i * 10_000L);
             cluster.freeze(tail);
             cluster.advance(30_000);
-            cluster.partition(List.of(tail), rest);
+            cluster.links().partition(List.of(tail), rest);
             acknowledge(cluster, others(cluster, tail), 2, 8 * SECOND);
             final List<Object> answers = cluster.startRead(tail);
             cluster.thaw(tail);
@@ -248,7 +248,7 @@
         final NodeCluster cluster = new NodeCluster(3, 2, 18);
         acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
         cluster.advance(SECOND);
-        cluster.partitionOneWay(List.of(addressAt(cluster, 2)), List.of(addressAt(cluster, 1)));
+        cluster.links().partitionOneWay(List.of(addressAt(cluster, 2)), List.of(addressAt(cluster, 1)));
         final PendingCommand order = cluster.put(addressAt(cluster, 0), 2, 1);
         cluster.advance(500_000);
         assertThat(order.isAcknowledged(), is(true));
@@ -264,14 +264,14 @@
         final String victim = addressAt(cluster, 1);
         cluster.kill(victim);
         cluster.wipeDisk(victim);
-        cluster.partition(List.of(victim), others(cluster, victim));
+        cluster.links().partition(List.of(victim), others(cluster, victim));
         cluster.start(victim, cluster.controllers());
         cluster.advance(OUTAGE);
         assertThat(cluster.node(victim).chainReplica().orElseThrow().view().number(), is(0L));
         final PendingCommand order = cluster.put(victim, 2, -1);
         cluster.advance(SECOND);
         assertThat(order.isAcknowledged() || order.isRejected(), is(false));
-        cluster.heal();
+        cluster.links().heal();
         cluster.advance(20 * SECOND);
         assertThat(cluster.node(victim).view().fleet(), is(fleet));
         assertThat(
--- a/core/src/test/java/silverlatch/replication/ChainReplicationTest.java
+++ b/core/src/test/java/silverlatch/replication/ChainReplicationTest.java
@@ -26,7 +26,7 @@
 
     private ChainReplication replication() {
         final Committer committer = new Committer(parts.settings, parts.role, log, parts.effects);
-        final SuccessorLink successor = new SuccessorLink(parts.settings, parts.role, log, parts.effects);
+        final SuccessorLink successor = new SuccessorLink(parts.role, log, parts.effects);
         final PredecessorLink predecessor =
                 new PredecessorLink(parts.settings, parts.role, log, catchUp, committer, parts.effects);
         final Departure departure = new Departure(parts.settings, parts.role, parts.effects);
--- a/core/src/test/java/silverlatch/replication/RepairTest.java
+++ b/core/src/test/java/silverlatch/replication/RepairTest.java
@@ -46,7 +46,7 @@
                 target.settings,
                 target.role,
                 targetLog,
-                new SuccessorLink(target.settings, target.role, targetLog, target.effects),
+                new SuccessorLink(target.role, targetLog, target.effects),
                 new CatchUpProgress(target.role, targetLog, target.effects),
                 committer,
                 departure,
--- a/core/src/test/java/silverlatch/replication/SuccessorLinkTest.java
+++ b/core/src/test/java/silverlatch/replication/SuccessorLinkTest.java
@@ -26,7 +26,7 @@
     private static final long BACKOFF = 600_000;
     private final ReplicaParts parts = new ReplicaParts().in(view(2, SELF, SECOND));
     private final ReplicaLog log = ReplicaParts.log(parts, syncedAt -> {}, sequence -> {});
-    private final SuccessorLink link = new SuccessorLink(parts.settings, parts.role, log, parts.effects);
+    private final SuccessorLink link = new SuccessorLink(parts.role, log, parts.effects);
 
     private void append(final long... sequences) {
         for (final long sequence : sequences) {
--- a/simulation/src/main/java/silverlatch/simulation/explore/PropertyMonitor.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/PropertyMonitor.java
@@ -31,6 +31,9 @@
     private final Set<String> refused = new HashSet<>();
     private final Set<String> effective = new HashSet<>();
     private final Map<Integer, Seen> lastSeen = new HashMap<>();
+    /** The highest sequence that a replica was seen to have applied under each view; it stays applied when that replica ends. */
+    private final TreeMap<Long, Long> appliedByView = new TreeMap<>();
+
     private final List<Acknowledgement> newest = new ArrayList<>();
     private long newestView;
     private Optional<Violation> violation = Optional.empty();
@@ -67,6 +70,7 @@
         if (next.equals(last)) {
             return;
         }
+        appliedByView.merge(state.view().number(), state.sequence(), Math::max);
         oneView(machine, state.view());
         if (level) {
             oneHistory(machine, replica.stateMachine());
@@ -136,10 +140,8 @@
     private boolean appliedJustNow(final Machine machine) {
         final long sequence =
                 machine.process().orElseThrow().replica().stateMachine().sequence();
-        final boolean elsewhere = machines.stream()
-                .flatMap(other -> other.process().stream())
-                .anyMatch(process -> process.replica().view().number() >= newestView
-                        && process.replica().stateMachine().sequence() >= sequence);
+        final boolean elsewhere =
+                appliedByView.tailMap(newestView).values().stream().anyMatch(applied -> applied >= sequence);
         return elsewhere && appliedNow(machine);
     }
 
--- a/simulation/src/main/java/silverlatch/simulation/sim/ClientRequest.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/ClientRequest.java
@@ -299,7 +299,7 @@
 
     private void rejected(final DispatchEffect.Rejected rejection) {
         final int status = rejection.statusCode();
-        final boolean isSpent = status == 409 && rejection.reason().startsWith("the ticket was handed");
+        final boolean isSpent = status == 409 && rejection.reason().equals(Dispatcher.ALREADY_SUBMITTED);
         if (status == 0 || status == 410 || isSpent) {
             end("broken");
             return;
--- a/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
@@ -174,7 +174,6 @@
                         MAX_SKEW,
                         Membership.Settings.DEFAULTS,
                         Gossip.Settings.DEFAULTS,
-                        0,
                         world.safeguards()),
                 disk.map(own -> ReplicaSettings.of(new Replica(own.identity(), address()), knownSeeds)),
                 disk.map(SimulatedDisk::records).orElse(List.of()),
--- a/simulation/src/test/java/silverlatch/simulation/fleet/BadInputSteps.java
+++ b/simulation/src/test/java/silverlatch/simulation/fleet/BadInputSteps.java
@@ -87,7 +87,7 @@
                 fleet,
                 () -> fleet.callAs("key-travellers", "gateway-1", "GET", "/v1/tickets/someone-elses", ""),
                 404,
-                "no such ticket");
+                "no such request");
         FleetSteps.assertAnswer(
                 fleet,
                 () -> fleet.callAs(
--- a/simulation/src/test/java/silverlatch/simulation/fleet/FleetTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/fleet/FleetTest.java
@@ -188,12 +188,12 @@
                 fleet,
                 () -> fleet.callAs("key-clerks", "gateway-1", "GET", "/v1/tickets/" + ticket + "?from=2", ""),
                 404,
-                "no such ticket");
+                "no such request");
         FleetSteps.assertAnswer(
                 fleet,
                 () -> fleet.callAs("key-travellers", "gateway-1", "POST", "/v1/tickets", body),
                 409,
-                "handed over before");
+                "submitted before");
     }
 
     private static void sendsGarbage(final Fleet fleet) throws Exception {
--- a/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
@@ -43,7 +43,11 @@
     /** What {@code MembershipModelTest} and {@code MembershipTest} let down. */
     private static final Set<Safeguard> DISABLED_IN_MEMBERSHIP_TESTS = Set.of(Safeguard.DEAD_VOTES, Safeguard.HANDOVER);
 
-    /** What {@code MutantTest} lets down: the explorer's mutants bear the names of their safeguards. */
+    /** What {@code DrainAcknowledgementTest} and {@code GatewayStartupTest} let down. */
+    private static final Set<Safeguard> DISABLED_IN_NODE_TESTS =
+            Set.of(Safeguard.REPORT_QUORUM, Safeguard.STARTUP_GRACE);
+
+    /** What {@code MutantTest} and {@code FoundScheduleTest} let down: the explorer's mutants bear the names of their safeguards. */
     private static Set<Safeguard> disabledInExplorer() {
         final Set<String> mutants =
                 Arrays.stream(Mutant.values()).map(Mutant::name).collect(Collectors.toSet());
@@ -311,6 +315,7 @@
         assertThat(left, is(empty()));
         final Set<Safeguard> elsewhere = new HashSet<>(DISABLED_IN_ORDERS_TEST);
         elsewhere.addAll(DISABLED_IN_MEMBERSHIP_TESTS);
+        elsewhere.addAll(DISABLED_IN_NODE_TESTS);
         elsewhere.addAll(disabledInExplorer());
         final Set<Safeguard> untripped = EnumSet.allOf(Safeguard.class);
         disabledSafeguards().forEach(t -> untripped.removeAll(t.disabled()));
