--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -269,7 +269,7 @@
         final boolean isStalled = effects.isStalled(settings.diskStallMicros(), now);
         final long requestMicros = role.isVoter() ? settings.leaseRequestMicros() : ReplicaSettings.RETRY_MICROS;
         if (!isStalled && lease.isRequestDue(requestMicros, now)) {
-            requestLease(now);
+            lease.request(failureDetector.hearsMajority(now), now);
         }
         if (role.isInChain()) {
             epochAdvancer.tick(fencingToken(now), now);
@@ -293,10 +293,6 @@
         }
     }
 
-    private void requestLease(final long now) {
-        lease.request(failureDetector.hearsMajority(now), now);
-    }
-
     private void handleLeaseRequest(final ReplicationMessage.LeaseRequest request, final long now) {
         if (!role.hasView()) {
             return;
@@ -380,7 +376,7 @@
             }
         });
         effects.log(Event.VIEW, "view " + next.number() + " chain " + next.chainAddresses());
-        requestLease(now);
+        lease.request(failureDetector.hearsMajority(now), now);
         if (role.isInChain()) {
             replication.restart(now);
         } else {
