--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -76,7 +76,7 @@
         snapshots = new SnapshotWriter(role, acceptor, effects);
         final StateMachine stateMachine = new StateMachine(settings.safeguards());
         waitingWrites = new WaitingWrites(stateMachine::get, effects);
-        log = new ReplicaLog(role, snapshots, effects, stateMachine, this::entriesSynced, waitingWrites::committed);
+        log = new ReplicaLog(snapshots, effects, stateMachine, this::entriesSynced, waitingWrites::committed);
         writeAdmission = new WriteAdmission(settings, role, lease, log, waitingWrites, stamps);
         readAdmission = new ReadAdmission(settings, role, lease, log, effects);
         committer = new Committer(settings, role, log, effects);
--- a/core/src/main/java/silverlatch/replication/ReplicaLog.java
+++ b/core/src/main/java/silverlatch/replication/ReplicaLog.java
@@ -26,7 +26,6 @@
 
     private static final long MAX_RECENT_BYTES = 8L << 20;
     private static final int MAX_RECENT_ENTRIES = 10_000;
-    private final ReplicaRole role;
     private final SnapshotWriter snapshots;
     private final EffectQueue effects;
     private final StateMachine stateMachine;
@@ -48,13 +47,11 @@
     private long generation;
 
     ReplicaLog(
-            final ReplicaRole role,
             final SnapshotWriter snapshots,
             final EffectQueue effects,
             final StateMachine stateMachine,
             final LongConsumer onAppended,
             final LongConsumer onCommitted) {
-        this.role = role;
         this.snapshots = snapshots;
         this.effects = effects;
         this.stateMachine = stateMachine;
--- a/core/src/test/java/silverlatch/replication/ReplicaParts.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaParts.java
@@ -63,7 +63,7 @@
         final ViewAcceptor acceptor = new ViewAcceptor(parts.settings, parts.role, leases, parts.effects);
         final SnapshotWriter snapshots = new SnapshotWriter(parts.role, acceptor, parts.effects);
         final StateMachine stateMachine = new StateMachine(parts.settings.safeguards());
-        return new ReplicaLog(parts.role, snapshots, parts.effects, stateMachine, onAppended, onCommitted);
+        return new ReplicaLog(snapshots, parts.effects, stateMachine, onAppended, onCommitted);
     }
 
     /** A part that stands in this view, which is on disk, as a member that has caught up, or outside of it. */
