Send nothing to a worker that warms up while nobody has confirmed what a gateway follows

A gateway that routes within its startup grace knows too few of the others to share a worker's rate: after a loss of all power each could take the rate for its own. Ruled out: waiting some seconds after each start, which no observation ends.

--- a/core/src/main/java/silverlatch/routing/WarmupLimiter.java
+++ b/core/src/main/java/silverlatch/routing/WarmupLimiter.java
@@ -19,9 +19,15 @@
         this.gatewayCount = gatewayCount;
     }
 
-    /** Whether this gateway may send a request to a worker that warms up now. */
+    /**
+     * Whether this gateway may send a request to a worker that warms up now. One whose state nobody has confirmed knows too few of the other
+     * gateways to share a rate with them.
+     */
     boolean maySend(
             final WorkerState worker, final RoutingTable routingTable, final ClusterSnapshot cluster, final long now) {
+        if (cluster.confirmedAt().isEmpty()) {
+            return false;
+        }
         final double rate = routingTable
                 .pool(worker.worker().pool())
                 .map(Value.BackendPool::warmupRequestsPerSecond)
--- a/core/src/test/java/silverlatch/routing/RouterFixture.java
+++ b/core/src/test/java/silverlatch/routing/RouterFixture.java
@@ -38,6 +38,9 @@
         entries.add(new Entry("u/a|/", 1, List.of(route("all", "/", true, false, 1, List.of()))));
     }
 
+    /** Whether a controller has confirmed what the gateway follows. */
+    boolean isConfirmed = true;
+
     static Value.Route route(
             final String name,
             final String path,
@@ -69,7 +72,13 @@
     ClusterSnapshot clusterSnapshot() {
         final Map<String, Gossip.ObservedWorker> heard = new HashMap<>();
         workers.forEach((k, w) -> heard.put(k, new Gossip.ObservedWorker(w, Optional.of(now))));
-        return new ClusterSnapshot(gateway("me"), revision, Optional.of(now), Policy.of(entries), heard, peers);
+        return new ClusterSnapshot(
+                gateway("me"),
+                revision,
+                isConfirmed ? Optional.of(now) : Optional.empty(),
+                Policy.of(entries),
+                heard,
+                peers);
     }
 
     void worker(
--- a/core/src/test/java/silverlatch/routing/RouterTest.java
+++ b/core/src/test/java/silverlatch/routing/RouterTest.java
@@ -25,6 +25,17 @@
 
 /** Which worker a router chooses, and what it refuses. */
 final class RouterTest extends RouterFixture {
+    @Test
+    void aGatewayWhoseStateNobodyHasConfirmedSendsNothingToAWorkerThatWarmsUp() {
+        worker("cold", "west", 10 * SECOND, false, 1);
+        isConfirmed = false;
+        refreshReports();
+        assertThat(rejectionIn(arrive("/once/x", List.of())).statusCode(), is(503));
+        isConfirmed = true;
+        refreshReports();
+        assertThat(attemptIn(arrive("/once/x", List.of())).worker(), is("cold"));
+    }
+
     @Test
     void theLongestPathWinsAndNoRouteIs404() {
         worker("w", "west", 0, false, 1);
