--- a/core/src/main/java/silverlatch/replication/ChainClient.java
+++ b/core/src/main/java/silverlatch/replication/ChainClient.java
@@ -152,7 +152,11 @@
     }
 
     private static long characters(final Command command) {
-        return command instanceof Command.PutConfiguration put ? put.document().length() : 0;
+        return switch (command) {
+            case Command.PutConfiguration put -> put.document().length();
+            case Command.PutFullConfiguration put -> put.base().document().length();
+            default -> 0;
+        };
     }
 
     /** What is to be done; it is handed over once. */
--- /dev/null
+++ b/core/src/main/java/silverlatch/routing/RevocationLease.java
@@ -0,0 +1,29 @@
+package silverlatch.routing;
+
+import silverlatch.dispatch.ClusterSnapshot;
+
+/**
+ * For how long a gateway may accept keys by a configuration that was confirmed as the newest: a configuration that takes a key away may
+ * have been acknowledged right after that moment.
+ *
+ * <p>The confirmation is dated from when this gateway asked for it, by its own monotonic clock. No two clocks differ in rate by a tenth, so
+ * the lease ends after nine tenths of the deadline.
+ */
+final class RevocationLease {
+    private final long lifetime;
+
+    /**
+     * A lease.
+     *
+     * @param deadline how long after the acknowledgement of a configuration a key that it took away may still be accepted, in
+     *                 microseconds; 0 where that isn't bounded
+     */
+    RevocationLease(final long deadline) {
+        this.lifetime = deadline * 9 / 10;
+    }
+
+    /** Whether keys may be accepted now by the snapshot's configuration. */
+    boolean isValid(final ClusterSnapshot snapshot, final long now) {
+        return lifetime == 0 || snapshot.isConfirmedWithin(now, lifetime);
+    }
+}
--- a/core/src/main/java/silverlatch/state/Command.java
+++ b/core/src/main/java/silverlatch/state/Command.java
@@ -96,6 +96,52 @@
         }
     }
 
+    /**
+     * A routing configuration together with the parts that came with a later version; one that has none of them is sent as
+     * a {@link PutConfiguration}, which older versions know too.
+     *
+     * @param base         what older versions know of it; its id and its expected revision are those of this command
+     * @param keysRequired whether requests need keys, see {@link Value.AccessControl}
+     * @param tenants      the tenants whose keys are accepted
+     * @param publicRoutes the routes on which no key is needed
+     * @param scalings     the bounds of pools whose number of workers may be set
+     */
+    record PutFullConfiguration(
+            PutConfiguration base,
+            boolean keysRequired,
+            List<Value.TenantAccess> tenants,
+            List<Value.PublicRoute> publicRoutes,
+            List<Value.PoolScaling> scalings)
+            implements Command {
+        /** Copies the lists. */
+        public PutFullConfiguration {
+            tenants = List.copyOf(tenants);
+            publicRoutes = List.copyOf(publicRoutes);
+            scalings = List.copyOf(scalings);
+        }
+
+        /** A configuration without any of the later parts. */
+        public static PutFullConfiguration of(final PutConfiguration base) {
+            return new PutFullConfiguration(base, false, List.of(), List.of(), List.of());
+        }
+
+        @Override
+        public String id() {
+            return base.id();
+        }
+
+        /** The command to be sent: the one that older versions know where that says it all. */
+        public Command simplest() {
+            return equals(of(base)) ? base : this;
+        }
+    }
+
+    /**
+     * Closes a window of usage, once: the counts of the first command for a window are final. The singleton role's owner sends
+     * it; its fencing token is the number of the view.
+     */
+    record CloseUsageWindow(String id, long fencingToken, Value.UsageWindow window) implements Command {}
+
     /** The new value of one cell of the table, as text. */
     record Cell(String tenant, String kind, String field, String value) {}
 }
--- a/core/src/main/java/silverlatch/state/Entry.java
+++ b/core/src/main/java/silverlatch/state/Entry.java
@@ -12,12 +12,16 @@
 public record Entry(String key, long sequence, List<Value> value) {
     private static final long BASE_BYTES = 96;
     private static final long VALUE_BYTES = 160;
+    private static final long COUNT_BYTES = 32;
+    private static final long KEY_DIGEST_BYTES = 72;
     private static final List<String> POLICY_PREFIXES = List.of(
             EntryKeys.TENANTS,
             EntryKeys.ROWS,
             EntryKeys.EVACUATIONS,
             ConfigurationValidator.ROUTE_PREFIX,
             ConfigurationValidator.POOL_PREFIX,
+            EntryKeys.TENANT_ACCESS,
+            EntryKeys.PUBLIC_ROUTES,
             EntryKeys.CONFIGURATION_PREFIX);
 
     /** Copies the value; there is at most one. */
@@ -53,10 +57,19 @@
             case Value.CommandOutcome outcome ->
                 32 + outcome.faults().stream().mapToLong(String::length).sum();
             case Value.Tenant tenant -> VALUE_BYTES + 32L * tenant.homeRegions().size();
+            case Value.TenantAccess tenant -> estimatedBytes(tenant);
+            case Value.UsageWindow window ->
+                VALUE_BYTES + COUNT_BYTES * window.counts().size();
             default -> VALUE_BYTES;
         };
     }
 
+    private static long estimatedBytes(final Value.TenantAccess tenant) {
+        return VALUE_BYTES
+                + KEY_DIGEST_BYTES * tenant.keyDigests().size()
+                + 32L * tenant.homeRegions().size();
+    }
+
     private static long estimatedBytes(final Value.Route route) {
         return 128
                 + route.name().length()
--- a/core/src/main/java/silverlatch/state/EntryKeys.java
+++ b/core/src/main/java/silverlatch/state/EntryKeys.java
@@ -20,6 +20,16 @@
     static final String OUTCOMES = "o/";
     /** The epoch. */
     static final String EPOCH = "h/glass";
+    /** Tenants of the routing configuration, by name. */
+    static final String TENANT_ACCESS = "n/";
+    /** Public routes of the routing configuration, by host and path. */
+    static final String PUBLIC_ROUTES = "v/";
+    /** Whether requests need keys, under the routing configuration in force. */
+    static final String ACCESS_CONTROL = "p/access";
+    /** Bounds on the number of workers, by pool. */
+    static final String POOL_SCALINGS = "s/";
+    /** Closed windows of usage, by number in decimal with leading zeros. */
+    static final String USAGE_WINDOWS = "w/";
     /** The routing configuration in force, without its routes and pools. */
     static final String CONFIGURATION_PREFIX = "p/";
 
--- a/core/src/main/java/silverlatch/state/StateMachine.java
+++ b/core/src/main/java/silverlatch/state/StateMachine.java
@@ -31,6 +31,7 @@
     private final ClaimManager claims;
     private final EpochManager epochs;
     private final RoutingConfigurationManager configurations;
+    private final UsageManager usage = new UsageManager();
 
     /** An empty state. */
     public StateMachine() {
@@ -167,6 +168,8 @@
             case Command.Scheduled scheduled -> evaluateNew(scheduled.command(), context);
             case Command.AdvanceEpoch advance -> epochs.advance(advance, context);
             case Command.PutConfiguration put -> configurations.put(put, context);
+            case Command.PutFullConfiguration put -> configurations.put(put.base(), context);
+            case Command.CloseUsageWindow close -> usage.close(close, context);
         };
     }
 }
--- /dev/null
+++ b/core/src/main/java/silverlatch/state/UsageManager.java
@@ -0,0 +1,45 @@
+package silverlatch.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Evaluates closings of usage windows. The counts of the first closing that is committed are final: whoever reports the window
+ * reports these, so two reports of one window never differ.
+ */
+final class UsageManager {
+    /** How many closed windows are remembered, the oldest being forgotten; one that is older can't be closed any more. */
+    static final int MAX_REMEMBERED = 256;
+
+    /** The key of a window's entry. */
+    static String key(final long number) {
+        return EntryKeys.USAGE_WINDOWS + String.format("%019d", number);
+    }
+
+    Evaluation close(final Command.CloseUsageWindow command, final EvaluationContext context) {
+        final String key = key(command.window().number());
+        if (context.find(key).isPresent()) {
+            return new Evaluation.Reply(new CommandResult.Applied(context.revisionOf(key)));
+        }
+        final TreeMap<String, Entry> remembered = new TreeMap<>(context.withPrefix(EntryKeys.USAGE_WINDOWS));
+        if (remembered.size() >= MAX_REMEMBERED && key.compareTo(remembered.firstKey()) < 0) {
+            return RejectionCause.CONFLICT.reply("the window is older than all that are remembered", 0);
+        }
+        return new Evaluation.Write(writes(key, command.window(), remembered, context));
+    }
+
+    private static List<Entry> writes(
+            final String key,
+            final Value.UsageWindow window,
+            final Map<String, Entry> remembered,
+            final EvaluationContext context) {
+        final List<Entry> writes = new ArrayList<>();
+        remembered.keySet().stream()
+                .limit(Math.max(0, remembered.size() + 1 - MAX_REMEMBERED))
+                .forEach(oldest -> writes.add(context.delete(oldest)));
+        writes.add(context.write(key, window));
+        return writes;
+    }
+}
--- a/core/src/main/java/silverlatch/state/Value.java
+++ b/core/src/main/java/silverlatch/state/Value.java
@@ -223,4 +223,65 @@
      */
     record AcceptedConfiguration(long number, long expectedRevision, long previousNumber, String digest)
             implements Value {}
+
+    /**
+     * How requests are authenticated under the routing configuration in force. The type came with a later version; where it is
+     * missing no request needs a key.
+     *
+     * @param keysRequired whether a request needs the key of a tenant, except on a {@link PublicRoute}
+     */
+    record AccessControl(boolean keysRequired) implements Value {}
+
+    /**
+     * A route of the routing configuration on which a request needs no key.
+     *
+     * @param host       the route's host
+     * @param pathPrefix how the route's paths begin
+     */
+    record PublicRoute(String host, String pathPrefix) implements Value {}
+
+    /**
+     * A tenant of the routing configuration: the keys by which its requests are known, and what holds for them.
+     *
+     * @param name        its name, which is forwarded to workers
+     * @param keyDigests  the SHA-256 of each of its keys, in hexadecimal
+     * @param priority    the priority of its requests in place of their route's, or {@link #ROUTE_PRIORITY}
+     * @param homeRegions the regions that its requests may run in, besides what their route allows; none means all
+     */
+    record TenantAccess(String name, List<String> keyDigests, int priority, List<String> homeRegions) implements Value {
+        /** The priority of a tenant whose requests have that of their route. */
+        public static final int ROUTE_PRIORITY = -1;
+
+        /** Copies the lists. */
+        public TenantAccess {
+            keyDigests = List.copyOf(keyDigests);
+            homeRegions = List.copyOf(homeRegions);
+        }
+    }
+
+    /**
+     * The bounds within which the number of a pool's workers may be set in each zone in which it runs.
+     *
+     * @param pool       the pool's name
+     * @param minWorkers the fewest workers of a zone
+     * @param maxWorkers the most workers of a zone
+     * @param bootMicros how long a new worker takes until it serves
+     */
+    record PoolScaling(String pool, int minWorkers, int maxWorkers, long bootMicros) implements Value {}
+
+    /**
+     * The usage of one window of the wall clock, closed: what is reported of it never changes.
+     *
+     * @param number which window: it begins this many window lengths after the Unix epoch
+     * @param counts the requests that began to run in it by tenant, in the order of names; tenants without one are left out
+     */
+    record UsageWindow(long number, List<TenantCount> counts) implements Value {
+        /** Copies the counts. */
+        public UsageWindow {
+            counts = List.copyOf(counts);
+        }
+    }
+
+    /** How many requests of a tenant began to run. */
+    record TenantCount(String tenant, long requests) {}
 }
--- a/core/src/main/java/silverlatch/wire/Codec.java
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -58,7 +58,12 @@
             Value.RoutingConfiguration.class,
             Value.ConfigurationDocument.class,
             Value.CommandOutcome.class,
-            Value.AcceptedConfiguration.class);
+            Value.AcceptedConfiguration.class,
+            Value.AccessControl.class,
+            Value.PublicRoute.class,
+            Value.TenantAccess.class,
+            Value.PoolScaling.class,
+            Value.UsageWindow.class);
 
     private final Kryo kryo = new Kryo();
 
@@ -97,7 +102,8 @@
                         Replica.class,
                         View.class,
                         Command.Cell.class,
-                        Value.WeightedBackend.class));
+                        Value.WeightedBackend.class,
+                        Value.TenantCount.class));
         types.put(FIRST_LOG_RECORD, RECORD_TYPES);
         types.put(FIRST_LOG_VALUE, VALUE_TYPES);
         return types;
--- a/core/src/main/java/silverlatch/wire/Message.java
+++ b/core/src/main/java/silverlatch/wire/Message.java
@@ -2,7 +2,12 @@
 
 /** A message between daemons, the body of a {@link Frame}. Its types are grouped by protocol. */
 public sealed interface Message
-        permits MembershipMessage, GossipMessage, ReplicationMessage, ChainClientMessage, Message.StampRejected {
+        permits MembershipMessage,
+                GossipMessage,
+                ReplicationMessage,
+                ChainClientMessage,
+                TrafficMessage,
+                Message.StampRejected {
     /**
      * Tells the sender of a frame that its stamp was too far ahead; the frame was ignored.
      *
--- a/core/src/main/java/silverlatch/wire/WireTypes.java
+++ b/core/src/main/java/silverlatch/wire/WireTypes.java
@@ -119,7 +119,19 @@
             type(98, GossipMessage.HeartbeatAges.class, 1, 0),
             type(99, Member.class, 4, 5, 0, 6, 9, 3, 1, 8, 7, 2),
             type(100, GossipMessage.PullContent.DigestContent.class, 0, 2, 1),
-            type(101, GossipMessage.PullContent.FullContent.class, 0, 2, 1));
+            type(101, GossipMessage.PullContent.FullContent.class, 0, 2, 1),
+            type(102, Value.AccessControl.class, 0),
+            type(103, Value.PublicRoute.class, 0, 1),
+            type(104, Value.TenantAccess.class, 0, 1, 2, 3),
+            type(105, Value.PoolScaling.class, 0, 1, 2, 3),
+            type(106, Value.UsageWindow.class, 0, 1),
+            type(107, Value.TenantCount.class, 0, 1),
+            type(108, Command.PutFullConfiguration.class, 0, 1, 2, 3, 4),
+            type(109, Command.CloseUsageWindow.class, 0, 1, 2),
+            type(110, TrafficMessage.TrafficReport.class, 0, 1, 2, 3, 4),
+            type(111, TrafficMessage.TrafficReportAck.class, 0, 1),
+            type(112, TrafficMessage.WindowCounts.class, 0, 1, 2),
+            type(113, TrafficMessage.PoolDemand.class, 0, 1, 2, 3));
 
     private static final Map<Class<?>, WireType> BY_CLASS =
             FRAME_TYPES.stream().collect(Collectors.toUnmodifiableMap(WireType::type, Function.identity()));
--- a/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
+++ b/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
@@ -84,7 +84,22 @@
                 new LogRecord.Promised(8, 21),
                 new LogRecord.Accepted(8, 22, view),
                 new LogRecord.Founding(view),
-                new LogRecord.Batch(List.of(appended, new LogRecord.Promised(8, 23))));
+                new LogRecord.Batch(List.of(appended, new LogRecord.Promised(8, 23))),
+                new LogRecord.Appended(new LogEntry(17, 7, new Stamp(24), laterEntries())));
+    }
+
+    /** One entry with a value of each type that came after the first records of this format. */
+    private static List<Entry> laterEntries() {
+        return List.of(
+                new Entry("key-20", 17, List.of(new Value.AccessControl(true))),
+                new Entry("key-21", 17, List.of(new Value.PublicRoute("host", "/path/"))),
+                new Entry(
+                        "key-22",
+                        17,
+                        List.of(new Value.TenantAccess("acme", List.of("digest-1"), 25, List.of("attica")))),
+                new Entry("key-23", 17, List.of(new Value.PoolScaling("pool", 26, 27, 28))),
+                new Entry(
+                        "key-24", 17, List.of(new Value.UsageWindow(29, List.of(new Value.TenantCount("acme", 30))))));
     }
 
     @Test
--- a/core/src/test/java/silverlatch/wire/FrameSamples.java
+++ b/core/src/test/java/silverlatch/wire/FrameSamples.java
@@ -71,6 +71,7 @@
         messages.addAll(replication());
         commands().forEach(command -> messages.add(new ChainClientMessage.WriteRequest(51, "10.0.0.3:1", command)));
         results().forEach(result -> messages.add(new ChainClientMessage.WriteReply(52, result)));
+        messages.addAll(laterThanTheFirstVersion());
         final List<Frame> frames = new ArrayList<>();
         for (int i = 0; i < messages.size(); i++) {
             frames.add(new Frame(new Stamp(1_000 + i), 99, "daemon", "10.0.0.9:1", 53, messages.get(i)));
@@ -161,6 +162,39 @@
                 new CommandResult.Unknown("c1"));
     }
 
+    /** Messages, commands and values that came with later versions, in the order in which they came. */
+    private static List<Message> laterThanTheFirstVersion() {
+        final Command.PutConfiguration base =
+                new Command.PutConfiguration("c14", CONFIGURATION, List.of(ROUTE), List.of(POOL), "a text", 201);
+        final Value.TenantAccess tenant =
+                new Value.TenantAccess("acme", List.of("digest-1", "digest-2"), 202, List.of("attica"));
+        final Value.PublicRoute publicRoute = new Value.PublicRoute("host", "/path/");
+        final Value.PoolScaling scaling = new Value.PoolScaling("pool", 203, 204, 205);
+        final Value.UsageWindow window = new Value.UsageWindow(206, List.of(new Value.TenantCount("acme", 207)));
+        final List<Entry> values = List.of(
+                new Entry("key-20", 208, List.of(new Value.AccessControl(true))),
+                new Entry("key-21", 209, List.of(publicRoute)),
+                new Entry("key-22", 210, List.of(tenant)),
+                new Entry("key-23", 211, List.of(scaling)),
+                new Entry("key-24", 212, List.of(window)));
+        return List.of(
+                new ChainClientMessage.WriteRequest(
+                        213,
+                        "10.0.0.3:1",
+                        new Command.PutFullConfiguration(
+                                base, true, List.of(tenant), List.of(publicRoute), List.of(scaling))),
+                new ChainClientMessage.WriteRequest(
+                        214, "10.0.0.3:1", new Command.CloseUsageWindow("c15", 215, window)),
+                new ChainClientMessage.ReadReply(216, true, 217, values),
+                new TrafficMessage.TrafficReport(
+                        "gateway-1",
+                        218,
+                        219,
+                        List.of(new TrafficMessage.WindowCounts(220, true, window.counts())),
+                        List.of(new TrafficMessage.PoolDemand("pool", 221.5, 222.5, 223.5))),
+                new TrafficMessage.TrafficReportAck(224, List.of(225L)));
+    }
+
     private static List<Entry> entries() {
         final List<Value> values = List.of(
                 TENANT,
--- a/server/src/main/java/silverlatch/server/controller/EntryJson.java
+++ b/server/src/main/java/silverlatch/server/controller/EntryJson.java
@@ -48,6 +48,14 @@
             case Value.ConfigurationDocument document -> Map.of("number", document.number(), "paper", document.text());
             case Value.AcceptedConfiguration accepted ->
                 Map.of("number", accepted.number(), "match", accepted.expectedRevision(), "sequence", sequence);
+            case Value.AccessControl access -> Map.of("keysRequired", access.keysRequired(), "sequence", sequence);
+            case Value.PublicRoute route -> Map.of("host", route.host(), "path", route.pathPrefix());
+            case Value.TenantAccess tenant ->
+                Map.of("name", tenant.name(), "keys", tenant.keyDigests().size(), "homes", tenant.homeRegions());
+            case Value.PoolScaling scaling ->
+                Map.of("pool", scaling.pool(), "min", scaling.minWorkers(), "max", scaling.maxWorkers());
+            case Value.UsageWindow window ->
+                Map.of("window", window.number(), "tenants", window.counts().size());
             case Value.CommandOutcome outcome -> write(outcome, entry.key().substring(OUTCOME_PREFIX_LENGTH));
         };
     }
--- a/server/src/main/java/silverlatch/server/settings/Settings.java
+++ b/server/src/main/java/silverlatch/server/settings/Settings.java
@@ -35,6 +35,9 @@
  * @param startupGrace      for how long after its start a gateway may route by a configuration that nobody has confirmed; 0 where it
  *                          may not
  * @param prefixLifetime    for how long after its last use a gateway takes a part of a prompt for cached at a worker
+ * @param revocationDeadline how long after the acknowledgement of a configuration no request runs any more by a key that it took
+ *                          away, at whatever gateway; 0 where only gateways in touch with the others are bound
+ * @param singleton         what the owner of the singleton role does outside the cluster
  */
 public record Settings(
         String name,
@@ -60,7 +63,9 @@
         Intervals intervals,
         Optional<String> proxyAddress,
         long startupGrace,
-        long prefixLifetime) {
+        long prefixLifetime,
+        long revocationDeadline,
+        SingletonSettings singleton) {
     private static final long NANOS_PER_MICRO = 1_000;
 
     /** Copies the seeds. */
--- a/server/src/main/java/silverlatch/server/settings/SettingsReader.java
+++ b/server/src/main/java/silverlatch/server/settings/SettingsReader.java
@@ -18,6 +18,7 @@
 final class SettingsReader {
     private static final int MAX_FILE_BYTES = 64 << 10;
     private static final long MAX_STARTUP_GRACE = 60_000_000L;
+    private static final long MAX_REVOCATION_DEADLINE = 600_000_000L;
     private static final long MAX_PREFIX_LIFETIME = 3_600_000_000L;
     private static final int MAX_NAME_LENGTH = 64;
     private static final int MAX_KEY_LENGTH = 256;
@@ -88,7 +89,9 @@
                 Intervals.read(document, faults),
                 optional("gate", MAX_NAME_LENGTH),
                 document.integer("startupGrace", 0, MAX_STARTUP_GRACE, 0),
-                document.integer("prefixLifetime", 0, MAX_PREFIX_LIFETIME, Router.Settings.DEFAULT_PREFIX_LIFETIME));
+                document.integer("prefixLifetime", 0, MAX_PREFIX_LIFETIME, Router.Settings.DEFAULT_PREFIX_LIFETIME),
+                document.integer("revocationDeadline", 0, MAX_REVOCATION_DEADLINE, 0),
+                SingletonSettings.NONE);
     }
 
     private DispatcherSettings readDispatch() {
