Authenticate requests by their tenants' keys as they arrive

Where the configuration has tenants, a request on a route that isn't public runs only with the key of one; the router knows the tenant for as long as the request is open, gives its name and priority to each attempt, and keeps to its home regions as well as to the route's. Keys are looked up by their digests in a table of the revision in force. The proxy doesn't read keys yet.

--- a/core/src/main/java/silverlatch/routing/AttemptSender.java
+++ b/core/src/main/java/silverlatch/routing/AttemptSender.java
@@ -7,6 +7,7 @@
 import silverlatch.gossip.Worker;
 import silverlatch.placement.ScorerResult;
 import silverlatch.placement.WeightedScorers;
+import silverlatch.state.Value;
 
 /** Sends requests to workers and ends them where no worker is there. Owned by the routing event loop. */
 final class AttemptSender {
@@ -64,9 +65,10 @@
                 worker.id(),
                 worker.address(),
                 open.deadline() - now,
-                open.route().priority(),
+                open.priority(),
                 !open.route().isRetryable(),
-                open.route().streaming()));
+                open.route().streaming(),
+                open.tenant().map(Value.TenantAccess::name)));
     }
 
     /**
@@ -120,7 +122,7 @@
             final long revision) {
         return new TraceLog.RequestTrace(
                 open.request().requestId(),
-                "",
+                open.tenant().map(Value.TenantAccess::name).orElse(""),
                 open.route().name(),
                 chosen.map(candidate -> candidate.worker().id()).orElse(""),
                 revision,
--- /dev/null
+++ b/core/src/main/java/silverlatch/routing/Authenticator.java
@@ -0,0 +1,74 @@
+package silverlatch.routing;
+
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import silverlatch.dispatch.ClusterSnapshot;
+import silverlatch.state.Value;
+
+/**
+ * Decides for whom a request runs, and whether it may.
+ *
+ * <p>A key is accepted by the configuration in force here, and only while {@link RevocationLease} holds. A request is rejected for
+ * good only where the configuration was confirmed as the newest lately, since a newer one may know its key; otherwise it is
+ * asked to come again.
+ *
+ * <p>It is asked once a request, when the request arrives, and that suffices for each attempt that is made of it. Proof: let the
+ * configuration in force here have been the newest at {@code c}. One that takes a key of it away is acknowledged after {@code c}. The
+ * request arrives at {@code a} and was sent before; the lease holds at {@code a} only if {@code a} is less than the deadline after
+ * {@code c}. So the request was sent less than the deadline after the acknowledgement, whenever its attempts are made. A client
+ * that resumes a stream sends a new request.
+ *
+ * <p>Keys are looked up by their digests; how long that takes tells nothing of a key. Times are microseconds.
+ */
+final class Authenticator {
+    private static final int UNAUTHORIZED = 401;
+    private static final int UNAVAILABLE = 503;
+    private static final long SECOND = 1_000_000L;
+    private static final long MAX_CONFIRMATION_AGE = 2 * SECOND;
+    private static final long MIN_RETRY_AFTER = SECOND / 5;
+    private static final long RETRY_AFTER_SPREAD = 3 * SECOND / 10;
+    private final RevocationLease lease;
+    private final RandomGenerator random;
+
+    Authenticator(final RevocationLease lease, final RandomGenerator random) {
+        this.lease = lease;
+        this.random = random;
+    }
+
+    /** What is decided for a request. */
+    sealed interface Decision {
+        /** It may run, for the tenant where it brought the key of one. */
+        record Allowed(Optional<Value.TenantAccess> tenant) implements Decision {}
+
+        /** It doesn't run; the client may send it again after the time in microseconds, or not at all where that is 0. */
+        record Rejected(int statusCode, long retryAfter, String reason) implements Decision {}
+    }
+
+    /** Decides for a request that arrives now on a route; the table is of the snapshot's revision. */
+    Decision decide(
+            final RoutedRequest request,
+            final Value.Route route,
+            final AccessTable table,
+            final ClusterSnapshot snapshot,
+            final long now) {
+        if (!table.areKeysRequired()) {
+            return new Decision.Allowed(Optional.empty());
+        }
+        final Optional<Value.TenantAccess> tenant =
+                request.credential() instanceof Credential.Key key ? table.tenant(key.digest()) : Optional.empty();
+        if (tenant.isPresent()) {
+            return lease.isValid(snapshot, now) ? new Decision.Allowed(tenant) : unavailable();
+        }
+        if (table.isPublic(route)) {
+            return new Decision.Allowed(Optional.empty());
+        }
+        final boolean isSurelyUnknown =
+                lease.isValid(snapshot, now) && snapshot.isConfirmedWithin(now, MAX_CONFIRMATION_AGE);
+        return isSurelyUnknown ? new Decision.Rejected(UNAUTHORIZED, 0, "a tenant's key is needed") : unavailable();
+    }
+
+    private Decision unavailable() {
+        final long retryAfter = MIN_RETRY_AFTER + random.nextLong(RETRY_AFTER_SPREAD);
+        return new Decision.Rejected(UNAVAILABLE, retryAfter, "keys can't be checked now");
+    }
+}
--- a/core/src/main/java/silverlatch/routing/OpenRequest.java
+++ b/core/src/main/java/silverlatch/routing/OpenRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import silverlatch.clock.Stamp;
 import silverlatch.state.Value;
 
@@ -13,6 +14,7 @@
 final class OpenRequest {
     private final RoutedRequest request;
     private final Value.Route route;
+    private final Optional<Value.TenantAccess> tenant;
     private final String pool;
     private final long arrivedAt;
     private final long deadline;
@@ -26,15 +28,17 @@
     private boolean mayHaveRun;
     private boolean clientLeft;
 
-    /** A request that just came, for which a pool was drawn. */
+    /** A request that just came, for which a pool was drawn, and whose tenant is the one of its key. */
     OpenRequest(
             final RoutedRequest request,
             final Value.Route route,
+            final Optional<Value.TenantAccess> tenant,
             final String pool,
             final long arrivedAt,
             final Stamp timestamp) {
         this.request = request;
         this.route = route;
+        this.tenant = tenant;
         this.pool = pool;
         this.arrivedAt = arrivedAt;
         this.timestamp = timestamp;
@@ -51,6 +55,26 @@
         return route;
     }
 
+    /** The tenant whose key it brought when it came, if there was one. */
+    Optional<Value.TenantAccess> tenant() {
+        return tenant;
+    }
+
+    /** The priority of its tenant where that has one, else of its route. */
+    int priority() {
+        return tenant.map(Value.TenantAccess::priority)
+                .filter(priority -> priority != Value.TenantAccess.ROUTE_PRIORITY)
+                .orElse(route.priority());
+    }
+
+    /** Whether its tenant allows that it runs in a region; what its route allows is another question. */
+    boolean tenantAllows(final String region) {
+        return tenant.map(Value.TenantAccess::homeRegions)
+                .filter(regions -> !regions.isEmpty())
+                .map(regions -> regions.contains(region))
+                .orElse(true);
+    }
+
     /** The pool that its worker is from. */
     String pool() {
         return pool;
--- a/core/src/main/java/silverlatch/routing/RoutedRequest.java
+++ b/core/src/main/java/silverlatch/routing/RoutedRequest.java
@@ -13,6 +13,7 @@
  * @param promptParts       the parts of its prompt in order; the last is its own, the others may be shared with other prompts
  * @param promptTokens      how many tokens the prompt has
  * @param maxResponseTokens how many tokens the response may have
+ * @param credential        what it says of who sends it
  */
 public record RoutedRequest(
         long callId,
@@ -22,12 +23,35 @@
         long timeout,
         List<PromptPart> promptParts,
         int promptTokens,
-        int maxResponseTokens) {
+        int maxResponseTokens,
+        Credential credential) {
     /** Copies the parts. */
     public RoutedRequest {
         promptParts = List.copyOf(promptParts);
     }
 
+    /** A request that names no key. */
+    public RoutedRequest(
+            final long callId,
+            final String host,
+            final String path,
+            final String requestId,
+            final long timeout,
+            final List<PromptPart> promptParts,
+            final int promptTokens,
+            final int maxResponseTokens) {
+        this(
+                callId,
+                host,
+                path,
+                requestId,
+                timeout,
+                promptParts,
+                promptTokens,
+                maxResponseTokens,
+                new Credential.None());
+    }
+
     /**
      * A part of a prompt.
      *
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -37,6 +37,7 @@
     private final RoutingOutput output = new RoutingOutput();
     private final RetryBudget retryBudget;
     private final RoutingPolicies policies;
+    private final Authenticator authenticator;
     private final WorkerSelector selector;
     private final AttemptSender sender;
     private RoutingTable routingTable = RoutingTable.NONE;
@@ -52,9 +53,16 @@
      * @param maxReportAge    the age beyond which a report of a worker does not count, in microseconds
      * @param prefixLifetime  for how long after its last use a part of a prompt counts as cached at a worker, in microseconds
      * @param policies        the routing policies in force
+     * @param revocationDeadline how long after the acknowledgement of a configuration a key that it took away may still be accepted,
+     *                        in microseconds; 0 where that isn't bounded
      */
     public record Settings(
-            int maxOpenRequests, double retryRatio, long maxReportAge, long prefixLifetime, RoutingPolicies policies) {
+            int maxOpenRequests,
+            double retryRatio,
+            long maxReportAge,
+            long prefixLifetime,
+            RoutingPolicies policies,
+            long revocationDeadline) {
         /** How long a part of a prompt counts as cached when nothing is said. */
         public static final long DEFAULT_PREFIX_LIFETIME = 45 * SECOND;
 
@@ -63,17 +71,22 @@
 
         /** Settings with all policies in force. */
         public Settings(final int maxOpenRequests, final double retryRatio, final long maxReportAge) {
-            this(maxOpenRequests, retryRatio, maxReportAge, DEFAULT_PREFIX_LIFETIME, RoutingPolicies.ALL);
+            this(maxOpenRequests, retryRatio, maxReportAge, DEFAULT_PREFIX_LIFETIME, RoutingPolicies.ALL, 0);
         }
 
         /** The same with other policies in force. */
         public Settings withPolicies(final RoutingPolicies inForce) {
-            return new Settings(maxOpenRequests, retryRatio, maxReportAge, prefixLifetime, inForce);
+            return new Settings(maxOpenRequests, retryRatio, maxReportAge, prefixLifetime, inForce, revocationDeadline);
         }
 
         /** The same with another time for which a part of a prompt counts as cached, in microseconds. */
         public Settings withPrefixLifetime(final long lifetime) {
-            return new Settings(maxOpenRequests, retryRatio, maxReportAge, lifetime, policies);
+            return new Settings(maxOpenRequests, retryRatio, maxReportAge, lifetime, policies, revocationDeadline);
+        }
+
+        /** The same with another time for which a key may be accepted after it was taken away, in microseconds. */
+        public Settings withRevocationDeadline(final long deadline) {
+            return new Settings(maxOpenRequests, retryRatio, maxReportAge, prefixLifetime, policies, deadline);
         }
     }
 
@@ -98,6 +111,7 @@
         this.requests = new OpenRequestTable(settings.maxOpenRequests());
         this.retryBudget = new RetryBudget(settings.retryRatio(), 2);
         this.policies = settings.policies();
+        this.authenticator = new Authenticator(new RevocationLease(settings.revocationDeadline()), random);
         this.workers = new WorkerTable(settings.prefixLifetime());
         this.selector =
                 new WorkerSelector(cluster, workers, traffic, new WarmupLimiter(gatewayCount), settings, random);
@@ -180,14 +194,26 @@
             output.reject(request.callId(), NOT_FOUND, 0, "no rule for " + request.host() + request.path());
             return;
         }
-        final String pool = selector.drawPool(route.get());
-        final OpenRequest open = new OpenRequest(request, route.get(), pool, now, timestamps.get());
+        switch (authenticator.decide(request, route.get(), routingTable.access(), cluster, now)) {
+            case Authenticator.Decision.Allowed allowed -> open(request, route.get(), allowed.tenant(), now);
+            case Authenticator.Decision.Rejected rejected ->
+                output.reject(request.callId(), rejected.statusCode(), rejected.retryAfter(), rejected.reason());
+        }
+    }
+
+    private void open(
+            final RoutedRequest request,
+            final Value.Route route,
+            final Optional<Value.TenantAccess> tenant,
+            final long now) {
+        final String pool = selector.drawPool(route);
+        final OpenRequest open = new OpenRequest(request, route, tenant, pool, now, timestamps.get());
         if (!requests.add(open)) {
             output.reject(request.callId(), UNAVAILABLE, SECOND / 2, "the slab is full");
             return;
         }
         retryBudget.recordRequest(now);
-        traffic.observe(request, route.get(), now);
+        traffic.observe(request, route, now);
         sender.send(open, cluster.revision(), now);
     }
 
--- a/core/src/main/java/silverlatch/routing/RoutingEffect.java
+++ b/core/src/main/java/silverlatch/routing/RoutingEffect.java
@@ -1,5 +1,6 @@
 package silverlatch.routing;
 
+import java.util.Optional;
 import silverlatch.node.Event;
 
 /** What a {@link Router} wants to be done outside; the gateway does it in order. Times in microseconds. */
@@ -12,9 +13,10 @@
      * @param worker    the worker's id
      * @param address   where the worker is
      * @param timeout   how long the client still waits
-     * @param rank      the priority of the request's route
+     * @param rank      the priority of the request's tenant or route
      * @param once      whether it may not be sent again once it may have run
      * @param stream    whether the response is a stream of events
+     * @param tenant    the name of the tenant whose key the request brought, if there is one
      */
     record StartAttempt(
             long callId,
@@ -24,7 +26,8 @@
             long timeout,
             int rank,
             boolean once,
-            boolean stream)
+            boolean stream,
+            Optional<String> tenant)
             implements RoutingEffect {}
 
     /** The request did not run and never will; the client may send it again after the time, or not at all where it is 0. */
--- a/core/src/main/java/silverlatch/routing/RoutingTable.java
+++ b/core/src/main/java/silverlatch/routing/RoutingTable.java
@@ -10,7 +10,7 @@
 import silverlatch.state.Policy;
 import silverlatch.state.Value;
 
-/** The routes and backend pools of one revision, found by host and path. Immutable. */
+/** The routes and backend pools of one revision, found by host and path, and who may use them. Immutable. */
 final class RoutingTable {
     /** The table of a gateway that knows no configuration. */
     static final RoutingTable NONE = new RoutingTable(Policy.NONE);
@@ -20,6 +20,7 @@
 
     private final Map<String, Value.BackendPool> pools = new HashMap<>();
     private final Optional<Value.RoutingConfiguration> limits;
+    private final AccessTable access;
 
     RoutingTable(final Policy policy) {
         Optional<Value.RoutingConfiguration> configuration = Optional.empty();
@@ -35,6 +36,7 @@
             }
         }
         limits = configuration;
+        access = new AccessTable(policy);
         final Comparator<Value.Route> longestPathFirst =
                 Comparator.comparingInt(route -> -route.pathPrefix().length());
         routesByHost.values().forEach(routes -> routes.sort(longestPathFirst));
@@ -64,6 +66,11 @@
         return limits.map(Value.RoutingConfiguration::number).orElse(0L);
     }
 
+    /** Who may use the routes. */
+    AccessTable access() {
+        return access;
+    }
+
     /** What clients may send and how long they may idle. */
     Optional<Value.RoutingConfiguration> limits() {
         return limits;
--- a/core/src/main/java/silverlatch/routing/WorkerSelector.java
+++ b/core/src/main/java/silverlatch/routing/WorkerSelector.java
@@ -118,6 +118,7 @@
         return inPool.stream()
                 .filter(worker -> cluster.workers().containsKey(worker.id()))
                 .filter(worker -> constraints.accepts(context, input(worker, now)))
+                .filter(worker -> open.tenantAllows(worker.worker().region()))
                 .filter(worker -> !open.hasFailedAt(worker.id()))
                 .filter(worker -> !worker.isWarmingUp(now) || warmupLimiter.maySend(worker, routingTable, cluster, now))
                 .toList();
--- a/core/src/test/java/silverlatch/routing/RetryPolicyTest.java
+++ b/core/src/test/java/silverlatch/routing/RetryPolicyTest.java
@@ -5,6 +5,7 @@
 
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import silverlatch.clock.Stamp;
@@ -33,7 +34,7 @@
                 List.of(),
                 List.of());
         final RoutedRequest request = new RoutedRequest(1, "a", "/", "t", 15 * SECOND, List.of(), 1, 1);
-        final OpenRequest open = new OpenRequest(request, route, "pool", NOW, new Stamp(1));
+        final OpenRequest open = new OpenRequest(request, route, Optional.empty(), "pool", NOW, new Stamp(1));
         open.startAttempt(1, "w");
         return open;
     }
--- a/core/src/test/java/silverlatch/routing/WorkerSelectorTest.java
+++ b/core/src/test/java/silverlatch/routing/WorkerSelectorTest.java
@@ -61,7 +61,7 @@
 
     private static OpenRequest open(final String pool) {
         final RoutedRequest request = new RoutedRequest(1, "a", "/", "t", 15 * SECOND, List.of(), 100, 100);
-        return new OpenRequest(request, route(List.of()), pool, NOW, new Stamp(1));
+        return new OpenRequest(request, route(List.of()), Optional.empty(), pool, NOW, new Stamp(1));
     }
 
     @Test
--- a/server/src/main/java/silverlatch/server/gateway/GatewayModule.java
+++ b/server/src/main/java/silverlatch/server/gateway/GatewayModule.java
@@ -59,6 +59,7 @@
         return new Router(
                 Router.Settings.DEFAULT
                         .withPrefixLifetime(settings.prefixLifetime())
+                        .withRevocationDeadline(settings.revocationDeadline())
                         .withPolicies(RoutingPolicies.withDisabled(
                                 System.getProperty(RoutingPolicies.DISABLED_PROPERTY, ""))),
                 node.clusterSnapshot(),
--- a/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
+++ b/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
@@ -16,6 +16,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -108,7 +109,7 @@
         stubWorkers.add(other);
         beforeThirdEvent.set(() -> proxy.get()
                 .apply(new RoutingEffect.StartAttempt(
-                        1, 99, "w1", "127.0.0.1:" + other.port(), 3_000_000, 0, false, true)));
+                        1, 99, "w1", "127.0.0.1:" + other.port(), 3_000_000, 0, false, true, Optional.empty())));
         final String reply = post("/again/x", "", "b");
         assertThat(one.received.size(), is(1));
         assertThat(header(other.received.get(0), "Last-Event-Id"), is(""));
