Keep tenants' keys from workers, and name the tenant of the key instead

Callers saw workers run requests with the client's key passed on, and under whatever tenant name the client sent (UNASKED), and requests with keys that no configuration ever held (ROUTE). EndToEndHeaders forwarded Authorization and the tenant's header as any other end-to-end field, and WorkerRequests set none of its own.

Now the proxy reads the one key of a request, as a digest, on the HTTP thread. An Authorization field with the keys' scheme is never forwarded, on any route and under any configuration; the tenant's header is among those that only the proxy sets, on each attempt, from the tenant that the router knew when the request arrived. A 401 names the scheme. The scripted clients send keys and forged names on kept connections, and the checker looks for the right tenant and for no key in each head that a worker reads.

--- a/server/src/main/java/silverlatch/server/proxy/ClientResponse.java
+++ b/server/src/main/java/silverlatch/server/proxy/ClientResponse.java
@@ -81,6 +81,11 @@
         response.write(true, ByteBuffer.wrap(body), callback);
     }
 
+    /** Names the scheme of the credentials that a request lacked, on the reply that follows. */
+    void requestCredentials(final String scheme) {
+        response.getHeaders().put(HttpHeader.WWW_AUTHENTICATE, scheme);
+    }
+
     /** Replies with a text of the proxy's own, and completes the response; no Retry-After is sent for 0 microseconds. */
     void replyText(final int status, final long retryAfterMicros, final String text) {
         resetHead();
@@ -115,7 +120,7 @@
     private void setHead(final int status, final HttpFields headers) {
         headSet = true;
         response.setStatus(status);
-        EndToEndHeaders.copy(headers, Set.of(), response.getHeaders());
+        EndToEndHeaders.copy(headers, field -> false, response.getHeaders());
         final long length = headers.getLongField(HttpHeader.CONTENT_LENGTH);
         if (length >= 0 && !headers.contains(HttpHeader.TRANSFER_ENCODING)) {
             response.getHeaders().put(HttpHeader.CONTENT_LENGTH, length);
--- a/server/src/main/java/silverlatch/server/proxy/EndToEndHeaders.java
+++ b/server/src/main/java/silverlatch/server/proxy/EndToEndHeaders.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -24,12 +25,12 @@
 
     private EndToEndHeaders() {}
 
-    /** Adds the fields to be forwarded, without those that the caller sets itself and those that Connection names. */
-    static void copy(final HttpFields from, final Set<String> except, final HttpFields.Mutable to) {
+    /** Adds the fields to be forwarded, without those that the caller leaves out and those that Connection names. */
+    static void copy(final HttpFields from, final Predicate<HttpField> isLeftOut, final HttpFields.Mutable to) {
         final Set<String> namedByConnection = ignoringCase(from.getCSV(HttpHeader.CONNECTION, false));
         for (final HttpField field : from) {
             final String name = field.getName();
-            if (!HOP_BY_HOP.contains(name) && !namedByConnection.contains(name) && !except.contains(name)) {
+            if (!HOP_BY_HOP.contains(name) && !namedByConnection.contains(name) && !isLeftOut.test(field)) {
                 to.add(name, field.getValue());
             }
         }
--- a/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxiedRequest.java
@@ -4,6 +4,7 @@
 import java.util.Deque;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.Callback;
@@ -98,6 +99,9 @@
 
     /** Replies that the request was not executed and never will be. */
     synchronized void reject(final RoutingEffect.Reject reject) {
+        if (reject.statusCode() == HttpStatus.UNAUTHORIZED_401 && !ended && !response.isCommitted()) {
+            response.requestCredentials(proxy.headerNames().keyScheme());
+        }
         endWithText(reject.statusCode(), reject.retryAfter(), reject.reason());
     }
 
--- a/server/src/main/java/silverlatch/server/proxy/ProxyHeaderNames.java
+++ b/server/src/main/java/silverlatch/server/proxy/ProxyHeaderNames.java
@@ -19,6 +19,8 @@
  * @param weightVersion  the version of a worker's weights, on its response; in lower case also the first line of an event at
  *                       which the version changes
  * @param expectedWeights the version of weights that a worker needs to run a request
+ * @param tenant         the name of the tenant whose key a request brought, towards workers only
+ * @param keyScheme      the scheme of Authorization by which a client sends a tenant's key
  */
 public record ProxyHeaderNames(
         String requestId,
@@ -31,7 +33,9 @@
         String notExecuted,
         String priority,
         String weightVersion,
-        String expectedWeights) {
+        String expectedWeights,
+        String tenant,
+        String keyScheme) {
     /** The product's own names. */
     public static final ProxyHeaderNames DEFAULT = new ProxyHeaderNames(
             "Silverlatch-Ticket",
@@ -44,12 +48,14 @@
             "Silverlatch-Not-Run",
             "Silverlatch-Rank",
             "Silverlatch-Weights",
-            "Silverlatch-Expected-Weights");
+            "Silverlatch-Expected-Weights",
+            "Silverlatch-Tenant",
+            "Token");
 
-    /** The names that the proxy sets itself on what it sends to a worker; letter case does not matter. */
+    /** The names that only the proxy itself sets on what it sends to a worker; letter case does not matter. */
     Set<String> namesSetByProxy() {
         final Set<String> names = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
-        names.addAll(List.of(deadline, expectedWorker, priority));
+        names.addAll(List.of(deadline, expectedWorker, priority, tenant));
         return names;
     }
 }
--- a/server/src/main/java/silverlatch/server/proxy/RoutedRequests.java
+++ b/server/src/main/java/silverlatch/server/proxy/RoutedRequests.java
@@ -12,9 +12,11 @@
     private static final long MICROS_PER_MILLI = 1_000;
     private static final int MAX_TOKENS = 10_000_000;
     private final ProxyHeaderNames headerNames;
+    private final ClientCredentials credentials;
 
     RoutedRequests(final ProxyHeaderNames headerNames) {
         this.headerNames = headerNames;
+        this.credentials = new ClientCredentials(headerNames.keyScheme());
     }
 
     /** The client's id of its request, which it must send. */
@@ -36,7 +38,8 @@
                         .map(HeaderValues::promptParts)
                         .orElse(List.of()),
                 tokens(tokenCounts, 0),
-                tokens(tokenCounts, 1));
+                tokens(tokenCounts, 1),
+                credentials.read(request.getHeaders()));
     }
 
     private long deadlineMs(final Request request) {
--- a/server/src/main/java/silverlatch/server/proxy/WorkerRequests.java
+++ b/server/src/main/java/silverlatch/server/proxy/WorkerRequests.java
@@ -9,8 +9,9 @@
 import silverlatch.routing.RoutingEffect;
 
 /**
- * Makes the request that a worker gets out of the client's: method, path, body and end-to-end headers unchanged, and the proxy's own
- * headers set anew.
+ * Makes the request that a worker gets out of the client's: method, path, body and end-to-end headers unchanged, but that a tenant's key
+ * is left out, and the proxy's own headers set anew. Each attempt's request is made from the client's, so all of them name the
+ * same tenant.
  */
 final class WorkerRequests {
     private static final String LAST_EVENT_ID = "Last-Event-Id";
@@ -20,11 +21,13 @@
     private final WorkerHttpClient client;
     private final ProxyHeaderNames headerNames;
     private final Set<String> namesSetByProxy;
+    private final ClientCredentials credentials;
 
     WorkerRequests(final WorkerHttpClient client, final ProxyHeaderNames headerNames) {
         this.client = client;
         this.headerNames = headerNames;
         this.namesSetByProxy = headerNames.namesSetByProxy();
+        this.credentials = new ClientCredentials(headerNames.keyScheme());
     }
 
     /** A request that is not sent yet; one that resumes a stream names the last event that was forwarded, and the weights that made it. */
@@ -54,10 +57,14 @@
             final RoutingEffect.StartAttempt attempt,
             final StreamPosition position) {
         headers.clear();
-        EndToEndHeaders.copy(clientHeaders, namesSetByProxy, headers);
+        EndToEndHeaders.copy(
+                clientHeaders,
+                field -> namesSetByProxy.contains(field.getName()) || credentials.holdsKey(field),
+                headers);
         headers.put(headerNames.deadline(), "" + Math.max(1, attempt.timeout() / MICROS_PER_MILLI));
         headers.put(headerNames.expectedWorker(), attempt.worker());
         headers.put(headerNames.priority(), "" + Math.min(LOWEST_PRIORITY, attempt.rank()));
+        attempt.tenant().ifPresent(tenant -> headers.put(headerNames.tenant(), tenant));
         position.lastEventId().ifPresent(id -> {
             headers.put(LAST_EVENT_ID, id);
             position.weightVersion().ifPresent(version -> headers.put(headerNames.expectedWeights(), version));
--- a/server/src/test/java/silverlatch/server/proxy/ExchangeChecker.java
+++ b/server/src/test/java/silverlatch/server/proxy/ExchangeChecker.java
@@ -11,6 +11,7 @@
 final class ExchangeChecker {
     private static final Set<Integer> RETRYABLE_STATUSES = Set.of(408, 421, 429, 503);
     private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\S+) (\\S+) piece (\\d+)\n\n");
+    private static final Pattern TENANT = Pattern.compile("(?im)^Silverlatch-Tenant:[ \t]*(.*?)[ \t\r]*$");
     private static final int LEFTOVERS_FOR_ONE_REUSE = 20;
     private final ExchangeLog log;
     private final int maxAttempts;
@@ -51,6 +52,13 @@
             violations.add("UNASKED: " + run);
         } else if (!attempt.path().equals(run.path()) || !attempt.body().equals(run.requestBody())) {
             violations.add("UNASKED: changed " + run + " of " + attempt);
+        } else if (!TENANT.matcher(run.head())
+                        .results()
+                        .map(found -> found.group(1))
+                        .toList()
+                        .equals(List.of(ExchangeLog.TENANT_PREFIX + attempt.tenant()))
+                || run.head().contains(ExchangeLog.KEY_PREFIX)) {
+            violations.add("UNASKED: another tenant, or a key, in " + run + " of " + attempt);
         }
     }
 
--- a/server/src/test/java/silverlatch/server/proxy/ExchangeLog.java
+++ b/server/src/test/java/silverlatch/server/proxy/ExchangeLog.java
@@ -7,6 +7,15 @@
 
 /** All that scripted clients and workers sent and received, for the checker. */
 final class ExchangeLog {
+    /** How many tenants there are; each has one key. */
+    static final int TENANTS = 3;
+
+    /** How each tenant's key begins; no worker may get one. */
+    static final String KEY_PREFIX = "secret-";
+
+    /** How each tenant's name begins. */
+    static final String TENANT_PREFIX = "tenant-";
+
     final Map<String, Attempt> attempts = new ConcurrentHashMap<>();
     final Map<String, Run> runsBySeal = new ConcurrentHashMap<>();
     final List<Run> runs = new CopyOnWriteArrayList<>();
@@ -35,11 +44,17 @@
     }
 
     /** What a client sends, and whether it sends it whole. */
-    record Attempt(String id, Kind kind, String path, String body, boolean complete) {}
+    record Attempt(String id, Kind kind, String path, String body, boolean complete) {
+        /** The number of the tenant whose key the client sends. */
+        int tenant() {
+            return Math.floorMod(id.hashCode(), TENANTS);
+        }
+    }
 
     /**
      * A request that a worker has read whole.
      *
+     * @param head     the request's head
      * @param seal     the seal of the response, unlike any other
      * @param executed whether the worker ran it
      * @param status   the status that the worker gives
@@ -49,6 +64,7 @@
     record Run(
             String worker,
             String attemptId,
+            String head,
             String path,
             String requestBody,
             String lastEventId,
--- a/server/src/test/java/silverlatch/server/proxy/ProxyFixture.java
+++ b/server/src/test/java/silverlatch/server/proxy/ProxyFixture.java
@@ -27,6 +27,7 @@
 import silverlatch.routing.Router;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.web.MultiListenerServer;
+import silverlatch.state.Entry;
 import silverlatch.state.Value;
 import silverlatch.util.Threads;
 
@@ -104,7 +105,19 @@
                 new Value.RoutingConfiguration(1, 8_192, 4_096, 1_000_000, 1_000_000),
                 ProxySnapshots.pool(10),
                 List.of(route("/once/", false), route("/again/", true), plainRoute("/plain/")),
-                observed);
+                observed,
+                accessEntries(),
+                confirmedAt());
+    }
+
+    /** Who may use the routes; nobody needs a key where nothing is said. */
+    List<Entry> accessEntries() {
+        return List.of();
+    }
+
+    /** When the configuration was confirmed as the newest. */
+    long confirmedAt() {
+        return 1;
     }
 
     /** A port of the loopback interface that nothing listened on just now. */
--- a/server/src/test/java/silverlatch/server/proxy/ProxySnapshots.java
+++ b/server/src/test/java/silverlatch/server/proxy/ProxySnapshots.java
@@ -44,7 +44,19 @@
             final Value.BackendPool pool,
             final List<Value.Route> routes,
             final Map<String, Gossip.ObservedWorker> workers) {
-        final List<Entry> entries = new ArrayList<>();
+        return of(revision, configuration, pool, routes, workers, List.of(), 1);
+    }
+
+    /** The same with further entries, confirmed as the newest at that time. */
+    static ClusterSnapshot of(
+            final long revision,
+            final Value.RoutingConfiguration configuration,
+            final Value.BackendPool pool,
+            final List<Value.Route> routes,
+            final Map<String, Gossip.ObservedWorker> workers,
+            final List<Entry> furtherEntries,
+            final long confirmedAt) {
+        final List<Entry> entries = new ArrayList<>(furtherEntries);
         entries.add(new Entry("p/charter", 1, List.of(configuration)));
         entries.add(new Entry("b/" + POOL, 1, List.of(pool)));
         for (final Value.Route route : routes) {
@@ -53,7 +65,7 @@
         return new ClusterSnapshot(
                 new Member("me", "gateway", "z", "r", "127.0.0.1:1", "127.0.0.1:2", 1, 0, "up", true),
                 revision,
-                Optional.of(1L),
+                Optional.of(confirmedAt),
                 Policy.of(entries),
                 workers,
                 List.of());
--- a/server/src/test/java/silverlatch/server/proxy/ScriptedClient.java
+++ b/server/src/test/java/silverlatch/server/proxy/ScriptedClient.java
@@ -134,7 +134,8 @@
 
     private static String request(final ExchangeLog.Attempt attempt) {
         final String head = "POST " + attempt.path() + " HTTP/1.1\r\nHost: a\r\nSilverlatch-Ticket: " + attempt.id()
-                + "\r\nSilverlatch-Expiry-Ms: " + DEADLINE_MS + "\r\n";
+                + "\r\nSilverlatch-Expiry-Ms: " + DEADLINE_MS + "\r\nAuthorization: Token " + ExchangeLog.KEY_PREFIX
+                + attempt.tenant() + "\r\nSilverlatch-Tenant: forged\r\n";
         final String body = attempt.body();
         return attempt.id().hashCode() % 3 == 0
                 ? head + "Transfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + body
--- a/server/src/test/java/silverlatch/server/proxy/ScriptedCluster.java
+++ b/server/src/test/java/silverlatch/server/proxy/ScriptedCluster.java
@@ -19,7 +19,9 @@
 import silverlatch.routing.RoutingEffect;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.web.MultiListenerServer;
+import silverlatch.state.Entry;
 import silverlatch.state.Value;
+import silverlatch.util.Digests;
 import silverlatch.util.Threads;
 
 /**
@@ -130,7 +132,24 @@
                 Arrays.stream(ExchangeLog.Kind.values())
                         .map(ScriptedCluster::route)
                         .toList(),
-                observed);
+                observed,
+                access(),
+                EventLoop.nowMicros());
+    }
+
+    /** Keys are needed, and each tenant has one. */
+    private static List<Entry> access() {
+        final List<Entry> entries = new ArrayList<>();
+        entries.add(new Entry("p/access", 1, List.of(new Value.AccessControl(true))));
+        for (int i = 0; i < ExchangeLog.TENANTS; i++) {
+            final String name = ExchangeLog.TENANT_PREFIX + i;
+            final List<String> keyDigests = List.of(Digests.sha256Hex(ExchangeLog.KEY_PREFIX + i));
+            entries.add(new Entry(
+                    "n/" + name,
+                    1,
+                    List.of(new Value.TenantAccess(name, keyDigests, Value.TenantAccess.ROUTE_PRIORITY, List.of()))));
+        }
+        return entries;
     }
 
     private static Value.Route route(final ExchangeLog.Kind kind) {
--- a/server/src/test/java/silverlatch/server/proxy/ScriptedWorker.java
+++ b/server/src/test/java/silverlatch/server/proxy/ScriptedWorker.java
@@ -178,6 +178,7 @@
         log.run(new ExchangeLog.Run(
                 id,
                 attemptId,
+                received.head(),
                 received.path(),
                 received.body(),
                 after,
