Evaluate tenants, public routes and bounds on workers as parts of the routing configuration

Callers saw: a configuration in which two tenants share a key, or a tenant has no name, was acknowledged, and nothing of tenants, public routes and bounds was ever in force; keys that a new version took away stayed good for ever. Cause: `StateMachine` evaluated `PutFullConfiguration` by its base alone. Evidence, on the code before: TenantAccessTest fails in 8 of 9, among them twoTenantsThatShareAKeyAreRejectedAndNothingChanges:112 ("nothing but the refusal is written": it was acknowledged), aTenantWithoutAUsableNameOrKeyIsRejected:123, aKeyMayMoveToAnotherTenantAndOnlyWhatDiffersIsWritten:151, aConfigurationWithoutTenantsTakesThemAwayAndNoKeyIsNeeded:164, aGatewayLearnsOfAKeyThatAloneChangedByTheRevision:175.

Now the plain command is the full one with nothing in the later parts, so it also takes earlier tenants away; the check and the writes see all parts, and what differs is written in the one change of the configuration, which always writes the configuration itself: gateways get all of it at one revision. Fails closed: a digest that isn't one, and that of the empty key, are faults; no fault shows a key.

AcceptedConfigurationsTest calls ConfigurationWrites in place of ConfigurationValidator.writes, which moved there; what it asserts is unchanged.

--- a/core/src/main/java/silverlatch/state/Command.java
+++ b/core/src/main/java/silverlatch/state/Command.java
@@ -130,6 +130,17 @@
             return base.id();
         }
 
+        /** The same configuration under another id, on top of another revision. */
+        public PutFullConfiguration with(final String id, final long expectedRevision) {
+            return new PutFullConfiguration(
+                    new PutConfiguration(
+                            id, base.configuration, base.routes, base.pools, base.document, expectedRevision),
+                    keysRequired,
+                    tenants,
+                    publicRoutes,
+                    scalings);
+        }
+
         /** The command to be sent: the one that older versions know where that says it all. */
         public Command simplest() {
             return equals(of(base)) ? base : this;
--- a/core/src/main/java/silverlatch/state/ConfigurationValidator.java
+++ b/core/src/main/java/silverlatch/state/ConfigurationValidator.java
@@ -1,16 +1,13 @@
 package silverlatch.state;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
 /**
- * Routing configurations: the keys of their entries, what is wrong with one, and the entries that one writes. Faults
- * have the path of what is wrong in the operators' document, whose fields have names of their own (docs/api.md).
+ * Routing configurations: the keys of their entries, and what is wrong with one. Faults have the path of what is wrong in
+ * the operators' document, whose fields have names of their own (docs/api.md).
  */
 public final class ConfigurationValidator {
     /** The key of the configuration in force, without its routes and pools. */
@@ -25,6 +22,10 @@
     public static final int MAX_ROUTES = 20_000;
     /** How many backend pools a configuration may have. */
     public static final int MAX_POOLS = 5_000;
+    /** How many tenants a configuration may have. */
+    public static final int MAX_TENANTS = 50_000;
+    /** How many keys the tenants of a configuration may have in all. */
+    public static final int MAX_KEYS = 100_000;
     /** How many bytes a configuration's document may have. */
     public static final int MAX_DOCUMENT_BYTES = 4 << 20;
 
@@ -55,9 +56,10 @@
      * What is wrong with a configuration that follows the one of the current number; a limited number of faults. One that
      * is too large is not looked into.
      */
-    static List<String> faults(final Command.PutConfiguration command, final long currentNumber) {
+    static List<String> faults(final Command.PutFullConfiguration full, final long currentNumber) {
+        final Command.PutConfiguration command = full.base();
         final ValidationFaults faults = new ValidationFaults(MAX_REPORTED_FAULTS);
-        checkNumberAndSizes(command, currentNumber, faults);
+        checkNumberAndSizes(full, currentNumber, faults);
         if (faults.isEmpty()) {
             checkLimits(command.configuration(), faults);
             final Set<String> poolNames = new HashSet<>();
@@ -68,18 +70,31 @@
             for (int i = 0; i < command.routes().size() && !faults.isFull(); i++) {
                 checkRoute("$.rules[" + i + "]", command.routes().get(i), poolNames, routeKeys, faults);
             }
+            checkPublicRoutes(full.publicRoutes(), routeKeys, faults);
+            checkScalings(full.scalings(), poolNames, faults);
+            TenantAccessValidator.check(full.tenants(), faults);
         }
         return faults.reported();
     }
 
     private static void checkNumberAndSizes(
-            final Command.PutConfiguration command, final long currentNumber, final ValidationFaults faults) {
+            final Command.PutFullConfiguration full, final long currentNumber, final ValidationFaults faults) {
+        final Command.PutConfiguration command = full.base();
         final long number = command.configuration().number();
         if (number <= currentNumber) {
             faults.add("$.number", number + " is not higher than " + currentNumber + ", which is in force");
         }
         checkCount("$.rules", command.routes().size(), MAX_ROUTES, faults);
+        checkCount("$.rules", full.publicRoutes().size(), MAX_ROUTES, faults);
         checkCount("$.pools", command.pools().size(), MAX_POOLS, faults);
+        checkCount("$.scalings", full.scalings().size(), MAX_POOLS, faults);
+        checkCount("$.tenants", full.tenants().size(), MAX_TENANTS, faults);
+        final int keys = full.tenants().stream()
+                .mapToInt(tenant -> tenant.keyDigests().size())
+                .sum();
+        if (keys > MAX_KEYS) {
+            faults.add("$.tenants", "at most " + MAX_KEYS + " keys, not " + keys);
+        }
         if (isTooLong(command.document())) {
             faults.add("$", "longer than " + MAX_DOCUMENT_BYTES + " bytes");
         }
@@ -113,6 +128,36 @@
         faults.checkAtLeast(path + ".stride", pool.tokensPerEvent(), 0);
     }
 
+    private static void checkPublicRoutes(
+            final List<Value.PublicRoute> publicRoutes, final Set<String> routeKeys, final ValidationFaults faults) {
+        for (int i = 0; i < publicRoutes.size() && !faults.isFull(); i++) {
+            final Value.PublicRoute route = publicRoutes.get(i);
+            if (!routeKeys.contains(routeKey(route.host(), route.pathPrefix()))) {
+                faults.add(
+                        "$.rules",
+                        "there is no rule for " + ValidationFaults.quoted(route.host()) + " and "
+                                + ValidationFaults.quoted(route.pathPrefix()) + " that could be open");
+            }
+        }
+    }
+
+    private static void checkScalings(
+            final List<Value.PoolScaling> scalings, final Set<String> poolNames, final ValidationFaults faults) {
+        final Set<String> scaledPools = new HashSet<>();
+        for (int i = 0; i < scalings.size() && !faults.isFull(); i++) {
+            final String path = "$.scalings[" + i + "]";
+            final Value.PoolScaling scaling = scalings.get(i);
+            if (!poolNames.contains(scaling.pool())) {
+                faults.add(path + ".pool", "there is no pool " + ValidationFaults.quoted(scaling.pool()));
+            } else if (!scaledPools.add(scaling.pool())) {
+                faults.add(path + ".pool", "a second time for " + ValidationFaults.quoted(scaling.pool()));
+            }
+            faults.checkAtLeast(path + ".min", scaling.minWorkers(), 0);
+            faults.checkAtLeast(path + ".max", scaling.maxWorkers(), Math.max(0, scaling.minWorkers()));
+            faults.checkAtLeast(path + ".boot", scaling.bootMicros(), 0);
+        }
+    }
+
     private static void checkRoute(
             final String path,
             final Value.Route route,
@@ -171,33 +216,4 @@
             faults.add(path, "the weights add up to nothing");
         }
     }
-
-    /** The entries that a configuration writes over the current routes and pools: what differs, and always itself. */
-    static List<Entry> writes(
-            final Command.PutConfiguration command, final Map<String, Entry> current, final long sequence) {
-        final Map<String, Value> updated = new HashMap<>();
-        command.routes().forEach(route -> updated.put(routeKey(route.host(), route.pathPrefix()), route));
-        command.pools().forEach(pool -> updated.put(poolKey(pool.name()), pool));
-        final List<Entry> writes = new ArrayList<>();
-        current.keySet().stream()
-                .filter(key -> !updated.containsKey(key))
-                .sorted()
-                .forEach(key -> writes.add(new Entry(key, sequence, List.of())));
-        updated.keySet().stream()
-                .sorted()
-                .map(key -> new Entry(key, sequence, List.of(updated.get(key))))
-                .filter(entry -> !isUnchanged(entry, current))
-                .forEach(writes::add);
-        writes.add(new Entry(CONFIGURATION_KEY, sequence, List.of(command.configuration())));
-        writes.add(new Entry(
-                DOCUMENT_KEY,
-                sequence,
-                List.of(new Value.ConfigurationDocument(command.configuration().number(), command.document()))));
-        return writes;
-    }
-
-    private static boolean isUnchanged(final Entry entry, final Map<String, Entry> current) {
-        return current.containsKey(entry.key())
-                && current.get(entry.key()).value().equals(entry.value());
-    }
 }
--- /dev/null
+++ b/core/src/main/java/silverlatch/state/ConfigurationWrites.java
@@ -0,0 +1,77 @@
+package silverlatch.state;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/**
+ * The entries that a routing configuration writes, all in one change: what differs from the entries in force, the deletion of what
+ * is gone, and always the configuration itself, so that gateways learn of any change by the revision.
+ */
+final class ConfigurationWrites {
+    private static final List<String> PART_PREFIXES = List.of(
+            ConfigurationValidator.ROUTE_PREFIX,
+            ConfigurationValidator.POOL_PREFIX,
+            EntryKeys.TENANT_ACCESS,
+            EntryKeys.PUBLIC_ROUTES,
+            EntryKeys.POOL_SCALINGS,
+            EntryKeys.ACCESS_CONTROL);
+
+    private ConfigurationWrites() {}
+
+    /** The writes of a configuration without a fault. */
+    static List<Entry> of(final Command.PutFullConfiguration command, final EvaluationContext context) {
+        final Map<String, Entry> current = new HashMap<>();
+        PART_PREFIXES.forEach(prefix -> current.putAll(context.withPrefix(prefix)));
+        final Map<String, Value> updated = parts(command);
+        final List<Entry> writes = new ArrayList<>();
+        current.keySet().stream()
+                .filter(key -> !updated.containsKey(key))
+                .sorted()
+                .forEach(key -> writes.add(context.delete(key)));
+        updated.keySet().stream()
+                .sorted()
+                .filter(key -> !isHeld(current.get(key), updated.get(key)))
+                .forEach(key -> writes.add(context.write(key, updated.get(key))));
+        final Command.PutConfiguration base = command.base();
+        writes.add(context.write(ConfigurationValidator.CONFIGURATION_KEY, base.configuration()));
+        writes.add(context.write(
+                ConfigurationValidator.DOCUMENT_KEY,
+                new Value.ConfigurationDocument(base.configuration().number(), base.document())));
+        return writes;
+    }
+
+    private static Map<String, Value> parts(final Command.PutFullConfiguration command) {
+        final Map<String, Value> parts = new HashMap<>();
+        command.base()
+                .routes()
+                .forEach(route -> parts.put(ConfigurationValidator.routeKey(route.host(), route.pathPrefix()), route));
+        command.base().pools().forEach(pool -> parts.put(ConfigurationValidator.poolKey(pool.name()), pool));
+        command.tenants().forEach(tenant -> parts.put(EntryKeys.TENANT_ACCESS + tenant.name(), normalized(tenant)));
+        command.publicRoutes().forEach(route -> parts.put(publicRouteKey(route), route));
+        command.scalings().forEach(scaling -> parts.put(EntryKeys.POOL_SCALINGS + scaling.pool(), scaling));
+        if (command.keysRequired()) {
+            parts.put(EntryKeys.ACCESS_CONTROL, new Value.AccessControl(true));
+        }
+        return parts;
+    }
+
+    private static String publicRouteKey(final Value.PublicRoute route) {
+        return EntryKeys.PUBLIC_ROUTES + route.host() + "|" + route.pathPrefix();
+    }
+
+    /** Each key once and in one order, so that a document that only names them differently writes nothing. */
+    private static Value.TenantAccess normalized(final Value.TenantAccess tenant) {
+        return new Value.TenantAccess(
+                tenant.name(),
+                tenant.keyDigests().stream().sorted().distinct().toList(),
+                tenant.priority(),
+                tenant.homeRegions());
+    }
+
+    private static boolean isHeld(final Entry current, final Value value) {
+        return Stream.ofNullable(current).anyMatch(entry -> entry.value().equals(List.of(value)));
+    }
+}
--- a/core/src/main/java/silverlatch/state/RoutingConfigurationManager.java
+++ b/core/src/main/java/silverlatch/state/RoutingConfigurationManager.java
@@ -22,27 +22,25 @@
         this.safeguards = safeguards;
     }
 
-    Evaluation put(final Command.PutConfiguration command, final EvaluationContext context) {
+    Evaluation put(final Command.PutFullConfiguration full, final EvaluationContext context) {
+        final Command.PutConfiguration command = full.base();
         final long currentNumber = currentNumber(context);
         final Optional<CommandResult> earlier = earlierResult(command, context, currentNumber);
         if (earlier.isPresent()) {
             return new Evaluation.Reply(earlier.get());
         }
         final Map<String, Entry> remembered = context.withPrefix(AcceptedConfigurations.KEY_PREFIX);
-        if (mayBeForgotten(command, remembered, currentNumber)) {
+        if (mayBeForgotten(full, remembered, currentNumber)) {
             return new Evaluation.Reply(new CommandResult.Unknown(command.id()));
         }
         if (compareAndSet.isConflict(command.expectedRevision(), currentNumber)) {
             return rejectConflict(command, context, currentNumber);
         }
-        final List<String> faults = ConfigurationValidator.faults(command, currentNumber);
+        final List<String> faults = ConfigurationValidator.faults(full, currentNumber);
         if (!faults.isEmpty()) {
             return RejectionCause.INVALID.reply(faults, currentNumber);
         }
-        final Map<String, Entry> current = context.withPrefix(ConfigurationValidator.ROUTE_PREFIX);
-        current.putAll(context.withPrefix(ConfigurationValidator.POOL_PREFIX));
-        final List<Entry> writes = new ArrayList<>();
-        writes.addAll(ConfigurationValidator.writes(command, current, context.writeSequence()));
+        final List<Entry> writes = new ArrayList<>(ConfigurationWrites.of(full, context));
         writes.addAll(AcceptedConfigurations.writes(command, remembered, currentNumber, context.writeSequence()));
         return CommandOutcomes.accept(context, writes, command.id());
     }
@@ -97,12 +95,12 @@
 
     /** Whether a command that isn't remembered may have been accepted, so that a refusal could be wrong. */
     private boolean mayBeForgotten(
-            final Command.PutConfiguration command, final Map<String, Entry> remembered, final long currentNumber) {
-        final long number = command.configuration().number();
+            final Command.PutFullConfiguration full, final Map<String, Entry> remembered, final long currentNumber) {
+        final long number = full.base().configuration().number();
         return safeguards.isEnabled(Safeguard.ACCEPTED_REMEMBERED)
-                && command.expectedRevision() < number
+                && full.base().expectedRevision() < number
                 && number <= AcceptedConfigurations.highestForgotten(new TreeMap<>(remembered), currentNumber)
-                && ConfigurationValidator.faults(command, 0).isEmpty();
+                && ConfigurationValidator.faults(full, 0).isEmpty();
     }
 
     /**
--- a/core/src/main/java/silverlatch/state/StateMachine.java
+++ b/core/src/main/java/silverlatch/state/StateMachine.java
@@ -167,8 +167,8 @@
             case Command.RemoveSchedule remove -> schedules.remove(remove, context);
             case Command.Scheduled scheduled -> evaluateNew(scheduled.command(), context);
             case Command.AdvanceEpoch advance -> epochs.advance(advance, context);
-            case Command.PutConfiguration put -> configurations.put(put, context);
-            case Command.PutFullConfiguration put -> configurations.put(put.base(), context);
+            case Command.PutConfiguration put -> configurations.put(Command.PutFullConfiguration.of(put), context);
+            case Command.PutFullConfiguration put -> configurations.put(put, context);
             case Command.CloseUsageWindow close -> usage.close(close, context);
         };
     }
--- a/core/src/test/java/silverlatch/state/AcceptedConfigurationsTest.java
+++ b/core/src/test/java/silverlatch/state/AcceptedConfigurationsTest.java
@@ -116,7 +116,11 @@
     @Test
     void aFolderWithoutRememberedConfigurationsKnowsTheCurrentOneAndRefusesNothingElseThatItMayHaveAccepted() {
         final Command.PutConfiguration inForce = command(7, 5);
-        state.apply(1, ConfigurationValidator.writes(inForce, Map.of(), 1));
+        state.apply(
+                1,
+                ConfigurationWrites.of(
+                        Command.PutFullConfiguration.of(inForce),
+                        new EvaluationContext(new EntryTable(), Map.of(), 1, new Stamp(1))));
         assertThat(result(command(7, 5)), is(new CommandResult.Applied(1)));
         assertThat("on top of itself", code(result(command(7, 7))), is(422));
         assertThat("another under its number", code(result(command(7, 5, "x"))), is(409));
