--- a/core/src/main/java/silverlatch/json/JsonDocument.java
+++ b/core/src/main/java/silverlatch/json/JsonDocument.java
@@ -119,6 +119,12 @@
         return value(key).isPresent();
     }
 
+    /** Whether a key is there, be it null; it counts as read. */
+    public boolean contains(final String key) {
+        readKeys.add(key);
+        return fields.containsKey(key);
+    }
+
     private String pathOf(final String key) {
         return path + "." + key;
     }
--- a/server/src/main/java/silverlatch/server/controller/ControlService.java
+++ b/server/src/main/java/silverlatch/server/controller/ControlService.java
@@ -16,7 +16,7 @@
      * Puts a routing configuration. One that was applied is acknowledged again whenever the same document is put again, and a
      * rejection rests on acknowledged configurations only. What isn't committed in time is reported as unknown.
      */
-    void putConfiguration(Command.PutConfiguration command, Consumer<CommandResult> onResult);
+    void putConfiguration(Command.PutFullConfiguration command, Consumer<CommandResult> onResult);
 
     /**
      * Reads the document of the newest acknowledged configuration: without an entry where there is none, unanswered where no
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -113,15 +113,15 @@
     }
 
     @Override
-    public void putConfiguration(final Command.PutConfiguration command, final Consumer<CommandResult> onResult) {
-        if (ConfigurationValidator.isTooLong(command.document())) {
+    public void putConfiguration(final Command.PutFullConfiguration command, final Consumer<CommandResult> onResult) {
+        if (ConfigurationValidator.isTooLong(command.base().document())) {
             onResult.accept(new CommandResult.Rejected(
                     ApiReplies.CONTENT_TOO_LARGE,
                     List.of("$: longer than " + ConfigurationValidator.MAX_DOCUMENT_BYTES + " bytes"),
                     0));
             return;
         }
-        submit(command, onResult);
+        submit(command.simplest(), onResult);
     }
 
     @Override
--- a/server/src/test/java/silverlatch/server/controller/ControllerTest.java
+++ b/server/src/test/java/silverlatch/server/controller/ControllerTest.java
@@ -109,14 +109,14 @@
         }
     }
 
-    private static Command.PutConfiguration putConfiguration(final long number, final long expectedRevision) {
-        return new Command.PutConfiguration(
+    private static Command.PutFullConfiguration putConfiguration(final long number, final long expectedRevision) {
+        return Command.PutFullConfiguration.of(new Command.PutConfiguration(
                 "wish-" + number + "-" + expectedRevision,
                 new Value.RoutingConfiguration(number, 1, 1, 1, 1),
                 List.of(),
                 List.of(),
                 "paper " + number,
-                expectedRevision);
+                expectedRevision));
     }
 
     @Test
