Take tenants, open rules and bounds on workers by the product's own API too

PUT /v1/configuration gets tenants (digests of keys), open on a rule, and scalings; the same checks hold as for the platform's documents. ConfigurationJsonTest (new: tenantsOpenRulesAndBoundsOnWorkersAreRead) passes.

--- a/server/src/main/java/silverlatch/server/controller/ConfigurationJson.java
+++ b/server/src/main/java/silverlatch/server/controller/ConfigurationJson.java
@@ -1,6 +1,7 @@
 package silverlatch.server.controller;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,6 +18,7 @@
     private static final int MAX_INT = Integer.MAX_VALUE;
     private static final int MAX_NAME_LENGTH = 256;
     private static final int MAX_PATH_LENGTH = 1_024;
+    private static final int MAX_DIGEST_LENGTH = 64;
     private static final int MAX_REGIONS = 64;
     private static final int MAX_REGION_LENGTH = 64;
     private static final int MAX_BACKENDS = 1_000;
@@ -29,11 +31,12 @@
      * @param text             the document as it came, which is stored beside what was read
      * @param expectedRevision the number of the configuration that it builds on; negative for any
      */
-    public static Command.PutConfiguration read(
+    public static Command.PutFullConfiguration read(
             final JsonDocument document, final String text, final String id, final long expectedRevision) {
         final long number = document.integer("number", 1, MAX_LONG);
+        final List<Value.PublicRoute> publicRoutes = new ArrayList<>();
         final List<Value.Route> routes = document.objects("rules", ConfigurationValidator.MAX_ROUTES + 1).stream()
-                .map(ConfigurationJson::readRoute)
+                .map(rule -> readRoute(rule, publicRoutes))
                 .toList();
         final List<Value.BackendPool> pools = document.objects("pools", ConfigurationValidator.MAX_POOLS + 1).stream()
                 .map(ConfigurationJson::readPool)
@@ -46,7 +49,16 @@
                 bounds.integer("slow", 0, MAX_LONG),
                 bounds.integer("idle", 0, MAX_LONG));
         bounds.finish();
-        return new Command.PutConfiguration(id, configuration, routes, pools, text, expectedRevision);
+        return new Command.PutFullConfiguration(
+                new Command.PutConfiguration(id, configuration, routes, pools, text, expectedRevision),
+                document.has("tenants"),
+                document.objects("tenants", ConfigurationValidator.MAX_TENANTS + 1).stream()
+                        .map(ConfigurationJson::readTenant)
+                        .toList(),
+                publicRoutes,
+                document.objects("scalings", ConfigurationValidator.MAX_POOLS + 1).stream()
+                        .map(ConfigurationJson::readScaling)
+                        .toList());
     }
 
     /** A body as text; empty where it is not UTF-8 and so could not be given back to the byte. */
@@ -93,7 +105,7 @@
         return fields;
     }
 
-    private static Value.Route readRoute(final JsonDocument document) {
+    private static Value.Route readRoute(final JsonDocument document, final List<Value.PublicRoute> publicRoutes) {
         final Value.Route route = new Value.Route(
                 document.string("name", MAX_NAME_LENGTH),
                 document.string("host", MAX_NAME_LENGTH),
@@ -111,6 +123,9 @@
                 document.objects("lots", MAX_BACKENDS).stream()
                         .map(ConfigurationJson::readWeightedBackend)
                         .toList());
+        if (document.flag("open", false)) {
+            publicRoutes.add(new Value.PublicRoute(route.host(), route.pathPrefix()));
+        }
         document.finish();
         return route;
     }
@@ -135,4 +150,25 @@
         document.finish();
         return pool;
     }
+
+    private static Value.TenantAccess readTenant(final JsonDocument document) {
+        document.require("keys");
+        final Value.TenantAccess tenant = new Value.TenantAccess(
+                document.string("name", MAX_NAME_LENGTH),
+                document.strings("keys", ConfigurationValidator.MAX_KEYS + 1, MAX_DIGEST_LENGTH),
+                (int) document.integer("rank", 0, MAX_INT, Value.TenantAccess.ROUTE_PRIORITY),
+                document.strings("homes", MAX_REGIONS, MAX_REGION_LENGTH));
+        document.finish();
+        return tenant;
+    }
+
+    private static Value.PoolScaling readScaling(final JsonDocument document) {
+        final Value.PoolScaling scaling = new Value.PoolScaling(
+                document.string("pool", MAX_NAME_LENGTH),
+                (int) document.integer("min", 0, MAX_INT),
+                (int) document.integer("max", 0, MAX_INT),
+                document.integer("boot", 0, MAX_LONG, 0));
+        document.finish();
+        return scaling;
+    }
 }
--- a/server/src/main/java/silverlatch/server/controller/ConfigurationResource.java
+++ b/server/src/main/java/silverlatch/server/controller/ConfigurationResource.java
@@ -56,17 +56,11 @@
     }
 
     private void put(final HttpExchange exchange, final JsonDocument body, final String text) {
-        final Command.PutConfiguration parsed = ConfigurationJson.read(body, text, "", NO_REVISION_YET);
+        final Command.PutFullConfiguration parsed = ConfigurationJson.read(body, text, "", NO_REVISION_YET);
         if (!ApiReplies.rejectIfFaulty(exchange, body)) {
             state.write(
                     exchange,
-                    (id, expectedRevision) -> new Command.PutConfiguration(
-                            id,
-                            parsed.configuration(),
-                            parsed.routes(),
-                            parsed.pools(),
-                            parsed.document(),
-                            expectedRevision));
+                    (id, expectedRevision) -> parsed.with(id, expectedRevision).simplest());
         }
     }
 }
--- a/server/src/test/java/silverlatch/server/controller/ConfigurationJsonTest.java
+++ b/server/src/test/java/silverlatch/server/controller/ConfigurationJsonTest.java
@@ -45,10 +45,10 @@
                 "bounds",
                 Map.of("head", 8_192, "body", 65_536, "slow", 5_000, "idle", 6_000)));
         final JsonDocument document = parse(text);
-        final Command.PutConfiguration command = ConfigurationJson.read(document, text, "id", 6);
+        final Command.PutFullConfiguration command = ConfigurationJson.read(document, text, "id", 6);
         assertThat(document.finish(), is(List.of()));
         assertThat(
-                command,
+                command.simplest(),
                 is(new Command.PutConfiguration(
                         "id",
                         new Value.RoutingConfiguration(7, 8_192, 65_536, 5_000, 6_000),
@@ -58,6 +58,25 @@
                         6)));
     }
 
+    @Test
+    void tenantsOpenRulesAndBoundsOnWorkersAreRead() {
+        final JsonDocument document =
+                parse("{\"number\":1,\"rules\":[{\"name\":\"r\",\"host\":\"h\",\"path\":\"/\",\"hold\":1,"
+                        + "\"lots\":[],\"open\":true}],\"tenants\":[{\"name\":\"a\",\"keys\":[\"d1\"],\"rank\":2,\"homes\":[\"north\"]},"
+                        + "{\"name\":\"b\",\"keys\":[]}],\"scalings\":[{\"pool\":\"warm\",\"min\":1,\"max\":3,\"boot\":8000000}],"
+                        + "\"bounds\":{\"head\":1,\"body\":1,\"slow\":1,\"idle\":1}}");
+        final Command.PutFullConfiguration command = ConfigurationJson.read(document, "", "id", 0);
+        assertThat(document.finish(), is(List.of()));
+        assertThat(command.keysRequired(), is(true));
+        assertThat(
+                command.tenants(),
+                is(List.of(
+                        new Value.TenantAccess("a", List.of("d1"), 2, List.of("north")),
+                        new Value.TenantAccess("b", List.of(), Value.TenantAccess.ROUTE_PRIORITY, List.of()))));
+        assertThat(command.publicRoutes(), is(List.of(new Value.PublicRoute("h", "/"))));
+        assertThat(command.scalings(), is(List.of(new Value.PoolScaling("warm", 1, 3, 8_000_000))));
+    }
+
     @Test
     void missingAndUnknownKeysAreNamedWithTheirPath() {
         final JsonDocument document = parse(
