--- a/core/src/test/java/silverlatch/node/ConsistencyMonitor.java
+++ b/core/src/test/java/silverlatch/node/ConsistencyMonitor.java
@@ -17,9 +17,18 @@
         acknowledged.add(new Acknowledged(now, number));
     }
 
-    /** What a node calls the newest as of a moment must hold all that was acknowledged before that moment. */
-    void checkConfirmedState(final String name, final Node node, final long now) {
-        final long age = node.gossip().stateAge(now);
+    /** What was acknowledged so far. */
+    List<Acknowledged> acknowledged() {
+        return List.copyOf(acknowledged);
+    }
+
+    /**
+     * What a node calls the newest as of a moment must hold all that was acknowledged before that moment.
+     *
+     * @param localNow the moment by the monotonic clock of the node's machine
+     */
+    void checkConfirmedState(final String name, final Node node, final long now, final long localNow) {
+        final long age = node.gossip().stateAge(localNow);
         if (age == Long.MAX_VALUE) {
             return;
         }
@@ -38,5 +47,6 @@
         }
     }
 
-    private record Acknowledged(long at, long number) {}
+    /** A configuration that was acknowledged at a moment. */
+    record Acknowledged(long at, long number) {}
 }
--- a/core/src/test/java/silverlatch/node/NodeCluster.java
+++ b/core/src/test/java/silverlatch/node/NodeCluster.java
@@ -9,15 +9,10 @@
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import silverlatch.clock.PhysicalClock;
 import silverlatch.clock.Stamp;
-import silverlatch.gossip.Gossip;
+import silverlatch.dispatch.ClusterSnapshot;
 import silverlatch.gossip.Worker;
 import silverlatch.log.LogRecord;
-import silverlatch.membership.Member;
-import silverlatch.membership.Membership;
-import silverlatch.replication.Replica;
-import silverlatch.replication.ReplicaSettings;
 import silverlatch.routing.Router;
 import silverlatch.safeguard.Safeguards;
 import silverlatch.state.Command;
@@ -39,10 +34,8 @@
     private static final long TICK_INTERVAL = 20_000L;
     private static final long NETWORK_DELAY = 10_000L;
     private static final long DISK_SYNC_DELAY = 2_000L;
-    private static final long UNIX_EPOCH = 1_700_000_000_000_000L;
     private static final int GATEWAYS_WITH_DISK = 2;
-    private final Safeguards safeguards;
-    private final long startupGrace;
+    private final NodeFactory nodes;
     private final Map<String, Machine> machines = new TreeMap<>();
     private final ClusterLinks links = new ClusterLinks();
     private final ConsistencyMonitor monitor = new ConsistencyMonitor();
@@ -68,9 +61,8 @@
             final long seed,
             final Safeguards safeguards,
             final long startupGrace) {
-        this.startupGrace = startupGrace;
         this.random = new SplittableRandom(seed);
-        this.safeguards = safeguards;
+        this.nodes = new NodeFactory(startupGrace, safeguards, random);
         for (int i = 0; i < controllers; i++) {
             machines.put("c" + i, new Machine("c" + i, i));
         }
@@ -112,10 +104,37 @@
 
     /** How long ago the configuration of a machine was surely the newest. */
     long stateAge(final String name) {
-        return node(name).gossip().stateAge(now());
+        return node(name).gossip().stateAge(localNow(name));
+    }
+
+    /** What a gateway routes by now; empty while no process of it runs. */
+    Optional<ClusterSnapshot> routedSnapshot(final String gateway) {
+        return machines.get(gateway).routedSnapshot();
+    }
+
+    SimulatedClock clock() {
+        return clock;
+    }
+
+    List<ConsistencyMonitor.Acknowledged> acknowledged() {
+        return monitor.acknowledged();
+    }
+
+    long localNow(final String name) {
+        return machines.get(name).localNow();
+    }
+
+    /** The machine's wall clock jumps; its monotonic clock doesn't. */
+    void stepWallClock(final String name, final long by) {
+        machines.get(name).machineClock.step(by);
+    }
+
+    /** The machine loses its power: its process ends, and its monotonic clock begins anew when it is started. */
+    void powerOff(final String name) {
+        kill(name);
+        machines.get(name).machineClock.powerOff();
     }
 
-    /** The links between the machines. */
     ClusterLinks links() {
         return links;
     }
@@ -149,11 +168,11 @@
     }
 
     void announceWorker(final String at, final Worker report) {
-        machines.get(at).step(n -> n.onAnnouncement(report, 0, now()));
+        machines.get(at).step(n -> n.onAnnouncement(report, 0, localNow(at)));
     }
 
     void workerGone(final String at, final String workerId) {
-        machines.get(at).step(n -> n.onWorkerGone(workerId, now()));
+        machines.get(at).step(n -> n.onWorkerGone(workerId, localNow(at)));
     }
 
     /** Asks a controller whether a majority holds its newest report on a worker. */
@@ -161,7 +180,7 @@
         final PendingConfirmation pending = new PendingConfirmation(now());
         final long token = ++lastToken;
         machines.get(at).pendingResponses.put(token, r -> pending.complete((Boolean) r, now()));
-        machines.get(at).step(n -> n.confirmReport(workerId, token, now(), now() + CONFIRMATION_TIMEOUT));
+        machines.get(at).step(n -> n.confirmReport(workerId, token, localNow(at), localNow(at) + CONFIRMATION_TIMEOUT));
         return pending;
     }
 
@@ -178,7 +197,7 @@
                 monitor.acknowledged(c.configuration().number(), now());
             }
         });
-        machines.get(at).step(n -> n.submit(command, token, now(), now() + COMMAND_TIMEOUT));
+        machines.get(at).step(n -> n.submit(command, token, localNow(at), localNow(at) + COMMAND_TIMEOUT));
         return pending;
     }
 
@@ -195,7 +214,8 @@
         final long token = ++lastToken;
         machines.get(at).pendingResponses.put(token, answers::add);
         machines.get(at)
-                .step(n -> n.read(ConfigurationValidator.CONFIGURATION_KEY, token, now(), now() + COMMAND_TIMEOUT));
+                .step(n -> n.read(
+                        ConfigurationValidator.CONFIGURATION_KEY, token, localNow(at), localNow(at) + COMMAND_TIMEOUT));
         return answers;
     }
 
@@ -215,6 +235,7 @@
         private final List<LogRecord> disk = new ArrayList<>();
         private final List<Runnable> waiting = new ArrayList<>();
         private final Map<Long, Consumer<Object>> pendingResponses = new HashMap<>();
+        private final MachineClock machineClock = new MachineClock();
         private String identity;
         private Optional<GossipMessage.GossipPullReply> saved = Optional.empty();
         private Optional<Node> node = Optional.empty();
@@ -224,6 +245,7 @@
         private int processNumber;
         private int connection;
         private long newestServed;
+        private ClusterSnapshot snapshot;
 
         Machine(final String name, final int index) {
             this.name = name;
@@ -235,55 +257,32 @@
             return name.startsWith("c");
         }
 
+        long localNow() {
+            return machineClock.monotonicMicros(now());
+        }
+
+        Optional<ClusterSnapshot> routedSnapshot() {
+            return isFrozen ? Optional.empty() : router.map(r -> snapshot);
+        }
+
         void start(final List<String> seeds) {
             processNumber++;
             newestServed = 0;
             isFrozen = false;
             waiting.clear();
             pendingResponses.clear();
-            node = Optional.of(newNode(seeds));
+            machineClock.start(now());
+            node = Optional.of(nodes.create(
+                    new NodeFactory.Host(name, index, identity, isFirstStart, disk, machineClock), seeds, now()));
             isFirstStart = false;
             saved.ifPresent(state -> node.get().gossip().restoreState(state));
-            router = isController() ? Optional.empty() : Optional.of(newRouter(node.get()));
+            snapshot = node.get().clusterSnapshot();
+            router = isController() ? Optional.empty() : Optional.of(newRouter(snapshot));
             tick(processNumber);
         }
 
-        private Node newNode(final List<String> seeds) {
-            final Optional<ReplicaSettings> chain = isController()
-                    ? Optional.of(ReplicaSettings.of(new Replica(identity, name), seeds)
-                            .withBootstrap(isFirstStart))
-                    : Optional.empty();
-            return new Node(
-                    new Node.Settings(
-                            newMember(),
-                            seeds,
-                            7,
-                            50_000,
-                            Membership.Settings.LARGE_FLEET,
-                            Gossip.Settings.LARGE_FLEET,
-                            startupGrace,
-                            safeguards),
-                    chain,
-                    List.copyOf(disk),
-                    new PhysicalClock((UNIX_EPOCH + now()) * 1000, now(), 0),
-                    random.split(),
-                    now());
-        }
-
-        private Member newMember() {
-            return Member.starting(
-                    name,
-                    isController() ? "controller" : "gateway",
-                    "z" + index,
-                    "r" + index,
-                    name,
-                    name,
-                    UNIX_EPOCH + now());
-        }
-
-        private Router newRouter(final Node running) {
-            return new Router(
-                    Router.Settings.DEFAULT, running.clusterSnapshot(), () -> new Stamp(now()), random.split());
+        private Router newRouter(final ClusterSnapshot first) {
+            return new Router(Router.Settings.DEFAULT, first, () -> new Stamp(now()), random.split());
         }
 
         void kill() {
@@ -330,7 +329,7 @@
             clock.schedule(now() + TICK_INTERVAL, () -> {
                 if (expectedProcess == processNumber) {
                     if (!isFrozen) {
-                        step(n -> n.tick(now(), (UNIX_EPOCH + now()) * 1000));
+                        step(n -> n.tick(localNow(), machineClock.wallNanos(now())));
                     }
                     tick(expectedProcess);
                 }
@@ -341,12 +340,13 @@
             final Node running = node.orElseThrow();
             running.drain().forEach(this::handleEffect);
             running.drainFrames().forEach(this::sendFrame);
-            monitor.checkConfirmedState(name, running, now());
-            if (startupGrace > 0 && !isController() && index < GATEWAYS_WITH_DISK) {
+            monitor.checkConfirmedState(name, running, now(), localNow());
+            if (nodes.startupGrace() > 0 && !isController() && index < GATEWAYS_WITH_DISK) {
                 saved = Optional.of(running.gossip().stateToSave());
             }
             router.ifPresent(r -> {
-                r.update(running.clusterSnapshot(), now());
+                snapshot = running.clusterSnapshot();
+                r.update(snapshot, localNow());
                 final long served = servedRevision();
                 monitor.checkServedRevision(name, newestServed, served, now());
                 newestServed = Math.max(newestServed, served);
@@ -360,7 +360,7 @@
                     clock.schedule(now() + DISK_SYNC_DELAY, () -> {
                         if (expectedProcess == processNumber) {
                             k.records().forEach(this::append);
-                            step(n -> n.onPersisted(k.token(), now()));
+                            step(n -> n.onPersisted(k.token(), localNow()));
                         }
                     });
                 case Effect.Respond a ->
@@ -392,7 +392,7 @@
                     && there == to.connection
                     && !links.isCut(name, to.name)
                     && to.node.isPresent()) {
-                to.step(n -> n.onFrame(outgoing.frame(), now()));
+                to.step(n -> n.onFrame(outgoing.frame(), to.localNow()));
             }
         }
     }
--- a/core/src/test/java/silverlatch/node/SimulatedClock.java
+++ b/core/src/test/java/silverlatch/node/SimulatedClock.java
@@ -24,6 +24,12 @@
         queue.add(new Scheduled(time, scheduled++, job));
     }
 
+    /** Runs a job now and after each such time. */
+    void every(final long interval, final Runnable job) {
+        job.run();
+        schedule(now + interval, () -> every(interval, job));
+    }
+
     void advance(final long duration) {
         final long end = now + duration;
         while (!queue.isEmpty() && queue.peek().at() <= end) {
--- /dev/null
+++ b/core/src/test/java/silverlatch/routing/KeyAcceptance.java
@@ -0,0 +1,18 @@
+package silverlatch.routing;
+
+import silverlatch.dispatch.ClusterSnapshot;
+
+/** Lets tests of whole nodes ask a {@link RevocationLease}. */
+public final class KeyAcceptance {
+    private final RevocationLease lease;
+
+    /** By a lease for this deadline, in microseconds. */
+    public KeyAcceptance(final long deadline) {
+        this.lease = new RevocationLease(deadline);
+    }
+
+    /** Whether a gateway with this snapshot accepts the keys in it now. */
+    public boolean isPossible(final ClusterSnapshot snapshot, final long now) {
+        return lease.isValid(snapshot, now);
+    }
+}
