Find tenants by their keys in the policy, at the cost of what changes

All parts are still of one revision, as the table refers to the one immutable policy that it was made of.

--- a/core/src/main/java/silverlatch/routing/AccessTable.java
+++ b/core/src/main/java/silverlatch/routing/AccessTable.java
@@ -1,9 +1,7 @@
 package silverlatch.routing;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import silverlatch.state.Policy;
@@ -11,16 +9,15 @@
 
 /** Who may use the routes of one revision: the tenants by their keys, and the routes on which no key is needed. Immutable. */
 final class AccessTable {
-    private final Map<String, Value.TenantAccess> tenantsByKeyDigest = new HashMap<>();
+    private final Policy policy;
     private final Set<Value.PublicRoute> publicRoutes = new HashSet<>();
     private final boolean keysRequired;
 
     AccessTable(final Policy policy) {
+        this.policy = policy;
         boolean required = false;
-        for (final Value value : (Iterable<Value>) policy.values()::iterator) {
-            if (value instanceof Value.TenantAccess tenant) {
-                tenant.keyDigests().forEach(digest -> tenantsByKeyDigest.put(digest, tenant));
-            } else if (value instanceof Value.PublicRoute route) {
+        for (final Value value : policy.valuesExceptTenants().toList()) {
+            if (value instanceof Value.PublicRoute route) {
                 publicRoutes.add(publicRoute(route.host(), route.pathPrefix()));
             } else if (value instanceof Value.AccessControl access) {
                 required = access.keysRequired();
@@ -36,7 +33,7 @@
 
     /** The tenant of a key, by the key's digest. */
     Optional<Value.TenantAccess> tenant(final String keyDigest) {
-        return Optional.ofNullable(tenantsByKeyDigest.get(keyDigest));
+        return policy.tenantOfKey(keyDigest);
     }
 
     /** Whether a route needs no key. */
--- a/core/src/main/java/silverlatch/routing/RoutingTable.java
+++ b/core/src/main/java/silverlatch/routing/RoutingTable.java
@@ -24,7 +24,7 @@
 
     RoutingTable(final Policy policy) {
         Optional<Value.RoutingConfiguration> configuration = Optional.empty();
-        for (final Value value : policy.values().toList()) {
+        for (final Value value : policy.valuesExceptTenants().toList()) {
             if (value instanceof Value.Route route) {
                 routesByHost
                         .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
--- a/core/src/main/java/silverlatch/state/Policy.java
+++ b/core/src/main/java/silverlatch/state/Policy.java
@@ -11,23 +11,23 @@
 import java.util.stream.Stream;
 
 /**
- * What the data plane follows, as one immutable value that event loops hand to each other. A step to a newer revision
- * costs what changed, not what there is: changes are kept in an overlay, which is merged into the base when it is large.
+ * What the data plane follows, as one immutable value that event loops hand to each other. A step to a newer revision costs what
+ * changed, not what there is. Tenants of the routing configuration are kept apart from all else, as there may be tens of thousands
+ * of them, and are found by their keys.
  */
 public final class Policy {
     /** The policy without any entry. */
-    public static final Policy NONE = new Policy(Map.of(), Map.of(), List.of());
+    public static final Policy NONE = new Policy(LayeredMap.empty(), TenantIndex.EMPTY, List.of());
 
-    private static final int MAX_OVERLAY_ENTRIES = 256;
-    private final Map<String, Entry> base;
-    private final Map<String, Entry> overlay;
+    private final LayeredMap<Value> values;
+    private final TenantIndex tenants;
     private final List<Value.Evacuation> evacuations;
     private final Set<String> evacuatedZones;
 
     private Policy(
-            final Map<String, Entry> base, final Map<String, Entry> overlay, final List<Value.Evacuation> evacuations) {
-        this.base = base;
-        this.overlay = overlay;
+            final LayeredMap<Value> values, final TenantIndex tenants, final List<Value.Evacuation> evacuations) {
+        this.values = values;
+        this.tenants = tenants;
         this.evacuations = evacuations;
         this.evacuatedZones = evacuations.stream()
                 .filter(Value.Evacuation::active)
@@ -42,30 +42,33 @@
 
     /** The policy after changes; a deleted entry removes its value. */
     public Policy with(final Collection<Entry> changes) {
-        final boolean compacts = overlay.size() + changes.size() > MAX_OVERLAY_ENTRIES;
-        final Map<String, Entry> updated = new HashMap<>(compacts ? base : overlay);
-        if (compacts) {
-            updated.putAll(overlay);
-        }
-        changes.forEach(e -> updated.put(e.key(), e));
-        if (compacts) {
-            updated.values().removeIf(Entry::isDeleted);
-        }
+        final Map<String, Optional<Value.TenantAccess>> changedTenants = new HashMap<>();
+        final Map<String, Optional<Value>> changedValues = new HashMap<>();
         final List<Value.Evacuation> updatedEvacuations = new ArrayList<>(evacuations);
-        changes.stream().filter(e -> e.key().startsWith(EntryKeys.EVACUATIONS)).forEach(e -> {
-            updatedEvacuations.removeIf(d -> d.zone().equals(e.key().substring(EntryKeys.EVACUATIONS.length())));
-            e.value().forEach(l -> updatedEvacuations.add((Value.Evacuation) l));
-        });
-        return compacts
-                ? new Policy(updated, Map.of(), List.copyOf(updatedEvacuations))
-                : new Policy(base, updated, List.copyOf(updatedEvacuations));
+        for (final Entry change : changes) {
+            final Optional<Value> value = change.value().stream().findFirst();
+            if (change.key().startsWith(EntryKeys.TENANT_ACCESS)) {
+                changedTenants.put(change.key(), value.map(Value.TenantAccess.class::cast));
+            } else {
+                changedValues.put(change.key(), value);
+            }
+            if (change.key().startsWith(EntryKeys.EVACUATIONS)) {
+                final String zone = change.key().substring(EntryKeys.EVACUATIONS.length());
+                updatedEvacuations.removeIf(evacuation -> evacuation.zone().equals(zone));
+                value.map(Value.Evacuation.class::cast).ifPresent(updatedEvacuations::add);
+            }
+        }
+        return new Policy(values.with(changedValues), tenants.with(changedTenants), List.copyOf(updatedEvacuations));
     }
 
     /** The value of a key. */
     public Optional<Value> value(final String key) {
-        return Optional.ofNullable(overlay.get(key))
-                .or(() -> Optional.ofNullable(base.get(key)))
-                .flatMap(e -> e.value().stream().findFirst());
+        return values.get(key).or(() -> tenants.ofEntry(key));
+    }
+
+    /** The tenant of the routing configuration that has a key, by the key's SHA-256 in hexadecimal. */
+    public Optional<Value.TenantAccess> tenantOfKey(final String keyDigest) {
+        return tenants.ofKey(keyDigest);
     }
 
     /** The evacuations, active or ended, one a zone. */
@@ -80,8 +83,11 @@
 
     /** All values. */
     public Stream<Value> values() {
-        return Stream.concat(
-                        overlay.values().stream(), base.values().stream().filter(e -> !overlay.containsKey(e.key())))
-                .flatMap(e -> e.value().stream());
+        return Stream.concat(valuesExceptTenants(), tenants.tenants());
+    }
+
+    /** All values but the tenants of the routing configuration. */
+    public Stream<Value> valuesExceptTenants() {
+        return values.values();
     }
 }
--- a/core/src/test/java/silverlatch/state/PolicyTest.java
+++ b/core/src/test/java/silverlatch/state/PolicyTest.java
@@ -5,9 +5,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
@@ -56,6 +58,43 @@
         return new Entry(key, sequence, deleted ? List.of() : List.of(value));
     }
 
+    @Test
+    void eachKeyLeadsToTheTenantThatHasItWhereverKeysMove() {
+        final int[] tenantOfKey = new int[500];
+        Policy policy = Policy.NONE;
+        for (int step = 1; step <= 200; step++) {
+            final Set<Integer> changed = new HashSet<>();
+            for (int move = 0; move < (step % 50 == 0 ? 400 : 3); move++) {
+                final int key = random.nextInt(tenantOfKey.length);
+                changed.add(tenantOfKey[key]);
+                tenantOfKey[key] = random.nextInt(60);
+                changed.add(tenantOfKey[key]);
+            }
+            policy = policy.with(
+                    changed.stream().map(tenant -> tenant(tenant, tenantOfKey)).toList());
+            for (int key = 0; key < tenantOfKey.length; key++) {
+                final Optional<String> expected = Optional.of(tenantOfKey[key])
+                        .filter(tenant -> tenant > 0)
+                        .map(tenant -> "t" + tenant);
+                assertThat(policy.tenantOfKey("d" + key).map(Value.TenantAccess::name), is(expected));
+            }
+        }
+        assertThat(policy.values().count() <= 59, is(true));
+    }
+
+    /** The entry of a tenant with its keys; it is deleted where it has none, and tenant 0 stands for nobody. */
+    private static Entry tenant(final int tenant, final int[] tenantOfKey) {
+        final List<String> digests = new ArrayList<>();
+        for (int key = 0; key < tenantOfKey.length; key++) {
+            if (tenantOfKey[key] == tenant) {
+                digests.add("d" + key);
+            }
+        }
+        final Value.TenantAccess value =
+                new Value.TenantAccess("t" + tenant, digests, Value.TenantAccess.ROUTE_PRIORITY, List.of());
+        return new Entry("n/t" + tenant, 1, digests.isEmpty() || tenant == 0 ? List.of() : List.of(value));
+    }
+
     private static void applyTo(final Map<String, Value> model, final Entry write) {
         if (write.isDeleted()) {
             model.remove(write.key());
