--- a/core/src/test/java/silverlatch/node/Configurations.java
+++ b/core/src/test/java/silverlatch/node/Configurations.java
@@ -6,6 +6,7 @@
 import silverlatch.state.Command;
 import silverlatch.state.ConfigurationValidator;
 import silverlatch.state.Entry;
+import silverlatch.state.Policy;
 import silverlatch.state.StateMachine;
 import silverlatch.state.Value;
 
@@ -40,6 +41,34 @@
                 match);
     }
 
+    /** Returns the same with one tenant, whose only key has this digest. */
+    static Command.PutFullConfiguration withTenant(final long number, final long match, final String keyDigest) {
+        return new Command.PutFullConfiguration(
+                configuration("tenant-" + number, number, match),
+                true,
+                List.of(new Value.TenantAccess("a", List.of(keyDigest), Value.TenantAccess.ROUTE_PRIORITY, List.of())),
+                List.of(),
+                List.of());
+    }
+
+    /** Returns the number of the configuration that a command puts, if it puts one. */
+    static Optional<Long> number(final Command command) {
+        return switch (command) {
+            case Command.PutConfiguration put -> Optional.of(put.configuration().number());
+            case Command.PutFullConfiguration put ->
+                Optional.of(put.base().configuration().number());
+            default -> Optional.empty();
+        };
+    }
+
+    /** Returns the digests of the keys of the tenant that a gateway follows; empty where it follows none. */
+    static List<String> keysFollowed(final Policy policy) {
+        return policy.values()
+                .filter(Value.TenantAccess.class::isInstance)
+                .flatMap(tenant -> ((Value.TenantAccess) tenant).keyDigests().stream())
+                .toList();
+    }
+
     /** Returns the number that a read of the configuration was answered, if it was; 0 where there is no configuration. */
     static Optional<Long> numberRead(final List<Object> answers) {
         return answers.stream()
--- a/core/src/test/java/silverlatch/node/NodeCluster.java
+++ b/core/src/test/java/silverlatch/node/NodeCluster.java
@@ -174,8 +174,8 @@
         final long token = ++lastToken;
         machines.get(at).pendingResponses.put(token, r -> {
             pending.complete((CommandResult) r, now());
-            if (pending.isAcknowledged() && command instanceof Command.PutConfiguration c) {
-                monitor.acknowledged(c.configuration().number(), now());
+            if (pending.isAcknowledged()) {
+                Configurations.number(command).ifPresent(number -> monitor.acknowledged(number, now()));
             }
         });
         machines.get(at).step(n -> n.submit(command, token, now(), now() + COMMAND_TIMEOUT));
