Refuse a configuration that no frame could hold

Found while tracing: the counts of tenants, keys and routes are bounded one by one, but not together with the document. 50,000 tenants with two keys each beside a document of 4 MiB are more than the 16 MiB of a frame; the head would append the entry and never get it to its successor, so that no change after it were acknowledged either. Now the parts, and what a change writes, are bounded by their estimated bytes; 50,000 tenants with a key each and the longest document stay below the frame (same test). The estimate of a tenant's entry was 150 bytes above what it takes, and is nearer now.

--- a/core/src/main/java/silverlatch/state/ConfigurationWrites.java
+++ b/core/src/main/java/silverlatch/state/ConfigurationWrites.java
@@ -19,6 +19,11 @@
             EntryKeys.POOL_SCALINGS,
             EntryKeys.ACCESS_CONTROL);
 
+    /** How many bytes all parts may take together, by estimate, so that a gateway without a configuration gets them in one frame. */
+    private static final long MAX_PART_BYTES = 11L << 20;
+    /** How many bytes one change may take beside its document, by estimate, so that it is one frame and one log record. */
+    private static final long MAX_CHANGE_BYTES = 12L << 20;
+
     private ConfigurationWrites() {}
 
     /** The writes of a configuration without a fault. */
@@ -43,6 +48,29 @@
         return writes;
     }
 
+    /**
+     * What is wrong with the size of a configuration: one that no frame holds could never be replicated, and would hold up every
+     * change after it.
+     *
+     * @param writes what the configuration writes
+     */
+    static List<String> sizeFaults(final Command.PutFullConfiguration command, final List<Entry> writes) {
+        final long partBytes = parts(command).entrySet().stream()
+                .mapToLong(part -> new Entry(part.getKey(), 0, List.of(part.getValue())).estimatedBytes())
+                .sum();
+        if (partBytes > MAX_PART_BYTES) {
+            return List.of("$: its parts take " + partBytes + " bytes of " + MAX_PART_BYTES);
+        }
+        final long changeBytes = writes.stream()
+                .filter(write -> !write.key().equals(ConfigurationValidator.DOCUMENT_KEY))
+                .mapToLong(Entry::estimatedBytes)
+                .sum();
+        return changeBytes > MAX_CHANGE_BYTES
+                ? List.of("$: the change takes " + changeBytes + " bytes of " + MAX_CHANGE_BYTES
+                        + ", make it in two steps")
+                : List.of();
+    }
+
     private static Map<String, Value> parts(final Command.PutFullConfiguration command) {
         final Map<String, Value> parts = new HashMap<>();
         command.base()
--- a/core/src/main/java/silverlatch/state/Entry.java
+++ b/core/src/main/java/silverlatch/state/Entry.java
@@ -13,6 +13,7 @@
     private static final long BASE_BYTES = 96;
     private static final long VALUE_BYTES = 160;
     private static final long COUNT_BYTES = 32;
+    private static final long TENANT_ACCESS_BYTES = 24;
     private static final long KEY_DIGEST_BYTES = 72;
     private static final List<String> POLICY_PREFIXES = List.of(
             EntryKeys.TENANTS,
@@ -65,9 +66,12 @@
     }
 
     private static long estimatedBytes(final Value.TenantAccess tenant) {
-        return VALUE_BYTES
+        return TENANT_ACCESS_BYTES
+                + tenant.name().length()
                 + KEY_DIGEST_BYTES * tenant.keyDigests().size()
-                + 32L * tenant.homeRegions().size();
+                + tenant.homeRegions().stream()
+                        .mapToLong(region -> 16 + region.length())
+                        .sum();
     }
 
     private static long estimatedBytes(final Value.Route route) {
--- a/core/src/main/java/silverlatch/state/RoutingConfigurationManager.java
+++ b/core/src/main/java/silverlatch/state/RoutingConfigurationManager.java
@@ -41,6 +41,10 @@
             return RejectionCause.INVALID.reply(faults, currentNumber);
         }
         final List<Entry> writes = new ArrayList<>(ConfigurationWrites.of(full, context));
+        final List<String> sizeFaults = ConfigurationWrites.sizeFaults(full, writes);
+        if (!sizeFaults.isEmpty()) {
+            return RejectionCause.INVALID.reply(sizeFaults, currentNumber);
+        }
         writes.addAll(AcceptedConfigurations.writes(command, remembered, currentNumber, context.writeSequence()));
         return CommandOutcomes.accept(context, writes, command.id());
     }
--- a/core/src/test/java/silverlatch/state/TenantAccessTest.java
+++ b/core/src/test/java/silverlatch/state/TenantAccessTest.java
@@ -3,8 +3,10 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.util.List;
 import java.util.Map;
@@ -12,7 +14,9 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import silverlatch.clock.Stamp;
+import silverlatch.replication.LogEntry;
 import silverlatch.util.Digests;
+import silverlatch.wire.Codec;
 
 /** Tenants, public routes and bounds on workers as parts of a routing configuration. */
 final class TenantAccessTest {
@@ -211,6 +215,35 @@
                         "$.scalings[2].boot"));
     }
 
+    @Test
+    void aConfigurationThatIsAcceptedFitsInOneFrame() {
+        final Value.TenantAccess[] fitting = IntStream.range(0, ConfigurationValidator.MAX_TENANTS)
+                .mapToObj(i -> tenant("tenant" + i, "k" + i))
+                .toArray(Value.TenantAccess[]::new);
+        final Command.PutFullConfiguration largest = put(1, fitting);
+        final String document = "d".repeat(ConfigurationValidator.MAX_DOCUMENT_BYTES);
+        final Evaluation.Write write = (Evaluation.Write) evaluate(new Command.PutFullConfiguration(
+                new Command.PutConfiguration(
+                        "large",
+                        largest.base().configuration(),
+                        largest.base().routes(),
+                        largest.base().pools(),
+                        document,
+                        0),
+                true,
+                largest.tenants(),
+                List.of(),
+                List.of()));
+        assertThat(outcome(write).faults(), is(empty()));
+        assertThat(
+                new Codec().encode(new LogEntry(1, 1, new Stamp(1), write.entries())).length,
+                is(lessThan(Codec.MAX_BYTES)));
+        final Value.TenantAccess[] many = IntStream.range(0, ConfigurationValidator.MAX_TENANTS)
+                .mapToObj(i -> tenant("tenant" + i, "k" + i, "l" + i))
+                .toArray(Value.TenantAccess[]::new);
+        assertThat(faults(put(1, many)).toString(), containsString("$: its parts take "));
+    }
+
     @Test
     void theNumberOfTenantsAndKeysIsBounded() {
         final Value.TenantAccess[] tenants = IntStream.rangeClosed(0, ConfigurationValidator.MAX_TENANTS)
