Take no reply to a pull of an earlier process at this address

What was seen: a gateway that restarts while a pull of its earlier process is under way (slow link, controller that stood still) gets an answer with only what that process lacked, and takes it for the whole state of that revision, confirmed; routes, keys, pools and evacuations that are older are missing (404, 401, or on a saved state keys that were taken away), and stay so, as later pulls ask from that revision on. It spreads to gateways that pull there. Cause: a reply names neither the revision that was asked from nor the process that asked.

--- a/core/src/main/java/silverlatch/gossip/Gossip.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -35,6 +35,7 @@
     private final PeerSelector peerSelector;
     private final MemberVersions memberVersions;
     private final PullSchedule pullSchedule;
+    private final PullHistory pulls = new PullHistory();
     private final StateCopy state;
     private final AnnouncedWorkers announcedWorkers;
     private final Optional<WorkerReports> reports;
@@ -342,6 +343,7 @@
     }
 
     private GossipMessage.GossipPull pullRequest(final long now) {
+        pulls.add(now);
         return new GossipMessage.GossipPull(
                 now,
                 state.revision(),
@@ -375,7 +377,7 @@
     }
 
     private void onPullReply(final GossipMessage.GossipPullReply reply, final String sender, final long now) {
-        if (reply.askedAt() > now || !state.acceptsFleet(reply.fleet())) {
+        if (!pulls.contains(reply.askedAt()) || !state.acceptsFleet(reply.fleet())) {
             return;
         }
         switch (reply.content()) {
--- a/core/src/test/java/silverlatch/node/GatewayPropagationTest.java
+++ b/core/src/test/java/silverlatch/node/GatewayPropagationTest.java
@@ -21,6 +21,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import silverlatch.gossip.Worker;
+import silverlatch.state.Command;
 
 /** What gateways follow and when, during and after partitions; whole nodes on a simulated clock. */
 final class GatewayPropagationTest {
@@ -93,6 +94,32 @@
         }
     }
 
+    @Test
+    void gatewayRestartedWhileAPullIsUnderWayTakesNoAnswerMeantForItsEarlierProcess() {
+        for (int i = 0; i < 12; i++) {
+            final NodeCluster cluster = new NodeCluster(3, 3, 70);
+            acknowledge(cluster, cluster.controllers(), 1, 5 * SECOND);
+            cluster.put("c1", evacuation());
+            cluster.advance(2 * SECOND);
+            cluster.links().slow("g2", 3 * SECOND);
+            cluster.advance(2 * SECOND);
+            cluster.kill("g2");
+            cluster.links().heal();
+            acknowledge(cluster, cluster.controllers(), 2, 5 * SECOND);
+            cluster.advance(200_000 + i * 50_000L);
+            cluster.start("g2", cluster.controllers());
+            cluster.advance(5 * SECOND);
+            assertThat(
+                    "at " + i,
+                    cluster.node("g2").gossip().stateMachine().policySince(0),
+                    is(cluster.node("g1").gossip().stateMachine().policySince(0)));
+        }
+    }
+
+    private static Command evacuation() {
+        return new Command.SetEvacuation("evacuate", "z9", true, -1);
+    }
+
     @Test
     void pausedGatewayFollowsWithinTheLimitOnceResumed() {
         final NodeCluster cluster = new NodeCluster(3, 3, 5);
