Count no lease grant that an earlier process of the machine asked for by another clock

A machine that lost its power begins its monotonic clock anew; a grant under way since then is dated later than now, so it counted until the new clock reached that date, and kept newer grants from counting. With a majority of such a member would call its state the newest, and answer reads, without a lease. Failed before: HeldLeaseTest.aGrantThatWasAskedForBeforeThisMachineRestartedItsClockDoesNotCount:45. The other calls of HeldLease.add in tests only got the moment at which the grant comes.

--- a/core/src/main/java/silverlatch/replication/ChainReplica.java
+++ b/core/src/main/java/silverlatch/replication/ChainReplica.java
@@ -316,7 +316,7 @@
             fenceOutdatedLog(grant);
             return;
         }
-        lease.add(grant);
+        lease.add(grant, now);
         writeAdmission.leaseGranted(now);
     }
 
--- a/core/src/main/java/silverlatch/replication/HeldLease.java
+++ b/core/src/main/java/silverlatch/replication/HeldLease.java
@@ -45,9 +45,14 @@
                                 view.number(), now, settings.self(), role.isActive(), hearsMajority)));
     }
 
-    /** Takes a grant of a voter of the installed view. */
-    void add(final ReplicationMessage.LeaseGrant grant) {
-        grantTimes.merge(grant.voter(), grant.askedAt(), Math::max);
+    /**
+     * Takes a grant of a voter of the installed view. One that was asked for later than now was asked for by an earlier process of this
+     * machine, whose monotonic clock has begun anew since.
+     */
+    void add(final ReplicationMessage.LeaseGrant grant, final long now) {
+        if (grant.askedAt() <= now) {
+            grantTimes.merge(grant.voter(), grant.askedAt(), Math::max);
+        }
     }
 
     /** Gives the lease up: another view begins, or the log is outdated. */
--- a/core/src/test/java/silverlatch/replication/HeldLeaseTest.java
+++ b/core/src/test/java/silverlatch/replication/HeldLeaseTest.java
@@ -23,25 +23,35 @@
 
     @Test
     void aMajorityOfGrantsCountsForNineTenthsOfALeaseFromWhenItWasAskedFor() {
-        lease.add(grant(SELF, START));
+        lease.add(grant(SELF, START), START);
         assertThat("one of three voters", lease.isHeld(START), is(false));
-        lease.add(grant(SECOND, START));
+        lease.add(grant(SECOND, START), START);
         assertThat(lease.isHeld(START + COUNTED_MICROS - 1), is(true));
         assertThat(lease.isHeld(START + COUNTED_MICROS), is(false));
     }
 
     @Test
     void aLateGrantOfAnOlderRequestDoesNotShortenTheLease() {
-        lease.add(grant(SELF, START));
-        lease.add(grant(SECOND, START));
-        lease.add(grant(SECOND, START - COUNTED_MICROS));
+        lease.add(grant(SELF, START), START);
+        lease.add(grant(SECOND, START), START);
+        lease.add(grant(SECOND, START - COUNTED_MICROS), START);
         assertThat(lease.isHeld(START + COUNTED_MICROS - 1), is(true));
     }
 
+    @Test
+    void aGrantThatWasAskedForBeforeThisMachineRestartedItsClockDoesNotCount() {
+        lease.add(grant(SELF, START), START);
+        lease.add(grant(SECOND, 100 * START), START);
+        assertThat(lease.isHeld(START), is(false));
+        lease.add(grant(SECOND, START), START);
+        assertThat(lease.isHeld(START + COUNTED_MICROS - 1), is(true));
+        assertThat(lease.isHeld(START + COUNTED_MICROS), is(false));
+    }
+
     @Test
     void nothingIsHeldAfterItWasGivenUp() {
-        lease.add(grant(SELF, START));
-        lease.add(grant(SECOND, START));
+        lease.add(grant(SELF, START), START);
+        lease.add(grant(SECOND, START), START);
         lease.clear();
         assertThat(lease.isHeld(START), is(false));
     }
--- a/core/src/test/java/silverlatch/replication/ReadAdmissionTest.java
+++ b/core/src/test/java/silverlatch/replication/ReadAdmissionTest.java
@@ -19,8 +19,8 @@
         parts.in(view);
         final HeldLease lease = new HeldLease(parts.settings, parts.role, parts.effects);
         if (leased) {
-            lease.add(new ReplicationMessage.LeaseGrant(1, START, SELF.id(), 0));
-            lease.add(new ReplicationMessage.LeaseGrant(1, START, SECOND.id(), 0));
+            lease.add(new ReplicationMessage.LeaseGrant(1, START, SELF.id(), 0), START);
+            lease.add(new ReplicationMessage.LeaseGrant(1, START, SECOND.id(), 0), START);
         }
         final ReplicaLog log = ReplicaParts.log(parts, syncedAt -> {}, sequence -> {});
         log.append(List.of(entry(1), entry(2)), START);
--- a/core/src/test/java/silverlatch/replication/WriteAdmissionTest.java
+++ b/core/src/test/java/silverlatch/replication/WriteAdmissionTest.java
@@ -32,8 +32,8 @@
     }
 
     private void grantLease(final long now) {
-        lease.add(new ReplicationMessage.LeaseGrant(1, now, SELF.id(), 0));
-        lease.add(new ReplicationMessage.LeaseGrant(1, now, SECOND.id(), 0));
+        lease.add(new ReplicationMessage.LeaseGrant(1, now, SELF.id(), 0), now);
+        lease.add(new ReplicationMessage.LeaseGrant(1, now, SECOND.id(), 0), now);
     }
 
     private static ChainClientMessage.WriteRequest evacuation(final String id, final long expectedRevision) {
