--- a/core/src/test/java/silverlatch/node/RevocationTest.java
+++ b/core/src/test/java/silverlatch/node/RevocationTest.java
@@ -1,12 +1,11 @@
 package silverlatch.node;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.both;
 import static org.hamcrest.Matchers.empty;
-import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
-import static org.hamcrest.Matchers.not;
 import static silverlatch.node.ClusterSteps.SECOND;
 import static silverlatch.node.ClusterSteps.acknowledge;
 import static silverlatch.node.ClusterSteps.addressAt;
@@ -114,4 +113,159 @@
             assertThat(keys.violations(), empty());
         }
     }
+
+    /** For ten seconds one configuration after the other takes keys away, through the machines that are in touch. */
+    private static void revokeWhile(
+            final NodeCluster cluster, final Fault fault, final List<String> side, final long number) {
+        fault.inject(cluster, side, allBut(cluster, side));
+        final List<String> through =
+                cluster.controllers().stream().filter(c -> !side.contains(c)).toList();
+        long next = number;
+        final long end = cluster.now() + 10 * SECOND;
+        while (cluster.now() < end) {
+            next++;
+            acknowledge(cluster, through, next, 8 * SECOND);
+        }
+        cluster.links().heal();
+        side.forEach(cluster::thaw);
+    }
+
+    private static void assertNoRevokedKeyIsAccepted(final Fault fault, final long seed, final List<String> side) {
+        final NodeCluster cluster = cluster(seed);
+        final KeyMonitor keys = watch(cluster);
+        cluster.advance(seed % 7 * 60_000);
+        revokeWhile(cluster, fault, side, 1);
+        final String what = fault + " of " + side + " seed " + seed;
+        assertThat(what, cluster.advanceUntil(5 * SECOND, keys::areAllAccepting), greaterThanOrEqualTo(0L));
+        cluster.advance(2 * SECOND);
+        assertThat(what, keys.violations(), empty());
+        assertThat(what, cluster.violations(), empty());
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void gatewaysOutOfTouchAcceptNoRevokedKeys(final Fault fault) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            assertNoRevokedKeyIsAccepted(fault, 200 + seed, List.of("g0", "g2"));
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void gatewaysBesideAControllerOutOfTouchAcceptNoRevokedKeys(final Fault fault) {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            assertNoRevokedKeyIsAccepted(fault, 300 + seed, List.of("c" + seed % 3, "g0", "g2"));
+        }
+    }
+
+    /** The first gateway reaches no controller, only gateways that do. */
+    @Test
+    void gatewaysThatReachOnlyGatewaysAcceptNoRevokedKeys() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            final NodeCluster cluster = cluster(400 + seed);
+            final KeyMonitor keys = watch(cluster);
+            cluster.links().partition(List.of("g0", "g1"), cluster.controllers());
+            cluster.advance(seed * SECOND);
+            for (int number = 2; number < 7; number++) {
+                acknowledge(cluster, cluster.controllers(), number, 5 * SECOND);
+            }
+            cluster.links().partition(List.of("g0", "g1"), List.of("g2", "g3"));
+            for (int number = 7; number < 15; number++) {
+                acknowledge(cluster, cluster.controllers(), number, 5 * SECOND);
+            }
+            assertThat(keys.isAccepting("g0") || keys.isAccepting("g1"), is(false));
+            assertThat(keys.violations(), empty());
+            assertThat(cluster.violations(), empty());
+        }
+    }
+
+    /** Those that come back first have old configurations, some of them on disk; the keys are revoked while they are without power. */
+    @Test
+    void machinesThatComeBackWithSavedConfigurationsAcceptNoRevokedKeys() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            final NodeCluster cluster = cluster(500 + seed);
+            final KeyMonitor keys = watch(cluster);
+            final String old = addressAt(cluster, seed % 3);
+            final List<String> side = List.of(old, "g0", "g2");
+            side.forEach(cluster::powerOff);
+            acknowledge(cluster, others(cluster, old), 2, 8 * SECOND);
+            cluster.advance(DEADLINE - seed * SECOND);
+            machines(cluster).forEach(cluster::powerOff);
+            cluster.advance(SECOND);
+            side.forEach(name -> cluster.start(name, seeds(cluster)));
+            for (long passed = 0; passed < 10 * SECOND; passed += SECOND / 10) {
+                cluster.advance(SECOND / 10);
+                assertThat(keys.isAccepting("g0") || keys.isAccepting("g2"), is(false));
+            }
+            allBut(cluster, side).forEach(name -> cluster.start(name, seeds(cluster)));
+            assertThat(cluster.advanceUntil(5 * SECOND, keys::areAllAccepting), greaterThanOrEqualTo(0L));
+            assertThat(cluster.servedRevision("g0"), is(2L));
+            assertThat(keys.violations(), empty());
+        }
+    }
+
+    @Test
+    void steppedWallClocksNeitherProlongNorEndALease() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            final NodeCluster cluster = cluster(600 + seed);
+            final KeyMonitor keys = watch(cluster);
+            final long by = (seed % 2 == 0 ? 1 : -1) * (seed + 1) * 7 * SECOND;
+            List.of("c0", "g0", "g1").forEach(name -> cluster.stepWallClock(name, by));
+            cluster.advance(5 * SECOND);
+            assertThat(keys.drainLongestRefusal(), is(0L));
+            cluster.links().partition(List.of("g0"), allBut(cluster, List.of("g0")));
+            for (int number = 2; number < 12; number++) {
+                acknowledge(cluster, cluster.controllers(), number, 5 * SECOND);
+            }
+            assertThat(keys.isAccepting("g0"), is(false));
+            assertThat(keys.violations(), empty());
+        }
+    }
+
+    @Test
+    void aGatewayThatStartsLateAcceptsKeysByTheNewestConfigurationOnly() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            final NodeCluster cluster = cluster(700 + seed);
+            final KeyMonitor keys = watch(cluster);
+            cluster.powerOff("g0");
+            acknowledge(cluster, cluster.controllers(), 2, 5 * SECOND);
+            cluster.advance(DEADLINE);
+            cluster.start("g0", seeds(cluster));
+            assertThat(
+                    cluster.advanceUntil(SECOND, () -> keys.isAccepting("g0")),
+                    is(both(greaterThanOrEqualTo(0L)).and(lessThanOrEqualTo(SECOND / 2))));
+            assertThat(keys.violations(), empty());
+        }
+    }
+
+    @Test
+    void aShortCutRefusesKeysForLittleMoreThanItsLengthLessTheLease() {
+        final long cut = 6 * SECOND;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            final NodeCluster cluster = cluster(800 + seed);
+            final KeyMonitor keys = watch(cluster);
+            cluster.advance(seed * 150_000);
+            final List<String> side = List.of("c0", "g0", "g3");
+            cluster.links().partition(side, allBut(cluster, side));
+            cluster.advance(cut);
+            cluster.links().heal();
+            assertThat(cluster.advanceUntil(SECOND, keys::areAllAccepting), greaterThanOrEqualTo(0L));
+            cluster.advance(5 * SECOND);
+            assertThat(keys.drainLongestRefusal(), lessThanOrEqualTo(cut - LEASE + SECOND));
+        }
+    }
+
+    @Test
+    void afterALossOfAllPowerKeysAreAcceptedSoonAfterControllersAreUp() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            final NodeCluster cluster = cluster(900 + seed);
+            final KeyMonitor keys = watch(cluster);
+            machines(cluster).forEach(cluster::powerOff);
+            cluster.advance(2 * SECOND);
+            cluster.gateways().forEach(name -> cluster.start(name, seeds(cluster)));
+            cluster.advance(SECOND + seed * 170_000);
+            cluster.controllers().forEach(name -> cluster.start(name, cluster.controllers()));
+            System.out.println("after " + cluster.advanceUntil(5 * SECOND, keys::areAllAccepting));
+        }
+    }
 }
