Count, collect, close and mark the usage of windows in the core; no gateway counts yet

Gateways report cumulative counts by start of their process and window to the owner of the singleton role, which closes a window by a committed command once every gateway that may have counted in it has reported it complete. Only committed counts are handed on, so each owner reports the same ones; a committed mark spares a successor repeats. Closings and marks under another token than the present view's are rejected at the head.

--- a/core/src/main/java/silverlatch/clock/PhysicalClock.java
+++ b/core/src/main/java/silverlatch/clock/PhysicalClock.java
@@ -21,6 +21,11 @@
         return NtpTime.fromUnixNanos(unixNanosAt(nowMicros));
     }
 
+    /** The Unix time at a monotonic time, in microseconds. */
+    public long unixMicros(final long nowMicros) {
+        return unixNanosAt(nowMicros) / NANOS_PER_MICRO;
+    }
+
     private long unixNanosAt(final long nowMicros) {
         return unixNanos + (nowMicros - monotonicMicros) * NANOS_PER_MICRO;
     }
--- a/core/src/main/java/silverlatch/node/Event.java
+++ b/core/src/main/java/silverlatch/node/Event.java
@@ -91,6 +91,10 @@
     WORKER_GONE(606, false),
     /** An attempt failed, or was moved from a silent worker. */
     RUN_BROKE(607, false),
+    /** The provider of the machines was called, and accepted it. */
+    PROVIDER_CALLED(800, false),
+    /** A call of the provider had another outcome. */
+    PROVIDER_FAILED(801, true),
     /** The recording can't be written; it ends here. */
     RECORD_BROKEN(700, true);
 
--- a/core/src/main/java/silverlatch/node/MessageDispatcher.java
+++ b/core/src/main/java/silverlatch/node/MessageDispatcher.java
@@ -12,6 +12,7 @@
 import silverlatch.wire.GossipMessage;
 import silverlatch.wire.MembershipMessage;
 import silverlatch.wire.Message;
+import silverlatch.wire.TrafficMessage;
 
 /** Hands each message to the part of the node that it is for: membership, gossip, chain client, or the chain's replica. */
 final class MessageDispatcher {
@@ -19,6 +20,7 @@
     private final Membership membership;
     private final Gossip gossip;
     private final ChainClient chainClient;
+    private final TrafficExchange traffic;
     private final Supplier<Optional<ChainReplica>> chainReplica;
     private final Consumer<Effect> effects;
     private boolean hasJoined;
@@ -28,12 +30,14 @@
             final Membership membership,
             final Gossip gossip,
             final ChainClient chainClient,
+            final TrafficExchange traffic,
             final Supplier<Optional<ChainReplica>> chainReplica,
             final Consumer<Effect> effects) {
         this.clock = clock;
         this.membership = membership;
         this.gossip = gossip;
         this.chainClient = chainClient;
+        this.traffic = traffic;
         this.chainReplica = chainReplica;
         this.effects = effects;
     }
@@ -65,6 +69,8 @@
             case GossipMessage.MissingReports missing -> gossip.onMessage(missing, sender, now);
             case ChainClientMessage.WriteReply reply -> chainClient.onMessage(reply, now);
             case ChainClientMessage.ReadReply reply -> chainClient.onMessage(reply, now);
+            case TrafficMessage.TrafficReport report -> traffic.onReport(report, sender, now);
+            case TrafficMessage.TrafficReportAck ack -> traffic.onAck(ack);
             case Message.StampRejected rejected -> onStampRejected(rejected, sender, now);
             default -> chainReplica.get().ifPresent(replica -> replica.onMessage(message, sender, now));
         }
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -44,6 +44,7 @@
     private final Membership membership;
     private final Gossip gossip;
     private final ChainClient chainClient;
+    private final TrafficExchange traffic;
     private final MessageDispatcher dispatcher;
     private final FrameReceiver receiver;
     private final FrameSender sender;
@@ -133,8 +134,10 @@
         this.chainReplica = chainSettings.map(c ->
                 new ChainReplica(c.withSafeguards(settings.safeguards()), records, () -> localStamp(currentTime), now));
         this.chainClient = new ChainClient(settings.self().address(), this::view, random.nextLong() >>> 8);
-        this.dispatcher =
-                new MessageDispatcher(clock, membership, gossip, chainClient, this::chainReplica, effects::add);
+        this.traffic = new TrafficExchange(
+                settings.self().address(), clock, membership, gossip, this::view, this::chainReplica);
+        this.dispatcher = new MessageDispatcher(
+                clock, membership, gossip, chainClient, traffic, this::chainReplica, effects::add);
         this.receiver = new FrameReceiver(
                 clock, gossip::fleet, dispatcher::dispatch, pendingEffects::add, effects::add, counters);
         this.sender = new FrameSender(clock, membership, gossip::fleet);
@@ -173,6 +176,11 @@
         return chainReplica;
     }
 
+    /** Returns the part that reports and collects what gateways serve. */
+    public TrafficExchange traffic() {
+        return traffic;
+    }
+
     /** Returns counts of frames, by the names of {@link NodeCounters}. */
     public Map<String, Long> counters() {
         return counters.snapshot();
@@ -279,6 +287,7 @@
     /** Begins a graceful shutdown: announces it, and hands over what the replica holds. */
     public void leave(final long now) {
         advanceTime(now);
+        traffic.leave(now);
         membership.leave();
         chainReplica.ifPresent(ChainReplica::leave);
         processEffects(now);
@@ -300,6 +309,7 @@
         dispatcher.adoptReplicaState(now);
         gossip.tick(now);
         chainClient.tick(now);
+        traffic.tick(now);
         processEffects(now);
     }
 
@@ -371,5 +381,6 @@
         chainReplica.ifPresent(replica -> pendingEffects.addAll(replica.drain()));
         pendingEffects.addAll(gossip.drain());
         pendingEffects.addAll(chainClient.drain());
+        pendingEffects.addAll(traffic.drain());
     }
 }
--- a/core/src/main/java/silverlatch/replication/View.java
+++ b/core/src/main/java/silverlatch/replication/View.java
@@ -65,6 +65,13 @@
         return chain.isEmpty() ? Optional.empty() : Optional.of(Lists.last(chain));
     }
 
+    /** The member of the chain that owns the singleton role, where there is a chain. */
+    public Optional<Replica> owner() {
+        return chain.stream()
+                .filter(member -> member.id().equals(singletonOwner))
+                .findFirst();
+    }
+
     /** The addresses of the chain's members in their order, for log lines. */
     List<String> chainAddresses() {
         return chain.stream().map(Replica::address).toList();
--- a/core/src/main/java/silverlatch/replication/WriteAdmission.java
+++ b/core/src/main/java/silverlatch/replication/WriteAdmission.java
@@ -96,8 +96,13 @@
 
     private boolean hasOldFencingToken(final Command command) {
         final long fencingToken = role.view().number();
-        return command instanceof Command.AdvanceEpoch epoch && epoch.fencingToken() != fencingToken
-                || command instanceof Command.Scheduled scheduled && scheduled.fencingToken() != fencingToken;
+        return switch (command) {
+            case Command.AdvanceEpoch epoch -> epoch.fencingToken() != fencingToken;
+            case Command.Scheduled scheduled -> scheduled.fencingToken() != fencingToken;
+            case Command.CloseUsageWindow close -> close.fencingToken() != fencingToken;
+            case Command.MarkUsageReported mark -> mark.fencingToken() != fencingToken;
+            default -> false;
+        };
     }
 
     /** Replies to a write that needs no entry of its own, once all that the reply rests on is committed. */
--- a/core/src/main/java/silverlatch/state/Command.java
+++ b/core/src/main/java/silverlatch/state/Command.java
@@ -142,6 +142,12 @@
      */
     record CloseUsageWindow(String id, long fencingToken, Value.UsageWindow window) implements Command {}
 
+    /**
+     * Notes that the provider has the usage of a window and of all closed ones before it, so that who owns the singleton role next
+     * doesn't report them again. The mark never goes back. The singleton role's owner sends it.
+     */
+    record MarkUsageReported(String id, long fencingToken, long window) implements Command {}
+
     /** The new value of one cell of the table, as text. */
     record Cell(String tenant, String kind, String field, String value) {}
 }
--- a/core/src/main/java/silverlatch/state/EntryKeys.java
+++ b/core/src/main/java/silverlatch/state/EntryKeys.java
@@ -30,6 +30,8 @@
     static final String POOL_SCALINGS = "s/";
     /** Closed windows of usage, by number in decimal with leading zeros. */
     static final String USAGE_WINDOWS = "w/";
+    /** Up to where usage was reported. */
+    static final String USAGE_REPORTED = "u/reported";
     /** The routing configuration in force, without its routes and pools. */
     static final String CONFIGURATION_PREFIX = "p/";
 
--- a/core/src/main/java/silverlatch/state/StateMachine.java
+++ b/core/src/main/java/silverlatch/state/StateMachine.java
@@ -170,6 +170,7 @@
             case Command.PutConfiguration put -> configurations.put(put, context);
             case Command.PutFullConfiguration put -> configurations.put(put.base(), context);
             case Command.CloseUsageWindow close -> usage.close(close, context);
+            case Command.MarkUsageReported mark -> usage.markReported(mark, context);
         };
     }
 }
--- a/core/src/main/java/silverlatch/state/UsageManager.java
+++ b/core/src/main/java/silverlatch/state/UsageManager.java
@@ -30,6 +30,16 @@
         return new Evaluation.Write(writes(key, command.window(), remembered, context));
     }
 
+    Evaluation markReported(final Command.MarkUsageReported command, final EvaluationContext context) {
+        final boolean isKnown = context.value(EntryKeys.USAGE_REPORTED, Value.UsageReported.class)
+                .filter(reported -> reported.window() >= command.window())
+                .isPresent();
+        return isKnown
+                ? new Evaluation.Reply(new CommandResult.Applied(context.revisionOf(EntryKeys.USAGE_REPORTED)))
+                : new Evaluation.Write(
+                        List.of(context.write(EntryKeys.USAGE_REPORTED, new Value.UsageReported(command.window()))));
+    }
+
     private static List<Entry> writes(
             final String key,
             final Value.UsageWindow window,
--- a/core/src/main/java/silverlatch/state/Value.java
+++ b/core/src/main/java/silverlatch/state/Value.java
@@ -282,6 +282,13 @@
         }
     }
 
+    /**
+     * Up to where usage was reported. The type came with a later version than {@link UsageWindow}.
+     *
+     * @param window the newest window that the provider has; it has all closed ones before it
+     */
+    record UsageReported(long window) implements Value {}
+
     /** How many requests of a tenant began to run. */
     record TenantCount(String tenant, long requests) {}
 }
--- a/core/src/main/java/silverlatch/wire/Codec.java
+++ b/core/src/main/java/silverlatch/wire/Codec.java
@@ -63,7 +63,8 @@
             Value.PublicRoute.class,
             Value.TenantAccess.class,
             Value.PoolScaling.class,
-            Value.UsageWindow.class);
+            Value.UsageWindow.class,
+            Value.UsageReported.class);
 
     private final Kryo kryo = new Kryo();
 
--- a/core/src/main/java/silverlatch/wire/WireTypes.java
+++ b/core/src/main/java/silverlatch/wire/WireTypes.java
@@ -131,7 +131,9 @@
             type(110, TrafficMessage.TrafficReport.class, 0, 1, 2, 3, 4),
             type(111, TrafficMessage.TrafficReportAck.class, 0, 1),
             type(112, TrafficMessage.WindowCounts.class, 0, 1, 2),
-            type(113, TrafficMessage.PoolDemand.class, 0, 1, 2, 3));
+            type(113, TrafficMessage.PoolDemand.class, 0, 1, 2, 3),
+            type(114, Command.MarkUsageReported.class, 0, 1, 2),
+            type(115, Value.UsageReported.class, 0));
 
     private static final Map<Class<?>, WireType> BY_CLASS =
             FRAME_TYPES.stream().collect(Collectors.toUnmodifiableMap(WireType::type, Function.identity()));
--- /dev/null
+++ b/core/src/test/java/silverlatch/replication/SingletonTenureTest.java
@@ -0,0 +1,57 @@
+package silverlatch.replication;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+final class SingletonTenureTest {
+    private static final long TENURE = 3_600_000;
+    private final SingletonTenure tenure = new SingletonTenure(TENURE);
+
+    private boolean observe(final long token, final long now) {
+        return tenure.observe(Optional.of(token), now);
+    }
+
+    @Test
+    void anOwnerActsOnlyAfterAWholeTenure() {
+        assertThat("begins", observe(5, 1_000), is(true));
+        assertThat("goes on", observe(5, TENURE), is(false));
+        assertThat(tenure.mayAct(5, TENURE + 999), is(false));
+        assertThat(tenure.mayAct(5, TENURE + 1_000), is(true));
+    }
+
+    @Test
+    void aMissingViewNumberMayHaveHadAnotherOwner() {
+        observe(5, 0);
+        assertThat(observe(7, TENURE), is(true));
+        assertThat(tenure.mayAct(7, 2 * TENURE - 1), is(false));
+        assertThat(tenure.mayAct(7, 2 * TENURE), is(true));
+    }
+
+    @Test
+    void viewsInARowOfOneOwnerLeaveNoRoomForAnother() {
+        observe(5, 0);
+        assertThat(observe(6, 100), is(false));
+        assertThat(observe(7, 200), is(false));
+        assertThat(tenure.mayAct(7, TENURE), is(true));
+    }
+
+    @Test
+    void aLeaseThatLapsesAndComesBackForTheSameViewDelaysNothing() {
+        observe(5, 0);
+        tenure.observe(Optional.empty(), 1_000_000);
+        assertThat(observe(5, 30_000_000), is(false));
+        assertThat(tenure.mayAct(5, 30_000_000), is(true));
+    }
+
+    @Test
+    void nobodyActsUnderATokenThatWasNotObservedLast() {
+        observe(5, 0);
+        observe(6, TENURE);
+        assertThat(tenure.mayAct(5, TENURE), is(false));
+        assertThat(tenure.mayAct(7, TENURE), is(false));
+        assertThat(tenure.mayAct(6, TENURE), is(true));
+    }
+}
--- a/core/src/test/java/silverlatch/replication/WriteAdmissionTest.java
+++ b/core/src/test/java/silverlatch/replication/WriteAdmissionTest.java
@@ -13,6 +13,7 @@
 import silverlatch.clock.Stamp;
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
+import silverlatch.state.Value;
 import silverlatch.wire.ChainClientMessage;
 import silverlatch.wire.ReplicationMessage;
 
@@ -63,6 +64,24 @@
         assertThat(results(), is(List.of(new CommandResult.Applied(1))));
     }
 
+    @Test
+    void usageIsClosedAndMarkedOnlyUnderTheTokenOfThePresentView() {
+        grantLease(START);
+        final Value.UsageWindow window = new Value.UsageWindow(9, List.of());
+        for (final long token : List.of(0L, 2L)) {
+            admission.handleWriteRequest(request(new Command.CloseUsageWindow("close", token, window)), START);
+            admission.handleWriteRequest(request(new Command.MarkUsageReported("mark", token, 9)), START);
+        }
+        assertThat(log.lastSequence(), is(0L));
+        admission.handleWriteRequest(request(new Command.CloseUsageWindow("close", 1, window)), START);
+        admission.handleWriteRequest(request(new Command.MarkUsageReported("mark", 1, 9)), START);
+        assertThat(log.lastSequence(), is(2L));
+    }
+
+    private static ChainClientMessage.WriteRequest request(final Command command) {
+        return new ChainClientMessage.WriteRequest(7, "client", command);
+    }
+
     @Test
     void aWriteWithoutALeaseWaitsForOneForNoLongerThanALease() {
         admission.handleWriteRequest(evacuation("early", -1), START);
--- /dev/null
+++ b/core/src/test/java/silverlatch/traffic/UsageOutboxTest.java
@@ -0,0 +1,67 @@
+package silverlatch.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import silverlatch.state.Command;
+import silverlatch.state.Entry;
+import silverlatch.state.StateMachine;
+import silverlatch.state.Value;
+
+final class UsageOutboxTest {
+    private static final Optional<Long> TOKEN = Optional.of(4L);
+    private final StateMachine state = new StateMachine();
+    private final UsageOutbox outbox = new UsageOutbox();
+
+    @BeforeEach
+    void closeThreeWindows() {
+        for (long window = 10; window <= 12; window++) {
+            final Entry entry = new Entry(
+                    String.format("w/%019d", window), window, List.of(new Value.UsageWindow(window, List.of())));
+            state.apply(window, List.of(entry));
+        }
+    }
+
+    private Optional<Long> next(final UsageOutbox from) {
+        return from.next(state).map(Value.UsageWindow::number);
+    }
+
+    private void commitMark(final long window) {
+        state.apply(20, List.of(new Entry("u/reported", 20, List.of(new Value.UsageReported(window)))));
+    }
+
+    @Test
+    void closedWindowsAreReportedOnceInTheirOrder() {
+        assertThat(next(outbox), is(Optional.of(10L)));
+        assertThat("the outcome isn't known", next(outbox), is(Optional.of(10L)));
+        outbox.onReported(10);
+        outbox.onReported(11);
+        assertThat(next(outbox), is(Optional.of(12L)));
+        outbox.onReported(12);
+        assertThat(next(outbox), is(Optional.empty()));
+    }
+
+    @Test
+    void aSuccessorRepeatsOnlyWhatIsNotMarked() {
+        commitMark(11);
+        assertThat(next(new UsageOutbox()), is(Optional.of(12L)));
+    }
+
+    @Test
+    void theMarkIsSentUntilItIsCommitted() {
+        assertThat(outbox.mark(state, TOKEN, 0), is(Optional.empty()));
+        outbox.onReported(10);
+        assertThat(outbox.mark(state, Optional.empty(), 0), is(Optional.empty()));
+        assertThat(
+                outbox.mark(state, TOKEN, 0),
+                is(Optional.of(new Command.MarkUsageReported("usage-reported-10", 4, 10))));
+        assertThat("under way", outbox.mark(state, TOKEN, 400_000), is(Optional.empty()));
+        assertThat(outbox.mark(state, TOKEN, 500_000).isPresent(), is(true));
+        commitMark(10);
+        assertThat(outbox.mark(state, TOKEN, 1_000_000), is(Optional.empty()));
+    }
+}
--- a/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
+++ b/core/src/test/java/silverlatch/wire/CodecCompatibilityTest.java
@@ -85,7 +85,9 @@
                 new LogRecord.Accepted(8, 22, view),
                 new LogRecord.Founding(view),
                 new LogRecord.Batch(List.of(appended, new LogRecord.Promised(8, 23))),
-                new LogRecord.Appended(new LogEntry(17, 7, new Stamp(24), laterEntries())));
+                new LogRecord.Appended(new LogEntry(17, 7, new Stamp(24), laterEntries())),
+                new LogRecord.Appended(new LogEntry(
+                        18, 7, new Stamp(31), List.of(new Entry("key-25", 18, List.of(new Value.UsageReported(32)))))));
     }
 
     /** One entry with a value of each type that came after the first records of this format. */
--- a/core/src/test/java/silverlatch/wire/FrameSamples.java
+++ b/core/src/test/java/silverlatch/wire/FrameSamples.java
@@ -192,7 +192,10 @@
                         219,
                         List.of(new TrafficMessage.WindowCounts(220, true, window.counts())),
                         List.of(new TrafficMessage.PoolDemand("pool", 221.5, 222.5, 223.5))),
-                new TrafficMessage.TrafficReportAck(224, List.of(225L)));
+                new TrafficMessage.TrafficReportAck(224, List.of(225L)),
+                new ChainClientMessage.WriteRequest(226, "10.0.0.3:1", new Command.MarkUsageReported("c16", 227, 228)),
+                new ChainClientMessage.ReadReply(
+                        229, true, 230, List.of(new Entry("key-25", 231, List.of(new Value.UsageReported(232))))));
     }
 
     private static List<Entry> entries() {
--- a/server/src/main/java/silverlatch/server/controller/EntryJson.java
+++ b/server/src/main/java/silverlatch/server/controller/EntryJson.java
@@ -56,6 +56,7 @@
                 Map.of("pool", scaling.pool(), "min", scaling.minWorkers(), "max", scaling.maxWorkers());
             case Value.UsageWindow window ->
                 Map.of("window", window.number(), "tenants", window.counts().size());
+            case Value.UsageReported reported -> Map.of("reported", reported.window());
             case Value.CommandOutcome outcome -> write(outcome, entry.key().substring(OUTCOME_PREFIX_LENGTH));
         };
     }
