Count tenants' requests in gateways, and call the provider while a controller owns the role

Gateways count each attempt of a tenant's request at its first event. The controller's ProviderCaller makes one call at a time, under the token of the instant of the call, after a whole tenure, at 0.8 of the shared rate, with growing pauses after calls that weren't accepted, and never again under a token that was refused.

--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -12,6 +12,7 @@
 import silverlatch.dispatch.TraceLog;
 import silverlatch.node.Event;
 import silverlatch.state.Value;
+import silverlatch.traffic.UsageCounter;
 
 /**
  * Routes the requests that come by host and path to workers, and decides what follows when an attempt breaks. It does no
@@ -40,6 +41,7 @@
     private final Authenticator authenticator;
     private final WorkerSelector selector;
     private final AttemptSender sender;
+    private Optional<UsageCounter> usage = Optional.empty();
     private RoutingTable routingTable = RoutingTable.NONE;
     private ClusterSnapshot cluster;
     private boolean draining;
@@ -118,6 +120,11 @@
         this.sender = new AttemptSender(requests, workers, selector, random, output);
     }
 
+    /** Has the requests of tenants counted that workers begin to run: each attempt at its first event. */
+    public void countUsage(final UsageCounter counter) {
+        usage = Optional.of(counter);
+    }
+
     /** Takes a newer snapshot of the cluster. */
     public void update(final ClusterSnapshot next, final long now) {
         if (next.revision() != cluster.revision() || routingTable == RoutingTable.NONE) {
@@ -232,6 +239,7 @@
             final WorkerState.Attempt attempt = worker.attempt(attemptId);
             workers.reachabilityOf(worker).heard(now);
             if (attempt.eventSeen(now)) {
+                usage.ifPresent(counter -> open.tenant().ifPresent(tenant -> counter.count(tenant.name(), now)));
                 worker.recordSuccess(attempt, now);
                 selector.firstEventSeen(worker, attempt, now);
             }
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -4,8 +4,10 @@
 import jakarta.inject.Singleton;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -18,11 +20,16 @@
 import silverlatch.node.Event;
 import silverlatch.node.Node;
 import silverlatch.replication.ChainClient;
+import silverlatch.replication.ChainReplica;
 import silverlatch.server.eventloop.EventLog;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.eventloop.EventLoopHandle;
 import silverlatch.server.persistence.WorkerRoster;
 import silverlatch.server.process.DaemonProcess;
+import silverlatch.server.provider.CallSource;
+import silverlatch.server.provider.CloudProvider;
+import silverlatch.server.provider.ProviderCaller;
+import silverlatch.server.provider.UsageCallSource;
 import silverlatch.server.settings.Settings;
 import silverlatch.server.transport.Transport;
 import silverlatch.server.web.ApiServer;
@@ -55,6 +62,7 @@
     private final Readiness readiness;
     private final WorkerAnnouncements announcements;
     private final ScheduleRunner schedules;
+    private Optional<ProviderCaller> providerCaller = Optional.empty();
     private volatile List<Member> liveControllers = List.of();
 
     /** Connects the parts of a controller; nothing runs before {@link #start()}. */
@@ -75,6 +83,26 @@
                 settings.httpAddress(),
                 ApiRouter.maxBodyBytes(settings),
                 new ApiRouter(settings, eventLoop, transport, scheduler, readiness::unreadyReason)::route);
+        if (settings.singleton().reportsUsage()) {
+            node.traffic().collect(settings.singleton().usageSchedule());
+        }
+    }
+
+    /** Has the provider called while this process owns the singleton role. To be called before {@link #start()}. */
+    public void callProvider(final CloudProvider provider) {
+        final List<CallSource> sources = new ArrayList<>();
+        if (settings.singleton().reportsUsage()) {
+            sources.add(new UsageCallSource(
+                    node.traffic().outbox(), () -> node.chainReplica().map(ChainReplica::stateMachine)));
+        }
+        providerCaller = Optional.of(new ProviderCaller(
+                settings.singleton(),
+                provider,
+                sources,
+                now -> node.chainReplica().flatMap(replica -> replica.fencingToken(now)),
+                EventLoop::nowMicros,
+                task -> eventLoop.execute(target -> task.run()),
+                new SplittableRandom()));
     }
 
     /** Reads the saved workers, starts the threads, and listens. */
@@ -195,5 +223,6 @@
         readiness.update(ticked, now);
         roster.ifPresent(file -> file.saveIfChanged(ticked.gossip(), now));
         schedules.afterTick(ticked, now);
+        providerCaller.ifPresent(ProviderCaller::tick);
     }
 }
--- a/server/src/main/java/silverlatch/server/gateway/Gateway.java
+++ b/server/src/main/java/silverlatch/server/gateway/Gateway.java
@@ -27,6 +27,8 @@
 import silverlatch.server.web.ApiServer;
 import silverlatch.server.web.HttpExchange;
 import silverlatch.server.web.MultiListenerServer;
+import silverlatch.traffic.TrafficReporter;
+import silverlatch.traffic.UsageCounter;
 import silverlatch.wire.Frame;
 
 /**
@@ -78,6 +80,18 @@
                 new OperatorApi(settings, dispatchLoop, nodeLoop, transport, this::unreadyReason);
         this.apiRouter = new ApiRouter(
                 settings, dispatchLoop, nodeLoop, exchanges, operatorApi, this::unreadyReason, this::publish);
+        if (settings.singleton().isActive()) {
+            reportTraffic(node, router);
+        }
+    }
+
+    private void reportTraffic(final Node node, final Router router) {
+        final Optional<UsageCounter> counter = settings.singleton().reportsUsage()
+                ? Optional.of(new UsageCounter(settings.singleton().usageSchedule(), node::physicalClock))
+                : Optional.empty();
+        counter.ifPresent(router::countUsage);
+        final long incarnation = node.membership().self().incarnation();
+        node.traffic().report(new TrafficReporter(settings.name(), incarnation, counter, List::of));
     }
 
     /**
--- a/server/src/main/java/silverlatch/server/provider/CloudProvider.java
+++ b/server/src/main/java/silverlatch/server/provider/CloudProvider.java
@@ -6,6 +6,9 @@
 /**
  * The provider of the machines, to which one process at a time reports usage and whom it asks for workers. Calls don't block; a
  * result comes on any thread, and never exceptionally.
+ *
+ * <p>A call that isn't answered is aborted, and its outcome is unknown, well within the {@link
+ * silverlatch.server.settings.SingletonSettings#tenureMicros}: none may arrive under an old fencing token when the next owner acts.
  */
 public interface CloudProvider {
     /** Reports the usage of a closed window. A repeat with the same counts is harmless. */
--- a/server/src/main/java/silverlatch/server/provider/ProviderCall.java
+++ b/server/src/main/java/silverlatch/server/provider/ProviderCall.java
@@ -8,6 +8,9 @@
     /** Makes the call under the caller's name and fencing token. */
     CompletableFuture<CloudProvider.Outcome> make(CloudProvider provider, CloudProvider.Caller caller);
 
+    /** What is called for, for the log of events; no keys are in it. */
+    String summary();
+
     /** Reports the usage of a closed window. */
     record ReportUsage(Value.UsageWindow window) implements ProviderCall {
         @Override
@@ -15,6 +18,11 @@
                 final CloudProvider provider, final CloudProvider.Caller caller) {
             return provider.reportUsage(caller, window);
         }
+
+        @Override
+        public String summary() {
+            return "usage of window " + window.number();
+        }
     }
 
     /** Sets how many workers of a pool a zone is to have. */
@@ -24,5 +32,10 @@
                 final CloudProvider provider, final CloudProvider.Caller caller) {
             return provider.setWorkerCount(caller, target);
         }
+
+        @Override
+        public String summary() {
+            return target.count() + " workers of " + target.pool() + " in " + target.zone();
+        }
     }
 }
--- /dev/null
+++ b/server/src/main/java/silverlatch/server/provider/ProviderCaller.java
@@ -0,0 +1,143 @@
+package silverlatch.server.provider;
+
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.LongFunction;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import silverlatch.node.Event;
+import silverlatch.replication.SingletonTenure;
+import silverlatch.server.eventloop.EventLog;
+import silverlatch.server.settings.SingletonSettings;
+
+/**
+ * Calls the provider while this process owns the singleton role, one call at a time, each under the fencing token of the instant in which
+ * it is made. It acts only after a whole {@link SingletonTenure}, never under a token that the provider has called too low, and less
+ * often than the provider allows all processes together. After a call that wasn't accepted it pauses, each time for longer.
+ *
+ * <p>Owned by the controller's event loop; times are microseconds of the monotonic clock.
+ */
+public final class ProviderCaller {
+    /** The part of the provider's limit that is used: an owner before this one may have made calls in the same second. */
+    private static final double RATE_SHARE = 0.8;
+
+    private static final double MICROS_PER_SECOND = 1_000_000;
+
+    /** A provider aborts its own calls earlier; this is for an outcome that got lost in this process. */
+    private static final long LOST_OUTCOME_MICROS = 15_000_000L;
+
+    private static final long NO_TOKEN = -1;
+    private final SingletonSettings settings;
+    private final CloudProvider provider;
+    private final List<CallSource> sources;
+    private final LongFunction<Optional<Long>> fencingToken;
+    private final LongSupplier clock;
+    private final Executor eventLoop;
+    private final SingletonTenure tenure;
+    private final CallBackoff backoff;
+    private final Map<CloudProvider.Outcome, Long> counters = new EnumMap<>(CloudProvider.Outcome.class);
+    private Optional<CallInFlight> inFlight = Optional.empty();
+    private int firstSource;
+    private long nextCallAt = Long.MIN_VALUE;
+    private long fencedToken = NO_TOKEN;
+
+    /**
+     * A caller that has called nothing.
+     *
+     * @param sources      what is to be called, the most urgent first
+     * @param fencingToken the token under which this process owns the role at a moment; called on the event loop
+     * @param clock        the monotonic clock
+     * @param eventLoop    runs tasks on the event loop
+     * @param random       spreads pauses
+     */
+    public ProviderCaller(
+            final SingletonSettings settings,
+            final CloudProvider provider,
+            final List<CallSource> sources,
+            final LongFunction<Optional<Long>> fencingToken,
+            final LongSupplier clock,
+            final Executor eventLoop,
+            final RandomGenerator random) {
+        this.settings = settings;
+        this.provider = provider;
+        this.sources = List.copyOf(sources);
+        this.fencingToken = fencingToken;
+        this.clock = clock;
+        this.eventLoop = eventLoop;
+        this.tenure = new SingletonTenure(settings.tenureMicros());
+        this.backoff = new CallBackoff(random);
+    }
+
+    private record CallInFlight(CallSource source, ProviderCall call, long fencingToken, long madeAt) {}
+
+    /** Makes the next call, if one is due. */
+    public void tick() {
+        final long now = clock.getAsLong();
+        final Optional<Long> token = fencingToken.apply(now);
+        if (tenure.observe(token, now)) {
+            inFlight = Optional.empty();
+            backoff.reset();
+            sources.forEach(CallSource::reset);
+        }
+        inFlight.filter(call -> now - call.madeAt() >= LOST_OUTCOME_MICROS)
+                .ifPresent(call -> onOutcome(call, CloudProvider.Outcome.UNKNOWN));
+        if (token.isPresent() && inFlight.isEmpty() && now >= nextCallAt) {
+            makeNext(now);
+        }
+    }
+
+    /** How many calls had each outcome. */
+    public Map<CloudProvider.Outcome, Long> counters() {
+        return Map.copyOf(counters);
+    }
+
+    private void makeNext(final long now) {
+        for (int i = 0; i < sources.size(); i++) {
+            final CallSource source = sources.get((firstSource + i) % sources.size());
+            final Optional<ProviderCall> call = source.next(now);
+            if (call.isPresent()) {
+                make(source, call.get());
+                return;
+            }
+        }
+    }
+
+    /** The token is looked up here: what came before may have taken a while. */
+    private void make(final CallSource source, final ProviderCall call) {
+        final long now = clock.getAsLong();
+        final Optional<Long> token =
+                fencingToken.apply(now).filter(owned -> tenure.mayAct(owned, now) && owned > fencedToken);
+        if (token.isEmpty()) {
+            return;
+        }
+        final CallInFlight made = new CallInFlight(source, call, token.get(), now);
+        inFlight = Optional.of(made);
+        nextCallAt = now + (long) Math.ceil(MICROS_PER_SECOND / (settings.callsPerSecond() * RATE_SHARE));
+        call.make(provider, new CloudProvider.Caller(settings.holderName(), token.get()))
+                .thenAccept(outcome -> eventLoop.execute(() -> onOutcome(made, outcome)));
+    }
+
+    private void onOutcome(final CallInFlight made, final CloudProvider.Outcome outcome) {
+        if (inFlight.filter(call -> call == made).isEmpty()) {
+            return;
+        }
+        final long now = clock.getAsLong();
+        inFlight = Optional.empty();
+        counters.merge(outcome, 1L, Long::sum);
+        final boolean isAccepted = outcome == CloudProvider.Outcome.ACCEPTED;
+        EventLog.write(
+                isAccepted ? Event.PROVIDER_CALLED : Event.PROVIDER_FAILED,
+                outcome + " " + made.call().summary() + " under token " + made.fencingToken() + " after "
+                        + (now - made.madeAt()) / 1000 + " ms");
+        switch (outcome) {
+            case ACCEPTED, REFUSED -> backoff.reset();
+            case FENCED -> fencedToken = made.fencingToken();
+            case THROTTLED, UNKNOWN -> nextCallAt = Math.max(nextCallAt, now + backoff.next());
+        }
+        firstSource = isAccepted ? 0 : (sources.indexOf(made.source()) + 1) % sources.size();
+        made.source().onOutcome(made.call(), outcome, now);
+    }
+}
--- a/server/src/main/java/silverlatch/server/settings/SingletonSettings.java
+++ b/server/src/main/java/silverlatch/server/settings/SingletonSettings.java
@@ -1,5 +1,7 @@
 package silverlatch.server.settings;
 
+import silverlatch.traffic.UsageSchedule;
+
 /**
  * What the owner of the singleton role does outside the cluster, and how carefully. Times are in microseconds.
  *
@@ -23,6 +25,11 @@
     /** The owner does nothing outside the cluster. */
     public static final SingletonSettings NONE = new SingletonSettings("", false, false, 0, 0, 5_000_000L, 10_000_000L);
 
+    /** How usage is cut into windows. */
+    public UsageSchedule usageSchedule() {
+        return new UsageSchedule(windowMicros, delayMicros);
+    }
+
     /** Whether the owner does anything outside the cluster. */
     public boolean isActive() {
         return reportsUsage || scales;
--- /dev/null
+++ b/server/src/test/java/silverlatch/server/provider/ScriptedProvider.java
@@ -0,0 +1,43 @@
+package silverlatch.server.provider;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import silverlatch.state.Value;
+
+/** A provider that notes its calls; a test answers each, or none. */
+final class ScriptedProvider implements CloudProvider {
+    private final List<Call> calls = new ArrayList<>();
+
+    /** A call, and the outcome that its caller waits for. */
+    record Call(String holder, long token, String what, CompletableFuture<Outcome> outcome) {}
+
+    List<Call> calls() {
+        return calls;
+    }
+
+    Call last() {
+        return calls.get(calls.size() - 1);
+    }
+
+    /** What was called for, in order. */
+    List<String> subjects() {
+        return calls.stream().map(Call::what).toList();
+    }
+
+    @Override
+    public CompletableFuture<Outcome> reportUsage(final Caller caller, final Value.UsageWindow window) {
+        return note(caller, "usage " + window.number());
+    }
+
+    @Override
+    public CompletableFuture<Outcome> setWorkerCount(final Caller caller, final WorkerCount target) {
+        return note(caller, "workers " + target.count());
+    }
+
+    private CompletableFuture<Outcome> note(final Caller caller, final String what) {
+        final CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+        calls.add(new Call(caller.holderName(), caller.fencingToken(), what, outcome));
+        return outcome;
+    }
+}
