--- a/core/src/main/java/silverlatch/routing/OpenRequestTable.java
+++ b/core/src/main/java/silverlatch/routing/OpenRequestTable.java
@@ -6,17 +6,20 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import silverlatch.dispatch.buffer.Slab;
+import silverlatch.traffic.DemandMeter;
 
 /** The open requests of a gateway by the client's call and by the attempt in flight; bounded. Owned by the routing event loop. */
 final class OpenRequestTable {
     private final Slab<OpenRequest> slab;
     private final Map<Long, Long> handlesByCall = new HashMap<>();
     private final Map<Long, Long> handlesByAttempt = new HashMap<>();
+    private final DemandMeter demand;
     private long lastAttemptId;
 
-    /** A table for so many requests. */
-    OpenRequestTable(final int capacity) {
+    /** A table for so many requests; the meter is told which come and go. */
+    OpenRequestTable(final int capacity, final DemandMeter demand) {
         this.slab = new Slab<>(capacity);
+        this.demand = demand;
     }
 
     /** How many requests are open. */
@@ -30,6 +33,7 @@
         handle.ifPresent(inserted -> {
             open.setHandle(inserted);
             handlesByCall.put(open.request().callId(), inserted);
+            demand.requestOpened(open.pool(), open.request().tokens());
         });
         return handle.isPresent();
     }
@@ -61,7 +65,9 @@
 
     /** Takes a request out. */
     void remove(final OpenRequest open) {
-        slab.remove(open.handle());
+        if (slab.remove(open.handle()).isPresent()) {
+            demand.requestClosed(open.pool(), open.request().tokens());
+        }
         handlesByCall.remove(open.request().callId());
     }
 
--- a/core/src/main/java/silverlatch/routing/RoutedRequest.java
+++ b/core/src/main/java/silverlatch/routing/RoutedRequest.java
@@ -28,6 +28,11 @@
         promptParts = List.copyOf(promptParts);
     }
 
+    /** How many tokens its prompt and its response may have together. */
+    int tokens() {
+        return promptTokens + maxResponseTokens;
+    }
+
     /**
      * A part of a prompt.
      *
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -12,6 +12,8 @@
 import silverlatch.dispatch.TraceLog;
 import silverlatch.node.Event;
 import silverlatch.state.Value;
+import silverlatch.traffic.DemandMeter;
+import silverlatch.wire.TrafficMessage;
 
 /**
  * Routes the requests that come by host and path to workers, and decides what follows when an attempt breaks. It does no
@@ -33,6 +35,7 @@
     private final OpenRequestTable requests;
     private final WorkerTable workers;
     private final TrafficStatistics traffic = new TrafficStatistics();
+    private final DemandMeter demand = new DemandMeter();
     private final GatewayCountWindow gatewayCount = new GatewayCountWindow();
     private final RoutingOutput output = new RoutingOutput();
     private final RetryBudget retryBudget;
@@ -95,7 +98,7 @@
         this.cluster = cluster;
         this.timestamps = timestamps;
         this.random = random;
-        this.requests = new OpenRequestTable(settings.maxOpenRequests());
+        this.requests = new OpenRequestTable(settings.maxOpenRequests(), demand);
         this.retryBudget = new RetryBudget(settings.retryRatio(), 2);
         this.policies = settings.policies();
         this.workers = new WorkerTable(settings.prefixLifetime());
@@ -148,6 +151,11 @@
         return requests.size();
     }
 
+    /** What clients ask of each pool; any thread may read it. */
+    public List<TrafficMessage.PoolDemand> demand() {
+        return demand.latest();
+    }
+
     /** The counters by name. */
     public Map<String, Long> counters() {
         return output.counters();
@@ -308,6 +316,7 @@
 
     /** A timer event, several times a second. */
     public void tick(final long now) {
+        demand.sample(now);
         requests.forEach(open -> checkTimeouts(open, now));
     }
 
