--- a/core/src/main/java/silverlatch/scaling/Load.java
+++ b/core/src/main/java/silverlatch/scaling/Load.java
@@ -13,13 +13,6 @@
 record Load(double arrivals, double requests, double tokens) {
     static final Load NONE = new Load(0, 0, 0);
 
-    /**
-     * The part of its slots and of its cache that a worker is to have in use. It is small, as the running requests share a worker's
-     * processor: they slow each other down, and the latency targets are missed, long before slots or cache are full. The rest
-     * is for what comes within the time that a new worker takes to start.
-     */
-    private static final double TARGET_UTILIZATION = 0.2;
-
     /** What the clients of a gateway ask of a pool. */
     static Load of(final GatewayDemand gateway, final String pool) {
         return gateway.pools().stream()
@@ -36,10 +29,13 @@
         return new Load(arrivals * factor, requests * factor, tokens * factor);
     }
 
-    /** How many workers serve this, in fractions; the pool may say nothing of its workers' caches. */
-    double workers(final Value.BackendPool pool) {
+    /**
+     * How many workers serve this, in fractions, if each has so large a part of its slots and of its cache in use; the pool may say nothing
+     * of its workers' caches.
+     */
+    double workers(final Value.BackendPool pool, final double utilization) {
         final double bySlots = requests / Math.max(1, pool.slots());
         final double byCache = pool.cacheTokens() > 0 ? tokens / pool.cacheTokens() : 0;
-        return Math.max(bySlots, byCache) / TARGET_UTILIZATION;
+        return Math.max(bySlots, byCache) / utilization;
     }
 }
--- a/core/src/main/java/silverlatch/scaling/PoolDecision.java
+++ b/core/src/main/java/silverlatch/scaling/PoolDecision.java
@@ -18,11 +18,11 @@
     /** For so long the demand has to be known before anything is decided by it. */
     static final long OBSERVATION_MICROS = 4_000_000L;
 
-    /** For so long fewer workers have to be enough before the count is lowered. */
+    /** For so long fewer workers have to be enough before a count is lowered that never had to be raised. */
     static final long LOWER_AFTER_MICROS = 4_000_000L;
 
-    /** A count that was raised stays for so long: longer than a wave of the demand, so that it doesn't go down and up with each. */
-    static final long KEEP_AFTER_RAISE_MICROS = 30_000_000L;
+    /** The same once it had to be raised: longer than a wave of the demand, so that the count doesn't go down and up with each. */
+    static final long LOWER_AFTER_RAISE_MICROS = 30_000_000L;
 
     /** Counts aren't raised more often than this, unless much is missing. */
     static final long RAISE_INTERVAL_MICROS = 3_000_000L;
@@ -30,6 +30,15 @@
     /** A zone that has been lost for longer holds the counts of the others no more. */
     static final long LOSS_MICROS = 60_000_000L;
 
+    /**
+     * The part of its slots and of its cache that a worker is to have in use after the worst loss. It is small, as the running requests share a
+     * worker's processor: they slow each other down, and the latency targets are missed, long before slots or cache are full.
+     */
+    private static final double TARGET_UTILIZATION = 0.35;
+
+    /** When workers would have more than this in use, their count is raised; the distance keeps chance from moving counts. */
+    private static final double MAX_UTILIZATION = 0.5;
+
     /** How long it takes until a decision is made, ordered and begun. */
     private static final long REACTION_MICROS = 2_000_000L;
 
@@ -148,32 +157,30 @@
             return state.kept();
         }
         final int current = state.target().map(WorkerTarget::count).orElseGet(() -> liveWorkers.get(zone));
-        final int enough = enough(load);
-        if (enough > current) {
-            final boolean isDue = now - state.raisedAt() >= RAISE_INTERVAL_MICROS || enough >= current * MUCH;
+        final int enough = clamp(load.workers(pool, TARGET_UTILIZATION));
+        final int needed = clamp(load.workers(pool, MAX_UTILIZATION));
+        if (needed > current) {
+            final boolean isDue = now - state.raisedAt() >= RAISE_INTERVAL_MICROS || needed >= current * MUCH;
             return isObserved && isDue ? state.raisedTo(target(zone, enough, load, current), now) : state.kept();
         }
-        if (enough == current || !mayLower) {
+        if (enough >= current || !mayLower) {
             return state.kept();
         }
-        return lower(zone, state.mayBeLowered(enough, now), load, current, isObserved);
+        final ZoneState lowerable = state.mayBeLowered(enough, now);
+        final int count = Math.max(lowerable.peak(), (int) Math.ceil(current * MAX_LOWER_STEP));
+        return isObserved && now - lowerable.lowerSince() >= lowerAfter(state) && count < current
+                ? lowerable.loweredTo(target(zone, count, load, current), enough, now)
+                : lowerable;
     }
 
-    private ZoneState lower(
-            final String zone, final ZoneState state, final Load load, final int current, final boolean isObserved) {
-        final boolean isDue = isObserved
-                && now - state.lowerSince() >= LOWER_AFTER_MICROS
-                && now - state.raisedAt() >= KEEP_AFTER_RAISE_MICROS;
-        final int count = Math.max(state.peak(), (int) Math.ceil(current * MAX_LOWER_STEP));
-        return isDue && count < current
-                ? state.loweredTo(target(zone, count, load, current), enough(load), now)
-                : state;
+    private static long lowerAfter(final ZoneState state) {
+        return state.raisedAt() == ScalingState.NEVER ? LOWER_AFTER_MICROS : LOWER_AFTER_RAISE_MICROS;
     }
 
-    private int enough(final Load load) {
+    private int clamp(final double workers) {
         final int most = Math.max(1, bounds.maxWorkers());
         return Numbers.clamp(
-                (int) Math.ceil(load.workers(pool) - ROUNDING), Math.min(Math.max(1, bounds.minWorkers()), most), most);
+                (int) Math.ceil(workers - ROUNDING), Math.min(Math.max(1, bounds.minWorkers()), most), most);
     }
 
     private WorkerTarget target(final String zone, final int count, final Load load, final int current) {
