--- a/core/src/main/java/silverlatch/routing/RoutedRequest.java
+++ b/core/src/main/java/silverlatch/routing/RoutedRequest.java
@@ -52,6 +52,11 @@
                 new Credential.None());
     }
 
+    /** How many tokens its prompt and its response may have together. */
+    int tokens() {
+        return promptTokens + maxResponseTokens;
+    }
+
     /**
      * A part of a prompt.
      *
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -12,7 +12,9 @@
 import silverlatch.dispatch.TraceLog;
 import silverlatch.node.Event;
 import silverlatch.state.Value;
+import silverlatch.traffic.DemandMeter;
 import silverlatch.traffic.UsageCounter;
+import silverlatch.wire.TrafficMessage;
 
 /**
  * Routes the requests that come by host and path to workers, and decides what follows when an attempt breaks. It does no
@@ -34,6 +36,7 @@
     private final OpenRequestTable requests;
     private final WorkerTable workers;
     private final TrafficStatistics traffic = new TrafficStatistics();
+    private final DemandMeter demand = new DemandMeter();
     private final GatewayCountWindow gatewayCount = new GatewayCountWindow();
     private final RoutingOutput output = new RoutingOutput();
     private final RetryBudget retryBudget;
@@ -110,7 +113,7 @@
         this.cluster = cluster;
         this.timestamps = timestamps;
         this.random = random;
-        this.requests = new OpenRequestTable(settings.maxOpenRequests());
+        this.requests = new OpenRequestTable(settings.maxOpenRequests(), demand);
         this.retryBudget = new RetryBudget(settings.retryRatio(), 2);
         this.policies = settings.policies();
         this.authenticator = new Authenticator(new RevocationLease(settings.revocationDeadline()), random);
@@ -169,6 +172,11 @@
         return requests.size();
     }
 
+    /** What clients ask of each pool; any thread may read it. */
+    public List<TrafficMessage.PoolDemand> demand() {
+        return demand.latest();
+    }
+
     /** The counters by name. */
     public Map<String, Long> counters() {
         return output.counters();
@@ -342,6 +350,7 @@
 
     /** A timer event, several times a second. */
     public void tick(final long now) {
+        demand.sample(now);
         requests.forEach(open -> checkTimeouts(open, now));
     }
 
