Ask a client to come again where it isn't certain whose key it sent, on public routes too

A gateway that can't tell whether a newer configuration knows a key would have run the request on a public route under no tenant, while its key may be one's: the worker gets the wrong tenant (UNASKED). Requests without a key are served on public routes as before, whatever the age of the configuration. Found by reading; AuthenticatorTest now holds both.

--- a/core/src/main/java/silverlatch/routing/Authenticator.java
+++ b/core/src/main/java/silverlatch/routing/Authenticator.java
@@ -8,9 +8,10 @@
 /**
  * Decides for whom a request runs, and whether it may.
  *
- * <p>A key is accepted by the configuration in force here, and only while {@link RevocationLease} holds. A request is rejected for
- * good only where the configuration was confirmed as the newest lately, since a newer one may know its key; otherwise it is
- * asked to come again.
+ * <p>A key is accepted by the configuration in force here, and only while {@link RevocationLease} holds. One that is unknown here counts
+ * as unknown only where the configuration was confirmed as the newest lately, since a newer one may know it. Where neither is
+ * certain the client is asked to come again, on public routes too, as a worker would be given the wrong tenant; without a key it is
+ * served there in any case.
  *
  * <p>It is asked once a request, when the request arrives, and that suffices for each attempt that is made of it. Proof: let the
  * configuration in force here have been the newest at {@code c}. One that takes a key of it away is acknowledged after {@code c}. The
@@ -54,17 +55,20 @@
         if (!table.areKeysRequired()) {
             return new Decision.Allowed(Optional.empty());
         }
+        final boolean hasKey = request.credential() instanceof Credential.Key;
         final Optional<Value.TenantAccess> tenant =
                 request.credential() instanceof Credential.Key key ? table.tenant(key.digest()) : Optional.empty();
-        if (tenant.isPresent()) {
-            return lease.isValid(snapshot, now) ? new Decision.Allowed(tenant) : unavailable();
-        }
-        if (table.isPublic(route)) {
+        final boolean isCertain = lease.isValid(snapshot, now)
+                && (tenant.isPresent() || snapshot.isConfirmedWithin(now, MAX_CONFIRMATION_AGE));
+        if (tenant.isEmpty() && table.isPublic(route) && (isCertain || !hasKey)) {
             return new Decision.Allowed(Optional.empty());
         }
-        final boolean isSurelyUnknown =
-                lease.isValid(snapshot, now) && snapshot.isConfirmedWithin(now, MAX_CONFIRMATION_AGE);
-        return isSurelyUnknown ? new Decision.Rejected(UNAUTHORIZED, 0, "a tenant's key is needed") : unavailable();
+        if (!isCertain) {
+            return unavailable();
+        }
+        return tenant.isPresent()
+                ? new Decision.Allowed(tenant)
+                : new Decision.Rejected(UNAUTHORIZED, 0, "a tenant's key is needed");
     }
 
     private Decision unavailable() {
--- a/core/src/test/java/silverlatch/routing/AuthenticatorTest.java
+++ b/core/src/test/java/silverlatch/routing/AuthenticatorTest.java
@@ -105,10 +105,14 @@
         confirmedAt = Optional.of(NOW - 5 * SECOND);
         assertUnavailable(decide(new Credential.Key("d1"), KEYED));
         assertUnavailable(decide(new Credential.Key("d1"), PUBLIC));
-        for (final Credential credential : WITHOUT_KNOWN_KEY) {
-            assertUnavailable(decide(credential, KEYED));
-            assertThat(decide(credential, PUBLIC), is(allowed(Optional.empty())));
-        }
+        WITHOUT_KNOWN_KEY.forEach(credential -> assertUnavailable(decide(credential, KEYED)));
+        assertPublicRoutesServeRequestsWithoutKeysOnly();
+    }
+
+    private void assertPublicRoutesServeRequestsWithoutKeysOnly() {
+        assertThat(decide(new Credential.None(), PUBLIC), is(allowed(Optional.empty())));
+        assertThat(decide(new Credential.Invalid(), PUBLIC), is(allowed(Optional.empty())));
+        assertUnavailable(decide(new Credential.Key("unknown"), PUBLIC));
     }
 
     @Test
@@ -116,6 +120,7 @@
         for (final Optional<Long> confirmation : List.of(Optional.<Long>empty(), Optional.of(NOW - 3 * SECOND))) {
             confirmedAt = confirmation;
             WITHOUT_KNOWN_KEY.forEach(credential -> assertUnavailable(decide(credential, KEYED)));
+            assertPublicRoutesServeRequestsWithoutKeysOnly();
             assertThat(decide(new Credential.Key("d1"), KEYED), is(allowed(Optional.of(ACME))));
         }
     }
