Put in force the parts of a document that an older version had passed over

Found while tracing: a fleet that runs with tenants today holds a document whose tenants no entry has, as versions before passed them over. After an upgrade nothing enforces them, and the document sent again is acknowledged as taken ("Applied") and stays without effect. Now a repeat of the document in force writes the parts that are missing, under the same number and a new revision, and is acknowledged when that is committed; a plain command, as a controller of an older version sends in a rolling upgrade, takes nothing away; a repeat that was refused stays refused.

--- a/core/src/main/java/silverlatch/state/ConfigurationWrites.java
+++ b/core/src/main/java/silverlatch/state/ConfigurationWrites.java
@@ -28,6 +28,21 @@
 
     /** The writes of a configuration without a fault. */
     static List<Entry> of(final Command.PutFullConfiguration command, final EvaluationContext context) {
+        final List<Entry> writes = partWrites(command, context);
+        final Command.PutConfiguration base = command.base();
+        writes.add(context.write(ConfigurationValidator.CONFIGURATION_KEY, base.configuration()));
+        writes.add(context.write(
+                ConfigurationValidator.DOCUMENT_KEY,
+                new Value.ConfigurationDocument(base.configuration().number(), base.document())));
+        return writes;
+    }
+
+    /** Whether a configuration has other parts than the entries in force. */
+    static boolean differs(final Command.PutFullConfiguration command, final EvaluationContext context) {
+        return !partWrites(command, context).isEmpty();
+    }
+
+    private static List<Entry> partWrites(final Command.PutFullConfiguration command, final EvaluationContext context) {
         final Map<String, Entry> current = new HashMap<>();
         PART_PREFIXES.forEach(prefix -> current.putAll(context.withPrefix(prefix)));
         final Map<String, Value> updated = parts(command);
@@ -40,11 +55,6 @@
                 .sorted()
                 .filter(key -> !isHeld(current.get(key), updated.get(key)))
                 .forEach(key -> writes.add(context.write(key, updated.get(key))));
-        final Command.PutConfiguration base = command.base();
-        writes.add(context.write(ConfigurationValidator.CONFIGURATION_KEY, base.configuration()));
-        writes.add(context.write(
-                ConfigurationValidator.DOCUMENT_KEY,
-                new Value.ConfigurationDocument(base.configuration().number(), base.document())));
         return writes;
     }
 
--- a/core/src/main/java/silverlatch/state/RoutingConfigurationManager.java
+++ b/core/src/main/java/silverlatch/state/RoutingConfigurationManager.java
@@ -27,7 +27,12 @@
         final long currentNumber = currentNumber(context);
         final Optional<CommandResult> earlier = earlierResult(command, context, currentNumber);
         if (earlier.isPresent()) {
-            return new Evaluation.Reply(earlier.get());
+            final List<Entry> missing = earlier.get() instanceof CommandResult.Applied
+                    ? missingParts(full, context, currentNumber)
+                    : List.of();
+            return missing.isEmpty()
+                    ? new Evaluation.Reply(earlier.get())
+                    : CommandOutcomes.accept(context, missing, command.id());
         }
         final Map<String, Entry> remembered = context.withPrefix(AcceptedConfigurations.KEY_PREFIX);
         if (mayBeForgotten(full, remembered, currentNumber)) {
@@ -64,6 +69,28 @@
                 .or(() -> refusal(command, context));
     }
 
+    /**
+     * What a repeat of the configuration in force writes of the parts that came with a later version: all that is missing where a
+     * process of an older version, which passed them over, had it accepted. A command of such a process takes nothing away.
+     */
+    private static List<Entry> missingParts(
+            final Command.PutFullConfiguration full, final EvaluationContext context, final long currentNumber) {
+        final Command.PutConfiguration command = full.base();
+        final boolean isInForce =
+                command.configuration().number() == currentNumber && isDocumentInForce(command.document(), context);
+        if (!isInForce
+                || full.equals(Command.PutFullConfiguration.of(command))
+                || !ConfigurationWrites.differs(full, context)
+                || !ConfigurationValidator.faults(full, 0).isEmpty()) {
+            return List.of();
+        }
+        final List<Entry> writes = new ArrayList<>(ConfigurationWrites.of(full, context));
+        context.find(AcceptedConfigurations.key(currentNumber))
+                .ifPresent(accepted -> writes.add(
+                        context.write(accepted.key(), accepted.value().get(0))));
+        return writes;
+    }
+
     /**
      * The entry of a command's first acceptance, if it was accepted. The configuration in force is known by its own text
      * where a folder of an older version does not remember it.
--- a/core/src/test/java/silverlatch/state/TenantAccessTest.java
+++ b/core/src/test/java/silverlatch/state/TenantAccessTest.java
@@ -193,6 +193,22 @@
                 is(409));
     }
 
+    @Test
+    void partsThatAnOlderVersionPassedOverAreWrittenWhenTheDocumentInForceComesAgain() {
+        final Command.PutFullConfiguration full = put(1, tenant("a", "k1"));
+        accept(full.base());
+        assertThat(held("p/access"), is(Optional.empty()));
+        assertThat(accept(full.with("again", 0)), containsInAnyOrder("n/a", "p/access"));
+        assertThat(
+                "in force now",
+                evaluate(full.with("once more", 0)),
+                is(new Evaluation.Reply(new CommandResult.Applied(2))));
+        assertThat(
+                "an older version's command takes nothing away",
+                evaluate(full.with("older", 0).base()),
+                is(new Evaluation.Reply(new CommandResult.Applied(2))));
+    }
+
     @Test
     void boundsOnWorkersAndPublicRoutesHaveToFitTheRest() {
         assertThat(
