Refuse routes that no request could reach

Found while tracing (CONFIG, a route that was added isn't served): hosts are matched in lower case and without the request's port, but configurations were checked to the letter. Of two routes for a.example and A.Example both were acknowledged and one was served, by the order of a hash map; one for a.example:8443 was acknowledged and never matched. Evidence, on the code before: ConfigurationValidatorTest.aRouteThatNoRequestCouldReachIsRejected:178 (8 entries written in place of a refusal). Now the check compares as RoutingTable does.

--- a/core/src/main/java/silverlatch/state/ConfigurationValidator.java
+++ b/core/src/main/java/silverlatch/state/ConfigurationValidator.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 
 /**
@@ -41,6 +42,11 @@
         return ROUTE_PREFIX + host + "|" + path;
     }
 
+    /** Equal for two routes that requests can't tell apart: hosts are compared without regard to case. */
+    private static String comparableKey(final String host, final String path) {
+        return routeKey(host.toLowerCase(Locale.ROOT), path);
+    }
+
     /** The key of a backend pool. */
     public static String poolKey(final String name) {
         return POOL_PREFIX + name;
@@ -132,7 +138,7 @@
             final List<Value.PublicRoute> publicRoutes, final Set<String> routeKeys, final ValidationFaults faults) {
         for (int i = 0; i < publicRoutes.size() && !faults.isFull(); i++) {
             final Value.PublicRoute route = publicRoutes.get(i);
-            if (!routeKeys.contains(routeKey(route.host(), route.pathPrefix()))) {
+            if (!routeKeys.contains(comparableKey(route.host(), route.pathPrefix()))) {
                 faults.add(
                         "$.rules",
                         "there is no rule for " + ValidationFaults.quoted(route.host()) + " and "
@@ -166,7 +172,7 @@
             final ValidationFaults faults) {
         faults.checkLength(path + ".name", route.name(), MAX_NAME_LENGTH);
         checkHostAndPath(path, route, faults);
-        if (!routeKeys.add(routeKey(route.host(), route.pathPrefix()))) {
+        if (!routeKeys.add(comparableKey(route.host(), route.pathPrefix()))) {
             faults.add(
                     path,
                     "a second rule for " + ValidationFaults.quoted(route.host()) + " and "
@@ -188,6 +194,9 @@
         if (route.host().indexOf('/') >= 0 || route.host().indexOf('|') >= 0) {
             faults.add(path + ".host", "no '/' and no '|' may be in it");
         }
+        if (route.host().indexOf(':') >= 0 && !route.host().endsWith("]")) {
+            faults.add(path + ".host", "no port may be in it: that of a request doesn't count");
+        }
         faults.checkLength(path + ".path", route.pathPrefix(), MAX_PATH_LENGTH);
         if (!route.pathPrefix().startsWith("/") || !route.pathPrefix().endsWith("/")) {
             faults.add(
--- a/core/src/test/java/silverlatch/state/ConfigurationValidatorTest.java
+++ b/core/src/test/java/silverlatch/state/ConfigurationValidatorTest.java
@@ -171,6 +171,18 @@
                         "$.rules[4].lots"));
     }
 
+    @Test
+    void aRouteThatNoRequestCouldReachIsRejected() {
+        assertThat(
+                "hosts are compared without regard to case, so one of these would never be served",
+                faultPaths(List.of(validRoute("a.example"), validRoute("A.Example")), POOLS),
+                is(List.of("$.rules[1]")));
+        assertThat(
+                "the port of a request's host doesn't count, so none would match",
+                faultPaths(List.of(validRoute("a.example:8443"), validRoute("[::1]:80"), validRoute("[::1]")), POOLS),
+                is(List.of("$.rules[0].host", "$.rules[1].host")));
+    }
+
     @Test
     void everyFaultOfAPoolIsReportedWithItsPath() {
         assertThat(
