Confirm what a starting gateway follows sooner; a safeguard for the lease on keys

A gateway whose state was never confirmed greets seeds that aren't up five times a second, not once, and pulls from a controller of any region as often, besides the pulls that are due anyway. Nothing changes once a state was confirmed.

--- a/core/src/main/java/silverlatch/gossip/Gossip.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -29,7 +29,6 @@
     private static final int PUSH_FANOUT = 3;
     private static final long STALE_AGE_MICROS = 1_000_000L;
     private static final long UNKNOWN_AGE = -1;
-    private static final long GREETING_PULL_INTERVAL_MICROS = 100_000L;
 
     private final Membership membership;
     private final PeerSelector peerSelector;
@@ -45,7 +44,6 @@
     private final List<Long> tokensUntilTick = new ArrayList<>();
 
     private final List<Effect> effects = new ArrayList<>();
-    private long lastGreetingPull;
 
     /**
      * How often a node pulls, and how reports on workers spread.
@@ -146,11 +144,6 @@
         return state.lastConfirmedAt();
     }
 
-    /** Returns whether the state here was surely the newest at some moment at or after the given one. */
-    public boolean confirmedSince(final long since) {
-        return state.confirmedSince(since);
-    }
-
     /** Returns the workers known, by name. */
     public Map<String, ObservedWorker> workers() {
         return reports.map(r -> r.workers()).orElseGet(announcedWorkers::snapshot);
@@ -194,8 +187,7 @@
 
     /** A node that was greeted has replied: while the state here was never confirmed, it is asked for its own at once. */
     public void onGreetingAnswered(final String address, final long now) {
-        if (stateAge(now) == Long.MAX_VALUE && now - lastGreetingPull >= GREETING_PULL_INTERVAL_MICROS) {
-            lastGreetingPull = now;
+        if (stateAge(now) == Long.MAX_VALUE && pullSchedule.isGreetedNodeToPull(now)) {
             send(address, pullRequest(now));
         }
     }
@@ -288,6 +280,9 @@
         pullSchedule
                 .controllersToPull(state.view(), () -> isStale(now), now)
                 .forEach(m -> send(m.address(), pullRequest(now)));
+        if (lastConfirmedAt().isEmpty()) {
+            pullSchedule.controllersToPullFirst(state.view(), now).forEach(m -> send(m.address(), pullRequest(now)));
+        }
         announcedWorkers.expire(now);
         reportQuorum.ifPresent(quorum -> quorum.tick(now));
         tokensUntilTick.forEach(token -> effects.add(new Effect.Respond(token, true)));
--- a/core/src/main/java/silverlatch/gossip/PullSchedule.java
+++ b/core/src/main/java/silverlatch/gossip/PullSchedule.java
@@ -14,12 +14,19 @@
      */
     private static final int INTERVALS_WHEN_FRESH = 4;
 
+    /** Between two pulls from controllers by a node whose state was never confirmed: its requests wait for that. */
+    private static final long FIRST_PULL_INTERVAL_MICROS = 200_000L;
+
+    /** Between two pulls from nodes that were greeted, which often answer at the same time. */
+    private static final long GREETED_PULL_INTERVAL_MICROS = 100_000L;
+
     private final Gossip.Settings settings;
     private final Membership membership;
     private final PeerSelector peerSelector;
     private final boolean workersAnnounceToControllers;
     private long lastGatewayPull;
     private long lastControllerPull;
+    private long lastFirstPull;
 
     PullSchedule(final Gossip.Settings settings, final Membership membership, final PeerSelector peerSelector) {
         this.settings = settings;
@@ -44,6 +51,28 @@
         return peerSelector.sample(gateways, workersAnnounceToControllers ? 1 : 2);
     }
 
+    /** Returns whether a node that answered a greeting is to be pulled from at once, as the state here was never confirmed. */
+    boolean isGreetedNodeToPull(final long now) {
+        if (now - lastFirstPull < GREETED_PULL_INTERVAL_MICROS) {
+            return false;
+        }
+        lastFirstPull = now;
+        return true;
+    }
+
+    /**
+     * Returns the controllers to pull from besides the others while the state here was never confirmed: one of any region, as those of
+     * the own one may not have a lease yet.
+     */
+    List<Member> controllersToPullFirst(final View view, final long now) {
+        if (now - lastFirstPull < FIRST_PULL_INTERVAL_MICROS) {
+            return List.of();
+        }
+        final List<Member> controllers = peerSelector.liveControllers(view, workersAnnounceToControllers);
+        lastFirstPull = controllers.isEmpty() ? lastFirstPull : now;
+        return peerSelector.sample(controllers, 1);
+    }
+
     private long gatewayPullInterval(final BooleanSupplier isStale) {
         final boolean isSparing = workersAnnounceToControllers && !isStale.getAsBoolean();
         return settings.gatewayPullInterval() * (isSparing ? INTERVALS_WHEN_FRESH : 1);
--- a/core/src/main/java/silverlatch/gossip/StateCopy.java
+++ b/core/src/main/java/silverlatch/gossip/StateCopy.java
@@ -90,11 +90,6 @@
         return confirmedAt;
     }
 
-    /** Returns whether the copy was surely the newest at some moment at or after the given one. */
-    boolean confirmedSince(final long since) {
-        return confirmedAt.filter(time -> time >= since).isPresent();
-    }
-
     /** Forgets that the copy was ever confirmed. */
     void resetFreshness() {
         confirmedAt = Optional.empty();
--- a/core/src/main/java/silverlatch/membership/JoinSchedule.java
+++ b/core/src/main/java/silverlatch/membership/JoinSchedule.java
@@ -24,6 +24,7 @@
     private List<String> seeds;
     private long lastAttempt;
     private boolean isJoining = true;
+    private boolean isHurried;
     private int reconnectTurn;
 
     JoinSchedule(final String selfAddress, final List<String> seeds, final long interval, final MemberTable members) {
@@ -47,6 +48,11 @@
         isJoining = true;
     }
 
+    /** Sets whether seeds at which no member is up are greeted as often as by a node that joins. */
+    void setHurried(final boolean hurried) {
+        isHurried = hurried;
+    }
+
     /** Notes that a member list came. */
     void onMemberList() {
         isJoining = false;
@@ -54,7 +60,7 @@
 
     /** Returns the addresses to greet now; none where no attempt is due. */
     List<String> addressesToGreet(final long now) {
-        final long due = isJoining ? Math.min(FIRST_INTERVAL_MICROS, interval) : interval;
+        final long due = isJoining || isHurried ? Math.min(FIRST_INTERVAL_MICROS, interval) : interval;
         if (now - lastAttempt < due) {
             return List.of();
         }
--- a/core/src/main/java/silverlatch/membership/Membership.java
+++ b/core/src/main/java/silverlatch/membership/Membership.java
@@ -180,6 +180,11 @@
         joinSchedule.restart();
     }
 
+    /** Sets whether this node waits for seeds that aren't up, so that it greets them more often. */
+    public void setWaitingForSeeds(final boolean isWaiting) {
+        joinSchedule.setHurried(isWaiting);
+    }
+
     /** Starts a new incarnation of this node, as a rejoin does. */
     public void startIncarnation(final long incarnation) {
         updateSelf(self.withIncarnation(incarnation));
--- a/core/src/main/java/silverlatch/node/ClusterSnapshotBuilder.java
+++ b/core/src/main/java/silverlatch/node/ClusterSnapshotBuilder.java
@@ -41,7 +41,8 @@
 
     /** Returns a snapshot as of now; without a moment of confirmation while the node hasn't joined. */
     ClusterSnapshot build(final boolean hasJoined, final long now) {
-        isStateConfirmed = isStateConfirmed || gossip.confirmedSince(startedAt);
+        isStateConfirmed = isStateConfirmed
+                || gossip.lastConfirmedAt().filter(at -> at >= startedAt).isPresent();
         if (!isStateConfirmed && !isWithinStartupGrace(now)) {
             return snapshot(0, Optional.empty(), Optional.empty(), Policy.NONE);
         }
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -295,6 +295,7 @@
         clock.raiseToLogFloor(now);
         retryDelayedFrames(now);
         clock.check(now).ifPresent(reason -> rejoin(now, reason));
+        membership.setWaitingForSeeds(gossip.lastConfirmedAt().isEmpty());
         membership.tick(now);
         chainReplica.ifPresent(replica -> replica.tick(now));
         dispatcher.adoptReplicaState(now);
--- a/core/src/main/java/silverlatch/routing/RevocationLease.java
+++ b/core/src/main/java/silverlatch/routing/RevocationLease.java
@@ -1,6 +1,8 @@
 package silverlatch.routing;
 
 import silverlatch.dispatch.ClusterSnapshot;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
 
 /**
  * For how long a gateway may accept keys by a configuration that was confirmed as the newest: a configuration that takes a key away may
@@ -19,7 +21,11 @@
      *                 microseconds; 0 where that isn't bounded
      */
     RevocationLease(final long deadline) {
-        this.lifetime = deadline * 9 / 10;
+        this(deadline, Safeguards.ALL);
+    }
+
+    RevocationLease(final long deadline, final Safeguards safeguards) {
+        this.lifetime = safeguards.isEnabled(Safeguard.REVOCATION_LEASE) ? deadline * 9 / 10 : 0;
     }
 
     /** Whether keys may be accepted now by the snapshot's configuration. */
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -78,6 +78,8 @@
     REPORT_QUORUM,
     /** A gateway routes by a configuration that nobody has confirmed for a bounded time after its start only. */
     STARTUP_GRACE,
+    /** A gateway accepts keys for a bounded time after its configuration was confirmed as the newest. */
+    REVOCATION_LEASE,
     /** A replica that holds everything takes over where all members of a chain that acknowledges nothing are lost. */
     TAKEOVER
 }
--- a/core/src/test/java/silverlatch/gossip/PullScheduleTest.java
+++ b/core/src/test/java/silverlatch/gossip/PullScheduleTest.java
@@ -65,4 +65,22 @@
         schedule.controllersToPull(View.NONE, () -> true, 10 * SECOND);
         assertThat(schedule.controllersToPull(View.NONE, () -> true, 10 * SECOND + 100_000L), is(empty()));
     }
+
+    @Test
+    void untilTheFirstConfirmationOneControllerIsAskedFiveTimesASecond() {
+        assertThat(schedule.controllersToPullFirst(View.NONE, 10 * SECOND), hasSize(1));
+        assertThat(schedule.controllersToPullFirst(View.NONE, 10 * SECOND + 199_999L), is(empty()));
+        assertThat(schedule.controllersToPullFirst(View.NONE, 10 * SECOND + 200_000L), hasSize(1));
+    }
+
+    @Test
+    void aGreetedNodeIsAskedAtOnceWhereNoControllerIsKnown() {
+        final Membership alone =
+                new Membership(member("me", "gateway", "west"), List.of("10.0.0.9:1"), Membership.Settings.LARGE_FLEET);
+        final PullSchedule first =
+                new PullSchedule(Gossip.Settings.LARGE_FLEET, alone, new PeerSelector(alone, new SplittableRandom(3)));
+        assertThat(first.controllersToPullFirst(View.NONE, 10 * SECOND), is(empty()));
+        assertThat(first.isGreetedNodeToPull(10 * SECOND), is(true));
+        assertThat("several answer at the same time", first.isGreetedNodeToPull(10 * SECOND + 50_000L), is(false));
+    }
 }
--- a/core/src/test/java/silverlatch/membership/JoinScheduleTest.java
+++ b/core/src/test/java/silverlatch/membership/JoinScheduleTest.java
@@ -38,6 +38,17 @@
         assertThat(schedule.addressesToGreet(START + INTERVAL), is(List.of("s1", "s2")));
     }
 
+    @Test
+    void aNodeThatWaitsForSeedsGreetsThoseThatAreNotUpOften() {
+        schedule.onMemberList();
+        members.putOther(member("s1", "up"), START);
+        schedule.setHurried(true);
+        assertThat(schedule.addressesToGreet(START), is(List.of("s2")));
+        assertThat(schedule.addressesToGreet(START + FIRST_INTERVAL), is(List.of("s2")));
+        schedule.setHurried(false);
+        assertThat(schedule.addressesToGreet(START + 2 * FIRST_INTERVAL), empty());
+    }
+
     @Test
     void otherSeedsAreGreetedAtOnceTheSameOnesAreNot() {
         schedule.onMemberList();
