--- a/server/src/main/java/silverlatch/server/controller/ApiRouter.java
+++ b/server/src/main/java/silverlatch/server/controller/ApiRouter.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.server.provider.CloudProvider;
 import silverlatch.server.settings.Settings;
 import silverlatch.server.transport.Transport;
 import silverlatch.server.web.HttpExchange;
@@ -38,7 +39,8 @@
             final EventLoopHandle eventLoop,
             final Transport transport,
             final CronScheduler scheduler,
-            final Supplier<Optional<String>> unreadyReason) {
+            final Supplier<Optional<String>> unreadyReason,
+            final Supplier<Map<CloudProvider.Outcome, Long>> providerCalls) {
         this.operatorKey = settings.operatorKey();
         final StateApi state = new StateApi(eventLoop, maxBodyBytes(settings));
         final StatusResource status = new StatusResource(settings.name(), eventLoop, unreadyReason);
@@ -50,7 +52,7 @@
         this.openRoutes = Map.of(
                 "GET /live", status::live,
                 "GET /ready", status::ready,
-                "GET /metrics", new MetricsResource(eventLoop, transport)::get,
+                "GET /metrics", new MetricsResource(eventLoop, transport, providerCalls)::get,
                 "POST /v1/announcements", new AnnouncementResource(state, eventLoop, settings.workerKey())::post);
         this.operatorRoutes = Map.of(
                 "GET /status", status::status,
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
@@ -82,7 +83,8 @@
         this.apiServer = new ApiServer(
                 settings.httpAddress(),
                 ApiRouter.maxBodyBytes(settings),
-                new ApiRouter(settings, eventLoop, transport, scheduler, readiness::unreadyReason)::route);
+                new ApiRouter(settings, eventLoop, transport, scheduler, readiness::unreadyReason, this::providerCalls)
+                        ::route);
         if (settings.singleton().reportsUsage()) {
             node.traffic().collect(settings.singleton().usageSchedule());
         }
@@ -197,6 +199,10 @@
                         .findFirst());
     }
 
+    private Map<CloudProvider.Outcome, Long> providerCalls() {
+        return providerCaller.map(ProviderCaller::counters).orElse(Map.of());
+    }
+
     private void submit(final Command command, final Consumer<CommandResult> onResult) {
         final boolean isPosted = eventLoop.submit(command, SERVICE_TIMEOUT_MICROS, onResult);
         if (!isPosted) {
--- a/server/src/main/java/silverlatch/server/controller/MetricsResource.java
+++ b/server/src/main/java/silverlatch/server/controller/MetricsResource.java
@@ -1,8 +1,12 @@
 package silverlatch.server.controller;
 
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
 import silverlatch.server.eventloop.EventLoopHandle;
 import silverlatch.server.metrics.MetricsPage;
 import silverlatch.server.metrics.NodeMetrics;
+import silverlatch.server.provider.CloudProvider;
 import silverlatch.server.transport.Transport;
 import silverlatch.server.web.HttpExchange;
 
@@ -10,10 +14,16 @@
 final class MetricsResource {
     private final EventLoopHandle eventLoop;
     private final Transport transport;
+    private final Supplier<Map<CloudProvider.Outcome, Long>> providerCalls;
 
-    MetricsResource(final EventLoopHandle eventLoop, final Transport transport) {
+    /** The calls of the provider by outcome are read on the event loop. */
+    MetricsResource(
+            final EventLoopHandle eventLoop,
+            final Transport transport,
+            final Supplier<Map<CloudProvider.Outcome, Long>> providerCalls) {
         this.eventLoop = eventLoop;
         this.transport = transport;
+        this.providerCalls = providerCalls;
     }
 
     /** Replies with the metrics as lines of text. */
@@ -26,6 +36,10 @@
                             "replication_sequence",
                             "quay_sequence",
                             replica.stateMachine().sequence()));
+            providerCalls
+                    .get()
+                    .forEach((outcome, count) ->
+                            page.put("provider_" + outcome.name().toLowerCase(Locale.ROOT), count));
             exchange.replyText(page.text());
         });
     }
