--- a/server/src/main/java/silverlatch/server/provider/ProviderCaller.java
+++ b/server/src/main/java/silverlatch/server/provider/ProviderCaller.java
@@ -27,7 +27,7 @@
     private static final double MICROS_PER_SECOND = 1_000_000;
 
     /** A provider aborts its own calls earlier; this is for an outcome that got lost in this process. */
-    private static final long LOST_OUTCOME_MICROS = 15_000_000L;
+    private static final long LOST_OUTCOME_MICROS = 5_000_000L;
 
     private static final long NO_TOKEN = -1;
     private final SingletonSettings settings;
