Order the numbers of workers that the policy wants, while this process owns the singleton role

Controllers gather what the decision needs from their replica, the gossip and the gateways' reports; on the platform the calls go to the API that the settings name.

--- a/core/src/main/java/silverlatch/node/Event.java
+++ b/core/src/main/java/silverlatch/node/Event.java
@@ -95,6 +95,8 @@
     PROVIDER_CALLED(800, false),
     /** A call of the provider had another outcome. */
     PROVIDER_FAILED(801, true),
+    /** Another number of workers is wanted in a zone. */
+    WORKER_COUNT(802, false),
     /** The recording can't be written; it ends here. */
     RECORD_BROKEN(700, true);
 
--- a/core/src/main/java/silverlatch/routing/OpenRequestTable.java
+++ b/core/src/main/java/silverlatch/routing/OpenRequestTable.java
@@ -13,13 +13,17 @@
     private final Slab<OpenRequest> slab;
     private final Map<Long, Long> handlesByCall = new HashMap<>();
     private final Map<Long, Long> handlesByAttempt = new HashMap<>();
-    private final DemandMeter demand;
+    private final DemandMeter demand = new DemandMeter();
     private long lastAttemptId;
 
-    /** A table for so many requests; the meter is told which come and go. */
-    OpenRequestTable(final int capacity, final DemandMeter demand) {
+    /** A table for so many requests. */
+    OpenRequestTable(final int capacity) {
         this.slab = new Slab<>(capacity);
-        this.demand = demand;
+    }
+
+    /** What the requests that come and go ask of each pool. */
+    DemandMeter demand() {
+        return demand;
     }
 
     /** How many requests are open. */
--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -12,7 +12,6 @@
 import silverlatch.dispatch.TraceLog;
 import silverlatch.node.Event;
 import silverlatch.state.Value;
-import silverlatch.traffic.DemandMeter;
 import silverlatch.traffic.UsageCounter;
 import silverlatch.wire.TrafficMessage;
 
@@ -36,7 +35,6 @@
     private final OpenRequestTable requests;
     private final WorkerTable workers;
     private final TrafficStatistics traffic = new TrafficStatistics();
-    private final DemandMeter demand = new DemandMeter();
     private final GatewayCountWindow gatewayCount = new GatewayCountWindow();
     private final RoutingOutput output = new RoutingOutput();
     private final RetryBudget retryBudget;
@@ -113,7 +111,7 @@
         this.cluster = cluster;
         this.timestamps = timestamps;
         this.random = random;
-        this.requests = new OpenRequestTable(settings.maxOpenRequests(), demand);
+        this.requests = new OpenRequestTable(settings.maxOpenRequests());
         this.retryBudget = new RetryBudget(settings.retryRatio(), 2);
         this.policies = settings.policies();
         this.authenticator = new Authenticator(new RevocationLease(settings.revocationDeadline()), random);
@@ -174,7 +172,7 @@
 
     /** What clients ask of each pool; any thread may read it. */
     public List<TrafficMessage.PoolDemand> demand() {
-        return demand.latest();
+        return requests.demand().latest();
     }
 
     /** The counters by name. */
@@ -350,7 +348,7 @@
 
     /** A timer event, several times a second. */
     public void tick(final long now) {
-        demand.sample(now);
+        requests.demand().sample(now);
         requests.forEach(open -> checkTimeouts(open, now));
     }
 
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -29,6 +29,7 @@
 import silverlatch.server.provider.CallSource;
 import silverlatch.server.provider.CloudProvider;
 import silverlatch.server.provider.ProviderCaller;
+import silverlatch.server.provider.ScalingCallSource;
 import silverlatch.server.provider.UsageCallSource;
 import silverlatch.server.settings.Settings;
 import silverlatch.server.transport.Transport;
@@ -95,6 +96,9 @@
             sources.add(new UsageCallSource(
                     node.traffic().outbox(), () -> node.chainReplica().map(ChainReplica::stateMachine)));
         }
+        if (settings.singleton().scales()) {
+            sources.add(new ScalingCallSource(now -> ScalingObserver.observe(node, now)));
+        }
         providerCaller = Optional.of(new ProviderCaller(
                 settings.singleton(),
                 provider,
--- /dev/null
+++ b/server/src/main/java/silverlatch/server/controller/ScalingObserver.java
@@ -0,0 +1,34 @@
+package silverlatch.server.controller;
+
+import java.util.Optional;
+import silverlatch.gossip.Gossip;
+import silverlatch.membership.Member;
+import silverlatch.node.Node;
+import silverlatch.scaling.ScalingObservation;
+import silverlatch.state.ScalingConfiguration;
+import silverlatch.state.StateMachine;
+
+/** Gathers what a controller knows for the decision on numbers of workers. The event loop alone calls it. */
+final class ScalingObserver {
+    private ScalingObserver() {}
+
+    /** What is known now; empty where this process holds no replica of the state. */
+    static Optional<ScalingObservation> observe(final Node node, final long now) {
+        return node.chainReplica().map(replica -> observe(node, replica.stateMachine(), now));
+    }
+
+    private static ScalingObservation observe(final Node node, final StateMachine state, final long now) {
+        return new ScalingObservation(
+                ScalingConfiguration.scalings(state),
+                ScalingConfiguration.pools(state),
+                node.gossip().workers().values().stream()
+                        .filter(observed -> !observed.silent())
+                        .map(Gossip.ObservedWorker::worker)
+                        .toList(),
+                ScalingConfiguration.evacuatedZones(state),
+                (int) node.membership().liveMembers().stream()
+                        .filter(Member::isGateway)
+                        .count(),
+                node.traffic().demand(now));
+    }
+}
