--- a/core/src/main/java/silverlatch/routing/Router.java
+++ b/core/src/main/java/silverlatch/routing/Router.java
@@ -12,7 +12,6 @@
 import silverlatch.dispatch.TraceLog;
 import silverlatch.node.Event;
 import silverlatch.state.Value;
-import silverlatch.traffic.DemandMeter;
 import silverlatch.traffic.UsageCounter;
 import silverlatch.wire.TrafficMessage;
 
