Pass over no key at a gateway that is out of touch and follows a configuration without tenants

Callers out of touch: a gateway whose configuration is from before tenants were introduced asked for no key, so a request by a key that newer configurations had given and taken away would have run there later than the revocation deadline. Cause: the lease was asked only where the configuration has tenants. Now a request that brings a credential needs the lease also without tenants; one without goes on.

--- a/core/src/main/java/silverlatch/routing/Authenticator.java
+++ b/core/src/main/java/silverlatch/routing/Authenticator.java
@@ -53,7 +53,7 @@
             final ClusterSnapshot snapshot,
             final long now) {
         if (!table.areKeysRequired()) {
-            return new Decision.Allowed(Optional.empty());
+            return decideWithoutTenants(request, snapshot, now);
         }
         final boolean hasKey = request.credential() instanceof Credential.Key;
         final Optional<Value.TenantAccess> tenant =
@@ -71,6 +71,12 @@
                 : new Decision.Rejected(UNAUTHORIZED, 0, "a tenant's key is needed");
     }
 
+    /** A key that this configuration doesn't ask for may have been taken away by one that isn't known here. */
+    private Decision decideWithoutTenants(final RoutedRequest request, final ClusterSnapshot snapshot, final long now) {
+        final boolean hasCredential = !(request.credential() instanceof Credential.None);
+        return hasCredential && !lease.isValid(snapshot, now) ? unavailable() : new Decision.Allowed(Optional.empty());
+    }
+
     private Decision unavailable() {
         final long retryAfter = MIN_RETRY_AFTER + random.nextLong(RETRY_AFTER_SPREAD);
         return new Decision.Rejected(UNAVAILABLE, retryAfter, "keys can't be checked now");
