Bound a configuration's bytes closer to what it takes in a frame

The bound counted 96 bytes for each deletion, which takes 24 and its key, so a configuration that renames all of 50,000 tenants would have been refused though it fits. It is accepted now and its log entry with the longest document is below the frame's bound (TenantAccessTest.aConfigurationThatIsAcceptedFitsInOneFrame, which also still sees 50,000 tenants with two keys each refused).

--- a/core/src/main/java/silverlatch/state/ConfigurationWrites.java
+++ b/core/src/main/java/silverlatch/state/ConfigurationWrites.java
@@ -19,10 +19,12 @@
             EntryKeys.POOL_SCALINGS,
             EntryKeys.ACCESS_CONTROL);
 
-    /** How many bytes all parts may take together, by estimate, so that a gateway without a configuration gets them in one frame. */
-    private static final long MAX_PART_BYTES = 11L << 20;
-    /** How many bytes one change may take beside its document, by estimate, so that it is one frame and one log record. */
-    private static final long MAX_CHANGE_BYTES = 12L << 20;
+    /** How many bytes all parts may take together, so that a gateway without a configuration gets them in one frame. */
+    private static final long MAX_PART_BYTES = 10L << 20;
+    /** How many bytes one change may take beside its document, so that it is one frame and one log record. */
+    private static final long MAX_CHANGE_BYTES = 11L << 20;
+    /** By how much less than estimated an entry takes in any case: there, too little is worse than too much. */
+    private static final long ESTIMATE_MARGIN = 64;
 
     private ConfigurationWrites() {}
 
@@ -66,14 +68,14 @@
      */
     static List<String> sizeFaults(final Command.PutFullConfiguration command, final List<Entry> writes) {
         final long partBytes = parts(command).entrySet().stream()
-                .mapToLong(part -> new Entry(part.getKey(), 0, List.of(part.getValue())).estimatedBytes())
+                .mapToLong(part -> frameBytes(new Entry(part.getKey(), 0, List.of(part.getValue()))))
                 .sum();
         if (partBytes > MAX_PART_BYTES) {
             return List.of("$: its parts take " + partBytes + " bytes of " + MAX_PART_BYTES);
         }
         final long changeBytes = writes.stream()
                 .filter(write -> !write.key().equals(ConfigurationValidator.DOCUMENT_KEY))
-                .mapToLong(Entry::estimatedBytes)
+                .mapToLong(ConfigurationWrites::frameBytes)
                 .sum();
         return changeBytes > MAX_CHANGE_BYTES
                 ? List.of("$: the change takes " + changeBytes + " bytes of " + MAX_CHANGE_BYTES
@@ -81,6 +83,10 @@
                 : List.of();
     }
 
+    private static long frameBytes(final Entry entry) {
+        return entry.estimatedBytes() - ESTIMATE_MARGIN;
+    }
+
     private static Map<String, Value> parts(final Command.PutFullConfiguration command) {
         final Map<String, Value> parts = new HashMap<>();
         command.base()
