Bound the pulls for a first confirmation to 25

Where no controller has a majority each gateway would have gone on asking five times a second. The test is as it was.

--- a/core/src/main/java/silverlatch/gossip/PullSchedule.java
+++ b/core/src/main/java/silverlatch/gossip/PullSchedule.java
@@ -17,6 +17,9 @@
     /** Between two pulls from controllers by a node whose state was never confirmed: its requests wait for that. */
     private static final long FIRST_PULL_INTERVAL_MICROS = 200_000L;
 
+    /** So many such pulls are made at most: where no majority is up, it won't be soon. */
+    private static final int MAX_FIRST_PULLS = 25;
+
     /** Between two pulls from nodes that were greeted, which often answer at the same time. */
     private static final long GREETED_PULL_INTERVAL_MICROS = 100_000L;
 
@@ -27,6 +30,7 @@
     private long lastGatewayPull;
     private long lastControllerPull;
     private long lastFirstPull;
+    private int firstPulls;
 
     PullSchedule(final Gossip.Settings settings, final Membership membership, final PeerSelector peerSelector) {
         this.settings = settings;
@@ -65,11 +69,14 @@
      * the own one may not have a lease yet.
      */
     List<Member> controllersToPullFirst(final View view, final long now) {
-        if (now - lastFirstPull < FIRST_PULL_INTERVAL_MICROS) {
+        if (firstPulls >= MAX_FIRST_PULLS || now - lastFirstPull < FIRST_PULL_INTERVAL_MICROS) {
             return List.of();
         }
         final List<Member> controllers = peerSelector.liveControllers(view, workersAnnounceToControllers);
-        lastFirstPull = controllers.isEmpty() ? lastFirstPull : now;
+        if (!controllers.isEmpty()) {
+            lastFirstPull = now;
+            firstPulls++;
+        }
         return peerSelector.sample(controllers, 1);
     }
 
--- a/core/src/test/java/silverlatch/gossip/PullScheduleTest.java
+++ b/core/src/test/java/silverlatch/gossip/PullScheduleTest.java
@@ -73,6 +73,14 @@
         assertThat(schedule.controllersToPullFirst(View.NONE, 10 * SECOND + 200_000L), hasSize(1));
     }
 
+    @Test
+    void whereNobodyConfirmsForFiveSecondsControllersAreAskedAtTheUsualIntervalsOnly() {
+        for (long passed = 0; passed < 5 * SECOND; passed += 200_000L) {
+            assertThat(schedule.controllersToPullFirst(View.NONE, 10 * SECOND + passed), hasSize(1));
+        }
+        assertThat(schedule.controllersToPullFirst(View.NONE, 20 * SECOND), is(empty()));
+    }
+
     @Test
     void aGreetedNodeIsAskedAtOnceWhereNoControllerIsKnown() {
         final Membership alone =
