Explore that no two replicas own the singleton role at one moment

ONE_OWNER is looked at in each step of the explorer, and by the whole nodes of UsageReportingTest. LEASE_WAIT expects it beside the others, as a walk may break it first.

--- a/core/src/test/java/silverlatch/node/ProviderAudit.java
+++ b/core/src/test/java/silverlatch/node/ProviderAudit.java
@@ -60,6 +60,10 @@
         }
     }
 
+    void violation(final String what) {
+        violations.add(what);
+    }
+
     List<String> violations() {
         return List.copyOf(violations);
     }
--- a/core/src/test/java/silverlatch/node/UsageCluster.java
+++ b/core/src/test/java/silverlatch/node/UsageCluster.java
@@ -139,6 +139,20 @@
             cluster.advance(STEP);
             counters.keySet().stream().filter(name -> !frozen.contains(name)).forEach(this::beginRequests);
             List.copyOf(callers.values()).forEach(Caller::step);
+            checkOneOwner();
+        }
+    }
+
+    /** Also one whose process is frozen: it may look at its lease right after it is thawed. */
+    private void checkOneOwner() {
+        final List<String> owners = callers.keySet().stream()
+                .filter(name -> cluster.node(name)
+                        .chainReplica()
+                        .flatMap(replica -> replica.fencingToken(cluster.now()))
+                        .isPresent())
+                .toList();
+        if (owners.size() > 1) {
+            provider.violation("owners at one moment: " + owners);
         }
     }
 
--- a/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
@@ -11,7 +11,9 @@
     /** A tail answers reads without a lease. */
     LEASE(Set.of(Safeguard.LEASE), Set.of(Property.FRESH_READ, Property.LINEARIZABLE, Property.VIEW_FENCED)),
     /** A voter accepts a successor before the leases it granted have run out. */
-    LEASE_WAIT(Set.of(Safeguard.LEASE_WAIT), Set.of(Property.FRESH_READ, Property.LINEARIZABLE, Property.VIEW_FENCED)),
+    LEASE_WAIT(
+            Set.of(Safeguard.LEASE_WAIT),
+            Set.of(Property.ONE_OWNER, Property.FRESH_READ, Property.LINEARIZABLE, Property.VIEW_FENCED)),
     /** Replication messages of other views are accepted. */
     FENCE(
             Set.of(Safeguard.FENCE),
--- a/simulation/src/main/java/silverlatch/simulation/explore/Property.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Property.java
@@ -4,6 +4,8 @@
 public enum Property {
     /** One view stands under one number. */
     ONE_VIEW,
+    /** At no moment do two replicas own the singleton role under a lease. */
+    ONE_OWNER,
     /** Replicas that have applied the same sequence hold the same configuration and evacuations. */
     ONE_HISTORY,
     /** No two documents are acknowledged under one configuration number. */
--- a/simulation/src/main/java/silverlatch/simulation/explore/PropertyMonitor.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/PropertyMonitor.java
@@ -62,6 +62,7 @@
     /** A replica may have taken another view, applied something, or caught up. */
     void replicaChanged(final Machine machine, final long now) {
         final ChainReplica replica = machine.process().orElseThrow().replica();
+        oneOwner(machine, now);
         final ReplicaStatus state = replica.status(machine.clock(now));
         final boolean level =
                 state.isCaughtUp() && state.view().positionOf(machine.identity().id()) >= 0;
@@ -81,6 +82,22 @@
         }
     }
 
+    private void oneOwner(final Machine machine, final long now) {
+        final Optional<Long> token = fencingToken(machine, now);
+        if (token.isPresent()) {
+            machines.stream()
+                    .filter(other -> other != machine)
+                    .filter(other -> fencingToken(other, now).isPresent())
+                    .forEach(other -> broken(
+                            Property.ONE_OWNER,
+                            machine.address() + " under " + token.get() + " beside " + other.address()));
+        }
+    }
+
+    private static Optional<Long> fencingToken(final Machine machine, final long now) {
+        return machine.process().flatMap(process -> process.replica().fencingToken(machine.clock(now)));
+    }
+
     private void oneView(final Machine machine, final View view) {
         final View other = views.putIfAbsent(view.number(), view);
         if (view.number() > 0 && other != null && !other.equals(view)) {
