--- a/core/src/test/java/silverlatch/routing/AuthenticatorTest.java
+++ b/core/src/test/java/silverlatch/routing/AuthenticatorTest.java
@@ -93,6 +93,15 @@
         }
     }
 
+    /** A newer configuration may have had tenants, and taken this key away from one of them since. */
+    @Test
+    void aKeyIsNotAcceptedByAnOldConfigurationWithoutTenantsWhenTheRevocationLeaseHasExpired() {
+        entries.clear();
+        revocationDeadline = 5 * SECOND;
+        confirmedAt = Optional.of(NOW - 5 * SECOND);
+        assertUnavailable(decide(new Credential.Key("d1"), KEYED));
+    }
+
     @Test
     void keysAreNeededWhereTheListOfTenantsIsEmpty() {
         entries.removeIf(entry -> entry.key().equals("n/acme"));
--- a/core/src/test/java/silverlatch/scaling/ScalingPolicyTest.java
+++ b/core/src/test/java/silverlatch/scaling/ScalingPolicyTest.java
@@ -295,4 +295,14 @@
                 now);
         assertThat(state, is(ScalingState.NONE));
     }
+
+    @Test
+    void noStepTowardsAMaximumThatWasLoweredOrdersMoreThanTheMaximum() {
+        ZONES.forEach(zone -> workers.put(zone, 3 * MAX));
+        for (int second = 0; second < 10; second++) {
+            runFor(1);
+            targets().forEach((zone, count) -> assertThat(zone, count, lessThanOrEqualTo(MAX)));
+        }
+        assertThat(targets().keySet(), is(Set.copyOf(ZONES)));
+    }
 }
