--- a/core/src/main/java/silverlatch/node/TrafficExchange.java
+++ b/core/src/main/java/silverlatch/node/TrafficExchange.java
@@ -26,6 +26,7 @@
  * tick. Owned by the node's event loop.
  */
 public final class TrafficExchange {
+    private static final long NONE_CLOSED = -1;
     private final String self;
     private final NodeClock clock;
     private final Membership membership;
@@ -85,6 +86,7 @@
         reporter.ifPresent(gateway -> owner().flatMap(
                         owner -> gateway.tick(owner, hasTenants(), now).map(due -> new Effect.Send(owner, due)))
                 .ifPresent(effects::add));
+        chainReplica.get().ifPresent(replica -> removeClosed(replica, now));
         closer.ifPresent(usage -> chainReplica.get().ifPresent(replica -> closeWindows(usage, replica, now)));
     }
 
@@ -109,11 +111,15 @@
         return UsageState.hasTenants(gossip.stateMachine());
     }
 
+    private void removeClosed(final ChainReplica replica, final long now) {
+        final long newestClosed =
+                UsageState.newestClosed(replica.stateMachine()).orElse(NONE_CLOSED);
+        effects.addAll(collector.removeClosed(newestClosed, now));
+    }
+
     private void closeWindows(final UsageCloser usage, final ChainReplica replica, final long now) {
         final Optional<Long> token = replica.fencingToken(now);
         final long unixMicros = clock.physicalClock().unixMicros(now);
-        UsageState.newestClosed(replica.stateMachine())
-                .ifPresent(newest -> effects.addAll(collector.removeClosed(newest, now)));
         usage.next(new UsageCloser.Situation(replica.stateMachine(), membership.all(), token, unixMicros, now))
                 .ifPresent(command -> submit(command, replica));
         outbox.mark(replica.stateMachine(), token, now).ifPresent(command -> submit(command, replica));
--- a/core/src/main/java/silverlatch/routing/Authenticator.java
+++ b/core/src/main/java/silverlatch/routing/Authenticator.java
@@ -60,7 +60,7 @@
                 request.credential() instanceof Credential.Key key ? table.tenant(key.digest()) : Optional.empty();
         final boolean isCertain = lease.isValid(snapshot, now)
                 && (tenant.isPresent() || snapshot.isConfirmedWithin(now, MAX_CONFIRMATION_AGE));
-        if (tenant.isEmpty() && table.isPublic(route) && (isCertain || !hasKey)) {
+        if (!hasKey && table.isPublic(route)) {
             return new Decision.Allowed(Optional.empty());
         }
         if (!isCertain) {
--- a/core/src/main/java/silverlatch/routing/RoutingTable.java
+++ b/core/src/main/java/silverlatch/routing/RoutingTable.java
@@ -4,10 +4,10 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import silverlatch.state.Policy;
+import silverlatch.state.RouteHosts;
 import silverlatch.state.Value;
 
 /** The routes and backend pools of one revision, found by host and path, and who may use them. Immutable. */
@@ -27,7 +27,7 @@
         for (final Value value : policy.valuesExceptTenants().toList()) {
             if (value instanceof Value.Route route) {
                 routesByHost
-                        .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
+                        .computeIfAbsent(RouteHosts.normalized(route.host()), host -> new ArrayList<>())
                         .add(route);
             } else if (value instanceof Value.BackendPool pool) {
                 pools.put(pool.name(), pool);
@@ -44,18 +44,12 @@
 
     /** The route of the host, whose port doesn't count, with the longest path that the path begins with. */
     Optional<Value.Route> route(final String host, final String path) {
-        final List<Value.Route> routes = routesByHost.getOrDefault(withoutPort(host), List.of());
+        final List<Value.Route> routes = routesByHost.getOrDefault(RouteHosts.normalized(host), List.of());
         return routes.stream()
                 .filter(route -> path.startsWith(route.pathPrefix()))
                 .findFirst();
     }
 
-    private static String withoutPort(final String host) {
-        final int colon = host.lastIndexOf(':');
-        final boolean hasPort = colon > 0 && host.indexOf(']') < colon;
-        return (hasPort ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
-    }
-
     /** A backend pool by name. */
     Optional<Value.BackendPool> pool(final String name) {
         return Optional.ofNullable(pools.get(name));
--- a/core/src/main/java/silverlatch/scaling/PoolDecision.java
+++ b/core/src/main/java/silverlatch/scaling/PoolDecision.java
@@ -153,7 +153,7 @@
             final Load load,
             final boolean isObserved,
             final boolean mayLower) {
-        if (!isUsable(zone)) {
+        if (!isUsable(zone) || bounds.maxWorkers() == 0) {
             return state.kept();
         }
         final int current = state.target().map(WorkerTarget::count).orElseGet(() -> liveWorkers.get(zone));
@@ -167,7 +167,8 @@
             return state.kept();
         }
         final ZoneState lowerable = state.mayBeLowered(enough, now);
-        final int count = Math.max(lowerable.peak(), (int) Math.ceil(current * MAX_LOWER_STEP));
+        final int step = Math.max(lowerable.peak(), (int) Math.ceil(current * MAX_LOWER_STEP));
+        final int count = Math.min(step, bounds.maxWorkers());
         return isObserved && now - lowerable.lowerSince() >= lowerAfter(state) && count < current
                 ? lowerable.loweredTo(target(zone, count, load, current), enough, now)
                 : lowerable;
--- a/core/src/main/java/silverlatch/state/ConfigurationValidator.java
+++ b/core/src/main/java/silverlatch/state/ConfigurationValidator.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Set;
 
 /**
@@ -42,9 +41,9 @@
         return ROUTE_PREFIX + host + "|" + path;
     }
 
-    /** Equal for two routes that requests can't tell apart: hosts are compared without regard to case. */
+    /** Equal for two routes that requests can't tell apart. */
     private static String comparableKey(final String host, final String path) {
-        return routeKey(host.toLowerCase(Locale.ROOT), path);
+        return routeKey(RouteHosts.normalized(host), path);
     }
 
     /** The key of a backend pool. */
@@ -194,9 +193,6 @@
         if (route.host().indexOf('/') >= 0 || route.host().indexOf('|') >= 0) {
             faults.add(path + ".host", "no '/' and no '|' may be in it");
         }
-        if (route.host().indexOf(':') >= 0 && !route.host().endsWith("]")) {
-            faults.add(path + ".host", "no port may be in it: that of a request doesn't count");
-        }
         faults.checkLength(path + ".path", route.pathPrefix(), MAX_PATH_LENGTH);
         if (!route.pathPrefix().startsWith("/") || !route.pathPrefix().endsWith("/")) {
             faults.add(
