Ask clients to come back later where keys can't be checked

Now they are asked to wait as long as they heed, a third of their time and 3 s at most, spread over the upper half.

--- a/core/src/main/java/silverlatch/routing/Authenticator.java
+++ b/core/src/main/java/silverlatch/routing/Authenticator.java
@@ -26,8 +26,13 @@
     private static final int UNAVAILABLE = 503;
     private static final long SECOND = 1_000_000L;
     private static final long MAX_CONFIRMATION_AGE = 2 * SECOND;
-    private static final long MIN_RETRY_AFTER = SECOND / 5;
-    private static final long RETRY_AFTER_SPREAD = 3 * SECOND / 10;
+
+    /** Clients have few further tries, and touch is regained after a second or two: they are asked to wait as long as they heed. */
+    private static final long MAX_RETRY_AFTER = 3 * SECOND;
+
+    /** The part of the time that a client has left for which it waits at most when it is told to come back. */
+    private static final int HEEDED_PART = 3;
+
     private final RevocationLease lease;
     private final RandomGenerator random;
 
@@ -64,7 +69,7 @@
             return new Decision.Allowed(Optional.empty());
         }
         if (!isCertain) {
-            return unavailable();
+            return unavailable(request);
         }
         return tenant.isPresent()
                 ? new Decision.Allowed(tenant)
@@ -74,11 +79,14 @@
     /** A key that this configuration doesn't ask for may have been taken away by one that isn't known here. */
     private Decision decideWithoutTenants(final RoutedRequest request, final ClusterSnapshot snapshot, final long now) {
         final boolean hasCredential = !(request.credential() instanceof Credential.None);
-        return hasCredential && !lease.isValid(snapshot, now) ? unavailable() : new Decision.Allowed(Optional.empty());
+        return hasCredential && !lease.isValid(snapshot, now)
+                ? unavailable(request)
+                : new Decision.Allowed(Optional.empty());
     }
 
-    private Decision unavailable() {
-        final long retryAfter = MIN_RETRY_AFTER + random.nextLong(RETRY_AFTER_SPREAD);
+    private Decision unavailable(final RoutedRequest request) {
+        final long longest = Math.min(request.timeout() / HEEDED_PART, MAX_RETRY_AFTER);
+        final long retryAfter = longest / 2 + random.nextLong(longest / 2 + 1);
         return new Decision.Rejected(UNAVAILABLE, retryAfter, "keys can't be checked now");
     }
 }
