--- a/core/src/main/java/silverlatch/gossip/PullSchedule.java
+++ b/core/src/main/java/silverlatch/gossip/PullSchedule.java
@@ -65,7 +65,7 @@
     }
 
     /**
-     * Returns the controllers to pull from besides the others while the state here was never confirmed: one of any region, as those of
+     * Returns the controllers to pull from besides the others while the state here was never confirmed: each in its turn, as those of
      * the own one may not have a lease yet.
      */
     List<Member> controllersToPullFirst(final View view, final long now) {
@@ -77,7 +77,7 @@
             lastFirstPull = now;
             firstPulls++;
         }
-        return peerSelector.sample(controllers, 1);
+        return peerSelector.nextInTurn(controllers, 1);
     }
 
     private long gatewayPullInterval(final BooleanSupplier isStale) {
