Wait for the last write before a test counts open requests

Cause, by reading: a request is open until the callback of its last write has run, and its client may read the last byte before that. The order is needed: a process that stops waits for this count, and would otherwise end with the last bytes unwritten.

--- a/server/src/test/java/silverlatch/server/proxy/ClientDisconnectTest.java
+++ b/server/src/test/java/silverlatch/server/proxy/ClientDisconnectTest.java
@@ -119,7 +119,7 @@
         Thread.sleep(BEYOND_HALF_CLOSE_MS);
         client.close();
         assertThat(millisUntilEnd(worker) < NOTICE_LIMIT_MS, is(true));
-        awaitNoOpenRequest();
+        awaitNoOpenRequest(WAIT_MS);
     }
 
     @Test
@@ -132,7 +132,7 @@
         Thread.sleep(BEYOND_HALF_CLOSE_MS);
         client.close();
         assertThat(millisUntilEnd(worker) < NOTICE_LIMIT_MS, is(true));
-        awaitNoOpenRequest();
+        awaitNoOpenRequest(WAIT_MS);
     }
 
     @Test
@@ -202,12 +202,4 @@
         client.close();
         assertThat(millisUntilEnd(worker) < NOTICE_LIMIT_MS, is(true));
     }
-
-    private void awaitNoOpenRequest() throws InterruptedException {
-        final long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
-        while (proxy.get().openRequests() > 0 && System.nanoTime() < deadline) {
-            Thread.sleep(1);
-        }
-        assertThat(proxy.get().openRequests(), is(0));
-    }
 }
--- a/server/src/test/java/silverlatch/server/proxy/ProxyFixture.java
+++ b/server/src/test/java/silverlatch/server/proxy/ProxyFixture.java
@@ -1,5 +1,8 @@
 package silverlatch.server.proxy;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -121,6 +124,15 @@
     }
 
     /** A port of the loopback interface that nothing listened on just now. */
+    /** A request is open until its response was written, of which the client may have read the last byte earlier. */
+    void awaitNoOpenRequest(final long limitMs) throws InterruptedException {
+        final long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs);
+        while (proxy.get().openRequests() > 0 && System.nanoTime() < deadline) {
+            Thread.sleep(1);
+        }
+        assertThat(proxy.get().openRequests(), is(0));
+    }
+
     static int freePort() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return socket.getLocalPort();
--- a/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
+++ b/server/src/test/java/silverlatch/server/proxy/ProxyServerTest.java
@@ -27,6 +27,8 @@
 
 /** The proxy between a client and stub workers: forwarding, retries, resumed streams, shutdown. */
 final class ProxyServerTest extends ProxyFixture {
+    private static final long WRITTEN_LIMIT_MS = 1_000;
+
     @Test
     void aRequestAndItsResponsePassUnchanged() throws IOException {
         final StubWorker worker =
@@ -189,7 +191,7 @@
         assertThat(reply, startsWith("HTTP/1.1 200"));
         assertThat(header(reply, "Connection"), is("close"));
         assertThat(worker.received.size(), is(1));
-        assertThat(proxy.get().openRequests(), is(0));
+        awaitNoOpenRequest(WRITTEN_LIMIT_MS);
     }
 
     @Test
