Keep the mark of reported usage apart from the routes' entries

Cause: the mark's key, u/reported, began as the routes' keys do. Each configuration deleted it as a route that it doesn't have, and as policy it moved the revision that all gateways follow, one pull and one new routing table a window at each of them. Class of fault: one owner per fact, but two facts under one prefix.

--- a/core/src/main/java/silverlatch/state/EntryKeys.java
+++ b/core/src/main/java/silverlatch/state/EntryKeys.java
@@ -31,7 +31,7 @@
     /** Closed windows of usage, by number in decimal with leading zeros. */
     static final String USAGE_WINDOWS = "w/";
     /** Up to where usage was reported. */
-    static final String USAGE_REPORTED = "u/reported";
+    static final String USAGE_REPORTED = "m/usage-reported";
     /** The routing configuration in force, without its routes and pools. */
     static final String CONFIGURATION_PREFIX = "p/";
 
--- a/core/src/test/java/silverlatch/state/UsageManagerTest.java
+++ b/core/src/test/java/silverlatch/state/UsageManagerTest.java
@@ -58,4 +58,44 @@
         mark(7);
         assertThat(UsageState.reportedUpTo(executor.state()), is(8L));
     }
+
+    @Test
+    void whatIsReportedIsNeitherLostWithAConfigurationNorNewsForGateways() {
+        mark(8);
+        close(9, 1);
+        assertThat(executor.state().policyRevision(), is(0L));
+        executor.execute(new Command.PutConfiguration(
+                "configuration", new Value.RoutingConfiguration(1, 1, 1, 1, 1), List.of(), List.of(), "{}", 0));
+        assertThat(UsageState.reportedUpTo(executor.state()), is(8L));
+        assertThat(UsageState.newestClosed(executor.state()), is(OptionalLong.of(9)));
+    }
+
+    @Test
+    void noKindOfEntryHasTheKeysOfAnother() {
+        final List<String> prefixes = List.of(
+                EntryKeys.TENANTS,
+                EntryKeys.ROWS,
+                EntryKeys.EVACUATIONS,
+                EntryKeys.SCHEDULES,
+                EntryKeys.CLAIMS,
+                EntryKeys.OUTCOMES,
+                EntryKeys.EPOCH,
+                EntryKeys.TENANT_ACCESS,
+                EntryKeys.PUBLIC_ROUTES,
+                EntryKeys.POOL_SCALINGS,
+                EntryKeys.USAGE_WINDOWS,
+                EntryKeys.USAGE_REPORTED,
+                EntryKeys.ACCESS_CONTROL,
+                AcceptedConfigurations.KEY_PREFIX,
+                ConfigurationValidator.CONFIGURATION_KEY,
+                ConfigurationValidator.DOCUMENT_KEY,
+                ConfigurationValidator.ROUTE_PREFIX,
+                ConfigurationValidator.POOL_PREFIX);
+        for (final String prefix : prefixes) {
+            assertThat(
+                    prefix,
+                    prefixes.stream().filter(key -> key.startsWith(prefix)).toList(),
+                    is(List.of(prefix)));
+        }
+    }
 }
--- a/core/src/test/java/silverlatch/traffic/UsageOutboxTest.java
+++ b/core/src/test/java/silverlatch/traffic/UsageOutboxTest.java
@@ -31,7 +31,7 @@
     }
 
     private void commitMark(final long window) {
-        state.apply(20, List.of(new Entry("u/reported", 20, List.of(new Value.UsageReported(window)))));
+        state.apply(20, List.of(new Entry("m/usage-reported", 20, List.of(new Value.UsageReported(window)))));
     }
 
     @Test
