--- a/review/harness/Harness.java
+++ b/review/harness/Harness.java
@@ -206,9 +206,11 @@
 
         /** Sends a signal to both processes of this machine. */
         synchronized void signal(final String signal) throws IOException, InterruptedException {
-            final List<String> command = new ArrayList<>(List.of("kill", "-" + signal));
-            processes.values().forEach(process -> command.add(Long.toString(process.pid())));
-            new ProcessBuilder(command).inheritIO().start().waitFor();
+            final StringBuilder command = new StringBuilder("kill -" + signal);
+            processes.values().forEach(process -> command.append(' ').append(process.pid()));
+            if (new ProcessBuilder("bash", "-c", command.toString()).inheritIO().start().waitFor() != 0) {
+                throw new IOException("the signal " + signal + " could not be sent");
+            }
         }
 
         /** Empties the data directories; the processes must have ended. */
