A paused controller carries out no order whose caller has moved on

Cause: an evacuation bears no version; the controller's chain client gives it the newest revision of the zone, learnt at the moment at which the call is handled. Calls counted from when they were read. Evidence: after the resumption the log of the head shows a first attempt under a new id rejected with 409, and the change of that id on top of the newest one. Ruled out: a late copy inside the chain (new id; a copy expects an older revision), a paused head.

A caller that closes its connection ends its call. Commands of the product's own API without a revision are put on a revision that is learnt while the caller waits, as evacuations are.

--- a/core/src/main/java/silverlatch/node/Event.java
+++ b/core/src/main/java/silverlatch/node/Event.java
@@ -17,6 +17,8 @@
     SETTINGS(104, true),
     /** An unexpected error occurred; the work in progress was abandoned. */
     FAULT(105, true),
+    /** The process handled no event for a second or longer. */
+    PAUSED(106, true),
     /** A member became known or is up again. */
     MEMBER_UP(200, false),
     /** A member is suspected to have failed. */
@@ -76,6 +78,8 @@
     CHANGED(500, false),
     /** A command was rejected. */
     CHANGE_REJECTED(501, false),
+    /** A command was dropped, as its caller has left or may have left. */
+    COMMAND_DROPPED(503, false),
     /** A schedule fired. */
     CALENDAR(502, false),
     /** A request was rejected. */
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -1,12 +1,11 @@
 package silverlatch.node;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import silverlatch.clock.PauseDetector;
 import silverlatch.clock.PhysicalClock;
 import silverlatch.clock.ProcessClock;
 import silverlatch.clock.Stamp;
@@ -36,8 +35,10 @@
  * <p>{@code now} is always microseconds of the process's monotonic clock.
  */
 public final class Node {
-    /** Limits the effects processed per call, in case two components respond to each other endlessly. */
-    private static final int MAX_EFFECTS_PER_CALL = 10_000;
+    /** A worker that reports waits for the reply for this time. */
+    private static final long REPORT_TIMEOUT_MICROS = 1_000_000L;
+    /** Pauses that are shorter aren't logged. */
+    private static final long MIN_LOGGED_PAUSE_MICROS = 1_000_000L;
 
     private final Settings settings;
     private final NodeClock clock;
@@ -46,12 +47,12 @@
     private final ChainClient chainClient;
     private final TrafficExchange traffic;
     private final MessageDispatcher dispatcher;
-    private final FrameReceiver receiver;
-    private final FrameSender sender;
+    private final FrameExchange frames;
     private final ClusterSnapshotBuilder snapshotBuilder;
     private final NodeCounters counters = new NodeCounters();
-    private final Deque<Effect> pendingEffects = new ArrayDeque<>();
     private final List<Effect> effects = new ArrayList<>();
+    private final EffectProcessor effectProcessor;
+    private final PauseDetector pauses;
     private Optional<ChainReplica> chainReplica;
     private long currentTime;
 
@@ -133,14 +134,18 @@
         this.gossip = new Gossip(membership, random, settings.gossip(), settings.safeguards());
         this.chainReplica = chainSettings.map(c ->
                 new ChainReplica(c.withSafeguards(settings.safeguards()), records, () -> localStamp(currentTime), now));
-        this.chainClient = new ChainClient(settings.self().address(), this::view, random.nextLong() >>> 8);
+        this.pauses = new PauseDetector(settings.safeguards());
+        this.chainClient = new ChainClient(settings.self().address(), this::view, random.nextLong() >>> 8, pauses);
         this.traffic = new TrafficExchange(
                 settings.self().address(), clock, membership, gossip, this::view, this::chainReplica);
         this.dispatcher = new MessageDispatcher(
                 clock, membership, gossip, chainClient, traffic, this::chainReplica, effects::add);
-        this.receiver = new FrameReceiver(
-                clock, gossip::fleet, dispatcher::dispatch, pendingEffects::add, effects::add, counters);
-        this.sender = new FrameSender(clock, membership, gossip::fleet);
+        final FrameSender sender = new FrameSender(clock, membership, gossip::fleet);
+        this.effectProcessor = new EffectProcessor(
+                settings.self().address(), this::collectEffects, dispatcher::dispatch, sender, effects::add);
+        final FrameReceiver receiver = new FrameReceiver(
+                clock, gossip::fleet, dispatcher::dispatch, effectProcessor::add, effects::add, counters);
+        this.frames = new FrameExchange(clock, pauses, receiver, sender, effects::add, counters);
         this.snapshotBuilder = new ClusterSnapshotBuilder(settings, membership, gossip, now);
         this.chainReplica.ifPresent(
                 replica -> gossip.adoptReplicaState(replica.stateMachine(), replica.view(), false, now));
@@ -200,7 +205,7 @@
 
     /** Returns whether an incoming or outgoing frame waits for the process clock. */
     public boolean hasDelayedFrames() {
-        return !sender.isEmpty() || !receiver.isEmpty();
+        return frames.hasDelayed();
     }
 
     /** Returns a snapshot as of the last call, for the event loop that routes requests. */
@@ -208,13 +213,22 @@
         return snapshotBuilder.build(dispatcher.hasJoined(), currentTime);
     }
 
-    /** Processes a received frame. */
+    /** Processes a received frame; drops one that may have waited for long while this process was paused. */
     public void onFrame(final Frame frame, final long now) {
         advanceTime(now);
-        receiver.receive(frame, now);
+        frames.receive(frame, now);
         processEffects(now);
     }
 
+    /**
+     * Returns whether an announcement that is handled now may have waited, because this process was paused, for longer
+     * than its worker waited for the reply. The worker may have ended since, and must announce itself again.
+     */
+    public boolean mayBeOutdated(final long now) {
+        advanceTime(now);
+        return pauses.possibleWait(now) >= REPORT_TIMEOUT_MICROS;
+    }
+
     /**
      * Processes an announcement that a worker made to this node.
      *
@@ -257,6 +271,13 @@
         processEffects(now);
     }
 
+    /** Drops a submitted command whose caller has left; answered by {@link Effect.Respond} as unknown. */
+    public void cancel(final long token, final long now) {
+        advanceTime(now);
+        chainClient.cancel(token);
+        processEffects(now);
+    }
+
     /** Reads the entries under a key prefix from the chain; answered like {@link #submit}. */
     public void read(final String keyPrefix, final long token, final long now, final long deadline) {
         advanceTime(now);
@@ -311,7 +332,7 @@
         advanceTime(now);
         clock.slew(now, wallTime);
         clock.raiseToLogFloor(now);
-        retryDelayedFrames(now);
+        frames.retry(now);
         clock.check(now).ifPresent(reason -> rejoin(now, reason));
         membership.setWaitingForSeeds(gossip.lastConfirmedAt().isEmpty());
         membership.tick(now);
@@ -325,7 +346,7 @@
 
     /** Returns the frames to send, and removes them. */
     public List<OutgoingFrame> drainFrames() {
-        return sender.drain();
+        return frames.drain();
     }
 
     /** Returns the other pending effects, and removes them. */
@@ -337,6 +358,10 @@
 
     private void advanceTime(final long now) {
         currentTime = Math.max(currentTime, now);
+        final long pause = pauses.observe(now);
+        if (pause >= MIN_LOGGED_PAUSE_MICROS) {
+            effects.add(new Effect.Log(Event.PAUSED, "no event was handled for " + pause + " us"));
+        }
     }
 
     /**
@@ -345,8 +370,7 @@
     private void rejoin(final long now, final String reason) {
         counters.increment(NodeCounters.REJOINS);
         clock.reset(now);
-        sender.clear();
-        receiver.clear();
+        frames.clear();
         dispatcher.onRejoin();
         gossip.resetFreshness();
         membership.startIncarnation(membership.self().incarnation() + 1);
@@ -354,46 +378,17 @@
         effects.add(new Effect.Log(Event.REJOIN, reason));
     }
 
-    private void retryDelayedFrames(final long now) {
-        receiver.retry(now);
-        sender.retry(now);
-        final int expired = receiver.removeExpired(now) + sender.removeExpired(now);
-        for (int i = 0; i < expired; i++) {
-            clock.processClock().recordDrop(now);
-            counters.increment(NodeCounters.OVERFLOWS);
-            effects.add(new Effect.Log(
-                    Event.OVERFLOW, "a message was dropped after the maximum wait for the process clock"));
-        }
+    /** Returns the effects of all components since the last call, and removes them. */
+    private List<Effect> collectEffects() {
+        final List<Effect> collected = new ArrayList<>(membership.drain());
+        chainReplica.ifPresent(replica -> collected.addAll(replica.drain()));
+        collected.addAll(gossip.drain());
+        collected.addAll(chainClient.drain());
+        collected.addAll(traffic.drain());
+        return collected;
     }
 
     private void processEffects(final long now) {
-        int processed = 0;
-        collectEffects();
-        while (!pendingEffects.isEmpty() && processed++ < MAX_EFFECTS_PER_CALL) {
-            final Effect effect = pendingEffects.poll();
-            if (effect instanceof Effect.Send send) {
-                send(send, now);
-            } else {
-                effects.add(effect);
-            }
-            collectEffects();
-        }
-    }
-
-    /** Dispatches a message to this node itself, or stamps a message to another node. */
-    private void send(final Effect.Send send, final long now) {
-        if (send.to().equals(settings.self().address())) {
-            dispatcher.dispatch(send.message(), send.to(), now);
-        } else {
-            sender.send(send, now);
-        }
-    }
-
-    private void collectEffects() {
-        pendingEffects.addAll(membership.drain());
-        chainReplica.ifPresent(replica -> pendingEffects.addAll(replica.drain()));
-        pendingEffects.addAll(gossip.drain());
-        pendingEffects.addAll(chainClient.drain());
-        pendingEffects.addAll(traffic.drain());
+        effectProcessor.process(now);
     }
 }
--- a/core/src/main/java/silverlatch/replication/ChainClient.java
+++ b/core/src/main/java/silverlatch/replication/ChainClient.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
+import silverlatch.clock.PauseDetector;
 import silverlatch.node.Effect;
+import silverlatch.node.Event;
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
 import silverlatch.wire.ChainClientMessage;
@@ -33,15 +35,25 @@
 
     private final String address;
     private final Supplier<View> currentView;
+    private final PauseDetector pauses;
     private final Map<Long, PendingCall> pendingCalls = new LinkedHashMap<>();
     private final List<Effect> effects = new ArrayList<>();
     private long lastRequestId;
     private long lastViewNumber;
 
-    /** Creates a client of the process that listens at the address; request ids start after {@code firstRequestId}. */
-    public ChainClient(final String address, final Supplier<View> currentView, final long firstRequestId) {
+    /**
+     * Creates a client of the process that listens at the address; request ids start after {@code firstRequestId}.
+     *
+     * @param pauses the pauses of this process
+     */
+    public ChainClient(
+            final String address,
+            final Supplier<View> currentView,
+            final long firstRequestId,
+            final PauseDetector pauses) {
         this.address = address;
         this.currentView = currentView;
+        this.pauses = pauses;
         this.lastRequestId = firstRequestId;
     }
 
@@ -59,13 +71,25 @@
         }
     }
 
-    /** Sends a command; the response for the token will be a {@link CommandResult}. */
+    /**
+     * Sends a command; the response for the token will be a {@link CommandResult}.
+     *
+     * <p>A command that may have waited during a pause of this process has that much less time, so that nothing is sent
+     * for a caller that may have given up before the pause ended and sent other commands since.
+     *
+     * @param deadline the time until which the caller waits if it called just now
+     */
     public void submit(final Command command, final long token, final long now, final long deadline) {
         lastRequestId++;
-        final boolean expectsLatest = command instanceof Command.SetEvacuation evacuation
-                && evacuation.expectedRevision() == Command.SetEvacuation.LATEST;
+        final long possibleWait = pauses.possibleWait(now);
+        if (possibleWait > 0 && now >= deadline - possibleWait) {
+            drop(command.id(), "may have waited for " + possibleWait + " us", token);
+            return;
+        }
+        final boolean expectsLatest = command instanceof Command.Revisioned revisioned
+                && revisioned.expectedRevision() == Command.Revisioned.LATEST;
         final Command firstAttempt =
-                expectsLatest ? ((Command.SetEvacuation) command).withExpectedRevision(NO_REVISION) : command;
+                expectsLatest ? ((Command.Revisioned) command).withExpectedRevision(NO_REVISION) : command;
         sendOrExpire(
                 lastRequestId,
                 new PendingCall(
@@ -73,7 +97,7 @@
                         true,
                         token,
                         now,
-                        deadline,
+                        deadline - possibleWait,
                         expectsLatest,
                         0),
                 now);
@@ -95,6 +119,25 @@
                 now);
     }
 
+    /**
+     * Drops the command that was submitted with a token, as its caller has left: it is sent no more. A copy that is on its
+     * way still takes effect if it expects the current revision, but the command isn't put on top of a newer one.
+     */
+    public void cancel(final long token) {
+        for (final Map.Entry<Long, PendingCall> entry : List.copyOf(pendingCalls.entrySet())) {
+            if (entry.getValue().token() == token
+                    && entry.getValue().request() instanceof ChainClientMessage.WriteRequest write) {
+                pendingCalls.remove(entry.getKey());
+                drop(write.command().id(), "its caller has left", token);
+            }
+        }
+    }
+
+    private void drop(final String commandId, final String reason, final long token) {
+        effects.add(new Effect.Log(Event.COMMAND_DROPPED, commandId + ": " + reason));
+        effects.add(new Effect.Respond(token, new CommandResult.Unknown(commandId)));
+    }
+
     /** Handles a reply of the head or the tail. */
     public void onMessage(final Message message, final long now) {
         switch (message) {
@@ -114,16 +157,16 @@
         }
     }
 
-    /** Responds with the result; retries a conflicting evacuation that expects the latest revision with the revision of the rejection. */
+    /** Responds with the result; retries a conflicting command that expects the latest revision with the revision of the rejection. */
     private void complete(final PendingCall call, final CommandResult result, final long now) {
         if (call.expectsLatest()
                 && result instanceof CommandResult.Rejected r
                 && r.code() == CONFLICT
                 && call.request() instanceof ChainClientMessage.WriteRequest w
-                && w.command() instanceof Command.SetEvacuation evacuation) {
+                && w.command() instanceof Command.Revisioned revisioned) {
             lastRequestId++;
             final Message retry = new ChainClientMessage.WriteRequest(
-                    lastRequestId, address, evacuation.withExpectedRevision(r.sequence()));
+                    lastRequestId, address, revisioned.withExpectedRevision(r.sequence()));
             sendOrExpire(lastRequestId, new PendingCall(retry, true, call.token(), now, call.deadline(), true, 0), now);
         } else {
             effects.add(new Effect.Respond(call.token(), result));
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -53,6 +53,8 @@
     COMMITTED_REFUSAL,
     /** A command on a zone takes effect only on top of the newest entry of the zone that its caller knew. */
     LATEST_EVACUATION,
+    /** A command that may have waited while its process was paused counts as received when the pause began. */
+    PAUSE,
     /** The receive event of a message gets a higher stamp than the message. */
     STAMP_ABOVE,
     /** A stamp that is too far ahead of the physical clock is not merged into the process clock. */
--- a/core/src/main/java/silverlatch/state/Command.java
+++ b/core/src/main/java/silverlatch/state/Command.java
@@ -18,39 +18,70 @@
     /** Returns the id by which duplicates are recognized and under which the outcome can be queried later. */
     String id();
 
+    /**
+     * A command on an entry, or on the table, that may expect the revision on which it is applied. A caller that has no
+     * revision of its own gives {@link #LATEST}.
+     */
+    sealed interface Revisioned extends Command {
+        /**
+         * Expected revision of a command that is applied on top of the newest change, whichever that is. The client that
+         * sends it learns the newest revision during the call and then expects it. A copy that arrives after the call,
+         * when another command has taken effect, is therefore rejected and has no effect.
+         */
+        long LATEST = -2;
+
+        /** Returns the revision on which the command is applied, {@link #LATEST}, or -1 for any. */
+        long expectedRevision();
+
+        /** Returns a copy of the command with another expected revision. */
+        Revisioned withExpectedRevision(long revision);
+    }
+
     /** Sets individual cells of the table. */
-    record PatchTable(String id, List<Cell> cells, long expectedRevision) implements Command {
+    record PatchTable(String id, List<Cell> cells, long expectedRevision) implements Revisioned {
         /** Copies the cells. */
         public PatchTable {
             cells = List.copyOf(cells);
         }
+
+        @Override
+        public PatchTable withExpectedRevision(final long revision) {
+            return new PatchTable(id, cells, revision);
+        }
     }
 
     /** Replaces all rows of the table. */
-    record PutTable(String id, List<Value.Row> rows, long expectedRevision) implements Command {
+    record PutTable(String id, List<Value.Row> rows, long expectedRevision) implements Revisioned {
         /** Copies the rows. */
         public PutTable {
             rows = List.copyOf(rows);
         }
+
+        @Override
+        public PutTable withExpectedRevision(final long revision) {
+            return new PutTable(id, rows, revision);
+        }
     }
 
     /** Creates or replaces a tenant. */
-    record PutTenant(String id, Value.Tenant tenant, long expectedRevision) implements Command {}
+    record PutTenant(String id, Value.Tenant tenant, long expectedRevision) implements Revisioned {
+        @Override
+        public PutTenant withExpectedRevision(final long revision) {
+            return new PutTenant(id, tenant, revision);
+        }
+    }
 
     /** Deletes a tenant. */
-    record RemoveTenant(String id, String tenant, long expectedRevision) implements Command {}
+    record RemoveTenant(String id, String tenant, long expectedRevision) implements Revisioned {
+        @Override
+        public RemoveTenant withExpectedRevision(final long revision) {
+            return new RemoveTenant(id, tenant, revision);
+        }
+    }
 
     /** Begins or ends the evacuation of a zone. */
-    record SetEvacuation(String id, String zone, boolean active, long expectedRevision) implements Command {
-        /**
-         * Expected revision of a command that is applied on top of the newest change of its zone, whichever that is.
-         * The client that sends it learns the sequence of that change during the call and then expects it. A duplicate
-         * that arrives after the call, when another command has taken effect, is
-         * therefore rejected and has no effect.
-         */
-        public static final long LATEST = -2;
-
-        /** Returns a copy of the command with another expected revision. */
+    record SetEvacuation(String id, String zone, boolean active, long expectedRevision) implements Revisioned {
+        @Override
         public SetEvacuation withExpectedRevision(final long revision) {
             return new SetEvacuation(id, zone, active, revision);
         }
@@ -73,10 +104,20 @@
     record AdvanceEpoch(String id, long epoch, long fencingToken) implements Command {}
 
     /** Creates or replaces a schedule. */
-    record PutSchedule(String id, Value.Schedule schedule, long expectedRevision) implements Command {}
+    record PutSchedule(String id, Value.Schedule schedule, long expectedRevision) implements Revisioned {
+        @Override
+        public PutSchedule withExpectedRevision(final long revision) {
+            return new PutSchedule(id, schedule, revision);
+        }
+    }
 
     /** Deletes a schedule. */
-    record RemoveSchedule(String id, String name, long expectedRevision) implements Command {}
+    record RemoveSchedule(String id, String name, long expectedRevision) implements Revisioned {
+        @Override
+        public RemoveSchedule withExpectedRevision(final long revision) {
+            return new RemoveSchedule(id, name, revision);
+        }
+    }
 
     /**
      * Executes a command that is due by a schedule. Sent by the owner of the singleton role, with its fencing token.
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -12,10 +12,12 @@
 import java.util.function.LongConsumer;
 import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
+import silverlatch.clock.PauseDetector;
 import silverlatch.clock.Stamp;
 import silverlatch.log.LogRecord;
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
+import silverlatch.safeguard.Safeguards;
 import silverlatch.state.Command;
 import silverlatch.state.ConfigurationValidator;
 import silverlatch.state.Value;
@@ -125,7 +127,12 @@
     private void run(final String address, final ChainReplica replica) {
         replicas.put(address, replica);
         clients.put(
-                address, new ChainClient(address, replica::view, scheduler.nextUniqueNumber() * CALLS_OF_ONE_CLIENT));
+                address,
+                new ChainClient(
+                        address,
+                        replica::view,
+                        scheduler.nextUniqueNumber() * CALLS_OF_ONE_CLIENT,
+                        new PauseDetector(Safeguards.ALL)));
         scheduleTick(address, replica);
     }
 
--- a/server/src/main/java/silverlatch/server/controller/AnnouncementResource.java
+++ b/server/src/main/java/silverlatch/server/controller/AnnouncementResource.java
@@ -37,6 +37,10 @@
             return;
         }
         final boolean isAccepted = eventLoop.execute(node -> {
+            if (node.mayBeOutdated(EventLoop.nowMicros())) {
+                ApiReplies.reject(exchange, ApiReplies.SERVICE_UNAVAILABLE, "this process was paused; announce again");
+                return;
+            }
             final long nextEcho = node.onAnnouncement(worker, echo, EventLoop.nowMicros());
             final long revision = node.gossip().stateMachine().policyRevision();
             exchange.reply(ApiReplies.OK, Map.of("echo", nextEcho, "table", revision));
--- a/server/src/main/java/silverlatch/server/controller/ControlService.java
+++ b/server/src/main/java/silverlatch/server/controller/ControlService.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 import silverlatch.gossip.Worker;
 import silverlatch.replication.ChainClient;
+import silverlatch.server.eventloop.Caller;
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
 
@@ -25,10 +26,11 @@
     void readConfiguration(Consumer<ChainClient.ReadResult> onResult);
 
     /**
-     * Starts or ends the evacuation of a zone; the latest command for a zone wins. If the command isn't committed in time, its outcome
-     * is reported as unknown: it takes effect during the call, or later only if no other command for the zone took effect since.
+     * Starts or ends the evacuation of a zone; the latest command for a zone wins. If the command isn't committed in time, or its caller
+     * leaves, its outcome is reported as unknown: it takes effect while the caller waits, or later only if no other command for the zone
+     * took effect since. A call that may have waited during a pause of this process counts from the begin of the pause.
      */
-    void setEvacuation(String zone, boolean isEvacuated, Consumer<CommandResult> onResult);
+    void setEvacuation(String zone, boolean isEvacuated, Caller caller, Consumer<CommandResult> onResult);
 
     /**
      * Accepts a worker's report on itself. The result is true once the report is accepted and is being gossiped to the other nodes. A
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -22,6 +22,7 @@
 import silverlatch.node.Node;
 import silverlatch.replication.ChainClient;
 import silverlatch.replication.ChainReplica;
+import silverlatch.server.eventloop.Caller;
 import silverlatch.server.eventloop.EventLog;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.eventloop.EventLoopHandle;
@@ -160,13 +161,14 @@
                     0));
             return;
         }
-        submit(command.toCompatibleCommand(), onResult);
+        submit(command.toCompatibleCommand(), Caller.WAITS, onResult);
     }
 
     @Override
-    public void setEvacuation(final String zone, final boolean isEvacuated, final Consumer<CommandResult> onResult) {
+    public void setEvacuation(
+            final String zone, final boolean isEvacuated, final Caller caller, final Consumer<CommandResult> onResult) {
         final String id = UUID.randomUUID().toString();
-        submit(new Command.SetEvacuation(id, zone, isEvacuated, Command.SetEvacuation.LATEST), onResult);
+        submit(new Command.SetEvacuation(id, zone, isEvacuated, Command.SetEvacuation.LATEST), caller, onResult);
     }
 
     @Override
@@ -212,8 +214,8 @@
         return providerCaller.map(ProviderCaller::counters).orElse(Map.of());
     }
 
-    private void submit(final Command command, final Consumer<CommandResult> onResult) {
-        final boolean isPosted = eventLoop.submit(command, SERVICE_TIMEOUT_MICROS, onResult);
+    private void submit(final Command command, final Caller caller, final Consumer<CommandResult> onResult) {
+        final boolean isPosted = eventLoop.submit(command, SERVICE_TIMEOUT_MICROS, caller, onResult);
         if (!isPosted) {
             onResult.accept(
                     new CommandResult.Rejected(ApiReplies.SERVICE_UNAVAILABLE, List.of(ApiReplies.OVERLOADED), 0));
--- a/server/src/main/java/silverlatch/server/controller/EvacuationResource.java
+++ b/server/src/main/java/silverlatch/server/controller/EvacuationResource.java
@@ -25,11 +25,7 @@
             if (!ApiReplies.rejectIfFaulty(exchange, body)) {
                 state.write(
                         exchange,
-                        (id, expectedRevision) -> new Command.SetEvacuation(
-                                id,
-                                zone,
-                                isEvacuated,
-                                expectedRevision < 0 ? Command.SetEvacuation.LATEST : expectedRevision));
+                        (id, expectedRevision) -> new Command.SetEvacuation(id, zone, isEvacuated, expectedRevision));
             }
         });
     }
--- a/server/src/main/java/silverlatch/server/controller/ScheduleRunner.java
+++ b/server/src/main/java/silverlatch/server/controller/ScheduleRunner.java
@@ -4,6 +4,7 @@
 import silverlatch.node.Event;
 import silverlatch.node.Node;
 import silverlatch.replication.ChainReplica;
+import silverlatch.server.eventloop.Caller;
 import silverlatch.server.eventloop.EventLog;
 import silverlatch.server.eventloop.EventLoopHandle;
 import silverlatch.state.Command;
@@ -41,7 +42,7 @@
 
     private void submit(final Command command) {
         EventLog.write(Event.CALENDAR, command.id());
-        eventLoop.submit(command, COMMAND_TIMEOUT_MICROS, result -> {
+        eventLoop.submit(command, COMMAND_TIMEOUT_MICROS, Caller.WAITS, result -> {
             if (result instanceof CommandResult.Unknown) {
                 scheduler.allowResubmission(command.id());
             }
--- a/server/src/main/java/silverlatch/server/controller/StateApi.java
+++ b/server/src/main/java/silverlatch/server/controller/StateApi.java
@@ -53,14 +53,21 @@
         if (expectedRevision.isEmpty()) {
             return;
         }
-        final Command command = factory.create(commandId(exchange), expectedRevision.get());
-        final boolean isAccepted =
-                eventLoop.submit(command, TIMEOUT_MICROS, result -> reply(exchange, command.id(), result));
+        final Command command = onLatestRevision(factory.create(commandId(exchange), expectedRevision.get()));
+        final boolean isAccepted = eventLoop.submit(
+                command, TIMEOUT_MICROS, exchange::onCallerLeft, result -> reply(exchange, command.id(), result));
         if (!isAccepted) {
             ApiReplies.rejectOverload(exchange);
         }
     }
 
+    /** A command for any revision is put on the newest one during the call, so that a late copy has no effect. */
+    private static Command onLatestRevision(final Command command) {
+        return command instanceof Command.Revisioned revisioned && revisioned.expectedRevision() == ANY_REVISION
+                ? revisioned.withExpectedRevision(Command.Revisioned.LATEST)
+                : command;
+    }
+
     /** Reads the entries with a key prefix from the chain's tail; if the tail doesn't answer in time, the exchange is rejected. */
     void read(final HttpExchange exchange, final String keyPrefix, final Consumer<ChainClient.ReadResult> onAnswered) {
         final boolean isAccepted = eventLoop.read(keyPrefix, TIMEOUT_MICROS, result -> {
--- a/server/src/main/java/silverlatch/server/controller/WorkerAnnouncements.java
+++ b/server/src/main/java/silverlatch/server/controller/WorkerAnnouncements.java
@@ -24,11 +24,17 @@
         this.timeoutMicros = timeoutMicros;
     }
 
-    /** Accepts a worker's report; the reply is whether it was acknowledged. */
+    /**
+     * Accepts a worker's report; the reply is whether it was acknowledged. A report that may have waited during a pause of this process
+     * for longer than its worker did is rejected, as it could bring back a worker that has ended since.
+     */
     void announce(final Worker worker, final Consumer<Boolean> onResult) {
         applyAndConfirm(
                 worker.id(),
                 node -> {
+                    if (node.mayBeOutdated(EventLoop.nowMicros())) {
+                        return false;
+                    }
                     node.onAnnouncement(worker, 0, EventLoop.nowMicros());
                     return node.gossip().workers().containsKey(worker.id());
                 },
--- a/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
@@ -85,16 +85,25 @@
     }
 
     /**
-     * Submits a command. The callback gets the result on the event loop, at the latest when the timeout has passed. Returns false if the
-     * loop's queue is full; the callback is then never called.
+     * Submits a command. The callback gets the result on the event loop, at the latest when the timeout has passed. Once the caller has
+     * left, nothing more is done for the command, and its result is unknown. Returns false if the loop's queue is full; the callback is
+     * then never called.
      */
-    public boolean submit(final Command command, final long timeoutMicros, final Consumer<CommandResult> onResult) {
+    public boolean submit(
+            final Command command,
+            final long timeoutMicros,
+            final Caller caller,
+            final Consumer<CommandResult> onResult) {
         final long token = lastToken.incrementAndGet();
         final long deadline = EventLoop.nowMicros() + timeoutMicros;
-        return execute(target -> {
+        final boolean isPosted = execute(target -> {
             pendingReplies.put(token, response -> onResult.accept((CommandResult) response));
             target.submit(command, token, EventLoop.nowMicros(), deadline);
         });
+        if (isPosted) {
+            caller.onLeft(() -> execute(target -> target.cancel(token, EventLoop.nowMicros())));
+        }
+        return isPosted;
     }
 
     /**
--- a/server/src/main/java/silverlatch/server/gateway/DispatchEffectHandler.java
+++ b/server/src/main/java/silverlatch/server/gateway/DispatchEffectHandler.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import silverlatch.dispatch.DispatchEffect;
+import silverlatch.server.eventloop.Caller;
 import silverlatch.server.eventloop.EventLog;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.eventloop.EventLoopHandle;
@@ -97,6 +98,7 @@
         nodeLoop.submit(
                 submission.command(),
                 submission.timeout(),
+                Caller.WAITS,
                 result -> dispatchLoop.withDispatcher(dispatcher ->
                         dispatcher.onClaimResult(submission.operationId(), result, EventLoop.nowMicros())));
     }
--- a/server/src/main/java/silverlatch/server/web/HttpExchange.java
+++ b/server/src/main/java/silverlatch/server/web/HttpExchange.java
@@ -28,6 +28,9 @@
     private final AtomicBoolean isReplied = new AtomicBoolean();
     private final AtomicBoolean isStreaming = new AtomicBoolean();
 
+    /** Held while the connection is watched or no longer watched, so that no watch begins after the reply. */
+    private final Object watchLock = new Object();
+
     HttpExchange(final Request request, final Response response, final Callback callback, final byte[] body) {
         this.request = request;
         this.response = response;
@@ -74,6 +77,24 @@
         request.addFailureListener(failure -> listener.run());
     }
 
+    /**
+     * Calls the listener, on a thread of the server, if the caller closes its side of the connection before the reply. Jetty doesn't read
+     * while a request is served, so {@link #onDisconnect} isn't called then.
+     */
+    public void onCallerLeft(final Runnable listener) {
+        synchronized (watchLock) {
+            if (!isReplied.get()) {
+                ClientDisconnects.watch(request, isReset -> listener.run());
+            }
+        }
+    }
+
+    private void unwatch() {
+        synchronized (watchLock) {
+            ClientDisconnects.unwatch(request);
+        }
+    }
+
     /** Replies with a value as JSON. */
     public void reply(final int status, final Map<String, ?> value) {
         reply(status, value, Map.of());
@@ -137,6 +158,7 @@
         if (!isReplied.compareAndSet(false, true)) {
             return;
         }
+        unwatch();
         response.setStatus(status);
         response.getHeaders().put(HttpHeader.CONTENT_TYPE, contentType);
         headers.forEach((name, value) -> response.getHeaders().put(name, value));
--- a/server/src/test/java/silverlatch/server/controller/ControllerTest.java
+++ b/server/src/test/java/silverlatch/server/controller/ControllerTest.java
@@ -33,6 +33,7 @@
 import silverlatch.gossip.Worker;
 import silverlatch.log.WriteAheadLog;
 import silverlatch.replication.ChainClient;
+import silverlatch.server.eventloop.Caller;
 import silverlatch.server.settings.Settings;
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
@@ -151,7 +152,7 @@
         final ChainClient.ReadResult readResult = await(controller::readConfiguration);
         assertThat(readResult.entries().get(0).value(), is(List.of(new Value.ConfigurationDocument(9, "document 9"))));
         assertThat(
-                ControllerTest.<CommandResult>await(t -> controller.setEvacuation("z", true, t)),
+                ControllerTest.<CommandResult>await(t -> controller.setEvacuation("z", true, Caller.WAITS, t)),
                 instanceOf(CommandResult.Applied.class));
         assertThat(request("GET", "/v1/charter", "", "operator-key", "*").body(), is("document 9"));
         controller.stop();
--- a/server/src/test/java/silverlatch/server/controller/WorkerAnnouncementsTest.java
+++ b/server/src/test/java/silverlatch/server/controller/WorkerAnnouncementsTest.java
@@ -54,6 +54,30 @@
         assertThat("the worker's draining was confirmed before", nextReply(5_000), is(true));
     }
 
+    /** A report read after a pause could bring back a worker that had ended and been forgotten meanwhile. */
+    @Test
+    void aReportThatMayHaveWaitedDuringAPauseIsRejectedUntilEverythingWasRead() throws Exception {
+        eventLoop.execute(node -> sleep(1_300));
+        announcements.announce(worker(1, false), replies::add);
+        assertThat(nextReply(10_000), is(false));
+        final long end = EventLoop.nowMicros() + 10_000_000;
+        boolean isAccepted = false;
+        for (long sequence = 2; !isAccepted && EventLoop.nowMicros() < end; sequence++) {
+            TimeUnit.MILLISECONDS.sleep(20);
+            announcements.announce(worker(sequence, false), replies::add);
+            isAccepted = nextReply(10_000);
+        }
+        assertThat("accepted again within ten seconds", isAccepted, is(true));
+    }
+
+    private static void sleep(final long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (final InterruptedException interrupted) {
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
     @Test
     void aGoneWorkerIsAcknowledgedAfterTheNextTickAndAnUnknownOneIsRejected() throws Exception {
         announcements.markWorkerGone("w", replies::add);
--- a/simulation/src/main/java/silverlatch/simulation/explore/Action.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Action.java
@@ -53,9 +53,9 @@
         RESEND,
         /** Reads the configuration. */
         READ,
-        /** Evacuates the zone. */
+        /** Evacuates the zone; if the machine is frozen, the command waits until it is resumed. */
         EVACUATE,
-        /** Cancels the evacuation of the zone. */
+        /** Cancels the evacuation of the zone; if the machine is frozen, the command waits until it is resumed. */
         TAKE_BACK,
         /** Reads whether the zone is evacuated. */
         READ_ZONE
--- a/simulation/src/main/java/silverlatch/simulation/explore/Documents.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Documents.java
@@ -12,6 +12,9 @@
     /** The prefix of the keys of evacuations. */
     static final String EVACUATION_PREFIX = "z/";
 
+    /** The prefix of the keys of command outcomes, which end with the command's id. */
+    static final String OUTCOME_PREFIX = "o/";
+
     private static final String POOL = "pool";
 
     private Documents() {}
--- a/simulation/src/main/java/silverlatch/simulation/explore/Machine.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Machine.java
@@ -5,11 +5,13 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import silverlatch.clock.PauseDetector;
 import silverlatch.log.LogRecord;
 import silverlatch.node.Effect;
 import silverlatch.replication.ChainClient;
 import silverlatch.replication.ChainReplica;
 import silverlatch.replication.Replica;
+import silverlatch.state.Command;
 
 /** One simulated machine: its disk with the synced records, its writes that aren't synced yet, and its running process. */
 final class Machine {
@@ -17,6 +19,7 @@
     private final int drift;
     private final List<LogRecord> disk = new ArrayList<>();
     private final Deque<Effect.Persist> pendingWrites = new ArrayDeque<>();
+    private final List<WaitingCommand> waitingCommands = new ArrayList<>();
     private Optional<Process> process = Optional.empty();
     private int generation;
     private boolean frozen;
@@ -29,7 +32,10 @@
     }
 
     /** A running process. */
-    record Process(ChainReplica replica, ChainClient client) {}
+    record Process(ChainReplica replica, ChainClient client, PauseDetector pauses) {}
+
+    /** A command that was sent to the frozen process, and its operation's token in the history. */
+    record WaitingCommand(Command command, long token) {}
 
     /** Returns the address of the machine with an index. */
     static String address(final int index) {
@@ -75,6 +81,11 @@
         frozen = on;
     }
 
+    /** Returns the commands that wait for the frozen process. */
+    List<WaitingCommand> waitingCommands() {
+        return waitingCommands;
+    }
+
     /** Returns whether the process exists and isn't frozen. */
     boolean isRunning() {
         return process.isPresent() && !frozen;
@@ -114,6 +125,7 @@
             write(pendingWrites.poll().records());
         }
         pendingWrites.clear();
+        waitingCommands.clear();
         process = Optional.empty();
         frozen = false;
     }
--- a/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
@@ -40,6 +40,10 @@
     TAKEOVER(Set.of(Safeguard.TAKEOVER), Set.of(Property.RECOVERS)),
     /** A chain that lost a replica is not repaired. */
     CHAIN_REPAIR(Set.of(Safeguard.CHAIN_REPAIR), Set.of(Property.RECOVERS)),
+    /** A command that waited in a frozen process counts as received when the process is resumed. */
+    PAUSE(Set.of(Safeguard.PAUSE), Set.of(Property.LATE_COMMAND)),
+    /** A command on the zone takes effect on whatever is newest, also when it arrives late. */
+    LATEST_EVACUATION(Set.of(Safeguard.LATEST_EVACUATION), Set.of(Property.LATE_COMMAND, Property.LINEARIZABLE)),
     /** A log write is reported as synced before it is; the simulated world does this, not the replica. */
     SYNC(Set.of(), Set.of(Property.DURABLE));
 
--- a/simulation/src/main/java/silverlatch/simulation/explore/Property.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Property.java
@@ -22,6 +22,8 @@
      * decided before the newer view.
      */
     VIEW_FENCED,
+    /** No command on the zone takes effect after one that was sent when its caller had left, and that was acknowledged. */
+    LATE_COMMAND,
     /** The history of operations is linearizable. */
     LINEARIZABLE,
     /** After all faults have ended, a write is acknowledged within the time limit of {@link Recovery}. */
--- a/simulation/src/main/java/silverlatch/simulation/explore/RandomWalk.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/RandomWalk.java
@@ -126,9 +126,23 @@
                 act(Action.of(Action.Kind.CUT, other, machine));
             }
             case JUMP -> act(Action.tick(JUMP_MILLISECONDS));
+            case FREEZE_WITH_COMMAND -> freezeWithCommand(machine);
         }
     }
 
+    private void freezeWithCommand(final int machine) {
+        act(Action.of(Action.Kind.FREEZE, machine));
+        act(Action.of(randomZoneCommand(), machine));
+        for (int passed = 0; passed <= Operators.CALLER_TIMEOUT_MILLISECONDS; passed += JUMP_MILLISECONDS) {
+            act(Action.tick(JUMP_MILLISECONDS));
+        }
+        act(Action.of(randomZoneCommand(), (machine + 1 + random.nextInt(size - 1)) % size));
+    }
+
+    private Action.Kind randomZoneCommand() {
+        return random.nextBoolean() ? Action.Kind.EVACUATE : Action.Kind.TAKE_BACK;
+    }
+
     private void crashUnsynced() {
         final List<Machine> writing = world.machines().stream()
                 .filter(machine -> !machine.pendingWrites().isEmpty())
@@ -186,7 +200,7 @@
             case 3 -> putConcurrently(machine);
             case 4, 5, 6 -> act(Action.of(Action.Kind.READ, machine));
             case 7 -> resend(machine);
-            case 8 -> act(Action.of(random.nextBoolean() ? Action.Kind.EVACUATE : Action.Kind.TAKE_BACK, machine));
+            case 8 -> act(Action.of(randomZoneCommand(), machine));
             default -> act(Action.of(Action.Kind.READ_ZONE, machine));
         }
     }
--- a/simulation/src/main/java/silverlatch/simulation/explore/WalkPlan.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/WalkPlan.java
@@ -43,7 +43,9 @@
         /** Cuts the links between two machines, while both keep their links to the others. */
         CUT_LINK,
         /** Advances the clock although work is pending. */
-        JUMP
+        JUMP,
+        /** Freezes a process, sends it a command on the zone, and once its caller has left sends another command elsewhere. */
+        FREEZE_WITH_COMMAND
     }
 
     /** The kinds by which several machines propose different views concurrently and lose unsynced promises. */
--- a/simulation/src/main/java/silverlatch/simulation/explore/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/World.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import silverlatch.clock.PauseDetector;
 import silverlatch.clock.Stamp;
 import silverlatch.log.LogRecord;
 import silverlatch.node.Effect;
@@ -12,8 +13,6 @@
 import silverlatch.replication.ReplicaSettings;
 import silverlatch.replication.ReplicaStatus;
 import silverlatch.replication.View;
-import silverlatch.state.Command;
-import silverlatch.state.ConfigurationValidator;
 import silverlatch.wire.ChainClientMessage;
 import silverlatch.wire.Message;
 
@@ -24,23 +23,21 @@
 final class World {
     private static final long MICROS_PER_MILLISECOND = 1_000;
     private static final long START_MICROS = 10_000_000;
-    private static final long OPERATION_TIMEOUT_MICROS = 900_000;
     private static final long FLEET_ID = 7;
     private static final int ROUNDS_PER_PERIOD = 4;
     private static final int INBOUND = 1;
     private static final int OUTBOUND = 2;
-    private static final String ZONE = "zone";
-    private static final long LATEST = Command.SetEvacuation.LATEST;
     private final WorldOptions options;
     private final List<Machine> machines = new ArrayList<>();
     private final List<String> addresses = new ArrayList<>();
     private final Network network;
     private final History history = new History();
     private final PropertyMonitor monitor;
+    private final LateCommandMonitor lateCommands;
+    private final Operators operators;
     private long now = START_MICROS;
     private long lastStamp;
     private long startCount;
-    private long requests;
     private long step;
 
     /** Creates a world in which every machine has the first view on disk and has just started. */
@@ -52,6 +49,8 @@
             addresses.add(Machine.address(i));
         }
         this.monitor = new PropertyMonitor(options, machines, history);
+        this.lateCommands = new LateCommandMonitor(monitor);
+        this.operators = new Operators(this, lateCommands);
         final List<Replica> members = machines.stream().map(Machine::identity).toList();
         final View first =
                 new View(1, FLEET_ID, members, members, members.get(0).id());
@@ -71,10 +70,16 @@
         return history;
     }
 
+    /** Returns the time, in microseconds. */
     long now() {
         return now;
     }
 
+    /** Returns the number of the current step. */
+    long step() {
+        return step;
+    }
+
     /** Returns the first violation of a property. */
     Optional<Violation> violation() {
         return monitor.violation();
@@ -128,10 +133,10 @@
             case CUT -> cut(action.first(), action.second());
             case HEAL -> heal();
             case RECOVER -> Recovery.run(this);
-            case PUT -> put(machine, action.second(), action.third());
-            case RESEND -> resend(machine, action.second());
-            case READ, READ_ZONE -> read(machine, action.kind());
-            case EVACUATE, TAKE_BACK -> evacuate(machine, action.kind());
+            case PUT -> operators.put(machine, action.second(), action.third());
+            case RESEND -> operators.resend(machine, action.second());
+            case READ, READ_ZONE -> operators.read(machine, action.kind());
+            case EVACUATE, TAKE_BACK -> operators.evacuate(machine, action.kind());
         };
     }
 
@@ -143,8 +148,9 @@
                 .withSafeguards(options.mutant().safeguards());
         final ChainReplica replica =
                 new ChainReplica(setup, List.copyOf(machine.disk()), () -> new Stamp(++lastStamp), machine.clock(now));
-        machine.setProcess(
-                new Machine.Process(replica, new ChainClient(machine.address(), replica::view, startCount << 32)));
+        final PauseDetector pauses = new PauseDetector(setup.safeguards());
+        final ChainClient client = new ChainClient(machine.address(), replica::view, startCount << 32, pauses);
+        machine.setProcess(new Machine.Process(replica, client, pauses));
         flush(machine);
     }
 
@@ -172,8 +178,15 @@
         return true;
     }
 
-    private void handle(final Machine machine, final Message message, final String sender) {
+    /** Returns the running process of a machine, which is about to handle an event. */
+    Machine.Process processForEvent(final Machine machine) {
         final Machine.Process process = machine.process().orElseThrow();
+        process.pauses().observe(machine.clock(now));
+        return process;
+    }
+
+    private void handle(final Machine machine, final Message message, final String sender) {
+        final Machine.Process process = processForEvent(machine);
         if (message instanceof ChainClientMessage.WriteReply || message instanceof ChainClientMessage.ReadReply) {
             process.client().onMessage(message, machine.clock(now));
         } else {
@@ -197,9 +210,10 @@
 
     private boolean tick(final long duration) {
         now += duration;
+        lateCommands.onTimePassed(now, step);
         for (final Machine machine : machines) {
             if (machine.isRunning()) {
-                final Machine.Process process = machine.process().orElseThrow();
+                final Machine.Process process = processForEvent(machine);
                 process.replica().tick(machine.clock(now));
                 process.client().tick(machine.clock(now));
                 flush(machine);
@@ -268,6 +282,9 @@
             return false;
         }
         machine.setFrozen(freeze);
+        if (!freeze) {
+            operators.submitWaitingCommands(machine);
+        }
         return true;
     }
 
@@ -297,50 +314,8 @@
         return wasCut;
     }
 
-    private boolean put(final Machine machine, final int number, final int match) {
-        return machine.isRunning()
-                && write(machine, new Operation(Action.Kind.PUT, number, match, step, Optional.empty()));
-    }
-
-    private boolean resend(final Machine machine, final int order) {
-        final List<Operation> puts = history.puts();
-        return order < puts.size()
-                && put(machine, puts.get(order).number(), puts.get(order).match());
-    }
-
-    private boolean evacuate(final Machine machine, final Action.Kind kind) {
-        return machine.isRunning() && write(machine, new Operation(kind, 0, -1, step, Optional.empty()));
-    }
-
-    private boolean write(final Machine machine, final Operation operation) {
-        final long token = history.begin(operation);
-        final Command command = command(operation, "order-" + ++requests);
-        final long clock = machine.clock(now);
-        machine.process().orElseThrow().client().submit(command, token, clock, clock + OPERATION_TIMEOUT_MICROS);
-        flush(machine);
-        return true;
-    }
-
-    private static Command command(final Operation operation, final String id) {
-        return operation.kind() == Action.Kind.PUT
-                ? Documents.put(id, operation)
-                : new Command.SetEvacuation(id, ZONE, operation.kind() == Action.Kind.EVACUATE, LATEST);
-    }
-
-    private boolean read(final Machine machine, final Action.Kind kind) {
-        if (!machine.isRunning()) {
-            return false;
-        }
-        final long token = history.begin(new Operation(kind, 0, -1, step, Optional.empty()));
-        final long clock = machine.clock(now);
-        final String start =
-                kind == Action.Kind.READ ? ConfigurationValidator.DOCUMENT_KEY : Documents.EVACUATION_PREFIX;
-        machine.process().orElseThrow().client().read(start, token, clock, clock + OPERATION_TIMEOUT_MICROS);
-        flush(machine);
-        return true;
-    }
-
-    private void flush(final Machine machine) {
+    /** Performs the effects of a machine's process. */
+    void flush(final Machine machine) {
         final Machine.Process process = machine.process().orElseThrow();
         boolean more = true;
         while (more) {
@@ -350,6 +325,7 @@
             effects.forEach(effect -> perform(machine, effect));
         }
         monitor.onReplicaChanged(machine, now);
+        lateCommands.check(process.replica().stateMachine());
     }
 
     private void perform(final Machine machine, final Effect effect) {
@@ -363,6 +339,7 @@
             }
             case Effect.Respond answer -> {
                 history.recordResponse(answer.token(), answer.response(), step);
+                lateCommands.onResponse(answer.token(), answer.response());
                 monitor.onOperationEnded(answer.token());
             }
             case Effect.Log log -> {}
