An acknowledged drain or end of a worker survives a kill of all processes

Cause: the acknowledgement rested on the memory of a majority of the controllers. On disk was the list of active workers only, written after the next tick; each node that had not yet written it restored the worker as active, and no node knew of the end any more. Ruled out: the majority (without the kill no request reaches the worker), the tick alone (a controller that was cut off has an old list for any time).

Fix: a controller with a disk counts as a holder once the report is synced there (ReportStorage, QuorumResponder, Effect.SaveReports), and a majority of the voters must be among the holders. All reports are saved, also the draining and gone ones; a write starts at once where an acknowledgement waits for it, and one that fails is repeated.

Related: a restored report of a worker in service is removed after 10 s without an announcement (before: brought back for more than a minute); unconfirmed gateways pass restored reports on with their age; a second drain in one life is acknowledged by a majority again.

--- a/core/src/main/java/silverlatch/gossip/Gossip.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -30,19 +30,19 @@
     private static final int PUSH_FANOUT = 3;
     /** If the state or the reports are older than this, the node pulls more often and from more regions. */
     private static final long STALE_AGE_MICROS = 1_000_000L;
-    /** The age in a message that means "never confirmed". */
-    private static final long UNKNOWN_AGE = -1;
 
     private final Membership membership;
     private final PeerSelector peerSelector;
     private final MemberVersions memberVersions;
     private final PullSchedule pullSchedule;
-    private final PullHistory pulls = new PullHistory();
+    private final PullExchange pullExchange;
     private final StateCopy state;
     private final AnnouncedWorkers announcedWorkers;
     private final Optional<WorkerReports> reports;
     private final Optional<AntiEntropy> antiEntropy;
+    private final Optional<ReportStorage> storage;
     private final Optional<ReportQuorum> reportQuorum;
+    private final Optional<QuorumResponder> quorumResponder;
     /** The tokens of callers that get their response after the next tick, which pushes the announcement. */
     private final List<Long> tokensAwaitingPush = new ArrayList<>();
 
@@ -110,11 +110,16 @@
                 ? Optional.of(new WorkerReports(reporting, peerSelector.isController()))
                 : Optional.empty();
         this.antiEntropy = reports.map(r -> new AntiEntropy(r, peerSelector, memberVersions, membership));
+        this.pullExchange = new PullExchange(membership, memberVersions, state, announcedWorkers, reports, antiEntropy);
+        this.storage = reports.map(r -> new ReportStorage(r, safeguards));
         this.reportQuorum = reports.map(r -> new ReportQuorum(
                 r,
+                storage.orElseThrow(),
                 () -> peerSelector.controllerAddresses(state.view()),
+                () -> PeerSelector.voterAddresses(state.view()),
                 membership.self().address(),
                 safeguards));
+        this.quorumResponder = antiEntropy.map(a -> new QuorumResponder(a, storage.orElseThrow(), effects::add));
     }
 
     /** Returns this node's copy of the replicated state. The caller must not change it. */
@@ -168,14 +173,21 @@
         return reports.map(r -> r.digests().total()).orElse(0L);
     }
 
-    /** Returns the reports to save for a restart of this node, as of {@code now}: those on active workers. */
-    public List<WorkerReport> activeReports(final long now) {
-        return reports.map(r -> r.activeReports(now)).orElse(List.of());
+    /**
+     * Merges the reports that were saved before a restart, and starts saving them by {@link Effect.SaveReports}. Must be
+     * called before the first tick of a node with a disk. Newer reports, known or received later, supersede the saved ones.
+     */
+    public void openReportStorage(final List<WorkerReport> saved, final long now) {
+        reports.ifPresent(r -> saved.forEach(report -> r.restore(report, now)));
+        storage.ifPresent(ReportStorage::open);
     }
 
-    /** Merges reports that were saved before a restart. Newer ones, known or received later, supersede them. */
-    public void restoreReports(final List<WorkerReport> restored, final long now) {
-        reports.ifPresent(r -> restored.forEach(report -> r.merge(report, false, now)));
+    /** Must be called when the write of an {@link Effect.SaveReports} has been synced. */
+    public void onReportsSaved(final long token, final long now) {
+        storage.ifPresent(s -> s.onSaved(token));
+        reportQuorum.ifPresent(ReportQuorum::onSaved);
+        quorumResponder.ifPresent(responder -> responder.onSaved(now));
+        storage.ifPresent(s -> s.saveIfChanged(now));
     }
 
     /** Returns the state to save for a restart of this node. */
@@ -191,7 +203,7 @@
     /** Handles the reply to a join request: pulls from that node at once if the age of the state isn't known. */
     public void onJoinReply(final String address, final long now) {
         if (stateAge(now) == Long.MAX_VALUE && pullSchedule.tryPullAfterJoinReply(now)) {
-            send(address, pullRequest(now));
+            send(address, pullExchange.request(now));
         }
     }
 
@@ -248,6 +260,7 @@
     public void confirmReport(final String workerId, final long token, final long now, final long deadline) {
         reportQuorum.ifPresentOrElse(
                 quorum -> quorum.confirm(workerId, token, now, deadline), () -> confirmForwarded(workerId, token));
+        storage.ifPresent(s -> s.saveIfChanged(now));
     }
 
     private void confirmForwarded(final String workerId, final long token) {
@@ -261,10 +274,9 @@
     /** Processes a message of the gossip protocol; ignores any other message. */
     public void onMessage(final Message message, final String sender, final long now) {
         switch (message) {
-            case GossipMessage.GossipPull pull -> send(sender, pullReply(pull, sender, now));
+            case GossipMessage.GossipPull pull -> send(sender, pullExchange.reply(pull, sender, reportsAge(now), now));
             case GossipMessage.GossipPullReply reply -> onPullReply(reply, sender, now);
-            case GossipMessage.ReportVersions versions ->
-                antiEntropy.ifPresent(a -> send(sender, a.missingReports(versions, now)));
+            case GossipMessage.ReportVersions versions -> onReportVersions(versions, sender, now);
             case GossipMessage.MissingReports missing -> {
                 antiEntropy
                         .flatMap(a -> a.onMissingReports(missing, sender, now))
@@ -276,18 +288,30 @@
         }
     }
 
+    private void onReportVersions(final GossipMessage.ReportVersions versions, final String sender, final long now) {
+        if (ReportQuorum.isQuery(versions)) {
+            quorumResponder.ifPresent(responder -> responder.onQuery(versions, sender, now));
+        } else {
+            antiEntropy.ifPresent(a -> send(sender, a.missingReports(versions, now)));
+        }
+    }
+
     /** Pushes changes, and sends the pulls that are due. Called about twenty times a second. */
     public void tick(final long now) {
         reports.ifPresent(r -> r.tick(peerSelector.otherControllers(), now));
         pushChanges(now);
-        pullSchedule.gatewaysToPull(() -> isStale(now), now).forEach(m -> send(m.address(), pullRequest(now)));
+        pullSchedule.gatewaysToPull(() -> isStale(now), now).forEach(m -> send(m.address(), pullExchange.request(now)));
         pullSchedule
                 .controllersToPull(state.view(), () -> isStale(now), now)
-                .forEach(m -> send(m.address(), pullRequest(now)));
+                .forEach(m -> send(m.address(), pullExchange.request(now)));
         if (lastConfirmedAt().isEmpty()) {
-            pullSchedule.controllersForInitialPull(state.view(), now).forEach(m -> send(m.address(), pullRequest(now)));
+            pullSchedule
+                    .controllersForInitialPull(state.view(), now)
+                    .forEach(m -> send(m.address(), pullExchange.request(now)));
         }
         announcedWorkers.expire(now);
+        storage.ifPresent(s -> s.saveIfChanged(now));
+        quorumResponder.ifPresent(responder -> responder.tick(now));
         reportQuorum.ifPresent(quorum -> quorum.tick(now));
         tokensAwaitingPush.forEach(token -> effects.add(new Effect.Respond(token, true)));
         tokensAwaitingPush.clear();
@@ -295,6 +319,7 @@
 
     /** Returns the pending messages and log events, and removes them. */
     public List<Effect> drain() {
+        storage.ifPresent(s -> effects.addAll(s.drain()));
         reportQuorum.ifPresent(quorum -> effects.addAll(quorum.drain()));
         final List<Effect> drained = List.copyOf(effects);
         effects.clear();
@@ -320,6 +345,15 @@
         }
     }
 
+    private void onPullReply(final GossipMessage.GossipPullReply reply, final String sender, final long now) {
+        if (pullExchange.accepts(reply)) {
+            pullExchange.mergeContent(reply, sender, now).ifPresent(versions -> send(sender, versions));
+            if (state.onPullReply(reply)) {
+                pushRevision();
+            }
+        }
+    }
+
     private void pushRevision() {
         state.drainUnpushedRevision()
                 .ifPresent(revision -> push(new GossipMessage.GossipPush(List.of(), List.of(), revision)));
@@ -337,64 +371,7 @@
         push.members().forEach(member -> membership.applyUpdate(member, now));
         push.workers().forEach(announcedWorkers::merge);
         if (state.observeRevision(push.revision())) {
-            send(sender, pullRequest(now));
-        }
-    }
-
-    private GossipMessage.GossipPull pullRequest(final long now) {
-        pulls.recordPull(now);
-        return new GossipMessage.GossipPull(
-                now,
-                state.revision(),
-                state.view().number(),
-                reports.isPresent() ? List.of() : announcedWorkers.versions(),
-                reports.isPresent() ? memberVersions.digests().total() : memberVersions.membershipDigest(),
-                reportsDigest());
-    }
-
-    private GossipMessage.GossipPullReply pullReply(
-            final GossipMessage.GossipPull pull, final String sender, final long now) {
-        final long age = stateAge(now);
-        return new GossipMessage.GossipPullReply(
-                pull.pullSentAt(),
-                state.revision(),
-                age == Long.MAX_VALUE ? UNKNOWN_AGE : Math.max(0, age),
-                state.fleet(),
-                state.entriesSince(pull.revision()),
-                state.viewNewerThan(pull.view()),
-                antiEntropy
-                        .<GossipMessage.PullContent>map(a -> a.digestContent(pull, sender, reportsAge(now), now))
-                        .orElseGet(() -> fullContent(pull, now)));
-    }
-
-    private GossipMessage.PullContent.FullContent fullContent(final GossipMessage.GossipPull pull, final long now) {
-        final boolean membersDiffer = pull.membershipDigest() != memberVersions.membershipDigest();
-        return new GossipMessage.PullContent.FullContent(
-                announcedWorkers.agesFor(pull.versions(), now),
-                announcedWorkers.newerThan(pull.versions()),
-                membersDiffer ? membership.all() : List.of());
-    }
-
-    private void onPullReply(final GossipMessage.GossipPullReply reply, final String sender, final long now) {
-        if (!pulls.contains(reply.pullSentAt()) || !state.acceptsFleet(reply.fleet())) {
-            return;
+            send(sender, pullExchange.request(now));
         }
-        switch (reply.content()) {
-            case GossipMessage.PullContent.FullContent content -> onFullContent(content, reply.pullSentAt(), now);
-            case GossipMessage.PullContent.DigestContent content ->
-                antiEntropy
-                        .flatMap(a -> a.onDigestContent(content, reply.pullSentAt(), sender))
-                        .ifPresent(versions -> send(sender, versions));
-        }
-        if (state.onPullReply(reply)) {
-            pushRevision();
-        }
-    }
-
-    private void onFullContent(
-            final GossipMessage.PullContent.FullContent content, final long pullSentAt, final long now) {
-        content.members().forEach(member -> membership.applyUpdate(member, now));
-        content.workers().forEach(announcedWorkers::merge);
-        announcedWorkers.onAges(content.ages(), pullSentAt);
     }
 }
--- a/core/src/main/java/silverlatch/gossip/PeerSelector.java
+++ b/core/src/main/java/silverlatch/gossip/PeerSelector.java
@@ -57,6 +57,13 @@
         return addresses;
     }
 
+    /** Returns the addresses of the voters of a view. */
+    static Set<String> voterAddresses(final View view) {
+        final Set<String> addresses = new HashSet<>();
+        view.voters().forEach(voter -> addresses.add(voter.address()));
+        return addresses;
+    }
+
     /** Returns {@code count} randomly chosen candidates, or all candidates if there are no more. */
     <T> List<T> sample(final List<T> candidates, final int count) {
         final List<T> remaining = new ArrayList<>(candidates);
--- a/core/src/main/java/silverlatch/gossip/ReportQuorum.java
+++ b/core/src/main/java/silverlatch/gossip/ReportQuorum.java
@@ -16,7 +16,8 @@
 /**
  * Determines when a majority of the controllers holds the report that a worker drains or is gone; only then is the
  * worker's announcement acknowledged. A gateway that can reach a majority of the controllers then reaches one that
- * holds the report, whatever partition follows.
+ * holds the report, whatever partition follows. A controller with a disk counts only once the report is there, and a
+ * majority of the voters, all of which have disks, must hold it; so a restart of all processes doesn't lose it either.
  *
  * <p>The report is pushed to the other controllers, which are then queried for the versions that they hold, until a
  * majority holds it or the deadline has passed. If no message is lost this takes one round trip. No majority is
@@ -33,6 +34,8 @@
 
     private final WorkerReports reports;
     private final Supplier<Set<String>> controllers;
+    private final Supplier<Set<String>> voters;
+    private final ReportStorage storage;
     private final String ownAddress;
     private final Safeguards safeguards;
     /**
@@ -52,16 +55,22 @@
     /**
      * Creates a quorum over a set of controllers that may change.
      *
+     * @param storage the reports on this controller's own disk
      * @param controllers supplies the current addresses of all controllers, including this one
+     * @param voters supplies the addresses of the voters of the current view; empty while none is known
      * @param ownAddress the address of this controller
      */
     ReportQuorum(
             final WorkerReports reports,
+            final ReportStorage storage,
             final Supplier<Set<String>> controllers,
+            final Supplier<Set<String>> voters,
             final String ownAddress,
             final Safeguards safeguards) {
         this.reports = reports;
+        this.storage = storage;
         this.controllers = controllers;
+        this.voters = voters;
         this.ownAddress = ownAddress;
         this.safeguards = safeguards;
     }
@@ -88,14 +97,31 @@
 
     private void startQuery(final ReportVersion version, final long token, final long now, final long deadline) {
         lastQueryId++;
-        final QuorumQuery query = new QuorumQuery(version, token, deadline, new HashSet<>(Set.of(ownAddress)));
+        final QuorumQuery query = new QuorumQuery(version, token, deadline, new HashSet<>());
         queries.put(lastQueryId, query);
         pushReport(query, now);
         sendQuery(lastQueryId, query);
-        completeIfHeldByMajority(lastQueryId, query);
+        addOwnIfSaved(lastQueryId, query);
         lastSentAt = now;
     }
 
+    /** Counts this controller as holder in the queries whose report is on its disk now. */
+    void onSaved() {
+        List.copyOf(queries.entrySet()).forEach(entry -> addOwnIfSaved(entry.getKey(), entry.getValue()));
+    }
+
+    private void addOwnIfSaved(final long queryId, final QuorumQuery query) {
+        if (storage.isSaved(query.version())) {
+            query.holders().add(ownAddress);
+            completeIfHeldByMajority(queryId, query);
+        }
+    }
+
+    /** Returns whether a message is a query of a quorum rather than a step of a pull. */
+    static boolean isQuery(final GossipMessage.ReportVersions versions) {
+        return versions.pullSentAt() < 0;
+    }
+
     /**
      * Processes the reply to a query; ignores any other reply. The sender holds the report unless it lists the worker
      * among those on which it lacks the newest report.
@@ -126,7 +152,7 @@
             lastSentAt = now;
             queries.forEach(this::sendQuery);
         }
-        heldIncarnations.keySet().removeIf(id -> reports.versionOf(id).isEmpty());
+        heldIncarnations.keySet().removeIf(id -> !reports.isEnding(id));
     }
 
     /** Returns the pending messages and responses, and removes them. */
@@ -137,16 +163,19 @@
     }
 
     private void completeIfHeldByMajority(final long queryId, final QuorumQuery query) {
-        final Set<String> controllerAddresses = controllers.get();
-        final long holders =
-                query.holders().stream().filter(controllerAddresses::contains).count();
-        if (holders * 2 > controllerAddresses.size()) {
+        final Set<String> voterAddresses = voters.get();
+        if (isMajority(query.holders(), controllers.get())
+                && (voterAddresses.isEmpty() || isMajority(query.holders(), voterAddresses))) {
             queries.remove(queryId);
             heldIncarnations.put(query.version().id(), query.version().incarnation());
             respond(query.token(), true);
         }
     }
 
+    private static boolean isMajority(final Set<String> holders, final Set<String> all) {
+        return holders.stream().filter(all::contains).count() * 2 > all.size();
+    }
+
     private void pushReport(final QuorumQuery query, final long now) {
         final List<WorkerReport> report =
                 reports.reportsOf(List.of(query.version().id()), now);
@@ -157,7 +186,8 @@
      * Sends the versions held here. A controller that lacks some of the reports lists their workers in its reply, and
      * is sent the reports.
      *
-     * <p>The query id travels as a negative pull time, which distinguishes it from the times of pulls.
+     * <p>The query id travels as a negative pull time, which distinguishes it from the times of pulls; see {@link
+     * #isQuery}.
      */
     private void sendQuery(final long queryId, final QuorumQuery query) {
         final long range = 1L << VersionDigests.rangeOf(query.version().id());
@@ -167,7 +197,8 @@
 
     private void sendToNonHolders(final QuorumQuery query, final GossipMessage message) {
         controllers.get().stream()
-                .filter(address -> !query.holders().contains(address))
+                .filter(address ->
+                        !address.equals(ownAddress) && !query.holders().contains(address))
                 .sorted()
                 .forEach(address -> effects.add(new Effect.Send(address, message)));
     }
--- a/core/src/main/java/silverlatch/gossip/WorkerReports.java
+++ b/core/src/main/java/silverlatch/gossip/WorkerReports.java
@@ -28,6 +28,9 @@
     /** The limit on the number of workers; reports on further workers are ignored. */
     static final int MAX_WORKERS = 4_096;
 
+    /** For how many microseconds a worker is kept after a restart if no controller receives an announcement from it. */
+    private static final long RESTORED_RETENTION = 10_000_000L;
+
     private final WorkerReporting.ToControllers reporting;
     private final boolean isController;
     private final Map<String, TrackedReport> tracked = new TreeMap<>();
@@ -70,7 +73,7 @@
         }
         final WorkerReport report = WorkerReport.of(announced);
         store(TrackedReport.ofAnnouncement(report, now));
-        logChange(known, report);
+        logs.addAll(WorkerEvents.ofChange(known, report));
         changedIds.add(report.id());
     }
 
@@ -111,12 +114,23 @@
         final WorkerReport accepted =
                 isRefuted ? report.refutedAt(sameIncarnation.get().highestSequence()) : report;
         store(toTrackedReport(accepted, report, sameIncarnation, now));
-        logChange(known, accepted);
+        logs.addAll(WorkerEvents.ofChange(known, accepted));
         if (forward || isRefuted) {
             changedIds.add(report.id());
         }
     }
 
+    /**
+     * Merges a report that was saved before a restart of this node. How long ago that was isn't known, and the worker may
+     * have ended since: unless it announces itself, it is removed after {@link #RESTORED_RETENTION}. That a worker drains
+     * or is gone is kept as long as usual, so that it isn't forgotten before what other nodes restore.
+     */
+    void restore(final WorkerReport saved, final long now) {
+        final long age = Math.max(saved.age(), reporting.retention() - RESTORED_RETENTION);
+        final boolean isInService = saved.isActive() && !saved.worker().draining();
+        merge(isInService ? saved.withAge(age) : saved, false, now);
+    }
+
     /** Returns the changed reports to forward, as of {@code now}, and marks them as forwarded. */
     List<WorkerReport> drainChanged(final long now) {
         final List<WorkerReport> changed = reportsOf(changedIds, now);
@@ -124,12 +138,9 @@
         return changed;
     }
 
-    /** Returns the reports on all workers that are neither silent nor gone, as of {@code now}. */
-    List<WorkerReport> activeReports(final long now) {
-        return tracked.values().stream()
-                .filter(TrackedReport::isActive)
-                .map(t -> outgoingReport(t, now))
-                .toList();
+    /** Returns the reports on all workers, including those that are silent or gone, as of {@code now}. */
+    List<WorkerReport> all(final long now) {
+        return tracked.values().stream().map(t -> outgoingReport(t, now)).toList();
     }
 
     /** Returns the reports on some workers as of {@code now}, leaving out unknown workers. */
@@ -140,14 +151,11 @@
                 .toList();
     }
 
-    /**
-     * Returns a report as of {@code now}. If the worker is active, the age is for how long it may have been silent,
-     * as far as this node knows.
-     */
+    /** Returns a report as of now; the age of an active worker is for how long it may have been silent unnoticed. */
     private WorkerReport outgoingReport(final TrackedReport known, final long now) {
         final WorkerReport report = known.reportAt(now);
         final long asOf =
-                isController ? known.lastHeartbeatAt() : freshness.confirmedAt().orElse(now);
+                isController ? known.lastHeartbeatAt() : freshness.confirmedAt().orElse(known.lastHeartbeatAt());
         return report.isActive() ? report.withAge(Math.max(0, now - asOf)) : report;
     }
 
@@ -156,6 +164,13 @@
         return find(id).map(t -> t.report().version());
     }
 
+    /** Returns whether a worker is known to drain or to be gone. */
+    boolean isEnding(final String id) {
+        return find(id).map(TrackedReport::report)
+                .filter(report -> report.gone() || report.worker().draining())
+                .isPresent();
+    }
+
     /** Returns the versions of the reports on workers in the given ranges of ids. */
     List<ReportVersion> versions(final long rangeBits) {
         return tracked.values().stream()
@@ -351,7 +366,7 @@
 
     private void updateReport(final TrackedReport known, final WorkerReport report, final long now) {
         store(known.withReport(report, now));
-        logChange(Optional.of(known), report);
+        logs.addAll(WorkerEvents.ofChange(Optional.of(known), report));
         changedIds.add(report.id());
     }
 
@@ -379,22 +394,4 @@
         }
         isSnapshotStale = true;
     }
-
-    private void logChange(final Optional<TrackedReport> before, final WorkerReport report) {
-        final Worker worker = report.worker();
-        final Optional<WorkerReport> sameIncarnation =
-                before.map(TrackedReport::report).filter(r -> r.worker().incarnation() == worker.incarnation());
-        if (before.isEmpty() && !report.gone()) {
-            logs.add(WorkerEvents.known(worker));
-        }
-        if (report.gone() && before.isPresent()) {
-            logs.add(WorkerEvents.gone(worker));
-        } else if (report.silent()
-                && sameIncarnation.filter(WorkerReport::silent).isEmpty()) {
-            logs.add(WorkerEvents.silent(worker, report.age()));
-        } else if (worker.draining()
-                && sameIncarnation.filter(r -> r.worker().draining()).isEmpty()) {
-            logs.add(WorkerEvents.draining(worker));
-        }
-    }
 }
--- a/core/src/main/java/silverlatch/node/Effect.java
+++ b/core/src/main/java/silverlatch/node/Effect.java
@@ -1,6 +1,7 @@
 package silverlatch.node;
 
 import java.util.List;
+import silverlatch.gossip.WorkerReport;
 import silverlatch.log.LogRecord;
 import silverlatch.wire.Message;
 
@@ -25,6 +26,20 @@
      */
     record Persist(long token, List<LogRecord> records) implements Effect {}
 
+    /**
+     * Replace the saved worker reports by these, durably, then call {@link Node#onReportsSaved} with the token. A write
+     * that fails must be repeated.
+     *
+     * @param token identifies this write
+     * @param reports the reports to read back after a restart
+     */
+    record SaveReports(long token, List<WorkerReport> reports) implements Effect {
+        /** Copies the reports. */
+        public SaveReports {
+            reports = List.copyOf(reports);
+        }
+    }
+
     /**
      * Respond to the caller of {@link Node#submit}, {@link Node#read} or {@link Node#confirmReport}.
      *
--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -40,7 +40,6 @@
     /** Pauses that are shorter aren't logged. */
     private static final long MIN_LOGGED_PAUSE_MICROS = 1_000_000L;
 
-    private final Settings settings;
     private final NodeClock clock;
     private final Membership membership;
     private final Gossip gossip;
@@ -127,7 +126,6 @@
             final PhysicalClock physicalClock,
             final RandomGenerator random,
             final long now) {
-        this.settings = settings;
         this.currentTime = now;
         this.clock = new NodeClock(settings, physicalClock, records, now, effects::add);
         this.membership = new Membership(settings.self(), settings.seeds(), settings.membership());
@@ -292,6 +290,13 @@
         processEffects(now);
     }
 
+    /** Must be called when the write of an {@link Effect.SaveReports} has been synced. */
+    public void onReportsSaved(final long token, final long now) {
+        advanceTime(now);
+        gossip.onReportsSaved(token, now);
+        processEffects(now);
+    }
+
     /** Must be called when the disk of the log has failed. */
     public void onDiskFailed(final String reason, final long now) {
         advanceTime(now);
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -87,6 +87,8 @@
     VIEW_SYNC,
     /** A worker's drain is acknowledged only once a majority of the controllers have stored it. */
     REPORT_QUORUM,
+    /** A controller counts as holding a report that a worker drains or is gone only once the report is on its disk. */
+    REPORT_SYNC,
     /** A gateway that has started routes by an unconfirmed configuration only for a limited time. */
     STARTUP_GRACE,
     /** A gateway accepts keys only for a limited time after its configuration was last confirmed to be the newest. */
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -325,6 +325,7 @@
             case Effect.Send send -> send(address, replica, send);
             case Effect.Persist write -> writeLog(address, replica, write);
             case Effect.Respond response -> respond(response);
+            case Effect.SaveReports save -> throw new IllegalStateException("a replica has no worker reports");
             case Effect.Log entry -> loggedEvents.merge(entry.event(), 1L, Long::sum);
         }
     }
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -121,9 +121,9 @@
     @Override
     public void start() throws IOException, ApiServer.HttpServerException {
         logWriter.ifPresent(LogWriter::start);
-        savedWorkerReports.ifPresent(file -> {
-            node.gossip().restoreReports(file.read(), EventLoop.nowMicros());
-            file.start();
+        savedWorkerReports.ifPresent(reports -> {
+            eventLoop.openReportStore(reports);
+            reports.start();
         });
         transport.start();
         eventLoop.start();
@@ -238,7 +238,6 @@
                 .filter(member -> !member.isGateway() && member.is(MemberState.UP))
                 .toList();
         readiness.update(tickedNode, now);
-        savedWorkerReports.ifPresent(file -> file.saveIfChanged(tickedNode.gossip(), now));
         scheduleRunner.afterTick(tickedNode, now);
         providerCaller.ifPresent(ProviderCaller::tick);
     }
--- a/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
@@ -32,6 +32,7 @@
     private final EventLoop loop;
     private final AtomicLong lastToken = new AtomicLong();
     private final Map<Long, Consumer<Object>> pendingReplies = new ConcurrentHashMap<>();
+    private Optional<ReportStore> reportStore = Optional.empty();
 
     /**
      * Creates a handle with an event loop that isn't started yet.
@@ -54,6 +55,15 @@
         this.loop = new EventLoop("node", QUEUE_CAPACITY, tickMicros, this::tick);
     }
 
+    /**
+     * Restores the worker reports in a store to the node, and from then on saves the node's reports there. Must be called before
+     * {@link #start()}.
+     */
+    public void openReportStore(final ReportStore store) {
+        node.gossip().openReportStorage(store.read(), EventLoop.nowMicros());
+        reportStore = Optional.of(store);
+    }
+
     /** Starts the event loop. */
     public void start() {
         loop.start();
@@ -160,11 +170,17 @@
                         .ifPresent(pending -> pending.accept(respond.response()));
             case Effect.Log log -> EventLog.write(log.event(), log.text());
             case Effect.Persist persist -> logWriter.accept(persist);
+            case Effect.SaveReports save -> reportStore.ifPresent(store -> saveReports(store, save));
             case Effect.Send send ->
                 throw new IllegalStateException("the node returned a message to send that wasn't stamped as a frame");
         }
     }
 
+    /** The node has at most one write in progress, so the store takes this one. */
+    private void saveReports(final ReportStore store, final Effect.SaveReports save) {
+        store.save(save.reports(), () -> execute(target -> target.onReportsSaved(save.token(), EventLoop.nowMicros())));
+    }
+
     private void retryDelayedFrames() {
         LockSupport.parkNanos(DELAYED_FRAMES_PAUSE_NANOS);
         node.tick(EventLoop.nowMicros(), wallClockNanos());
--- a/server/src/main/java/silverlatch/server/gateway/Gateway.java
+++ b/server/src/main/java/silverlatch/server/gateway/Gateway.java
@@ -17,6 +17,8 @@
 import silverlatch.server.eventloop.EventLog;
 import silverlatch.server.eventloop.EventLoop;
 import silverlatch.server.eventloop.EventLoopHandle;
+import silverlatch.server.persistence.SavedConfiguration;
+import silverlatch.server.persistence.SavedWorkerReports;
 import silverlatch.server.process.DaemonProcess;
 import silverlatch.server.proxy.ProxyHeaderNames;
 import silverlatch.server.proxy.ProxyServer;
@@ -53,13 +55,15 @@
 
     private final Settings settings;
     private final Transport transport;
+    private final Node node;
     private final EventLoopHandle nodeLoop;
     private final DispatchLoop dispatchLoop;
     private final DispatchEffectHandler effectHandler;
     private final PendingExchanges exchanges = new PendingExchanges();
     private final ApiRouter apiRouter;
     private final Optional<Recorder> recorder;
-    private final Optional<SavedState> savedState;
+    private final Optional<SavedConfiguration> savedConfiguration;
+    private final Optional<SavedWorkerReports> savedWorkerReports;
     private Optional<ApiServer> apiServer = Optional.empty();
     private volatile Optional<String> unreadyReason = Optional.of("starting");
     private volatile List<Member> readyGateways = List.of();
@@ -69,13 +73,15 @@
     @Inject
     public Gateway(final Settings settings, final Node node, final Dispatcher dispatcher, final Router router) {
         this.settings = settings;
+        this.node = node;
         this.transport = new Transport(settings.peerAddress(), this::onFrame);
         this.nodeLoop = new EventLoopHandle(
                 node, settings.intervals().nodeTick(), transport::send, persist -> {}, this::publish);
         this.dispatchLoop =
                 new DispatchLoop(dispatcher, router, settings.intervals().dispatchTick());
         this.recorder = settings.recordDirectory().map(Recorder::new);
-        this.savedState = settings.dataDirectory().map(folder -> new SavedState(Path.of(folder), node));
+        this.savedConfiguration = settings.dataDirectory().map(folder -> new SavedConfiguration(Path.of(folder)));
+        this.savedWorkerReports = settings.dataDirectory().map(folder -> new SavedWorkerReports(Path.of(folder)));
         this.effectHandler = new DispatchEffectHandler(
                 exchanges, new WorkerRuns(settings, dispatchLoop), nodeLoop, dispatchLoop, recorder);
         final OperatorApi operatorApi =
@@ -121,7 +127,11 @@
      */
     public void startEventLoops() throws IOException {
         recorder.ifPresent(Recorder::start);
-        savedState.ifPresent(SavedState::restore);
+        savedConfiguration.ifPresent(file -> file.restore(node.gossip()));
+        savedWorkerReports.ifPresent(reports -> {
+            nodeLoop.openReportStore(reports);
+            reports.start();
+        });
         transport.start();
         nodeLoop.start();
         dispatchLoop.start(effectHandler, this::updateReadiness);
@@ -234,13 +244,13 @@
      * Passes the node's cluster snapshot to the dispatch loop, and saves it, if it changed since the last call. Called on the
      * node's event loop.
      */
-    private void publish(final Node node) {
-        final ClusterSnapshot snapshot = node.clusterSnapshot();
+    private void publish(final Node publishedNode) {
+        final ClusterSnapshot snapshot = publishedNode.clusterSnapshot();
         if (publishedSnapshot.filter(last -> last == snapshot).isPresent()) {
             return;
         }
         publishedSnapshot = Optional.of(snapshot);
-        savedState.ifPresent(SavedState::saveIfChanged);
+        savedConfiguration.ifPresent(file -> file.saveIfChanged(publishedNode.gossip()));
         readyGateways = Stream.concat(Stream.of(snapshot.self()), snapshot.peers().stream())
                 .filter(Member::ready)
                 .toList();
--- a/server/src/test/java/silverlatch/server/persistence/SavedWorkerReportsTest.java
+++ b/server/src/test/java/silverlatch/server/persistence/SavedWorkerReportsTest.java
@@ -8,6 +8,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import silverlatch.gossip.Worker;
@@ -22,15 +24,14 @@
     private Path dataDirectory;
 
     @Test
-    void offeredReportsAreReadBackAndADamagedFileReadsAsEmpty() throws IOException {
+    void savedReportsAreReadBackAndADamagedFileReadsAsEmpty() throws IOException, InterruptedException {
         final SavedWorkerReports saved = new SavedWorkerReports(dataDirectory);
         assertThat(saved.read(), is(empty()));
         saved.start();
-        assertThat(saved.offer(List.of(REPORT)), is(true));
+        final CountDownLatch durable = new CountDownLatch(1);
+        assertThat(saved.save(List.of(REPORT), durable::countDown), is(true));
+        assertThat(durable.await(10, TimeUnit.SECONDS), is(true));
         final Path file = dataDirectory.resolve("workers");
-        while (!Files.exists(file)) {
-            Thread.onSpinWait();
-        }
         assertThat(new SavedWorkerReports(dataDirectory).read(), is(List.of(REPORT)));
         final byte[] bytes = Files.readAllBytes(file);
         bytes[bytes.length - 1]++;
@@ -39,4 +40,18 @@
         Files.write(file, new byte[3]);
         assertThat(new SavedWorkerReports(dataDirectory).read(), is(empty()));
     }
+
+    /** A report counted as saved, or was never saved, after a write had failed. */
+    @Test
+    void aFailedWriteIsRepeatedUntilTheReportsAreDurable() throws IOException, InterruptedException {
+        final Path directory = dataDirectory.resolve("later");
+        final SavedWorkerReports saved = new SavedWorkerReports(directory);
+        saved.start();
+        final CountDownLatch durable = new CountDownLatch(1);
+        assertThat(saved.save(List.of(REPORT), durable::countDown), is(true));
+        assertThat(durable.await(500, TimeUnit.MILLISECONDS), is(false));
+        Files.createDirectory(directory);
+        assertThat(durable.await(10, TimeUnit.SECONDS), is(true));
+        assertThat(new SavedWorkerReports(directory).read(), is(List.of(REPORT)));
+    }
 }
--- a/simulation/src/main/java/silverlatch/simulation/explore/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/World.java
@@ -343,6 +343,7 @@
                 monitor.onOperationEnded(answer.token());
             }
             case Effect.Log log -> {}
+            case Effect.SaveReports save -> throw new IllegalStateException("the explorer has no worker reports");
         }
     }
 
--- a/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
@@ -9,19 +9,13 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.ObjLongConsumer;
-import silverlatch.clock.PhysicalClock;
 import silverlatch.dispatch.ClusterSnapshot;
 import silverlatch.dispatch.DispatchEffect;
 import silverlatch.dispatch.Dispatcher;
-import silverlatch.gossip.Gossip;
 import silverlatch.gossip.Worker;
-import silverlatch.membership.Member;
-import silverlatch.membership.Membership;
 import silverlatch.node.Effect;
 import silverlatch.node.Node;
 import silverlatch.node.OutgoingFrame;
-import silverlatch.replication.Replica;
-import silverlatch.replication.ReplicaSettings;
 import silverlatch.replication.ReplicaState;
 import silverlatch.replication.ReplicaStatus;
 import silverlatch.state.Command;
@@ -38,8 +32,6 @@
     private static final long GRACE_PERIOD = 3_000_000L;
     private static final long STOP_TIME = 4_500_000L;
     private static final long MAX_STATE_AGE = 2_500_000L;
-    private static final int STAMP_LOW_BITS = 7;
-    private static final long MAX_SKEW = 50_000L;
     private final World world;
     private final String name;
     private final String zone;
@@ -154,7 +146,7 @@
         stampChecker.onStarted();
         clock.restart();
         pendingReplies.clear();
-        final Node node = newNode();
+        final Node node = new NodeFactory(world).create(this, seeds);
         process = Optional.of(node);
         if (!isController()) {
             gateway.start(node);
@@ -162,31 +154,6 @@
         scheduleTick(generation);
     }
 
-    private Node newNode() {
-        final List<String> controllers =
-                world.controllers().stream().map(SimulatedNode::address).toList();
-        final List<String> knownSeeds = controllers.stream().anyMatch(seeds::contains) ? seeds : controllers;
-        return new Node(
-                new Node.Settings(
-                        newMember(),
-                        knownSeeds,
-                        STAMP_LOW_BITS,
-                        MAX_SKEW,
-                        Membership.Settings.DEFAULTS,
-                        Gossip.Settings.DEFAULTS,
-                        world.safeguards()),
-                disk.map(own -> ReplicaSettings.of(new Replica(own.identity(), address()), knownSeeds)),
-                disk.map(SimulatedDisk::records).orElse(List.of()),
-                new PhysicalClock(clock.wallNanos(), now(), 0),
-                world.scheduler().random().split(),
-                now());
-    }
-
-    private Member newMember() {
-        final String role = isController() ? "controller" : "gateway";
-        return Member.starting(name, role, zone, region, address(), address(), clock.wallNanos() / 1000);
-    }
-
     /** Ends the process as a power loss does: records that aren't synced to disk may be lost. */
     void kill() {
         if (!isAlive()) {
@@ -388,6 +355,9 @@
             case Effect.Respond respond ->
                 Optional.ofNullable(pendingReplies.remove(respond.token()))
                         .ifPresent(answer -> answer.accept(respond.response()));
+            case Effect.SaveReports save ->
+                throw new IllegalStateException(
+                        "no report storage was opened, as workers announce themselves to any node");
             case Effect.Persist write -> logWriter.ifPresent(writer -> writer.write(write));
             case Effect.Log log -> {
                 world.observer().count("log-" + log.event());
--- a/simulation/src/test/java/silverlatch/simulation/sim/DayDigest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/DayDigest.java
@@ -49,6 +49,8 @@
             case Effect.Send send -> throw new IllegalArgumentException("a node returned a message without a stamp");
             case Effect.Persist keep ->
                 numbers('k', keep.token(), keep.records().size());
+            case Effect.SaveReports save ->
+                numbers('w', save.token(), save.reports().size());
             case Effect.Respond answer -> {
                 numbers('a', answer.token());
                 if (answer.response() instanceof CommandResult result) {
