--- a/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
@@ -24,6 +24,9 @@
     /** Pause before the next attempt to process frames that are waiting for the process clock. */
     private static final long DELAYED_FRAMES_PAUSE_NANOS = 200_000L;
 
+    /** Pause before a task that must not be lost is offered again to a full queue. */
+    private static final long FULL_QUEUE_PAUSE_NANOS = 10_000_000L;
+
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     private final Node node;
     private final Consumer<OutgoingFrame> transport;
@@ -178,7 +181,16 @@
 
     /** The node has at most one write in progress, so the store takes this one. */
     private void saveReports(final ReportStore store, final Effect.SaveReports save) {
-        store.save(save.reports(), () -> execute(target -> target.onReportsSaved(save.token(), EventLoop.nowMicros())));
+        store.save(
+                save.reports(),
+                () -> executeOnceFree(node -> node.onReportsSaved(save.token(), EventLoop.nowMicros())));
+    }
+
+    /** Runs a task like {@link #execute(Consumer)}; where the loop's queue is full, blocks the caller until it takes the task. */
+    private void executeOnceFree(final Consumer<Node> task) {
+        while (!execute(task)) {
+            LockSupport.parkNanos(FULL_QUEUE_PAUSE_NANOS);
+        }
     }
 
     private void retryDelayedFrames() {
