--- a/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
@@ -46,9 +46,9 @@
     /** The safeguards that {@code MembershipModelTest} and {@code MembershipTest} disable. */
     private static final Set<Safeguard> DISABLED_IN_MEMBERSHIP_TESTS = Set.of(Safeguard.DEAD_VOTES, Safeguard.HANDOVER);
 
-    /** The safeguards that {@code DrainAcknowledgementTest} and {@code GatewayStartupTest} disable. */
+    /** The safeguards that the tests of complete nodes in the module core disable. */
     private static final Set<Safeguard> DISABLED_IN_NODE_TESTS =
-            Set.of(Safeguard.REPORT_QUORUM, Safeguard.STARTUP_GRACE, Safeguard.REVOCATION_LEASE);
+            Set.of(Safeguard.REPORT_QUORUM, Safeguard.REPORT_SYNC, Safeguard.STARTUP_GRACE, Safeguard.REVOCATION_LEASE);
 
     /**
      * Returns the safeguards that {@code MutantTest} and {@code FoundScheduleTest} disable: mutants have their safeguards'
