--- a/core/src/main/java/silverlatch/gossip/Gossip.java
+++ b/core/src/main/java/silverlatch/gossip/Gossip.java
@@ -37,6 +37,7 @@
     private final PullSchedule pullSchedule;
     private final PullExchange pullExchange;
     private final StateCopy state;
+    private final StateConfirmationLog confirmationLog = new StateConfirmationLog();
     private final AnnouncedWorkers announcedWorkers;
     private final Optional<WorkerReports> reports;
     private final Optional<AntiEntropy> antiEntropy;
@@ -309,6 +310,7 @@
                     .controllersForInitialPull(state.view(), now)
                     .forEach(m -> send(m.address(), pullExchange.request(now)));
         }
+        confirmationLog.update(lastConfirmedAt(), state.revision(), now).ifPresent(effects::add);
         announcedWorkers.expire(now);
         storage.ifPresent(s -> s.saveIfChanged(now));
         quorumResponder.ifPresent(responder -> responder.tick(now));
--- a/core/src/main/java/silverlatch/node/Event.java
+++ b/core/src/main/java/silverlatch/node/Event.java
@@ -29,6 +29,10 @@
     MEMBER_LEFT(203, false),
     /** Most of the watched members are silent, so this node suspects itself of being cut off or paused. */
     SELF_DOUBT(204, true),
+    /** The replicated state here was not confirmed to be the newest for a while. */
+    STATE_UNCONFIRMED(206, true),
+    /** The replicated state here is confirmed to be the newest again. */
+    STATE_CONFIRMED(207, false),
     /** A frame could not be decoded. */
     BAD_FRAME(300, true),
     /** A frame was rejected since its stamp is too far ahead of this node's clock. */
@@ -78,6 +82,8 @@
     CHANGED(500, false),
     /** A command was rejected. */
     CHANGE_REJECTED(501, false),
+    /** An operator's call to evacuate a zone, or to restore it, was received. */
+    COMMAND_RECEIVED(504, false),
     /** A command was dropped, as its caller has left or may have left. */
     COMMAND_DROPPED(503, false),
     /** A schedule fired. */
--- a/core/src/main/java/silverlatch/replication/ReplicaLog.java
+++ b/core/src/main/java/silverlatch/replication/ReplicaLog.java
@@ -7,11 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongConsumer;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import silverlatch.log.LogRecord;
 import silverlatch.node.Event;
 import silverlatch.state.Entry;
 import silverlatch.state.StateMachine;
+import silverlatch.state.Value;
 
 /**
  * The replicated log of one replica: the committed state, the pending entries that follow it, and the sequence number up to which the log
@@ -175,11 +177,21 @@
             effects.log(
                     Event.CHANGED,
                     "sequence " + entry.sequence() + " view " + entry.view() + " stamp "
-                            + entry.stamp().bits());
+                            + entry.stamp().bits() + evacuations(entry));
         }
         onCommitted.accept(entry.sequence());
     }
 
+    /** Returns which zones a committed entry evacuates or restores, as text for the log. */
+    private static String evacuations(final LogEntry entry) {
+        return entry.puts().stream()
+                .flatMap(put -> put.value().stream())
+                .filter(Value.Evacuation.class::isInstance)
+                .map(Value.Evacuation.class::cast)
+                .map(value -> (value.active() ? " evacuates " : " restores ") + value.zone())
+                .collect(Collectors.joining());
+    }
+
     private void retainRecent(final LogEntry entry) {
         recentEntries.add(entry);
         recentBytes += entry.estimatedBytes();
