An order that the network delivers late no longer undoes a later one

Callers saw: an operator's call to end an evacuation was given up after a second; another controller acknowledged that call and a new evacuation; seconds later the network delivered the first call to a calm controller, which carried it out.

Cause: an evacuation bears no version and was put on whatever was newest in the moment in which it was read. The close of its connection, which follows a round trip later, came too late to stop it. The class: an order that is dated by when it is read. Orders that a pause had delayed were recognised by the pause, these by nothing.

Fix: a command without a revision is put on the revision that it learnt only once its caller has stayed for 300 ms, longer than a close takes, and not while closes may be unread after a pause. The first call on a connection counts from when that was accepted. The product's commands without If-Match go the same way.

The explorer (HOLD_COMMAND) and the simulator (COMMAND_HELD) get the move, and the mutant CALLER_PRESENCE.

--- a/core/src/main/java/silverlatch/node/Node.java
+++ b/core/src/main/java/silverlatch/node/Node.java
@@ -133,7 +133,8 @@
         this.chainReplica = chainSettings.map(c ->
                 new ChainReplica(c.withSafeguards(settings.safeguards()), records, () -> localStamp(currentTime), now));
         this.pauses = new PauseDetector(settings.safeguards());
-        this.chainClient = new ChainClient(settings.self().address(), this::view, random.nextLong() >>> 8, pauses);
+        this.chainClient = new ChainClient(
+                settings.self().address(), this::view, random.nextLong() >>> 8, pauses, settings.safeguards());
         this.traffic = new TrafficExchange(
                 settings.self().address(), clock, membership, gossip, this::view, this::chainReplica);
         this.dispatcher = new MessageDispatcher(
--- a/core/src/main/java/silverlatch/replication/ChainClient.java
+++ b/core/src/main/java/silverlatch/replication/ChainClient.java
@@ -4,10 +4,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Supplier;
 import silverlatch.clock.PauseDetector;
 import silverlatch.node.Effect;
 import silverlatch.node.Event;
+import silverlatch.safeguard.Safeguard;
+import silverlatch.safeguard.Safeguards;
 import silverlatch.state.Command;
 import silverlatch.state.CommandResult;
 import silverlatch.wire.ChainClientMessage;
@@ -25,6 +28,12 @@
     private static final int CONFLICT = 409;
     private static final long NO_REVISION = 0;
 
+    /**
+     * How long a caller without a revision must have stayed connected before its command is put on the newest one. A command that the
+     * network held back is followed by the close of its connection, at most one retransmission and one round trip later.
+     */
+    private static final long CALLER_PRESENCE_MICROS = 300_000L;
+
     /**
      * The additional retry delay of a configuration document, in microseconds per character. It doubles with each retry, as the previous
      * copy may still be in flight.
@@ -36,6 +45,7 @@
     private final String address;
     private final Supplier<View> currentView;
     private final PauseDetector pauses;
+    private final Safeguards safeguards;
     private final Map<Long, PendingCall> pendingCalls = new LinkedHashMap<>();
     private final List<Effect> effects = new ArrayList<>();
     private long lastRequestId;
@@ -50,10 +60,12 @@
             final String address,
             final Supplier<View> currentView,
             final long firstRequestId,
-            final PauseDetector pauses) {
+            final PauseDetector pauses,
+            final Safeguards safeguards) {
         this.address = address;
         this.currentView = currentView;
         this.pauses = pauses;
+        this.safeguards = safeguards;
         this.lastRequestId = firstRequestId;
     }
 
@@ -75,7 +87,8 @@
      * Sends a command; the response for the token will be a {@link CommandResult}.
      *
      * <p>A command that may have waited during a pause of this process has that much less time, so that nothing is sent
-     * for a caller that may have given up before the pause ended and sent other commands since.
+     * for a caller that may have given up before the pause ended and sent other commands since. A command without a revision of its
+     * own learns the newest one first, and is put on that only if its caller hasn't left by then; see {@link #cancel}.
      *
      * @param deadline the time until which the caller waits if it called just now
      */
@@ -86,8 +99,7 @@
             drop(command.id(), "may have waited for " + possibleWait + " us", token);
             return;
         }
-        final boolean expectsLatest = command instanceof Command.Revisioned revisioned
-                && revisioned.expectedRevision() == Command.Revisioned.LATEST;
+        final boolean expectsLatest = Command.Revisioned.isOnLatest(command);
         final Command firstAttempt =
                 expectsLatest ? ((Command.Revisioned) command).withExpectedRevision(NO_REVISION) : command;
         sendOrExpire(
@@ -98,7 +110,7 @@
                         token,
                         now,
                         deadline - possibleWait,
-                        expectsLatest,
+                        expectsLatest ? Optional.of(now) : Optional.empty(),
                         0),
                 now);
     }
@@ -114,7 +126,7 @@
                         token,
                         now,
                         deadline,
-                        false,
+                        Optional.empty(),
                         0),
                 now);
     }
@@ -157,9 +169,12 @@
         }
     }
 
-    /** Responds with the result; retries a conflicting command that expects the latest revision with the revision of the rejection. */
+    /**
+     * Responds with the result; puts a conflicting command that expects the latest revision on the revision of the rejection, once its
+     * caller has stayed for long enough.
+     */
     private void complete(final PendingCall call, final CommandResult result, final long now) {
-        if (call.expectsLatest()
+        if (call.latestSince().isPresent()
                 && result instanceof CommandResult.Rejected r
                 && r.code() == CONFLICT
                 && call.request() instanceof ChainClientMessage.WriteRequest w
@@ -167,24 +182,43 @@
             lastRequestId++;
             final Message retry = new ChainClientMessage.WriteRequest(
                     lastRequestId, address, revisioned.withExpectedRevision(r.sequence()));
-            sendOrExpire(lastRequestId, new PendingCall(retry, true, call.token(), now, call.deadline(), true, 0), now);
+            final long sendAt = call.latestSince().get() + callerPresence();
+            final PendingCall next = new PendingCall(
+                    retry, true, call.token(), sendAt, call.deadline(), call.latestSince(), PendingCall.NOT_SENT);
+            if (now < sendAt || pauses.possibleWait(now) > 0) {
+                pendingCalls.put(lastRequestId, next);
+            } else {
+                sendOrExpire(lastRequestId, next, now);
+            }
         } else {
             effects.add(new Effect.Respond(call.token(), result));
         }
     }
 
+    private long callerPresence() {
+        return safeguards.isEnabled(Safeguard.CALLER_PRESENCE) ? CALLER_PRESENCE_MICROS : 0;
+    }
+
     /** Handles a timer event: retries the calls that are due, or all calls if the view changed, and ends those past their deadline. */
     public void tick(final long now) {
         final boolean viewChanged = currentView.get().number() != lastViewNumber;
         lastViewNumber = currentView.get().number();
         for (final Map.Entry<Long, PendingCall> entry : List.copyOf(pendingCalls.entrySet())) {
             final PendingCall call = entry.getValue();
-            if (now >= call.deadline() || viewChanged || now - call.sentAt() >= retryDelay(call)) {
+            if (now >= call.deadline() || isDue(call, viewChanged, now)) {
                 sendOrExpire(entry.getKey(), call.withRetry(), now);
             }
         }
     }
 
+    /** Returns whether a call that waits for its caller is to be sent now, or one that was sent is to be sent again. */
+    private boolean isDue(final PendingCall call, final boolean viewChanged, final long now) {
+        final boolean isCloseRead = pauses.possibleWait(now) == 0;
+        return call.isSent()
+                ? viewChanged || now - call.sentAt() >= retryDelay(call)
+                : now >= call.sentAt() && isCloseRead;
+    }
+
     private static long retryDelay(final PendingCall call) {
         final int doublings = Math.min(call.retries(), MAX_DOUBLINGS);
         return switch (call.request()) {
@@ -229,23 +263,36 @@
                         call.token(),
                         now,
                         call.deadline(),
-                        call.expectsLatest(),
-                        call.retries()));
+                        call.latestSince(),
+                        Math.max(0, call.retries())));
         final View view = currentView.get();
         (call.isWrite() ? view.head() : view.tail())
                 .ifPresent(replica -> effects.add(new Effect.Send(replica.address(), call.request())));
     }
 
+    /**
+     * A call that has no response yet.
+     *
+     * @param sentAt      when it was sent last or, if it wasn't yet, when it is to be sent
+     * @param latestSince when a command that expects the latest revision was submitted; empty for all others
+     * @param retries     how often it was sent again; {@link #NOT_SENT} before it was sent
+     */
     private record PendingCall(
             Message request,
             boolean isWrite,
             long token,
             long sentAt,
             long deadline,
-            boolean expectsLatest,
+            Optional<Long> latestSince,
             int retries) {
+        private static final int NOT_SENT = -1;
+
+        boolean isSent() {
+            return retries > NOT_SENT;
+        }
+
         PendingCall withRetry() {
-            return new PendingCall(request, isWrite, token, sentAt, deadline, expectsLatest, retries + 1);
+            return new PendingCall(request, isWrite, token, sentAt, deadline, latestSince, retries + 1);
         }
     }
 }
--- a/core/src/main/java/silverlatch/safeguard/Safeguard.java
+++ b/core/src/main/java/silverlatch/safeguard/Safeguard.java
@@ -53,6 +53,11 @@
     COMMITTED_REFUSAL,
     /** A command on a zone takes effect only on top of the newest entry of the zone that its caller knew. */
     LATEST_EVACUATION,
+    /**
+     * A command whose caller gave no revision is put on the newest one only after its caller has been connected for as long as a
+     * close may take that follows the command.
+     */
+    CALLER_PRESENCE,
     /** A command that may have waited while its process was paused counts as received when the pause began. */
     PAUSE,
     /** The receive event of a message gets a higher stamp than the message. */
--- a/core/src/main/java/silverlatch/state/Command.java
+++ b/core/src/main/java/silverlatch/state/Command.java
@@ -35,6 +35,11 @@
 
         /** Returns a copy of the command with another expected revision. */
         Revisioned withExpectedRevision(long revision);
+
+        /** Returns whether a command is applied on top of the newest change, whichever that is. */
+        static boolean isOnLatest(final Command command) {
+            return command instanceof Revisioned revisioned && revisioned.expectedRevision() == LATEST;
+        }
     }
 
     /** Sets individual cells of the table. */
--- a/core/src/test/java/silverlatch/replication/ChainClientTest.java
+++ b/core/src/test/java/silverlatch/replication/ChainClientTest.java
@@ -18,9 +18,10 @@
  * head and tail can change, and the process can be frozen beyond a deadline.
  */
 final class ChainClientTest {
+    private static final long PRESENCE_MICROS = 300_000;
     private View view = new View(1, 1, List.of(), List.of(new Replica("a", "a"), new Replica("b", "b")), "a");
     private final PauseDetector pauses = new PauseDetector(Safeguards.ALL);
-    private final ChainClient client = new ChainClient("me", () -> view, 10, pauses);
+    private final ChainClient client = new ChainClient("me", () -> view, 10, pauses, Safeguards.ALL);
 
     private List<String> sent() {
         return client.drain().stream()
@@ -48,6 +49,7 @@
         assertThat(expectedRevisions(), is(List.of(0L)));
         client.onMessage(
                 new ChainClientMessage.WriteReply(11, new CommandResult.Rejected(409, List.of("changed"), 7)), 1_000);
+        client.tick(PRESENCE_MICROS);
         assertThat(expectedRevisions(), is(List.of(7L)));
         client.onMessage(
                 new ChainClientMessage.WriteReply(11, new CommandResult.Rejected(409, List.of("a late reply"), 6)),
@@ -120,10 +122,31 @@
         client.drain();
         client.onMessage(
                 new ChainClientMessage.WriteReply(11, new CommandResult.Rejected(409, List.of("changed"), 7)), 1_000);
+        client.tick(PRESENCE_MICROS);
         assertThat(client.drain(), is(List.of((Effect) new Effect.Send(
                 "a", new ChainClientMessage.WriteRequest(12, "me", new Command.RemoveTenant("order-1", "ferry", 7))))));
     }
 
+    /** A command that the network held back until its caller had sent others was put on top of those before its close was read. */
+    @Test
+    void aCommandIsPutOnANewerRevisionOnlyOnceItsCallerHasStayedForAWhile() {
+        client.submit(new Command.SetEvacuation("order-1", "z", true, Command.Revisioned.LATEST), 5, 0, 1_000_000);
+        client.submit(new Command.SetEvacuation("order-2", "y", true, Command.Revisioned.LATEST), 6, 0, 1_000_000);
+        client.drain();
+        for (final long requestId : List.of(11L, 12L)) {
+            client.onMessage(
+                    new ChainClientMessage.WriteReply(
+                            requestId, new CommandResult.Rejected(409, List.of("changed"), 7)),
+                    1_000);
+        }
+        client.tick(PRESENCE_MICROS - 1);
+        assertThat("no caller has stayed for long enough", client.drain(), is(List.of()));
+        client.cancel(5);
+        client.drain();
+        client.tick(PRESENCE_MICROS);
+        assertThat("only the command whose caller stayed", expectedRevisions(), is(List.of(7L)));
+    }
+
     private List<Long> expectedRevisions() {
         return client.drain().stream()
                 .map(e -> ((Command.SetEvacuation)
--- a/core/src/test/java/silverlatch/replication/ReplicaCluster.java
+++ b/core/src/test/java/silverlatch/replication/ReplicaCluster.java
@@ -132,7 +132,8 @@
                         address,
                         replica::view,
                         scheduler.nextUniqueNumber() * CALLS_OF_ONE_CLIENT,
-                        new PauseDetector(Safeguards.ALL)));
+                        new PauseDetector(Safeguards.ALL),
+                        Safeguards.ALL));
         scheduleTick(address, replica);
     }
 
--- a/server/src/main/java/silverlatch/server/controller/ControlService.java
+++ b/server/src/main/java/silverlatch/server/controller/ControlService.java
@@ -28,7 +28,8 @@
     /**
      * Starts or ends the evacuation of a zone; the latest command for a zone wins. If the command isn't committed in time, or its caller
      * leaves, its outcome is reported as unknown: it takes effect while the caller waits, or later only if no other command for the zone
-     * took effect since. A call that may have waited during a pause of this process counts from the begin of the pause.
+     * took effect since. A call that may have waited during a pause of this process counts from the begin of the pause, and one that is
+     * the first on its connection from when that was accepted.
      */
     void setEvacuation(String zone, boolean isEvacuated, Caller caller, Consumer<CommandResult> onResult);
 
--- a/server/src/main/java/silverlatch/server/controller/Controller.java
+++ b/server/src/main/java/silverlatch/server/controller/Controller.java
@@ -168,6 +168,10 @@
     public void setEvacuation(
             final String zone, final boolean isEvacuated, final Caller caller, final Consumer<CommandResult> onResult) {
         final String id = UUID.randomUUID().toString();
+        EventLog.write(
+                Event.COMMAND_RECEIVED,
+                id + " " + (isEvacuated ? "evacuate " : "restore ") + zone + ", connected for "
+                        + caller.possibleWaitMicros() + " us");
         submit(new Command.SetEvacuation(id, zone, isEvacuated, Command.SetEvacuation.LATEST), caller, onResult);
     }
 
--- a/server/src/main/java/silverlatch/server/controller/StateApi.java
+++ b/server/src/main/java/silverlatch/server/controller/StateApi.java
@@ -55,7 +55,7 @@
         }
         final Command command = onLatestRevision(factory.create(commandId(exchange), expectedRevision.get()));
         final boolean isAccepted = eventLoop.submit(
-                command, TIMEOUT_MICROS, exchange::onCallerLeft, result -> reply(exchange, command.id(), result));
+                command, TIMEOUT_MICROS, exchange.caller(), result -> reply(exchange, command.id(), result));
         if (!isAccepted) {
             ApiReplies.rejectOverload(exchange);
         }
--- a/server/src/main/java/silverlatch/server/eventloop/Caller.java
+++ b/server/src/main/java/silverlatch/server/eventloop/Caller.java
@@ -11,4 +11,9 @@
 
     /** Calls the listener, on any thread, if the caller leaves before it got the result. */
     void onLeft(Runnable listener);
+
+    /** Returns for how many microseconds the caller may have waited already when its command was read; 0 if that isn't known. */
+    default long possibleWaitMicros() {
+        return 0;
+    }
 }
--- a/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
+++ b/server/src/main/java/silverlatch/server/eventloop/EventLoopHandle.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import silverlatch.node.Effect;
+import silverlatch.node.Event;
 import silverlatch.node.Node;
 import silverlatch.node.OutgoingFrame;
 import silverlatch.replication.ChainClient;
@@ -98,17 +99,23 @@
     }
 
     /**
-     * Submits a command. The callback gets the result on the event loop, at the latest when the timeout has passed. Once the caller has
-     * left, nothing more is done for the command, and its result is unknown. Returns false if the loop's queue is full; the callback is
-     * then never called.
+     * Submits a command. The callback gets the result at the latest when the timeout has passed. Once the caller has
+     * left, nothing more is done for the command, and its result is unknown. A caller of a command without a revision of its own counts
+     * as waiting since it connected. Returns false if the loop's queue is full; the callback is then never called.
      */
     public boolean submit(
             final Command command,
             final long timeoutMicros,
             final Caller caller,
             final Consumer<CommandResult> onResult) {
+        final long waited = Command.Revisioned.isOnLatest(command) ? caller.possibleWaitMicros() : 0;
+        if (waited >= timeoutMicros) {
+            EventLog.write(Event.COMMAND_DROPPED, command.id() + ": its caller may have waited for " + waited + " us");
+            onResult.accept(new CommandResult.Unknown(command.id()));
+            return true;
+        }
         final long token = lastToken.incrementAndGet();
-        final long deadline = EventLoop.nowMicros() + timeoutMicros;
+        final long deadline = EventLoop.nowMicros() + timeoutMicros - waited;
         final boolean isPosted = execute(target -> {
             pendingReplies.put(token, response -> onResult.accept((CommandResult) response));
             target.submit(command, token, EventLoop.nowMicros(), deadline);
--- a/server/src/main/java/silverlatch/server/web/ClientDisconnects.java
+++ b/server/src/main/java/silverlatch/server/web/ClientDisconnects.java
@@ -22,6 +22,15 @@
         endPoint(request).ifPresent(ClientEndPoint::unwatch);
     }
 
+    /**
+     * Returns the microseconds since the connection was accepted, if the request is the first one on it, else 0. A client sends its first
+     * request as soon as it is connected, so that this is the longest time for which the request may have been on its way.
+     */
+    static long firstRequestWaitMicros(final Request request) {
+        final boolean isFirst = request.getConnectionMetaData().getConnection().getMessagesIn() <= 1;
+        return isFirst ? endPoint(request).map(ClientEndPoint::ageMicros).orElse(0L) : 0;
+    }
+
     private static Optional<ClientEndPoint> endPoint(final Request request) {
         return request.getConnectionMetaData().getConnection().getEndPoint() instanceof ClientEndPoint endPoint
                 ? Optional.of(endPoint)
--- a/server/src/main/java/silverlatch/server/web/ClientEndPoint.java
+++ b/server/src/main/java/silverlatch/server/web/ClientEndPoint.java
@@ -7,6 +7,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -24,6 +25,7 @@
 final class ClientEndPoint extends SocketChannelEndPoint {
     private static final int READ_AHEAD_BYTES = 4 << 10;
 
+    private final long acceptedNanos = System.nanoTime();
     private final Executor executor;
     private final Object lock = new Object();
     private final ByteBuffer readAhead = BufferUtil.allocate(READ_AHEAD_BYTES);
@@ -72,6 +74,11 @@
         }
     }
 
+    /** Returns the microseconds since the connection was accepted. */
+    long ageMicros() {
+        return TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - acceptedNanos);
+    }
+
     /** Removes the watcher, because the response is complete and Jetty reads the next request. */
     void unwatch() {
         synchronized (lock) {
--- a/server/src/main/java/silverlatch/server/web/HttpExchange.java
+++ b/server/src/main/java/silverlatch/server/web/HttpExchange.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Fields;
 import silverlatch.json.JsonDocument;
+import silverlatch.server.eventloop.Caller;
 
 /**
  * An HTTP request with its body, and the reply to it. Only the first reply is sent; later ones are ignored. The reply may be given from
@@ -77,11 +78,31 @@
         request.addFailureListener(failure -> listener.run());
     }
 
+    /** Makes the connection end with the reply, so that the client's next request has a connection of its own. */
+    public void closeAfterReply() {
+        response.getHeaders().put(HttpHeader.CONNECTION, "close");
+    }
+
+    /** Returns the caller of this exchange, who may have waited since the connection was accepted if this is its first request. */
+    public Caller caller() {
+        return new Caller() {
+            @Override
+            public void onLeft(final Runnable listener) {
+                onCallerLeft(listener);
+            }
+
+            @Override
+            public long possibleWaitMicros() {
+                return ClientDisconnects.firstRequestWaitMicros(request);
+            }
+        };
+    }
+
     /**
      * Calls the listener, on a thread of the server, if the caller closes its side of the connection before the reply. Jetty doesn't read
      * while a request is served, so {@link #onDisconnect} isn't called then.
      */
-    public void onCallerLeft(final Runnable listener) {
+    private void onCallerLeft(final Runnable listener) {
         synchronized (watchLock) {
             if (!isReplied.get()) {
                 ClientDisconnects.watch(request, isReset -> listener.run());
--- a/simulation/src/main/java/silverlatch/simulation/explore/Action.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Action.java
@@ -58,7 +58,13 @@
         /** Cancels the evacuation of the zone; if the machine is frozen, the command waits until it is resumed. */
         TAKE_BACK,
         /** Reads whether the zone is evacuated. */
-        READ_ZONE
+        READ_ZONE,
+        /** Sends a machine an evacuation of the zone, which the network holds. */
+        HOLD_EVACUATE,
+        /** Sends a machine the end of the zone's evacuation, which the network holds. */
+        HOLD_TAKE_BACK,
+        /** Delivers the commands that the network holds for a machine, and the close of their connections {@code second} milliseconds later. */
+        RELEASE_HELD
     }
 
     private static final int WORDS = 4;
--- a/simulation/src/main/java/silverlatch/simulation/explore/Machine.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Machine.java
@@ -20,6 +20,8 @@
     private final List<LogRecord> disk = new ArrayList<>();
     private final Deque<Effect.Persist> pendingWrites = new ArrayDeque<>();
     private final List<WaitingCommand> waitingCommands = new ArrayList<>();
+    private final List<WaitingCommand> heldCommands = new ArrayList<>();
+    private final List<ClosingConnection> closingConnections = new ArrayList<>();
     private Optional<Process> process = Optional.empty();
     private int generation;
     private boolean frozen;
@@ -37,6 +39,9 @@
     /** A command that was sent to the frozen process, and its operation's token in the history. */
     record WaitingCommand(Command command, long token) {}
 
+    /** A connection of a command whose caller has left, and when the close arrives, in microseconds. */
+    record ClosingConnection(long token, long closesAt) {}
+
     /** Returns the address of the machine with an index. */
     static String address(final int index) {
         return String.valueOf((char) ('a' + index));
@@ -86,6 +91,16 @@
         return waitingCommands;
     }
 
+    /** Returns the commands that the network holds on their way to this machine. */
+    List<WaitingCommand> heldCommands() {
+        return heldCommands;
+    }
+
+    /** Returns the connections to the process whose close is on its way. */
+    List<ClosingConnection> closingConnections() {
+        return closingConnections;
+    }
+
     /** Returns whether the process exists and isn't frozen. */
     boolean isRunning() {
         return process.isPresent() && !frozen;
@@ -126,6 +141,7 @@
         }
         pendingWrites.clear();
         waitingCommands.clear();
+        closingConnections.clear();
         process = Optional.empty();
         frozen = false;
     }
--- a/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Mutant.java
@@ -42,6 +42,8 @@
     CHAIN_REPAIR(Set.of(Safeguard.CHAIN_REPAIR), Set.of(Property.RECOVERS)),
     /** A command that waited in a frozen process counts as received when the process is resumed. */
     PAUSE(Set.of(Safeguard.PAUSE), Set.of(Property.LATE_COMMAND)),
+    /** A command of a caller that may have left is put on the newest revision at once. */
+    CALLER_PRESENCE(Set.of(Safeguard.CALLER_PRESENCE), Set.of(Property.LATE_COMMAND)),
     /** A command on the zone takes effect on whatever is newest, also when it arrives late. */
     LATEST_EVACUATION(Set.of(Safeguard.LATEST_EVACUATION), Set.of(Property.LATE_COMMAND, Property.LINEARIZABLE)),
     /** A log write is reported as synced before it is; the simulated world does this, not the replica. */
--- a/simulation/src/main/java/silverlatch/simulation/explore/Operators.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/Operators.java
@@ -43,17 +43,56 @@
                 && write(machine, new Operation(kind, 0, -1, world.step(), Optional.empty()));
     }
 
-    private boolean write(final Machine machine, final Operation operation) {
+    /** Evacuates the zone or cancels that by a command that the network holds. */
+    boolean hold(final Machine machine, final Action.Kind kind) {
+        machine.heldCommands().add(begin(new Operation(kind, 0, -1, world.step(), Optional.empty())));
+        return true;
+    }
+
+    /**
+     * Delivers the commands that the network holds for a machine, each on a new connection, which is closed shortly after; returns false
+     * if there is none, or if the machine isn't running.
+     */
+    boolean releaseHeld(final Machine machine, final int closeMilliseconds) {
+        if (!machine.isRunning() || machine.heldCommands().isEmpty()) {
+            return false;
+        }
+        final long closesAt = world.now() + closeMilliseconds * MICROS_PER_MILLISECOND;
+        final List<Machine.WaitingCommand> held = List.copyOf(machine.heldCommands());
+        machine.heldCommands().clear();
+        for (final Machine.WaitingCommand command : held) {
+            machine.closingConnections().add(new Machine.ClosingConnection(command.token(), closesAt));
+            submit(machine, command.command(), command.token());
+        }
+        return true;
+    }
+
+    /** Lets a running machine read the closes that have arrived. */
+    void closeConnections(final Machine machine) {
+        for (final Machine.ClosingConnection closing : List.copyOf(machine.closingConnections())) {
+            if (closing.closesAt() <= world.now()) {
+                machine.closingConnections().remove(closing);
+                world.processForEvent(machine).client().cancel(closing.token());
+            }
+        }
+    }
+
+    private Machine.WaitingCommand begin(final Operation operation) {
         final long token = history.begin(operation);
         final Command command = command(operation, "order-" + ++commands);
         if (command instanceof Command.SetEvacuation) {
             final long callerLeavesAt = world.now() + CALLER_TIMEOUT_MILLISECONDS * MICROS_PER_MILLISECOND;
             lateCommands.onSent(command.id(), token, world.step(), callerLeavesAt);
         }
+        return new Machine.WaitingCommand(command, token);
+    }
+
+    private boolean write(final Machine machine, final Operation operation) {
+        final Machine.WaitingCommand command = begin(operation);
         if (machine.isFrozen()) {
-            machine.waitingCommands().add(new Machine.WaitingCommand(command, token));
+            machine.waitingCommands().add(command);
         } else {
-            submit(machine, command, token);
+            submit(machine, command.command(), command.token());
         }
         return true;
     }
--- a/simulation/src/main/java/silverlatch/simulation/explore/RandomWalk.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/RandomWalk.java
@@ -17,6 +17,10 @@
     private static final int[] TICK_CHOICES_MILLISECONDS = {20, 50, 100, 300};
     private static final int JUMP_MILLISECONDS = 700;
     private static final int NO_MATCH = -1;
+    /** The close of a connection arrives a round trip after what was sent before it. */
+    private static final int MAX_CLOSE_MILLISECONDS = 80;
+
+    private static final int MAX_PERIODS_OF_HOLD = 40;
     private static final int MAX_OPERATIONS = 40;
     private final Random random;
     private final World world;
@@ -127,6 +131,7 @@
             }
             case JUMP -> act(Action.tick(JUMP_MILLISECONDS));
             case FREEZE_WITH_COMMAND -> freezeWithCommand(machine);
+            case HOLD_COMMAND -> holdCommand(machine);
         }
     }
 
@@ -139,6 +144,18 @@
         act(Action.of(randomZoneCommand(), (machine + 1 + random.nextInt(size - 1)) % size));
     }
 
+    private void holdCommand(final int machine) {
+        act(Action.of(random.nextBoolean() ? Action.Kind.HOLD_EVACUATE : Action.Kind.HOLD_TAKE_BACK, machine));
+        for (int passed = 0; passed <= Operators.CALLER_TIMEOUT_MILLISECONDS; passed += JUMP_MILLISECONDS) {
+            act(Action.tick(JUMP_MILLISECONDS));
+        }
+        act(Action.of(randomZoneCommand(), (machine + 1 + random.nextInt(size - 1)) % size));
+        for (int i = random.nextInt(MAX_PERIODS_OF_HOLD); i > 0; i--) {
+            act(Action.period(TICK_CHOICES_MILLISECONDS[0]));
+        }
+        act(Action.of(Action.Kind.RELEASE_HELD, machine, random.nextInt(MAX_CLOSE_MILLISECONDS)));
+    }
+
     private Action.Kind randomZoneCommand() {
         return random.nextBoolean() ? Action.Kind.EVACUATE : Action.Kind.TAKE_BACK;
     }
--- a/simulation/src/main/java/silverlatch/simulation/explore/World.java
+++ b/simulation/src/main/java/silverlatch/simulation/explore/World.java
@@ -137,6 +137,9 @@
             case RESEND -> operators.resend(machine, action.second());
             case READ, READ_ZONE -> operators.read(machine, action.kind());
             case EVACUATE, TAKE_BACK -> operators.evacuate(machine, action.kind());
+            case HOLD_EVACUATE -> operators.hold(machine, Action.Kind.EVACUATE);
+            case HOLD_TAKE_BACK -> operators.hold(machine, Action.Kind.TAKE_BACK);
+            case RELEASE_HELD -> operators.releaseHeld(machine, action.second());
         };
     }
 
@@ -149,7 +152,8 @@
         final ChainReplica replica =
                 new ChainReplica(setup, List.copyOf(machine.disk()), () -> new Stamp(++lastStamp), machine.clock(now));
         final PauseDetector pauses = new PauseDetector(setup.safeguards());
-        final ChainClient client = new ChainClient(machine.address(), replica::view, startCount << 32, pauses);
+        final ChainClient client =
+                new ChainClient(machine.address(), replica::view, startCount << 32, pauses, setup.safeguards());
         machine.setProcess(new Machine.Process(replica, client, pauses));
         flush(machine);
     }
@@ -216,6 +220,7 @@
                 final Machine.Process process = processForEvent(machine);
                 process.replica().tick(machine.clock(now));
                 process.client().tick(machine.clock(now));
+                operators.closeConnections(machine);
                 flush(machine);
             }
         }
--- a/simulation/src/main/java/silverlatch/simulation/sim/Day.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Day.java
@@ -153,13 +153,13 @@
 
     /**
      * Draws a day's three to six faults from a seed; a fault may occur twice. Never drawn are {@link Fault#REBOOTSTRAP}, after
-     * which the earlier state isn't expected to survive, and {@link Fault#DISK_LOST_ALL_KILLED}, which occurs only at the end
-     * of a day.
+     * which the earlier state isn't expected to survive, {@link Fault#DISK_LOST_ALL_KILLED}, which occurs only at the end
+     * of a day, and {@link Fault#COMMAND_HELD}, whose drains would meet those of other faults.
      */
     public static List<Fault> randomFaults(final long seed) {
         final SplittableRandom random = new SplittableRandom(seed * 7919);
         final List<Fault> candidates = new ArrayList<>(List.of(Fault.values()));
-        candidates.removeAll(List.of(Fault.REBOOTSTRAP, Fault.DISK_LOST_ALL_KILLED));
+        candidates.removeAll(List.of(Fault.REBOOTSTRAP, Fault.DISK_LOST_ALL_KILLED, Fault.COMMAND_HELD));
         final List<Fault> list = new ArrayList<>();
         final int count = 3 + random.nextInt(4);
         for (int i = 0; i < count; i++) {
--- a/simulation/src/main/java/silverlatch/simulation/sim/Fault.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Fault.java
@@ -123,6 +123,11 @@
     KILLED_AT_STEPS(TargetedFaults::killedAtSteps),
     /** The head or the tail of the chain loses power just after a sync. */
     KILLED_AT_SYNC(TargetedFaults::killedAtSync),
+    /**
+     * A zone is drained, returned to service and drained again; then an earlier command to return it arrives, which the network held, and
+     * shortly after it the close of its connection.
+     */
+    COMMAND_HELD(OperatorFaults::commandHeld),
     /** All controllers but the first lose their disks while the first is partitioned, and try to bootstrap a new chain. */
     REBOOTSTRAP(ProcessFaults::rebootstrap);
 
--- a/simulation/src/main/java/silverlatch/simulation/sim/OperatorFaults.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/OperatorFaults.java
@@ -15,6 +15,16 @@
                 .scheduleChange(duration + 6_000_000, () -> world.operators().drain(zone, false));
     }
 
+    static void commandHeld(final World world, final long duration) {
+        final String zone = world.randomOf(world.plan().regions()).zone();
+        final Operators operators = world.operators();
+        operators.drain(zone, true);
+        world.disturbances().scheduleChange(2_000_000, () -> operators.drain(zone, false));
+        world.disturbances().scheduleChange(3_000_000, () -> operators.drain(zone, true));
+        world.disturbances().scheduleChange(5_000_000, () -> operators.deliverHeldReturn(zone));
+        world.disturbances().scheduleChange(duration + 14_000_000, () -> operators.drain(zone, false));
+    }
+
     static void operatorsRace(final World world, final long duration) {
         final String zone = world.randomOf(world.plan().regions()).zone();
         for (int i = 0; i < 4; i++) {
--- a/simulation/src/main/java/silverlatch/simulation/sim/Operators.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/Operators.java
@@ -28,6 +28,9 @@
     private static final long SECOND = 1_000_000L;
     private static final long GATE_INTERVAL = 7 * SECOND;
     private static final long LOAD_TIMEOUT = 4 * SECOND;
+    /** A close arrives a round trip after what was sent before it. */
+    private static final long MAX_CLOSE_DELAY = 80_000L;
+
     private static final int GROWTH_BATCH = 1_000;
     private static final String TABLE = "r/";
     private final World world;
@@ -236,6 +239,18 @@
                 });
     }
 
+    /** Delivers a command to return a zone to service whose caller has left; the close of its connection arrives shortly after it. */
+    void deliverHeldReturn(final String zone) {
+        world.record("a command to return " + zone + " arrives late");
+        final Command command =
+                new Command.SetEvacuation(nextCommandId("held"), zone, false, Command.Revisioned.LATEST);
+        final long closeDelay = world.scheduler().random().nextLong(MAX_CLOSE_DELAY);
+        submitter.randomController().ifPresent(controller -> {
+            controller.submitUntilClosed(command, CommandSubmitter.TIMEOUT, closeDelay);
+            observer.count("heldCommands");
+        });
+    }
+
     /** Starts a {@link ZoneRace} once all earlier commands on the zone have ended. */
     void raceOnZone(final String zone) {
         submitter.enqueue("z/" + zone, done -> new ZoneRace(world, this, zone, done).start());
--- a/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
+++ b/simulation/src/main/java/silverlatch/simulation/sim/SimulatedNode.java
@@ -247,6 +247,14 @@
         startQuery(onReply, (node, token) -> node.submit(command, token, now(), now() + timeout));
     }
 
+    /** Submits a command whose caller has left, and cancels it when the close of its connection arrives. */
+    void submitUntilClosed(final Command command, final long timeout, final long closeDelay) {
+        startQuery(reply -> {}, (node, token) -> {
+            node.submit(command, token, now(), now() + timeout);
+            world.scheduler().schedule(closeDelay, () -> executeOnNode(closed -> closed.cancel(token, now())));
+        });
+    }
+
     /** Reads the entries with a key prefix; {@code onReply} gets the result unless the process ends first. */
     void read(final String keyPrefix, final long timeout, final Consumer<Object> onReply) {
         startQuery(onReply, (node, token) -> node.read(keyPrefix, token, now(), now() + timeout));
--- a/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
+++ b/simulation/src/test/java/silverlatch/simulation/sim/DayTest.java
@@ -215,6 +215,8 @@
                         8),
                 new DisabledSafeguards(
                         Invariant.EVACUATED_ZONE, Set.of(Safeguard.EVACUATION), Fault.ZONE_EVACUATED, 60, 2),
+                new DisabledSafeguards(
+                        Invariant.EVACUATED_ZONE, Set.of(Safeguard.CALLER_PRESENCE), Fault.COMMAND_HELD, 60, 2),
                 new DisabledSafeguards(
                         Invariant.RETRY_BUDGET, Set.of(Safeguard.RETRY_BUDGET), Fault.WORKERS_REJECT, 60, 2),
                 new DisabledSafeguards(Invariant.SLOW_START, Set.of(Safeguard.SLOW_START), Fault.REGION_LOST, 400, 2),
